--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,255 @@
+//! The operators' command line.
+
+mod print;
+mod trial;
+
+use std::fs;
+use std::io;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use anyhow::Context as _;
+use wharflane::{desired, toml_read};
+use wharflane_operator as operator;
+
+/// The exit code of a refused desired state or a command line with faults.
+const REFUSED: u8 = 2;
+/// The exit code of a submission that came after another.
+const MOVED: u8 = 3;
+/// The exit code where nothing is known of what happened.
+const UNKNOWN: u8 = 4;
+/// How long a host may take to answer.
+const TIMEOUT: time::Duration = time::Duration::from_secs(15);
+
+fn main() -> process::ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(code) => process::ExitCode::from(code),
+        Err(err) => {
+            eprintln!("wharflane: {err:#}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns the command line.
+fn command() -> clap::Command {
+    let host = || {
+        clap::Arg::new("host")
+            .long("host")
+            .value_name("ADDR")
+            .required(true)
+            .value_parser(clap::value_parser!(net::SocketAddr))
+            .help("The operators' port of a host")
+    };
+    let json = || {
+        clap::Arg::new("json")
+            .long("json")
+            .action(clap::ArgAction::SetTrue)
+            .help("Print JSON for programs")
+    };
+    let file = || {
+        clap::Arg::new("file")
+            .value_name("FILE")
+            .required(true)
+            .value_parser(clap::value_parser!(path::PathBuf))
+            .help("The whole desired state")
+    };
+    let base = clap::Arg::new("base")
+        .long("base")
+        .value_name("REVISION")
+        .value_parser(clap::value_parser!(u64))
+        .help("The revision that FILE was made from; the one in force if absent");
+    let apply_id = clap::Arg::new("apply-id")
+        .long("apply-id")
+        .value_name("ID")
+        .help("Names the submission, so that it can be repeated");
+    let seconds = clap::Arg::new("seconds")
+        .long("seconds")
+        .default_value("8")
+        .value_parser(clap::value_parser!(u64).range(1..=60))
+        .help("How long each of the two parts lasts");
+    let shell = clap::Arg::new("shell")
+        .required(true)
+        .value_parser(clap::value_parser!(clap_complete::Shell))
+        .help("The shell");
+    clap::Command::new("wharflane")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates wharflane, a scheduler for services and batch work on the same workers")
+        .after_help(
+            "Exit codes: 0 done, 1 failed, 2 refused, 3 another submission came first, \
+             4 nothing is known",
+        )
+        .subcommand_required(true)
+        .subcommand(
+            clap::Command::new("check")
+                .about("Check a desired state")
+                .arg(file())
+                .arg(json()),
+        )
+        .subcommand(
+            clap::Command::new("apply")
+                .about("Put a desired state in force as a whole")
+                .args([file(), host(), base, apply_id, json()]),
+        )
+        .subcommand(
+            clap::Command::new("status")
+                .about("Show a summary")
+                .args([host(), json()]),
+        )
+        .subcommand(
+            clap::Command::new("drain")
+                .about("Stop a host without cutting a request")
+                .arg(host()),
+        )
+        .subcommand(
+            clap::Command::new("dump")
+                .about("Print the whole state of a host")
+                .arg(host()),
+        )
+        .subcommand(
+            clap::Command::new("try")
+                .about("Run a demo in one process")
+                .args([seconds, json()]),
+        )
+        .subcommand(
+            clap::Command::new("completion")
+                .about("Print a shell completion")
+                .arg(shell),
+        )
+}
+
+/// Runs the command that was asked for and returns the exit code.
+fn run(matches: &clap::ArgMatches) -> anyhow::Result<u8> {
+    let Some((name, args)) = matches.subcommand() else {
+        return Ok(REFUSED);
+    };
+    match name {
+        "check" => check(args),
+        "completion" => {
+            if let Some(shell) = args.get_one::<clap_complete::Shell>("shell") {
+                let mut command = command();
+                clap_complete::generate(*shell, &mut command, "wharflane", &mut io::stdout());
+            }
+            Ok(0)
+        }
+        "try" => {
+            let secs = args.get_one::<u64>("seconds").copied().unwrap_or(8);
+            trial::run(time::Duration::from_secs(secs), args.get_flag("json"))
+        }
+        _ => call(name, args),
+    }
+}
+
+/// Checks a desired state without a host.
+fn check(args: &clap::ArgMatches) -> anyhow::Result<u8> {
+    let (path, text) = read(args)?;
+    let faults = desired::parse(&text).err().unwrap_or_default();
+    report_faults(&path, &faults, args.get_flag("json"))
+}
+
+/// Runs a command that asks a host.
+#[tokio::main(flavor = "current_thread")]
+async fn call(name: &str, args: &clap::ArgMatches) -> anyhow::Result<u8> {
+    let addr = *args.get_one::<net::SocketAddr>("host").context("no host")?;
+    let host = operator::Operator::new(addr, TIMEOUT);
+    match name {
+        "apply" => apply(&host, args).await,
+        "status" => {
+            let status = host.status().await?;
+            if args.get_flag("json") {
+                println!("{}", serde_json::to_string_pretty(&status)?);
+            } else {
+                print::status(&status);
+            }
+            Ok(0)
+        }
+        "drain" => {
+            host.drain().await?;
+            println!("stopping");
+            Ok(0)
+        }
+        _ => {
+            println!("{}", serde_json::to_string_pretty(&host.dump().await?)?);
+            Ok(0)
+        }
+    }
+}
+
+/// Submits a desired state.
+async fn apply(host: &operator::Operator, args: &clap::ArgMatches) -> anyhow::Result<u8> {
+    let (path, text) = read(args)?;
+    let base_revision = match args.get_one::<u64>("base") {
+        Some(base) => *base,
+        None => host.status().await?.revision,
+    };
+    let apply_id = args.get_one::<String>("apply-id").cloned();
+    let apply_id = apply_id.unwrap_or_else(|| format!("{:x}", rand_id()));
+    let submission = operator::Apply {
+        apply_id: apply_id.clone(),
+        base_revision,
+        text,
+    };
+    let applied = host
+        .apply(&submission)
+        .await
+        .unwrap_or(operator::Applied::Unknown);
+    let json = args.get_flag("json");
+    if json {
+        println!("{}", serde_json::to_string_pretty(&applied)?);
+    }
+    Ok(match applied {
+        operator::Applied::Accepted { revision } => {
+            if !json {
+                println!("accepted as revision {revision}");
+            }
+            0
+        }
+        operator::Applied::Refused { faults } => {
+            if json {
+                REFUSED
+            } else {
+                report_faults(&path, &faults, false)?
+            }
+        }
+        operator::Applied::Moved { revision } => {
+            eprintln!("refused: revision {revision} is in force, not {base_revision}");
+            MOVED
+        }
+        operator::Applied::Unknown => {
+            eprintln!("nothing is known; repeat with --apply-id {apply_id} --base {base_revision}");
+            UNKNOWN
+        }
+    })
+}
+
+/// Prints the faults of a desired state and returns the exit code.
+fn report_faults(path: &path::Path, faults: &[toml_read::Fault], json: bool) -> anyhow::Result<u8> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(faults)?);
+    } else if faults.is_empty() {
+        println!("{}: in order", path.display());
+    }
+    for fault in faults.iter().filter(|_| !json) {
+        eprintln!("{}:{}: {}", path.display(), fault.line, fault.kind);
+    }
+    Ok(if faults.is_empty() { 0 } else { REFUSED })
+}
+
+/// Reads the desired state that was named.
+fn read(args: &clap::ArgMatches) -> anyhow::Result<(path::PathBuf, String)> {
+    let path = args.get_one::<path::PathBuf>("file").context("no file")?;
+    let text =
+        fs::read_to_string(path).with_context(|| format!("can't read {}", path.display()))?;
+    Ok((path.clone(), text))
+}
+
+/// Returns a number that no other submission has.
+fn rand_id() -> u64 {
+    use std::hash::{BuildHasher as _, Hasher as _};
+    std::collections::hash_map::RandomState::new()
+        .build_hasher()
+        .finish()
+}
--- /dev/null
+++ b/crates/cli/tests/processes/fleet.rs
@@ -0,0 +1,300 @@
+//! Starts the separate processes on loopback and stops them at the end of a test.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use wharflane::members;
+use wharflane_http::client;
+use wharflane_operator as operator;
+use wharflane_stand_in::{caller, ledger};
+
+/// How long anything may take before the test gives up.
+const PATIENCE: time::Duration = time::Duration::from_secs(60);
+/// How long a call may take.
+const CALL: time::Duration = time::Duration::from_secs(10);
+
+/// A process that ends with the test.
+#[derive(Debug)]
+pub struct Process(process::Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    /// Sends a signal by its number.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.0.id().to_string();
+        let sent = process::Command::new("kill").args([signal, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "signal {signal}");
+    }
+
+    /// Waits for the end and returns whether it was a success.
+    pub fn wait(&mut self) -> bool {
+        self.0.wait().is_ok_and(|status| status.success())
+    }
+}
+
+/// An entry host.
+#[derive(Debug)]
+pub struct Host {
+    /// The process.
+    pub process: Process,
+    /// Where callers connect.
+    pub caller: net::SocketAddr,
+    /// Where operators connect.
+    pub operator: net::SocketAddr,
+    /// Where peers connect.
+    pub peer: net::SocketAddr,
+}
+
+impl Host {
+    /// Returns a client of the operators' port.
+    pub fn desk(&self) -> operator::Operator {
+        operator::Operator::new(self.operator, CALL)
+    }
+}
+
+/// All processes of a test.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The folder with settings.
+    folder: tempfile::TempDir,
+    /// Where the platform answers.
+    pub platform: net::SocketAddr,
+    /// The platform.
+    _platform: Process,
+    /// The workers by name, with their addresses.
+    pub workers: collections::BTreeMap<String, (Process, net::SocketAddr)>,
+    /// The entry hosts by name.
+    pub hosts: collections::BTreeMap<String, Host>,
+    /// The list that the platform shows.
+    pub members: members::Members,
+    /// A client for switches.
+    client: client::Client,
+}
+
+impl Fleet {
+    /// Starts a platform, entry hosts, and workers spread over halls.
+    pub async fn start(hosts: usize, workers: usize, halls: &[&str]) -> Self {
+        let platform = free_port();
+        let addr = platform.to_string();
+        let process = spawn("wharflane-stand-in", &["platform", "--addr", &addr]);
+        let mut fleet = Self {
+            folder: tempfile::tempdir().expect("a folder for settings"),
+            platform,
+            _platform: process,
+            workers: collections::BTreeMap::new(),
+            hosts: collections::BTreeMap::new(),
+            members: members::Members::default(),
+            client: client::Client::new(CALL),
+        };
+        for number in 0..workers {
+            fleet.add_worker(&format!("worker-{number}"), halls[number % halls.len()]);
+        }
+        for number in 0..hosts {
+            fleet.add_host(&format!("entry-{number}"), halls[0]);
+        }
+        until("the platform", async || fleet.list().await).await;
+        fleet
+    }
+
+    /// Starts a worker.
+    pub fn add_worker(&mut self, name: &str, hall: &str) {
+        let addr = free_port();
+        let text = addr.to_string();
+        let args = [
+            "worker",
+            "--addr",
+            &text,
+            "--name",
+            name,
+            "--service-ms",
+            "3",
+        ];
+        self.workers
+            .insert(name.to_owned(), (spawn("wharflane-stand-in", &args), addr));
+        let rack = format!("rack-{}", self.workers.len() % 2);
+        let presence = members::Presence::Live;
+        let member = members::Worker {
+            addr,
+            hall: hall.into(),
+            rack,
+            presence,
+        };
+        self.members.workers.insert(name.into(), member);
+    }
+
+    /// Starts an entry host.
+    pub fn add_host(&mut self, name: &str, hall: &str) {
+        let [caller, operator, peer] = [free_port(), free_port(), free_port()];
+        let seeds: Vec<String> = self
+            .hosts
+            .values()
+            .map(|host| format!("\"{}\"", host.peer))
+            .collect();
+        let text = format!(
+            "host = \"{name}\"\nhall = \"{hall}\"\nseed_peers = [{}]\n[listen]\n\
+             caller = \"{caller}\"\noperator = \"{operator}\"\npeer = \"{peer}\"\n\
+             [platform]\naddr = \"{}\"\n[traffic]\nthreads = 2\nstop_notice_ms = 300\n\
+             [control]\nlease_ms = 1500\nturn_ms = 300\npoll_ms = 200\ncommit_ms = 100\n\
+             sync_ms = 200\nworker_lease_ms = 3000\nmargin_ms = 500\ngossip_ms = 200\n\
+             authority_ms = 60000\ndrain_ms = 1500\n[log]\nlevel = \"warn\"\n",
+            seeds.join(", "),
+            self.platform
+        );
+        let path = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&path, text).expect("settings written");
+        let path = path.to_string_lossy().into_owned();
+        let process = spawn("wharflaned", &["--config", &path]);
+        self.hosts.insert(
+            name.to_owned(),
+            Host {
+                process,
+                caller,
+                operator,
+                peer,
+            },
+        );
+        let host = members::Host {
+            peer_addr: peer,
+            presence: members::Presence::Live,
+        };
+        self.members.hosts.insert(name.into(), host);
+    }
+
+    /// Shows the list of machines to the hosts; returns whether the platform took it.
+    pub async fn list(&self) -> bool {
+        self.put(self.platform, "members", &self.members).await
+    }
+
+    /// Sets a switch of a fake; returns whether it was taken.
+    pub async fn put<T: serde::Serialize + Sync>(
+        &self,
+        addr: net::SocketAddr,
+        switch: &str,
+        value: &T,
+    ) -> bool {
+        let body = serde_json::to_vec(value).expect("switch encoded");
+        let url = format!("http://{addr}/stand-in/{switch}");
+        self.client
+            .send(hyper::Method::PUT, &url, body.into())
+            .await
+            .is_ok()
+    }
+
+    /// Returns the host of a name.
+    pub fn host(&self, name: &str) -> &Host {
+        &self.hosts[name]
+    }
+
+    /// Puts a desired state in force through a host and returns its revision.
+    pub async fn apply(&self, host: &str, text: &str) -> u64 {
+        let desk = self.host(host).desk();
+        until("operators' port", async || desk.status().await.is_ok()).await;
+        let path = self.folder.path().join("desired.toml");
+        fs::write(&path, text).expect("desired state written");
+        let operator = self.host(host).operator.to_string();
+        let path = path.to_string_lossy().into_owned();
+        let output = process::Command::new(bin("wharflane"))
+            .args(["apply", &path, "--host", &operator, "--json"])
+            .output()
+            .expect("apply runs");
+        match serde_json::from_slice(&output.stdout) {
+            Ok(operator::Applied::Accepted { revision }) => revision,
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    /// Waits until every host sends requests to so many endpoints of a service.
+    pub async fn wait_for_endpoints(&self, service: &str, count: usize) {
+        for host in self.hosts.values() {
+            let desk = host.desk();
+            until("endpoints", async || {
+                let status = desk.status().await.unwrap_or_default();
+                status
+                    .services
+                    .get(service)
+                    .is_some_and(|s| s.endpoints >= count)
+            })
+            .await;
+        }
+    }
+
+    /// Returns what all workers saw.
+    pub async fn facts(&self) -> Vec<ledger::Fact> {
+        let mut all = Vec::new();
+        for worker in self.workers.keys() {
+            all.extend(self.facts_of(worker).await);
+        }
+        all
+    }
+
+    /// Returns what one worker saw.
+    pub async fn facts_of(&self, worker: &str) -> Vec<ledger::Fact> {
+        let (_, addr) = &self.workers[worker];
+        let url = format!("http://{addr}/stand-in/facts");
+        self.client.get(&url).await.unwrap_or_default()
+    }
+
+    /// Returns a load on all hosts.
+    pub fn load(&self, name: &str, service: &str, rate: f64, seconds: u64) -> caller::Load {
+        caller::Load {
+            hosts: self.hosts.values().map(|host| host.caller).collect(),
+            service: service.to_owned(),
+            rate,
+            duration: time::Duration::from_secs(seconds),
+            repeatable: None,
+            patience: time::Duration::from_secs(5),
+            name: name.to_owned(),
+        }
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < end, "{what} in time");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
+
+/// Runs a test on a runtime of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test);
+}
+
+/// Starts a program of this workspace.
+pub fn spawn(name: &str, args: &[&str]) -> Process {
+    let child = process::Command::new(bin(name))
+        .args(args)
+        .stdin(process::Stdio::null())
+        .spawn()
+        .unwrap_or_else(|err| panic!("{name}: {err}"));
+    Process(child)
+}
+
+/// Returns the path of a program of this workspace.
+pub fn bin(name: &str) -> path::PathBuf {
+    let own = path::Path::new(env!("CARGO_BIN_EXE_wharflane"));
+    own.with_file_name(name)
+}
+
+/// Finds a port that is free now.
+fn free_port() -> net::SocketAddr {
+    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("its address")
+}
--- /dev/null
+++ b/crates/cli/tests/processes/path.rs
@@ -0,0 +1,57 @@
+//! One request from end to end, and one batch job from file to end.
+
+use std::collections;
+
+use wharflane::id;
+use wharflane_stand_in::{caller, cases, checker, ledger};
+
+use crate::fleet;
+
+/// Verbeeck's example with other numbers, so that it fits a few small workers.
+fn small_verbeeck() -> String {
+    let text = include_str!("../../../../examples/verbeeck.toml");
+    let text = text
+        .replace("count = 65", "count = 4")
+        .replace("tasks = 200", "tasks = 6");
+    let text = text
+        .replace("tasks = 80", "tasks = 4")
+        .replace("run_time_ms = 600000", "run_time_ms = 900");
+    text.replace("run_time_ms = 120000", "run_time_ms = 500")
+}
+
+cases! {
+    requests_are_answered_and_batch_jobs_end => fleet::run(whole_path()),
+}
+
+/// Starts all processes, serves requests, ends two jobs, and checks what the fakes saw.
+async fn whole_path() {
+    let halls = ["gent", "brugge", "antwerpen", "leuven"];
+    let fleet = fleet::Fleet::start(2, 4, &halls).await;
+    fleet.apply("entry-0", &small_verbeeck()).await;
+    fleet.wait_for_endpoints("dispatch", 4).await;
+    let report = caller::run(fleet.load("path", "dispatch", 100.0, 3)).await;
+    assert_eq!(
+        report.count(caller::End::Answered),
+        report.seen.len(),
+        "all answered"
+    );
+    fleet::until("jobs end", async || {
+        completed(&fleet.facts().await).len() == 10
+    })
+    .await;
+    let facts = fleet.facts().await;
+    assert_eq!(checker::check(&facts), Vec::new());
+    assert!(
+        checker::runs(&facts).values().all(|runs| *runs == 1),
+        "each request ran once"
+    );
+}
+
+/// Returns the tasks that came to their end.
+fn completed(facts: &[ledger::Fact]) -> collections::BTreeSet<id::TaskId> {
+    let ended = facts.iter().filter_map(|fact| match fact {
+        ledger::Fact::Completed { task, .. } => Some(task.clone()),
+        _ => None,
+    });
+    ended.collect()
+}
--- /dev/null
+++ b/crates/cli/tests/processes/stops.rs
@@ -0,0 +1,85 @@
+//! Planned stops of entry hosts and workers under load: no request in flight is cut.
+
+use std::time;
+
+use wharflane::members;
+use wharflane_stand_in::{caller, cases, checker};
+
+use crate::fleet;
+
+cases! {
+    a_stopping_host_ends_its_requests => fleet::run(host_stops()),
+    a_leaving_worker_ends_its_requests_and_gets_no_more => fleet::run(worker_leaves()),
+}
+
+/// One service on four workers.
+const SERVICE: &str = r#"
+class = [{ name = "paid", priority = 10 }]
+team = [{ name = "ours" }]
+hall = [{ name = "vake" }]
+[[service]]
+name = "lending"
+team = "ours"
+class = "paid"
+halls = ["vake"]
+count = 4
+cpu_milli = 4000
+mem_mb = 1000
+latency_target_ms = 100
+"#;
+
+/// Stops the host that takes all requests; the balancer's part is played by the test, which
+/// sends nothing new to a host that is not ready.
+async fn host_stops() {
+    let mut fleet = fleet::Fleet::start(2, 4, &["vake"]).await;
+    fleet.apply("entry-0", SERVICE).await;
+    fleet.wait_for_endpoints("lending", 4).await;
+    let slow = wharflane_stand_in::endpoint::Faults {
+        service_ms: 900,
+        ..Default::default()
+    };
+    for (_, addr) in fleet.workers.values() {
+        assert!(fleet.put(*addr, "endpoint-faults", &slow).await);
+    }
+    let mut load = fleet.load("stop", "lending", 20.0, 1);
+    load.hosts = vec![fleet.host("entry-1").caller];
+    let running = tokio::spawn(caller::run(load));
+    tokio::time::sleep(time::Duration::from_millis(700)).await;
+    // The stop notice keeps the port open until the balancer has seen that it is not ready.
+    let mut host = fleet.hosts.remove("entry-1").expect("a host");
+    host.process.signal("-TERM");
+    let report = running.await.expect("callers");
+    assert_eq!(
+        report.count(caller::End::Answered),
+        report.seen.len(),
+        "none was cut"
+    );
+    assert!(host.process.wait(), "the host ends by itself");
+}
+
+/// Plans the stop of a worker under load.
+async fn worker_leaves() {
+    let mut fleet = fleet::Fleet::start(2, 4, &["vake"]).await;
+    fleet.apply("entry-0", SERVICE).await;
+    fleet.wait_for_endpoints("lending", 4).await;
+    let running = tokio::spawn(caller::run(fleet.load("leave", "lending", 100.0, 5)));
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let member = fleet
+        .members
+        .workers
+        .get_mut(&"worker-2".into())
+        .expect("a worker");
+    member.presence = members::Presence::Leaving;
+    assert!(fleet.list().await);
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let ran = |facts: &[wharflane_stand_in::ledger::Fact]| checker::runs(facts).len();
+    let one = fleet.facts_of("worker-2").await;
+    let report = running.await.expect("callers");
+    let later = fleet.facts_of("worker-2").await;
+    assert_eq!(ran(&one), ran(&later), "nothing new after two seconds");
+    assert_eq!(
+        report.count(caller::End::Answered),
+        report.seen.len(),
+        "none was cut"
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/control/config.rs
@@ -0,0 +1,358 @@
+//! Configuration: checked whole, put in force by one conditional write, and never taken back.
+
+use std::fmt::Write as _;
+use std::sync;
+
+use ractor::Actor;
+use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
+use wharflane::{desired, hall, platform, toml_read};
+use wharflane_operator as operator;
+
+use super::Shared;
+use super::root;
+
+/// The key of the head row.
+pub const HEAD_KEY: &str = "config/head";
+/// The key of the row that remembers submissions.
+const RECENT_KEY: &str = "config/recent";
+/// How many submissions are remembered.
+const RECENT_KEPT: usize = 64;
+/// How often a write whose fate is in doubt is looked at.
+const DOUBT_READS: u32 = 5;
+
+/// The head row.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Head {
+    /// The revision in force.
+    revision: u64,
+    /// The key of the object that holds it.
+    object: String,
+}
+
+/// A submission that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Recent {
+    /// Its name.
+    apply_id: String,
+    /// Its revision.
+    revision: u64,
+}
+
+/// A configuration as it is stored and as it is acted on.
+#[derive(Clone, Debug)]
+pub struct Loaded {
+    /// As it is stored.
+    pub stored: sync::Arc<desired::Stored>,
+    /// As it is acted on.
+    pub current: sync::Arc<hall::Current>,
+}
+
+/// What the keeper of the configuration is told.
+#[derive(Debug)]
+pub enum Msg {
+    /// It is time to read the head row.
+    Poll,
+    /// The head row was read.
+    Head(Option<u64>),
+    /// A revision was read from the object store or came from a peer.
+    Offered(Box<desired::Stored>),
+    /// A peer has a revision in force.
+    Nudged(u64),
+}
+
+/// The keeper of the configuration.
+#[derive(Debug)]
+pub struct Keeper;
+
+/// What the keeper knows.
+#[derive(Debug)]
+pub struct State {
+    /// What all actors share.
+    shared: Shared,
+    /// The root actor.
+    root: ractor::ActorRef<root::Msg>,
+    /// The revision in force.
+    revision: u64,
+}
+
+impl Actor for Keeper {
+    type Msg = Msg;
+    type State = State;
+    type Arguments = (Shared, ractor::ActorRef<root::Msg>);
+
+    async fn pre_start(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        (shared, root): Self::Arguments,
+    ) -> Result<State, ractor::ActorProcessingErr> {
+        myself.cast(Msg::Poll)?;
+        myself.send_interval(shared.time("poll_ms"), || Msg::Poll);
+        Ok(State {
+            shared,
+            root,
+            revision: 0,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        message: Msg,
+        state: &mut State,
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        match message {
+            Msg::Poll => fetch(&myself, state.shared.clone(), state.revision),
+            Msg::Nudged(revision) if revision > state.revision => {
+                fetch(&myself, state.shared.clone(), state.revision);
+            }
+            Msg::Nudged(_) => {}
+            Msg::Head(revision) => state.root.cast(root::Msg::HeadSeen(revision))?,
+            Msg::Offered(stored) => state.offered(*stored)?,
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Puts a revision in force unless it is not newer than the one in force.
+    fn offered(&mut self, stored: desired::Stored) -> Result<(), ractor::ActorProcessingErr> {
+        if stored.revision <= self.revision {
+            return Ok(());
+        }
+        let Ok(desired) = stored.desired() else {
+            tracing::error!(
+                revision = stored.revision,
+                "configuration can't be read by this build"
+            );
+            return Ok(());
+        };
+        let revision = stored.revision;
+        self.revision = revision;
+        self.shared
+            .metrics
+            .revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+        tracing::info!(revision, "configuration in force");
+        let current = sync::Arc::new(hall::Current { revision, desired });
+        let stored = sync::Arc::new(stored);
+        self.root
+            .cast(root::Msg::Config(Loaded { stored, current }))?;
+        Ok(())
+    }
+}
+
+/// Reads the head row, and the object that it names if that is newer.
+fn fetch(myself: &ractor::ActorRef<Msg>, shared: Shared, known: u64) {
+    let myself = myself.clone();
+    tokio::spawn(async move {
+        let rows = shared.platform.read(vec![HEAD_KEY.to_owned()]).await;
+        shared.count_call("read", &rows);
+        let head = rows.ok().map(|rows| head_of(rows.first()).1);
+        let _ = myself.cast(Msg::Head(head.as_ref().map(|head| head.revision)));
+        let Some(head) = head.filter(|head| head.revision > known) else {
+            return;
+        };
+        let object = shared.platform.get_object(&head.object).await;
+        shared.count_call("get", &object);
+        if let Ok(stored) = object.map(|bytes| serde_json::from_slice(&bytes))
+            && let Ok(stored) = stored
+        {
+            let _ = myself.cast(Msg::Offered(Box::new(stored)));
+        }
+    });
+}
+
+/// Reads a head row; an absent one stands for revision zero.
+fn head_of(row: Option<&platform::Row>) -> (u64, Head) {
+    let version = row.map_or(0, |row| row.version);
+    let head = row
+        .and_then(|row| serde_json::from_str(&row.value).ok())
+        .unwrap_or_default();
+    (version, head)
+}
+
+/// The rows that a submission depends on, as they were read.
+struct Before {
+    /// The version and value of the head row.
+    head: (u64, Head),
+    /// The version and value of the row that remembers submissions.
+    recent: (u64, Vec<Recent>),
+}
+
+/// Checks a submission and puts it in force, or says why not.
+pub async fn apply(shared: &Shared, apply: &operator::Apply) -> operator::Applied {
+    let after = match desired::parse(&apply.text) {
+        Ok(after) => after,
+        Err(faults) => return operator::Applied::Refused { faults },
+    };
+    let mut after = after;
+    let Some(before) = read_before(shared).await else {
+        return operator::Applied::Unknown;
+    };
+    if let Some(revision) = remembered(&before, &apply.apply_id) {
+        return operator::Applied::Accepted { revision };
+    }
+    let head = &before.head.1;
+    if head.revision != apply.base_revision {
+        return operator::Applied::Moved {
+            revision: head.revision,
+        };
+    }
+    let Some(old) = read_desired(shared, head).await else {
+        return operator::Applied::Unknown;
+    };
+    let revision = head.revision + 1;
+    let born = match desired::succeed(&old, &mut after, revision) {
+        Ok(born) => born,
+        Err(faults) => return operator::Applied::Refused { faults },
+    };
+    let stored = desired::Stored {
+        revision,
+        text: apply.text.clone(),
+        born,
+    };
+    put_in_force(shared, apply, &before, &stored).await
+}
+
+/// Checks a submission without putting it in force.
+#[must_use]
+pub fn check(text: &str) -> Vec<toml_read::Fault> {
+    desired::parse(text).err().unwrap_or_default()
+}
+
+/// Stores a revision and moves the head row to it.
+async fn put_in_force(
+    shared: &Shared,
+    apply: &operator::Apply,
+    before: &Before,
+    stored: &desired::Stored,
+) -> operator::Applied {
+    let Ok(text) = serde_json::to_string(stored) else {
+        return operator::Applied::Unknown;
+    };
+    let object = format!("config/{}", hash(&text));
+    let put = shared.platform.put_object(&object, text).await;
+    shared.count_call("put", &put);
+    let txn = put
+        .ok()
+        .and_then(|()| transaction(apply, before, stored.revision, &object));
+    let Some(txn) = txn else {
+        return operator::Applied::Unknown;
+    };
+    let answer = shared.platform.transact(&txn).await;
+    shared.count_call("txn", &answer);
+    match answer {
+        Ok(platform::TxnAnswer::Committed) => operator::Applied::Accepted {
+            revision: stored.revision,
+        },
+        Ok(platform::TxnAnswer::Conflict { .. }) | Err(_) => {
+            resolve(shared, apply, before.head.1.revision).await
+        }
+    }
+}
+
+/// Finds out what became of a submission whose answer was lost or which met another.
+async fn resolve(shared: &Shared, apply: &operator::Apply, base: u64) -> operator::Applied {
+    for _ in 0..DOUBT_READS {
+        if let Some(now) = read_before(shared).await {
+            if let Some(revision) = remembered(&now, &apply.apply_id) {
+                return operator::Applied::Accepted { revision };
+            }
+            // An unchanged head proves nothing: the write may still be on its way.
+            if now.head.1.revision > base {
+                return operator::Applied::Moved {
+                    revision: now.head.1.revision,
+                };
+            }
+        }
+        tokio::time::sleep(shared.time("poll_ms") / DOUBT_READS).await;
+    }
+    operator::Applied::Unknown
+}
+
+/// Returns the transaction that moves the head row.
+fn transaction(
+    apply: &operator::Apply,
+    before: &Before,
+    revision: u64,
+    object: &str,
+) -> Option<platform::Txn> {
+    let head = Head {
+        revision,
+        object: object.to_owned(),
+    };
+    let mut recent = before.recent.1.clone();
+    recent.push(Recent {
+        apply_id: apply.apply_id.clone(),
+        revision,
+    });
+    let spare = recent.len().saturating_sub(RECENT_KEPT);
+    recent.drain(..spare);
+    let check = |key: &str, version| platform::Check {
+        key: key.to_owned(),
+        version,
+    };
+    let write = |key: &str, value| platform::Write {
+        key: key.to_owned(),
+        value: Some(value),
+    };
+    Some(platform::Txn {
+        checks: vec![
+            check(HEAD_KEY, before.head.0),
+            check(RECENT_KEY, before.recent.0),
+        ],
+        writes: vec![
+            write(HEAD_KEY, serde_json::to_string(&head).ok()?),
+            write(RECENT_KEY, serde_json::to_string(&recent).ok()?),
+        ],
+    })
+}
+
+/// Reads the rows that a submission depends on.
+async fn read_before(shared: &Shared) -> Option<Before> {
+    let keys = vec![HEAD_KEY.to_owned(), RECENT_KEY.to_owned()];
+    let rows = shared.platform.read(keys).await;
+    shared.count_call("read", &rows);
+    let rows = rows.ok()?;
+    let row = |key: &str| rows.iter().find(|row| row.key == key);
+    let recent = match row(RECENT_KEY) {
+        Some(row) => (row.version, serde_json::from_str(&row.value).ok()?),
+        None => (0, Vec::new()),
+    };
+    Some(Before {
+        head: head_of(row(HEAD_KEY)),
+        recent,
+    })
+}
+
+/// Reads the desired state that a head row names.
+async fn read_desired(shared: &Shared, head: &Head) -> Option<desired::Desired> {
+    if head.revision == 0 {
+        return Some(desired::Desired::default());
+    }
+    let object = shared.platform.get_object(&head.object).await;
+    shared.count_call("get", &object);
+    let stored: desired::Stored = serde_json::from_slice(&object.ok()?).ok()?;
+    stored.desired().ok()
+}
+
+/// Returns the revision of a submission that was accepted before.
+fn remembered(before: &Before, apply_id: &str) -> Option<u64> {
+    let found = before
+        .recent
+        .1
+        .iter()
+        .find(|recent| recent.apply_id == apply_id);
+    found.map(|recent| recent.revision)
+}
+
+/// Returns the content hash of a text.
+fn hash(text: &str) -> String {
+    let mut hex = String::new();
+    for byte in sha2::Sha256::digest(text.as_bytes()) {
+        // Writing to a String can't fail.
+        let _ = write!(hex, "{byte:02x}");
+    }
+    hex
+}
--- /dev/null
+++ b/crates/daemon/src/control/gossip.rs
@@ -0,0 +1,261 @@
+//! Tells the other hosts at once what they need: revisions, endpoint tables, digests.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use ractor::Actor;
+use wharflane::{digest, endpoints, id};
+use wharflane_peer as peer;
+
+use super::Shared;
+use super::root;
+
+/// What the gossip actor is told.
+#[derive(Debug)]
+pub enum Msg {
+    /// It is time to tell every peer.
+    Round,
+    /// The peers changed.
+    Peers(collections::BTreeMap<id::HostId, net::SocketAddr>),
+    /// A revision came into force here.
+    Revision(u64),
+    /// A hall held here has a new table.
+    Table(endpoints::Table),
+    /// A hall is held by another host now, or by this one.
+    Holder(id::HallId, Option<id::HostId>),
+    /// A peer said which revision it has.
+    Heard(id::HostId, Option<peer::Heard>),
+    /// A connection to a peer stands.
+    Connected(id::HostId, peer::PeerClient),
+}
+
+/// The gossip actor.
+#[derive(Debug)]
+pub struct Gossip;
+
+/// A peer.
+#[derive(Debug)]
+struct Other {
+    /// Where it is reached.
+    addr: net::SocketAddr,
+    /// The connection.
+    client: Option<peer::PeerClient>,
+    /// Whether an answer is awaited.
+    busy: bool,
+    /// The tables it was told, by hall.
+    told: collections::BTreeMap<id::HallId, (u64, u64)>,
+    /// The tables told in the message under way.
+    telling: collections::BTreeMap<id::HallId, (u64, u64)>,
+}
+
+/// What the actor knows.
+#[derive(Debug)]
+pub struct State {
+    /// What all actors share.
+    shared: Shared,
+    /// The root actor.
+    root: ractor::ActorRef<root::Msg>,
+    /// The peers.
+    peers: collections::BTreeMap<id::HostId, Other>,
+    /// The revision in force here.
+    revision: u64,
+    /// The tables of halls held here.
+    tables: collections::BTreeMap<id::HallId, endpoints::Table>,
+    /// The holder of each hall.
+    holders: collections::BTreeMap<id::HallId, id::HostId>,
+}
+
+impl Actor for Gossip {
+    type Msg = Msg;
+    type State = State;
+    type Arguments = (Shared, ractor::ActorRef<root::Msg>);
+
+    async fn pre_start(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        (shared, root): Self::Arguments,
+    ) -> Result<State, ractor::ActorProcessingErr> {
+        myself.send_interval(shared.time("gossip_ms"), || Msg::Round);
+        Ok(State {
+            shared,
+            root,
+            peers: collections::BTreeMap::new(),
+            revision: 0,
+            tables: collections::BTreeMap::new(),
+            holders: collections::BTreeMap::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        message: Msg,
+        state: &mut State,
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        match message {
+            Msg::Round => state.round(&myself)?,
+            Msg::Peers(peers) => state.set_peers(&peers),
+            Msg::Revision(revision) => {
+                state.revision = revision;
+                state.tell_all(&myself, &[]);
+            }
+            Msg::Table(table) => {
+                state.tables.insert(table.hall.clone(), table);
+                state.tell_all(&myself, &[]);
+            }
+            Msg::Holder(hall, holder) => state.set_holder(hall, holder),
+            Msg::Heard(host, heard) => state.heard(&host, heard)?,
+            Msg::Connected(host, client) => {
+                if let Some(other) = state.peers.get_mut(&host) {
+                    other.client = Some(client);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Takes the list of peers; connections to those that stay are kept.
+    fn set_peers(&mut self, peers: &collections::BTreeMap<id::HostId, net::SocketAddr>) {
+        self.peers
+            .retain(|host, other| peers.get(host) == Some(&other.addr));
+        for (host, addr) in peers {
+            if host != self.shared.host() {
+                self.peers
+                    .entry(host.clone())
+                    .or_insert_with(|| Other::new(*addr));
+            }
+        }
+    }
+
+    /// Notes the holder of a hall; what is not held here is not told.
+    fn set_holder(&mut self, hall: id::HallId, holder: Option<id::HostId>) {
+        if holder.as_ref() != Some(self.shared.host()) {
+            self.tables.remove(&hall);
+        }
+        match holder {
+            Some(holder) => self.holders.insert(hall, holder),
+            None => self.holders.remove(&hall),
+        };
+    }
+
+    /// Takes the digests of the interval and tells every peer.
+    fn round(&mut self, myself: &ractor::ActorRef<Msg>) -> Result<(), ractor::ActorProcessingErr> {
+        let digests = self.shared.traffic.take_digests(self.shared.host());
+        let own = self.shared.host().clone();
+        for digest in &digests {
+            if self.holders.get(&digest.hall) == Some(&own) {
+                self.root.cast(root::Msg::Digest(digest.clone()))?;
+            }
+        }
+        self.tell_all(myself, &digests);
+        Ok(())
+    }
+
+    /// Tells every peer that is not being told already.
+    fn tell_all(&mut self, myself: &ractor::ActorRef<Msg>, digests: &[digest::Digest]) {
+        let timeout = self.shared.time("gossip_ms") * 2;
+        let hosts: Vec<id::HostId> = self.peers.keys().cloned().collect();
+        for host in hosts {
+            let gossip = self.gossip_for(&host, digests);
+            let Some(other) = self.peers.get_mut(&host).filter(|other| !other.busy) else {
+                continue;
+            };
+            other.busy = true;
+            other.telling = gossip
+                .tables
+                .iter()
+                .map(|t| (t.hall.clone(), (t.epoch, t.version)))
+                .collect();
+            let client = other.client.clone();
+            tokio::spawn(tell(
+                myself.clone(),
+                host,
+                other.addr,
+                client,
+                gossip,
+                timeout,
+            ));
+        }
+    }
+
+    /// Returns what a peer has not been told yet.
+    fn gossip_for(&self, host: &id::HostId, digests: &[digest::Digest]) -> peer::Gossip {
+        let told = self.peers.get(host).map(|other| &other.told);
+        let fresh = |table: &&endpoints::Table| {
+            let known = told.and_then(|told| told.get(&table.hall));
+            known != Some(&(table.epoch, table.version))
+        };
+        let theirs = |digest: &&digest::Digest| self.holders.get(&digest.hall) == Some(host);
+        peer::Gossip {
+            revision: self.revision,
+            tables: self.tables.values().filter(fresh).cloned().collect(),
+            digests: digests.iter().filter(theirs).cloned().collect(),
+        }
+    }
+
+    /// Takes a peer's answer, or notes that none came.
+    fn heard(
+        &mut self,
+        host: &id::HostId,
+        heard: Option<peer::Heard>,
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        let Some(other) = self.peers.get_mut(host) else {
+            return Ok(());
+        };
+        other.busy = false;
+        let telling = std::mem::take(&mut other.telling);
+        match heard {
+            Some(heard) => {
+                other.told.extend(telling);
+                if heard.revision > self.revision {
+                    self.root.cast(root::Msg::Nudged(heard.revision))?;
+                }
+            }
+            None => {
+                // A peer that was away may be a new process that knows nothing.
+                other.client = None;
+                other.told.clear();
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Other {
+    /// Makes a peer not talked to yet.
+    fn new(addr: net::SocketAddr) -> Self {
+        Self {
+            addr,
+            client: None,
+            busy: false,
+            told: collections::BTreeMap::new(),
+            telling: collections::BTreeMap::new(),
+        }
+    }
+}
+
+/// Tells one peer, over a new connection where there is none.
+async fn tell(
+    myself: ractor::ActorRef<Msg>,
+    host: id::HostId,
+    addr: net::SocketAddr,
+    client: Option<peer::PeerClient>,
+    gossip: peer::Gossip,
+    timeout: time::Duration,
+) {
+    let client = match client {
+        Some(client) => Some(client),
+        None => peer::connect(addr, timeout).await.ok(),
+    };
+    let heard = match &client {
+        Some(client) => client.gossip(peer::context(timeout), gossip).await.ok(),
+        None => None,
+    };
+    if let Some(client) = client.filter(|_| heard.is_some()) {
+        let _ = myself.cast(Msg::Connected(host.clone(), client));
+    }
+    let _ = myself.cast(Msg::Heard(host, heard));
+}
--- /dev/null
+++ b/crates/daemon/src/control/hall.rs
@@ -0,0 +1,259 @@
+//! Runs the engine of one hall: carries out its effects and brings back what comes of them.
+
+use std::net;
+
+use ractor::Actor;
+use wharflane::{digest, hall, id, lease, platform, work};
+
+use super::Shared;
+use super::root;
+
+/// How often an engine is asked what is due.
+const TICK: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// What the actor of a hall is told.
+#[derive(Debug)]
+pub enum Msg {
+    /// Something happened to the engine.
+    Event(Box<hall::Event>),
+    /// The state is asked for.
+    Dump(ractor::RpcReplyPort<serde_json::Value>),
+    /// Digests came from hosts.
+    Digest(digest::Digest),
+}
+
+/// The actor of one hall.
+#[derive(Debug)]
+pub struct Hall;
+
+/// What the actor knows.
+#[derive(Debug)]
+pub struct State {
+    /// What all actors share.
+    shared: Shared,
+    /// The root actor.
+    root: ractor::ActorRef<root::Msg>,
+    /// The hall.
+    hall: id::HallId,
+    /// The engine.
+    engine: hall::Engine,
+    /// The table told last.
+    told: Option<(u64, u64)>,
+    /// The summary told last.
+    summary: root::HallSummary,
+}
+
+/// What the actor of a hall starts with.
+#[derive(Debug)]
+pub struct Start {
+    /// What all actors share.
+    pub shared: Shared,
+    /// The root actor.
+    pub root: ractor::ActorRef<root::Msg>,
+    /// The hall.
+    pub hall: id::HallId,
+}
+
+impl Actor for Hall {
+    type Msg = Msg;
+    type State = State;
+    type Arguments = Start;
+
+    async fn pre_start(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        args: Start,
+    ) -> Result<State, ractor::ActorProcessingErr> {
+        let Start { shared, root, hall } = args;
+        let settings = shared.settings.hall_settings();
+        let host = shared.host().clone();
+        let engine = hall::Engine::new(hall.clone(), host, settings, shared.nonce);
+        myself.send_interval(TICK, || Msg::Event(Box::new(hall::Event::Tick)));
+        let summary = root::HallSummary::default();
+        Ok(State {
+            shared,
+            root,
+            hall,
+            engine,
+            told: None,
+            summary,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        message: Msg,
+        state: &mut State,
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        let now = state.shared.clock.now();
+        match message {
+            Msg::Event(event) => {
+                for effect in state.engine.step(now, *event) {
+                    carry_out(&myself, &state.shared, &state.hall, effect);
+                }
+                state.tell()?;
+            }
+            Msg::Digest(digest) => {
+                state.engine.step(now, hall::Event::Digest(digest));
+            }
+            Msg::Dump(port) => {
+                let dump = serde_json::to_value(state.engine.dump(now));
+                let _ = port.send(dump.unwrap_or_default());
+            }
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Tells the root what has changed.
+    fn tell(&mut self) -> Result<(), ractor::ActorProcessingErr> {
+        if let Some(table) = self.engine.table() {
+            let mark = Some((table.epoch, table.version));
+            if self.told != mark {
+                self.told = mark;
+                self.root.cast(root::Msg::Table(table.clone()))?;
+            }
+        }
+        let summary = self.summarize();
+        if summary != self.summary {
+            if summary.held != self.summary.held {
+                let (epoch, held) = (summary.epoch, summary.held);
+                tracing::info!(hall = %self.hall, epoch, held, "hall lease");
+            }
+            self.summary = summary.clone();
+            self.gauges();
+            self.root
+                .cast(root::Msg::Summary(self.hall.clone(), summary))?;
+        }
+        Ok(())
+    }
+
+    /// Returns the summary of the hall.
+    fn summarize(&self) -> root::HallSummary {
+        let holding = self.engine.holding();
+        let head = holding.map(hall::Holding::head).or(self.engine.seen());
+        root::HallSummary {
+            holder: head.and_then(|head| head.holder.clone()),
+            epoch: head.map_or(0, |head| head.epoch),
+            held: holding.is_some(),
+            left: self.engine.left(),
+            tasks: holding.map(hall::Holding::task_counts).unwrap_or_default(),
+        }
+    }
+
+    /// Brings the gauges up to date.
+    fn gauges(&self) {
+        let metrics = &self.shared.metrics;
+        let hall = self.hall.as_str();
+        let set = |gauge: &prometheus::IntGaugeVec, value: u64| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            gauge.with_label_values(&[hall]).set(value);
+        };
+        let holding = self.engine.holding();
+        set(&metrics.hall_held, u64::from(holding.is_some()));
+        let Some(holding) = holding else {
+            return;
+        };
+        let counters = holding.counters();
+        set(&metrics.commits, counters.commits);
+        set(&metrics.commit_records, counters.records);
+        set(&metrics.commit_bytes, counters.commit_bytes);
+        set(&metrics.waiting, holding.waiting_count() as u64);
+        for (cause, count) in &counters.evicted {
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            metrics
+                .evictions
+                .with_label_values(&[hall, cause.label()])
+                .set(count);
+        }
+    }
+}
+
+/// Carries out one effect beside the actor and brings the result back as an event.
+fn carry_out(
+    myself: &ractor::ActorRef<Msg>,
+    shared: &Shared,
+    hall: &id::HallId,
+    effect: hall::Effect,
+) {
+    let myself = myself.clone();
+    let shared = shared.clone();
+    let hall = hall.clone();
+    tokio::spawn(async move {
+        let event = match effect {
+            hall::Effect::ReadHead => read_head(&shared, &hall).await,
+            hall::Effect::Load(snapshot) => load(&shared, &hall, snapshot).await,
+            hall::Effect::Txn(txn) => {
+                let answer = shared.platform.transact(&txn).await;
+                shared.count_call("txn", &answer);
+                hall::Event::Txn(answer.ok())
+            }
+            hall::Effect::Store(snapshot, text) => store(&shared, snapshot, text).await,
+            hall::Effect::Sync(addr, sync) => send(&shared, addr, &sync).await,
+        };
+        let _ = myself.cast(Msg::Event(Box::new(event)));
+    });
+}
+
+/// Reads the head row.
+async fn read_head(shared: &Shared, hall: &id::HallId) -> hall::Event {
+    let rows = shared.platform.read(vec![hall::head_key(hall)]).await;
+    shared.count_call("read", &rows);
+    match rows {
+        Ok(rows) => hall::Event::Head(rows.first().and_then(parse_head)),
+        Err(_) => hall::Event::HeadFailed,
+    }
+}
+
+/// Reads a head row's version and value.
+fn parse_head(row: &platform::Row) -> Option<(u64, lease::Head)> {
+    Some((row.version, serde_json::from_str(&row.value).ok()?))
+}
+
+/// Reads the snapshot and the log.
+async fn load(
+    shared: &Shared,
+    hall: &id::HallId,
+    snapshot: Option<lease::Snapshot>,
+) -> hall::Event {
+    let text = match &snapshot {
+        None => None,
+        Some(snapshot) => {
+            let object = shared.platform.get_object(&snapshot.key).await;
+            shared.count_call("get", &object);
+            match object.map(|bytes| String::from_utf8(bytes.to_vec())) {
+                Ok(Ok(text)) => Some(text),
+                _ => return hall::Event::LoadFailed,
+            }
+        }
+    };
+    let log = shared.platform.scan(&hall::log_prefix(hall)).await;
+    shared.count_call("scan", &log);
+    match log {
+        Ok(log) => hall::Event::Loaded {
+            snapshot: text,
+            log,
+        },
+        Err(_) => hall::Event::LoadFailed,
+    }
+}
+
+/// Stores a snapshot; a failed store is told with a sequence of zero.
+async fn store(shared: &Shared, snapshot: lease::Snapshot, text: String) -> hall::Event {
+    let put = shared.platform.put_object(&snapshot.key, text).await;
+    shared.count_call("put", &put);
+    let seq = if put.is_ok() { snapshot.seq } else { 0 };
+    hall::Event::Stored(lease::Snapshot { seq, ..snapshot })
+}
+
+/// Sends a message to a worker.
+async fn send(shared: &Shared, addr: net::SocketAddr, sync: &work::Sync) -> hall::Event {
+    let answer = shared.workers.sync(addr, sync).await.ok();
+    hall::Event::Synced {
+        worker: sync.worker.clone(),
+        seq: sync.seq,
+        answer,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,96 @@
+//! The daemon of an entry host.
+
+use std::fs;
+use std::path;
+use std::process;
+
+use anyhow::Context as _;
+use wharflane_daemon::host;
+use wharflane_daemon::settings;
+
+/// The exit code for settings with faults.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> process::ExitCode {
+    let matches = command().get_matches();
+    let Some(path) = matches.get_one::<path::PathBuf>("config") else {
+        return process::ExitCode::from(BAD_SETTINGS);
+    };
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    log(&settings);
+    match start(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("wharflaned: {err:#}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns the command line.
+fn command() -> clap::Command {
+    let config = clap::Arg::new("config")
+        .long("config")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(clap::value_parser!(path::PathBuf))
+        .help("The settings of this host");
+    clap::Command::new("wharflaned")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("An entry host of wharflane")
+        .arg(config)
+}
+
+/// Reads the settings, or prints every fault with its line.
+fn read(path: &path::Path) -> Result<settings::Settings, process::ExitCode> {
+    let bad = process::ExitCode::from(BAD_SETTINGS);
+    let text = fs::read_to_string(path).map_err(|err| {
+        eprintln!("{}: {err}", path.display());
+        bad
+    })?;
+    settings::parse(&text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{}:{}: {}", path.display(), fault.line, fault.kind);
+        }
+        bad
+    })
+}
+
+/// Starts the log.
+fn log(settings: &settings::Settings) {
+    let filter = tracing_subscriber::EnvFilter::try_new(&settings.log_level)
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match settings.log_format {
+        settings::LogFormat::Text => builder.with_ansi(false).init(),
+        settings::LogFormat::Json => builder.json().init(),
+    }
+}
+
+/// Runs the host; this thread carries control.
+fn start(settings: settings::Settings) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("can't start the control thread")?;
+    runtime.block_on(host::run(settings, asked_to_stop()))?;
+    Ok(())
+}
+
+/// Ends when the process is asked to stop.
+async fn asked_to_stop() {
+    use tokio::signal::unix;
+    let Ok(mut term) = unix::signal(unix::SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        // Without a handler for it, an interrupt ends the process at once.
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,435 @@
+//! The settings of a host, checked as a whole before anything is opened.
+
+use std::collections;
+use std::net;
+use std::ops;
+use std::time;
+
+use wharflane::{hall, id, lease, toml_read};
+
+/// The largest settings file, in bytes.
+const MAX_TEXT_BYTES: usize = 64 << 10;
+
+/// A key whose value is a whole number.
+#[derive(Clone, Debug)]
+pub struct Number {
+    /// The table.
+    pub table: &'static str,
+    /// The key, which ends with its unit where it has one.
+    pub key: &'static str,
+    /// The value where the key is absent.
+    pub default: u64,
+    /// The values allowed.
+    pub range: ops::RangeInclusive<u64>,
+    /// What it is for.
+    pub about: &'static str,
+}
+
+/// Declares a key.
+const fn number(
+    table: &'static str,
+    key: &'static str,
+    default: u64,
+    range: ops::RangeInclusive<u64>,
+    about: &'static str,
+) -> Number {
+    Number {
+        table,
+        key,
+        default,
+        range,
+        about,
+    }
+}
+
+/// All keys whose value is a whole number; docs/SETTINGS.md lists the same.
+pub const NUMBERS: &[Number] = &[
+    number(
+        "platform",
+        "timeout_ms",
+        1_000,
+        10..=60_000,
+        "How long a call may take.",
+    ),
+    number(
+        "traffic",
+        "threads",
+        4,
+        1..=256,
+        "Threads that carry requests.",
+    ),
+    number(
+        "traffic",
+        "endpoint_slots",
+        8,
+        1..=10_000,
+        "Requests an endpoint runs at once.",
+    ),
+    number(
+        "traffic",
+        "endpoint_connections",
+        64,
+        1..=10_000,
+        "Connections an endpoint takes.",
+    ),
+    number(
+        "traffic",
+        "connect_timeout_ms",
+        500,
+        1..=60_000,
+        "How long a connection may take.",
+    ),
+    number(
+        "traffic",
+        "body_limit_bytes",
+        1 << 20,
+        1..=1 << 30,
+        "Largest body of a request.",
+    ),
+    number(
+        "traffic",
+        "body_timeout_ms",
+        10_000,
+        1..=600_000,
+        "How long a body may take.",
+    ),
+    number(
+        "traffic",
+        "head_limit_bytes",
+        32_768,
+        8_192..=1 << 20,
+        "Largest head of a request.",
+    ),
+    number(
+        "traffic",
+        "head_timeout_ms",
+        10_000,
+        1..=600_000,
+        "How long a head may take.",
+    ),
+    number(
+        "traffic",
+        "caller_connections",
+        4_096,
+        1..=1_000_000,
+        "Connections of callers.",
+    ),
+    number(
+        "traffic",
+        "queue_limit",
+        256,
+        0..=1_000_000,
+        "Waiting requests of a service.",
+    ),
+    number("traffic", "tries", 3, 1..=16, "Most tries of a request."),
+    number(
+        "traffic",
+        "retry_share_milli",
+        100,
+        0..=1_000,
+        "Retries per 1,000 first tries.",
+    ),
+    number(
+        "traffic",
+        "retry_burst",
+        20,
+        0..=10_000,
+        "Retries allowed after a calm time.",
+    ),
+    number(
+        "traffic",
+        "eject_share_percent",
+        30,
+        0..=100,
+        "Most endpoints left at once.",
+    ),
+    number(
+        "traffic",
+        "duplicate_window_ms",
+        60_000,
+        0..=3_600_000,
+        "How long ids are kept.",
+    ),
+    number(
+        "traffic",
+        "stop_grace_ms",
+        30_000,
+        0..=86_400_000,
+        "Longest wait for requests at a stop.",
+    ),
+    number(
+        "traffic",
+        "stop_notice_ms",
+        3_000,
+        0..=600_000,
+        "Time for the balancer to see a stop.",
+    ),
+    number(
+        "control",
+        "lease_ms",
+        6_000,
+        100..=600_000,
+        "Lease of a hall.",
+    ),
+    number(
+        "control",
+        "turn_ms",
+        2_000,
+        10..=600_000,
+        "Wait for each host of higher rank.",
+    ),
+    number(
+        "control",
+        "poll_ms",
+        1_000,
+        10..=60_000,
+        "Time between reads of a row.",
+    ),
+    number(
+        "control",
+        "commit_ms",
+        300,
+        10..=60_000,
+        "Least time between two commits.",
+    ),
+    number(
+        "control",
+        "sync_ms",
+        1_000,
+        10..=60_000,
+        "Time between messages to a worker.",
+    ),
+    number(
+        "control",
+        "worker_lease_ms",
+        10_000,
+        100..=600_000,
+        "Lease of tasks on a worker.",
+    ),
+    number(
+        "control",
+        "margin_ms",
+        2_000,
+        0..=600_000,
+        "Added to a lease for clocks apart.",
+    ),
+    number(
+        "control",
+        "authority_ms",
+        1_800_000,
+        1_000..=86_400_000,
+        "Renewals without a commit.",
+    ),
+    number(
+        "control",
+        "drain_ms",
+        5_000,
+        0..=600_000,
+        "Wait before an endpoint is stopped.",
+    ),
+    number(
+        "control",
+        "snapshot_commits",
+        200,
+        1..=100_000,
+        "Commits between two snapshots.",
+    ),
+    number(
+        "control",
+        "gossip_ms",
+        1_000,
+        10..=60_000,
+        "Time between messages to a peer.",
+    ),
+];
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The settings of a host.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name of this host.
+    pub host: id::HostId,
+    /// The hall that it stands in.
+    pub hall: id::HallId,
+    /// Where callers connect.
+    pub caller_addr: net::SocketAddr,
+    /// Where operators connect.
+    pub operator_addr: net::SocketAddr,
+    /// Where peers connect.
+    pub peer_addr: net::SocketAddr,
+    /// Peers to ask while the platform's list can't be read.
+    pub seed_peers: Vec<net::SocketAddr>,
+    /// Where the platform answers.
+    pub platform_addr: net::SocketAddr,
+    /// How logs are written.
+    pub log_format: LogFormat,
+    /// Which lines are written.
+    pub log_level: String,
+    /// The whole numbers by table and key.
+    numbers: collections::BTreeMap<(&'static str, &'static str), u64>,
+}
+
+impl Settings {
+    /// Returns a whole number.
+    ///
+    /// # Panics
+    /// Panics for a key that `NUMBERS` does not have.
+    #[must_use]
+    pub fn number(&self, table: &'static str, key: &'static str) -> u64 {
+        self.numbers[&(table, key)]
+    }
+
+    /// Returns a time in milliseconds.
+    #[must_use]
+    pub fn time(&self, table: &'static str, key: &'static str) -> time::Duration {
+        time::Duration::from_millis(self.number(table, key))
+    }
+
+    /// Returns a size or count.
+    #[must_use]
+    pub fn count(&self, table: &'static str, key: &'static str) -> usize {
+        usize::try_from(self.number(table, key)).unwrap_or(usize::MAX)
+    }
+
+    /// Returns how the engines of halls are timed.
+    #[must_use]
+    pub fn hall_settings(&self) -> hall::Settings {
+        let control = |key| self.time("control", key);
+        hall::Settings {
+            timing: lease::Timing {
+                lease: control("lease_ms"),
+                turn: control("turn_ms"),
+            },
+            poll: control("poll_ms"),
+            commit: control("commit_ms"),
+            sync: control("sync_ms"),
+            worker_lease: control("worker_lease_ms"),
+            margin: control("margin_ms"),
+            authority: control("authority_ms"),
+            drain: control("drain_ms"),
+            snapshot_every: self.number("control", "snapshot_commits"),
+        }
+    }
+}
+
+/// Reads and checks settings.
+///
+/// # Errors
+/// Returns every fault by its line.
+pub fn parse(text: &str) -> Result<Settings, Vec<toml_read::Fault>> {
+    let doc = toml_read::Doc::new(text);
+    let settings = doc.root(MAX_TEXT_BYTES).and_then(|mut root| {
+        let settings = read(&doc, &mut root);
+        root.end();
+        settings
+    });
+    let faults = doc.finish();
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(faults),
+    }
+}
+
+/// Reads all tables.
+fn read(doc: &toml_read::Doc<'_>, root: &mut toml_read::Table<'_, '_>) -> Option<Settings> {
+    let host = root.need_name("host");
+    let hall = root.need_name("hall");
+    let seed_peers = read_seeds(doc, root);
+    let mut listen = root.table("listen");
+    let caller = listen.need_address("caller");
+    let operator = listen.need_address("operator");
+    let peer = listen.need_address("peer");
+    check_ports(&listen, [caller, operator, peer]);
+    listen.end();
+    let mut platform = root.table("platform");
+    let platform_addr = platform.need_address("addr");
+    let mut numbers = read_numbers("platform", &mut platform);
+    platform.end();
+    for table in ["traffic", "control"] {
+        let mut part = root.table(table);
+        numbers.extend(read_numbers(table, &mut part));
+        part.end();
+    }
+    let mut log = root.table("log");
+    let log_format = read_log_format(doc, &mut log);
+    let log_level = log
+        .text("level")
+        .map_or_else(|| "info".to_owned(), |(_, level)| level);
+    log.end();
+    Some(Settings {
+        host: host?.1.as_str().into(),
+        hall: hall?.1.as_str().into(),
+        caller_addr: caller?,
+        operator_addr: operator?,
+        peer_addr: peer?,
+        seed_peers,
+        platform_addr: platform_addr?,
+        log_format,
+        log_level,
+        numbers,
+    })
+}
+
+/// Reads the peers to ask while the platform's list can't be read.
+fn read_seeds(
+    doc: &toml_read::Doc<'_>,
+    root: &mut toml_read::Table<'_, '_>,
+) -> Vec<net::SocketAddr> {
+    let mut seeds = Vec::new();
+    for (at, text) in root.texts("seed_peers") {
+        match text.parse() {
+            Ok(addr) => seeds.push(addr),
+            Err(_) => {
+                let key = "seed_peers".to_owned();
+                doc.fault(at, toml_read::FaultKind::BadAddress { key });
+            }
+        }
+    }
+    seeds
+}
+
+/// Reads the whole numbers of one table.
+fn read_numbers(
+    name: &'static str,
+    table: &mut toml_read::Table<'_, '_>,
+) -> collections::BTreeMap<(&'static str, &'static str), u64> {
+    let keys = NUMBERS.iter().filter(|number| number.table == name);
+    keys.map(|number| {
+        let value = table.number(number.key, number.default, number.range.clone());
+        ((name, number.key), value)
+    })
+    .collect()
+}
+
+/// Notes a port that is used twice.
+fn check_ports(table: &toml_read::Table<'_, '_>, addrs: [Option<net::SocketAddr>; 3]) {
+    let given: Vec<net::SocketAddr> = addrs.into_iter().flatten().collect();
+    for (at, addr) in given.iter().enumerate() {
+        if addr.port() != 0 && given[..at].contains(addr) {
+            let (what, name) = ("address".to_owned(), addr.to_string());
+            table.fault(toml_read::FaultKind::Twice { what, name });
+        }
+    }
+}
+
+/// Reads how logs are written.
+fn read_log_format(doc: &toml_read::Doc<'_>, table: &mut toml_read::Table<'_, '_>) -> LogFormat {
+    match table.text("format") {
+        None => LogFormat::Text,
+        Some((_, text)) if text == "text" => LogFormat::Text,
+        Some((_, text)) if text == "json" => LogFormat::Json,
+        Some((at, _)) => {
+            let (key, expected) = ("format".to_owned(), "\"text\" or \"json\"".to_owned());
+            doc.fault(at, toml_read::FaultKind::WrongType { key, expected });
+            LogFormat::Text
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/lane.rs
@@ -0,0 +1,480 @@
+//! The lane of one service: its endpoints, its queue and its retry budget.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use rand::RngExt as _;
+use tokio::sync::oneshot;
+use wharflane::{desired, digest, endpoints, id, latency, limit, outcome, retry, route};
+
+use super::Limits;
+use crate::metrics;
+
+/// An endpoint as this host uses it.
+#[derive(Debug)]
+struct Slot {
+    /// The hall.
+    hall: id::HallId,
+    /// The endpoint.
+    endpoint: endpoints::Endpoint,
+    /// What is known of it.
+    health: route::Health,
+    /// The latencies since the last digest.
+    latencies: latency::Latencies,
+    /// The failures since the last digest.
+    failures: u32,
+}
+
+/// What a lane holds under its lock.
+#[derive(Debug)]
+struct State {
+    /// What the configuration says.
+    service: Option<desired::Service>,
+    /// The endpoints.
+    slots: Vec<Slot>,
+    /// The position of each endpoint.
+    at: collections::HashMap<net::SocketAddr, usize>,
+    /// The most requests of this host under way at one endpoint.
+    cap: u32,
+    /// The requests that wait.
+    queue: limit::Queue<oneshot::Sender<Grant>>,
+    /// The retry budget.
+    budget: retry::Budget,
+}
+
+/// What a waiting request is told.
+#[derive(Debug)]
+pub enum Grant {
+    /// It may go to an endpoint.
+    Go(Turn),
+    /// It is refused.
+    Refused(limit::Refused),
+}
+
+/// Why a request gets no endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTurn {
+    /// There is no endpoint.
+    NoEndpoint,
+    /// The queue can't serve it in time.
+    Overloaded(limit::Refused),
+    /// It waited until its deadline.
+    Expired,
+}
+
+/// The lane of one service.
+#[derive(Debug)]
+pub struct Lane {
+    /// The service.
+    name: id::ServiceId,
+    /// The bounds.
+    limits: Limits,
+    /// The metrics.
+    metrics: metrics::Metrics,
+    /// What changes.
+    state: sync::Mutex<State>,
+}
+
+/// A request's place at an endpoint; the place is free again when this is dropped.
+#[derive(Debug)]
+pub struct Turn {
+    /// The lane.
+    lane: sync::Arc<Lane>,
+    /// The endpoint.
+    pub addr: net::SocketAddr,
+    /// How it ended.
+    end: End,
+    /// The clock's reading when it ended.
+    now: time::Duration,
+}
+
+/// How a place at an endpoint was used.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// The caller went away, or nothing is known.
+    Open,
+    /// The endpoint answered.
+    Answered(time::Duration),
+    /// The endpoint failed.
+    Failed,
+    /// The endpoint refused it because it was full.
+    Refused,
+}
+
+impl Turn {
+    /// Ends the place with an answer.
+    pub fn answered(mut self, latency: time::Duration, now: time::Duration) {
+        self.end = End::Answered(latency);
+        self.now = now;
+    }
+
+    /// Ends the place with a failure.
+    pub fn failed(mut self, failure: outcome::Failure, now: time::Duration) {
+        self.end = match failure {
+            outcome::Failure::Refused => End::Refused,
+            _ => End::Failed,
+        };
+        self.now = now;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.lane.release(self.addr, self.end, self.now);
+    }
+}
+
+impl Lane {
+    /// Makes a lane without endpoints.
+    pub fn new(name: id::ServiceId, limits: Limits, metrics: metrics::Metrics) -> Self {
+        let state = State {
+            service: None,
+            slots: Vec::new(),
+            at: collections::HashMap::new(),
+            cap: 1,
+            queue: limit::Queue::new(limits.queue),
+            budget: retry::Budget::new(limits.retry_share_milli, limits.retry_burst),
+        };
+        Self {
+            name,
+            limits,
+            metrics,
+            state: sync::Mutex::new(state),
+        }
+    }
+
+    /// Takes the endpoints in force; what is known of those that stay is kept.
+    pub fn update(
+        self: &sync::Arc<Self>,
+        service: &desired::Service,
+        endpoints: &[(id::HallId, endpoints::Endpoint)],
+        cap: u32,
+        now: time::Duration,
+    ) {
+        let woken = {
+            let mut state = self.lock();
+            let mut before: collections::HashMap<net::SocketAddr, Slot> = state
+                .slots
+                .drain(..)
+                .map(|slot| (slot.endpoint.addr, slot))
+                .collect();
+            for (hall, endpoint) in endpoints {
+                let known = before.remove(&endpoint.addr);
+                let same = known.filter(|slot| slot.endpoint.task == endpoint.task);
+                let mut slot = same.unwrap_or_else(|| Slot::new(hall, endpoint));
+                slot.endpoint.leaving = endpoint.leaving;
+                state.slots.push(slot);
+            }
+            let at = state
+                .slots
+                .iter()
+                .enumerate()
+                .map(|(at, slot)| (slot.endpoint.addr, at));
+            state.at = at.collect();
+            state.service = Some(service.clone());
+            state.cap = cap;
+            self.grant_all(&mut state, now)
+        };
+        wake(woken);
+    }
+
+    /// Returns the configuration of the service.
+    pub fn service(&self) -> Option<desired::Service> {
+        self.lock().service.clone()
+    }
+
+    /// Waits for a place at an endpoint.
+    ///
+    /// # Errors
+    /// Returns `NoTurn` as soon as it is clear that the request can't be served in time.
+    pub async fn enter(
+        self: &sync::Arc<Self>,
+        priority: u32,
+        now: time::Duration,
+        deadline: time::Duration,
+    ) -> Result<Turn, NoTurn> {
+        let waiting = {
+            let mut state = self.lock();
+            if state.queue.is_empty()
+                && let Some(addr) = reserve(&mut state, now)
+            {
+                return Ok(self.turn(addr, now));
+            }
+            if !state.slots.iter().any(|slot| !slot.endpoint.leaving) {
+                return Err(NoTurn::NoEndpoint);
+            }
+            let (sender, receiver) = oneshot::channel();
+            match state.queue.push(priority, deadline, now, sender) {
+                limit::Arrival::Queued => {}
+                limit::Arrival::Refused(refused) => return Err(NoTurn::Overloaded(refused)),
+                limit::Arrival::Displaced(other, refused) => {
+                    let _ = other.send(Grant::Refused(refused));
+                }
+            }
+            receiver
+        };
+        let patience = deadline.saturating_sub(now);
+        match tokio::time::timeout(patience, waiting).await {
+            Ok(Ok(Grant::Go(turn))) => Ok(turn),
+            Ok(Ok(Grant::Refused(refused))) => Err(NoTurn::Overloaded(refused)),
+            Ok(Err(_)) | Err(_) => Err(NoTurn::Expired),
+        }
+    }
+
+    /// Notes a first try in the retry budget.
+    pub fn first_try(&self) {
+        self.lock().budget.first();
+    }
+
+    /// Takes a retry out of the budget.
+    pub fn may_retry(&self) -> bool {
+        self.lock().budget.take()
+    }
+
+    /// Marks an endpoint that said it is leaving.
+    pub fn leaving(&self, addr: net::SocketAddr) {
+        let mut state = self.lock();
+        if let Some(at) = state.at.get(&addr).copied() {
+            state.slots[at].endpoint.leaving = true;
+        }
+    }
+
+    /// Returns what was seen since the last call.
+    pub fn take_seen(&self, now: time::Duration) -> Vec<(id::HallId, digest::Seen)> {
+        let mut state = self.lock();
+        self.gauges(&state, now);
+        let mut all = Vec::new();
+        for slot in &mut state.slots {
+            let latencies = slot.latencies.take();
+            let failures = std::mem::take(&mut slot.failures);
+            if latencies.total() == 0 && failures == 0 {
+                continue;
+            }
+            let seen = digest::Seen {
+                task: slot.endpoint.task.clone(),
+                in_flight: slot.health.in_flight,
+                answers: latencies.total(),
+                failures,
+                p95_us: latencies.quantile_us(0.95),
+            };
+            all.push((slot.hall.clone(), seen));
+        }
+        all
+    }
+
+    /// Returns the state of the lane for the state dump.
+    pub fn dump(&self, now: time::Duration) -> LaneDump {
+        let state = self.lock();
+        let endpoint = |slot: &Slot| EndpointDump {
+            task: slot.endpoint.task.clone(),
+            addr: slot.endpoint.addr,
+            leaving: slot.endpoint.leaving,
+            used: format!("{:?}", slot.health.usable(now)).to_lowercase(),
+            in_flight: slot.health.in_flight,
+            latency_us: slot.health.latency_us(),
+        };
+        LaneDump {
+            service: self.name.clone(),
+            cap: state.cap,
+            queued: state.queue.len(),
+            retries_left: state.budget.left(),
+            endpoints: state.slots.iter().map(endpoint).collect(),
+        }
+    }
+
+    /// Frees a place and gives it to the next request that waits.
+    fn release(self: &sync::Arc<Self>, addr: net::SocketAddr, end: End, now: time::Duration) {
+        let woken = {
+            let mut state = self.lock();
+            self.settle(&mut state, addr, end, now);
+            self.grant_all(&mut state, now)
+        };
+        wake(woken);
+    }
+
+    /// Notes how a place was used.
+    fn settle(&self, state: &mut State, addr: net::SocketAddr, end: End, now: time::Duration) {
+        let left = |slot: &Slot| slot.health.usable(now) == route::Use::Ejected;
+        let ejected = state.slots.iter().filter(|slot| left(slot)).count();
+        let share = self.limits.eject_share_percent;
+        let may_eject = route::may_eject(ejected, state.slots.len(), share);
+        let Some(at) = state.at.get(&addr).copied() else {
+            return;
+        };
+        let slot = &mut state.slots[at];
+        slot.health.in_flight = slot.health.in_flight.saturating_sub(1);
+        match end {
+            End::Open => {}
+            End::Answered(latency) => {
+                slot.health.answered(latency);
+                slot.latencies.note(latency);
+            }
+            End::Failed => {
+                slot.health.failed(now, may_eject);
+                slot.failures += 1;
+            }
+            End::Refused => slot.health.refused(now),
+        }
+    }
+
+    /// Gives free places to waiting requests.
+    fn grant_all(
+        self: &sync::Arc<Self>,
+        state: &mut State,
+        now: time::Duration,
+    ) -> Vec<(oneshot::Sender<Grant>, Grant)> {
+        let mut woken = Vec::new();
+        while !state.queue.is_empty() {
+            let Some(addr) = reserve(state, now) else {
+                break;
+            };
+            // Those past their deadline have been answered by their own timer.
+            let (_late, next) = state.queue.pop(now);
+            match next {
+                Some(sender) => woken.push((sender, Grant::Go(self.turn(addr, now)))),
+                None => unreserve(state, addr),
+            }
+        }
+        woken
+    }
+
+    /// Makes the place at an endpoint that was reserved.
+    fn turn(self: &sync::Arc<Self>, addr: net::SocketAddr, now: time::Duration) -> Turn {
+        Turn {
+            lane: sync::Arc::clone(self),
+            addr,
+            end: End::Open,
+            now,
+        }
+    }
+
+    /// Looks whether time alone has made a place free, as at the end of an ejection.
+    pub fn tick(self: &sync::Arc<Self>, now: time::Duration) {
+        let woken = {
+            let mut state = self.lock();
+            self.grant_all(&mut state, now)
+        };
+        wake(woken);
+    }
+
+    /// Brings the gauges up to date.
+    fn gauges(&self, state: &State, now: time::Duration) {
+        let service = self.name.as_str();
+        let count = |test: &dyn Fn(&Slot) -> bool| {
+            let count = state.slots.iter().filter(|slot| test(slot)).count();
+            i64::try_from(count).unwrap_or(i64::MAX)
+        };
+        let ejected = |slot: &Slot| slot.health.usable(now) == route::Use::Ejected;
+        let gauge = |state: &str, value: i64| {
+            self.metrics
+                .endpoints
+                .with_label_values(&[service, state])
+                .set(value);
+        };
+        gauge(
+            "open",
+            count(&|slot| !slot.endpoint.leaving && !ejected(slot)),
+        );
+        gauge("leaving", count(&|slot| slot.endpoint.leaving));
+        gauge("ejected", count(&ejected));
+        let queued = i64::try_from(state.queue.len()).unwrap_or(i64::MAX);
+        self.metrics
+            .queued
+            .with_label_values(&[service])
+            .set(queued);
+        let left = i64::try_from(state.budget.left()).unwrap_or(i64::MAX);
+        self.metrics
+            .retry_budget
+            .with_label_values(&[service])
+            .set(left);
+    }
+
+    /// Locks what changes.
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Slot {
+    /// Makes a slot of an endpoint not used before.
+    fn new(hall: &id::HallId, endpoint: &endpoints::Endpoint) -> Self {
+        Self {
+            hall: hall.clone(),
+            endpoint: endpoint.clone(),
+            health: route::Health::default(),
+            latencies: latency::Latencies::default(),
+            failures: 0,
+        }
+    }
+}
+
+/// Takes a place at the better of two endpoints.
+fn reserve(state: &mut State, now: time::Duration) -> Option<net::SocketAddr> {
+    let cap = state.cap;
+    let slots = &state.slots;
+    let cost = |at: usize| {
+        let slot: &Slot = &slots[at];
+        if slot.endpoint.leaving {
+            None
+        } else {
+            route::offer(&slot.health, cap, now)
+        }
+    };
+    let mut rng = rand::rng();
+    let at = route::pick(slots.len(), cost, |below| rng.random_range(0..below))?;
+    let slot = &mut state.slots[at];
+    slot.health.in_flight += 1;
+    Some(slot.endpoint.addr)
+}
+
+/// Gives back a place that nobody waits for.
+fn unreserve(state: &mut State, addr: net::SocketAddr) {
+    if let Some(at) = state.at.get(&addr).copied() {
+        let health = &mut state.slots[at].health;
+        health.in_flight = health.in_flight.saturating_sub(1);
+    }
+}
+
+/// Tells waiting requests of their places, outside the lane's lock.
+fn wake(woken: Vec<(oneshot::Sender<Grant>, Grant)>) {
+    for (sender, grant) in woken {
+        // The place of a request that has gone away is freed as the grant is dropped.
+        let _ = sender.send(grant);
+    }
+}
+
+/// A lane in the state dump.
+#[derive(Debug, serde::Serialize)]
+pub struct LaneDump {
+    /// The service.
+    service: id::ServiceId,
+    /// The most requests of this host under way at one endpoint.
+    cap: u32,
+    /// Waiting requests.
+    queued: usize,
+    /// Retries left in the budget.
+    retries_left: u64,
+    /// The endpoints.
+    endpoints: Vec<EndpointDump>,
+}
+
+/// An endpoint in the state dump.
+#[derive(Debug, serde::Serialize)]
+struct EndpointDump {
+    /// The task.
+    task: id::TaskId,
+    /// Where it answers.
+    addr: net::SocketAddr,
+    /// Whether it gets nothing new.
+    leaving: bool,
+    /// How it is used.
+    used: String,
+    /// Requests of this host under way there.
+    in_flight: u32,
+    /// The moving average of latency.
+    latency_us: f64,
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,5 @@
+//! Small HTTP pieces shared by the packages: JSON calls, JSON answers, and a bounded server.
+
+pub mod client;
+pub mod reply;
+pub mod server;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,148 @@
+//! Speaks between hosts over tarpc: nudges, endpoint tables, digests, and state for newcomers.
+
+use std::fmt;
+use std::future;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use futures::StreamExt as _;
+use serde::{Deserialize, Serialize};
+use tarpc::server::{self, Channel as _};
+use tarpc::tokio_serde::formats;
+use wharflane::{desired, digest, endpoints};
+
+/// The most calls of one peer under way at once.
+const MAX_CALLS: usize = 64;
+/// The largest message, in bytes.
+const MAX_FRAME_BYTES: usize = 32 << 20;
+
+/// What one peer tells another at once.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The configuration revision that the sender has in force.
+    pub revision: u64,
+    /// Endpoint tables of halls that the sender holds.
+    pub tables: Vec<endpoints::Table>,
+    /// What the sender saw of halls that the receiver holds.
+    pub digests: Vec<digest::Digest>,
+}
+
+/// What a peer answers to gossip.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Heard {
+    /// The configuration revision that the receiver has in force.
+    pub revision: u64,
+}
+
+/// All that a newcomer needs when the store is down.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Handover {
+    /// The configuration in force.
+    pub config: Option<desired::Stored>,
+    /// The newest endpoint table of each hall.
+    pub tables: Vec<endpoints::Table>,
+}
+
+/// The calls between hosts.
+#[tarpc::service]
+pub trait Peer {
+    /// Takes news and says what the receiver has.
+    async fn gossip(gossip: Gossip) -> Heard;
+    /// Returns the configuration in force and all endpoint tables.
+    async fn handover() -> Handover;
+}
+
+/// Why a peer gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// No connection.
+    #[error("peer can't be reached")]
+    Connect(#[from] io::Error),
+    /// The call failed.
+    #[error("peer gave no answer")]
+    Rpc(#[from] tarpc::client::RpcError),
+}
+
+/// Connects to a peer.
+///
+/// # Errors
+/// Returns `PeerError` where there is no connection in time.
+pub async fn connect(
+    addr: net::SocketAddr,
+    timeout: time::Duration,
+) -> Result<PeerClient, PeerError> {
+    let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(addr))
+        .await
+        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    Ok(PeerClient::new(tarpc::client::Config::default(), transport(stream)).spawn())
+}
+
+/// Returns a context whose deadline is so far off.
+#[must_use]
+pub fn context(timeout: time::Duration) -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = time::Instant::now() + timeout;
+    context
+}
+
+/// What answers a peer's gossip.
+pub type OnGossip = dyn Fn(Gossip) -> Heard + Send + Sync;
+/// What answers a newcomer.
+pub type OnHandover = dyn Fn() -> Handover + Send + Sync;
+
+/// The answers to peers.
+#[derive(Clone)]
+pub struct Answers {
+    /// Takes news.
+    pub gossip: sync::Arc<OnGossip>,
+    /// Hands over.
+    pub handover: sync::Arc<OnHandover>,
+}
+
+impl fmt::Debug for Answers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Answers").finish_non_exhaustive()
+    }
+}
+
+impl Peer for Answers {
+    async fn gossip(self, _: tarpc::context::Context, gossip: Gossip) -> Heard {
+        (self.gossip)(gossip)
+    }
+
+    async fn handover(self, _: tarpc::context::Context) -> Handover {
+        (self.handover)()
+    }
+}
+
+/// Serves peers on a listener until the process ends.
+pub async fn serve(listener: tokio::net::TcpListener, server: Answers) {
+    let accepted = futures::stream::unfold(listener, |listener| async move {
+        Some((listener.accept().await, listener))
+    });
+    accepted
+        .filter_map(|accepted| future::ready(accepted.ok()))
+        .map(|(stream, _)| server::BaseChannel::with_defaults(transport(stream)))
+        .for_each(|channel| {
+            let requests = channel.execute(server.clone().serve());
+            tokio::spawn(requests.for_each_concurrent(MAX_CALLS, |answer| answer));
+            future::ready(())
+        })
+        .await;
+}
+
+/// Frames a connection.
+fn transport<I, O>(
+    stream: tokio::net::TcpStream,
+) -> tarpc::serde_transport::Transport<tokio::net::TcpStream, I, O, formats::Json<I, O>>
+where
+    I: for<'de> Deserialize<'de>,
+    O: Serialize,
+{
+    let mut codec = tarpc::tokio_util::codec::length_delimited::Builder::new();
+    codec.max_frame_length(MAX_FRAME_BYTES);
+    tarpc::serde_transport::new(codec.new_framed(stream), formats::Json::default())
+}
--- /dev/null
+++ b/crates/stand-in/src/caller.rs
@@ -0,0 +1,187 @@
+//! Callers with an open-loop load: requests come by schedule, so that a slow answer hides nothing.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper_util::client::legacy;
+use hyper_util::rt;
+
+/// The largest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// A load.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The hosts, used in turn.
+    pub hosts: Vec<net::SocketAddr>,
+    /// The service.
+    pub service: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long the load lasts.
+    pub duration: time::Duration,
+    /// Whether requests may be run again, where they say so.
+    pub repeatable: Option<bool>,
+    /// How long a caller waits for an answer.
+    pub patience: time::Duration,
+    /// The first part of every request's name.
+    pub name: String,
+}
+
+/// What became of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer to its own question.
+    Answered,
+    /// The whole answer to another question.
+    Wrong,
+    /// Told that it did not run.
+    NotRun,
+    /// Told that it may have run.
+    Unknown,
+    /// The connection or the answer broke, so that nothing was told.
+    Broken,
+}
+
+/// One request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The name of the request.
+    pub request: String,
+    /// What became of it.
+    pub end: End,
+}
+
+/// What the callers saw.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// All requests.
+    pub seen: Vec<Seen>,
+    /// The latency of answers from the scheduled moment, in microseconds.
+    pub latency_us: hdrhistogram::Histogram<u64>,
+}
+
+impl Report {
+    /// Returns how many requests ended in one way.
+    #[must_use]
+    pub fn count(&self, end: End) -> usize {
+        self.seen.iter().filter(|seen| seen.end == end).count()
+    }
+
+    /// Returns a latency quantile in milliseconds.
+    #[must_use]
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        self.latency_us.value_at_quantile(share) as f64 / 1_000.0
+    }
+}
+
+/// A client of callers.
+type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>;
+
+/// Runs a load and returns what the callers saw.
+///
+/// # Panics
+/// Panics if a histogram of the fixed size can't be made, which its bounds exclude.
+pub async fn run(load: Load) -> Report {
+    let mut connector = legacy::connect::HttpConnector::new();
+    connector.set_nodelay(true);
+    let client: Client = legacy::Client::builder(rt::TokioExecutor::new()).build(connector);
+    let load = sync::Arc::new(load);
+    let count = (load.rate * load.duration.as_secs_f64()) as u32;
+    let start = tokio::time::Instant::now();
+    let mut asked = Vec::new();
+    for number in 0..count {
+        let at = start + time::Duration::from_secs_f64(f64::from(number) / load.rate);
+        tokio::time::sleep_until(at).await;
+        asked.push(tokio::spawn(ask(
+            client.clone(),
+            sync::Arc::clone(&load),
+            number,
+            at,
+        )));
+    }
+    let mut report = Report {
+        seen: Vec::new(),
+        latency_us: hdrhistogram::Histogram::new_with_max(MAX_LATENCY_US, 3)
+            .expect("bounds are fixed"),
+    };
+    for one in asked {
+        let Ok((seen, took)) = one.await else {
+            continue;
+        };
+        if seen.end == End::Answered {
+            let us = u64::try_from(took.as_micros()).unwrap_or(MAX_LATENCY_US);
+            report.latency_us.saturating_record(us);
+        }
+        report.seen.push(seen);
+    }
+    report
+}
+
+/// Makes one request and judges its answer.
+async fn ask(
+    client: Client,
+    load: sync::Arc<Load>,
+    number: u32,
+    at: tokio::time::Instant,
+) -> (Seen, time::Duration) {
+    let request = format!("{}-{number}", load.name);
+    let host = load.hosts[number as usize % load.hosts.len()];
+    let end = match build(&load, host, &request) {
+        Some(built) => {
+            let wanted = format!("/{request} {request}");
+            let exchange = exchange(client, built, &wanted);
+            tokio::time::timeout(load.patience * 2, exchange)
+                .await
+                .unwrap_or(End::Broken)
+        }
+        None => End::Broken,
+    };
+    (Seen { request, end }, at.elapsed())
+}
+
+/// Builds a request.
+fn build(
+    load: &Load,
+    host: net::SocketAddr,
+    request: &str,
+) -> Option<hyper::Request<http_body_util::Full<Bytes>>> {
+    let mut builder = hyper::Request::post(format!("http://{host}/{}/{request}", load.service))
+        .header("wharflane-request-id", request)
+        .header(
+            "wharflane-timeout-ms",
+            load.patience.as_millis().to_string(),
+        );
+    if let Some(repeatable) = load.repeatable {
+        let flag = if repeatable { "yes" } else { "no" };
+        builder = builder.header("wharflane-repeatable", flag);
+    }
+    builder
+        .body(http_body_util::Full::new(Bytes::from(request.to_owned())))
+        .ok()
+}
+
+/// Makes one exchange and judges its answer.
+async fn exchange(
+    client: Client,
+    request: hyper::Request<http_body_util::Full<Bytes>>,
+    wanted: &str,
+) -> End {
+    let Ok(answer) = client.request(request).await else {
+        return End::Broken;
+    };
+    let outcome = answer.headers().get("wharflane-outcome").cloned();
+    let Ok(body) = answer.into_body().collect().await else {
+        return End::Broken;
+    };
+    match outcome.as_ref().and_then(|outcome| outcome.to_str().ok()) {
+        Some("answered") if body.to_bytes() == wanted => End::Answered,
+        Some("answered") => End::Wrong,
+        Some("not-run") => End::NotRun,
+        Some("unknown") => End::Unknown,
+        _ => End::Broken,
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/lib.rs
@@ -0,0 +1,23 @@
+//! Small fakes of the platform, workers, endpoints and callers, with fault switches.
+
+pub mod caller;
+pub mod checker;
+pub mod endpoint;
+pub mod ledger;
+pub mod machine;
+pub mod platform;
+pub mod store;
+pub mod worker;
+
+/// Names each case of a test: `cases! { name => body, }` makes one test for each.
+#[macro_export]
+macro_rules! cases {
+    ($($name:ident => $body:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
--- /dev/null
+++ b/crates/stand-in/src/platform.rs
@@ -0,0 +1,181 @@
+//! The platform as a process: its protocol over HTTP, and a port for its fault switches.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::StatusCode;
+use hyper::body;
+use tokio::net as tokio_net;
+use wharflane::{members, platform};
+use wharflane_http::{reply, server};
+use wharflane_platform as protocol;
+
+use crate::store;
+
+/// The largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// How long a body may take.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// The platform as a process.
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    /// The state.
+    store: sync::Arc<sync::Mutex<store::Store>>,
+}
+
+impl Server {
+    /// Serves the protocol on a listener until the process ends.
+    pub async fn serve(self, listener: tokio_net::TcpListener) {
+        let handle = move |request| self.clone().answer(request);
+        server::serve(listener, server::Bounds::default(), server::never(), handle).await;
+    }
+
+    /// Locks the state, for tests in the same process.
+    ///
+    /// # Panics
+    /// Never panics: a poisoned lock is taken all the same.
+    pub fn lock(&self) -> sync::MutexGuard<'_, store::Store> {
+        self.store
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Answers one request.
+    async fn answer(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let Ok(body) = read else {
+            return reply::problem(StatusCode::BAD_REQUEST, "body", "body not taken");
+        };
+        if path.starts_with("/stand-in/") {
+            return self.switch(&method, &path, &body);
+        }
+        let (down, slow_ms) = {
+            let store = self.lock();
+            (store.faults.down, store.faults.slow_ms)
+        };
+        tokio::time::sleep(time::Duration::from_millis(slow_ms)).await;
+        if down {
+            return Bad::Gone(store::NoAnswer).reply();
+        }
+        self.protocol(&method, &path, &body)
+            .unwrap_or_else(Bad::reply)
+    }
+
+    /// Answers one request of the protocol.
+    fn protocol(&self, method: &Method, path: &str, body: &Bytes) -> Result<reply::Reply, Bad> {
+        let mut store = self.lock();
+        if let Some(key) = path.strip_prefix("/objects/") {
+            return object(&mut store, method, key, body);
+        }
+        match (method, path) {
+            (&Method::POST, "/table/txn") => {
+                let txn: platform::Txn = parse(body)?;
+                Ok(reply::json(StatusCode::OK, &store.transact(&txn)?))
+            }
+            (&Method::POST, "/table/read") => {
+                let query: protocol::ReadQuery = parse(body)?;
+                Ok(reply::json(StatusCode::OK, &store.read(&query.keys)?))
+            }
+            (&Method::POST, "/table/scan") => {
+                let query: protocol::ScanQuery = parse(body)?;
+                Ok(reply::json(StatusCode::OK, &store.scan(&query.prefix)?))
+            }
+            (&Method::GET, "/members") => Ok(reply::json(StatusCode::OK, &store.members()?)),
+            _ => Err(Bad::NoSuchPath),
+        }
+    }
+
+    /// Answers one request for the fault switches.
+    fn switch(&self, method: &Method, path: &str, body: &Bytes) -> reply::Reply {
+        let mut store = self.lock();
+        match (method, path) {
+            (&Method::PUT, "/stand-in/faults") => match parse::<store::Faults>(body) {
+                Ok(faults) => store.faults = faults,
+                Err(bad) => return bad.reply(),
+            },
+            (&Method::PUT, "/stand-in/members") => match parse::<members::Members>(body) {
+                Ok(members) => store.set_members(members),
+                Err(bad) => return bad.reply(),
+            },
+            (&Method::GET, "/stand-in/counts") => {
+                return reply::json(StatusCode::OK, &store.counts);
+            }
+            _ => return reply::problem(StatusCode::NOT_FOUND, "no-such-path", "no such path"),
+        }
+        reply::json(StatusCode::OK, &true)
+    }
+}
+
+/// Answers a request for an object.
+fn object(
+    store: &mut store::Store,
+    method: &Method,
+    key: &str,
+    body: &Bytes,
+) -> Result<reply::Reply, Bad> {
+    if *method == Method::PUT {
+        let Ok(text) = String::from_utf8(body.to_vec()) else {
+            return Err(Bad::NoText);
+        };
+        store.put_object(key, text)?;
+        return Ok(reply::json(StatusCode::OK, &true));
+    }
+    match store.get_object(key)? {
+        Some(text) => Ok(reply::text(StatusCode::OK, text)),
+        None => Err(Bad::NoObject),
+    }
+}
+
+/// Reads a JSON body.
+fn parse<T: serde::de::DeserializeOwned>(body: &Bytes) -> Result<T, Bad> {
+    Ok(serde_json::from_slice(body)?)
+}
+
+/// A request that is not answered as it asks.
+#[derive(Debug, thiserror::Error)]
+enum Bad {
+    /// The platform is down, or the answer is lost.
+    #[error("the platform is down")]
+    Gone(#[from] store::NoAnswer),
+    /// The body is not the JSON expected.
+    #[error("the body is not the JSON expected")]
+    Json(#[from] serde_json::Error),
+    /// The body is no text.
+    #[error("the body is no text")]
+    NoText,
+    /// There is no such object.
+    #[error("no such object")]
+    NoObject,
+    /// There is no such path.
+    #[error("no such path")]
+    NoSuchPath,
+}
+
+impl Bad {
+    /// Returns the answer.
+    fn reply(self) -> reply::Reply {
+        let (status, kind) = match self {
+            Self::Gone(_) => (StatusCode::SERVICE_UNAVAILABLE, "down"),
+            Self::Json(_) | Self::NoText => (StatusCode::BAD_REQUEST, "body"),
+            Self::NoObject => (StatusCode::NOT_FOUND, "no-object"),
+            Self::NoSuchPath => (StatusCode::NOT_FOUND, "no-such-path"),
+        };
+        reply::problem(status, kind, &self.to_string())
+    }
+}
+
+/// Opens a port and serves the platform on it.
+///
+/// # Errors
+/// Returns the error of a port that can't be opened.
+pub async fn run(addr: net::SocketAddr) -> std::io::Result<()> {
+    let listener = tokio_net::TcpListener::bind(addr).await?;
+    Server::default().serve(listener).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/wharflane/src/hall/holding.rs
@@ -0,0 +1,591 @@
+//! What the holder of a hall keeps, and how it commits its decisions.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use serde::Serialize;
+
+use super::plan;
+use super::spec;
+use super::view;
+use crate::book;
+use crate::commit;
+use crate::digest;
+use crate::endpoints;
+use crate::id;
+use crate::interfere;
+use crate::lease;
+use crate::members;
+use crate::platform;
+
+/// How many decisions are kept for the state dump.
+const DECISIONS_KEPT: usize = 64;
+/// How many intervals between messages a new holder waits to hear all workers.
+const SYNCS_BEFORE_TABLE: u32 = 5;
+/// The number of commits that the lease spans without news.
+const BEATS_PER_LEASE: u32 = 3;
+
+/// A decision as the state dump shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Decision {
+    /// When, by this process's clock.
+    pub at_ms: u128,
+    /// The task.
+    pub task: id::TaskId,
+    /// What was decided.
+    pub what: What,
+}
+
+/// What was decided about a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "decision", rename_all = "kebab-case")]
+pub enum What {
+    /// It got a worker.
+    Placed {
+        /// The worker.
+        worker: id::WorkerId,
+    },
+    /// It is to leave its worker.
+    Evicted {
+        /// Why.
+        cause: book::Cause,
+    },
+    /// It is known to have stopped.
+    Freed {
+        /// How it is known.
+        proof: book::Proof,
+    },
+    /// It came to its end.
+    Done,
+    /// It runs at a share of its processors.
+    Throttled {
+        /// The share.
+        percent: u8,
+    },
+}
+
+/// What the holder has done since it took the hall.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// Commits that stand.
+    pub commits: u64,
+    /// Records in them.
+    pub records: u64,
+    /// Bytes of their values.
+    pub commit_bytes: u64,
+    /// Times that the fate of a commit was in doubt.
+    pub doubts: u64,
+    /// Messages to workers.
+    pub syncs: u64,
+    /// Tasks placed.
+    pub placed: u64,
+    /// Tasks that came to their end.
+    pub done: u64,
+    /// Evictions by cause.
+    pub evicted: collections::BTreeMap<book::Cause, u64>,
+    /// Throttles set.
+    pub throttled: u64,
+    /// Records that did not fit the state, which shows a fault of this program.
+    pub misfits: u64,
+}
+
+/// The state of a hall's holder.
+#[derive(Debug)]
+pub struct Holding {
+    /// The hall.
+    pub(super) hall: id::HallId,
+    /// The times.
+    pub(super) settings: super::Settings,
+    /// The writer.
+    committer: commit::Committer,
+    /// All tasks, with every record proposed.
+    pub(super) book: book::Book,
+    /// Records proposed and not yet part of a commit.
+    queue: Vec<book::Record>,
+    /// Tasks that a record not yet committed has changed, with the commit that holds it.
+    ahead: collections::BTreeMap<id::TaskId, u64>,
+    /// The workers.
+    pub(super) views: collections::BTreeMap<id::WorkerId, view::View>,
+    /// When every lease given by an earlier holder has lapsed.
+    pub(super) old_leases_lapse: time::Duration,
+    /// The configuration that is acted on.
+    pub(super) current: Option<sync::Arc<super::Current>>,
+    /// The tasks that it gives to this hall.
+    pub(super) wanted: spec::Wanted,
+    /// Wanted tasks without a worker, by priority.
+    pub(super) waiting: collections::BTreeSet<plan::Turn>,
+    /// Why tasks of a shape could not be placed in the last pass.
+    pub(super) blocked: collections::BTreeMap<plan::Shape, plan::Why>,
+    /// The workers on which room is being made for a task.
+    pub(super) promised: collections::BTreeMap<id::TaskId, id::WorkerId>,
+    /// The learned harm of pairs.
+    pub(super) harms: interfere::Harms,
+    /// The endpoints told to the hosts.
+    table: endpoints::Table,
+    /// The endpoints that the holder before told.
+    known: collections::BTreeMap<id::TaskId, endpoints::Endpoint>,
+    /// When the hall was taken.
+    taken: time::Duration,
+    /// When the last commit was begun.
+    begun: time::Duration,
+    /// When the last commit that stands was begun.
+    confirmed: time::Duration,
+    /// When the head row was last asked for in a doubt.
+    doubted: Option<time::Duration>,
+    /// Whether a snapshot is being stored.
+    storing: bool,
+    /// A stored snapshot that the next commit will name.
+    stored: Option<lease::Snapshot>,
+    /// The last decisions.
+    decisions: collections::VecDeque<Decision>,
+    /// What was done.
+    pub(super) counters: Counters,
+}
+
+impl Holding {
+    /// Starts from the state that was read.
+    pub(super) fn new(
+        hall: id::HallId,
+        settings: super::Settings,
+        committer: commit::Committer,
+        book: book::Book,
+        now: time::Duration,
+    ) -> Self {
+        let lease = settings.worker_lease + settings.margin;
+        let epoch = committer.head().epoch;
+        let table = endpoints::Table {
+            hall: hall.clone(),
+            epoch,
+            version: 0,
+            endpoints: Vec::new(),
+        };
+        let old_leases_lapse = now + settings.authority + lease;
+        let views = book
+            .workers()
+            .map(|worker| (worker.clone(), view::View::new(old_leases_lapse)))
+            .collect();
+        Self {
+            hall,
+            settings,
+            committer,
+            book,
+            queue: Vec::new(),
+            ahead: collections::BTreeMap::new(),
+            views,
+            old_leases_lapse,
+            current: None,
+            wanted: spec::Wanted::new(),
+            waiting: collections::BTreeSet::new(),
+            blocked: collections::BTreeMap::new(),
+            promised: collections::BTreeMap::new(),
+            harms: interfere::Harms::default(),
+            table,
+            known: collections::BTreeMap::new(),
+            taken: now,
+            begun: now,
+            confirmed: now,
+            doubted: None,
+            storing: false,
+            stored: None,
+            decisions: collections::VecDeque::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Does what is due: decides, commits, and tells the workers.
+    pub(super) fn tick(
+        &mut self,
+        now: time::Duration,
+        token: String,
+        leaving: bool,
+    ) -> Vec<super::Effect> {
+        let mut effects = Vec::new();
+        if self.committer.idle() && !leaving && self.config_is_current() {
+            self.plan(now);
+        }
+        effects.extend(self.commit(now, token, leaving));
+        effects.extend(self.ask_again(now));
+        effects.extend(self.snapshot());
+        if now.saturating_sub(self.confirmed) <= self.settings.authority {
+            effects.extend(self.syncs(now));
+        }
+        self.refresh_table(now);
+        effects
+    }
+
+    /// Returns the head row after the last commit.
+    #[must_use]
+    pub fn head(&self) -> &lease::Head {
+        self.committer.head()
+    }
+
+    /// Returns the tasks with every record proposed.
+    #[must_use]
+    pub fn book(&self) -> &book::Book {
+        &self.book
+    }
+
+    /// Returns the endpoints to tell the hosts, once enough workers have been heard.
+    #[must_use]
+    pub fn table(&self) -> Option<&endpoints::Table> {
+        (self.table.version > 0).then_some(&self.table)
+    }
+
+    /// Takes the endpoints that the holder before told, for workers not heard yet.
+    pub(super) fn set_known(&mut self, known: Option<&endpoints::Table>) {
+        for endpoint in known.into_iter().flat_map(|table| &table.endpoints) {
+            self.known.insert(endpoint.task.clone(), endpoint.clone());
+        }
+    }
+
+    /// Returns what was done.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the last decisions, the oldest first.
+    pub fn decisions(&self) -> impl Iterator<Item = &Decision> {
+        self.decisions.iter()
+    }
+
+    /// Returns how many wanted tasks wait for a worker.
+    #[must_use]
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of tasks in each state.
+    #[must_use]
+    pub fn task_counts(&self) -> collections::BTreeMap<&'static str, usize> {
+        let mut counts = collections::BTreeMap::from([("waiting", self.waiting.len())]);
+        for entry in self.book.entries().values() {
+            let label = match entry.state {
+                book::State::Waiting => continue,
+                book::State::Placed { .. } => "placed",
+                book::State::Leaving { .. } => "leaving",
+                book::State::Done => "done",
+            };
+            *counts.entry(label).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns the workers for the state dump.
+    pub(super) fn worker_dumps(
+        &self,
+        now: time::Duration,
+    ) -> collections::BTreeMap<&id::WorkerId, super::WorkerDump> {
+        let dump = |worker: &id::WorkerId, view: &view::View| super::WorkerDump {
+            capacity: view.capacity,
+            used: self.book.used(worker),
+            report_age_ms: view.reported.map(|at| now.saturating_sub(at).as_millis()),
+            strikes: view.strikes,
+        };
+        self.views
+            .iter()
+            .map(|(worker, view)| (worker, dump(worker, view)))
+            .collect()
+    }
+
+    /// Takes a configuration.
+    pub(super) fn set_current(&mut self, current: &sync::Arc<super::Current>, now: time::Duration) {
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|old| old.revision >= current.revision)
+        {
+            return;
+        }
+        self.wanted = spec::wanted(&self.hall, &current.desired);
+        self.current = Some(sync::Arc::clone(current));
+        if self.config_is_current() {
+            self.rebuild_waiting(now);
+        }
+    }
+
+    /// Takes the platform's list.
+    pub(super) fn set_members(&mut self, members: &members::Members, now: time::Duration) {
+        for (worker, view) in &mut self.views {
+            let member = members
+                .workers
+                .get(worker)
+                .filter(|member| member.hall == self.hall);
+            view.set_member(member, now);
+        }
+        for (worker, member) in &members.workers {
+            if member.hall != self.hall || self.views.contains_key(worker) {
+                continue;
+            }
+            let mut view = view::View::new(self.old_leases_lapse);
+            view.set_member(Some(member), now);
+            self.views.insert(worker.clone(), view);
+        }
+    }
+
+    /// Proposes a record: it counts for decisions at once, and for workers when committed.
+    pub(super) fn propose(&mut self, now: time::Duration, record: book::Record) {
+        if self.book.apply(&record).is_err() {
+            self.counters.misfits += 1;
+            return;
+        }
+        let task = record.task().clone();
+        // A commit under way has the next number, and this record goes into the one after.
+        let next = self.committer.head().seq + 1;
+        let seq = if self.committer.idle() {
+            next
+        } else {
+            next + 1
+        };
+        self.ahead.insert(task.clone(), seq);
+        self.note(now, &record);
+        self.queue.push(record);
+        self.update_waiting(now, &task);
+    }
+
+    /// Returns whether a task's state stands in the store as it is here.
+    pub(super) fn is_committed(&self, task: &id::TaskId) -> bool {
+        !self.ahead.contains_key(task)
+    }
+
+    /// Keeps a decision for the state dump, and counts it.
+    fn note(&mut self, now: time::Duration, record: &book::Record) {
+        let what = match record {
+            book::Record::Place { worker, .. } => {
+                self.counters.placed += 1;
+                What::Placed {
+                    worker: worker.clone(),
+                }
+            }
+            book::Record::Evict { cause, .. } => {
+                *self.counters.evicted.entry(*cause).or_default() += 1;
+                What::Evicted { cause: *cause }
+            }
+            book::Record::Free { proof, .. } => What::Freed { proof: *proof },
+            book::Record::Done { .. } => {
+                self.counters.done += 1;
+                What::Done
+            }
+            book::Record::Forget { .. } => return,
+        };
+        self.decided(now, record.task().clone(), what);
+    }
+
+    /// Keeps a decision for the state dump.
+    pub(super) fn decided(&mut self, now: time::Duration, task: id::TaskId, what: What) {
+        if self.decisions.len() == DECISIONS_KEPT {
+            self.decisions.pop_front();
+        }
+        self.decisions.push_back(Decision {
+            at_ms: now.as_millis(),
+            task,
+            what,
+        });
+    }
+
+    /// Returns whether the configuration is not older than the one last acted on.
+    fn config_is_current(&self) -> bool {
+        let acted_on = self.committer.head().config_revision;
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.revision >= acted_on)
+    }
+
+    /// Begins a commit where one is due.
+    fn commit(
+        &mut self,
+        now: time::Duration,
+        token: String,
+        leaving: bool,
+    ) -> Option<super::Effect> {
+        let since = now.saturating_sub(self.begun);
+        let news = !self.queue.is_empty() && since >= self.settings.commit;
+        let beat = since >= self.settings.timing.lease / BEATS_PER_LEASE;
+        if !self.committer.idle() || !(news || beat || leaving) {
+            return None;
+        }
+        let before = self.committer.head().clone();
+        let mut writes = Vec::new();
+        let mut head = lease::Head { token, ..before };
+        if !self.queue.is_empty() {
+            head.seq += 1;
+            writes.push(self.log_write(head.seq)?);
+        }
+        if let Some(current) = &self.current {
+            head.config_revision = head.config_revision.max(current.revision);
+        }
+        if let Some(snapshot) = self.stored.take() {
+            writes.extend(self.log_deletes(&head, &snapshot));
+            head.snapshot = Some(snapshot);
+        }
+        if leaving {
+            head.holder = None;
+        }
+        self.begun = now;
+        let txn = self.committer.begin(head, writes).ok()?;
+        Some(super::Effect::Txn(txn))
+    }
+
+    /// Moves the queue into a write of the log.
+    fn log_write(&mut self, seq: u64) -> Option<platform::Write> {
+        let value = serde_json::to_string(&self.queue).ok()?;
+        self.counters.records += self.queue.len() as u64;
+        self.counters.commit_bytes += value.len() as u64;
+        self.queue.clear();
+        Some(platform::Write {
+            key: super::log_key(&self.hall, seq),
+            value: Some(value),
+        })
+    }
+
+    /// Returns the deletes of log rows that a snapshot holds.
+    fn log_deletes(&self, head: &lease::Head, snapshot: &lease::Snapshot) -> Vec<platform::Write> {
+        let from = head.snapshot.as_ref().map_or(0, |old| old.seq);
+        (from + 1..=snapshot.seq)
+            .map(|seq| platform::Write {
+                key: super::log_key(&self.hall, seq),
+                value: None,
+            })
+            .collect()
+    }
+
+    /// Takes the answer to a commit.
+    pub(super) fn answered(&mut self, answer: Option<&platform::TxnAnswer>) -> commit::Step {
+        self.committer.answered(answer)
+    }
+
+    /// Takes the head row read after a doubt.
+    pub(super) fn read_back(&mut self, version: u64, head: Option<&lease::Head>) -> commit::Step {
+        self.committer.read_back(version, head)
+    }
+
+    /// Notes that the fate of a commit is in doubt.
+    pub(super) fn doubt(&mut self, now: time::Duration) {
+        self.counters.doubts += 1;
+        self.doubted = Some(now);
+    }
+
+    /// Asks for the head row again while a doubt lasts.
+    fn ask_again(&mut self, now: time::Duration) -> Option<super::Effect> {
+        let since = now.saturating_sub(self.doubted?);
+        if self.committer.idle() || since < self.settings.poll {
+            return None;
+        }
+        self.doubted = Some(now);
+        Some(super::Effect::ReadHead)
+    }
+
+    /// Notes that a commit stands.
+    pub(super) fn committed(&mut self, now: time::Duration) {
+        let seq = self.committer.head().seq;
+        let told: Vec<id::WorkerId> = self
+            .ahead
+            .iter()
+            .filter(|(_, at)| **at <= seq)
+            .filter_map(|(task, _)| self.book.get(task)?.state.worker().cloned())
+            .collect();
+        self.ahead.retain(|_, at| *at > seq);
+        for worker in told {
+            if let Some(view) = self.views.get_mut(&worker) {
+                view.news = true;
+            }
+        }
+        self.counters.commits += 1;
+        // The write took effect after it was begun, so the authority counts from there.
+        self.confirmed = self.begun.min(now);
+        self.doubted = None;
+    }
+
+    /// Returns a snapshot to store where one is due and the book holds just what is committed.
+    fn snapshot(&mut self) -> Option<super::Effect> {
+        let head = self.committer.head();
+        let last = head.snapshot.as_ref().map_or(0, |snapshot| snapshot.seq);
+        let due = head.seq >= last + self.settings.snapshot_every;
+        let clean = self.committer.idle() && self.queue.is_empty();
+        if !due || !clean || self.storing || self.stored.is_some() {
+            return None;
+        }
+        let text = serde_json::to_string(&self.book).ok()?;
+        let key = format!("hall/{}/snapshot/{}-{}", self.hall, head.epoch, head.seq);
+        self.storing = true;
+        Some(super::Effect::Store(
+            lease::Snapshot { key, seq: head.seq },
+            text,
+        ))
+    }
+
+    /// Notes that a snapshot was stored; a failed store has a sequence of zero.
+    pub(super) fn stored(&mut self, snapshot: lease::Snapshot) {
+        self.storing = false;
+        if snapshot.seq > 0 {
+            self.stored = Some(snapshot);
+        }
+    }
+
+    /// Makes the table of endpoints anew where it has changed.
+    fn refresh_table(&mut self, now: time::Duration) {
+        // A table made before the workers were heard would take good endpoints out of use.
+        let heard = self.book.workers().all(|worker| {
+            self.views
+                .get(worker)
+                .is_some_and(|view| view.reported.is_some())
+        });
+        let patience = self.settings.sync * SYNCS_BEFORE_TABLE;
+        if !heard && self.known.is_empty() && now.saturating_sub(self.taken) < patience {
+            return;
+        }
+        let mut endpoints = Vec::new();
+        for (worker, view) in &self.views {
+            for (task, entry) in self.book.on(worker) {
+                endpoints.extend(self.endpoint(worker, view, task, entry));
+            }
+        }
+        if endpoints != self.table.endpoints || self.table.version == 0 {
+            self.table.endpoints = endpoints;
+            self.table.version += 1;
+        }
+    }
+
+    /// Returns the endpoint that a task is, if its worker reports that it answers.
+    fn endpoint(
+        &self,
+        worker: &id::WorkerId,
+        view: &view::View,
+        task: &id::TaskId,
+        entry: &book::Entry,
+    ) -> Option<endpoints::Endpoint> {
+        if view.reported.is_none() {
+            return self
+                .known
+                .get(task)
+                .filter(|known| known.worker == *worker)
+                .cloned();
+        }
+        let report = view
+            .tasks
+            .get(task)
+            .filter(|report| report.attempt == entry.attempt)?;
+        let crate::work::TaskState::Running {
+            addr: Some(addr), ..
+        } = &report.state
+        else {
+            return None;
+        };
+        let going = matches!(entry.state, book::State::Leaving { .. });
+        Some(endpoints::Endpoint {
+            task: task.clone(),
+            service: task.owner.as_ref().into(),
+            worker: worker.clone(),
+            addr: *addr,
+            leaving: going || view.leaving_since.is_some(),
+        })
+    }
+
+    /// Takes what a host saw: follows disturbances, learns, and acts on the worst neighbour.
+    pub(super) fn note_digest(&mut self, now: time::Duration, digest: &digest::Digest) {
+        for seen in &digest.endpoints {
+            self.note_seen(now, seen);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/hall/plan.rs
@@ -0,0 +1,549 @@
+//! What the holder of a hall decides: who waits, who is placed, who makes room, who is moved.
+
+use std::cmp;
+use std::collections;
+use std::time;
+
+use serde::Serialize;
+
+use super::holding;
+use super::spec;
+use super::view;
+use crate::book;
+use crate::digest;
+use crate::id;
+use crate::interfere;
+use crate::place;
+use crate::size;
+use crate::work;
+
+/// How many intervals a worker may be silent and still get new tasks.
+const FRESH_INTERVALS: u32 = 3;
+/// Failures after which a task is not tried again until its owner changes.
+const MAX_FAILURES: u32 = 8;
+/// The fewest answers in an interval that say anything about latency.
+const MIN_ANSWERS: u32 = 5;
+/// The share of processors that is no throttle.
+const WHOLE_PERCENT: u8 = 100;
+
+/// The turn of a waiting task: higher priority first.
+pub(super) type Turn = (cmp::Reverse<u32>, id::TaskId);
+
+/// Tasks that fit or don't fit alike.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(super) struct Shape {
+    /// The size.
+    pub size: size::Size,
+    /// The priority.
+    pub priority: u32,
+    /// The team, whose quota may be used up.
+    pub team: id::TeamId,
+    /// Whether they are batch tasks.
+    pub batch: bool,
+}
+
+/// Why a task waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Why {
+    /// No worker of the hall is large enough even when empty.
+    FitsNowhere,
+    /// Every worker that is large enough is full.
+    NoRoom,
+    /// Others are leaving to make room.
+    RoomBeingMade,
+    /// The team's quota is used up.
+    Quota,
+}
+
+/// Why the tasks of a shape wait, for the state dump.
+#[derive(Debug, Serialize)]
+pub struct WhyWaiting {
+    /// The shape.
+    shape: Shape,
+    /// Why.
+    why: Why,
+}
+
+/// A worker with what the pass needs of it.
+struct Slot<'a> {
+    /// The worker.
+    worker: &'a id::WorkerId,
+    /// What is known of it.
+    view: &'a view::View,
+    /// What it has.
+    capacity: size::Size,
+}
+
+impl holding::Holding {
+    /// Decides everything that is due.
+    pub(super) fn plan(&mut self, now: time::Duration) {
+        self.free_lapsed(now);
+        self.drain(now);
+        self.place_waiting(now);
+    }
+
+    /// Finds the waiting tasks anew and cancels what is not wanted any more.
+    pub(super) fn rebuild_waiting(&mut self, now: time::Duration) {
+        self.waiting.clear();
+        let unwanted: Vec<id::TaskId> = self
+            .book
+            .entries()
+            .keys()
+            .filter(|task| !self.wanted.contains_key(*task))
+            .cloned()
+            .collect();
+        let wanted: Vec<id::TaskId> = self.wanted.keys().cloned().collect();
+        for task in wanted.iter().chain(&unwanted) {
+            self.update_waiting(now, task);
+        }
+    }
+
+    /// Brings one task's place among the waiting up to date.
+    pub(super) fn update_waiting(&mut self, now: time::Duration, task: &id::TaskId) {
+        let state = self.book.get(task).map(|entry| entry.state.clone());
+        let Some(spec) = self.wanted.get(task) else {
+            self.cancel(now, task, state);
+            return;
+        };
+        let turn = (cmp::Reverse(spec.priority), task.clone());
+        let tired = self
+            .book
+            .get(task)
+            .is_some_and(|entry| entry.failures >= MAX_FAILURES);
+        let waits = state.is_none_or(|state| state == book::State::Waiting);
+        if waits && !tired {
+            self.waiting.insert(turn);
+        } else {
+            self.waiting.remove(&turn);
+            self.promised.remove(task);
+        }
+    }
+
+    /// Cancels a task that is not wanted any more.
+    fn cancel(&mut self, now: time::Duration, task: &id::TaskId, state: Option<book::State>) {
+        let Some(entry) = self.book.get(task) else {
+            return;
+        };
+        let attempt = entry.attempt;
+        let task = task.clone();
+        match state {
+            Some(book::State::Placed { .. }) => {
+                let cause = book::Cause::Cancelled;
+                self.propose(
+                    now,
+                    book::Record::Evict {
+                        task,
+                        attempt,
+                        cause,
+                    },
+                );
+            }
+            Some(book::State::Waiting | book::State::Done) => {
+                self.propose(now, book::Record::Forget { task });
+            }
+            Some(book::State::Leaving { .. }) | None => {}
+        }
+    }
+
+    /// Moves tasks off workers whose stop is planned: batch at once, services after the drain.
+    fn drain(&mut self, now: time::Duration) {
+        let mut records = Vec::new();
+        for (worker, view) in &self.views {
+            let Some(since) = view.leaving_since else {
+                continue;
+            };
+            let drained = now.saturating_sub(since) >= self.settings.drain;
+            for (task, entry) in self.book.on(worker) {
+                let batch = self.wanted.get(task).is_none_or(|spec| spec.batch());
+                let placed = matches!(entry.state, book::State::Placed { .. });
+                if placed && (batch || drained) {
+                    records.push(evict(task, entry, book::Cause::Drain));
+                }
+            }
+        }
+        for record in records {
+            self.propose(now, record);
+        }
+    }
+
+    /// Gives waiting tasks a worker, by priority.
+    fn place_waiting(&mut self, now: time::Duration) {
+        self.blocked.clear();
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut held = self.held_by_teams();
+        let turns: Vec<id::TaskId> = self.waiting.iter().map(|(_, task)| task.clone()).collect();
+        for task in turns {
+            let Some(spec) = self.wanted.get(&task).cloned() else {
+                continue;
+            };
+            let shape = shape_of(&spec);
+            let known = self.blocked.get(&shape);
+            // What did not fit for one task does not fit for the next of the same shape.
+            if known.is_some() && !self.promised.contains_key(&task) {
+                continue;
+            }
+            let team = held.entry(spec.team.clone()).or_default();
+            let over = spec.batch() && !self.within_quota(&spec, team);
+            let placed = if over {
+                Err(Why::Quota)
+            } else {
+                self.place_one(now, &task, &spec)
+            };
+            match placed {
+                Ok(()) if spec.batch() => *team = team.plus(&spec.size),
+                Ok(()) => {}
+                // Each urgent task may make room of its own, so this one blocks no other.
+                Err(Why::RoomBeingMade) => {}
+                Err(why) => {
+                    self.blocked.insert(shape, why);
+                }
+            }
+        }
+    }
+
+    /// Places one task, or says why not.
+    fn place_one(
+        &mut self,
+        now: time::Duration,
+        task: &id::TaskId,
+        spec: &spec::Spec,
+    ) -> Result<(), Why> {
+        let slots = self.slots(now);
+        let fits = |capacity: &size::Size| spec.size.fits(capacity);
+        let ever = self
+            .views
+            .values()
+            .filter_map(|view| view.capacity)
+            .any(|c| fits(&c));
+        if !ever {
+            return Err(if slots.is_empty() {
+                Why::NoRoom
+            } else {
+                Why::FitsNowhere
+            });
+        }
+        let racks = self.siblings(spec);
+        let candidates = slots.iter().map(|slot| self.candidate(slot, spec, &racks));
+        if let Some(worker) = place::choose(candidates, &spec.size) {
+            let attempt = self.book.get(task).map_or(0, |entry| entry.attempt) + 1;
+            let record = book::Record::Place {
+                task: task.clone(),
+                attempt,
+                worker: worker.clone(),
+                size: spec.size,
+                priority: spec.priority,
+            };
+            self.propose(now, record);
+            return Ok(());
+        }
+        if self.room_is_coming(task) {
+            return Err(Why::RoomBeingMade);
+        }
+        self.make_room(now, task, spec)
+    }
+
+    /// Returns whether tasks are still leaving to make room for this one.
+    fn room_is_coming(&self, task: &id::TaskId) -> bool {
+        let leaving = |entry: &book::Entry| matches!(entry.state, book::State::Leaving { .. });
+        self.promised
+            .get(task)
+            .is_some_and(|worker| self.book.on(worker).any(|(_, entry)| leaving(entry)))
+    }
+
+    /// Evicts the cheapest batch tasks of lower priority that make room on one worker.
+    fn make_room(
+        &mut self,
+        now: time::Duration,
+        task: &id::TaskId,
+        spec: &spec::Spec,
+    ) -> Result<(), Why> {
+        let slots = self.slots(now);
+        let offers = slots.iter().filter_map(|slot| {
+            let free = slot.capacity.minus(&self.book.used(slot.worker));
+            let chosen = place::victims(self.movable(slot, spec.priority), &free, &spec.size)?;
+            Some((place::price(&chosen), slot.worker, chosen))
+        });
+        let Some((_, worker, chosen)) = offers.min_by_key(|(price, _, _)| *price) else {
+            return Err(Why::NoRoom);
+        };
+        let worker = worker.clone();
+        let records: Vec<book::Record> = chosen
+            .iter()
+            .filter_map(|victim| {
+                let entry = self.book.get(victim.task)?;
+                Some(evict(victim.task, entry, book::Cause::Preempted))
+            })
+            .collect();
+        for record in records {
+            self.propose(now, record);
+        }
+        self.promised.insert(task.clone(), worker);
+        Err(Why::RoomBeingMade)
+    }
+
+    /// Returns the batch tasks of a worker that a priority may displace.
+    fn movable<'a>(&'a self, slot: &Slot<'a>, priority: u32) -> Vec<place::Victim<'a>> {
+        let reserved = self.promised.values().any(|worker| worker == slot.worker);
+        if reserved {
+            return Vec::new();
+        }
+        let on = self.book.on(slot.worker);
+        let lower = on.filter(|(task, entry)| {
+            let batch = self.wanted.get(*task).is_none_or(|spec| spec.batch());
+            let placed = matches!(entry.state, book::State::Placed { .. });
+            batch && placed && entry.priority < priority
+        });
+        lower
+            .map(|(task, entry)| place::Victim {
+                task,
+                size: entry.size,
+                priority: entry.priority,
+                lost_ms: self.lost_ms(task),
+            })
+            .collect()
+    }
+
+    /// Returns the work that evicting a task would lose: nothing where it can save its progress.
+    fn lost_ms(&self, task: &id::TaskId) -> u64 {
+        match self.wanted.get(task).map(|spec| &spec.kind) {
+            Some(work::Kind::Batch {
+                run_time_ms,
+                checkpoint: false,
+            }) => *run_time_ms,
+            _ => 0,
+        }
+    }
+
+    /// Returns the workers that may get a new task.
+    fn slots(&self, now: time::Duration) -> Vec<Slot<'_>> {
+        let fresh = self.settings.sync * FRESH_INTERVALS;
+        self.views
+            .iter()
+            .filter(|(_, view)| view.takes_new(now, fresh))
+            .filter_map(|(worker, view)| {
+                Some(Slot {
+                    worker,
+                    view,
+                    capacity: view.capacity?,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns a worker as a candidate for a task.
+    fn candidate<'a>(
+        &self,
+        slot: &Slot<'a>,
+        spec: &spec::Spec,
+        racks: &collections::BTreeMap<&str, u32>,
+    ) -> place::Candidate<'a> {
+        let used = self.book.used(slot.worker);
+        let room = spec.size.fits(&slot.capacity.minus(&used));
+        let harm = if room {
+            self.harm_there(slot.worker, spec)
+        } else {
+            0.0
+        };
+        let siblings = racks.get(slot.view.rack.as_str()).copied().unwrap_or(0);
+        place::Candidate {
+            worker: slot.worker,
+            capacity: slot.capacity,
+            used,
+            harm,
+            siblings,
+        }
+    }
+
+    /// Returns the harm to expect between a task and those on a worker.
+    fn harm_there(&self, worker: &id::WorkerId, spec: &spec::Spec) -> f64 {
+        let mut harm = 0.0;
+        for (task, _) in self.book.on(worker) {
+            let Some(other) = self.wanted.get(task) else {
+                continue;
+            };
+            let pair = match (spec.batch(), other.batch()) {
+                (true, false) => (other.owner.as_str(), spec.owner.as_str()),
+                (false, true) => (spec.owner.as_str(), other.owner.as_str()),
+                _ => continue,
+            };
+            harm += self.harms.expected(pair.0, pair.1, interfere::Load::High);
+        }
+        harm
+    }
+
+    /// Returns how many tasks of the same service stand in each rack; none for batch tasks.
+    fn siblings(&self, spec: &spec::Spec) -> collections::BTreeMap<&str, u32> {
+        let mut racks = collections::BTreeMap::new();
+        if spec.batch() {
+            return racks;
+        }
+        for (worker, view) in &self.views {
+            let same = self
+                .book
+                .on(worker)
+                .filter(|(task, _)| *task.owner == *spec.owner);
+            let count = u32::try_from(same.count()).unwrap_or(u32::MAX);
+            *racks.entry(view.rack.as_str()).or_default() += count;
+        }
+        racks
+    }
+
+    /// Returns what each team's batch tasks hold in this hall.
+    fn held_by_teams(&self) -> collections::BTreeMap<id::TeamId, size::Size> {
+        let mut held = collections::BTreeMap::new();
+        for (task, entry) in self.book.entries() {
+            let Some(spec) = self.wanted.get(task).filter(|spec| spec.batch()) else {
+                continue;
+            };
+            if entry.state.worker().is_some() {
+                let team: &mut size::Size = held.entry(spec.team.clone()).or_default();
+                *team = team.plus(&entry.size);
+            }
+        }
+        held
+    }
+
+    /// Returns whether one more task stays within the hall's share of its team's quota.
+    fn within_quota(&self, spec: &spec::Spec, held: &size::Size) -> bool {
+        let Some(current) = &self.current else {
+            return false;
+        };
+        let Some(team) = current.desired.teams.get(&spec.team) else {
+            return false;
+        };
+        let share = spec::quota_share(&team.quota, current.desired.halls.len());
+        held.plus(&spec.size).fits(&share)
+    }
+
+    /// Returns why tasks wait, for the state dump.
+    pub(super) fn why_waiting(&self) -> Vec<WhyWaiting> {
+        let entry = |(shape, why): (&Shape, &Why)| WhyWaiting {
+            shape: shape.clone(),
+            why: *why,
+        };
+        self.blocked.iter().map(entry).collect()
+    }
+
+    /// Takes what a host saw of one endpoint, and acts on the worst neighbour where it is needed.
+    pub(super) fn note_seen(&mut self, now: time::Duration, seen: &digest::Seen) {
+        let Some(target_ms) = self
+            .wanted
+            .get(&seen.task)
+            .and_then(|s| s.latency_target_ms)
+        else {
+            return;
+        };
+        let worker = self
+            .book
+            .get(&seen.task)
+            .and_then(|entry| entry.state.worker().cloned());
+        let Some(worker) = worker.filter(|_| seen.answers >= MIN_ANSWERS) else {
+            return;
+        };
+        let over = seen.p95_us as f64 / (target_ms as f64 * 1_000.0) - 1.0;
+        let suspects = self.suspects(&worker, &seen.task);
+        for suspect in &suspects {
+            let (service, job) = (&seen.task.owner, &suspect.task.owner);
+            self.harms
+                .note(service, job, interfere::Load::High, over.max(0.0));
+        }
+        let patience = interfere::Patience::default();
+        let Some(view) = self.views.get_mut(&worker) else {
+            return;
+        };
+        view.case.note(over > 0.0);
+        match view.case.remedy(suspects, &patience, now) {
+            interfere::Remedy::Wait => self.loosen(now, &worker, &patience),
+            interfere::Remedy::Throttle(task, percent) => {
+                self.throttle(now, &worker, task, percent);
+            }
+            interfere::Remedy::Evict(task) => {
+                if let Some(entry) = self.book.get(&task) {
+                    let record = evict(&task, entry, book::Cause::Harm);
+                    self.propose(now, record);
+                }
+            }
+        }
+    }
+
+    /// Returns the batch tasks beside a service task.
+    fn suspects(
+        &self,
+        worker: &id::WorkerId,
+        service: &id::TaskId,
+    ) -> Vec<interfere::Suspect<id::TaskId>> {
+        let Some(view) = self.views.get(worker) else {
+            return Vec::new();
+        };
+        let on = self.book.on(worker).filter(|(task, entry)| {
+            let batch = self.wanted.get(*task).is_some_and(|spec| spec.batch());
+            batch && matches!(entry.state, book::State::Placed { .. })
+        });
+        on.map(|(task, _)| interfere::Suspect {
+            task: task.clone(),
+            harm: self
+                .harms
+                .expected(&service.owner, &task.owner, interfere::Load::High),
+            percent: view.throttles.get(task).copied().unwrap_or(WHOLE_PERCENT),
+            lost_ms: self.lost_ms(task),
+        })
+        .collect()
+    }
+
+    /// Leaves a task only a share of its processors.
+    fn throttle(
+        &mut self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        task: id::TaskId,
+        percent: u8,
+    ) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.throttles.insert(task.clone(), percent);
+            view.news = true;
+            self.counters.throttled += 1;
+            self.decided(now, task, holding::What::Throttled { percent });
+        }
+    }
+
+    /// Gives a throttled task its processors back after a calm time.
+    fn loosen(
+        &mut self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        patience: &interfere::Patience,
+    ) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let Some((task, _)) = view.throttles.iter().find(|(_, p)| **p < WHOLE_PERCENT) else {
+            return;
+        };
+        let task = task.clone();
+        if view.case.may_loosen(patience) {
+            self.throttle(now, worker, task, WHOLE_PERCENT);
+        }
+    }
+}
+
+/// Returns the record that evicts a task.
+fn evict(task: &id::TaskId, entry: &book::Entry, cause: book::Cause) -> book::Record {
+    book::Record::Evict {
+        task: task.clone(),
+        attempt: entry.attempt,
+        cause,
+    }
+}
+
+/// Returns the shape of a task.
+fn shape_of(spec: &spec::Spec) -> Shape {
+    Shape {
+        size: spec.size,
+        priority: spec.priority,
+        team: spec.team.clone(),
+        batch: spec.batch(),
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/hall/sync.rs
@@ -0,0 +1,287 @@
+//! The messages between the holder of a hall and its workers.
+
+use std::time;
+
+use super::holding;
+use super::view;
+use crate::book;
+use crate::id;
+use crate::work;
+
+/// How long the holder waits for a worker's answer, in intervals between messages.
+const ANSWER_INTERVALS: u32 = 2;
+
+impl holding::Holding {
+    /// Returns the messages that are due.
+    pub(super) fn syncs(&mut self, now: time::Duration) -> Vec<super::Effect> {
+        let workers: Vec<id::WorkerId> = self.views.keys().cloned().collect();
+        let mut effects = Vec::new();
+        for worker in &workers {
+            effects.extend(self.sync(now, worker));
+        }
+        self.counters.syncs += effects.len() as u64;
+        effects
+    }
+
+    /// Returns the message to a worker if one is due.
+    fn sync(&mut self, now: time::Duration, worker: &id::WorkerId) -> Option<super::Effect> {
+        let commands = self.commands(worker);
+        let lease_ms = millis(self.settings.worker_lease);
+        let patience = self.settings.sync * ANSWER_INTERVALS;
+        let epoch = self.head().epoch;
+        let view = self.views.get_mut(worker)?;
+        let addr = view.addr?;
+        let waits = view
+            .in_flight
+            .is_some_and(|at| now.saturating_sub(at) < patience);
+        let since = view.sent.map(|at| now.saturating_sub(at));
+        let due = view.news || since.is_none_or(|since| since >= self.settings.sync);
+        if waits || !due {
+            return None;
+        }
+        view.seq += 1;
+        view.news = false;
+        view.in_flight = Some(now);
+        view.sent = Some(now);
+        // The lease counts from the worker's own clock in its last report, so that a message
+        // delayed on its way can't lengthen it.
+        let lease_until_ms = view.boot.map_or(0, |_| view.clock_ms + lease_ms);
+        let commands = if view.boot.is_some() {
+            commands
+        } else {
+            Vec::new()
+        };
+        let sync = work::Sync {
+            worker: worker.clone(),
+            boot: view.boot,
+            epoch,
+            seq: view.seq,
+            lease_until_ms,
+            commands,
+        };
+        Some(super::Effect::Sync(addr, sync))
+    }
+
+    /// Returns what a worker is still to do, from what is committed and what it reported.
+    fn commands(&self, worker: &id::WorkerId) -> Vec<work::Command> {
+        let Some(view) = self.views.get(worker) else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        for (task, entry) in self.book.on(worker) {
+            if self.is_committed(task) {
+                commands.extend(self.command(view, task, entry));
+            }
+        }
+        for report in view.tasks.values() {
+            commands.extend(self.cleanup(worker, report));
+        }
+        commands
+    }
+
+    /// Returns what a worker is still to do about a task that belongs there.
+    fn command(
+        &self,
+        view: &view::View,
+        task: &id::TaskId,
+        entry: &book::Entry,
+    ) -> Option<work::Command> {
+        let attempt = entry.attempt;
+        let known = view
+            .tasks
+            .get(task)
+            .is_some_and(|report| report.attempt == attempt);
+        if matches!(entry.state, book::State::Leaving { .. }) {
+            return Some(work::Command::Stop {
+                task: task.clone(),
+                attempt,
+            });
+        }
+        if known {
+            let percent = *view.throttles.get(task)?;
+            return Some(work::Command::Throttle {
+                task: task.clone(),
+                attempt,
+                percent,
+            });
+        }
+        let spec = self.wanted.get(task)?;
+        Some(work::Command::Start {
+            task: task.clone(),
+            attempt,
+            size: entry.size,
+            checkpoint: entry.checkpoint,
+            kind: spec.kind.clone(),
+        })
+    }
+
+    /// Returns what to do about a reported task that does not belong there.
+    fn cleanup(&self, worker: &id::WorkerId, report: &work::TaskReport) -> Option<work::Command> {
+        let (task, attempt) = (report.task.clone(), report.attempt);
+        let belongs = self
+            .book
+            .get(&task)
+            .is_some_and(|e| e.attempt == attempt && e.state.worker() == Some(worker));
+        if belongs || !self.is_committed(&task) {
+            return None;
+        }
+        Some(match report.state {
+            work::TaskState::Running { .. } => work::Command::Stop { task, attempt },
+            _ => work::Command::Forget { task, attempt },
+        })
+    }
+
+    /// Takes a worker's answer; returns whether another holder has a higher epoch.
+    pub(super) fn synced(
+        &mut self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        seq: u64,
+        answer: Option<work::Answer>,
+    ) -> bool {
+        let epoch = self.head().epoch;
+        let Some(view) = self.views.get_mut(worker).filter(|view| view.seq == seq) else {
+            return false;
+        };
+        view.in_flight = None;
+        match answer {
+            None => false,
+            Some(work::Answer::Refused { epoch: seen, .. }) if seen > epoch => true,
+            Some(work::Answer::Refused { .. }) => {
+                // First contact anew: the next message carries no command and learns the boot.
+                view.boot = None;
+                view.news = true;
+                false
+            }
+            Some(work::Answer::Report(report)) => {
+                if report.seq == seq {
+                    self.reported(now, worker, report);
+                }
+                false
+            }
+        }
+    }
+
+    /// Takes a worker's report.
+    fn reported(&mut self, now: time::Duration, worker: &id::WorkerId, report: work::Report) {
+        let lapse = self.settings.worker_lease + self.settings.margin;
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let tasks = report
+            .tasks
+            .into_iter()
+            .map(|task| (task.task.clone(), task))
+            .collect();
+        let before = std::mem::replace(&mut view.tasks, tasks);
+        let first = view.boot.is_none();
+        view.boot = Some(report.boot);
+        view.clock_ms = report.clock_ms;
+        view.capacity = Some(report.capacity);
+        view.reported = Some(now);
+        view.lapse_at = now + lapse;
+        view.news = view.news || first;
+        self.settle_tasks(now, worker, &before);
+    }
+
+    /// Proposes what follows from a report for each task that belongs on the worker.
+    fn settle_tasks(
+        &mut self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        before: &std::collections::BTreeMap<id::TaskId, work::TaskReport>,
+    ) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let mut records = Vec::new();
+        let mut failed = 0;
+        let mut well = false;
+        for (task, entry) in self.book.on(worker) {
+            let attempt = entry.attempt;
+            let here = |reports: &std::collections::BTreeMap<id::TaskId, work::TaskReport>| {
+                reports
+                    .get(task)
+                    .filter(|report| report.attempt == attempt)
+                    .cloned()
+            };
+            let free = |checkpoint: Option<u64>, proof: book::Proof| book::Record::Free {
+                task: task.clone(),
+                attempt,
+                checkpoint,
+                proof,
+            };
+            let Some(report) = here(&view.tasks) else {
+                if let Some(lost) = here(before) {
+                    let checkpoint = checkpoint_of(&lost.state);
+                    records.push(free(checkpoint, book::Proof::Rebooted));
+                }
+                continue;
+            };
+            match report.state {
+                work::TaskState::Running { .. } => {}
+                work::TaskState::Stopped { checkpoint } => {
+                    records.push(free(checkpoint, book::Proof::Stopped));
+                }
+                work::TaskState::Completed => {
+                    well = true;
+                    records.push(book::Record::Done {
+                        task: task.clone(),
+                        attempt,
+                    });
+                }
+                work::TaskState::Failed => {
+                    failed += 1;
+                    records.push(free(None, book::Proof::Failed));
+                }
+            }
+        }
+        if let Some(view) = self.views.get_mut(worker) {
+            if well {
+                view.strikes = 0;
+            }
+            (0..failed).for_each(|_| view.strike(now));
+        }
+        for record in records {
+            self.propose(now, record);
+        }
+    }
+
+    /// Proposes to free the tasks of workers whose leases have lapsed.
+    pub(super) fn free_lapsed(&mut self, now: time::Duration) {
+        let mut records = Vec::new();
+        for (worker, view) in &self.views {
+            if now < view.lapse_at {
+                continue;
+            }
+            for (task, entry) in self.book.on(worker) {
+                let report = view.tasks.get(task).filter(|r| r.attempt == entry.attempt);
+                let checkpoint = report.and_then(|report| checkpoint_of(&report.state));
+                records.push(book::Record::Free {
+                    task: task.clone(),
+                    attempt: entry.attempt,
+                    checkpoint,
+                    proof: book::Proof::Lapsed,
+                });
+            }
+        }
+        for record in records {
+            self.propose(now, record);
+        }
+    }
+}
+
+/// Returns the progress that a report names.
+fn checkpoint_of(state: &work::TaskState) -> Option<u64> {
+    match state {
+        work::TaskState::Running { checkpoint, .. } | work::TaskState::Stopped { checkpoint } => {
+            *checkpoint
+        }
+        work::TaskState::Completed | work::TaskState::Failed => None,
+    }
+}
+
+/// Returns a duration in whole milliseconds.
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/wharflane/src/hall/view.rs
@@ -0,0 +1,115 @@
+//! What the holder of a hall knows of one worker; nothing of it is kept.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use crate::id;
+use crate::interfere;
+use crate::members;
+use crate::size;
+use crate::work;
+
+/// Failures in a row after which a worker gets nothing new for a while.
+const STRIKES_TO_SET_ASIDE: u32 = 3;
+/// How long a worker is set aside the first time.
+const FIRST_ASIDE: time::Duration = time::Duration::from_secs(30);
+/// The most times that the time aside is doubled.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub(super) struct View {
+    /// Where it takes commands, while the platform lists it.
+    pub addr: Option<net::SocketAddr>,
+    /// Its rack.
+    pub rack: String,
+    /// Since when its stop is planned.
+    pub leaving_since: Option<time::Duration>,
+    /// Its boot, once known.
+    pub boot: Option<u64>,
+    /// The number of the last message.
+    pub seq: u64,
+    /// When the message under way was sent.
+    pub in_flight: Option<time::Duration>,
+    /// When the last message was sent.
+    pub sent: Option<time::Duration>,
+    /// When the last report came.
+    pub reported: Option<time::Duration>,
+    /// The worker's clock in the last report.
+    pub clock_ms: u64,
+    /// When every lease of its tasks has lapsed, unless it reports again.
+    pub lapse_at: time::Duration,
+    /// What it has.
+    pub capacity: Option<size::Size>,
+    /// The tasks of its last report.
+    pub tasks: collections::BTreeMap<id::TaskId, work::TaskReport>,
+    /// The share of processors left to throttled tasks.
+    pub throttles: collections::BTreeMap<id::TaskId, u8>,
+    /// Failures in a row of tasks started there.
+    pub strikes: u32,
+    /// Until when it gets nothing new.
+    pub aside_until: Option<time::Duration>,
+    /// How a disturbance there is followed.
+    pub case: interfere::Case,
+    /// Whether there is something to tell at once.
+    pub news: bool,
+}
+
+impl View {
+    /// Makes a view of a worker not heard of, whose leases may last until a moment.
+    pub fn new(lapse_at: time::Duration) -> Self {
+        Self {
+            addr: None,
+            rack: String::new(),
+            leaving_since: None,
+            boot: None,
+            seq: 0,
+            in_flight: None,
+            sent: None,
+            reported: None,
+            clock_ms: 0,
+            lapse_at,
+            capacity: None,
+            tasks: collections::BTreeMap::new(),
+            throttles: collections::BTreeMap::new(),
+            strikes: 0,
+            aside_until: None,
+            case: interfere::Case::default(),
+            news: false,
+        }
+    }
+
+    /// Takes what the platform's list says.
+    pub fn set_member(&mut self, member: Option<&members::Worker>, now: time::Duration) {
+        self.addr = member.map(|member| member.addr);
+        let Some(member) = member else {
+            return;
+        };
+        self.rack.clone_from(&member.rack);
+        match member.presence {
+            members::Presence::Live => self.leaving_since = None,
+            members::Presence::Leaving => {
+                self.leaving_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Returns whether it may get a new task.
+    pub fn takes_new(&self, now: time::Duration, fresh: time::Duration) -> bool {
+        let aside = self.aside_until.is_some_and(|until| now < until);
+        let heard = self
+            .reported
+            .is_some_and(|at| now.saturating_sub(at) <= fresh);
+        self.addr.is_some() && heard && !aside && self.leaving_since.is_none()
+    }
+
+    /// Notes that a task started there has failed.
+    pub fn strike(&mut self, now: time::Duration) {
+        self.strikes += 1;
+        if self.strikes >= STRIKES_TO_SET_ASIDE {
+            let doublings = (self.strikes - STRIKES_TO_SET_ASIDE).min(MAX_DOUBLINGS);
+            self.aside_until = Some(now + FIRST_ASIDE * 2_u32.pow(doublings));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/id.rs
@@ -0,0 +1,117 @@
+//! Names of halls, workers, hosts, services, jobs, teams and tasks.
+
+use std::fmt;
+use std::str;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+/// Declares a name type over shared text.
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(sync::Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name! {
+    /// The name of a hall.
+    HallId
+}
+name! {
+    /// The name of a worker.
+    WorkerId
+}
+name! {
+    /// The name of an entry host.
+    HostId
+}
+name! {
+    /// The name of a service.
+    ServiceId
+}
+name! {
+    /// The name of a batch job.
+    JobId
+}
+name! {
+    /// The name of a team.
+    TeamId
+}
+name! {
+    /// The name of a priority class.
+    ClassId
+}
+
+/// The name of one task: its owner, the revision that created the owner, and its index.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The name of the service or job.
+    pub owner: sync::Arc<str>,
+    /// The configuration revision in which the owner first stood.
+    pub born: u64,
+    /// The index of the task within its owner.
+    pub index: u32,
+}
+
+/// A text that is no task name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a task name reads owner@revision/index")]
+pub struct BadTaskId;
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}/{}", self.owner, self.born, self.index)
+    }
+}
+
+impl str::FromStr for TaskId {
+    type Err = BadTaskId;
+
+    fn from_str(text: &str) -> Result<Self, BadTaskId> {
+        let (owner, rest) = text.split_once('@').ok_or(BadTaskId)?;
+        let (born, index) = rest.split_once('/').ok_or(BadTaskId)?;
+        let born = born.parse().or(Err(BadTaskId))?;
+        let index = index.parse().or(Err(BadTaskId))?;
+        Ok(Self {
+            owner: owner.into(),
+            born,
+            index,
+        })
+    }
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/lib.rs
@@ -0,0 +1,24 @@
+//! The decisions of wharflane as plain functions over plain structs, without sockets or sleeping.
+
+pub mod book;
+pub mod clock;
+pub mod commit;
+pub mod desired;
+pub mod digest;
+pub mod endpoints;
+pub mod hall;
+pub mod id;
+pub mod interfere;
+pub mod latency;
+pub mod lease;
+pub mod limit;
+pub mod members;
+pub mod outcome;
+pub mod place;
+pub mod platform;
+pub mod rendezvous;
+pub mod retry;
+pub mod route;
+pub mod size;
+pub mod toml_read;
+pub mod work;
--- /dev/null
+++ b/crates/wharflane/src/limit.rs
@@ -0,0 +1,142 @@
+//! The queue of a service at one host: by paid priority, bounded by length and by deadline.
+
+use std::collections;
+use std::time;
+
+/// A request that waits.
+#[derive(Debug)]
+struct Waiting<T> {
+    /// When its caller stops waiting.
+    deadline: time::Duration,
+    /// What is woken when its turn comes.
+    value: T,
+}
+
+/// The order of waiting requests: higher priority first, then first come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    /// The priority, turned round so that a higher one sorts first.
+    priority: std::cmp::Reverse<u32>,
+    /// The order of arrival.
+    arrival: u64,
+}
+
+/// The waiting requests of one service.
+#[derive(Debug)]
+pub struct Queue<T> {
+    /// The requests by their order.
+    waiting: collections::BTreeMap<Place, Waiting<T>>,
+    /// The most that may wait.
+    limit: usize,
+    /// The order of the next arrival.
+    next: u64,
+    /// The average time between two requests taken from the queue.
+    pace: Option<time::Duration>,
+    /// When the last request was taken.
+    last_taken: Option<time::Duration>,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// When it is worth to ask again.
+    pub retry_after: time::Duration,
+}
+
+/// What happened to an arrival.
+#[derive(Debug)]
+pub enum Arrival<T> {
+    /// It waits.
+    Queued,
+    /// It waits in place of one of lower priority, which is refused.
+    Displaced(T, Refused),
+    /// It is refused.
+    Refused(Refused),
+}
+
+impl<T> Queue<T> {
+    /// Makes an empty queue with room for so many requests.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            waiting: collections::BTreeMap::new(),
+            limit,
+            next: 0,
+            pace: None,
+            last_taken: None,
+        }
+    }
+
+    /// Returns how many wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes an arrival, or refuses at once what can't be served before its deadline.
+    pub fn push(
+        &mut self,
+        priority: u32,
+        deadline: time::Duration,
+        now: time::Duration,
+        value: T,
+    ) -> Arrival<T> {
+        let place = Place {
+            priority: std::cmp::Reverse(priority),
+            arrival: self.next,
+        };
+        let ahead = self.waiting.range(..place).count();
+        let wait = self.expected_wait(ahead);
+        if now + wait >= deadline {
+            return Arrival::Refused(Refused { retry_after: wait });
+        }
+        self.next += 1;
+        self.waiting.insert(place, Waiting { deadline, value });
+        if self.waiting.len() <= self.limit {
+            return Arrival::Queued;
+        }
+        let refused = Refused {
+            retry_after: self.expected_wait(self.limit),
+        };
+        match self.waiting.pop_last() {
+            Some((last, _)) if last == place => Arrival::Refused(refused),
+            Some((_, waiting)) => Arrival::Displaced(waiting.value, refused),
+            None => Arrival::Queued,
+        }
+    }
+
+    /// Takes the next request that is still in time; those past their deadline are returned first.
+    pub fn pop(&mut self, now: time::Duration) -> (Vec<T>, Option<T>) {
+        let mut late = Vec::new();
+        while let Some((_, waiting)) = self.waiting.pop_first() {
+            if waiting.deadline <= now {
+                late.push(waiting.value);
+                continue;
+            }
+            self.note_pace(now);
+            return (late, Some(waiting.value));
+        }
+        self.last_taken = None;
+        (late, None)
+    }
+
+    /// Returns when a request with so many ahead of it would be served.
+    fn expected_wait(&self, ahead: usize) -> time::Duration {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.pace.unwrap_or_default().saturating_mul(ahead)
+    }
+
+    /// Notes that a request was taken.
+    fn note_pace(&mut self, now: time::Duration) {
+        if let Some(last) = self.last_taken.replace(now) {
+            let gap = now.saturating_sub(last);
+            self.pace = Some(self.pace.map_or(gap, |pace| (pace * 7 + gap) / 8));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/outcome.rs
@@ -0,0 +1,103 @@
+//! What a caller is told about its request.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The endpoint's own answer follows.
+    Answered,
+    /// The request did not run, with proof.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the outcome as it stands in the header.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.label())
+    }
+}
+
+/// How one try at an endpoint ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request left this host.
+    NotSent,
+    /// The endpoint refused it with the promise that it did not run.
+    Refused,
+    /// It was sent, and nothing more is known.
+    Lost,
+    /// It was sent, and no answer came in time.
+    TimedOut,
+}
+
+impl Failure {
+    /// Returns whether the request is proved not to have run.
+    #[must_use]
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::Refused)
+    }
+
+    /// Returns the label of the failure in metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::Refused => "refused",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
+/// The story of a request over all its tries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tries {
+    /// Tries that ended with proof that nothing ran.
+    pub proved: u32,
+    /// Tries that may have run.
+    pub open: u32,
+}
+
+impl Tries {
+    /// Notes the end of a try.
+    pub fn note(&mut self, failure: Failure) {
+        if failure.proves_not_run() {
+            self.proved += 1;
+        } else {
+            self.open += 1;
+        }
+    }
+
+    /// Returns whether the request may be sent once more.
+    #[must_use]
+    pub fn may_repeat(&self, repeatable: bool) -> bool {
+        repeatable || self.open == 0
+    }
+
+    /// Returns what the caller is told when no more tries are made.
+    #[must_use]
+    pub fn outcome(&self) -> Outcome {
+        if self.open == 0 {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        }
+    }
+}
