Prove the promises of traffic and configuration, and refuse late work at once

The queue now keeps two average service times free before each deadline, and hands late requests back to be refused.

Also found by the tests: an endpoint's own failure counted as another's answer in the fake callers (fault of the fake, now told apart); two tests in one process were given the same port (fault of the harness, mended).

Ruled out: the retry budget (refusals at one full endpoint were within it).

--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync;
 use std::time;
 
 use wharflane::members;
@@ -14,6 +15,8 @@
 
 /// How long anything may take before the test gives up.
 const PATIENCE: time::Duration = time::Duration::from_secs(60);
+/// The next port to try.
+static NEXT_PORT: sync::atomic::AtomicU16 = sync::atomic::AtomicU16::new(20_000);
 /// How long a call may take.
 const CALL: time::Duration = time::Duration::from_secs(10);
 
@@ -293,8 +296,16 @@
     own.with_file_name(name)
 }
 
-/// Finds a port that is free now.
+/// Finds a port that is free now and that no other test of this process is given.
+///
+/// Ports below those that the system gives to outgoing connections are taken, so that none of
+/// them is in the way when a process opens its port a little later.
 fn free_port() -> net::SocketAddr {
-    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("its address")
+    loop {
+        let port = NEXT_PORT.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+        if net::TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
--- /dev/null
+++ b/crates/cli/tests/processes/kills.rs
@@ -0,0 +1,178 @@
+//! Entry hosts die, freeze and are replaced under load: what callers are told stays true.
+
+use std::collections;
+use std::time;
+
+use wharflane_stand_in::{caller, cases, checker, ledger};
+
+use crate::fleet;
+
+cases! {
+    what_callers_are_told_stays_true_when_hosts_die => fleet::run(kills()),
+    every_host_is_replaced_and_nothing_is_cut => fleet::run(rolling()),
+    garbage_on_every_port_harms_nobody => fleet::run(garbage()),
+}
+
+/// One service on three workers, and a batch job.
+const DESIRED: &str = r#"
+class = [{ name = "paid", priority = 10 }, { name = "spare", priority = 1 }]
+team = [{ name = "ours" }]
+hall = [{ name = "vake" }]
+[[service]]
+name = "lending"
+team = "ours"
+class = "paid"
+halls = ["vake"]
+count = 3
+cpu_milli = 4000
+mem_mb = 1000
+latency_target_ms = 100
+[[job]]
+name = "rebuild"
+team = "ours"
+class = "spare"
+halls = ["vake"]
+tasks = 12
+cpu_milli = 2000
+mem_mb = 1000
+run_time_ms = 1500
+checkpoint = true
+on_loss = "hold"
+"#;
+
+/// Holds what callers were told against what the endpoints ran.
+fn judge(report: &caller::Report, facts: &[ledger::Fact]) {
+    let runs = checker::runs(facts);
+    for seen in &report.seen {
+        let ran = runs.get(seen.request.as_str()).copied().unwrap_or(0);
+        assert!(ran <= 1, "{} ran {ran} times", seen.request);
+        assert_ne!(seen.end, caller::End::Wrong, "{}", seen.request);
+        assert!(
+            seen.end != caller::End::NotRun || ran == 0,
+            "{} ran",
+            seen.request
+        );
+    }
+}
+
+/// Kills one host and freezes another under load.
+async fn kills() {
+    let mut fleet = fleet::Fleet::start(3, 3, &["vake"]).await;
+    fleet.apply("entry-0", DESIRED).await;
+    fleet.wait_for_endpoints("lending", 3).await;
+    let running = tokio::spawn(caller::run(fleet.load("kill", "lending", 150.0, 6)));
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    fleet.host("entry-1").process.signal("-STOP");
+    fleet.host("entry-0").process.signal("-KILL");
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
+    fleet.host("entry-1").process.signal("-CONT");
+    let report = running.await.expect("callers");
+    drop(fleet.hosts.remove("entry-0"));
+    fleet::until("the job ends", async || {
+        let ended = |fact: &&ledger::Fact| matches!(fact, ledger::Fact::Completed { .. });
+        fleet.facts().await.iter().filter(ended).count() == 12
+    })
+    .await;
+    let facts = fleet.facts().await;
+    assert_eq!(checker::check(&facts), Vec::new());
+    judge(&report, &facts);
+    let answered = report.count(caller::End::Answered);
+    assert!(
+        answered * 3 >= report.seen.len(),
+        "{answered} of {}",
+        report.seen.len()
+    );
+}
+
+/// Replaces every host, one after the other, while callers use only those that are ready.
+async fn rolling() {
+    let mut fleet = fleet::Fleet::start(2, 3, &["vake"]).await;
+    fleet.apply("entry-0", DESIRED).await;
+    fleet.wait_for_endpoints("lending", 3).await;
+    let mut told = Vec::new();
+    for old in ["entry-0", "entry-1"] {
+        let new = format!("next-{old}");
+        fleet.add_host(&new, "vake");
+        assert!(fleet.list().await);
+        fleet.wait_for_endpoints("lending", 3).await;
+        let running = tokio::spawn(caller::run(fleet.load(old, "lending", 100.0, 2)));
+        let mut host = fleet.hosts.remove(old).expect("a host");
+        fleet.members.hosts.remove(&old.into());
+        tokio::time::sleep(time::Duration::from_millis(1_900)).await;
+        host.process.signal("-TERM");
+        let report = running.await.expect("callers");
+        assert!(host.process.wait(), "{old} ends by itself");
+        assert!(fleet.list().await);
+        told.push(report);
+    }
+    let facts = fleet.facts().await;
+    for report in &told {
+        judge(report, &facts);
+        let answered = report.count(caller::End::Answered);
+        assert_eq!(answered, report.seen.len(), "none was cut");
+    }
+    let halls = fleet.hosts["next-entry-0"].desk();
+    fleet::until("a new holder", async || {
+        let status = halls.status().await.unwrap_or_default();
+        let holders: collections::BTreeSet<_> = status
+            .halls
+            .values()
+            .filter_map(|hall| hall.holder.clone())
+            .collect();
+        holders.iter().any(|holder| holder.starts_with("next-"))
+    })
+    .await;
+}
+
+/// Sends garbage to every port of a host while callers are served.
+async fn garbage() {
+    use tokio::io::AsyncWriteExt as _;
+    let fleet = fleet::Fleet::start(1, 3, &["vake"]).await;
+    fleet.apply("entry-0", DESIRED).await;
+    fleet.wait_for_endpoints("lending", 3).await;
+    let running = tokio::spawn(caller::run(fleet.load("calm", "lending", 100.0, 3)));
+    let host = fleet.host("entry-0");
+    let mut open = Vec::new();
+    for port in [host.caller, host.operator, host.peer] {
+        let long_head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(1 << 20));
+        let long_body = format!(
+            "POST /lending/x HTTP/1.1\r\ncontent-length: {}\r\n\r\n",
+            1_u64 << 40
+        );
+        let frames = "\u{0}\u{0}\u{ff}".repeat(1 << 16);
+        for bytes in [long_head, long_body, frames, "GET / HT".to_owned()] {
+            let mut stream = tokio::net::TcpStream::connect(port)
+                .await
+                .expect("a connection");
+            // The host may close the connection before it has taken all.
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            open.push(stream);
+        }
+    }
+    let deep = format!("x = {}", "[".repeat(200_000));
+    let apply = wharflane_operator::Apply {
+        apply_id: "deep".to_owned(),
+        base_revision: 1,
+        text: deep,
+    };
+    let answer = host.desk().apply(&apply).await.expect("an answer");
+    assert!(matches!(
+        answer,
+        wharflane_operator::Applied::Refused { .. }
+    ));
+    let large = wharflane_operator::Apply {
+        text: "# x\n".repeat(3_000_000),
+        ..apply
+    };
+    let answer = host.desk().apply(&large).await.expect("an answer");
+    assert!(matches!(
+        answer,
+        wharflane_operator::Applied::Refused { .. }
+    ));
+    let report = running.await.expect("callers");
+    assert_eq!(
+        report.count(caller::End::Answered),
+        report.seen.len(),
+        "all others are served"
+    );
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -61,7 +61,9 @@
 
 /// Starts the log.
 fn log(settings: &settings::Settings) {
-    let filter = tracing_subscriber::EnvFilter::try_new(&settings.log_level)
+    // Libraries' own lines are off unless the setting names them.
+    let level = format!("tarpc=off,{}", settings.log_level);
+    let filter = tracing_subscriber::EnvFilter::try_new(level)
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
--- a/crates/daemon/src/traffic/lane.rs
+++ b/crates/daemon/src/traffic/lane.rs
@@ -44,6 +44,18 @@
     budget: retry::Budget,
 }
 
+/// How many average service times are kept free before a deadline.
+const SERVICE_TIMES_KEPT: u32 = 2;
+
+impl State {
+    /// Returns how long before its deadline a request must be taken.
+    fn service_time(&self) -> time::Duration {
+        let latencies = self.slots.iter().map(|slot| slot.health.latency_us());
+        let mean_us = latencies.sum::<f64>() / self.slots.len().max(1) as f64;
+        time::Duration::from_micros(mean_us as u64) * SERVICE_TIMES_KEPT
+    }
+}
+
 /// What a waiting request is told.
 #[derive(Debug)]
 pub enum Grant {
@@ -206,7 +218,8 @@
                 return Err(NoTurn::NoEndpoint);
             }
             let (sender, receiver) = oneshot::channel();
-            match state.queue.push(priority, deadline, now, sender) {
+            let start_by = deadline.saturating_sub(state.service_time());
+            match state.queue.push(priority, start_by, now, sender) {
                 limit::Arrival::Queued => {}
                 limit::Arrival::Refused(refused) => return Err(NoTurn::Overloaded(refused)),
                 limit::Arrival::Displaced(other, refused) => {
@@ -330,8 +343,14 @@
             let Some(addr) = reserve(state, now) else {
                 break;
             };
-            // Those past their deadline have been answered by their own timer.
-            let (_late, next) = state.queue.pop(now);
+            let (late, next) = state.queue.pop(now);
+            let refused = limit::Refused {
+                retry_after: state.queue.retry_after(),
+            };
+            woken.extend(
+                late.into_iter()
+                    .map(|sender| (sender, Grant::Refused(refused))),
+            );
             match next {
                 Some(sender) => woken.push((sender, Grant::Go(self.turn(addr, now)))),
                 None => unreserve(state, addr),
--- /dev/null
+++ b/crates/daemon/tests/traffic.rs
@@ -0,0 +1,347 @@
+//! Tells every story under tests/traffic: one host, endpoints with faults, callers, and a judge
+//! that knows only what the endpoints ran and what each caller was told.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+use std::sync;
+use std::time;
+
+use wharflane::{clock, desired, endpoints, id, size};
+use wharflane_daemon::{metrics, settings, traffic};
+use wharflane_http::server;
+use wharflane_stand_in::{caller, checker, endpoint, ledger};
+
+/// The service of every story.
+const SERVICE: &str = "dispatch";
+
+/// A story as its file tells it.
+#[derive(Debug)]
+struct Story {
+    /// The number of endpoints.
+    endpoints: usize,
+    /// The room of each.
+    room: endpoint::Room,
+    /// The faults of each.
+    faults: Vec<endpoint::Faults>,
+    /// The endpoints that are not there.
+    gone: collections::BTreeSet<usize>,
+    /// Further settings of traffic.
+    settings: String,
+    /// Whether the service's requests may run again.
+    repeatable: bool,
+    /// The load.
+    requests: u32,
+    /// Requests a second.
+    rate: f64,
+    /// How long callers wait.
+    patience: time::Duration,
+    /// Whether every request is sent twice under the same name.
+    twice: bool,
+    /// What must hold at the end.
+    expects: Vec<(String, u64, u64)>,
+}
+
+/// Tells one story.
+fn tell(path: &path::Path) -> datatest_stable::Result<()> {
+    let story = read(&fs::read_to_string(path)?);
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(play(&story));
+    runtime.shutdown_background();
+    Ok(())
+}
+
+/// Plays a story and judges its end.
+async fn play(story: &Story) {
+    let ledger = ledger::Ledger::default();
+    let mut table = Vec::new();
+    let mut fakes = Vec::new();
+    for number in 0..story.endpoints {
+        let fake = start_endpoint(story, number, &ledger).await;
+        table.push((id::HallId::from("hall"), fake.1));
+        fakes.push(fake.0);
+    }
+    let metrics = metrics::Metrics::new().expect("metrics");
+    let host = start_host(story, table, metrics.clone()).await;
+    let load = || caller::Load {
+        hosts: vec![host],
+        service: SERVICE.to_owned(),
+        rate: story.rate,
+        duration: time::Duration::from_secs_f64(f64::from(story.requests) / story.rate),
+        repeatable: None,
+        patience: story.patience,
+        name: "call".to_owned(),
+    };
+    let mut report = caller::run(load()).await;
+    if story.twice {
+        report.seen.extend(caller::run(load()).await.seen);
+    }
+    let facts = ledger.facts();
+    judge(story, &report, &facts);
+    let counts = Counts {
+        report: &report,
+        facts: &facts,
+        metrics: &metrics,
+        fakes: &fakes,
+    };
+    for (what, least, most) in &story.expects {
+        let found = counts.of(what);
+        assert!(
+            (*least..=*most).contains(&found),
+            "{what}: {found}, not {least} to {most}"
+        );
+    }
+}
+
+/// Holds what must always hold.
+fn judge(story: &Story, report: &caller::Report, facts: &[ledger::Fact]) {
+    let runs = checker::runs(facts);
+    for seen in &report.seen {
+        let ran = runs.get(seen.request.as_str()).copied().unwrap_or(0);
+        assert_ne!(
+            seen.end,
+            caller::End::Wrong,
+            "{} got another's answer",
+            seen.request
+        );
+        let told_not_run = seen.end == caller::End::NotRun;
+        assert!(
+            !told_not_run || ran == 0,
+            "{} was told not run and ran",
+            seen.request
+        );
+        assert!(
+            story.repeatable || ran <= 1,
+            "{} ran {ran} times",
+            seen.request
+        );
+    }
+}
+
+/// What can be counted at the end.
+struct Counts<'a> {
+    /// What the callers saw.
+    report: &'a caller::Report,
+    /// What the endpoints ran.
+    facts: &'a [ledger::Fact],
+    /// What the host counted.
+    metrics: &'a metrics::Metrics,
+    /// The endpoints.
+    fakes: &'a [sync::Arc<endpoint::Endpoint>],
+}
+
+impl Counts<'_> {
+    /// Counts one thing.
+    fn of(&self, what: &str) -> u64 {
+        let ended = |end| self.report.count(end) as u64;
+        match what {
+            "answered" => ended(caller::End::Answered),
+            "not-run" => ended(caller::End::NotRun),
+            "unknown" => ended(caller::End::Unknown),
+            "faulted" => ended(caller::End::Faulted),
+            "broken" => ended(caller::End::Broken),
+            "runs" => checker::runs(self.facts)
+                .values()
+                .map(|runs| u64::from(*runs))
+                .sum(),
+            "retries" => self.metrics.retries.with_label_values(&[SERVICE]).get(),
+            "peak" => self.peak(),
+            "at-0" => self.at(0),
+            other => panic!("nothing is called {other}"),
+        }
+    }
+
+    /// Returns the most requests that ran at once at any endpoint.
+    fn peak(&self) -> u64 {
+        let peaks = self
+            .fakes
+            .iter()
+            .map(|f| f.peak.load(sync::atomic::Ordering::Relaxed));
+        peaks.max().unwrap_or(0)
+    }
+
+    /// Returns the requests that one endpoint ran.
+    fn at(&self, number: u32) -> u64 {
+        let there = |fact: &&ledger::Fact| matches!(fact, ledger::Fact::Ran { task, .. } if task.index == number);
+        self.facts.iter().filter(there).count() as u64
+    }
+}
+
+/// Starts an endpoint and returns it with its entry in the table.
+async fn start_endpoint(
+    story: &Story,
+    number: usize,
+    ledger: &ledger::Ledger,
+) -> (sync::Arc<endpoint::Endpoint>, endpoints::Endpoint) {
+    let index = u32::try_from(number).expect("few endpoints");
+    let task = id::TaskId {
+        owner: SERVICE.into(),
+        born: 1,
+        index,
+    };
+    let fake = endpoint::Endpoint::new(task.clone(), story.room, ledger.clone());
+    fake.set_faults(story.faults[number].clone());
+    let listener = bind().await;
+    let addr = listener.local_addr().expect("its address");
+    if !story.gone.contains(&number) {
+        tokio::spawn(sync::Arc::clone(&fake).serve(listener, std::future::pending()));
+    }
+    let worker = format!("worker-{number}").as_str().into();
+    let entry = endpoints::Endpoint {
+        task,
+        service: SERVICE.into(),
+        worker,
+        addr,
+        leaving: false,
+    };
+    (fake, entry)
+}
+
+/// Starts the traffic of a host and returns where it is called.
+async fn start_host(
+    story: &Story,
+    table: Vec<(id::HallId, endpoints::Endpoint)>,
+    metrics: metrics::Metrics,
+) -> net::SocketAddr {
+    let text = format!(
+        "host = \"entry\"\nhall = \"hall\"\n[listen]\ncaller = \"127.0.0.1:0\"\n\
+         operator = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
+         [platform]\naddr = \"127.0.0.1:1\"\n[traffic]\n{}",
+        story.settings
+    );
+    let settings = settings::parse(&text).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let clock = sync::Arc::new(clock::SystemClock::new());
+    let traffic = sync::Arc::new(traffic::Traffic::new(&settings, clock, metrics, 7));
+    traffic.publish(traffic::Snapshot {
+        revision: 1,
+        services: [(SERVICE.into(), service(story))].into(),
+        classes: collections::BTreeMap::new(),
+        endpoints: [(SERVICE.into(), table)].into(),
+        hosts: 1,
+    });
+    let listener = bind().await;
+    let addr = listener.local_addr().expect("its address");
+    let ticking = sync::Arc::clone(&traffic);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+            ticking.tick();
+        }
+    });
+    let handle = move |request| sync::Arc::clone(&traffic).serve(request);
+    tokio::spawn(server::serve(
+        listener,
+        server::Bounds::default(),
+        server::never(),
+        handle,
+    ));
+    addr
+}
+
+/// Returns the service as it is declared.
+fn service(story: &Story) -> desired::Service {
+    desired::Service {
+        born: 1,
+        team: "ours".into(),
+        priority: 1,
+        count: 1,
+        size: size::Size::default(),
+        latency_target_ms: 50,
+        deadline_ms: 2_000,
+        repeatable: story.repeatable,
+        halls: Vec::new(),
+    }
+}
+
+/// Opens a port.
+async fn bind() -> tokio::net::TcpListener {
+    tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port")
+}
+
+/// Reads a story.
+fn read(text: &str) -> Story {
+    let mut story = Story {
+        endpoints: 1,
+        room: endpoint::Room::default(),
+        faults: vec![
+            endpoint::Faults {
+                service_ms: 2,
+                ..Default::default()
+            };
+            16
+        ],
+        gone: collections::BTreeSet::new(),
+        settings: String::new(),
+        repeatable: false,
+        requests: 100,
+        rate: 200.0,
+        patience: time::Duration::from_secs(2),
+        twice: false,
+        expects: Vec::new(),
+    };
+    for line in text.lines() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if !line.is_empty() {
+            read_line(&mut story, line);
+        }
+    }
+    story
+}
+
+/// Reads one line.
+fn read_line(story: &mut Story, line: &str) {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    let number = |word: &str| word.parse::<u64>().unwrap_or_else(|_| panic!("{line}"));
+    match words.as_slice() {
+        ["endpoints", count] => story.endpoints = number(count) as usize,
+        ["slots", count] => story.room.slots = number(count) as usize,
+        ["service-ms", ms] => {
+            story
+                .faults
+                .iter_mut()
+                .for_each(|faults| faults.service_ms = number(ms));
+        }
+        ["set", key, value] => story.settings.push_str(&format!("{key} = {value}\n")),
+        ["repeatable"] => story.repeatable = true,
+        ["twice"] => story.twice = true,
+        ["requests", count, "rate", rate] => {
+            story.requests = number(count) as u32;
+            story.rate = number(rate) as f64;
+        }
+        ["patience", ms] => story.patience = time::Duration::from_millis(number(ms)),
+        ["fault", at, fault @ ..] => {
+            let at = number(at) as usize;
+            match fault {
+                ["gone"] => drop(story.gone.insert(at)),
+                ["hang"] => story.faults[at].hang = true,
+                ["fail-fast"] => story.faults[at].fail_fast = true,
+                ["refuse"] => story.faults[at].refuse_all = true,
+                ["leaving"] => story.faults[at].leaving = true,
+                ["slow", ms] => story.faults[at].service_ms = number(ms),
+                [cut] => {
+                    let quoted = format!("\"{cut}\"");
+                    story.faults[at].cut = serde_json::from_str(&quoted).expect("a kind of cut");
+                }
+                _ => panic!("{line}"),
+            }
+        }
+        ["expect", what, exact] => {
+            story
+                .expects
+                .push(((*what).to_owned(), number(exact), number(exact)));
+        }
+        ["expect", what, least, "to", most] => {
+            story
+                .expects
+                .push(((*what).to_owned(), number(least), number(most)));
+        }
+        _ => panic!("{line}"),
+    }
+}
+
+datatest_stable::harness! {
+    { test = tell, root = "tests/traffic", pattern = r".*\.scn$" },
+}
--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -36,6 +36,8 @@
 pub enum End {
     /// The whole answer to its own question.
     Answered,
+    /// The endpoint's own failure, whole.
+    Faulted,
     /// The whole answer to another question.
     Wrong,
     /// Told that it did not run.
@@ -173,12 +175,14 @@
     let Ok(answer) = client.request(request).await else {
         return End::Broken;
     };
+    let faulted = answer.status() == hyper::StatusCode::INTERNAL_SERVER_ERROR;
     let outcome = answer.headers().get("wharflane-outcome").cloned();
     let Ok(body) = answer.into_body().collect().await else {
         return End::Broken;
     };
     match outcome.as_ref().and_then(|outcome| outcome.to_str().ok()) {
         Some("answered") if body.to_bytes() == wanted => End::Answered,
+        Some("answered") if faulted => End::Faulted,
         Some("answered") => End::Wrong,
         Some("not-run") => End::NotRun,
         Some("unknown") => End::Unknown,
--- a/crates/stand-in/src/main.rs
+++ b/crates/stand-in/src/main.rs
@@ -130,6 +130,7 @@
     .await;
     for end in [
         caller::End::Answered,
+        caller::End::Faulted,
         caller::End::NotRun,
         caller::End::Unknown,
         caller::End::Broken,
--- a/crates/wharflane/src/commit.rs
+++ b/crates/wharflane/src/commit.rs
@@ -34,7 +34,7 @@
     ReadBack,
     /// The transaction stands.
     Committed,
-    /// Another writer has the row; nothing of the transaction stands.
+    /// Another writer has the row; the log tells whether the transaction stood before.
     Lost,
     /// Nothing.
     Idle,
--- a/crates/wharflane/src/limit.rs
+++ b/crates/wharflane/src/limit.rs
@@ -3,11 +3,14 @@
 use std::collections;
 use std::time;
 
+/// Over how many requests the pace is averaged; they end in bursts.
+const PACE_WEIGHT: u32 = 32;
+
 /// A request that waits.
 #[derive(Debug)]
 struct Waiting<T> {
-    /// When its caller stops waiting.
-    deadline: time::Duration,
+    /// When it must be taken at the latest to be answered in time.
+    start_by: time::Duration,
     /// What is woken when its turn comes.
     value: T,
 }
@@ -79,11 +82,11 @@
         self.waiting.is_empty()
     }
 
-    /// Takes an arrival, or refuses at once what can't be served before its deadline.
+    /// Takes an arrival, or refuses at once what can't be taken before `start_by`.
     pub fn push(
         &mut self,
         priority: u32,
-        deadline: time::Duration,
+        start_by: time::Duration,
         now: time::Duration,
         value: T,
     ) -> Arrival<T> {
@@ -93,11 +96,11 @@
         };
         let ahead = self.waiting.range(..place).count();
         let wait = self.expected_wait(ahead);
-        if now + wait >= deadline {
+        if now + wait >= start_by {
             return Arrival::Refused(Refused { retry_after: wait });
         }
         self.next += 1;
-        self.waiting.insert(place, Waiting { deadline, value });
+        self.waiting.insert(place, Waiting { start_by, value });
         if self.waiting.len() <= self.limit {
             return Arrival::Queued;
         }
@@ -111,11 +114,11 @@
         }
     }
 
-    /// Takes the next request that is still in time; those past their deadline are returned first.
+    /// Takes the next request that is still in time; those that come too late are returned first.
     pub fn pop(&mut self, now: time::Duration) -> (Vec<T>, Option<T>) {
         let mut late = Vec::new();
         while let Some((_, waiting)) = self.waiting.pop_first() {
-            if waiting.deadline <= now {
+            if waiting.start_by <= now {
                 late.push(waiting.value);
                 continue;
             }
@@ -126,6 +129,12 @@
         (late, None)
     }
 
+    /// Returns when a request refused now should come back.
+    #[must_use]
+    pub fn retry_after(&self) -> time::Duration {
+        self.expected_wait(self.waiting.len())
+    }
+
     /// Returns when a request with so many ahead of it would be served.
     fn expected_wait(&self, ahead: usize) -> time::Duration {
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
@@ -136,7 +145,11 @@
     fn note_pace(&mut self, now: time::Duration) {
         if let Some(last) = self.last_taken.replace(now) {
             let gap = now.saturating_sub(last);
-            self.pace = Some(self.pace.map_or(gap, |pace| (pace * 7 + gap) / 8));
+            let rest = PACE_WEIGHT - 1;
+            self.pace = Some(
+                self.pace
+                    .map_or(gap, |pace| (pace * rest + gap) / PACE_WEIGHT),
+            );
         }
     }
 }
--- /dev/null
+++ b/crates/wharflane/tests/limit.rs
@@ -0,0 +1,78 @@
+//! The queue of a service: deadlines, priorities, and answers at once.
+
+use std::time;
+
+use wharflane::limit;
+use wharflane_stand_in::cases;
+
+/// Milliseconds.
+const fn ms(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
+
+/// Returns a queue from which a request was taken every ten milliseconds.
+fn paced(limit: usize) -> limit::Queue<u32> {
+    let mut queue = limit::Queue::new(limit);
+    for turn in 0..200 {
+        for _ in 0..2 {
+            let _ = queue.push(1, ms(100_000), ms(turn * 10), 0);
+        }
+        let _ = queue.pop(ms(turn * 10));
+    }
+    while queue.pop(ms(2_000)).1.is_some() {}
+    for turn in 0..200 {
+        for _ in 0..2 {
+            let _ = queue.push(1, ms(100_000), ms(2_000), 0);
+        }
+        let _ = queue.pop(ms(2_000 + turn * 10));
+    }
+    while queue.pop(ms(200_000)).1.is_some() {}
+    queue
+}
+
+cases! {
+    what_cannot_be_served_is_refused_at_once => {
+        let mut queue = paced(1_000);
+        let now = ms(200_000);
+        let accepted = (0..100).take_while(|turn| {
+            matches!(queue.push(1, now + ms(100), now, *turn), limit::Arrival::Queued)
+        });
+        let accepted = accepted.count();
+        assert!(accepted < 100, "{accepted} of 100 waiting with 100 ms to go");
+    },
+    a_refusal_says_when_to_come_back => {
+        let mut queue = paced(8);
+        let now = ms(200_000);
+        for turn in 0..8 {
+            assert!(matches!(queue.push(1, ms(900_000), now, turn), limit::Arrival::Queued));
+        }
+        let limit::Arrival::Refused(refused) = queue.push(1, ms(900_000), now, 9) else {
+            panic!("the ninth of eight was taken");
+        };
+        assert!(refused.retry_after > time::Duration::ZERO);
+    },
+    paid_priority_goes_first => {
+        let mut queue = limit::Queue::new(8);
+        for (priority, value) in [(1, 10), (5, 50), (1, 11), (9, 90)] {
+            let _ = queue.push(priority, ms(1_000), ms(0), value);
+        }
+        let order: Vec<u32> = std::iter::from_fn(|| queue.pop(ms(1)).1).collect();
+        assert_eq!(order, [90, 50, 10, 11]);
+    },
+    a_higher_priority_displaces_a_lower_one => {
+        let mut queue = limit::Queue::new(1);
+        assert!(matches!(queue.push(1, ms(1_000), ms(0), 10), limit::Arrival::Queued));
+        assert!(matches!(
+            queue.push(9, ms(1_000), ms(0), 90),
+            limit::Arrival::Displaced(10, _)
+        ));
+        assert!(matches!(queue.push(1, ms(1_000), ms(0), 11), limit::Arrival::Refused(_)));
+    },
+    late_requests_are_handed_back => {
+        let mut queue = limit::Queue::new(8);
+        assert!(matches!(queue.push(1, ms(10), ms(0), 1), limit::Arrival::Queued));
+        assert!(matches!(queue.push(1, ms(100), ms(0), 2), limit::Arrival::Queued));
+        let (late, next) = queue.pop(ms(50));
+        assert_eq!((late, next), (vec![1], Some(2)));
+    },
+}
