Tell peers and hosts only what changed

A new host's digest also counted as an interval of its own, so that two hosts' digests in one second passed for two misses in a row.

Change: hosts tell only endpoints that miss their target or fail, at most 16 a service; the holder looks at each worker once an interval and takes silence for a kept target. The list is read with the version that is known. The holder builds a worker's commands only when a message is due, and the table of endpoints only when something in it changed.

--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -40,7 +40,7 @@
 pub enum Msg {
     /// It is time to read the platform's list.
     Poll,
-    /// The platform's list was read, or could not be.
+    /// The platform's list was read and is new, or nothing is known.
     Members(Option<members::Members>),
     /// The configuration's head row was read, or could not be.
     HeadSeen(Option<u64>),
@@ -144,7 +144,7 @@
         state: &mut State,
     ) -> Result<(), ractor::ActorProcessingErr> {
         match message {
-            Msg::Poll => read_members(&myself, state.shared.clone()),
+            Msg::Poll => read_members(&myself, state.shared.clone(), state.members.version),
             Msg::Members(None) => {}
             Msg::Members(Some(members)) => state.set_members(members)?,
             Msg::HeadSeen(revision) => state.head_seen(&myself, revision),
@@ -504,11 +504,11 @@
 }
 
 /// Reads the platform's list beside the actor.
-fn read_members(myself: &ractor::ActorRef<Msg>, shared: Shared) {
+fn read_members(myself: &ractor::ActorRef<Msg>, shared: Shared, known: u64) {
     let myself = myself.clone();
     tokio::spawn(async move {
-        let members = shared.platform.members().await;
+        let members = shared.platform.members(known).await;
         shared.count_call("members", &members);
-        let _ = myself.cast(Msg::Members(members.ok()));
+        let _ = myself.cast(Msg::Members(members.ok().flatten()));
     });
 }
--- a/crates/daemon/src/traffic/lane.rs
+++ b/crates/daemon/src/traffic/lane.rs
@@ -44,6 +44,8 @@
     budget: retry::Budget,
 }
 
+/// The most endpoints of a service that are told of in one interval, the worst first.
+const MAX_TOLD: usize = 16;
 /// How many average service times are kept free before a deadline.
 const SERVICE_TIMES_KEPT: u32 = 2;
 
@@ -258,11 +260,17 @@
     pub fn take_seen(&self, now: time::Duration) -> Vec<(id::HallId, digest::Seen)> {
         let mut state = self.lock();
         self.gauges(&state, now);
+        let target_ms = state
+            .service
+            .as_ref()
+            .map_or(u64::MAX, |s| s.latency_target_ms);
         let mut all = Vec::new();
         for slot in &mut state.slots {
             let latencies = slot.latencies.take();
             let failures = std::mem::take(&mut slot.failures);
-            if latencies.total() == 0 && failures == 0 {
+            let p95_us = latencies.quantile_us(0.95);
+            // No news is good news: only what misses its target is told.
+            if p95_us <= target_ms.saturating_mul(1_000) && failures == 0 {
                 continue;
             }
             let seen = digest::Seen {
@@ -270,10 +278,12 @@
                 in_flight: slot.health.in_flight,
                 answers: latencies.total(),
                 failures,
-                p95_us: latencies.quantile_us(0.95),
+                p95_us,
             };
             all.push((slot.hall.clone(), seen));
         }
+        all.sort_by_key(|(_, seen)| std::cmp::Reverse(seen.p95_us));
+        all.truncate(MAX_TOLD);
         all
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -115,12 +115,15 @@
         }
     }
 
-    /// Reads the list of hosts and workers.
+    /// Reads the list of hosts and workers, or nothing while it has the version that is known.
     ///
     /// # Errors
     /// Returns `PlatformError` where no answer came.
-    pub async fn members(&self) -> Result<members::Members, PlatformError> {
-        Ok(self.client.get(&self.url("members")).await?)
+    pub async fn members(&self, known: u64) -> Result<Option<members::Members>, PlatformError> {
+        Ok(self
+            .client
+            .get(&self.url(&format!("members?known={known}")))
+            .await?)
     }
 
     /// Returns the address of a path.
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -48,6 +48,7 @@
     async fn answer(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
         let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let Ok(body) = read else {
             return reply::problem(StatusCode::BAD_REQUEST, "body", "body not taken");
@@ -63,12 +64,18 @@
         if down {
             return Bad::Gone(store::NoAnswer).reply();
         }
-        self.protocol(&method, &path, &body)
+        self.protocol(&method, &path, &query, &body)
             .unwrap_or_else(Bad::reply)
     }
 
     /// Answers one request of the protocol.
-    fn protocol(&self, method: &Method, path: &str, body: &Bytes) -> Result<reply::Reply, Bad> {
+    fn protocol(
+        &self,
+        method: &Method,
+        path: &str,
+        query: &str,
+        body: &Bytes,
+    ) -> Result<reply::Reply, Bad> {
         let mut store = self.lock();
         if let Some(key) = path.strip_prefix("/objects/") {
             return object(&mut store, method, key, body);
@@ -86,7 +93,14 @@
                 let query: protocol::ScanQuery = parse(body)?;
                 Ok(reply::json(StatusCode::OK, &store.scan(&query.prefix)?))
             }
-            (&Method::GET, "/members") => Ok(reply::json(StatusCode::OK, &store.members()?)),
+            (&Method::GET, "/members") => {
+                let known = query
+                    .strip_prefix("known=")
+                    .and_then(|known| known.parse().ok());
+                let members = store.members()?;
+                let news = (Some(members.version) != known).then_some(members);
+                Ok(reply::json(StatusCode::OK, &news))
+            }
             _ => Err(Bad::NoSuchPath),
         }
     }
--- a/crates/wharflane/src/hall/holding.rs
+++ b/crates/wharflane/src/hall/holding.rs
@@ -11,7 +11,6 @@
 use super::view;
 use crate::book;
 use crate::commit;
-use crate::digest;
 use crate::endpoints;
 use crate::id;
 use crate::interfere;
@@ -123,6 +122,10 @@
     pub(super) harms: interfere::Harms,
     /// The endpoints told to the hosts.
     table: endpoints::Table,
+    /// Whether anything has changed that the table is made of.
+    pub(super) table_changed: bool,
+    /// When disturbances were last looked at.
+    pub(super) looked: time::Duration,
     /// The endpoints that the holder before told.
     known: collections::BTreeMap<id::TaskId, endpoints::Endpoint>,
     /// When the hall was taken.
@@ -181,6 +184,8 @@
             promised: collections::BTreeMap::new(),
             harms: interfere::Harms::default(),
             table,
+            table_changed: true,
+            looked: now,
             known: collections::BTreeMap::new(),
             taken: now,
             begun: now,
@@ -307,6 +312,7 @@
 
     /// Takes the platform's list.
     pub(super) fn set_members(&mut self, members: &members::Members, now: time::Duration) {
+        self.table_changed = true;
         for (worker, view) in &mut self.views {
             let member = members
                 .workers
@@ -331,6 +337,7 @@
             return;
         }
         let task = record.task().clone();
+        self.table_changed = true;
         // A commit under way has the next number, and this record goes into the one after.
         let next = self.committer.head().seq + 1;
         let seq = if self.committer.idle() {
@@ -535,6 +542,10 @@
         if !heard && self.known.is_empty() && now.saturating_sub(self.taken) < patience {
             return;
         }
+        if !self.table_changed {
+            return;
+        }
+        self.table_changed = false;
         let mut endpoints = Vec::new();
         for (worker, view) in &self.views {
             for (task, entry) in self.book.on(worker) {
@@ -581,11 +592,4 @@
             leaving: going || view.leaving_since.is_some(),
         })
     }
-
-    /// Takes what a host saw: follows disturbances, learns, and acts on the worst neighbour.
-    pub(super) fn note_digest(&mut self, now: time::Duration, digest: &digest::Digest) {
-        for seen in &digest.endpoints {
-            self.note_seen(now, seen);
-        }
-    }
 }
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -241,7 +241,7 @@
             }
             Event::Digest(digest) => {
                 if let Role::Holding(holding) = &mut self.role {
-                    holding.note_digest(now, &digest);
+                    holding.note_digest(&digest);
                 }
             }
             Event::Table(table) => {
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -80,6 +80,7 @@
     pub(super) fn plan(&mut self, now: time::Duration) {
         self.free_lapsed(now);
         self.drain(now);
+        self.look_at_disturbances(now);
         self.place_waiting(now);
     }
 
@@ -431,8 +432,15 @@
         self.blocked.iter().map(entry).collect()
     }
 
-    /// Takes what a host saw of one endpoint, and acts on the worst neighbour where it is needed.
-    pub(super) fn note_seen(&mut self, now: time::Duration, seen: &digest::Seen) {
+    /// Takes what a host saw: the worst of an interval counts.
+    pub(super) fn note_digest(&mut self, digest: &digest::Digest) {
+        for seen in &digest.endpoints {
+            self.note_seen(seen);
+        }
+    }
+
+    /// Notes by how much an endpoint missed its target.
+    fn note_seen(&mut self, seen: &digest::Seen) {
         let Some(target_ms) = self
             .wanted
             .get(&seen.task)
@@ -443,26 +451,58 @@
         let worker = self
             .book
             .get(&seen.task)
-            .and_then(|entry| entry.state.worker().cloned());
+            .and_then(|entry| entry.state.worker());
         let Some(worker) = worker.filter(|_| seen.answers >= MIN_ANSWERS) else {
             return;
         };
-        let over = seen.p95_us as f64 / (target_ms as f64 * 1_000.0) - 1.0;
-        let suspects = self.suspects(&worker, &seen.task);
+        let missed = seen.p95_us as f64 / (target_ms as f64 * 1_000.0) - 1.0;
+        if let Some(view) = self.views.get_mut(worker) {
+            let worst = view
+                .missed
+                .as_ref()
+                .is_none_or(|(_, before)| missed > *before);
+            if missed > 0.0 && worst {
+                view.missed = Some((seen.task.clone(), missed));
+            }
+        }
+    }
+
+    /// Looks at every worker once an interval: learns, and acts on the worst neighbour.
+    pub(super) fn look_at_disturbances(&mut self, now: time::Duration) {
+        if now.saturating_sub(self.looked) < self.settings.sync {
+            return;
+        }
+        self.looked = now;
+        let workers: Vec<id::WorkerId> = self.book.workers().cloned().collect();
+        for worker in workers {
+            self.look_at(now, &worker);
+        }
+    }
+
+    /// Looks at one worker.
+    fn look_at(&mut self, now: time::Duration, worker: &id::WorkerId) {
+        let Some(missed) = self.views.get_mut(worker).map(|view| view.missed.take()) else {
+            return;
+        };
+        let suspects = self.suspects(worker, missed.as_ref().map(|(task, _)| task));
+        let Some((service, suspects)) = suspects else {
+            return;
+        };
+        let harm = missed.as_ref().map_or(0.0, |(_, missed)| *missed);
         for suspect in &suspects {
-            let (service, job) = (&seen.task.owner, &suspect.task.owner);
+            let job = &suspect.task.owner;
             self.harms
-                .note(service, job, interfere::Load::High, over.max(0.0));
+                .note(&service.owner, job, interfere::Load::High, harm);
         }
         let patience = interfere::Patience::default();
-        let Some(view) = self.views.get_mut(&worker) else {
+        let Some(view) = self.views.get_mut(worker) else {
             return;
         };
-        view.case.note(over > 0.0);
+        view.case.note(missed.is_some());
         match view.case.remedy(suspects, &patience, now) {
-            interfere::Remedy::Wait => self.loosen(now, &worker, &patience),
+            interfere::Remedy::Wait => self.loosen(now, worker, &patience),
             interfere::Remedy::Throttle(task, percent) => {
-                self.throttle(now, &worker, task, percent);
+                self.throttle(now, worker, task, percent);
             }
             interfere::Remedy::Evict(task) => {
                 if let Some(entry) = self.book.get(&task) {
@@ -473,28 +513,31 @@
         }
     }
 
-    /// Returns the batch tasks beside a service task.
+    /// Returns the service that is looked at on a worker and the batch tasks beside it.
     fn suspects(
         &self,
         worker: &id::WorkerId,
-        service: &id::TaskId,
-    ) -> Vec<interfere::Suspect<id::TaskId>> {
-        let Some(view) = self.views.get(worker) else {
-            return Vec::new();
-        };
-        let on = self.book.on(worker).filter(|(task, entry)| {
-            let batch = self.wanted.get(*task).is_some_and(|spec| spec.batch());
-            batch && matches!(entry.state, book::State::Placed { .. })
+        disturbed: Option<&id::TaskId>,
+    ) -> Option<(id::TaskId, Vec<interfere::Suspect<id::TaskId>>)> {
+        let view = self.views.get(worker)?;
+        let is_batch = |task: &id::TaskId| self.wanted.get(task).map(|spec| spec.batch());
+        let first = || self.book.on(worker).map(|(task, _)| task);
+        let any = || first().find(|task| is_batch(task) == Some(false));
+        let service = disturbed.or_else(any)?.clone();
+        let placed = self.book.on(worker).filter(|(task, entry)| {
+            let here = matches!(entry.state, book::State::Placed { .. });
+            here && is_batch(task) == Some(true)
         });
-        on.map(|(task, _)| interfere::Suspect {
+        let suspect = |(task, _): (&id::TaskId, &book::Entry)| interfere::Suspect {
             task: task.clone(),
             harm: self
                 .harms
                 .expected(&service.owner, &task.owner, interfere::Load::High),
             percent: view.throttles.get(task).copied().unwrap_or(WHOLE_PERCENT),
             lost_ms: self.lost_ms(task),
-        })
-        .collect()
+        };
+        let suspects = placed.map(suspect).collect();
+        Some((service, suspects))
     }
 
     /// Leaves a task only a share of its processors.
--- a/crates/wharflane/src/hall/sync.rs
+++ b/crates/wharflane/src/hall/sync.rs
@@ -29,20 +29,14 @@
 
     /// Returns the message to a worker if one is due.
     fn sync(&mut self, now: time::Duration, worker: &id::WorkerId) -> Option<super::Effect> {
+        if !self.is_due(now, self.views.get(worker)?) {
+            return None;
+        }
         let commands = self.commands(worker);
         let lease_ms = millis(self.settings.worker_lease);
-        let patience = self.settings.sync * ANSWER_INTERVALS;
         let epoch = self.head().epoch;
         let view = self.views.get_mut(worker)?;
         let addr = view.addr?;
-        let waits = view
-            .in_flight
-            .is_some_and(|at| now.saturating_sub(at) < patience);
-        let since = view.sent.map(|at| now.saturating_sub(at));
-        let due = view.news || since.is_none_or(|since| since >= self.settings.sync);
-        if waits || !due {
-            return None;
-        }
         view.seq += 1;
         view.news = false;
         view.in_flight = Some(now);
@@ -66,6 +60,18 @@
         Some(super::Effect::Sync(addr, sync))
     }
 
+    /// Returns whether a worker is to be told something now.
+    fn is_due(&self, now: time::Duration, view: &view::View) -> bool {
+        let patience = self.settings.sync * ANSWER_INTERVALS;
+        let waits = view
+            .in_flight
+            .is_some_and(|at| now.saturating_sub(at) < patience);
+        let rested = view
+            .sent
+            .is_none_or(|at| now.saturating_sub(at) >= self.settings.sync);
+        !waits && (view.news || rested)
+    }
+
     /// Returns what a worker is still to do, from what is committed and what it reported.
     fn commands(&self, worker: &id::WorkerId) -> Vec<work::Command> {
         let Some(view) = self.views.get(worker) else {
@@ -185,6 +191,15 @@
         view.reported = Some(now);
         view.lapse_at = now + lapse;
         view.news = view.news || first;
+        let addrs = |tasks: &collections::BTreeMap<id::TaskId, work::TaskReport>| {
+            let services = tasks.values().filter_map(|task| match task.state {
+                work::TaskState::Running { addr, .. } => Some((addr?, task.attempt)),
+                _ => None,
+            });
+            services.collect::<Vec<_>>()
+        };
+        let changed = first || addrs(&before) != addrs(&view.tasks);
+        self.table_changed |= changed;
         self.settle_tasks(now, worker, &before, first);
     }
 
--- a/crates/wharflane/src/hall/view.rs
+++ b/crates/wharflane/src/hall/view.rs
@@ -52,6 +52,8 @@
     pub aside_until: Option<time::Duration>,
     /// How a disturbance there is followed.
     pub case: interfere::Case,
+    /// The service task that missed its target most in this interval, and by how much.
+    pub missed: Option<(id::TaskId, f64)>,
     /// Whether there is something to tell at once.
     pub news: bool,
 }
@@ -76,6 +78,7 @@
             strikes: 0,
             aside_until: None,
             case: interfere::Case::default(),
+            missed: None,
             news: false,
         }
     }
