--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Measures the decisions in virtual time, and what a host and a hall cost.
+
+pub mod capacity;
+pub mod forwarder;
+pub mod harm;
+pub mod limits;
+pub mod queueing;
+pub mod recovery;
+pub mod routing;
+pub mod sharing;
+pub mod table;
--- /dev/null
+++ b/crates/bench/src/sharing.rs
@@ -0,0 +1,75 @@
+//! Decision 1: how hosts share the slots and connections of each endpoint.
+
+use crate::queueing;
+use crate::table;
+
+/// One way to share at one number of hosts.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// How slots are shared.
+    pub sharing: queueing::Sharing,
+    /// The number of hosts.
+    pub hosts: usize,
+    /// Whether the first host takes half the load.
+    pub skewed: bool,
+    /// What came of it.
+    pub outcome: queueing::Outcome,
+}
+
+/// The share of the capacity that is asked for.
+const LOAD: f64 = 0.7;
+
+/// Measures every way to share, steady and with one host taking half the load.
+#[must_use]
+pub fn measure() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for hosts in [6, 9, 50] {
+        for skewed in [false, true] {
+            for sharing in [
+                queueing::Sharing::Fixed,
+                queueing::Sharing::Demand,
+                queueing::Sharing::Owner,
+                queueing::Sharing::Optimistic,
+                queueing::Sharing::Window,
+            ] {
+                let mut setup = queueing::Setup::verbeeck(hosts, LOAD);
+                setup.sharing = sharing;
+                setup.duration = std::time::Duration::from_secs(4);
+                if skewed {
+                    setup.first_share = 0.5;
+                }
+                let outcome = queueing::run(&setup, 1);
+                rows.push(Row { sharing, hosts, skewed, outcome });
+            }
+        }
+    }
+    rows
+}
+
+/// Prints the result.
+pub fn print() {
+    let mut table = table::Table::new(&[
+        "hosts",
+        "load",
+        "sharing",
+        "p50 ms",
+        "p99 ms",
+        "full at endpoint",
+        "not served",
+        "control B/s a host",
+    ]);
+    for row in measure() {
+        let outcome = &row.outcome;
+        table.row(vec![
+            row.hosts.to_string(),
+            if row.skewed { "half on one host" } else { "even" }.to_owned(),
+            format!("{:?}", row.sharing).to_lowercase(),
+            table::two(outcome.quantile_ms(0.5)),
+            table::two(outcome.quantile_ms(0.99)),
+            table::percent(outcome.full, outcome.tries),
+            table::percent(outcome.asked - outcome.answered, outcome.asked),
+            format!("{:.0}", outcome.control_bytes),
+        ]);
+    }
+    table.print();
+}
--- a/crates/caller/src/question.rs
+++ b/crates/caller/src/question.rs
@@ -100,10 +100,7 @@
     let timeout = number(&head.headers, TIMEOUT_MS)?;
     let class = text(&head.headers, CLASS)?.map(id::ClassId::from);
     let request_id = text(&head.headers, REQUEST_ID)?.map(str::to_owned);
-    if request_id
-        .as_ref()
-        .is_some_and(|id| id.len() > MAX_ID_BYTES)
-    {
+    if request_id.as_ref().is_some_and(|id| id.len() > MAX_ID_BYTES) {
         return Err(BadQuestion::Header { name: REQUEST_ID });
     }
     let repeatable = flag(&head.headers, REPEATABLE)?;
@@ -145,10 +142,7 @@
     if service.is_empty() {
         return Err(BadQuestion::NoService);
     }
-    let query = uri
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
     Ok((service.into(), format!("/{path}{query}")))
 }
 
@@ -160,10 +154,7 @@
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
-    value
-        .to_str()
-        .map(Some)
-        .or(Err(BadQuestion::Header { name }))
+    value.to_str().map(Some).or(Err(BadQuestion::Header { name }))
 }
 
 /// Reads a header as a time in milliseconds.
@@ -171,10 +162,7 @@
     let Some(value) = text(headers, name)? else {
         return Ok(None);
     };
-    let number = value
-        .parse()
-        .ok()
-        .filter(|ms| (1..=MAX_TIMEOUT_MS).contains(ms));
+    let number = value.parse().ok().filter(|ms| (1..=MAX_TIMEOUT_MS).contains(ms));
     number.map(Some).ok_or(BadQuestion::Header { name })
 }
 
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -95,10 +95,7 @@
     retry_after: time::Duration,
 ) -> reply::Reply {
     let mut answer = reply::problem(why.status(), why.label(), &why.to_string());
-    let secs = retry_after
-        .as_millis()
-        .div_ceil(1_000)
-        .clamp(1, MAX_RETRY_AFTER_SECS.into());
+    let secs = retry_after.as_millis().div_ceil(1_000).clamp(1, MAX_RETRY_AFTER_SECS.into());
     let may_return = answer.status().is_server_error();
     let headers = answer.headers_mut();
     if may_return {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -84,41 +84,26 @@
         )
         .subcommand_required(true)
         .subcommand(
-            clap::Command::new("check")
-                .about("Check a desired state")
-                .arg(file())
-                .arg(json()),
+            clap::Command::new("check").about("Check a desired state").arg(file()).arg(json()),
         )
         .subcommand(
-            clap::Command::new("apply")
-                .about("Put a desired state in force as a whole")
-                .args([file(), host(), base, apply_id, json()]),
+            clap::Command::new("apply").about("Put a desired state in force as a whole").args([
+                file(),
+                host(),
+                base,
+                apply_id,
+                json(),
+            ]),
         )
+        .subcommand(clap::Command::new("status").about("Show a summary").args([host(), json()]))
         .subcommand(
-            clap::Command::new("status")
-                .about("Show a summary")
-                .args([host(), json()]),
+            clap::Command::new("drain").about("Stop a host without cutting a request").arg(host()),
         )
+        .subcommand(clap::Command::new("dump").about("Print the whole state of a host").arg(host()))
         .subcommand(
-            clap::Command::new("drain")
-                .about("Stop a host without cutting a request")
-                .arg(host()),
-        )
-        .subcommand(
-            clap::Command::new("dump")
-                .about("Print the whole state of a host")
-                .arg(host()),
-        )
-        .subcommand(
-            clap::Command::new("try")
-                .about("Run a demo in one process")
-                .args([seconds, json()]),
-        )
-        .subcommand(
-            clap::Command::new("completion")
-                .about("Print a shell completion")
-                .arg(shell),
+            clap::Command::new("try").about("Run a demo in one process").args([seconds, json()]),
         )
+        .subcommand(clap::Command::new("completion").about("Print a shell completion").arg(shell))
 }
 
 /// Runs the command that was asked for and returns the exit code.
@@ -187,15 +172,8 @@
     };
     let apply_id = args.get_one::<String>("apply-id").cloned();
     let apply_id = apply_id.unwrap_or_else(|| format!("{:x}", rand_id()));
-    let submission = operator::Apply {
-        apply_id: apply_id.clone(),
-        base_revision,
-        text,
-    };
-    let applied = host
-        .apply(&submission)
-        .await
-        .unwrap_or(operator::Applied::Unknown);
+    let submission = operator::Apply { apply_id: apply_id.clone(), base_revision, text };
+    let applied = host.apply(&submission).await.unwrap_or(operator::Applied::Unknown);
     let json = args.get_flag("json");
     if json {
         println!("{}", serde_json::to_string_pretty(&applied)?);
@@ -249,7 +227,5 @@
 /// Returns a number that no other submission has.
 fn rand_id() -> u64 {
     use std::hash::{BuildHasher as _, Hasher as _};
-    std::collections::hash_map::RandomState::new()
-        .build_hasher()
-        .finish()
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
 }
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -6,15 +6,9 @@
 pub fn status(status: &operator::Status) {
     let platform = if status.platform_up { "up" } else { "down" };
     let stopping = if status.stopping { ", stopping" } else { "" };
-    println!(
-        "host {}, revision {}, platform {platform}{stopping}",
-        status.host, status.revision
-    );
+    println!("host {}, revision {}, platform {platform}{stopping}", status.host, status.revision);
     if !status.services.is_empty() {
-        println!(
-            "\n{:<24} {:>8} {:>10} {:>8}",
-            "service", "wanted", "endpoints", "leaving"
-        );
+        println!("\n{:<24} {:>8} {:>10} {:>8}", "service", "wanted", "endpoints", "leaving");
     }
     for (name, service) in &status.services {
         let (wanted, endpoints, leaving) = (service.wanted, service.endpoints, service.leaving);
@@ -25,15 +19,8 @@
     }
     for (name, hall) in &status.halls {
         let holder = hall.holder.as_deref().unwrap_or("-");
-        let tasks: Vec<String> = hall
-            .tasks
-            .iter()
-            .map(|(state, count)| format!("{count} {state}"))
-            .collect();
-        println!(
-            "{name:<24} {holder:<16} {:>6}  {}",
-            hall.epoch,
-            tasks.join(", ")
-        );
+        let tasks: Vec<String> =
+            hall.tasks.iter().map(|(state, count)| format!("{count} {state}")).collect();
+        println!("{name:<24} {holder:<16} {:>6}  {}", hall.epoch, tasks.join(", "));
     }
 }
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -160,24 +160,14 @@
     tokio::spawn(platform.clone().serve(listener));
     let mut list = members::Members::default();
     let presence = members::Presence::Live;
-    list.hosts.insert(
-        "entry".into(),
-        members::Host {
-            peer_addr,
-            presence,
-        },
-    );
+    list.hosts.insert("entry".into(), members::Host { peer_addr, presence });
     for number in 0..WORKERS {
         let name = format!("worker-{number}");
         let listener = bind().await?;
         let addr = listener.local_addr()?;
         let make = worker::Make {
             worker: id::WorkerId::from(name.as_str()),
-            capacity: size::Size {
-                cpu_milli: 16_000,
-                mem_mb: 60_000,
-                accelerators: 0,
-            },
+            capacity: size::Size { cpu_milli: 16_000, mem_mb: 60_000, accelerators: 0 },
             room: endpoint::Room::default(),
             endpoint_faults: endpoint::Faults {
                 service_ms: SERVICE_MS,
@@ -187,12 +177,7 @@
         };
         tokio::spawn(worker::Server::new(make, 1, ledger::Ledger::default()).serve(listener));
         let rack = format!("rack-{}", number % 2);
-        let member = members::Worker {
-            addr,
-            hall: "hall".into(),
-            rack,
-            presence,
-        };
+        let member = members::Worker { addr, hall: "hall".into(), rack, presence };
         list.workers.insert(name.as_str().into(), member);
     }
     platform.lock().set_members(list);
@@ -208,42 +193,29 @@
          [control]\nlease_ms = 1000\nturn_ms = 200\npoll_ms = 200\ncommit_ms = 100\n\
          sync_ms = 250\ngossip_ms = 500\n"
     );
-    let settings = settings::parse(&text)
-        .ok()
-        .context("settings of the demo have faults")?;
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread()
-                .enable_all()
-                .build();
-            if let Ok(runtime) = runtime
-                && let Err(err) = runtime.block_on(host::run(settings, std::future::pending()))
-            {
-                eprintln!("entry host: {err}");
-            }
-        })?;
+    let settings = settings::parse(&text).ok().context("settings of the demo have faults")?;
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        if let Ok(runtime) = runtime
+            && let Err(err) = runtime.block_on(host::run(settings, std::future::pending()))
+        {
+            eprintln!("entry host: {err}");
+        }
+    })?;
     Ok(())
 }
 
 /// Puts the service and what runs beside it in force.
 async fn apply(desk: &operator::Operator, base: u64, beside: &str) -> anyhow::Result<()> {
     let text = format!("{SERVICE}{beside}");
-    let apply = operator::Apply {
-        apply_id: format!("demo-{base}"),
-        base_revision: base,
-        text,
-    };
+    let apply = operator::Apply { apply_id: format!("demo-{base}"), base_revision: base, text };
     let end = tokio::time::Instant::now() + START_TIMEOUT;
     loop {
         let applied = desk.apply(&apply).await;
         if matches!(applied, Ok(operator::Applied::Accepted { .. })) {
             return Ok(());
         }
-        anyhow::ensure!(
-            tokio::time::Instant::now() < end,
-            "not accepted: {applied:?}"
-        );
+        anyhow::ensure!(tokio::time::Instant::now() < end, "not accepted: {applied:?}");
         tokio::time::sleep(time::Duration::from_millis(50)).await;
     }
 }
@@ -253,17 +225,10 @@
     let end = tokio::time::Instant::now() + START_TIMEOUT;
     loop {
         let status = desk.status().await.unwrap_or_default();
-        if status
-            .services
-            .values()
-            .any(|s| s.endpoints == s.wanted as usize)
-        {
+        if status.services.values().any(|s| s.endpoints == s.wanted as usize) {
             return Ok(());
         }
-        anyhow::ensure!(
-            tokio::time::Instant::now() < end,
-            "the service does not stand"
-        );
+        anyhow::ensure!(tokio::time::Instant::now() < end, "the service does not stand");
         tokio::time::sleep(time::Duration::from_millis(100)).await;
     }
 }
@@ -310,11 +275,7 @@
     let number = |key: &str| counters[key].as_u64().unwrap_or(0);
     let evicted = counters["evicted"].as_object();
     let evictions = evicted.map_or(0, |by| by.values().filter_map(|n| n.as_u64()).sum());
-    Ok(Batch {
-        done: number("done"),
-        evictions,
-        throttles: number("throttled"),
-    })
+    Ok(Batch { done: number("done"), evictions, throttles: number("throttled") })
 }
 
 /// Shows that time passes.
--- a/crates/cli/tests/processes/config.rs
+++ b/crates/cli/tests/processes/config.rs
@@ -27,11 +27,7 @@
 
 /// Returns a submission.
 fn submission(name: &str, base_revision: u64, count: usize) -> operator::Apply {
-    operator::Apply {
-        apply_id: name.to_owned(),
-        base_revision,
-        text: service(count),
-    }
+    operator::Apply { apply_id: name.to_owned(), base_revision, text: service(count) }
 }
 
 /// Waits until every host has a revision in force.
@@ -39,9 +35,7 @@
     for host in fleet.hosts.values() {
         let desk = host.desk();
         fleet::until("a revision in force", async || {
-            desk.status()
-                .await
-                .is_ok_and(|status| status.revision >= revision)
+            desk.status().await.is_ok_and(|status| status.revision >= revision)
         })
         .await;
     }
@@ -60,10 +54,7 @@
         let answers = [left.expect("an answer"), right.expect("an answer")];
         let won = operator::Applied::Accepted { revision: base + 1 };
         let lost = operator::Applied::Moved { revision: base + 1 };
-        assert!(
-            answers.contains(&won) && answers.contains(&lost),
-            "{answers:?}"
-        );
+        assert!(answers.contains(&won) && answers.contains(&lost), "{answers:?}");
     }
     in_force(&fleet, 12).await;
 }
@@ -72,10 +63,7 @@
 async fn lost_answers() {
     let fleet = fleet::Fleet::start(2, 1, &["vake"]).await;
     fleet.apply("entry-0", &service(1)).await;
-    let faults = store::Faults {
-        lose_every: 2,
-        ..store::Faults::default()
-    };
+    let faults = store::Faults { lose_every: 2, ..store::Faults::default() };
     assert!(fleet.put(fleet.platform, "faults", &faults).await);
     for base in 1..8 {
         let apply = submission(&format!("once-{base}"), base, 1);
@@ -93,26 +81,14 @@
     fleet.apply("entry-0", &service(1)).await;
     in_force(&fleet, 1).await;
     let mut apply = submission("bad", 1, 1);
-    apply
-        .text
-        .push_str("colour = 3\n[[job]]\nname = \"x\"\nteam = \"theirs\"\n");
-    let answer = fleet
-        .host("entry-0")
-        .desk()
-        .apply(&apply)
-        .await
-        .expect("an answer");
+    apply.text.push_str("colour = 3\n[[job]]\nname = \"x\"\nteam = \"theirs\"\n");
+    let answer = fleet.host("entry-0").desk().apply(&apply).await.expect("an answer");
     let operator::Applied::Refused { faults } = answer else {
         panic!("not refused: {answer:?}");
     };
     let lines: Vec<usize> = faults.iter().map(|fault| fault.line).collect();
     assert!(lines.contains(&13) && lines.contains(&16), "{faults:?}");
-    let status = fleet
-        .host("entry-0")
-        .desk()
-        .status()
-        .await
-        .expect("a status");
+    let status = fleet.host("entry-0").desk().status().await.expect("a status");
     assert_eq!(status.revision, 1);
 }
 
@@ -123,10 +99,7 @@
         fleet.apply("entry-0", &service(1 + base)).await;
         in_force(&fleet, base as u64 + 1).await;
     }
-    let faults = store::Faults {
-        stale_reads: true,
-        ..store::Faults::default()
-    };
+    let faults = store::Faults { stale_reads: true, ..store::Faults::default() };
     assert!(fleet.put(fleet.platform, "faults", &faults).await);
     for _ in 0..20 {
         tokio::time::sleep(time::Duration::from_millis(50)).await;
@@ -142,17 +115,10 @@
     let mut fleet = fleet::Fleet::start(2, 3, &["vake"]).await;
     fleet.apply("entry-0", &service(3)).await;
     fleet.wait_for_endpoints("lending", 3).await;
-    let down = store::Faults {
-        down: true,
-        ..store::Faults::default()
-    };
+    let down = store::Faults { down: true, ..store::Faults::default() };
     assert!(fleet.put(fleet.platform, "faults", &down).await);
     fleet.add_host("newcomer", "vake");
     fleet.wait_for_endpoints("lending", 3).await;
     let report = caller::run(fleet.load("outage", "lending", 100.0, 4)).await;
-    assert_eq!(
-        report.count(caller::End::Answered),
-        report.seen.len(),
-        "all are served"
-    );
+    assert_eq!(report.count(caller::End::Answered), report.seen.len(), "all are served");
 }
--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -113,36 +113,19 @@
     pub fn add_worker(&mut self, name: &str, hall: &str) {
         let addr = free_port();
         let text = addr.to_string();
-        let args = [
-            "worker",
-            "--addr",
-            &text,
-            "--name",
-            name,
-            "--service-ms",
-            "3",
-        ];
-        self.workers
-            .insert(name.to_owned(), (spawn("wharflane-stand-in", &args), addr));
+        let args = ["worker", "--addr", &text, "--name", name, "--service-ms", "3"];
+        self.workers.insert(name.to_owned(), (spawn("wharflane-stand-in", &args), addr));
         let rack = format!("rack-{}", self.workers.len() % 2);
         let presence = members::Presence::Live;
-        let member = members::Worker {
-            addr,
-            hall: hall.into(),
-            rack,
-            presence,
-        };
+        let member = members::Worker { addr, hall: hall.into(), rack, presence };
         self.members.workers.insert(name.into(), member);
     }
 
     /// Starts an entry host.
     pub fn add_host(&mut self, name: &str, hall: &str) {
         let [caller, operator, peer] = [free_port(), free_port(), free_port()];
-        let seeds: Vec<String> = self
-            .hosts
-            .values()
-            .map(|host| format!("\"{}\"", host.peer))
-            .collect();
+        let seeds: Vec<String> =
+            self.hosts.values().map(|host| format!("\"{}\"", host.peer)).collect();
         let text = format!(
             "host = \"{name}\"\nhall = \"{hall}\"\nseed_peers = [{}]\n[listen]\n\
              caller = \"{caller}\"\noperator = \"{operator}\"\npeer = \"{peer}\"\n\
@@ -157,19 +140,8 @@
         fs::write(&path, text).expect("settings written");
         let path = path.to_string_lossy().into_owned();
         let process = spawn("wharflaned", &["--config", &path]);
-        self.hosts.insert(
-            name.to_owned(),
-            Host {
-                process,
-                caller,
-                operator,
-                peer,
-            },
-        );
-        let host = members::Host {
-            peer_addr: peer,
-            presence: members::Presence::Live,
-        };
+        self.hosts.insert(name.to_owned(), Host { process, caller, operator, peer });
+        let host = members::Host { peer_addr: peer, presence: members::Presence::Live };
         self.members.hosts.insert(name.into(), host);
     }
 
@@ -187,10 +159,7 @@
     ) -> bool {
         let body = serde_json::to_vec(value).expect("switch encoded");
         let url = format!("http://{addr}/stand-in/{switch}");
-        self.client
-            .send(hyper::Method::PUT, &url, body.into())
-            .await
-            .is_ok()
+        self.client.send(hyper::Method::PUT, &url, body.into()).await.is_ok()
     }
 
     /// Returns the host of a name.
@@ -222,10 +191,7 @@
             let desk = host.desk();
             until("endpoints", async || {
                 let status = desk.status().await.unwrap_or_default();
-                status
-                    .services
-                    .get(service)
-                    .is_some_and(|s| s.endpoints >= count)
+                status.services.get(service).is_some_and(|s| s.endpoints >= count)
             })
             .await;
         }
--- a/crates/cli/tests/processes/kills.rs
+++ b/crates/cli/tests/processes/kills.rs
@@ -47,11 +47,7 @@
         let ran = runs.get(seen.request.as_str()).copied().unwrap_or(0);
         assert!(ran <= 1, "{} ran {ran} times", seen.request);
         assert_ne!(seen.end, caller::End::Wrong, "{}", seen.request);
-        assert!(
-            seen.end != caller::End::NotRun || ran == 0,
-            "{} ran",
-            seen.request
-        );
+        assert!(seen.end != caller::End::NotRun || ran == 0, "{} ran", seen.request);
     }
 }
 
@@ -77,11 +73,7 @@
     assert_eq!(checker::check(&facts), Vec::new());
     judge(&report, &facts);
     let answered = report.count(caller::End::Answered);
-    assert!(
-        answered * 3 >= report.seen.len(),
-        "{answered} of {}",
-        report.seen.len()
-    );
+    assert!(answered * 3 >= report.seen.len(), "{answered} of {}", report.seen.len());
 }
 
 /// Replaces every host, one after the other, while callers use only those that are ready.
@@ -114,11 +106,8 @@
     let halls = fleet.hosts["next-entry-0"].desk();
     fleet::until("a new holder", async || {
         let status = halls.status().await.unwrap_or_default();
-        let holders: collections::BTreeSet<_> = status
-            .halls
-            .values()
-            .filter_map(|hall| hall.holder.clone())
-            .collect();
+        let holders: collections::BTreeSet<_> =
+            status.halls.values().filter_map(|hall| hall.holder.clone()).collect();
         holders.iter().any(|holder| holder.starts_with("next-"))
     })
     .await;
@@ -135,44 +124,24 @@
     let mut open = Vec::new();
     for port in [host.caller, host.operator, host.peer] {
         let long_head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(1 << 20));
-        let long_body = format!(
-            "POST /lending/x HTTP/1.1\r\ncontent-length: {}\r\n\r\n",
-            1_u64 << 40
-        );
+        let long_body =
+            format!("POST /lending/x HTTP/1.1\r\ncontent-length: {}\r\n\r\n", 1_u64 << 40);
         let frames = "\u{0}\u{0}\u{ff}".repeat(1 << 16);
         for bytes in [long_head, long_body, frames, "GET / HT".to_owned()] {
-            let mut stream = tokio::net::TcpStream::connect(port)
-                .await
-                .expect("a connection");
+            let mut stream = tokio::net::TcpStream::connect(port).await.expect("a connection");
             // The host may close the connection before it has taken all.
             let _ = stream.write_all(bytes.as_bytes()).await;
             open.push(stream);
         }
     }
     let deep = format!("x = {}", "[".repeat(200_000));
-    let apply = wharflane_operator::Apply {
-        apply_id: "deep".to_owned(),
-        base_revision: 1,
-        text: deep,
-    };
+    let apply =
+        wharflane_operator::Apply { apply_id: "deep".to_owned(), base_revision: 1, text: deep };
     let answer = host.desk().apply(&apply).await.expect("an answer");
-    assert!(matches!(
-        answer,
-        wharflane_operator::Applied::Refused { .. }
-    ));
-    let large = wharflane_operator::Apply {
-        text: "# x\n".repeat(3_000_000),
-        ..apply
-    };
+    assert!(matches!(answer, wharflane_operator::Applied::Refused { .. }));
+    let large = wharflane_operator::Apply { text: "# x\n".repeat(3_000_000), ..apply };
     let answer = host.desk().apply(&large).await.expect("an answer");
-    assert!(matches!(
-        answer,
-        wharflane_operator::Applied::Refused { .. }
-    ));
+    assert!(matches!(answer, wharflane_operator::Applied::Refused { .. }));
     let report = running.await.expect("callers");
-    assert_eq!(
-        report.count(caller::End::Answered),
-        report.seen.len(),
-        "all others are served"
-    );
+    assert_eq!(report.count(caller::End::Answered), report.seen.len(), "all others are served");
 }
--- a/crates/cli/tests/processes/path.rs
+++ b/crates/cli/tests/processes/path.rs
@@ -10,9 +10,7 @@
 /// Verbeeck's example with other numbers, so that it fits a few small workers.
 fn small_verbeeck() -> String {
     let text = include_str!("../../../../examples/verbeeck.toml");
-    let text = text
-        .replace("count = 65", "count = 4")
-        .replace("tasks = 200", "tasks = 6");
+    let text = text.replace("count = 65", "count = 4").replace("tasks = 200", "tasks = 6");
     let text = text
         .replace("tasks = 80", "tasks = 4")
         .replace("run_time_ms = 600000", "run_time_ms = 900");
@@ -30,21 +28,11 @@
     fleet.apply("entry-0", &small_verbeeck()).await;
     fleet.wait_for_endpoints("dispatch", 4).await;
     let report = caller::run(fleet.load("path", "dispatch", 100.0, 3)).await;
-    assert_eq!(
-        report.count(caller::End::Answered),
-        report.seen.len(),
-        "all answered"
-    );
-    fleet::until("jobs end", async || {
-        completed(&fleet.facts().await).len() == 10
-    })
-    .await;
+    assert_eq!(report.count(caller::End::Answered), report.seen.len(), "all answered");
+    fleet::until("jobs end", async || completed(&fleet.facts().await).len() == 10).await;
     let facts = fleet.facts().await;
     assert_eq!(checker::check(&facts), Vec::new());
-    assert!(
-        checker::runs(&facts).values().all(|runs| *runs == 1),
-        "each request ran once"
-    );
+    assert!(checker::runs(&facts).values().all(|runs| *runs == 1), "each request ran once");
 }
 
 /// Returns the tasks that came to their end.
--- a/crates/cli/tests/processes/stops.rs
+++ b/crates/cli/tests/processes/stops.rs
@@ -34,10 +34,7 @@
     let mut fleet = fleet::Fleet::start(2, 4, &["vake"]).await;
     fleet.apply("entry-0", SERVICE).await;
     fleet.wait_for_endpoints("lending", 4).await;
-    let slow = wharflane_stand_in::endpoint::Faults {
-        service_ms: 900,
-        ..Default::default()
-    };
+    let slow = wharflane_stand_in::endpoint::Faults { service_ms: 900, ..Default::default() };
     for (_, addr) in fleet.workers.values() {
         assert!(fleet.put(*addr, "endpoint-faults", &slow).await);
     }
@@ -49,11 +46,7 @@
     let mut host = fleet.hosts.remove("entry-1").expect("a host");
     host.process.signal("-TERM");
     let report = running.await.expect("callers");
-    assert_eq!(
-        report.count(caller::End::Answered),
-        report.seen.len(),
-        "none was cut"
-    );
+    assert_eq!(report.count(caller::End::Answered), report.seen.len(), "none was cut");
     assert!(host.process.wait(), "the host ends by itself");
 }
 
@@ -64,11 +57,7 @@
     fleet.wait_for_endpoints("lending", 4).await;
     let running = tokio::spawn(caller::run(fleet.load("leave", "lending", 100.0, 5)));
     tokio::time::sleep(time::Duration::from_secs(1)).await;
-    let member = fleet
-        .members
-        .workers
-        .get_mut(&"worker-2".into())
-        .expect("a worker");
+    let member = fleet.members.workers.get_mut(&"worker-2".into()).expect("a worker");
     member.presence = members::Presence::Leaving;
     assert!(fleet.list().await);
     tokio::time::sleep(time::Duration::from_secs(2)).await;
@@ -77,9 +66,5 @@
     let report = running.await.expect("callers");
     let later = fleet.facts_of("worker-2").await;
     assert_eq!(ran(&one), ran(&later), "nothing new after two seconds");
-    assert_eq!(
-        report.count(caller::End::Answered),
-        report.seen.len(),
-        "none was cut"
-    );
+    assert_eq!(report.count(caller::End::Answered), report.seen.len(), "none was cut");
 }
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -88,11 +88,7 @@
     ) -> Result<State, ractor::ActorProcessingErr> {
         myself.cast(Msg::Poll)?;
         myself.send_interval(shared.time("poll_ms"), || Msg::Poll);
-        Ok(State {
-            shared,
-            root,
-            revision: 0,
-        })
+        Ok(State { shared, root, revision: 0 })
     }
 
     async fn handle(
@@ -129,15 +125,11 @@
         };
         let revision = stored.revision;
         self.revision = revision;
-        self.shared
-            .metrics
-            .revision
-            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
         tracing::info!(revision, "configuration in force");
         let current = sync::Arc::new(hall::Current { revision, desired });
         let stored = sync::Arc::new(stored);
-        self.root
-            .cast(root::Msg::Config(Loaded { stored, current }))?;
+        self.root.cast(root::Msg::Config(Loaded { stored, current }))?;
         Ok(())
     }
 }
@@ -166,9 +158,7 @@
 /// Reads a head row; an absent one stands for revision zero.
 fn head_of(row: Option<&platform::Row>) -> (u64, Head) {
     let version = row.map_or(0, |row| row.version);
-    let head = row
-        .and_then(|row| serde_json::from_str(&row.value).ok())
-        .unwrap_or_default();
+    let head = row.and_then(|row| serde_json::from_str(&row.value).ok()).unwrap_or_default();
     (version, head)
 }
 
@@ -195,9 +185,7 @@
     }
     let head = &before.head.1;
     if head.revision != apply.base_revision {
-        return operator::Applied::Moved {
-            revision: head.revision,
-        };
+        return operator::Applied::Moved { revision: head.revision };
     }
     let Some(old) = read_desired(shared, head).await else {
         return operator::Applied::Unknown;
@@ -207,11 +195,7 @@
         Ok(born) => born,
         Err(faults) => return operator::Applied::Refused { faults },
     };
-    let stored = desired::Stored {
-        revision,
-        text: apply.text.clone(),
-        born,
-    };
+    let stored = desired::Stored { revision, text: apply.text.clone(), born };
     put_in_force(shared, apply, &before, &stored).await
 }
 
@@ -234,18 +218,16 @@
     let object = format!("config/{}", hash(&text));
     let put = shared.platform.put_object(&object, text).await;
     shared.count_call("put", &put);
-    let txn = put
-        .ok()
-        .and_then(|()| transaction(apply, before, stored.revision, &object));
+    let txn = put.ok().and_then(|()| transaction(apply, before, stored.revision, &object));
     let Some(txn) = txn else {
         return operator::Applied::Unknown;
     };
     let answer = shared.platform.transact(&txn).await;
     shared.count_call("txn", &answer);
     match answer {
-        Ok(platform::TxnAnswer::Committed) => operator::Applied::Accepted {
-            revision: stored.revision,
-        },
+        Ok(platform::TxnAnswer::Committed) => {
+            operator::Applied::Accepted { revision: stored.revision }
+        }
         Ok(platform::TxnAnswer::Conflict { .. }) | Err(_) => {
             resolve(shared, apply, before.head.1.revision).await
         }
@@ -261,9 +243,7 @@
             }
             // An unchanged head proves nothing: the write may still be on its way.
             if now.head.1.revision > base {
-                return operator::Applied::Moved {
-                    revision: now.head.1.revision,
-                };
+                return operator::Applied::Moved { revision: now.head.1.revision };
             }
         }
         tokio::time::sleep(shared.time("poll_ms") / DOUBT_READS).await;
@@ -278,30 +258,15 @@
     revision: u64,
     object: &str,
 ) -> Option<platform::Txn> {
-    let head = Head {
-        revision,
-        object: object.to_owned(),
-    };
+    let head = Head { revision, object: object.to_owned() };
     let mut recent = before.recent.1.clone();
-    recent.push(Recent {
-        apply_id: apply.apply_id.clone(),
-        revision,
-    });
+    recent.push(Recent { apply_id: apply.apply_id.clone(), revision });
     let spare = recent.len().saturating_sub(RECENT_KEPT);
     recent.drain(..spare);
-    let check = |key: &str, version| platform::Check {
-        key: key.to_owned(),
-        version,
-    };
-    let write = |key: &str, value| platform::Write {
-        key: key.to_owned(),
-        value: Some(value),
-    };
+    let check = |key: &str, version| platform::Check { key: key.to_owned(), version };
+    let write = |key: &str, value| platform::Write { key: key.to_owned(), value: Some(value) };
     Some(platform::Txn {
-        checks: vec![
-            check(HEAD_KEY, before.head.0),
-            check(RECENT_KEY, before.recent.0),
-        ],
+        checks: vec![check(HEAD_KEY, before.head.0), check(RECENT_KEY, before.recent.0)],
         writes: vec![
             write(HEAD_KEY, serde_json::to_string(&head).ok()?),
             write(RECENT_KEY, serde_json::to_string(&recent).ok()?),
@@ -320,10 +285,7 @@
         Some(row) => (row.version, serde_json::from_str(&row.value).ok()?),
         None => (0, Vec::new()),
     };
-    Some(Before {
-        head: head_of(row(HEAD_KEY)),
-        recent,
-    })
+    Some(Before { head: head_of(row(HEAD_KEY)), recent })
 }
 
 /// Reads the desired state that a head row names.
@@ -339,11 +301,7 @@
 
 /// Returns the revision of a submission that was accepted before.
 fn remembered(before: &Before, apply_id: &str) -> Option<u64> {
-    let found = before
-        .recent
-        .1
-        .iter()
-        .find(|recent| recent.apply_id == apply_id);
+    let found = before.recent.1.iter().find(|recent| recent.apply_id == apply_id);
     found.map(|recent| recent.revision)
 }
 
--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -119,13 +119,10 @@
 impl State {
     /// Takes the list of peers; connections to those that stay are kept.
     fn set_peers(&mut self, peers: &collections::BTreeMap<id::HostId, net::SocketAddr>) {
-        self.peers
-            .retain(|host, other| peers.get(host) == Some(&other.addr));
+        self.peers.retain(|host, other| peers.get(host) == Some(&other.addr));
         for (host, addr) in peers {
             if host != self.shared.host() {
-                self.peers
-                    .entry(host.clone())
-                    .or_insert_with(|| Other::new(*addr));
+                self.peers.entry(host.clone()).or_insert_with(|| Other::new(*addr));
             }
         }
     }
@@ -164,20 +161,10 @@
                 continue;
             };
             other.busy = true;
-            other.telling = gossip
-                .tables
-                .iter()
-                .map(|t| (t.hall.clone(), (t.epoch, t.version)))
-                .collect();
+            other.telling =
+                gossip.tables.iter().map(|t| (t.hall.clone(), (t.epoch, t.version))).collect();
             let client = other.client.clone();
-            tokio::spawn(tell(
-                myself.clone(),
-                host,
-                other.addr,
-                client,
-                gossip,
-                timeout,
-            ));
+            tokio::spawn(tell(myself.clone(), host, other.addr, client, gossip, timeout));
         }
     }
 
--- a/crates/daemon/src/control/hall.rs
+++ b/crates/daemon/src/control/hall.rs
@@ -70,14 +70,7 @@
         let engine = hall::Engine::new(hall.clone(), host, settings, shared.nonce);
         myself.send_interval(TICK, || Msg::Event(Box::new(hall::Event::Tick)));
         let summary = root::HallSummary::default();
-        Ok(State {
-            shared,
-            root,
-            hall,
-            engine,
-            told: None,
-            summary,
-        })
+        Ok(State { shared, root, hall, engine, told: None, summary })
     }
 
     async fn handle(
@@ -124,8 +117,7 @@
             }
             self.summary = summary.clone();
             self.gauges();
-            self.root
-                .cast(root::Msg::Summary(self.hall.clone(), summary))?;
+            self.root.cast(root::Msg::Summary(self.hall.clone(), summary))?;
         }
         Ok(())
     }
@@ -163,10 +155,7 @@
         set(&metrics.waiting, holding.waiting_count() as u64);
         for (cause, count) in &counters.evicted {
             let count = i64::try_from(*count).unwrap_or(i64::MAX);
-            metrics
-                .evictions
-                .with_label_values(&[hall, cause.label()])
-                .set(count);
+            metrics.evictions.with_label_values(&[hall, cause.label()]).set(count);
         }
     }
 }
@@ -232,10 +221,7 @@
     let log = shared.platform.scan(&hall::log_prefix(hall)).await;
     shared.count_call("scan", &log);
     match log {
-        Ok(log) => hall::Event::Loaded {
-            snapshot: text,
-            log,
-        },
+        Ok(log) => hall::Event::Loaded { snapshot: text, log },
         Err(_) => hall::Event::LoadFailed,
     }
 }
@@ -251,9 +237,5 @@
 /// Sends a message to a worker.
 async fn send(shared: &Shared, addr: net::SocketAddr, sync: &work::Sync) -> hall::Event {
     let answer = shared.workers.sync(addr, sync).await.ok();
-    hall::Event::Synced {
-        worker: sync.worker.clone(),
-        seq: sync.seq,
-        answer,
-    }
+    hall::Event::Synced { worker: sync.worker.clone(), seq: sync.seq, answer }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -51,10 +51,7 @@
     /// Counts a call of the platform and notes whether it answered.
     pub fn count_call<T, E>(&self, call: &str, result: &Result<T, E>) {
         let label = if result.is_ok() { "ok" } else { "failed" };
-        self.metrics
-            .platform_calls
-            .with_label_values(&[call, label])
-            .inc();
+        self.metrics.platform_calls.with_label_values(&[call, label]).inc();
         self.metrics.platform_up.set(i64::from(result.is_ok()));
     }
 }
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -243,10 +243,7 @@
         if let Some(stored) = handover.config {
             self.keeper.cast(config::Msg::Offered(Box::new(stored)))?;
         }
-        handover
-            .tables
-            .into_iter()
-            .try_for_each(|table| self.set_table(table))
+        handover.tables.into_iter().try_for_each(|table| self.set_table(table))
     }
 
     /// Takes a configuration: starts the actors of new halls and tells all.
@@ -264,8 +261,7 @@
             let event = hall::Event::Config(sync::Arc::clone(&loaded.current));
             actor.cast(hall_actor::Msg::Event(Box::new(event)))?;
         }
-        self.gossip
-            .cast(gossip::Msg::Revision(loaded.current.revision))?;
+        self.gossip.cast(gossip::Msg::Revision(loaded.current.revision))?;
         self.lock().config = Some(loaded);
         self.publish();
         Ok(())
@@ -297,18 +293,11 @@
 
     /// Takes a table unless it is older than the one known.
     fn set_table(&mut self, table: endpoints::Table) -> Result<(), ractor::ActorProcessingErr> {
-        let newer = self
-            .lock()
-            .tables
-            .get(&table.hall)
-            .is_none_or(|old| table.newer_than(old));
+        let newer = self.lock().tables.get(&table.hall).is_none_or(|old| table.newer_than(old));
         if !newer {
             return Ok(());
         }
-        let held = self
-            .summaries
-            .get(&table.hall)
-            .is_some_and(|summary| summary.held);
+        let held = self.summaries.get(&table.hall).is_some_and(|summary| summary.held);
         if held {
             self.gossip.cast(gossip::Msg::Table(table.clone()))?;
         } else if let Some(actor) = self.halls.get(&table.hall) {
@@ -326,8 +315,7 @@
         hall: id::HallId,
         summary: HallSummary,
     ) -> Result<(), ractor::ActorProcessingErr> {
-        self.gossip
-            .cast(gossip::Msg::Holder(hall.clone(), summary.holder.clone()))?;
+        self.gossip.cast(gossip::Msg::Holder(hall.clone(), summary.holder.clone()))?;
         if summary.held {
             // A table made before the summary came is told now.
             let table = self.lock().tables.get(&hall).cloned();
@@ -359,10 +347,7 @@
         for table in gossip.tables {
             self.set_table(table)?;
         }
-        gossip
-            .digests
-            .into_iter()
-            .try_for_each(|digest| self.pass_digest(digest))
+        gossip.digests.into_iter().try_for_each(|digest| self.pass_digest(digest))
     }
 
     /// Gives up every hall.
@@ -393,16 +378,10 @@
                 // The list says so even while the hall has no holder.
                 endpoint.leaving |= leaving(&endpoint.worker);
                 let service = endpoint.service.clone();
-                endpoints
-                    .entry(service)
-                    .or_default()
-                    .push((table.hall.clone(), endpoint));
+                endpoints.entry(service).or_default().push((table.hall.clone(), endpoint));
             }
         }
-        let classes = desired
-            .classes
-            .iter()
-            .map(|(name, class)| (name.clone(), class.priority));
+        let classes = desired.classes.iter().map(|(name, class)| (name.clone(), class.priority));
         self.shared.traffic.publish(traffic::Snapshot {
             revision: loaded.current.revision,
             services: desired.services.clone(),
@@ -420,10 +399,7 @@
 
     /// Returns the revision in force here.
     fn revision(&self) -> u64 {
-        self.lock()
-            .config
-            .as_ref()
-            .map_or(0, |loaded| loaded.current.revision)
+        self.lock().config.as_ref().map_or(0, |loaded| loaded.current.revision)
     }
 
     /// Returns the summary for operators.
@@ -431,45 +407,27 @@
         let known = self.lock();
         let mut status = operator::Status {
             host: self.shared.host().to_string(),
-            revision: known
-                .config
-                .as_ref()
-                .map_or(0, |loaded| loaded.current.revision),
+            revision: known.config.as_ref().map_or(0, |loaded| loaded.current.revision),
             platform_up: self.platform_up,
             stopping: self.stopping,
             ..operator::Status::default()
         };
-        let services = known
-            .config
-            .iter()
-            .flat_map(|loaded| &loaded.current.desired.services);
+        let services = known.config.iter().flat_map(|loaded| &loaded.current.desired.services);
         for (name, service) in services {
             let wanted = service.count;
-            let summary = operator::ServiceStatus {
-                wanted,
-                ..operator::ServiceStatus::default()
-            };
+            let summary = operator::ServiceStatus { wanted, ..operator::ServiceStatus::default() };
             status.services.insert(name.to_string(), summary);
         }
         for endpoint in known.tables.values().flat_map(|table| &table.endpoints) {
-            let service = status
-                .services
-                .entry(endpoint.service.to_string())
-                .or_default();
+            let service = status.services.entry(endpoint.service.to_string()).or_default();
             service.endpoints += usize::from(!endpoint.leaving);
             service.leaving += usize::from(endpoint.leaving);
         }
         for (hall, summary) in &self.summaries {
-            let tasks = summary
-                .tasks
-                .iter()
-                .map(|(state, n)| ((*state).to_owned(), *n));
+            let tasks = summary.tasks.iter().map(|(state, n)| ((*state).to_owned(), *n));
             let holder = summary.holder.as_ref().map(ToString::to_string);
-            let hall_status = operator::HallStatus {
-                holder,
-                epoch: summary.epoch,
-                tasks: tasks.collect(),
-            };
+            let hall_status =
+                operator::HallStatus { holder, epoch: summary.epoch, tasks: tasks.collect() };
             status.halls.insert(hall.to_string(), hall_status);
         }
         status
@@ -497,9 +455,7 @@
 
     /// Locks what peers may read.
     fn lock(&self) -> sync::MutexGuard<'_, Known> {
-        self.known
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.known.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -72,11 +72,7 @@
     let link = (shared.clone(), sync::Arc::clone(&known));
     let (root, _) = Actor::spawn(None, root::Root, link).await?;
     tokio::spawn(peer::serve(peers, answers(&root, &known)));
-    let desk = Desk {
-        shared: shared.clone(),
-        root: root.clone(),
-        drain: sync::Arc::default(),
-    };
+    let desk = Desk { shared: shared.clone(), root: root.clone(), drain: sync::Arc::default() };
     let drain = sync::Arc::clone(&desk.drain);
     tokio::spawn(server::serve(
         operators,
@@ -139,11 +135,7 @@
         server::serve(callers, bounds, stopped, handle).await;
         let _ = ended.send(());
     });
-    Ok(Carrier {
-        runtime,
-        stop,
-        done,
-    })
+    Ok(Carrier { runtime, stop, done })
 }
 
 /// Wakes waiting requests from time to time.
@@ -223,24 +215,15 @@
     let gossip = move |gossip: peer::Gossip| {
         let _ = root.cast(root::Msg::Gossip(gossip));
         let known = heard.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        let revision = known
-            .config
-            .as_ref()
-            .map_or(0, |loaded| loaded.current.revision);
+        let revision = known.config.as_ref().map_or(0, |loaded| loaded.current.revision);
         peer::Heard { revision }
     };
     let handover = move || {
         let known = asked.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let config = known.config.as_ref().map(|loaded| (*loaded.stored).clone());
-        peer::Handover {
-            config,
-            tables: known.tables.values().cloned().collect(),
-        }
+        peer::Handover { config, tables: known.tables.values().cloned().collect() }
     };
-    peer::Answers {
-        gossip: sync::Arc::new(gossip),
-        handover: sync::Arc::new(handover),
-    }
+    peer::Answers { gossip: sync::Arc::new(gossip), handover: sync::Arc::new(handover) }
 }
 
 /// Answers operators.
@@ -265,10 +248,7 @@
                 None => busy(),
             },
             (&Method::GET, "/dump") => {
-                let asked = self
-                    .root
-                    .call(root::Msg::Dump, Some(OPERATOR_TIMEOUT))
-                    .await;
+                let asked = self.root.call(root::Msg::Dump, Some(OPERATOR_TIMEOUT)).await;
                 match asked {
                     Ok(ractor::rpc::CallResult::Success(dump)) => {
                         reply::json(StatusCode::OK, &dump)
@@ -311,10 +291,7 @@
 
     /// Returns the summary.
     async fn status(&self) -> Option<operator::Status> {
-        let asked = self
-            .root
-            .call(root::Msg::Status, Some(OPERATOR_TIMEOUT))
-            .await;
+        let asked = self.root.call(root::Msg::Status, Some(OPERATOR_TIMEOUT)).await;
         match asked {
             Ok(ractor::rpc::CallResult::Success(status)) => Some(status),
             _ => None,
@@ -335,9 +312,5 @@
 
 /// Returns the answer of a host whose control does not answer in time.
 fn busy() -> reply::Reply {
-    reply::problem(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "busy",
-        "control did not answer in time",
-    )
+    reply::problem(StatusCode::SERVICE_UNAVAILABLE, "busy", "control did not answer in time")
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -65,9 +65,7 @@
     let level = format!("tarpc=off,{}", settings.log_level);
     let filter = tracing_subscriber::EnvFilter::try_new(level)
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     match settings.log_format {
         settings::LogFormat::Text => builder.with_ansi(false).init(),
         settings::LogFormat::Json => builder.json().init(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,9 +3,8 @@
 use prometheus::core::Collector;
 
 /// The bounds of latency buckets, in seconds.
-const LATENCY_BUCKETS: [f64; 14] = [
-    0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
-];
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
 
 /// A metric that could not be made.
 #[derive(Debug, thiserror::Error)]
@@ -64,9 +63,7 @@
     /// Returns `MetricError` for names that clash.
     pub fn new() -> Result<Self, MetricError> {
         let registry = prometheus::Registry::new();
-        let made = Maker {
-            registry: &registry,
-        };
+        let made = Maker { registry: &registry };
         let latency = prometheus::HistogramOpts::new(
             "wharflane_request_duration_seconds",
             "Time from the request to the end of its answer.",
@@ -110,9 +107,7 @@
     #[must_use]
     pub fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        encoder.encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,7 +5,7 @@
 use std::ops;
 use std::time;
 
-use wharflane::{hall, id, lease, toml_read};
+use wharflane::{hall, id, interfere, lease, place, toml_read};
 
 /// The largest settings file, in bytes.
 const MAX_TEXT_BYTES: usize = 64 << 10;
@@ -33,123 +33,27 @@
     range: ops::RangeInclusive<u64>,
     about: &'static str,
 ) -> Number {
-    Number {
-        table,
-        key,
-        default,
-        range,
-        about,
-    }
+    Number { table, key, default, range, about }
 }
 
 /// All keys whose value is a whole number; docs/SETTINGS.md lists the same.
 pub const NUMBERS: &[Number] = &[
-    number(
-        "platform",
-        "timeout_ms",
-        1_000,
-        10..=60_000,
-        "How long a call may take.",
-    ),
-    number(
-        "traffic",
-        "threads",
-        4,
-        1..=256,
-        "Threads that carry requests.",
-    ),
-    number(
-        "traffic",
-        "endpoint_slots",
-        8,
-        1..=10_000,
-        "Requests an endpoint runs at once.",
-    ),
-    number(
-        "traffic",
-        "endpoint_connections",
-        64,
-        1..=10_000,
-        "Connections an endpoint takes.",
-    ),
-    number(
-        "traffic",
-        "connect_timeout_ms",
-        500,
-        1..=60_000,
-        "How long a connection may take.",
-    ),
-    number(
-        "traffic",
-        "body_limit_bytes",
-        1 << 20,
-        1..=1 << 30,
-        "Largest body of a request.",
-    ),
-    number(
-        "traffic",
-        "body_timeout_ms",
-        10_000,
-        1..=600_000,
-        "How long a body may take.",
-    ),
-    number(
-        "traffic",
-        "head_limit_bytes",
-        32_768,
-        8_192..=1 << 20,
-        "Largest head of a request.",
-    ),
-    number(
-        "traffic",
-        "head_timeout_ms",
-        10_000,
-        1..=600_000,
-        "How long a head may take.",
-    ),
-    number(
-        "traffic",
-        "caller_connections",
-        4_096,
-        1..=1_000_000,
-        "Connections of callers.",
-    ),
-    number(
-        "traffic",
-        "queue_limit",
-        256,
-        0..=1_000_000,
-        "Waiting requests of a service.",
-    ),
+    number("platform", "timeout_ms", 1_000, 10..=60_000, "How long a call may take."),
+    number("traffic", "threads", 4, 1..=256, "Threads that carry requests."),
+    number("traffic", "endpoint_slots", 8, 1..=10_000, "Requests an endpoint runs at once."),
+    number("traffic", "endpoint_connections", 64, 1..=10_000, "Connections an endpoint takes."),
+    number("traffic", "connect_timeout_ms", 500, 1..=60_000, "How long a connection may take."),
+    number("traffic", "body_limit_bytes", 1 << 20, 1..=1 << 30, "Largest body of a request."),
+    number("traffic", "body_timeout_ms", 10_000, 1..=600_000, "How long a body may take."),
+    number("traffic", "head_limit_bytes", 32_768, 8_192..=1 << 20, "Largest head of a request."),
+    number("traffic", "head_timeout_ms", 10_000, 1..=600_000, "How long a head may take."),
+    number("traffic", "caller_connections", 4_096, 1..=1_000_000, "Connections of callers."),
+    number("traffic", "queue_limit", 256, 0..=1_000_000, "Waiting requests of a service."),
     number("traffic", "tries", 3, 1..=16, "Most tries of a request."),
-    number(
-        "traffic",
-        "retry_share_milli",
-        100,
-        0..=1_000,
-        "Retries per 1,000 first tries.",
-    ),
-    number(
-        "traffic",
-        "retry_burst",
-        20,
-        0..=10_000,
-        "Retries allowed after a calm time.",
-    ),
-    number(
-        "traffic",
-        "eject_share_percent",
-        30,
-        0..=100,
-        "Most endpoints left at once.",
-    ),
-    number(
-        "traffic",
-        "duplicate_window_ms",
-        60_000,
-        0..=3_600_000,
-        "How long ids are kept.",
-    ),
+    number("traffic", "retry_share_milli", 100, 0..=1_000, "Retries per 1,000 first tries."),
+    number("traffic", "retry_burst", 20, 0..=10_000, "Retries allowed after a calm time."),
+    number("traffic", "eject_share_percent", 30, 0..=100, "Most endpoints left at once."),
+    number("traffic", "duplicate_window_ms", 60_000, 0..=3_600_000, "How long ids are kept."),
     number(
         "traffic",
         "stop_grace_ms",
@@ -157,90 +61,28 @@
         0..=86_400_000,
         "Longest wait for requests at a stop.",
     ),
-    number(
-        "traffic",
-        "stop_notice_ms",
-        3_000,
-        0..=600_000,
-        "Time for the balancer to see a stop.",
-    ),
-    number(
-        "control",
-        "lease_ms",
-        6_000,
-        100..=600_000,
-        "Lease of a hall.",
-    ),
-    number(
-        "control",
-        "turn_ms",
-        2_000,
-        10..=600_000,
-        "Wait for each host of higher rank.",
-    ),
-    number(
-        "control",
-        "poll_ms",
-        1_000,
-        10..=60_000,
-        "Time between reads of a row.",
-    ),
-    number(
-        "control",
-        "commit_ms",
-        300,
-        10..=60_000,
-        "Least time between two commits.",
-    ),
-    number(
-        "control",
-        "sync_ms",
-        1_000,
-        10..=60_000,
-        "Time between messages to a worker.",
-    ),
-    number(
-        "control",
-        "worker_lease_ms",
-        20_000,
-        100..=600_000,
-        "Lease of tasks on a worker.",
-    ),
-    number(
-        "control",
-        "margin_ms",
-        2_000,
-        0..=600_000,
-        "Added to a lease for clocks apart.",
-    ),
-    number(
-        "control",
-        "authority_ms",
-        1_800_000,
-        1_000..=86_400_000,
-        "Renewals without a commit.",
-    ),
-    number(
-        "control",
-        "drain_ms",
-        5_000,
-        0..=600_000,
-        "Wait before an endpoint is stopped.",
-    ),
-    number(
-        "control",
-        "snapshot_commits",
-        200,
-        1..=100_000,
-        "Commits between two snapshots.",
-    ),
+    number("traffic", "stop_notice_ms", 3_000, 0..=600_000, "Time for the balancer to see a stop."),
+    number("control", "lease_ms", 6_000, 100..=600_000, "Lease of a hall."),
+    number("control", "turn_ms", 2_000, 10..=600_000, "Wait for each host of higher rank."),
+    number("control", "poll_ms", 1_000, 10..=60_000, "Time between reads of a row."),
+    number("control", "commit_ms", 300, 10..=60_000, "Least time between two commits."),
+    number("control", "sync_ms", 1_000, 10..=60_000, "Time between messages to a worker."),
+    number("control", "worker_lease_ms", 20_000, 100..=600_000, "Lease of tasks on a worker."),
+    number("control", "margin_ms", 2_000, 0..=600_000, "Added to a lease for clocks apart."),
+    number("control", "authority_ms", 1_800_000, 1_000..=86_400_000, "Renewals without a commit."),
+    number("control", "drain_ms", 5_000, 0..=600_000, "Wait before an endpoint is stopped."),
+    number("control", "snapshot_commits", 200, 1..=100_000, "Commits between two snapshots."),
     number(
         "control",
-        "gossip_ms",
-        1_000,
-        10..=60_000,
-        "Time between messages to a peer.",
+        "misses",
+        2,
+        1..=1_000,
+        "Missed targets in a row before a task is throttled.",
     ),
+    number("control", "settle_ms", 3_000, 0..=600_000, "Wait for a throttle or eviction to show."),
+    number("control", "calm_intervals", 20, 1..=100_000, "Kept targets in a row before loosening."),
+    number("control", "harm_weight_percent", 400, 0..=100_000, "Weight of harm in placement."),
+    number("control", "gossip_ms", 1_000, 10..=60_000, "Time between messages to a peer."),
 ];
 
 /// How logs are written.
@@ -304,10 +146,7 @@
     pub fn hall_settings(&self) -> hall::Settings {
         let control = |key| self.time("control", key);
         hall::Settings {
-            timing: lease::Timing {
-                lease: control("lease_ms"),
-                turn: control("turn_ms"),
-            },
+            timing: lease::Timing { lease: control("lease_ms"), turn: control("turn_ms") },
             poll: control("poll_ms"),
             commit: control("commit_ms"),
             sync: control("sync_ms"),
@@ -316,6 +155,16 @@
             authority: control("authority_ms"),
             drain: control("drain_ms"),
             snapshot_every: self.number("control", "snapshot_commits"),
+            patience: interfere::Patience {
+                misses: u32::try_from(self.number("control", "misses")).unwrap_or(u32::MAX),
+                settle: control("settle_ms"),
+                calm: u32::try_from(self.number("control", "calm_intervals")).unwrap_or(u32::MAX),
+                ..interfere::Patience::default()
+            },
+            weights: place::Weights {
+                harm: self.number("control", "harm_weight_percent") as f64 / 100.0,
+                ..place::Weights::default()
+            },
         }
     }
 }
@@ -361,9 +210,7 @@
     }
     let mut log = root.table("log");
     let log_format = read_log_format(doc, &mut log);
-    let log_level = log
-        .text("level")
-        .map_or_else(|| "info".to_owned(), |(_, level)| level);
+    let log_level = log.text("level").map_or_else(|| "info".to_owned(), |(_, level)| level);
     log.end();
     Some(Settings {
         host: host?.1.as_str().into(),
@@ -416,12 +263,9 @@
     numbers: &collections::BTreeMap<(&'static str, &'static str), u64>,
 ) {
     let number = |key| numbers.get(&("control", key)).copied();
-    let (Some(worker), Some(lease), Some(turn), Some(sync)) = (
-        number("worker_lease_ms"),
-        number("lease_ms"),
-        number("turn_ms"),
-        number("sync_ms"),
-    ) else {
+    let (Some(worker), Some(lease), Some(turn), Some(sync)) =
+        (number("worker_lease_ms"), number("lease_ms"), number("turn_ms"), number("sync_ms"))
+    else {
         return;
     };
     let least = lease + turn + 2 * sync;
--- a/crates/daemon/src/traffic/duplicates.rs
+++ b/crates/daemon/src/traffic/duplicates.rs
@@ -28,18 +28,12 @@
 impl Duplicates {
     /// Makes an empty set that keeps names so long.
     pub fn new(window: time::Duration) -> Self {
-        Self {
-            window,
-            state: sync::Mutex::default(),
-        }
+        Self { window, state: sync::Mutex::default() }
     }
 
     /// Notes a name; returns whether it was not known.
     pub fn note(&self, name: &str, now: time::Duration) -> bool {
-        let mut state = self
-            .state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = self.state.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let stale = |at: time::Duration| now.saturating_sub(at) > self.window;
         while state.ages.front().is_some_and(|(at, _)| stale(*at)) || state.ages.len() > MAX_NAMES {
             if let Some((_, old)) = state.ages.pop_front() {
@@ -56,10 +50,7 @@
 
     /// Drops the name of a request that did not run, so that it may be sent again.
     pub fn forget(&self, name: &str) {
-        let mut state = self
-            .state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = self.state.lock().unwrap_or_else(sync::PoisonError::into_inner);
         state.names.remove(name);
     }
 }
--- a/crates/daemon/src/traffic/forward.rs
+++ b/crates/daemon/src/traffic/forward.rs
@@ -73,12 +73,7 @@
         clock: sync::Arc<dyn clock::Clock>,
         metrics: metrics::Metrics,
     ) -> Self {
-        let mut forward = Self {
-            body,
-            ending: Some(ending),
-            clock,
-            metrics,
-        };
+        let mut forward = Self { body, ending: Some(ending), clock, metrics };
         if body::Body::is_end_stream(&forward.body) {
             forward.whole();
         }
@@ -101,10 +96,7 @@
             }
         }
         let took = now.saturating_sub(ending.came).as_secs_f64();
-        self.metrics
-            .latency
-            .with_label_values(&[&ending.service])
-            .observe(took);
+        self.metrics.latency.with_label_values(&[&ending.service]).observe(took);
     }
 
     /// Ends a body that broke off.
@@ -115,10 +107,7 @@
         if let Some(turn) = ending.turn {
             turn.failed(outcome::Failure::Lost, self.clock.now());
         }
-        self.metrics
-            .broken
-            .with_label_values(&[&ending.service])
-            .inc();
+        self.metrics.broken.with_label_values(&[&ending.service]).inc();
     }
 }
 
--- a/crates/daemon/src/traffic/lane.rs
+++ b/crates/daemon/src/traffic/lane.rs
@@ -151,12 +151,7 @@
             queue: limit::Queue::new(limits.queue),
             budget: retry::Budget::new(limits.retry_share_milli, limits.retry_burst),
         };
-        Self {
-            name,
-            limits,
-            metrics,
-            state: sync::Mutex::new(state),
-        }
+        Self { name, limits, metrics, state: sync::Mutex::new(state) }
     }
 
     /// Takes the endpoints in force; what is known of those that stay is kept.
@@ -169,11 +164,8 @@
     ) {
         let woken = {
             let mut state = self.lock();
-            let mut before: collections::HashMap<net::SocketAddr, Slot> = state
-                .slots
-                .drain(..)
-                .map(|slot| (slot.endpoint.addr, slot))
-                .collect();
+            let mut before: collections::HashMap<net::SocketAddr, Slot> =
+                state.slots.drain(..).map(|slot| (slot.endpoint.addr, slot)).collect();
             for (hall, endpoint) in endpoints {
                 let known = before.remove(&endpoint.addr);
                 let same = known.filter(|slot| slot.endpoint.task == endpoint.task);
@@ -181,11 +173,7 @@
                 slot.endpoint.leaving = endpoint.leaving;
                 state.slots.push(slot);
             }
-            let at = state
-                .slots
-                .iter()
-                .enumerate()
-                .map(|(at, slot)| (slot.endpoint.addr, at));
+            let at = state.slots.iter().enumerate().map(|(at, slot)| (slot.endpoint.addr, at));
             state.at = at.collect();
             state.service = Some(service.clone());
             state.cap = cap;
@@ -208,6 +196,7 @@
         priority: u32,
         now: time::Duration,
         deadline: time::Duration,
+        first: bool,
     ) -> Result<Turn, NoTurn> {
         let waiting = {
             let mut state = self.lock();
@@ -221,7 +210,7 @@
             }
             let (sender, receiver) = oneshot::channel();
             let start_by = deadline.saturating_sub(state.service_time());
-            match state.queue.push(priority, start_by, now, sender) {
+            match state.queue.push(priority, start_by, now, first, sender) {
                 limit::Arrival::Queued => {}
                 limit::Arrival::Refused(refused) => return Err(NoTurn::Overloaded(refused)),
                 limit::Arrival::Displaced(other, refused) => {
@@ -260,10 +249,7 @@
     pub fn take_seen(&self, now: time::Duration) -> Vec<(id::HallId, digest::Seen)> {
         let mut state = self.lock();
         self.gauges(&state, now);
-        let target_ms = state
-            .service
-            .as_ref()
-            .map_or(u64::MAX, |s| s.latency_target_ms);
+        let target_ms = state.service.as_ref().map_or(u64::MAX, |s| s.latency_target_ms);
         let mut all = Vec::new();
         for slot in &mut state.slots {
             let latencies = slot.latencies.take();
@@ -354,13 +340,8 @@
                 break;
             };
             let (late, next) = state.queue.pop(now);
-            let refused = limit::Refused {
-                retry_after: state.queue.retry_after(),
-            };
-            woken.extend(
-                late.into_iter()
-                    .map(|sender| (sender, Grant::Refused(refused))),
-            );
+            let refused = limit::Refused { retry_after: state.queue.retry_after() };
+            woken.extend(late.into_iter().map(|sender| (sender, Grant::Refused(refused))));
             match next {
                 Some(sender) => woken.push((sender, Grant::Go(self.turn(addr, now)))),
                 None => unreserve(state, addr),
@@ -371,12 +352,7 @@
 
     /// Makes the place at an endpoint that was reserved.
     fn turn(self: &sync::Arc<Self>, addr: net::SocketAddr, now: time::Duration) -> Turn {
-        Turn {
-            lane: sync::Arc::clone(self),
-            addr,
-            end: End::Open,
-            now,
-        }
+        Turn { lane: sync::Arc::clone(self), addr, end: End::Open, now }
     }
 
     /// Looks whether time alone has made a place free, as at the end of an ejection.
@@ -397,34 +373,20 @@
         };
         let ejected = |slot: &Slot| slot.health.usable(now) == route::Use::Ejected;
         let gauge = |state: &str, value: i64| {
-            self.metrics
-                .endpoints
-                .with_label_values(&[service, state])
-                .set(value);
+            self.metrics.endpoints.with_label_values(&[service, state]).set(value);
         };
-        gauge(
-            "open",
-            count(&|slot| !slot.endpoint.leaving && !ejected(slot)),
-        );
+        gauge("open", count(&|slot| !slot.endpoint.leaving && !ejected(slot)));
         gauge("leaving", count(&|slot| slot.endpoint.leaving));
         gauge("ejected", count(&ejected));
         let queued = i64::try_from(state.queue.len()).unwrap_or(i64::MAX);
-        self.metrics
-            .queued
-            .with_label_values(&[service])
-            .set(queued);
+        self.metrics.queued.with_label_values(&[service]).set(queued);
         let left = i64::try_from(state.budget.left()).unwrap_or(i64::MAX);
-        self.metrics
-            .retry_budget
-            .with_label_values(&[service])
-            .set(left);
+        self.metrics.retry_budget.with_label_values(&[service]).set(left);
     }
 
     /// Locks what changes.
     fn lock(&self) -> sync::MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
@@ -447,11 +409,7 @@
     let slots = &state.slots;
     let cost = |at: usize| {
         let slot: &Slot = &slots[at];
-        if slot.endpoint.leaving {
-            None
-        } else {
-            route::offer(&slot.health, cap, now)
-        }
+        if slot.endpoint.leaving { None } else { route::offer(&slot.health, cap, now) }
     };
     let mut rng = rand::rng();
     let at = route::pick(slots.len(), cost, |below| rng.random_range(0..below))?;
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -119,12 +119,8 @@
             lane.update(service, endpoints, cap, now);
             lanes.insert(name.clone(), lane);
         }
-        let addrs: collections::BTreeSet<std::net::SocketAddr> = snapshot
-            .endpoints
-            .values()
-            .flatten()
-            .map(|(_, endpoint)| endpoint.addr)
-            .collect();
+        let addrs: collections::BTreeSet<std::net::SocketAddr> =
+            snapshot.endpoints.values().flatten().map(|(_, endpoint)| endpoint.addr).collect();
         self.pool.retain(|addr| addrs.contains(addr));
         self.lanes.store(sync::Arc::new(lanes));
         self.snapshot.store(sync::Arc::new(snapshot));
@@ -140,11 +136,7 @@
                 halls.entry(hall).or_default().push(seen);
             }
         }
-        let digest = |(hall, endpoints)| digest::Digest {
-            host: host.clone(),
-            hall,
-            endpoints,
-        };
+        let digest = |(hall, endpoints)| digest::Digest { host: host.clone(), hall, endpoints };
         halls.into_iter().map(digest).collect()
     }
 
@@ -152,11 +144,7 @@
     #[must_use]
     pub fn dump(&self) -> Vec<LaneDump> {
         let now = self.clock.now();
-        self.lanes
-            .load()
-            .values()
-            .map(|lane| lane.dump(now))
-            .collect()
+        self.lanes.load().values().map(|lane| lane.dump(now)).collect()
     }
 
     /// Returns the number of requests under way.
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -19,6 +19,9 @@
 /// The shortest time after which a caller is told to come back.
 const LEAST_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// The most refusals by full endpoints that a request bears.
+const MAX_REFUSALS: u32 = 16;
+
 /// A request that ended without an answer.
 #[derive(Clone, Copy, Debug)]
 struct End {
@@ -72,8 +75,7 @@
             Ok(answer) => answer,
             Err(end) => {
                 if end.outcome == outcome::Outcome::NotRun {
-                    self.duplicates
-                        .forget(&duplicate_key(&question.service, &request_id));
+                    self.duplicates.forget(&duplicate_key(&question.service, &request_id));
                 }
                 self.refuse(service, &request_id, end)
             }
@@ -88,9 +90,7 @@
         came: time::Duration,
     ) -> Result<Job<'a>, End> {
         let lanes = self.lanes.load();
-        let lane = lanes
-            .get(&question.service)
-            .ok_or(not_run(reply::GaveUp::NoService))?;
+        let lane = lanes.get(&question.service).ok_or(not_run(reply::GaveUp::NoService))?;
         let service = lane.service().ok_or(not_run(reply::GaveUp::NoService))?;
         let repeatable = question.repeatable.unwrap_or(service.repeatable);
         if !repeatable && question.request_id.is_some() {
@@ -98,24 +98,16 @@
             if !self.duplicates.note(&key, came) {
                 let outcome = outcome::Outcome::Unknown;
                 let why = reply::GaveUp::Duplicate;
-                return Err(End {
-                    why,
-                    outcome,
-                    retry_after: LEAST_RETRY_AFTER,
-                });
+                return Err(End { why, outcome, retry_after: LEAST_RETRY_AFTER });
             }
         }
-        let patience = question
-            .timeout
-            .unwrap_or(time::Duration::from_millis(service.deadline_ms));
+        let patience = question.timeout.unwrap_or(time::Duration::from_millis(service.deadline_ms));
         Ok(Job {
             question,
             request_id,
             lane: sync::Arc::clone(lane),
             repeatable,
-            priority: self
-                .priority(question.class.as_ref())
-                .unwrap_or(service.priority),
+            priority: self.priority(question.class.as_ref()).unwrap_or(service.priority),
             came,
             deadline: came + patience,
         })
@@ -148,15 +140,15 @@
                     err.failure
                 }
             };
-            self.metrics
-                .failures
-                .with_label_values(&[service, failure.label()])
-                .inc();
+            self.metrics.failures.with_label_values(&[service, failure.label()]).inc();
             let now = self.clock.now();
             turn.failed(failure, now);
             tries.note(failure);
-            let made = tries.open + tries.proved;
-            let allowed = made < self.limits.tries && now < job.deadline;
+            if failure == outcome::Failure::Refused && tries.refused < MAX_REFUSALS {
+                // A full endpoint ran nothing and was asked little; the queue bounds the wait.
+                continue;
+            }
+            let allowed = tries.made() < self.limits.tries && now < job.deadline;
             if !allowed || !tries.may_repeat(job.repeatable) || !job.lane.may_retry() {
                 return Err(given_up(failure, &tries));
             }
@@ -167,7 +159,7 @@
     /// Waits for a place at an endpoint.
     async fn enter(&self, job: &Job<'_>, tries: &outcome::Tries) -> Result<lane::Turn, End> {
         let now = self.clock.now();
-        let entered = job.lane.enter(job.priority, now, job.deadline).await;
+        let entered = job.lane.enter(job.priority, now, job.deadline, tries.made() == 0).await;
         entered.map_err(|none| {
             let (why, retry_after) = match none {
                 lane::NoTurn::NoEndpoint => (reply::GaveUp::NoEndpoint, LEAST_RETRY_AFTER),
@@ -176,11 +168,7 @@
                 }
                 lane::NoTurn::Expired => (reply::GaveUp::Expired, LEAST_RETRY_AFTER),
             };
-            End {
-                why,
-                outcome: tries.outcome(),
-                retry_after,
-            }
+            End { why, outcome: tries.outcome(), retry_after }
         })
     }
 
@@ -208,10 +196,7 @@
     ) -> http_reply::Reply {
         let service = job.question.service.to_string();
         let outcome = outcome::Outcome::Answered;
-        self.metrics
-            .requests
-            .with_label_values(&[service.as_str(), outcome.label()])
-            .inc();
+        self.metrics.requests.with_label_values(&[service.as_str(), outcome.label()]).inc();
         let (mut head, body) = answer.response.into_parts();
         question::strip_connection(&mut head.headers);
         head.version = hyper::Version::default();
@@ -242,19 +227,10 @@
     /// Returns the final answer to a request that is given up.
     fn refuse(&self, service: &str, request_id: &str, end: End) -> http_reply::Reply {
         // Only known services become labels, so that callers can't make metrics grow.
-        let known = self
-            .lanes
-            .load()
-            .contains_key(&id::ServiceId::from(service));
+        let known = self.lanes.load().contains_key(&id::ServiceId::from(service));
         let service = if known { service } else { "" };
-        self.metrics
-            .requests
-            .with_label_values(&[service, end.outcome.label()])
-            .inc();
-        self.metrics
-            .gave_up
-            .with_label_values(&[service, end.why.label()])
-            .inc();
+        self.metrics.requests.with_label_values(&[service, end.outcome.label()]).inc();
+        self.metrics.gave_up.with_label_values(&[service, end.why.label()]).inc();
         reply::gave_up(end.why, end.outcome, request_id, end.retry_after)
     }
 
@@ -307,20 +283,12 @@
         outcome::Failure::Refused => reply::GaveUp::Overloaded,
         outcome::Failure::NotSent | outcome::Failure::Lost => reply::GaveUp::Failed,
     };
-    End {
-        why,
-        outcome: tries.outcome(),
-        retry_after: LEAST_RETRY_AFTER,
-    }
+    End { why, outcome: tries.outcome(), retry_after: LEAST_RETRY_AFTER }
 }
 
 /// Returns the end of a request of which nothing was sent.
 fn not_run(why: reply::GaveUp) -> End {
-    End {
-        why,
-        outcome: outcome::Outcome::NotRun,
-        retry_after: LEAST_RETRY_AFTER,
-    }
+    End { why, outcome: outcome::Outcome::NotRun, retry_after: LEAST_RETRY_AFTER }
 }
 
 /// Returns why a request was not taken.
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -79,18 +79,10 @@
     }
     let facts = ledger.facts();
     judge(story, &report, &facts);
-    let counts = Counts {
-        report: &report,
-        facts: &facts,
-        metrics: &metrics,
-        fakes: &fakes,
-    };
+    let counts = Counts { report: &report, facts: &facts, metrics: &metrics, fakes: &fakes };
     for (what, least, most) in &story.expects {
         let found = counts.of(what);
-        assert!(
-            (*least..=*most).contains(&found),
-            "{what}: {found}, not {least} to {most}"
-        );
+        assert!((*least..=*most).contains(&found), "{what}: {found}, not {least} to {most}");
     }
 }
 
@@ -99,23 +91,10 @@
     let runs = checker::runs(facts);
     for seen in &report.seen {
         let ran = runs.get(seen.request.as_str()).copied().unwrap_or(0);
-        assert_ne!(
-            seen.end,
-            caller::End::Wrong,
-            "{} got another's answer",
-            seen.request
-        );
+        assert_ne!(seen.end, caller::End::Wrong, "{} got another's answer", seen.request);
         let told_not_run = seen.end == caller::End::NotRun;
-        assert!(
-            !told_not_run || ran == 0,
-            "{} was told not run and ran",
-            seen.request
-        );
-        assert!(
-            story.repeatable || ran <= 1,
-            "{} ran {ran} times",
-            seen.request
-        );
+        assert!(!told_not_run || ran == 0, "{} was told not run and ran", seen.request);
+        assert!(story.repeatable || ran <= 1, "{} ran {ran} times", seen.request);
     }
 }
 
@@ -141,10 +120,7 @@
             "unknown" => ended(caller::End::Unknown),
             "faulted" => ended(caller::End::Faulted),
             "broken" => ended(caller::End::Broken),
-            "runs" => checker::runs(self.facts)
-                .values()
-                .map(|runs| u64::from(*runs))
-                .sum(),
+            "runs" => checker::runs(self.facts).values().map(|runs| u64::from(*runs)).sum(),
             "retries" => self.metrics.retries.with_label_values(&[SERVICE]).get(),
             "peak" => self.peak(),
             "at-0" => self.at(0),
@@ -154,10 +130,7 @@
 
     /// Returns the most requests that ran at once at any endpoint.
     fn peak(&self) -> u64 {
-        let peaks = self
-            .fakes
-            .iter()
-            .map(|f| f.peak.load(sync::atomic::Ordering::Relaxed));
+        let peaks = self.fakes.iter().map(|f| f.peak.load(sync::atomic::Ordering::Relaxed));
         peaks.max().unwrap_or(0)
     }
 
@@ -175,11 +148,7 @@
     ledger: &ledger::Ledger,
 ) -> (sync::Arc<endpoint::Endpoint>, endpoints::Endpoint) {
     let index = u32::try_from(number).expect("few endpoints");
-    let task = id::TaskId {
-        owner: SERVICE.into(),
-        born: 1,
-        index,
-    };
+    let task = id::TaskId { owner: SERVICE.into(), born: 1, index };
     let fake = endpoint::Endpoint::new(task.clone(), story.room, ledger.clone());
     fake.set_faults(story.faults[number].clone());
     let listener = bind().await;
@@ -188,13 +157,7 @@
         tokio::spawn(sync::Arc::clone(&fake).serve(listener, std::future::pending()));
     }
     let worker = format!("worker-{number}").as_str().into();
-    let entry = endpoints::Endpoint {
-        task,
-        service: SERVICE.into(),
-        worker,
-        addr,
-        leaving: false,
-    };
+    let entry = endpoints::Endpoint { task, service: SERVICE.into(), worker, addr, leaving: false };
     (fake, entry)
 }
 
@@ -230,12 +193,7 @@
         }
     });
     let handle = move |request| sync::Arc::clone(&traffic).serve(request);
-    tokio::spawn(server::serve(
-        listener,
-        server::Bounds::default(),
-        server::never(),
-        handle,
-    ));
+    tokio::spawn(server::serve(listener, server::Bounds::default(), server::never(), handle));
     addr
 }
 
@@ -256,9 +214,7 @@
 
 /// Opens a port.
 async fn bind() -> tokio::net::TcpListener {
-    tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
-        .await
-        .expect("a port")
+    tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port")
 }
 
 /// Reads a story.
@@ -266,13 +222,7 @@
     let mut story = Story {
         endpoints: 1,
         room: endpoint::Room::default(),
-        faults: vec![
-            endpoint::Faults {
-                service_ms: 2,
-                ..Default::default()
-            };
-            16
-        ],
+        faults: vec![endpoint::Faults { service_ms: 2, ..Default::default() }; 16],
         gone: collections::BTreeSet::new(),
         settings: String::new(),
         repeatable: false,
@@ -299,10 +249,7 @@
         ["endpoints", count] => story.endpoints = number(count) as usize,
         ["slots", count] => story.room.slots = number(count) as usize,
         ["service-ms", ms] => {
-            story
-                .faults
-                .iter_mut()
-                .for_each(|faults| faults.service_ms = number(ms));
+            story.faults.iter_mut().for_each(|faults| faults.service_ms = number(ms));
         }
         ["set", key, value] => story.settings.push_str(&format!("{key} = {value}\n")),
         ["repeatable"] => story.repeatable = true,
@@ -329,14 +276,10 @@
             }
         }
         ["expect", what, exact] => {
-            story
-                .expects
-                .push(((*what).to_owned(), number(exact), number(exact)));
+            story.expects.push(((*what).to_owned(), number(exact), number(exact)));
         }
         ["expect", what, least, "to", most] => {
-            story
-                .expects
-                .push(((*what).to_owned(), number(least), number(most)));
+            story.expects.push(((*what).to_owned(), number(least), number(most)));
         }
         _ => panic!("{line}"),
     }
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -80,11 +80,7 @@
     /// Makes an empty pool.
     #[must_use]
     pub fn new(idle_limit: usize, connect_timeout: time::Duration) -> Self {
-        Self {
-            idle: sync::Mutex::default(),
-            idle_limit,
-            connect_timeout,
-        }
+        Self { idle: sync::Mutex::default(), idle_limit, connect_timeout }
     }
 
     /// Makes one try of a request at an endpoint and returns the start of its answer.
@@ -130,26 +126,15 @@
         sender: Sender,
         response: hyper::Response<body::Incoming>,
     ) -> Result<Answer, TryError> {
-        let lease = ConnLease {
-            pool: sync::Arc::clone(self),
-            addr,
-            sender,
-        };
-        let refused = response
-            .headers()
-            .get(REFUSED)
-            .is_some_and(|value| value == "not-run");
+        let lease = ConnLease { pool: sync::Arc::clone(self), addr, sender };
+        let refused = response.headers().get(REFUSED).is_some_and(|value| value == "not-run");
         if refused {
             let leaving = response.headers().contains_key(LEAVING);
             let ended = response.body().is_end_stream();
             if ended {
                 lease.whole();
             }
-            return Err(TryError {
-                failure: outcome::Failure::Refused,
-                leaving,
-                source: None,
-            });
+            return Err(TryError { failure: outcome::Failure::Refused, leaving, source: None });
         }
         if !framed(&response) {
             // The end of such a body can't be told from a break, so it is never taken as whole.
@@ -206,9 +191,7 @@
 
     /// Locks the idle connections.
     fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<Sender>>> {
-        self.idle
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
@@ -226,9 +209,5 @@
 
 /// Returns a failure.
 fn failed(failure: outcome::Failure, source: Option<io::Error>) -> TryError {
-    TryError {
-        failure,
-        leaving: false,
-        source,
-    }
+    TryError { failure, leaving: false, source }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -97,9 +97,7 @@
             .header(hyper::header::CONTENT_TYPE, "application/json")
             .body(http_body_util::Full::new(body))?;
         let call = self.exchange(request);
-        tokio::time::timeout(self.timeout, call)
-            .await
-            .unwrap_or(Err(CallError::TimedOut))
+        tokio::time::timeout(self.timeout, call).await.unwrap_or(Err(CallError::TimedOut))
     }
 
     /// Makes one exchange without a bound on time.
@@ -114,9 +112,6 @@
         if status.is_success() {
             return Ok(body);
         }
-        Err(CallError::Status {
-            status: status.as_u16(),
-            body,
-        })
+        Err(CallError::Status { status: status.as_u16(), body })
     }
 }
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -43,11 +43,7 @@
 pub fn json<T: serde::Serialize>(status: hyper::StatusCode, value: &T) -> Reply {
     match serde_json::to_vec(value) {
         Ok(body) => with_type(status, "application/json", body),
-        Err(_) => problem(
-            hyper::StatusCode::INTERNAL_SERVER_ERROR,
-            "encode",
-            "can't be encoded",
-        ),
+        Err(_) => problem(hyper::StatusCode::INTERNAL_SERVER_ERROR, "encode", "can't be encoded"),
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -88,17 +88,12 @@
         .header_read_timeout(bounds.head_timeout)
         .max_buf_size(bounds.head_bytes);
     let max_head = u32::try_from(bounds.head_bytes).unwrap_or(u32::MAX);
-    builder
-        .http2()
-        .timer(rt::TokioTimer::new())
-        .max_header_list_size(max_head);
+    builder.http2().timer(rt::TokioTimer::new()).max_header_list_size(max_head);
     let service = service::service_fn(move |request| {
         let answer = handle(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
-    let conn = builder
-        .serve_connection(rt::TokioIo::new(stream), service)
-        .into_owned();
+    let conn = builder.serve_connection(rt::TokioIo::new(stream), service).into_owned();
     let watched = graceful.watch(conn);
     tokio::spawn(async move {
         // A connection that breaks is its caller's loss; requests are counted where they end.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -95,10 +95,7 @@
     /// Makes a client for the host at an address.
     #[must_use]
     pub fn new(addr: net::SocketAddr, timeout: time::Duration) -> Self {
-        Self {
-            client: client::Client::new(timeout),
-            root: format!("http://{addr}"),
-        }
+        Self { client: client::Client::new(timeout), root: format!("http://{addr}") }
     }
 
     /// Submits a desired state.
@@ -106,9 +103,7 @@
     /// # Errors
     /// Returns `CallError` where the host gave no answer: the state may be in force all the same.
     pub async fn apply(&self, apply: &Apply) -> Result<Applied, client::CallError> {
-        self.client
-            .post(&format!("{}/apply", self.root), apply)
-            .await
+        self.client.post(&format!("{}/apply", self.root), apply).await
     }
 
     /// Reads the summary.
@@ -133,9 +128,7 @@
     /// Returns `CallError` where the host gave no answer.
     pub async fn drain(&self) -> Result<(), client::CallError> {
         let url = format!("{}/drain", self.root);
-        self.client
-            .send(hyper::Method::POST, &url, Bytes::new())
-            .await?;
+        self.client.send(hyper::Method::POST, &url, Bytes::new()).await?;
         Ok(())
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -50,10 +50,7 @@
     /// Makes a client for the platform at an address.
     #[must_use]
     pub fn new(addr: net::SocketAddr, timeout: time::Duration) -> Self {
-        Self {
-            client: client::Client::new(timeout),
-            root: format!("http://{addr}"),
-        }
+        Self { client: client::Client::new(timeout), root: format!("http://{addr}") }
     }
 
     /// Makes a transaction.
@@ -72,10 +69,7 @@
     /// # Errors
     /// Returns `PlatformError` where no answer came.
     pub async fn read(&self, keys: Vec<String>) -> Result<Vec<platform::Row>, PlatformError> {
-        Ok(self
-            .client
-            .post(&self.url("table/read"), &ReadQuery { keys })
-            .await?)
+        Ok(self.client.post(&self.url("table/read"), &ReadQuery { keys }).await?)
     }
 
     /// Reads all rows below a prefix.
@@ -83,9 +77,7 @@
     /// # Errors
     /// Returns `PlatformError` where no answer came.
     pub async fn scan(&self, prefix: &str) -> Result<Vec<platform::Row>, PlatformError> {
-        let query = ScanQuery {
-            prefix: prefix.to_owned(),
-        };
+        let query = ScanQuery { prefix: prefix.to_owned() };
         Ok(self.client.post(&self.url("table/scan"), &query).await?)
     }
 
@@ -95,9 +87,7 @@
     /// Returns `PlatformError` where no answer came: the object may be stored all the same.
     pub async fn put_object(&self, key: &str, value: String) -> Result<(), PlatformError> {
         let url = self.url(&format!("objects/{key}"));
-        self.client
-            .send(Method::PUT, &url, Bytes::from(value))
-            .await?;
+        self.client.send(Method::PUT, &url, Bytes::from(value)).await?;
         Ok(())
     }
 
@@ -108,9 +98,9 @@
     pub async fn get_object(&self, key: &str) -> Result<Bytes, PlatformError> {
         let url = self.url(&format!("objects/{key}"));
         match self.client.send(Method::GET, &url, Bytes::new()).await {
-            Err(client::CallError::Status { status: 404, .. }) => Err(PlatformError::NoObject {
-                key: key.to_owned(),
-            }),
+            Err(client::CallError::Status { status: 404, .. }) => {
+                Err(PlatformError::NoObject { key: key.to_owned() })
+            }
             other => Ok(other?),
         }
     }
@@ -120,10 +110,7 @@
     /// # Errors
     /// Returns `PlatformError` where no answer came.
     pub async fn members(&self, known: u64) -> Result<Option<members::Members>, PlatformError> {
-        Ok(self
-            .client
-            .get(&self.url(&format!("members?known={known}")))
-            .await?)
+        Ok(self.client.get(&self.url(&format!("members?known={known}"))).await?)
     }
 
     /// Returns the address of a path.
--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -98,12 +98,7 @@
     for number in 0..count {
         let at = start + time::Duration::from_secs_f64(f64::from(number) / load.rate);
         tokio::time::sleep_until(at).await;
-        asked.push(tokio::spawn(ask(
-            client.clone(),
-            sync::Arc::clone(&load),
-            number,
-            at,
-        )));
+        asked.push(tokio::spawn(ask(client.clone(), sync::Arc::clone(&load), number, at)));
     }
     let mut report = Report {
         seen: Vec::new(),
@@ -136,9 +131,7 @@
         Some(built) => {
             let wanted = format!("/{request} {request}");
             let exchange = exchange(client, built, &wanted);
-            tokio::time::timeout(load.patience * 2, exchange)
-                .await
-                .unwrap_or(End::Broken)
+            tokio::time::timeout(load.patience * 2, exchange).await.unwrap_or(End::Broken)
         }
         None => End::Broken,
     };
@@ -153,17 +146,12 @@
 ) -> Option<hyper::Request<http_body_util::Full<Bytes>>> {
     let mut builder = hyper::Request::post(format!("http://{host}/{}/{request}", load.service))
         .header("wharflane-request-id", request)
-        .header(
-            "wharflane-timeout-ms",
-            load.patience.as_millis().to_string(),
-        );
+        .header("wharflane-timeout-ms", load.patience.as_millis().to_string());
     if let Some(repeatable) = load.repeatable {
         let flag = if repeatable { "yes" } else { "no" };
         builder = builder.header("wharflane-repeatable", flag);
     }
-    builder
-        .body(http_body_util::Full::new(Bytes::from(request.to_owned())))
-        .ok()
+    builder.body(http_body_util::Full::new(Bytes::from(request.to_owned()))).ok()
 }
 
 /// Makes one exchange and judges its answer.
--- a/crates/stand-in/src/checker.rs
+++ b/crates/stand-in/src/checker.rs
@@ -73,15 +73,7 @@
     let mut stories: collections::BTreeMap<id::TaskId, Story> = collections::BTreeMap::new();
     for fact in facts {
         match fact {
-            ledger::Fact::Started {
-                worker,
-                task,
-                attempt,
-                batch,
-                held,
-                capacity,
-                ..
-            } => {
+            ledger::Fact::Started { worker, task, attempt, batch, held, capacity, .. } => {
                 if !held.fits(capacity) {
                     let (worker, task) = (worker.clone(), task.clone());
                     broken.push(Broken::Overfull { worker, task });
@@ -91,22 +83,13 @@
                     started(&mut broken, story, worker, task, *attempt);
                 }
             }
-            ledger::Fact::Stopped {
-                worker,
-                task,
-                attempt,
-                ..
-            } => {
+            ledger::Fact::Stopped { worker, task, attempt, .. } => {
                 if let Some(story) = stories.get_mut(task) {
                     story.ended.insert(*attempt);
                     story.on.take_if(|(on, at)| on == worker && at == attempt);
                 }
             }
-            ledger::Fact::Completed {
-                worker,
-                task,
-                attempt,
-            } => {
+            ledger::Fact::Completed { worker, task, attempt } => {
                 let story = stories.entry(task.clone()).or_default();
                 if story.completed {
                     broken.push(Broken::CompletedTwice { task: task.clone() });
@@ -130,20 +113,13 @@
 ) {
     if let Some((first, _)) = &story.on {
         let (first, second) = (first.clone(), worker.clone());
-        broken.push(Broken::TwoPlaces {
-            task: task.clone(),
-            first,
-            second,
-        });
+        broken.push(Broken::TwoPlaces { task: task.clone(), first, second });
     }
     if story.completed {
         broken.push(Broken::StartedAfterEnd { task: task.clone() });
     }
     if story.ended.contains(&attempt) {
-        broken.push(Broken::AttemptAgain {
-            task: task.clone(),
-            attempt,
-        });
+        broken.push(Broken::AttemptAgain { task: task.clone(), attempt });
     }
     story.on = Some((worker.clone(), attempt));
 }
@@ -162,9 +138,7 @@
         })
         .collect();
     let missing = tasks.filter(|task| !done.contains(task));
-    missing
-        .map(|task| Broken::NeverCompleted { task: task.clone() })
-        .collect()
+    missing.map(|task| Broken::NeverCompleted { task: task.clone() }).collect()
 }
 
 /// Returns how often each request ran.
--- a/crates/stand-in/src/endpoint.rs
+++ b/crates/stand-in/src/endpoint.rs
@@ -74,10 +74,7 @@
 
 impl Default for Room {
     fn default() -> Self {
-        Self {
-            slots: 8,
-            connections: 64,
-        }
+        Self { slots: 8, connections: 64 }
     }
 }
 
@@ -123,16 +120,12 @@
 
     /// Sets what is wrong.
     pub fn set_faults(&self, faults: Faults) {
-        *self
-            .faults
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner) = faults;
+        *self.faults.lock().unwrap_or_else(sync::PoisonError::into_inner) = faults;
     }
 
     /// Sets how much batch tasks disturb it.
     pub fn disturb(&self, percent: u64) {
-        self.disturbed_percent
-            .store(percent, atomic::Ordering::Relaxed);
+        self.disturbed_percent.store(percent, atomic::Ordering::Relaxed);
     }
 
     /// Opens a port of its own and serves on it until `stop` ends and all requests have ended.
@@ -221,9 +214,7 @@
         let read = tokio::io::AsyncReadExt::read(&mut stream, &mut head).await?;
         let text = String::from_utf8_lossy(&head[..read]).into_owned();
         let lower = text.to_ascii_lowercase();
-        let id = lower
-            .lines()
-            .find_map(|line| line.strip_prefix(&format!("{REQUEST_ID}: ")));
+        let id = lower.lines().find_map(|line| line.strip_prefix(&format!("{REQUEST_ID}: ")));
         self.ran(id.unwrap_or_default());
         let answer = match cut {
             Cut::InBody => "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf",
@@ -249,10 +240,7 @@
 
     /// Returns what is wrong.
     fn faults(&self) -> Faults {
-        self.faults
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-            .clone()
+        self.faults.lock().unwrap_or_else(sync::PoisonError::into_inner).clone()
     }
 }
 
@@ -290,10 +278,7 @@
     let stream = futures::stream::unfold(0_u64, |number| async move {
         tokio::time::sleep(WATCH_TICK).await;
         let line = bytes::Bytes::from(format!("{number}\n"));
-        Some((
-            Ok::<_, reply::BodyError>(body::Frame::data(line)),
-            number + 1,
-        ))
+        Some((Ok::<_, reply::BodyError>(body::Frame::data(line)), number + 1))
     });
     let body = http_body_util::StreamBody::new(stream).boxed_unsync();
     hyper::Response::new(body)
@@ -305,11 +290,7 @@
 /// Returns the error of a port that can't be opened.
 pub async fn run(addr: net::SocketAddr, faults: Faults) -> io::Result<()> {
     let listener = tokio_net::TcpListener::bind(addr).await?;
-    let task = id::TaskId {
-        owner: "alone".into(),
-        born: 0,
-        index: 0,
-    };
+    let task = id::TaskId { owner: "alone".into(), born: 0, index: 0 };
     let endpoint = Endpoint::new(task, Room::default(), ledger::Ledger::default());
     endpoint.set_faults(faults);
     endpoint.serve(listener, std::future::pending()).await;
--- a/crates/stand-in/src/ledger.rs
+++ b/crates/stand-in/src/ledger.rs
@@ -76,8 +76,6 @@
 
     /// Locks the facts.
     fn lock(&self) -> sync::MutexGuard<'_, Vec<Fact>> {
-        self.facts
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.facts.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
--- a/crates/stand-in/src/machine.rs
+++ b/crates/stand-in/src/machine.rs
@@ -104,8 +104,7 @@
         for task in running {
             self.stop(&task);
         }
-        self.runs
-            .retain(|_, run| run.state == work::TaskState::Completed);
+        self.runs.retain(|_, run| run.state == work::TaskState::Completed);
         self.boot += 1;
         self.epoch = 0;
         self.seq = 0;
@@ -127,26 +126,15 @@
         let share = self.faults.run_time_percent;
         let mut ended = Vec::new();
         for (task, run) in self.runs.iter_mut().filter(|(_, run)| run.running()) {
-            let work::Kind::Batch {
-                run_time_ms,
-                checkpoint,
-            } = &run.kind
-            else {
+            let work::Kind::Batch { run_time_ms, checkpoint } = &run.kind else {
                 continue;
             };
-            let whole = if share == 0 {
-                *run_time_ms
-            } else {
-                *run_time_ms * share / 100
-            };
+            let whole = if share == 0 { *run_time_ms } else { *run_time_ms * share / 100 };
             run.progress_ms += passed_ms as f64 * f64::from(run.percent) / 100.0;
             if *checkpoint {
                 run.saved_ms = run.progress_ms as u64 / SAVE_EVERY_MS * SAVE_EVERY_MS;
                 let checkpoint = Some(run.saved_ms);
-                run.state = work::TaskState::Running {
-                    addr: None,
-                    checkpoint,
-                };
+                run.state = work::TaskState::Running { addr: None, checkpoint };
             }
             if run.progress_ms >= whole as f64 {
                 run.state = work::TaskState::Completed;
@@ -155,11 +143,7 @@
         }
         for (task, attempt) in ended {
             let worker = self.worker.clone();
-            self.ledger.add(ledger::Fact::Completed {
-                worker,
-                task,
-                attempt,
-            });
+            self.ledger.add(ledger::Fact::Completed { worker, task, attempt });
         }
     }
 
@@ -167,11 +151,7 @@
     pub fn sync(&mut self, now: time::Duration, sync: &work::Sync) -> work::Answer {
         self.tick(now);
         if let Some(why) = self.refusal(sync) {
-            return work::Answer::Refused {
-                why,
-                epoch: self.epoch,
-                boot: self.boot,
-            };
+            return work::Answer::Refused { why, epoch: self.epoch, boot: self.boot };
         }
         self.epoch = sync.epoch;
         self.seq = sync.seq;
@@ -185,10 +165,7 @@
     /// Says where a service task answers.
     pub fn set_addr(&mut self, task: &id::TaskId, addr: net::SocketAddr) {
         if let Some(run) = self.runs.get_mut(task).filter(|run| run.running()) {
-            run.state = work::TaskState::Running {
-                addr: Some(addr),
-                checkpoint: None,
-            };
+            run.state = work::TaskState::Running { addr: Some(addr), checkpoint: None };
         }
     }
 
@@ -196,21 +173,15 @@
     #[must_use]
     pub fn services(&self) -> Vec<id::TaskId> {
         let service = |run: &Run| matches!(run.kind, work::Kind::Service { .. });
-        self.running()
-            .filter(|(_, run)| service(run))
-            .map(|(task, _)| task.clone())
-            .collect()
+        self.running().filter(|(_, run)| service(run)).map(|(task, _)| task.clone()).collect()
     }
 
     /// Returns the share of its processors that batch tasks use now.
     #[must_use]
     pub fn batch_load(&self) -> f64 {
-        let batch = self
-            .running()
-            .filter(|(_, run)| matches!(run.kind, work::Kind::Batch { .. }));
-        let used: f64 = batch
-            .map(|(_, run)| run.size.cpu_milli as f64 * f64::from(run.percent) / 100.0)
-            .sum();
+        let batch = self.running().filter(|(_, run)| matches!(run.kind, work::Kind::Batch { .. }));
+        let used: f64 =
+            batch.map(|(_, run)| run.size.cpu_milli as f64 * f64::from(run.percent) / 100.0).sum();
         used / self.capacity.cpu_milli.max(1) as f64
     }
 
@@ -232,25 +203,12 @@
     /// Carries out a command.
     fn obey(&mut self, command: &work::Command) {
         match command {
-            work::Command::Start {
-                task,
-                attempt,
-                size,
-                checkpoint,
-                kind,
-            } => {
+            work::Command::Start { task, attempt, size, checkpoint, kind } => {
                 self.start(task, *attempt, size, *checkpoint, kind);
             }
             work::Command::Stop { task, attempt } => self.stop_attempt(task, *attempt),
-            work::Command::Throttle {
-                task,
-                attempt,
-                percent,
-            } => {
-                let run = self
-                    .runs
-                    .get_mut(task)
-                    .filter(|run| run.attempt == *attempt);
+            work::Command::Throttle { task, attempt, percent } => {
+                let run = self.runs.get_mut(task).filter(|run| run.attempt == *attempt);
                 if let Some(run) = run {
                     run.percent = *percent;
                 }
@@ -273,11 +231,7 @@
         checkpoint: Option<u64>,
         kind: &work::Kind,
     ) {
-        if self
-            .runs
-            .get(task)
-            .is_some_and(|run| run.attempt >= attempt)
-        {
+        if self.runs.get(task).is_some_and(|run| run.attempt >= attempt) {
             return;
         }
         if self.now_ms > self.lease_until_ms {
@@ -289,10 +243,7 @@
         let state = if failed {
             work::TaskState::Failed
         } else {
-            work::TaskState::Running {
-                addr: None,
-                checkpoint,
-            }
+            work::TaskState::Running { addr: None, checkpoint }
         };
         let run = Run {
             attempt,
@@ -309,15 +260,7 @@
         }
         let (worker, task) = (self.worker.clone(), task.clone());
         let (held, capacity) = (self.held(), self.capacity);
-        let fact = ledger::Fact::Started {
-            worker,
-            task,
-            attempt,
-            from_ms,
-            batch,
-            held,
-            capacity,
-        };
+        let fact = ledger::Fact::Started { worker, task, attempt, from_ms, batch, held, capacity };
         self.ledger.add(fact);
     }
 
@@ -330,10 +273,7 @@
                 let run = Run {
                     attempt,
                     size: size::Size::default(),
-                    kind: work::Kind::Batch {
-                        run_time_ms: 0,
-                        checkpoint: false,
-                    },
+                    kind: work::Kind::Batch { run_time_ms: 0, checkpoint: false },
                     state: work::TaskState::Stopped { checkpoint: None },
                     progress_ms: 0.0,
                     saved_ms: 0,
@@ -349,23 +289,12 @@
         let Some(run) = self.runs.get_mut(task).filter(|run| run.running()) else {
             return;
         };
-        let can_save = matches!(
-            run.kind,
-            work::Kind::Batch {
-                checkpoint: true,
-                ..
-            }
-        );
+        let can_save = matches!(run.kind, work::Kind::Batch { checkpoint: true, .. });
         let checkpoint = can_save.then_some(run.saved_ms);
         run.state = work::TaskState::Stopped { checkpoint };
         let (worker, task) = (self.worker.clone(), task.clone());
         let (attempt, saved_ms) = (run.attempt, run.saved_ms);
-        self.ledger.add(ledger::Fact::Stopped {
-            worker,
-            task,
-            attempt,
-            saved_ms,
-        });
+        self.ledger.add(ledger::Fact::Stopped { worker, task, attempt, saved_ms });
     }
 
     /// Returns the tasks that run.
@@ -375,8 +304,7 @@
 
     /// Returns what all running tasks hold.
     fn held(&self) -> size::Size {
-        self.running()
-            .fold(size::Size::default(), |sum, (_, run)| sum.plus(&run.size))
+        self.running().fold(size::Size::default(), |sum, (_, run)| sum.plus(&run.size))
     }
 
     /// Returns the report.
--- a/crates/stand-in/src/main.rs
+++ b/crates/stand-in/src/main.rs
@@ -39,51 +39,26 @@
     let worker = clap::Command::new("worker")
         .about("A worker that runs tasks and endpoints")
         .arg(addr())
-        .arg(
-            clap::Arg::new("name")
-                .long("name")
-                .required(true)
-                .help("Its name"),
-        )
-        .arg(number(
-            "cpu-milli",
-            "16000",
-            "Its processors in thousandths",
-        ))
+        .arg(clap::Arg::new("name").long("name").required(true).help("Its name"))
+        .arg(number("cpu-milli", "16000", "Its processors in thousandths"))
         .arg(number("mem-mb", "60000", "Its memory"))
         .arg(number("accelerators", "0", "Its accelerators"))
-        .arg(number(
-            "harm-percent",
-            "0",
-            "How much a full batch load slows requests",
-        ))
+        .arg(number("harm-percent", "0", "How much a full batch load slows requests"))
         .arg(service_ms());
     let caller = clap::Command::new("caller")
         .about("Callers with an open-loop load")
         .arg(addr().help("The host to call"))
-        .arg(
-            clap::Arg::new("service")
-                .long("service")
-                .required(true)
-                .help("The service"),
-        )
+        .arg(clap::Arg::new("service").long("service").required(true).help("The service"))
         .arg(number("rate", "100", "Requests a second"))
         .arg(number("seconds", "10", "How long the load lasts"));
     clap::Command::new("wharflane-stand-in")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Small fakes of the platform, workers, endpoints and callers")
         .subcommand_required(true)
-        .subcommand(
-            clap::Command::new("platform")
-                .about("The platform")
-                .arg(addr()),
-        )
+        .subcommand(clap::Command::new("platform").about("The platform").arg(addr()))
         .subcommand(worker)
         .subcommand(
-            clap::Command::new("endpoint")
-                .about("One endpoint")
-                .arg(addr())
-                .arg(service_ms()),
+            clap::Command::new("endpoint").about("One endpoint").arg(addr()).arg(service_ms()),
         )
         .subcommand(caller)
 }
@@ -94,9 +69,7 @@
     let Some((name, args)) = matches.subcommand() else {
         return Ok(());
     };
-    let addr = *args
-        .get_one::<net::SocketAddr>("addr")
-        .context("no address")?;
+    let addr = *args.get_one::<net::SocketAddr>("addr").context("no address")?;
     match name {
         "platform" => platform::run(addr).await?,
         "worker" => worker::run(addr, make(args)).await?,
@@ -114,10 +87,7 @@
 
 /// Runs callers and prints what they saw.
 async fn call(addr: net::SocketAddr, args: &clap::ArgMatches) {
-    let service = args
-        .get_one::<String>("service")
-        .cloned()
-        .unwrap_or_default();
+    let service = args.get_one::<String>("service").cloned().unwrap_or_default();
     let report = caller::run(caller::Load {
         hosts: vec![addr],
         service,
@@ -145,9 +115,7 @@
 
 /// Returns how a worker is made.
 fn make(args: &clap::ArgMatches) -> worker::Make {
-    let name = args
-        .get_one::<String>("name")
-        .map_or("worker", String::as_str);
+    let name = args.get_one::<String>("name").map_or("worker", String::as_str);
     worker::Make {
         worker: id::WorkerId::from(name),
         capacity: size::Size {
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -39,9 +39,7 @@
     /// # Panics
     /// Never panics: a poisoned lock is taken all the same.
     pub fn lock(&self) -> sync::MutexGuard<'_, store::Store> {
-        self.store
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.store.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Answers one request.
@@ -64,8 +62,7 @@
         if down {
             return Bad::Gone(store::NoAnswer).reply();
         }
-        self.protocol(&method, &path, &query, &body)
-            .unwrap_or_else(Bad::reply)
+        self.protocol(&method, &path, &query, &body).unwrap_or_else(Bad::reply)
     }
 
     /// Answers one request of the protocol.
@@ -94,9 +91,7 @@
                 Ok(reply::json(StatusCode::OK, &store.scan(&query.prefix)?))
             }
             (&Method::GET, "/members") => {
-                let known = query
-                    .strip_prefix("known=")
-                    .and_then(|known| known.parse().ok());
+                let known = query.strip_prefix("known=").and_then(|known| known.parse().ok());
                 let members = store.members()?;
                 let news = (Some(members.version) != known).then_some(members);
                 Ok(reply::json(StatusCode::OK, &news))
--- a/crates/stand-in/src/scenario.rs
+++ b/crates/stand-in/src/scenario.rs
@@ -153,11 +153,7 @@
     for seed in 0..scenario.seeds.max(1) {
         scenario.tell(seed, None)?;
     }
-    if scenario.walk {
-        walk(&scenario)
-    } else {
-        Ok(())
-    }
+    if scenario.walk { walk(&scenario) } else { Ok(()) }
 }
 
 /// Tells the story once for every kill point.
@@ -180,11 +176,8 @@
             world.kill_at(at);
         }
         for (number, cpu_milli) in self.workers.iter().enumerate() {
-            let capacity = size::Size {
-                cpu_milli: *cpu_milli,
-                mem_mb: WORKER_MEM_MB,
-                accelerators: 0,
-            };
+            let capacity =
+                size::Size { cpu_milli: *cpu_milli, mem_mb: WORKER_MEM_MB, accelerators: 0 };
             world.add_worker(&format!("worker-{number}"), capacity);
         }
         let mut owners = self.owners.clone();
@@ -203,10 +196,7 @@
     fn settings(&self) -> hall::Settings {
         let millis = time::Duration::from_millis;
         hall::Settings {
-            timing: lease::Timing {
-                lease: millis(2_000),
-                turn: millis(400),
-            },
+            timing: lease::Timing { lease: millis(2_000), turn: millis(400) },
             poll: millis(300),
             commit: millis(100),
             sync: millis(300),
@@ -215,6 +205,7 @@
             authority: millis(self.authority_ms.unwrap_or(8_000)),
             drain: millis(1_000),
             snapshot_every: 4,
+            ..hall::Settings::default()
         }
     }
 
@@ -234,12 +225,7 @@
             if found < expect.least || found > expect.most {
                 let Expect { what, least, most } = expect;
                 let expected = format!("{what} from {least} to {most}");
-                return Err(ScenarioError::Unexpected {
-                    seed,
-                    kill,
-                    expected,
-                    found,
-                });
+                return Err(ScenarioError::Unexpected { seed, kill, expected, found });
             }
         }
         Ok(())
@@ -250,10 +236,7 @@
 fn count(world: &world::World, facts: &[ledger::Fact], what: &str) -> u64 {
     let counters = world.holding().map(hall::Holding::counters);
     let evicted = |cause: book::Cause| {
-        counters
-            .and_then(|counters| counters.evicted.get(&cause))
-            .copied()
-            .unwrap_or(0)
+        counters.and_then(|counters| counters.evicted.get(&cause)).copied().unwrap_or(0)
     };
     let facts_where =
         |test: fn(&ledger::Fact) -> bool| facts.iter().filter(|fact| test(fact)).count() as u64;
@@ -263,19 +246,13 @@
         "resumed" => facts_where(
             |fact| matches!(fact, ledger::Fact::Started { from_ms, .. } if *from_ms > 0),
         ),
-        "services" => world
-            .machines
-            .values()
-            .map(|m| m.services().len() as u64)
-            .sum(),
+        "services" => world.machines.values().map(|m| m.services().len() as u64).sum(),
         "preempted" => evicted(book::Cause::Preempted),
         "drained" => evicted(book::Cause::Drain),
         "cancelled" => evicted(book::Cause::Cancelled),
         "placed" => counters.map_or(0, |counters| counters.placed),
         "misfits" => counters.map_or(0, |counters| counters.misfits),
-        "waiting" => world
-            .holding()
-            .map_or(0, |holding| holding.waiting_count() as u64),
+        "waiting" => world.holding().map_or(0, |holding| holding.waiting_count() as u64),
         "epoch" => world.holding().map_or(0, |holding| holding.head().epoch),
         "txns" => world.store.counts.txns,
         _ => u64::MAX,
@@ -341,38 +318,16 @@
 
 /// Sends a worker a start of an attempt long gone, as an old holder might.
 fn replay_old(world: &mut world::World, worker: &str) {
-    let started = world
-        .ledger
-        .facts()
-        .into_iter()
-        .find_map(|fact| match fact {
-            ledger::Fact::Started {
-                task,
-                attempt,
-                batch: true,
-                ..
-            } => Some((task, attempt)),
-            _ => None,
-        });
+    let started = world.ledger.facts().into_iter().find_map(|fact| match fact {
+        ledger::Fact::Started { task, attempt, batch: true, .. } => Some((task, attempt)),
+        _ => None,
+    });
     let Some((task, attempt)) = started else {
         return;
     };
-    let size = size::Size {
-        cpu_milli: 1,
-        mem_mb: 1,
-        accelerators: 0,
-    };
-    let kind = work::Kind::Batch {
-        run_time_ms: 1,
-        checkpoint: false,
-    };
-    let start = work::Command::Start {
-        task,
-        attempt,
-        size,
-        checkpoint: None,
-        kind,
-    };
+    let size = size::Size { cpu_milli: 1, mem_mb: 1, accelerators: 0 };
+    let kind = work::Kind::Batch { run_time_ms: 1, checkpoint: false };
+    let start = work::Command::Start { task, attempt, size, checkpoint: None, kind };
     let sync = work::Sync {
         worker: worker.into(),
         boot: Some(1),
@@ -405,10 +360,7 @@
         if line.is_empty() {
             continue;
         }
-        let syntax = || ScenarioError::Syntax {
-            line: at + 1,
-            text: line.to_owned(),
-        };
+        let syntax = || ScenarioError::Syntax { line: at + 1, text: line.to_owned() };
         parse_line(&mut scenario, line).ok_or_else(syntax)?;
     }
     Ok(scenario)
@@ -436,19 +388,11 @@
         ["expect", what, exact] => {
             let count = exact.parse().ok()?;
             let what = (*what).to_owned();
-            scenario.expects.push(Expect {
-                what,
-                least: count,
-                most: count,
-            });
+            scenario.expects.push(Expect { what, least: count, most: count });
         }
         ["expect", what, least, "to", most] => {
             let (least, most) = (least.parse().ok()?, most.parse().ok()?);
-            scenario.expects.push(Expect {
-                what: (*what).to_owned(),
-                least,
-                most,
-            });
+            scenario.expects.push(Expect { what: (*what).to_owned(), least, most });
         }
         ["walk"] => scenario.walk = true,
         ["seeds", count] => scenario.seeds = count.parse().ok()?,
@@ -467,26 +411,13 @@
         ["restart"] => Act::Restart,
         ["holder-leaves"] => Act::HolderLeaves,
         ["store", "well"] => Act::Store(faults),
-        ["store", "down"] => Act::Store(store::Faults {
-            down: true,
-            ..faults
-        }),
-        ["store", "stale"] => Act::Store(store::Faults {
-            stale_reads: true,
-            ..faults
-        }),
-        ["store", "stale-scans"] => Act::Store(store::Faults {
-            stale_scans: true,
-            ..faults
-        }),
-        ["store", "slow", ms] => Act::Store(store::Faults {
-            slow_ms: ms.parse().ok()?,
-            ..faults
-        }),
-        ["store", "loses", every] => Act::Store(store::Faults {
-            lose_every: every.parse().ok()?,
-            ..faults
-        }),
+        ["store", "down"] => Act::Store(store::Faults { down: true, ..faults }),
+        ["store", "stale"] => Act::Store(store::Faults { stale_reads: true, ..faults }),
+        ["store", "stale-scans"] => Act::Store(store::Faults { stale_scans: true, ..faults }),
+        ["store", "slow", ms] => Act::Store(store::Faults { slow_ms: ms.parse().ok()?, ..faults }),
+        ["store", "loses", every] => {
+            Act::Store(store::Faults { lose_every: every.parse().ok()?, ..faults })
+        }
         ["isolate", worker] => Act::Isolate((*worker).to_owned()),
         ["reconnect"] => Act::Reconnect,
         ["config-lags"] => Act::ConfigLags,
--- a/crates/stand-in/src/store.rs
+++ b/crates/stand-in/src/store.rs
@@ -83,9 +83,7 @@
             version != check.version
         });
         if let Some(check) = failed {
-            return Ok(platform::TxnAnswer::Conflict {
-                key: check.key.clone(),
-            });
+            return Ok(platform::TxnAnswer::Conflict { key: check.key.clone() });
         }
         if self.faults.stale_reads {
             self.before = self.rows.clone();
@@ -106,10 +104,7 @@
     /// Returns `NoAnswer` while the platform is down.
     pub fn read(&mut self, keys: &[String]) -> Result<Vec<platform::Row>, NoAnswer> {
         let rows = self.reading()?;
-        Ok(keys
-            .iter()
-            .filter_map(|key| rows.get(key).cloned())
-            .collect())
+        Ok(keys.iter().filter_map(|key| rows.get(key).cloned()).collect())
     }
 
     /// Reads all rows below a prefix.
@@ -120,10 +115,7 @@
         let stale = self.faults.stale_scans.then(|| self.scanned.clone());
         let fresh = self.reading()?;
         let rows = stale.as_ref().unwrap_or(fresh).range(prefix.to_owned()..);
-        Ok(rows
-            .take_while(|(k, _)| k.starts_with(prefix))
-            .map(|(_, row)| row.clone())
-            .collect())
+        Ok(rows.take_while(|(k, _)| k.starts_with(prefix)).map(|(_, row)| row.clone()).collect())
     }
 
     /// Stores an object.
@@ -164,11 +156,7 @@
     /// # Errors
     /// Returns `NoAnswer` while the platform is down.
     pub fn members(&self) -> Result<members::Members, NoAnswer> {
-        if self.faults.down {
-            Err(NoAnswer)
-        } else {
-            Ok(self.shown.clone())
-        }
+        if self.faults.down { Err(NoAnswer) } else { Ok(self.shown.clone()) }
     }
 
     /// Returns the rows as readers see them.
@@ -177,11 +165,7 @@
             return Err(NoAnswer);
         }
         self.counts.reads += 1;
-        Ok(if self.faults.stale_reads {
-            &self.before
-        } else {
-            &self.rows
-        })
+        Ok(if self.faults.stale_reads { &self.before } else { &self.rows })
     }
 
     /// Makes one write.
@@ -192,11 +176,7 @@
         };
         self.counts.written_bytes += value.len() as u64;
         let version = self.rows.get(&write.key).map_or(0, |row| row.version) + 1;
-        let row = platform::Row {
-            key: write.key.clone(),
-            version,
-            value: value.clone(),
-        };
+        let row = platform::Row { key: write.key.clone(), version, value: value.clone() };
         self.rows.insert(write.key.clone(), row);
     }
 }
--- a/crates/stand-in/src/worker.rs
+++ b/crates/stand-in/src/worker.rs
@@ -88,9 +88,7 @@
 
     /// Locks the worker, for tests in the same process.
     pub fn lock(&self) -> sync::MutexGuard<'_, machine::Machine> {
-        self.machine
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.machine.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Sets what is wrong with the endpoints that run and with those to come.
@@ -135,8 +133,7 @@
             let _ = stopped.await;
         };
         tokio::spawn(sync::Arc::clone(&endpoint).serve(listener, stopped));
-        self.endpoints()
-            .insert(task.clone(), Open { endpoint, stop });
+        self.endpoints().insert(task.clone(), Open { endpoint, stop });
         self.lock().set_addr(task, addr);
         Ok(())
     }
@@ -179,9 +176,7 @@
 
     /// Locks the endpoints that run.
     fn endpoints(&self) -> sync::MutexGuard<'_, collections::BTreeMap<id::TaskId, Open>> {
-        self.open
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        self.open.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
@@ -192,8 +187,6 @@
 pub async fn run(addr: net::SocketAddr, make: Make) -> io::Result<()> {
     let listener = tokio_net::TcpListener::bind(addr).await?;
     let boot = rand::random();
-    Server::new(make, boot, ledger::Ledger::default())
-        .serve(listener)
-        .await;
+    Server::new(make, boot, ledger::Ledger::default()).serve(listener).await;
     Ok(())
 }
--- a/crates/stand-in/src/world.rs
+++ b/crates/stand-in/src/world.rs
@@ -146,12 +146,7 @@
         let addr = std::net::SocketAddr::from(([127, 0, 0, 1], port));
         let rack = format!("rack-{}", number / 8);
         let presence = members::Presence::Live;
-        let member = members::Worker {
-            addr,
-            hall: HALL.into(),
-            rack,
-            presence,
-        };
+        let member = members::Worker { addr, hall: HALL.into(), rack, presence };
         self.members.workers.insert(worker.clone(), member);
         self.machines.insert(worker, machine);
         self.show_members();
@@ -196,10 +191,7 @@
         self.no_store.insert(host);
         let alone = id::WorkerId::from(worker);
         for at in 0..self.hosts.len() {
-            let apart = self
-                .machines
-                .keys()
-                .filter(|name| (at == host) != (**name == alone));
+            let apart = self.machines.keys().filter(|name| (at == host) != (**name == alone));
             self.cut_from.extend(apart.map(|name| (at, name.clone())));
         }
     }
@@ -284,13 +276,7 @@
         let name = id::HostId::from(format!("entry-{number}").as_str());
         let peer_addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
         let presence = members::Presence::Live;
-        self.members.hosts.insert(
-            name.clone(),
-            members::Host {
-                peer_addr,
-                presence,
-            },
-        );
+        self.members.hosts.insert(name.clone(), members::Host { peer_addr, presence });
         self.hosts.push(Host {
             name,
             engine: None,
@@ -312,10 +298,7 @@
         let lags = self.config_lags;
         let engine = hall::Engine::new(HALL.into(), host.name.clone(), self.settings, nonce);
         host.engine = Some(engine);
-        self.tell(
-            at,
-            hall::Event::Members(sync::Arc::new(self.members.clone())),
-        );
+        self.tell(at, hall::Event::Members(sync::Arc::new(self.members.clone())));
         if self.current.revision > 0 && !lags {
             self.tell(at, hall::Event::Config(sync::Arc::clone(&self.current)));
         }
@@ -337,10 +320,7 @@
             self.members.version = members.version;
         }
         for at in 0..self.hosts.len() {
-            self.tell(
-                at,
-                hall::Event::Members(sync::Arc::new(self.members.clone())),
-            );
+            self.tell(at, hall::Event::Members(sync::Arc::new(self.members.clone())));
         }
     }
 
@@ -448,10 +428,7 @@
             hall::Effect::Store(snapshot, text) => {
                 let put = self.store.put_object(&snapshot.key, text.clone());
                 let seq = if put.is_ok() { snapshot.seq } else { 0 };
-                hall::Event::Stored(lease::Snapshot {
-                    seq,
-                    ..snapshot.clone()
-                })
+                hall::Event::Stored(lease::Snapshot { seq, ..snapshot.clone() })
             }
             hall::Effect::Sync(_, sync) => {
                 let apart = self.cut_from.contains(&(at, sync.worker.clone()));
@@ -461,11 +438,7 @@
                 let now = self.now;
                 let machine = self.machines.get_mut(&sync.worker)?;
                 let answer = Some(machine.sync(now, sync));
-                hall::Event::Synced {
-                    worker: sync.worker.clone(),
-                    seq: sync.seq,
-                    answer,
-                }
+                hall::Event::Synced { worker: sync.worker.clone(), seq: sync.seq, answer }
             }
         })
     }
@@ -478,10 +451,7 @@
             Some(Err(_)) => return hall::Event::LoadFailed,
         };
         match self.store.scan(&hall::log_prefix(hall)) {
-            Ok(log) => hall::Event::Loaded {
-                snapshot: text,
-                log,
-            },
+            Ok(log) => hall::Event::Loaded { snapshot: text, log },
             Err(_) => hall::Event::LoadFailed,
         }
     }
--- a/crates/wharflane/src/book.rs
+++ b/crates/wharflane/src/book.rs
@@ -207,42 +207,21 @@
     /// # Errors
     /// Returns `Misfit` and changes nothing where the record does not follow from the state.
     pub fn apply(&mut self, record: &Record) -> Result<(), Misfit> {
-        let misfit = || Misfit {
-            task: record.task().clone(),
-        };
+        let misfit = || Misfit { task: record.task().clone() };
         match record {
-            Record::Place {
-                task,
-                attempt,
-                worker,
-                size,
-                priority,
-            } => self
-                .place(task, *attempt, worker, size, *priority)
-                .ok_or_else(misfit),
-            Record::Evict {
-                task,
-                attempt,
-                cause,
-            } => {
+            Record::Place { task, attempt, worker, size, priority } => {
+                self.place(task, *attempt, worker, size, *priority).ok_or_else(misfit)
+            }
+            Record::Evict { task, attempt, cause } => {
                 let entry = self.current(task, *attempt).ok_or_else(misfit)?;
                 let State::Placed { worker } = &entry.state else {
                     return Err(misfit());
                 };
-                entry.state = State::Leaving {
-                    worker: worker.clone(),
-                    cause: *cause,
-                };
+                entry.state = State::Leaving { worker: worker.clone(), cause: *cause };
                 Ok(())
             }
-            Record::Free {
-                task,
-                attempt,
-                checkpoint,
-                proof,
-            } => {
-                self.leave(task, *attempt, State::Waiting)
-                    .ok_or_else(misfit)?;
+            Record::Free { task, attempt, checkpoint, proof } => {
+                self.leave(task, *attempt, State::Waiting).ok_or_else(misfit)?;
                 let entry = self.entries.get_mut(task).ok_or_else(misfit)?;
                 entry.checkpoint = checkpoint.or(entry.checkpoint);
                 entry.failures += u32::from(*proof == Proof::Failed);
@@ -252,10 +231,7 @@
                 self.leave(task, *attempt, State::Done).ok_or_else(misfit)
             }
             Record::Forget { task } => {
-                let idle = self
-                    .entries
-                    .get(task)
-                    .is_some_and(|e| e.state.worker().is_none());
+                let idle = self.entries.get(task).is_some_and(|e| e.state.worker().is_none());
                 if !idle {
                     return Err(misfit());
                 }
@@ -299,9 +275,7 @@
 
     /// Returns the task if the attempt is its last.
     fn current(&mut self, task: &id::TaskId, attempt: u32) -> Option<&mut Entry> {
-        self.entries
-            .get_mut(task)
-            .filter(|entry| entry.attempt == attempt)
+        self.entries.get_mut(task).filter(|entry| entry.attempt == attempt)
     }
 
     /// Gives a waiting task a worker.
@@ -321,9 +295,7 @@
         }
         let entry = Entry {
             attempt,
-            state: State::Placed {
-                worker: worker.clone(),
-            },
+            state: State::Placed { worker: worker.clone() },
             size: *size,
             priority,
             checkpoint: before.and_then(|entry| entry.checkpoint),
@@ -354,10 +326,7 @@
 
     /// Sets room aside on a worker.
     fn hold(&mut self, worker: &id::WorkerId, task: &id::TaskId, size: &size::Size) {
-        self.on
-            .entry(worker.clone())
-            .or_default()
-            .insert(task.clone());
+        self.on.entry(worker.clone()).or_default().insert(task.clone());
         let used = self.used.entry(worker.clone()).or_default();
         *used = used.plus(size);
     }
--- a/crates/wharflane/src/clock.rs
+++ b/crates/wharflane/src/clock.rs
@@ -21,9 +21,7 @@
     /// Makes a clock whose origin is the present moment.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            origin: time::Instant::now(),
-        }
+        Self { origin: time::Instant::now() }
     }
 }
 
@@ -49,19 +47,13 @@
 impl ManualClock {
     /// Moves the clock forward.
     pub fn advance(&self, by: time::Duration) {
-        let mut now = self
-            .now
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut now = self.now.lock().unwrap_or_else(sync::PoisonError::into_inner);
         *now += by;
     }
 }
 
 impl Clock for ManualClock {
     fn now(&self) -> time::Duration {
-        *self
-            .now
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+        *self.now.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
--- a/crates/wharflane/src/commit.rs
+++ b/crates/wharflane/src/commit.rs
@@ -49,12 +49,7 @@
     /// Starts from a row as it was read; version zero stands for an absent row.
     #[must_use]
     pub fn new(key: &str, version: u64, head: lease::Head) -> Self {
-        Self {
-            key: key.to_owned(),
-            version,
-            head,
-            pending: None,
-        }
+        Self { key: key.to_owned(), version, head, pending: None }
     }
 
     /// Returns the head row after the last commit.
@@ -79,22 +74,10 @@
         mut writes: Vec<platform::Write>,
     ) -> Result<platform::Txn, EncodeError> {
         let value = Some(serde_json::to_string(&head)?);
-        writes.push(platform::Write {
-            key: self.key.clone(),
-            value,
-        });
-        let check = platform::Check {
-            key: self.key.clone(),
-            version: self.version,
-        };
-        let txn = platform::Txn {
-            checks: vec![check],
-            writes,
-        };
-        self.pending = Some(Pending {
-            head,
-            txn: txn.clone(),
-        });
+        writes.push(platform::Write { key: self.key.clone(), value });
+        let check = platform::Check { key: self.key.clone(), version: self.version };
+        let txn = platform::Txn { checks: vec![check], writes };
+        self.pending = Some(Pending { head, txn: txn.clone() });
         Ok(txn)
     }
 
--- a/crates/wharflane/src/desired.rs
+++ b/crates/wharflane/src/desired.rs
@@ -147,11 +147,7 @@
         root.end();
     }
     let faults = doc.finish();
-    if faults.is_empty() {
-        Ok(desired)
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(desired) } else { Err(faults) }
 }
 
 /// Checks a new desired state against the one before, and returns the faults and the birth marks.
@@ -164,16 +160,9 @@
     for (name, job) in &after.jobs {
         let fixed = |key: &str| toml_read::Fault {
             line: 1,
-            kind: toml_read::FaultKind::Fixed {
-                key: key.to_owned(),
-                name: name.to_string(),
-            },
+            kind: toml_read::FaultKind::Fixed { key: key.to_owned(), name: name.to_string() },
         };
-        if before
-            .jobs
-            .get(name)
-            .is_some_and(|old| old.halls != job.halls)
-        {
+        if before.jobs.get(name).is_some_and(|old| old.halls != job.halls) {
             // A task's hall follows from this list, and two halls must never both own it.
             faults.push(fixed("halls"));
         }
@@ -189,10 +178,7 @@
 impl Desired {
     /// Returns the revision in which each service and job first stood.
     fn births(&self) -> collections::BTreeMap<String, u64> {
-        let services = self
-            .services
-            .iter()
-            .map(|(name, s)| (name.to_string(), s.born));
+        let services = self.services.iter().map(|(name, s)| (name.to_string(), s.born));
         let jobs = self.jobs.iter().map(|(name, j)| (name.to_string(), j.born));
         services.chain(jobs).collect()
     }
@@ -226,9 +212,7 @@
         let name = table.need_name("name");
         let priority = small(table.need_number("priority", 0..=1_000_000));
         if let Some((_, name)) = name {
-            let twice = desired
-                .classes
-                .insert(name.as_str().into(), Class { priority });
+            let twice = desired.classes.insert(name.as_str().into(), Class { priority });
             note_twice(&table, twice.is_some(), "class", &name);
         }
         table.end();
@@ -284,10 +268,7 @@
             halls: owner.halls,
         };
         if let Some((_, name)) = name {
-            let taken = desired
-                .services
-                .insert(name.as_str().into(), service)
-                .is_some();
+            let taken = desired.services.insert(name.as_str().into(), service).is_some();
             note_twice(&table, taken, "service", &name);
         }
         table.end();
@@ -311,9 +292,7 @@
             halls: owner.halls,
         };
         if let Some((_, name)) = name {
-            let is_service = desired
-                .services
-                .contains_key(&id::ServiceId::from(name.as_str()));
+            let is_service = desired.services.contains_key(&id::ServiceId::from(name.as_str()));
             let taken = desired.jobs.insert(name.as_str().into(), job).is_some();
             note_twice(&table, taken || is_service, "job", &name);
         }
@@ -352,17 +331,10 @@
     desired: &Desired,
 ) -> Owner {
     let unknown = |at: usize, what: &str, name: &str| {
-        let kind = toml_read::FaultKind::Unknown {
-            what: what.to_owned(),
-            name: name.to_owned(),
-        };
+        let kind = toml_read::FaultKind::Unknown { what: what.to_owned(), name: name.to_owned() };
         doc.fault(at, kind);
     };
-    let mut owner = Owner {
-        team: "none".into(),
-        priority: 0,
-        halls: Vec::new(),
-    };
+    let mut owner = Owner { team: "none".into(), priority: 0, halls: Vec::new() };
     if let Some((at, name)) = table.need_name("team") {
         owner.team = name.as_str().into();
         if !desired.teams.contains_key(&owner.team) {
@@ -377,9 +349,7 @@
     }
     let halls = table.texts("halls");
     if halls.is_empty() {
-        table.fault(toml_read::FaultKind::MissingKey {
-            key: "halls".to_owned(),
-        });
+        table.fault(toml_read::FaultKind::MissingKey { key: "halls".to_owned() });
     }
     for (at, name) in halls {
         let hall = id::HallId::from(name.as_str());
--- a/crates/wharflane/src/hall/holding.rs
+++ b/crates/wharflane/src/hall/holding.rs
@@ -157,12 +157,8 @@
     ) -> Self {
         let lease = settings.worker_lease + settings.margin;
         let epoch = committer.head().epoch;
-        let table = endpoints::Table {
-            hall: hall.clone(),
-            epoch,
-            version: 0,
-            endpoints: Vec::new(),
-        };
+        let table =
+            endpoints::Table { hall: hall.clone(), epoch, version: 0, endpoints: Vec::new() };
         let old_leases_lapse = now + settings.authority + lease;
         let views = book
             .workers()
@@ -288,19 +284,12 @@
             report_age_ms: view.reported.map(|at| now.saturating_sub(at).as_millis()),
             strikes: view.strikes,
         };
-        self.views
-            .iter()
-            .map(|(worker, view)| (worker, dump(worker, view)))
-            .collect()
+        self.views.iter().map(|(worker, view)| (worker, dump(worker, view))).collect()
     }
 
     /// Takes a configuration.
     pub(super) fn set_current(&mut self, current: &sync::Arc<super::Current>, now: time::Duration) {
-        if self
-            .current
-            .as_ref()
-            .is_some_and(|old| old.revision >= current.revision)
-        {
+        if self.current.as_ref().is_some_and(|old| old.revision >= current.revision) {
             return;
         }
         self.wanted = spec::wanted(&self.hall, &current.desired);
@@ -314,10 +303,7 @@
     pub(super) fn set_members(&mut self, members: &members::Members, now: time::Duration) {
         self.table_changed = true;
         for (worker, view) in &mut self.views {
-            let member = members
-                .workers
-                .get(worker)
-                .filter(|member| member.hall == self.hall);
+            let member = members.workers.get(worker).filter(|member| member.hall == self.hall);
             view.set_member(member, now);
         }
         for (worker, member) in &members.workers {
@@ -340,11 +326,7 @@
         self.table_changed = true;
         // A commit under way has the next number, and this record goes into the one after.
         let next = self.committer.head().seq + 1;
-        let seq = if self.committer.idle() {
-            next
-        } else {
-            next + 1
-        };
+        let seq = if self.committer.idle() { next } else { next + 1 };
         self.ahead.insert(task.clone(), seq);
         self.note(now, &record);
         self.queue.push(record);
@@ -361,9 +343,7 @@
         let what = match record {
             book::Record::Place { worker, .. } => {
                 self.counters.placed += 1;
-                What::Placed {
-                    worker: worker.clone(),
-                }
+                What::Placed { worker: worker.clone() }
             }
             book::Record::Evict { cause, .. } => {
                 *self.counters.evicted.entry(*cause).or_default() += 1;
@@ -384,19 +364,13 @@
         if self.decisions.len() == DECISIONS_KEPT {
             self.decisions.pop_front();
         }
-        self.decisions.push_back(Decision {
-            at_ms: now.as_millis(),
-            task,
-            what,
-        });
+        self.decisions.push_back(Decision { at_ms: now.as_millis(), task, what });
     }
 
     /// Returns whether the configuration is not older than the one last acted on.
     pub(super) fn config_is_current(&self) -> bool {
         let acted_on = self.committer.head().config_revision;
-        self.current
-            .as_ref()
-            .is_some_and(|current| current.revision >= acted_on)
+        self.current.as_ref().is_some_and(|current| current.revision >= acted_on)
     }
 
     /// Begins a commit where one is due.
@@ -440,20 +414,14 @@
         self.counters.records += self.queue.len() as u64;
         self.counters.commit_bytes += value.len() as u64;
         self.queue.clear();
-        Some(platform::Write {
-            key: super::log_key(&self.hall, seq),
-            value: Some(value),
-        })
+        Some(platform::Write { key: super::log_key(&self.hall, seq), value: Some(value) })
     }
 
     /// Returns the deletes of log rows that a snapshot holds.
     fn log_deletes(&self, head: &lease::Head, snapshot: &lease::Snapshot) -> Vec<platform::Write> {
         let from = head.snapshot.as_ref().map_or(0, |old| old.seq);
         (from + 1..=snapshot.seq)
-            .map(|seq| platform::Write {
-                key: super::log_key(&self.hall, seq),
-                value: None,
-            })
+            .map(|seq| platform::Write { key: super::log_key(&self.hall, seq), value: None })
             .collect()
     }
 
@@ -516,10 +484,7 @@
         let text = serde_json::to_string(&self.book).ok()?;
         let key = format!("hall/{}/snapshot/{}-{}", self.hall, head.epoch, head.seq);
         self.storing = true;
-        Some(super::Effect::Store(
-            lease::Snapshot { key, seq: head.seq },
-            text,
-        ))
+        Some(super::Effect::Store(lease::Snapshot { key, seq: head.seq }, text))
     }
 
     /// Notes that a snapshot was stored; a failed store has a sequence of zero.
@@ -533,11 +498,10 @@
     /// Makes the table of endpoints anew where it has changed.
     fn refresh_table(&mut self, now: time::Duration) {
         // A table made before the workers were heard would take good endpoints out of use.
-        let heard = self.book.workers().all(|worker| {
-            self.views
-                .get(worker)
-                .is_some_and(|view| view.reported.is_some())
-        });
+        let heard = self
+            .book
+            .workers()
+            .all(|worker| self.views.get(worker).is_some_and(|view| view.reported.is_some()));
         let patience = self.settings.sync * SYNCS_BEFORE_TABLE;
         if !heard && self.known.is_empty() && now.saturating_sub(self.taken) < patience {
             return;
@@ -567,20 +531,10 @@
         entry: &book::Entry,
     ) -> Option<endpoints::Endpoint> {
         if view.reported.is_none() {
-            return self
-                .known
-                .get(task)
-                .filter(|known| known.worker == *worker)
-                .cloned();
+            return self.known.get(task).filter(|known| known.worker == *worker).cloned();
         }
-        let report = view
-            .tasks
-            .get(task)
-            .filter(|report| report.attempt == entry.attempt)?;
-        let crate::work::TaskState::Running {
-            addr: Some(addr), ..
-        } = &report.state
-        else {
+        let report = view.tasks.get(task).filter(|report| report.attempt == entry.attempt)?;
+        let crate::work::TaskState::Running { addr: Some(addr), .. } = &report.state else {
             return None;
         };
         let going = matches!(entry.state, book::State::Leaving { .. });
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -20,8 +20,10 @@
 use crate::digest;
 use crate::endpoints;
 use crate::id;
+use crate::interfere;
 use crate::lease;
 use crate::members;
+use crate::place;
 use crate::platform;
 use crate::rendezvous;
 use crate::size;
@@ -51,6 +53,10 @@
     pub drain: time::Duration,
     /// The number of commits between two snapshots.
     pub snapshot_every: u64,
+    /// How patient the holder is with a disturbance.
+    pub patience: interfere::Patience,
+    /// How the concerns of placement weigh.
+    pub weights: place::Weights,
 }
 
 impl Default for Settings {
@@ -58,10 +64,7 @@
         let secs = time::Duration::from_secs;
         let millis = time::Duration::from_millis;
         Self {
-            timing: lease::Timing {
-                lease: secs(6),
-                turn: secs(2),
-            },
+            timing: lease::Timing { lease: secs(6), turn: secs(2) },
             poll: secs(1),
             commit: millis(300),
             sync: secs(1),
@@ -70,6 +73,8 @@
             authority: secs(1_800),
             drain: secs(5),
             snapshot_every: 200,
+            patience: interfere::Patience::default(),
+            weights: place::Weights::default(),
         }
     }
 }
@@ -220,11 +225,7 @@
                     holding.stored(snapshot);
                 }
             }
-            Event::Synced {
-                worker,
-                seq,
-                answer,
-            } => {
+            Event::Synced { worker, seq, answer } => {
                 return self.synced(now, &worker, seq, answer);
             }
             Event::Config(current) => {
@@ -245,11 +246,7 @@
                 }
             }
             Event::Table(table) => {
-                if self
-                    .known
-                    .as_ref()
-                    .is_none_or(|known| table.newer_than(known))
-                {
+                if self.known.as_ref().is_none_or(|known| table.newer_than(known)) {
                     self.known = Some(table);
                 }
             }
@@ -344,11 +341,7 @@
 
     /// Begins to take the lease.
     fn take(&mut self, version: u64) -> Vec<Effect> {
-        let before = self
-            .seen
-            .as_ref()
-            .map(|(_, head)| head.clone())
-            .unwrap_or_default();
+        let before = self.seen.as_ref().map(|(_, head)| head.clone()).unwrap_or_default();
         let head = lease::Head {
             holder: Some(self.own.clone()),
             epoch: before.epoch + 1,
@@ -430,13 +423,8 @@
         let Some(book) = replay(&self.hall, head, snapshot.as_deref(), log) else {
             return Vec::new();
         };
-        let mut holding = Holding::new(
-            self.hall.clone(),
-            self.settings,
-            committer.clone(),
-            book,
-            now,
-        );
+        let mut holding =
+            Holding::new(self.hall.clone(), self.settings, committer.clone(), book, now);
         holding.set_members(&self.members, now);
         holding.set_known(self.known.as_ref());
         if let Some(current) = &self.current {
@@ -458,11 +446,7 @@
             return Vec::new();
         };
         let fenced = holding.synced(now, worker, seq, answer);
-        if fenced {
-            self.step_down(now)
-        } else {
-            Vec::new()
-        }
+        if fenced { self.step_down(now) } else { Vec::new() }
     }
 
     /// Gives up everything but the watch.
@@ -522,10 +506,8 @@
         (None, _) => book::Book::default(),
         (Some(_), text) => book::Book::restore(text?).ok()?,
     };
-    let rows: collections::BTreeMap<&str, &str> = log
-        .iter()
-        .map(|row| (row.key.as_str(), row.value.as_str()))
-        .collect();
+    let rows: collections::BTreeMap<&str, &str> =
+        log.iter().map(|row| (row.key.as_str(), row.value.as_str())).collect();
     for seq in from + 1..=head.seq {
         let row = rows.get(log_key(hall, seq).as_str())?;
         let records: Vec<book::Record> = serde_json::from_str(row).ok()?;
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -112,10 +112,7 @@
             return;
         };
         let turn = (cmp::Reverse(spec.priority), task.clone());
-        let tired = self
-            .book
-            .get(task)
-            .is_some_and(|entry| entry.failures >= MAX_FAILURES);
+        let tired = self.book.get(task).is_some_and(|entry| entry.failures >= MAX_FAILURES);
         let waits = state.is_none_or(|state| state == book::State::Waiting);
         if waits && !tired {
             self.waiting.insert(turn);
@@ -135,14 +132,7 @@
         match state {
             Some(book::State::Placed { .. }) => {
                 let cause = book::Cause::Cancelled;
-                self.propose(
-                    now,
-                    book::Record::Evict {
-                        task,
-                        attempt,
-                        cause,
-                    },
-                );
+                self.propose(now, book::Record::Evict { task, attempt, cause });
             }
             Some(book::State::Waiting | book::State::Done) => {
                 self.propose(now, book::Record::Forget { task });
@@ -192,11 +182,7 @@
             }
             let team = held.entry(spec.team.clone()).or_default();
             let over = spec.batch() && !self.within_quota(&spec, team);
-            let placed = if over {
-                Err(Why::Quota)
-            } else {
-                self.place_one(now, &task, &spec)
-            };
+            let placed = if over { Err(Why::Quota) } else { self.place_one(now, &task, &spec) };
             match placed {
                 Ok(()) if spec.batch() => *team = team.plus(&spec.size),
                 Ok(()) => {}
@@ -218,21 +204,13 @@
     ) -> Result<(), Why> {
         let slots = self.slots(now);
         let fits = |capacity: &size::Size| spec.size.fits(capacity);
-        let ever = self
-            .views
-            .values()
-            .filter_map(|view| view.capacity)
-            .any(|c| fits(&c));
+        let ever = self.views.values().filter_map(|view| view.capacity).any(|c| fits(&c));
         if !ever {
-            return Err(if slots.is_empty() {
-                Why::NoRoom
-            } else {
-                Why::FitsNowhere
-            });
+            return Err(if slots.is_empty() { Why::NoRoom } else { Why::FitsNowhere });
         }
         let racks = self.siblings(spec);
         let candidates = slots.iter().map(|slot| self.candidate(slot, spec, &racks));
-        if let Some(worker) = place::choose(candidates, &spec.size) {
+        if let Some(worker) = place::choose(candidates, &spec.size, &self.settings.weights) {
             let attempt = self.book.get(task).map_or(0, |entry| entry.attempt) + 1;
             let record = book::Record::Place {
                 task: task.clone(),
@@ -314,10 +292,7 @@
     /// Returns the work that evicting a task would lose: nothing where it can save its progress.
     fn lost_ms(&self, task: &id::TaskId) -> u64 {
         match self.wanted.get(task).map(|spec| &spec.kind) {
-            Some(work::Kind::Batch {
-                run_time_ms,
-                checkpoint: false,
-            }) => *run_time_ms,
+            Some(work::Kind::Batch { run_time_ms, checkpoint: false }) => *run_time_ms,
             _ => 0,
         }
     }
@@ -328,13 +303,7 @@
         self.views
             .iter()
             .filter(|(_, view)| view.takes_new(now, fresh))
-            .filter_map(|(worker, view)| {
-                Some(Slot {
-                    worker,
-                    view,
-                    capacity: view.capacity?,
-                })
-            })
+            .filter_map(|(worker, view)| Some(Slot { worker, view, capacity: view.capacity? }))
             .collect()
     }
 
@@ -347,19 +316,9 @@
     ) -> place::Candidate<'a> {
         let used = self.book.used(slot.worker);
         let room = spec.size.fits(&slot.capacity.minus(&used));
-        let harm = if room {
-            self.harm_there(slot.worker, spec)
-        } else {
-            0.0
-        };
+        let harm = if room { self.harm_there(slot.worker, spec) } else { 0.0 };
         let siblings = racks.get(slot.view.rack.as_str()).copied().unwrap_or(0);
-        place::Candidate {
-            worker: slot.worker,
-            capacity: slot.capacity,
-            used,
-            harm,
-            siblings,
-        }
+        place::Candidate { worker: slot.worker, capacity: slot.capacity, used, harm, siblings }
     }
 
     /// Returns the harm to expect between a task and those on a worker.
@@ -386,10 +345,7 @@
             return racks;
         }
         for (worker, view) in &self.views {
-            let same = self
-                .book
-                .on(worker)
-                .filter(|(task, _)| *task.owner == *spec.owner);
+            let same = self.book.on(worker).filter(|(task, _)| *task.owner == *spec.owner);
             let count = u32::try_from(same.count()).unwrap_or(u32::MAX);
             *racks.entry(view.rack.as_str()).or_default() += count;
         }
@@ -425,10 +381,7 @@
 
     /// Returns why tasks wait, for the state dump.
     pub(super) fn why_waiting(&self) -> Vec<WhyWaiting> {
-        let entry = |(shape, why): (&Shape, &Why)| WhyWaiting {
-            shape: shape.clone(),
-            why: *why,
-        };
+        let entry = |(shape, why): (&Shape, &Why)| WhyWaiting { shape: shape.clone(), why: *why };
         self.blocked.iter().map(entry).collect()
     }
 
@@ -441,26 +394,16 @@
 
     /// Notes by how much an endpoint missed its target.
     fn note_seen(&mut self, seen: &digest::Seen) {
-        let Some(target_ms) = self
-            .wanted
-            .get(&seen.task)
-            .and_then(|s| s.latency_target_ms)
-        else {
+        let Some(target_ms) = self.wanted.get(&seen.task).and_then(|s| s.latency_target_ms) else {
             return;
         };
-        let worker = self
-            .book
-            .get(&seen.task)
-            .and_then(|entry| entry.state.worker());
+        let worker = self.book.get(&seen.task).and_then(|entry| entry.state.worker());
         let Some(worker) = worker.filter(|_| seen.answers >= MIN_ANSWERS) else {
             return;
         };
         let missed = seen.p95_us as f64 / (target_ms as f64 * 1_000.0) - 1.0;
         if let Some(view) = self.views.get_mut(worker) {
-            let worst = view
-                .missed
-                .as_ref()
-                .is_none_or(|(_, before)| missed > *before);
+            let worst = view.missed.as_ref().is_none_or(|(_, before)| missed > *before);
             if missed > 0.0 && worst {
                 view.missed = Some((seen.task.clone(), missed));
             }
@@ -491,10 +434,9 @@
         let harm = missed.as_ref().map_or(0.0, |(_, missed)| *missed);
         for suspect in &suspects {
             let job = &suspect.task.owner;
-            self.harms
-                .note(&service.owner, job, interfere::Load::High, harm);
+            self.harms.note(&service.owner, job, interfere::Load::High, harm);
         }
-        let patience = interfere::Patience::default();
+        let patience = self.settings.patience;
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -530,9 +472,7 @@
         });
         let suspect = |(task, _): (&id::TaskId, &book::Entry)| interfere::Suspect {
             task: task.clone(),
-            harm: self
-                .harms
-                .expected(&service.owner, &task.owner, interfere::Load::High),
+            harm: self.harms.expected(&service.owner, &task.owner, interfere::Load::High),
             percent: view.throttles.get(task).copied().unwrap_or(WHOLE_PERCENT),
             lost_ms: self.lost_ms(task),
         };
@@ -578,19 +518,10 @@
 
 /// Returns the record that evicts a task.
 fn evict(task: &id::TaskId, entry: &book::Entry, cause: book::Cause) -> book::Record {
-    book::Record::Evict {
-        task: task.clone(),
-        attempt: entry.attempt,
-        cause,
-    }
+    book::Record::Evict { task: task.clone(), attempt: entry.attempt, cause }
 }
 
 /// Returns the shape of a task.
 fn shape_of(spec: &spec::Spec) -> Shape {
-    Shape {
-        size: spec.size,
-        priority: spec.priority,
-        team: spec.team.clone(),
-        batch: spec.batch(),
-    }
+    Shape { size: spec.size, priority: spec.priority, team: spec.team.clone(), batch: spec.batch() }
 }
--- a/crates/wharflane/src/hall/spec.rs
+++ b/crates/wharflane/src/hall/spec.rs
@@ -41,9 +41,7 @@
 pub(super) fn wanted(hall: &id::HallId, desired: &desired::Desired) -> Wanted {
     let mut wanted = Wanted::new();
     for (name, service) in &desired.services {
-        let kind = work::Kind::Service {
-            service: name.clone(),
-        };
+        let kind = work::Kind::Service { service: name.clone() };
         let spec = sync::Arc::new(Spec {
             owner: name.to_string(),
             team: service.team.clone(),
@@ -53,20 +51,10 @@
             latency_target_ms: Some(service.latency_target_ms),
             on_loss: desired::OnLoss::Restart,
         });
-        add(
-            &mut wanted,
-            hall,
-            &service.halls,
-            service.born,
-            service.count,
-            &spec,
-        );
+        add(&mut wanted, hall, &service.halls, service.born, service.count, &spec);
     }
     for (name, job) in &desired.jobs {
-        let kind = work::Kind::Batch {
-            run_time_ms: job.run_time_ms,
-            checkpoint: job.checkpoint,
-        };
+        let kind = work::Kind::Batch { run_time_ms: job.run_time_ms, checkpoint: job.checkpoint };
         let spec = sync::Arc::new(Spec {
             owner: name.to_string(),
             team: job.team.clone(),
@@ -96,11 +84,7 @@
     let owner: sync::Arc<str> = spec.owner.as_str().into();
     for index in 0..count {
         if desired::hall_of(halls, &owner, index) == Some(hall) {
-            let task = id::TaskId {
-                owner: sync::Arc::clone(&owner),
-                born,
-                index,
-            };
+            let task = id::TaskId { owner: sync::Arc::clone(&owner), born, index };
             wanted.insert(task, sync::Arc::clone(spec));
         }
     }
--- a/crates/wharflane/src/hall/sync.rs
+++ b/crates/wharflane/src/hall/sync.rs
@@ -44,11 +44,7 @@
         // The lease counts from the worker's own clock in its last report, so that a message
         // delayed on its way can't lengthen it.
         let lease_until_ms = view.boot.map_or(0, |_| view.clock_ms + lease_ms);
-        let commands = if view.boot.is_some() {
-            commands
-        } else {
-            Vec::new()
-        };
+        let commands = if view.boot.is_some() { commands } else { Vec::new() };
         let sync = work::Sync {
             worker: worker.clone(),
             boot: view.boot,
@@ -63,12 +59,8 @@
     /// Returns whether a worker is to be told something now.
     fn is_due(&self, now: time::Duration, view: &view::View) -> bool {
         let patience = self.settings.sync * ANSWER_INTERVALS;
-        let waits = view
-            .in_flight
-            .is_some_and(|at| now.saturating_sub(at) < patience);
-        let rested = view
-            .sent
-            .is_none_or(|at| now.saturating_sub(at) >= self.settings.sync);
+        let waits = view.in_flight.is_some_and(|at| now.saturating_sub(at) < patience);
+        let rested = view.sent.is_none_or(|at| now.saturating_sub(at) >= self.settings.sync);
         !waits && (view.news || rested)
     }
 
@@ -97,23 +89,13 @@
         entry: &book::Entry,
     ) -> Option<work::Command> {
         let attempt = entry.attempt;
-        let known = view
-            .tasks
-            .get(task)
-            .is_some_and(|report| report.attempt == attempt);
+        let known = view.tasks.get(task).is_some_and(|report| report.attempt == attempt);
         if matches!(entry.state, book::State::Leaving { .. }) {
-            return Some(work::Command::Stop {
-                task: task.clone(),
-                attempt,
-            });
+            return Some(work::Command::Stop { task: task.clone(), attempt });
         }
         if known {
             let percent = *view.throttles.get(task)?;
-            return Some(work::Command::Throttle {
-                task: task.clone(),
-                attempt,
-                percent,
-            });
+            return Some(work::Command::Throttle { task: task.clone(), attempt, percent });
         }
         let spec = self.wanted.get(task)?;
         Some(work::Command::Start {
@@ -178,11 +160,7 @@
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
-        let tasks = report
-            .tasks
-            .into_iter()
-            .map(|task| (task.task.clone(), task))
-            .collect();
+        let tasks = report.tasks.into_iter().map(|task| (task.task.clone(), task)).collect();
         let before = std::mem::replace(&mut view.tasks, tasks);
         let first = view.boot.is_none();
         view.boot = Some(report.boot);
@@ -220,10 +198,7 @@
         for (task, entry) in self.book.on(worker) {
             let attempt = entry.attempt;
             let here = |reports: &collections::BTreeMap<id::TaskId, work::TaskReport>| {
-                reports
-                    .get(task)
-                    .filter(|report| report.attempt == attempt)
-                    .cloned()
+                reports.get(task).filter(|report| report.attempt == attempt).cloned()
             };
             let free = |checkpoint: Option<u64>, proof: book::Proof| book::Record::Free {
                 task: task.clone(),
@@ -248,10 +223,7 @@
                 }
                 work::TaskState::Completed => {
                     well = true;
-                    records.push(book::Record::Done {
-                        task: task.clone(),
-                        attempt,
-                    });
+                    records.push(book::Record::Done { task: task.clone(), attempt });
                 }
                 work::TaskState::Failed => {
                     failed += 1;
--- a/crates/wharflane/src/hall/view.rs
+++ b/crates/wharflane/src/hall/view.rs
@@ -101,9 +101,7 @@
     /// Returns whether it may get a new task.
     pub fn takes_new(&self, now: time::Duration, fresh: time::Duration) -> bool {
         let aside = self.aside_until.is_some_and(|until| now < until);
-        let heard = self
-            .reported
-            .is_some_and(|at| now.saturating_sub(at) <= fresh);
+        let heard = self.reported.is_some_and(|at| now.saturating_sub(at) <= fresh);
         self.addr.is_some() && heard && !aside && self.leaving_since.is_none()
     }
 
--- a/crates/wharflane/src/id.rs
+++ b/crates/wharflane/src/id.rs
@@ -95,11 +95,7 @@
         let (born, index) = rest.split_once('/').ok_or(BadTaskId)?;
         let born = born.parse().or(Err(BadTaskId))?;
         let index = index.parse().or(Err(BadTaskId))?;
-        Ok(Self {
-            owner: owner.into(),
-            born,
-            index,
-        })
+        Ok(Self { owner: owner.into(), born, index })
     }
 }
 
--- a/crates/wharflane/src/interfere.rs
+++ b/crates/wharflane/src/interfere.rs
@@ -60,9 +60,7 @@
 
     /// Returns the learned pairs for the state dump.
     pub fn pairs(&self) -> impl Iterator<Item = (&str, &str, Load, f64)> {
-        self.pairs
-            .iter()
-            .map(|((s, j, load), pair)| (s.as_str(), j.as_str(), *load, pair.harm))
+        self.pairs.iter().map(|((s, j, load), pair)| (s.as_str(), j.as_str(), *load, pair.harm))
     }
 }
 
@@ -90,9 +88,6 @@
     Wait,
 }
 
-/// The steps of throttling before a task is moved.
-const STEPS: [u8; 2] = [50, 20];
-
 /// How one worker's disturbance is followed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Case {
@@ -113,15 +108,13 @@
     pub settle: time::Duration,
     /// Intervals in a row that must keep the target before a throttle is loosened.
     pub calm: u32,
+    /// The shares of processors that are tried before a task is moved, the greatest first.
+    pub steps: &'static [u8],
 }
 
 impl Default for Patience {
     fn default() -> Self {
-        Self {
-            misses: 2,
-            settle: time::Duration::from_secs(3),
-            calm: 20,
-        }
+        Self { misses: 2, settle: time::Duration::from_secs(3), calm: 20, steps: &[50, 20] }
     }
 }
 
@@ -144,9 +137,7 @@
         patience: &Patience,
         now: time::Duration,
     ) -> Remedy<T> {
-        let settling = self
-            .changed
-            .is_some_and(|at| now.saturating_sub(at) < patience.settle);
+        let settling = self.changed.is_some_and(|at| now.saturating_sub(at) < patience.settle);
         if self.missed < patience.misses || settling {
             return Remedy::Wait;
         }
@@ -158,7 +149,7 @@
             return Remedy::Wait;
         };
         self.changed = Some(now);
-        match STEPS.iter().find(|step| **step < suspect.percent) {
+        match patience.steps.iter().find(|step| **step < suspect.percent) {
             Some(step) => Remedy::Throttle(suspect.task, *step),
             None => Remedy::Evict(suspect.task),
         }
--- a/crates/wharflane/src/latency.rs
+++ b/crates/wharflane/src/latency.rs
@@ -20,10 +20,7 @@
 
 impl Default for Latencies {
     fn default() -> Self {
-        Self {
-            counts: [0; BUCKETS],
-            total: 0,
-        }
+        Self { counts: [0; BUCKETS], total: 0 }
     }
 }
 
--- a/crates/wharflane/src/lease.rs
+++ b/crates/wharflane/src/lease.rs
@@ -70,11 +70,7 @@
             return false;
         };
         let free = head.is_none_or(|head| head.holder.is_none());
-        let lease = if free {
-            time::Duration::ZERO
-        } else {
-            timing.lease
-        };
+        let lease = if free { time::Duration::ZERO } else { timing.lease };
         let turns = u32::try_from(rank).unwrap_or(u32::MAX);
         now.saturating_sub(since) >= lease + timing.turn.saturating_mul(turns)
     }
--- a/crates/wharflane/src/limit.rs
+++ b/crates/wharflane/src/limit.rs
@@ -20,6 +20,8 @@
 struct Place {
     /// The priority, turned round so that a higher one sorts first.
     priority: std::cmp::Reverse<u32>,
+    /// Whether it comes for the first time; those that were refused by an endpoint go before.
+    first: bool,
     /// The order of arrival.
     arrival: u64,
 }
@@ -61,13 +63,7 @@
     /// Makes an empty queue with room for so many requests.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        Self {
-            waiting: collections::BTreeMap::new(),
-            limit,
-            next: 0,
-            pace: None,
-            last_taken: None,
-        }
+        Self { waiting: collections::BTreeMap::new(), limit, next: 0, pace: None, last_taken: None }
     }
 
     /// Returns how many wait.
@@ -83,18 +79,20 @@
     }
 
     /// Takes an arrival, or refuses at once what can't be taken before `start_by`.
+    ///
+    /// `first` is false for a request that comes again since an endpoint refused it.
     pub fn push(
         &mut self,
         priority: u32,
         start_by: time::Duration,
         now: time::Duration,
+        first: bool,
         value: T,
     ) -> Arrival<T> {
-        let place = Place {
-            priority: std::cmp::Reverse(priority),
-            arrival: self.next,
-        };
-        let ahead = self.waiting.range(..place).count();
+        let place = Place { priority: std::cmp::Reverse(priority), first, arrival: self.next };
+        // Most arrivals go to the end, which needs no count.
+        let last = self.waiting.last_key_value().is_none_or(|(last, _)| *last < place);
+        let ahead = if last { self.len() } else { self.waiting.range(..place).count() };
         let wait = self.expected_wait(ahead);
         if now + wait >= start_by {
             return Arrival::Refused(Refused { retry_after: wait });
@@ -104,9 +102,7 @@
         if self.waiting.len() <= self.limit {
             return Arrival::Queued;
         }
-        let refused = Refused {
-            retry_after: self.expected_wait(self.limit),
-        };
+        let refused = Refused { retry_after: self.expected_wait(self.limit) };
         match self.waiting.pop_last() {
             Some((last, _)) if last == place => Arrival::Refused(refused),
             Some((_, waiting)) => Arrival::Displaced(waiting.value, refused),
@@ -146,10 +142,7 @@
         if let Some(last) = self.last_taken.replace(now) {
             let gap = now.saturating_sub(last);
             let rest = PACE_WEIGHT - 1;
-            self.pace = Some(
-                self.pace
-                    .map_or(gap, |pace| (pace * rest + gap) / PACE_WEIGHT),
-            );
+            self.pace = Some(self.pace.map_or(gap, |pace| (pace * rest + gap) / PACE_WEIGHT));
         }
     }
 }
--- a/crates/wharflane/src/outcome.rs
+++ b/crates/wharflane/src/outcome.rs
@@ -48,12 +48,6 @@
 }
 
 impl Failure {
-    /// Returns whether the request is proved not to have run.
-    #[must_use]
-    pub fn proves_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Refused)
-    }
-
     /// Returns the label of the failure in metrics.
     #[must_use]
     pub fn label(self) -> &'static str {
@@ -69,8 +63,10 @@
 /// The story of a request over all its tries.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tries {
-    /// Tries that ended with proof that nothing ran.
-    pub proved: u32,
+    /// Tries that did not leave this host.
+    pub unsent: u32,
+    /// Tries that an endpoint refused with its promise.
+    pub refused: u32,
     /// Tries that may have run.
     pub open: u32,
 }
@@ -78,13 +74,19 @@
 impl Tries {
     /// Notes the end of a try.
     pub fn note(&mut self, failure: Failure) {
-        if failure.proves_not_run() {
-            self.proved += 1;
-        } else {
-            self.open += 1;
+        match failure {
+            Failure::NotSent => self.unsent += 1,
+            Failure::Refused => self.refused += 1,
+            Failure::Lost | Failure::TimedOut => self.open += 1,
         }
     }
 
+    /// Returns how many tries count against the most that are made.
+    #[must_use]
+    pub fn made(&self) -> u32 {
+        self.unsent + self.open
+    }
+
     /// Returns whether the request may be sent once more.
     #[must_use]
     pub fn may_repeat(&self, repeatable: bool) -> bool {
@@ -94,10 +96,6 @@
     /// Returns what the caller is told when no more tries are made.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
-        if self.open == 0 {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        }
+        if self.open == 0 { Outcome::NotRun } else { Outcome::Unknown }
     }
 }
--- a/crates/wharflane/src/place.rs
+++ b/crates/wharflane/src/place.rs
@@ -3,10 +3,22 @@
 use crate::id;
 use crate::size;
 
-/// How much the estimated harm weighs against a well filled worker.
-const HARM_WEIGHT: f64 = 4.0;
-/// How much a neighbour of the same service weighs.
-const SPREAD_WEIGHT: f64 = 0.5;
+/// How much each concern weighs in the choice of a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Processors and memory that stay unused on a worker.
+    pub unused: f64,
+    /// The harm expected between the task and its neighbours.
+    pub harm: f64,
+    /// Tasks of the same service in the same rack.
+    pub spread: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self { unused: 1.0, harm: 4.0, spread: 0.5 }
+    }
+}
 
 /// A worker that could take a task.
 #[derive(Clone, Debug)]
@@ -27,27 +39,23 @@
 pub fn choose<'a>(
     candidates: impl Iterator<Item = Candidate<'a>>,
     need: &size::Size,
+    weights: &Weights,
 ) -> Option<&'a id::WorkerId> {
     let fitting = candidates.filter(|c| need.fits(&c.capacity.minus(&c.used)));
-    let best = fitting.min_by(|a, b| cost(a, need).total_cmp(&cost(b, need)))?;
+    let best = fitting.min_by(|a, b| cost(a, need, weights).total_cmp(&cost(b, need, weights)))?;
     Some(best.worker)
 }
 
 /// Returns the cost of a worker: what stays unused, the harm, and the lack of spread.
-fn cost(candidate: &Candidate<'_>, need: &size::Size) -> f64 {
+fn cost(candidate: &Candidate<'_>, need: &size::Size, weights: &Weights) -> f64 {
     let left = candidate.capacity.minus(&candidate.used.plus(need));
     let unused = share(left.cpu_milli, candidate.capacity.cpu_milli)
         + share(left.mem_mb, candidate.capacity.mem_mb);
     // An accelerator kept free for the tasks that need one is worth more than a full worker.
-    let idle_accelerators = if need.accelerators == 0 {
-        left.accelerators as f64
-    } else {
-        0.0
-    };
-    unused
-        + HARM_WEIGHT * candidate.harm
-        + SPREAD_WEIGHT * f64::from(candidate.siblings)
-        + idle_accelerators
+    let idle_accelerators = if need.accelerators == 0 { left.accelerators as f64 } else { 0.0 };
+    weights.unused * (unused + idle_accelerators)
+        + weights.harm * candidate.harm
+        + weights.spread * f64::from(candidate.siblings)
 }
 
 /// Returns a part as a share of a whole.
@@ -108,8 +116,5 @@
 /// Returns what an eviction costs: the number of victims first, then the work lost.
 #[must_use]
 pub fn price(victims: &[Victim<'_>]) -> (usize, u64) {
-    (
-        victims.len(),
-        victims.iter().map(|victim| victim.lost_ms).sum(),
-    )
+    (victims.len(), victims.iter().map(|victim| victim.lost_ms).sum())
 }
--- a/crates/wharflane/src/rendezvous.rs
+++ b/crates/wharflane/src/rendezvous.rs
@@ -5,9 +5,7 @@
 /// Returns how many members go before one of them for a key; zero for the first.
 pub fn rank<'a>(members: impl Iterator<Item = &'a str>, own: &str, key: &str) -> usize {
     let mine = weight(own, key);
-    members
-        .filter(|member| *member != own && weight(member, key) > mine)
-        .count()
+    members.filter(|member| *member != own && weight(member, key) > mine).count()
 }
 
 /// Returns the weight of a member for a key.
--- a/crates/wharflane/src/retry.rs
+++ b/crates/wharflane/src/retry.rs
@@ -19,11 +19,7 @@
     #[must_use]
     pub fn new(share_milli: u64, burst: u64) -> Self {
         let cap_milli = burst.saturating_mul(WHOLE);
-        Self {
-            share_milli,
-            cap_milli,
-            held_milli: cap_milli,
-        }
+        Self { share_milli, cap_milli, held_milli: cap_milli }
     }
 
     /// Notes a first try.
--- a/crates/wharflane/src/route.rs
+++ b/crates/wharflane/src/route.rs
@@ -14,6 +14,14 @@
 const FAILURE_PENALTY: f64 = 4.0;
 /// The latency assumed for an endpoint before its first answer, in microseconds.
 const FIRST_GUESS_US: f64 = 1_000.0;
+/// What is left of the window after a full endpoint refused.
+const WINDOW_DECREASE: f64 = 0.75;
+/// What one answer adds to the window.
+const WINDOW_INCREASE: f64 = 0.06;
+/// The window of an endpoint not used before; the cap is what bounds it.
+const FIRST_WINDOW: f64 = 1_000.0;
+/// How long a full endpoint is let rest, as a share of its latency.
+const REST_SHARE: f64 = 0.125;
 /// The latency above which the average does not grow, in microseconds.
 const MAX_US: f64 = 10_000_000.0;
 
@@ -32,6 +40,8 @@
     ejected_until: Option<time::Duration>,
     /// Until when the endpoint is taken to be full of other hosts' requests.
     full_until: time::Duration,
+    /// The requests of this host that the endpoint has lately had room for.
+    window: f64,
 }
 
 impl Default for Health {
@@ -43,6 +53,7 @@
             ejections: 0,
             ejected_until: None,
             full_until: time::Duration::ZERO,
+            window: FIRST_WINDOW,
         }
     }
 }
@@ -66,6 +77,7 @@
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = None;
+        self.window = (self.window + WINDOW_INCREASE).min(FIRST_WINDOW);
     }
 
     /// Notes a failure; `may_eject` says whether enough other endpoints are in use.
@@ -82,10 +94,15 @@
         }
     }
 
-    /// Notes that the endpoint was full.
+    /// Notes that the endpoint was full, with what this host has under way there now.
+    ///
+    /// Hosts that share an endpoint find their shares by this alone: each takes a little more
+    /// with every answer and a quarter less with every refusal.
     pub fn refused(&mut self, now: time::Duration) {
-        let half = time::Duration::from_micros((self.latency_us / 2.0) as u64);
-        self.full_until = now + half;
+        let reached = self.window.min(f64::from(self.in_flight + 1));
+        self.window = (reached * WINDOW_DECREASE).max(1.0);
+        let rest = time::Duration::from_micros((self.latency_us * REST_SHARE) as u64);
+        self.full_until = now + rest;
     }
 
     /// Returns how the endpoint may be used now.
@@ -149,7 +166,8 @@
 pub fn offer(health: &Health, cap: u32, now: time::Duration) -> Option<f64> {
     match health.usable(now) {
         Use::Open => {
-            let room = health.in_flight < cap && now >= health.full_until;
+            let window = f64::from(cap).min(health.window) as u32;
+            let room = health.in_flight < window && now >= health.full_until;
             room.then(|| health.cost())
         }
         // A probe costs one request and ends an ejection that has lasted long enough.
--- a/crates/wharflane/src/size.rs
+++ b/crates/wharflane/src/size.rs
@@ -49,10 +49,6 @@
 
 impl fmt::Display for Size {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{} mcpu, {} MB, {} accelerators",
-            self.cpu_milli, self.mem_mb, self.accelerators
-        )
+        write!(f, "{} mcpu, {} MB, {} accelerators", self.cpu_milli, self.mem_mb, self.accelerators)
     }
 }
--- a/crates/wharflane/src/toml_read.rs
+++ b/crates/wharflane/src/toml_read.rs
@@ -136,20 +136,14 @@
     /// Starts to read a text.
     #[must_use]
     pub fn new(text: &'a str) -> Self {
-        Self {
-            text,
-            faults: cell::RefCell::default(),
-        }
+        Self { text, faults: cell::RefCell::default() }
     }
 
     /// Parses the text and returns its root table, or nothing after a syntax fault.
     #[must_use]
     pub fn root(&self, limit_bytes: usize) -> Option<Table<'a, '_>> {
         if self.text.len() > limit_bytes {
-            let kind = FaultKind::TooLarge {
-                bytes: self.text.len(),
-                limit_bytes,
-            };
+            let kind = FaultKind::TooLarge { bytes: self.text.len(), limit_bytes };
             self.fault(0, kind);
             return None;
         }
@@ -157,12 +151,7 @@
             Ok(table) => Some(Table::new(self, table.span(), table.into_inner())),
             Err(err) => {
                 let at = err.span().map_or(0, |span| span.start);
-                self.fault(
-                    at,
-                    FaultKind::Syntax {
-                        reason: err.message().to_owned(),
-                    },
-                );
+                self.fault(at, FaultKind::Syntax { reason: err.message().to_owned() });
                 None
             }
         }
@@ -171,11 +160,7 @@
     /// Notes a fault at a byte of the text.
     pub fn fault(&self, at: usize, kind: FaultKind) {
         let at = at.min(self.text.len());
-        let line = self.text.as_bytes()[..at]
-            .iter()
-            .filter(|byte| **byte == b'\n')
-            .count()
-            + 1;
+        let line = self.text.as_bytes()[..at].iter().filter(|byte| **byte == b'\n').count() + 1;
         self.faults.borrow_mut().push(Fault { line, kind });
     }
 
@@ -209,26 +194,17 @@
                 (key.into_inner().into_owned(), (at, value))
             })
             .collect();
-        Self {
-            doc,
-            at: span.start,
-            rest,
-        }
+        Self { doc, at: span.start, rest }
     }
 
     /// Takes a value out of the table.
     fn take(&mut self, key: &str) -> Option<(usize, de::DeValue<'a>)> {
-        self.rest
-            .remove(key)
-            .map(|(at, value)| (at, value.into_inner()))
+        self.rest.remove(key).map(|(at, value)| (at, value.into_inner()))
     }
 
     /// Notes that a value has the wrong type.
     fn wrong(&self, at: usize, key: &str, expected: &str) {
-        let kind = FaultKind::WrongType {
-            key: key.to_owned(),
-            expected: expected.to_owned(),
-        };
+        let kind = FaultKind::WrongType { key: key.to_owned(), expected: expected.to_owned() };
         self.doc.fault(at, kind);
     }
 
@@ -239,9 +215,7 @@
 
     /// Notes that a key is missing.
     fn missing(&self, key: &str) {
-        self.fault(FaultKind::MissingKey {
-            key: key.to_owned(),
-        });
+        self.fault(FaultKind::MissingKey { key: key.to_owned() });
     }
 
     /// Reads a text that may be absent.
@@ -291,12 +265,7 @@
             Ok(number) if range.contains(&number) => number,
             _ => {
                 let (low, high) = (*range.start(), *range.end());
-                let kind = FaultKind::OutOfRange {
-                    key: key.to_owned(),
-                    value: number,
-                    low,
-                    high,
-                };
+                let kind = FaultKind::OutOfRange { key: key.to_owned(), value: number, low, high };
                 self.doc.fault(at, kind);
                 default
             }
@@ -330,12 +299,7 @@
         if let Ok(address) = text.parse() {
             return Some(address);
         }
-        self.doc.fault(
-            at,
-            FaultKind::BadAddress {
-                key: key.to_owned(),
-            },
-        );
+        self.doc.fault(at, FaultKind::BadAddress { key: key.to_owned() });
         None
     }
 
@@ -388,11 +352,7 @@
                 _ => self.wrong(span.start, key, "a table"),
             }
         }
-        Table {
-            doc: self.doc,
-            at: self.at,
-            rest: collections::BTreeMap::new(),
-        }
+        Table { doc: self.doc, at: self.at, rest: collections::BTreeMap::new() }
     }
 
     /// Ends the table: every key not read is a fault.
--- a/crates/wharflane/tests/commit.rs
+++ b/crates/wharflane/tests/commit.rs
@@ -49,10 +49,7 @@
 
 /// Returns a head row with a token.
 fn head(token: &str) -> lease::Head {
-    lease::Head {
-        token: token.to_owned(),
-        ..lease::Head::default()
-    }
+    lease::Head { token: token.to_owned(), ..lease::Head::default() }
 }
 
 proptest! {
--- a/crates/wharflane/tests/limit.rs
+++ b/crates/wharflane/tests/limit.rs
@@ -15,14 +15,14 @@
     let mut queue = limit::Queue::new(limit);
     for turn in 0..200 {
         for _ in 0..2 {
-            let _ = queue.push(1, ms(100_000), ms(turn * 10), 0);
+            let _ = queue.push(1, ms(100_000), ms(turn * 10), true, 0);
         }
         let _ = queue.pop(ms(turn * 10));
     }
     while queue.pop(ms(2_000)).1.is_some() {}
     for turn in 0..200 {
         for _ in 0..2 {
-            let _ = queue.push(1, ms(100_000), ms(2_000), 0);
+            let _ = queue.push(1, ms(100_000), ms(2_000), true, 0);
         }
         let _ = queue.pop(ms(2_000 + turn * 10));
     }
@@ -35,7 +35,7 @@
         let mut queue = paced(1_000);
         let now = ms(200_000);
         let accepted = (0..100).take_while(|turn| {
-            matches!(queue.push(1, now + ms(100), now, *turn), limit::Arrival::Queued)
+            matches!(queue.push(1, now + ms(100), now, true, *turn), limit::Arrival::Queued)
         });
         let accepted = accepted.count();
         assert!(accepted < 100, "{accepted} of 100 waiting with 100 ms to go");
@@ -44,9 +44,9 @@
         let mut queue = paced(8);
         let now = ms(200_000);
         for turn in 0..8 {
-            assert!(matches!(queue.push(1, ms(900_000), now, turn), limit::Arrival::Queued));
+            assert!(matches!(queue.push(1, ms(900_000), now, true, turn), limit::Arrival::Queued));
         }
-        let limit::Arrival::Refused(refused) = queue.push(1, ms(900_000), now, 9) else {
+        let limit::Arrival::Refused(refused) = queue.push(1, ms(900_000), now, true, 9) else {
             panic!("the ninth of eight was taken");
         };
         assert!(refused.retry_after > time::Duration::ZERO);
@@ -54,24 +54,24 @@
     paid_priority_goes_first => {
         let mut queue = limit::Queue::new(8);
         for (priority, value) in [(1, 10), (5, 50), (1, 11), (9, 90)] {
-            let _ = queue.push(priority, ms(1_000), ms(0), value);
+            let _ = queue.push(priority, ms(1_000), ms(0), true, value);
         }
         let order: Vec<u32> = std::iter::from_fn(|| queue.pop(ms(1)).1).collect();
         assert_eq!(order, [90, 50, 10, 11]);
     },
     a_higher_priority_displaces_a_lower_one => {
         let mut queue = limit::Queue::new(1);
-        assert!(matches!(queue.push(1, ms(1_000), ms(0), 10), limit::Arrival::Queued));
+        assert!(matches!(queue.push(1, ms(1_000), ms(0), true, 10), limit::Arrival::Queued));
         assert!(matches!(
-            queue.push(9, ms(1_000), ms(0), 90),
+            queue.push(9, ms(1_000), ms(0), true, 90),
             limit::Arrival::Displaced(10, _)
         ));
-        assert!(matches!(queue.push(1, ms(1_000), ms(0), 11), limit::Arrival::Refused(_)));
+        assert!(matches!(queue.push(1, ms(1_000), ms(0), true, 11), limit::Arrival::Refused(_)));
     },
     late_requests_are_handed_back => {
         let mut queue = limit::Queue::new(8);
-        assert!(matches!(queue.push(1, ms(10), ms(0), 1), limit::Arrival::Queued));
-        assert!(matches!(queue.push(1, ms(100), ms(0), 2), limit::Arrival::Queued));
+        assert!(matches!(queue.push(1, ms(10), ms(0), true, 1), limit::Arrival::Queued));
+        assert!(matches!(queue.push(1, ms(100), ms(0), true, 2), limit::Arrival::Queued));
         let (late, next) = queue.pop(ms(50));
         assert_eq!((late, next), (vec![1], Some(2)));
     },
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -20,9 +20,7 @@
     /// Makes a client whose calls may take so long.
     #[must_use]
     pub fn new(timeout: time::Duration) -> Self {
-        Self {
-            client: client::Client::new(timeout),
-        }
+        Self { client: client::Client::new(timeout) }
     }
 
     /// Sends a message to a worker.
@@ -34,8 +32,6 @@
         addr: net::SocketAddr,
         sync: &work::Sync,
     ) -> Result<work::Answer, client::CallError> {
-        self.client
-            .post(&format!("http://{addr}{SYNC_PATH}"), sync)
-            .await
+        self.client.post(&format!("http://{addr}{SYNC_PATH}"), sync).await
     }
 }
