--- a/crates/stand-in/src/machine.rs
+++ b/crates/stand-in/src/machine.rs
@@ -176,6 +176,12 @@
         self.running().filter(|(_, run)| service(run)).map(|(task, _)| task.clone()).collect()
     }
 
+    /// Returns how many tasks run.
+    #[must_use]
+    pub fn running_count(&self) -> usize {
+        self.running().count()
+    }
+
     /// Returns the share of its processors that batch tasks use now.
     #[must_use]
     pub fn batch_load(&self) -> f64 {
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -1,7 +1,9 @@
 //! What the holder of a hall decides: who waits, who is placed, who makes room, who is moved.
 
+use std::cell;
 use std::cmp;
 use std::collections;
+use std::sync;
 use std::time;
 
 use serde::Serialize;
@@ -65,14 +67,28 @@
     why: Why,
 }
 
-/// A worker with what the pass needs of it.
-struct Slot<'a> {
+/// How many workers with room are compared for one task, so that large halls stay quick.
+const COMPARED: usize = 48;
+
+/// A worker with what a pass needs of it.
+struct Slot {
     /// The worker.
-    worker: &'a id::WorkerId,
-    /// What is known of it.
-    view: &'a view::View,
+    worker: id::WorkerId,
+    /// Its rack.
+    rack: sync::Arc<str>,
     /// What it has.
     capacity: size::Size,
+    /// What is set aside on it, the placements of the pass included.
+    used: size::Size,
+    /// The owners of its tasks with their number, once they were asked for.
+    owners: cell::OnceCell<Vec<(sync::Arc<spec::Spec>, u32)>>,
+}
+
+impl Slot {
+    /// Returns what is free.
+    fn free(&self) -> size::Size {
+        self.capacity.minus(&self.used)
+    }
 }
 
 impl holding::Holding {
@@ -169,6 +185,7 @@
             return;
         }
         let mut held = self.held_by_teams();
+        let mut slots = self.slots(now);
         let turns: Vec<id::TaskId> = self.waiting.iter().map(|(_, task)| task.clone()).collect();
         for task in turns {
             let Some(spec) = self.wanted.get(&task).cloned() else {
@@ -182,7 +199,8 @@
             }
             let team = held.entry(spec.team.clone()).or_default();
             let over = spec.batch() && !self.within_quota(&spec, team);
-            let placed = if over { Err(Why::Quota) } else { self.place_one(now, &task, &spec) };
+            let placed =
+                if over { Err(Why::Quota) } else { self.place_one(now, &task, &spec, &mut slots) };
             match placed {
                 Ok(()) if spec.batch() => *team = team.plus(&spec.size),
                 Ok(()) => {}
@@ -201,21 +219,20 @@
         now: time::Duration,
         task: &id::TaskId,
         spec: &spec::Spec,
+        slots: &mut [Slot],
     ) -> Result<(), Why> {
-        let slots = self.slots(now);
-        let fits = |capacity: &size::Size| spec.size.fits(capacity);
-        let ever = self.views.values().filter_map(|view| view.capacity).any(|c| fits(&c));
-        if !ever {
+        let mut capacities = self.views.values().filter_map(|view| view.capacity);
+        if !capacities.any(|capacity| spec.size.fits(&capacity)) {
             return Err(if slots.is_empty() { Why::NoRoom } else { Why::FitsNowhere });
         }
-        let racks = self.siblings(spec);
-        let candidates = slots.iter().map(|slot| self.candidate(slot, spec, &racks));
-        if let Some(worker) = place::choose(candidates, &spec.size, &self.settings.weights) {
+        if let Some(at) = self.choose(task, spec, slots) {
+            let slot = &mut slots[at];
+            slot.used = slot.used.plus(&spec.size);
             let attempt = self.book.get(task).map_or(0, |entry| entry.attempt) + 1;
             let record = book::Record::Place {
                 task: task.clone(),
                 attempt,
-                worker: worker.clone(),
+                worker: slot.worker.clone(),
                 size: spec.size,
                 priority: spec.priority,
             };
@@ -225,7 +242,25 @@
         if self.room_is_coming(task) {
             return Err(Why::RoomBeingMade);
         }
-        self.make_room(now, task, spec)
+        self.make_room(now, task, spec, slots)
+    }
+
+    /// Returns the best of the workers with room, or of some of them where there are many.
+    fn choose(&self, task: &id::TaskId, spec: &spec::Spec, slots: &[Slot]) -> Option<usize> {
+        let racks = self.siblings(spec);
+        let compared = if spec.batch() { COMPARED } else { slots.len() };
+        // Tasks start at different workers, so that a pass does not look at the same ones only.
+        let start = task.index as usize * COMPARED;
+        let turns = (0..slots.len()).map(|turn| (start + turn) % slots.len());
+        let fitting = turns.filter(|at| spec.size.fits(&slots[*at].free())).take(compared);
+        let candidates = fitting.map(|at| place::Candidate {
+            at,
+            capacity: slots[at].capacity,
+            used: slots[at].used,
+            harm: self.harm_there(&slots[at], spec),
+            siblings: racks.get(&*slots[at].rack).copied().unwrap_or(0),
+        });
+        place::choose(candidates, &spec.size, &self.settings.weights)
     }
 
     /// Returns whether tasks are still leaving to make room for this one.
@@ -242,12 +277,12 @@
         now: time::Duration,
         task: &id::TaskId,
         spec: &spec::Spec,
+        slots: &[Slot],
     ) -> Result<(), Why> {
-        let slots = self.slots(now);
         let offers = slots.iter().filter_map(|slot| {
-            let free = slot.capacity.minus(&self.book.used(slot.worker));
-            let chosen = place::victims(self.movable(slot, spec.priority), &free, &spec.size)?;
-            Some((place::price(&chosen), slot.worker, chosen))
+            let movable = self.movable(&slot.worker, spec.priority);
+            let chosen = place::victims(movable, &slot.free(), &spec.size)?;
+            Some((place::price(&chosen), &slot.worker, chosen))
         });
         let Some((_, worker, chosen)) = offers.min_by_key(|(price, _, _)| *price) else {
             return Err(Why::NoRoom);
@@ -268,12 +303,12 @@
     }
 
     /// Returns the batch tasks of a worker that a priority may displace.
-    fn movable<'a>(&'a self, slot: &Slot<'a>, priority: u32) -> Vec<place::Victim<'a>> {
-        let reserved = self.promised.values().any(|worker| worker == slot.worker);
+    fn movable(&self, worker: &id::WorkerId, priority: u32) -> Vec<place::Victim<'_>> {
+        let reserved = self.promised.values().any(|promised| promised == worker);
         if reserved {
             return Vec::new();
         }
-        let on = self.book.on(slot.worker);
+        let on = self.book.on(worker);
         let lower = on.filter(|(task, entry)| {
             let batch = self.wanted.get(*task).is_none_or(|spec| spec.batch());
             let placed = matches!(entry.state, book::State::Placed { .. });
@@ -298,44 +333,46 @@
     }
 
     /// Returns the workers that may get a new task.
-    fn slots(&self, now: time::Duration) -> Vec<Slot<'_>> {
+    fn slots(&self, now: time::Duration) -> Vec<Slot> {
         let fresh = self.settings.sync * FRESH_INTERVALS;
-        self.views
-            .iter()
-            .filter(|(_, view)| view.takes_new(now, fresh))
-            .filter_map(|(worker, view)| Some(Slot { worker, view, capacity: view.capacity? }))
-            .collect()
+        let open = self.views.iter().filter(|(_, view)| view.takes_new(now, fresh));
+        let slot = |(worker, view): (&id::WorkerId, &view::View)| {
+            Some(Slot {
+                worker: worker.clone(),
+                rack: sync::Arc::clone(&view.rack),
+                capacity: view.capacity?,
+                used: self.book.used(worker),
+                owners: cell::OnceCell::new(),
+            })
+        };
+        open.filter_map(slot).collect()
     }
 
-    /// Returns a worker as a candidate for a task.
-    fn candidate<'a>(
-        &self,
-        slot: &Slot<'a>,
-        spec: &spec::Spec,
-        racks: &collections::BTreeMap<&str, u32>,
-    ) -> place::Candidate<'a> {
-        let used = self.book.used(slot.worker);
-        let room = spec.size.fits(&slot.capacity.minus(&used));
-        let harm = if room { self.harm_there(slot.worker, spec) } else { 0.0 };
-        let siblings = racks.get(slot.view.rack.as_str()).copied().unwrap_or(0);
-        place::Candidate { worker: slot.worker, capacity: slot.capacity, used, harm, siblings }
+    /// Returns the harm to expect between a task and those on a worker.
+    fn harm_there(&self, slot: &Slot, spec: &spec::Spec) -> f64 {
+        let owners = slot.owners.get_or_init(|| self.owners(&slot.worker));
+        let harms = owners.iter().filter(|(other, _)| other.batch() != spec.batch());
+        let harm = harms.map(|(other, count)| {
+            let (service, job) = if spec.batch() { (&**other, spec) } else { (spec, &**other) };
+            let high = interfere::Load::High;
+            f64::from(*count) * self.harms.expected(&service.owner, &job.owner, high)
+        });
+        harm.sum()
     }
 
-    /// Returns the harm to expect between a task and those on a worker.
-    fn harm_there(&self, worker: &id::WorkerId, spec: &spec::Spec) -> f64 {
-        let mut harm = 0.0;
+    /// Returns the owners of the tasks on a worker, with the number of each.
+    fn owners(&self, worker: &id::WorkerId) -> Vec<(sync::Arc<spec::Spec>, u32)> {
+        let mut owners: Vec<(sync::Arc<spec::Spec>, u32)> = Vec::new();
         for (task, _) in self.book.on(worker) {
-            let Some(other) = self.wanted.get(task) else {
+            let Some(spec) = self.wanted.get(task) else {
                 continue;
             };
-            let pair = match (spec.batch(), other.batch()) {
-                (true, false) => (other.owner.as_str(), spec.owner.as_str()),
-                (false, true) => (spec.owner.as_str(), other.owner.as_str()),
-                _ => continue,
-            };
-            harm += self.harms.expected(pair.0, pair.1, interfere::Load::High);
+            match owners.iter_mut().find(|(other, _)| sync::Arc::ptr_eq(other, spec)) {
+                Some((_, count)) => *count += 1,
+                None => owners.push((sync::Arc::clone(spec), 1)),
+            }
         }
-        harm
+        owners
     }
 
     /// Returns how many tasks of the same service stand in each rack; none for batch tasks.
@@ -347,7 +384,7 @@
         for (worker, view) in &self.views {
             let same = self.book.on(worker).filter(|(task, _)| *task.owner == *spec.owner);
             let count = u32::try_from(same.count()).unwrap_or(u32::MAX);
-            *racks.entry(view.rack.as_str()).or_default() += count;
+            *racks.entry(&*view.rack).or_default() += count;
         }
         racks
     }
--- a/crates/wharflane/src/hall/view.rs
+++ b/crates/wharflane/src/hall/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::net;
+use std::sync;
 use std::time;
 
 use crate::id;
@@ -23,7 +24,7 @@
     /// Where it takes commands, while the platform lists it.
     pub addr: Option<net::SocketAddr>,
     /// Its rack.
-    pub rack: String,
+    pub rack: sync::Arc<str>,
     /// Since when its stop is planned.
     pub leaving_since: Option<time::Duration>,
     /// Its boot, once known.
@@ -63,7 +64,7 @@
     pub fn new(lapse_at: time::Duration) -> Self {
         Self {
             addr: None,
-            rack: String::new(),
+            rack: "".into(),
             leaving_since: None,
             boot: None,
             seq: 0,
@@ -89,7 +90,7 @@
         let Some(member) = member else {
             return;
         };
-        self.rack.clone_from(&member.rack);
+        self.rack = member.rack.as_str().into();
         match member.presence {
             members::Presence::Live => self.leaving_since = None,
             members::Presence::Leaving => {
--- a/crates/wharflane/src/interfere.rs
+++ b/crates/wharflane/src/interfere.rs
@@ -36,15 +36,15 @@
 /// The learned harm of each pair of service and job.
 #[derive(Clone, Debug, Default)]
 pub struct Harms {
-    /// The pairs.
-    pairs: collections::BTreeMap<(String, String, Load), Pair>,
+    /// The pairs by service, job and load.
+    pairs: collections::BTreeMap<String, collections::BTreeMap<String, [Pair; 2]>>,
 }
 
 impl Harms {
     /// Notes by how much the target was missed beside a job: zero where it was kept.
     pub fn note(&mut self, service: &str, job: &str, load: Load, harm: f64) {
-        let key = (service.to_owned(), job.to_owned(), load);
-        let pair = self.pairs.entry(key).or_default();
+        let jobs = self.pairs.entry(service.to_owned()).or_default();
+        let pair = &mut jobs.entry(job.to_owned()).or_default()[load as usize];
         let weight = ALPHA.max(1.0 / (pair.seen + 1.0));
         pair.harm += (harm.clamp(0.0, MAX_HARM) - pair.harm) * weight;
         pair.seen += 1.0;
@@ -53,14 +53,17 @@
     /// Returns the harm to expect of a pair, drawn to the prior where little was seen.
     #[must_use]
     pub fn expected(&self, service: &str, job: &str, load: Load) -> f64 {
-        let key = (service.to_owned(), job.to_owned(), load);
-        let pair = self.pairs.get(&key).copied().unwrap_or_default();
+        let pairs = self.pairs.get(service).and_then(|jobs| jobs.get(job));
+        let pair = pairs.map(|loads| loads[load as usize]).unwrap_or_default();
         (pair.harm * pair.seen + PRIOR * PRIOR_WEIGHT) / (pair.seen + PRIOR_WEIGHT)
     }
 
-    /// Returns the learned pairs for the state dump.
-    pub fn pairs(&self) -> impl Iterator<Item = (&str, &str, Load, f64)> {
-        self.pairs.iter().map(|((s, j, load), pair)| (s.as_str(), j.as_str(), *load, pair.harm))
+    /// Returns the learned pairs at high load, for the state dump.
+    pub fn pairs(&self) -> impl Iterator<Item = (&str, &str, f64)> {
+        self.pairs.iter().flat_map(|(service, jobs)| {
+            let harm = |loads: &[Pair; 2]| loads[Load::High as usize].harm;
+            jobs.iter().map(move |(job, loads)| (service.as_str(), job.as_str(), harm(loads)))
+        })
     }
 }
 
--- a/crates/wharflane/src/place.rs
+++ b/crates/wharflane/src/place.rs
@@ -22,9 +22,9 @@
 
 /// A worker that could take a task.
 #[derive(Clone, Debug)]
-pub struct Candidate<'a> {
-    /// The worker.
-    pub worker: &'a id::WorkerId,
+pub struct Candidate {
+    /// The position of the worker among those looked at.
+    pub at: usize,
     /// What it has.
     pub capacity: size::Size,
     /// What is set aside on it.
@@ -35,19 +35,18 @@
     pub siblings: u32,
 }
 
-/// Returns the best worker that has room, or nothing.
-pub fn choose<'a>(
-    candidates: impl Iterator<Item = Candidate<'a>>,
+/// Returns the position of the best worker, or nothing; all candidates have room.
+pub fn choose(
+    candidates: impl Iterator<Item = Candidate>,
     need: &size::Size,
     weights: &Weights,
-) -> Option<&'a id::WorkerId> {
-    let fitting = candidates.filter(|c| need.fits(&c.capacity.minus(&c.used)));
-    let best = fitting.min_by(|a, b| cost(a, need, weights).total_cmp(&cost(b, need, weights)))?;
-    Some(best.worker)
+) -> Option<usize> {
+    let costs = candidates.map(|candidate| (candidate.at, cost(&candidate, need, weights)));
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
 /// Returns the cost of a worker: what stays unused, the harm, and the lack of spread.
-fn cost(candidate: &Candidate<'_>, need: &size::Size, weights: &Weights) -> f64 {
+fn cost(candidate: &Candidate, need: &size::Size, weights: &Weights) -> f64 {
     let left = candidate.capacity.minus(&candidate.used.plus(need));
     let unused = share(left.cpu_milli, candidate.capacity.cpu_milli)
         + share(left.mem_mb, candidate.capacity.mem_mb);
