--- a/crates/bench/tests/decisions.rs
+++ b/crates/bench/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use wharflane_bench::queueing;
+use wharflane_bench::{harm, queueing};
 use wharflane_stand_in::cases;
 
 /// Returns a small part of Verbeeck's endpoints under a share of their capacity.
@@ -84,6 +84,17 @@
         let median_us = over.refusal_us.value_at_quantile(0.5);
         assert!(median_us * 10 < 500_000, "a tenth of the patience: {median_us}");
     },
+    the_loops_keep_targets_that_first_fit_misses => {
+        let site = harm::sites()[0].part(20);
+        let run = |policy| harm::run(&site, policy, time::Duration::from_secs(240));
+        let (first, at_once) = (run(harm::Policy::FirstFit), run(harm::Policy::EvictAtOnce));
+        let product = run(harm::Policy::Product);
+        assert!(product.over * 2 < first.over, "{product:?} {first:?}");
+        assert!(product.over * 2 < at_once.over, "{product:?} {at_once:?}");
+        assert!(product.evictions * 10 < at_once.evictions, "{product:?} {at_once:?}");
+        assert!(product.done * 100 > first.done * 75, "{product:?} {first:?}");
+        assert_eq!(product.broken, 0);
+    },
     retries_stay_within_their_budget => {
         let mut setup = setup(6, 0.5);
         setup.troubles.fill((queueing::Trouble::FailFast, time::Duration::from_secs(9)));
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -6,7 +6,7 @@
 use ractor::Actor;
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
-use wharflane::{desired, hall, platform, toml_read};
+use wharflane::{desired, hall, platform};
 use wharflane_operator as operator;
 
 use super::Shared;
@@ -57,6 +57,8 @@
     Head(Option<u64>),
     /// A revision was read from the object store or came from a peer.
     Offered(Box<desired::Stored>),
+    /// A revision was read through beside the control thread.
+    Read(Loaded),
     /// A peer has a revision in force.
     Nudged(u64),
 }
@@ -104,7 +106,8 @@
             }
             Msg::Nudged(_) => {}
             Msg::Head(revision) => state.root.cast(root::Msg::HeadSeen(revision))?,
-            Msg::Offered(stored) => state.offered(*stored)?,
+            Msg::Offered(stored) => read_through(&myself, *stored, state.revision),
+            Msg::Read(loaded) => state.put_in_force(loaded)?,
         }
         Ok(())
     }
@@ -112,28 +115,36 @@
 
 impl State {
     /// Puts a revision in force unless it is not newer than the one in force.
-    fn offered(&mut self, stored: desired::Stored) -> Result<(), ractor::ActorProcessingErr> {
-        if stored.revision <= self.revision {
+    fn put_in_force(&mut self, loaded: Loaded) -> Result<(), ractor::ActorProcessingErr> {
+        let revision = loaded.current.revision;
+        if revision <= self.revision {
             return Ok(());
         }
-        let Ok(desired) = stored.desired() else {
-            tracing::error!(
-                revision = stored.revision,
-                "configuration can't be read by this build"
-            );
-            return Ok(());
-        };
-        let revision = stored.revision;
         self.revision = revision;
         self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
         tracing::info!(revision, "configuration in force");
-        let current = sync::Arc::new(hall::Current { revision, desired });
-        let stored = sync::Arc::new(stored);
-        self.root.cast(root::Msg::Config(Loaded { stored, current }))?;
+        self.root.cast(root::Msg::Config(loaded))?;
         Ok(())
     }
 }
 
+/// Reads a newer revision through on another thread, since a large one takes a while.
+fn read_through(myself: &ractor::ActorRef<Msg>, stored: desired::Stored, known: u64) {
+    let revision = stored.revision;
+    if revision <= known {
+        return;
+    }
+    let myself = myself.clone();
+    tokio::task::spawn_blocking(move || match stored.desired() {
+        Ok(desired) => {
+            let current = sync::Arc::new(hall::Current { revision, desired });
+            let loaded = Loaded { stored: sync::Arc::new(stored), current };
+            let _ = myself.cast(Msg::Read(loaded));
+        }
+        Err(_) => tracing::error!(revision, "configuration can't be read by this build"),
+    });
+}
+
 /// Reads the head row, and the object that it names if that is newer.
 fn fetch(myself: &ractor::ActorRef<Msg>, shared: Shared, known: u64) {
     let myself = myself.clone();
@@ -172,11 +183,13 @@
 
 /// Checks a submission and puts it in force, or says why not.
 pub async fn apply(shared: &Shared, apply: &operator::Apply) -> operator::Applied {
-    let after = match desired::parse(&apply.text) {
-        Ok(after) => after,
-        Err(faults) => return operator::Applied::Refused { faults },
+    let text = apply.text.clone();
+    let parsed = tokio::task::spawn_blocking(move || desired::parse(&text)).await;
+    let mut after = match parsed {
+        Ok(Ok(after)) => after,
+        Ok(Err(faults)) => return operator::Applied::Refused { faults },
+        Err(_) => return operator::Applied::Unknown,
     };
-    let mut after = after;
     let Some(before) = read_before(shared).await else {
         return operator::Applied::Unknown;
     };
@@ -199,12 +212,6 @@
     put_in_force(shared, apply, &before, &stored).await
 }
 
-/// Checks a submission without putting it in force.
-#[must_use]
-pub fn check(text: &str) -> Vec<toml_read::Fault> {
-    desired::parse(text).err().unwrap_or_default()
-}
-
 /// Stores a revision and moves the head row to it.
 async fn put_in_force(
     shared: &Shared,
--- a/crates/stand-in/src/machine.rs
+++ b/crates/stand-in/src/machine.rs
@@ -176,6 +176,11 @@
         self.running().filter(|(_, run)| service(run)).map(|(task, _)| task.clone()).collect()
     }
 
+    /// Returns the tasks that run, with the share of processors left to each.
+    pub fn shares(&self) -> impl Iterator<Item = (&id::TaskId, u8)> {
+        self.running().map(|(task, run)| (task, run.percent))
+    }
+
     /// Returns how many tasks run.
     #[must_use]
     pub fn running_count(&self) -> usize {
--- a/crates/stand-in/src/world.rs
+++ b/crates/stand-in/src/world.rs
@@ -249,6 +249,13 @@
         }
     }
 
+    /// Tells the holder something that its host would know.
+    pub fn tell_holder(&mut self, event: hall::Event) {
+        if let Some(at) = self.holder() {
+            self.tell(at, event);
+        }
+    }
+
     /// Asks the holder to stop.
     pub fn ask_to_leave(&mut self, at: usize) {
         self.tell(at, hall::Event::Leave);
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -127,6 +127,8 @@
     Digest(digest::Digest),
     /// Another holder told the hall's endpoints.
     Table(endpoints::Table),
+    /// The harm of pairs is known from elsewhere.
+    Harms(interfere::Harms),
     /// This host is about to stop.
     Leave,
 }
@@ -250,6 +252,11 @@
                     self.known = Some(table);
                 }
             }
+            Event::Harms(harms) => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.harms = harms;
+                }
+            }
             Event::Leave => self.leaving = true,
         }
         Vec::new()
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -70,6 +70,17 @@
 /// How many workers with room are compared for one task, so that large halls stay quick.
 const COMPARED: usize = 48;
 
+/// How much the time that a throttled task loses weighs against a missed target.
+const SLOWED_WEIGHT: f64 = 0.5;
+
+/// The tasks of one owner on a worker.
+struct Owner {
+    /// What they have in common.
+    spec: sync::Arc<spec::Spec>,
+    /// Their number, each counted by its share of speed.
+    share: f64,
+}
+
 /// A worker with what a pass needs of it.
 struct Slot {
     /// The worker.
@@ -81,7 +92,7 @@
     /// What is set aside on it, the placements of the pass included.
     used: size::Size,
     /// The owners of its tasks with their number, once they were asked for.
-    owners: cell::OnceCell<Vec<(sync::Arc<spec::Spec>, u32)>>,
+    owners: cell::OnceCell<Vec<Owner>>,
 }
 
 impl Slot {
@@ -226,8 +237,10 @@
             return Err(if slots.is_empty() { Why::NoRoom } else { Why::FitsNowhere });
         }
         if let Some(at) = self.choose(task, spec, slots) {
+            let percent = self.first_percent(&slots[at], spec);
             let slot = &mut slots[at];
             slot.used = slot.used.plus(&spec.size);
+            slot.owners = cell::OnceCell::new();
             let attempt = self.book.get(task).map_or(0, |entry| entry.attempt) + 1;
             let record = book::Record::Place {
                 task: task.clone(),
@@ -236,7 +249,11 @@
                 size: spec.size,
                 priority: spec.priority,
             };
+            let worker = slot.worker.clone();
             self.propose(now, record);
+            if percent < WHOLE_PERCENT {
+                self.throttle(now, &worker, task.clone(), percent);
+            }
             return Ok(());
         }
         if self.room_is_coming(task) {
@@ -348,28 +365,53 @@
         open.filter_map(slot).collect()
     }
 
-    /// Returns the harm to expect between a task and those on a worker.
-    fn harm_there(&self, slot: &Slot, spec: &spec::Spec) -> f64 {
+    /// Returns by how much the worst service on a worker is expected to miss its target with one
+    /// more task there at a share of its speed; below zero all targets are kept.
+    fn expected(&self, slot: &Slot, spec: &spec::Spec, percent: u8) -> f64 {
         let owners = slot.owners.get_or_init(|| self.owners(&slot.worker));
-        let harms = owners.iter().filter(|(other, _)| other.batch() != spec.batch());
-        let harm = harms.map(|(other, count)| {
-            let (service, job) = if spec.batch() { (&**other, spec) } else { (spec, &**other) };
-            let high = interfere::Load::High;
-            f64::from(*count) * self.harms.expected(&service.owner, &job.owner, high)
-        });
-        harm.sum()
+        let mut beside = beside(owners);
+        let services = owners.iter().map(|owner| &*owner.spec).filter(|spec| !spec.batch());
+        let mut services: Vec<&str> = services.map(|spec| spec.owner.as_str()).collect();
+        if spec.batch() {
+            let share = f64::from(percent) / f64::from(WHOLE_PERCENT);
+            beside.push(interfere::Beside { job: &spec.owner, share });
+        } else {
+            services.push(&spec.owner);
+        }
+        let misses = services.iter().map(|service| self.harms.expect(service, &beside));
+        misses.fold(f64::NEG_INFINITY, f64::max)
     }
 
-    /// Returns the owners of the tasks on a worker, with the number of each.
-    fn owners(&self, worker: &id::WorkerId) -> Vec<(sync::Arc<spec::Spec>, u32)> {
-        let mut owners: Vec<(sync::Arc<spec::Spec>, u32)> = Vec::new();
+    /// Returns the greatest share of speed at which a task is expected to leave targets kept.
+    fn first_percent(&self, slot: &Slot, spec: &spec::Spec) -> u8 {
+        let steps = self.settings.patience.steps;
+        let kept = |percent: &u8| self.expected(slot, spec, *percent) <= 0.0;
+        if !spec.batch() || kept(&WHOLE_PERCENT) {
+            return WHOLE_PERCENT;
+        }
+        let step = steps.iter().find(|percent| kept(percent)).or(steps.last());
+        step.copied().unwrap_or(WHOLE_PERCENT)
+    }
+
+    /// Returns what a task would cost on a worker: targets missed, and its own time lost.
+    fn harm_there(&self, slot: &Slot, spec: &spec::Spec) -> f64 {
+        let percent = self.first_percent(slot, spec);
+        let missed = self.expected(slot, spec, percent).max(0.0);
+        let slowed = 1.0 - f64::from(percent) / f64::from(WHOLE_PERCENT);
+        missed + slowed * SLOWED_WEIGHT
+    }
+
+    /// Returns the owners of the tasks on a worker.
+    fn owners(&self, worker: &id::WorkerId) -> Vec<Owner> {
+        let mut owners: Vec<Owner> = Vec::new();
         for (task, _) in self.book.on(worker) {
             let Some(spec) = self.wanted.get(task) else {
                 continue;
             };
-            match owners.iter_mut().find(|(other, _)| sync::Arc::ptr_eq(other, spec)) {
-                Some((_, count)) => *count += 1,
-                None => owners.push((sync::Arc::clone(spec), 1)),
+            let share = f64::from(self.percent(worker, task)) / f64::from(WHOLE_PERCENT);
+            match owners.iter_mut().find(|owner| sync::Arc::ptr_eq(&owner.spec, spec)) {
+                Some(owner) => owner.share += share,
+                None => owners.push(Owner { spec: sync::Arc::clone(spec), share }),
             }
         }
         owners
@@ -464,15 +506,20 @@
         let Some(missed) = self.views.get_mut(worker).map(|view| view.missed.take()) else {
             return;
         };
-        let suspects = self.suspects(worker, missed.as_ref().map(|(task, _)| task));
-        let Some((service, suspects)) = suspects else {
-            return;
+        self.forget_throttles(worker);
+        let owners = self.owners(worker);
+        let beside = beside(&owners);
+        let by = |service: &str| match &missed {
+            Some((task, missed)) if *task.owner == *service => *missed,
+            _ => 0.0,
         };
-        let harm = missed.as_ref().map_or(0.0, |(_, missed)| *missed);
-        for suspect in &suspects {
-            let job = &suspect.task.owner;
-            self.harms.note(&service.owner, job, interfere::Load::High, harm);
+        for Owner { spec, .. } in owners.iter().filter(|owner| !owner.spec.batch()) {
+            self.harms.learn(&spec.owner, &beside, by(&spec.owner));
         }
+        let suspects = match &missed {
+            Some((task, _)) => self.suspects(now, worker, task),
+            None => Vec::new(),
+        };
         let patience = self.settings.patience;
         let Some(view) = self.views.get_mut(worker) else {
             return;
@@ -492,29 +539,49 @@
         }
     }
 
-    /// Returns the service that is looked at on a worker and the batch tasks beside it.
+    /// Forgets the throttles of tasks that have left a worker.
+    fn forget_throttles(&mut self, worker: &id::WorkerId) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let book = &self.book;
+        let here = |task: &id::TaskId| {
+            book.get(task).is_some_and(|entry| entry.state.worker() == Some(worker))
+        };
+        view.throttles.retain(|task, _| here(task));
+    }
+
+    /// Returns the batch tasks beside a disturbed service task.
     fn suspects(
         &self,
+        now: time::Duration,
         worker: &id::WorkerId,
-        disturbed: Option<&id::TaskId>,
-    ) -> Option<(id::TaskId, Vec<interfere::Suspect<id::TaskId>>)> {
-        let view = self.views.get(worker)?;
-        let is_batch = |task: &id::TaskId| self.wanted.get(task).map(|spec| spec.batch());
-        let first = || self.book.on(worker).map(|(task, _)| task);
-        let any = || first().find(|task| is_batch(task) == Some(false));
-        let service = disturbed.or_else(any)?.clone();
+        service: &id::TaskId,
+    ) -> Vec<interfere::Suspect<id::TaskId>> {
+        let slots = self.slots(now);
         let placed = self.book.on(worker).filter(|(task, entry)| {
             let here = matches!(entry.state, book::State::Placed { .. });
-            here && is_batch(task) == Some(true)
+            here && self.wanted.get(*task).is_some_and(|spec| spec.batch())
         });
-        let suspect = |(task, _): (&id::TaskId, &book::Entry)| interfere::Suspect {
-            task: task.clone(),
-            harm: self.harms.expected(&service.owner, &task.owner, interfere::Load::High),
-            percent: view.throttles.get(task).copied().unwrap_or(WHOLE_PERCENT),
-            lost_ms: self.lost_ms(task),
+        let suspect = |(task, entry): (&id::TaskId, &book::Entry)| {
+            let spec = self.wanted.get(task)?;
+            let elsewhere = slots.iter().filter(|slot| slot.worker != *worker);
+            let mut room = elsewhere.filter(|slot| entry.size.fits(&slot.free()));
+            Some(interfere::Suspect {
+                task: task.clone(),
+                harm: self.harms.harm(&service.owner, &task.owner),
+                percent: self.percent(worker, task),
+                lost_ms: self.lost_ms(task),
+                movable: room.any(|slot| self.expected(slot, spec, WHOLE_PERCENT) <= 0.0),
+            })
         };
-        let suspects = placed.map(suspect).collect();
-        Some((service, suspects))
+        placed.filter_map(suspect).collect()
+    }
+
+    /// Returns the share of its processors that a task has.
+    fn percent(&self, worker: &id::WorkerId, task: &id::TaskId) -> u8 {
+        let throttles = self.views.get(worker).map(|view| &view.throttles);
+        throttles.and_then(|all| all.get(task)).copied().unwrap_or(WHOLE_PERCENT)
     }
 
     /// Leaves a task only a share of its processors.
@@ -553,6 +620,12 @@
     }
 }
 
+/// Returns the batch tasks among the owners on a worker.
+fn beside(owners: &[Owner]) -> Vec<interfere::Beside<'_>> {
+    let batch = owners.iter().filter(|owner| owner.spec.batch());
+    batch.map(|owner| interfere::Beside { job: &owner.spec.owner, share: owner.share }).collect()
+}
+
 /// Returns the record that evicts a task.
 fn evict(task: &id::TaskId, entry: &book::Entry, cause: book::Cause) -> book::Record {
     book::Record::Evict { task: task.clone(), attempt: entry.attempt, cause }
--- a/crates/wharflane/src/hall/sync.rs
+++ b/crates/wharflane/src/hall/sync.rs
@@ -87,24 +87,25 @@
         view: &view::View,
         task: &id::TaskId,
         entry: &book::Entry,
-    ) -> Option<work::Command> {
+    ) -> Vec<work::Command> {
         let attempt = entry.attempt;
         let known = view.tasks.get(task).is_some_and(|report| report.attempt == attempt);
         if matches!(entry.state, book::State::Leaving { .. }) {
-            return Some(work::Command::Stop { task: task.clone(), attempt });
+            return vec![work::Command::Stop { task: task.clone(), attempt }];
         }
-        if known {
-            let percent = *view.throttles.get(task)?;
-            return Some(work::Command::Throttle { task: task.clone(), attempt, percent });
-        }
-        let spec = self.wanted.get(task)?;
-        Some(work::Command::Start {
+        let start = self.wanted.get(task).filter(|_| !known).map(|spec| work::Command::Start {
             task: task.clone(),
             attempt,
             size: entry.size,
             checkpoint: entry.checkpoint,
             kind: spec.kind.clone(),
-        })
+        });
+        let throttle = view.throttles.get(task).map(|percent| work::Command::Throttle {
+            task: task.clone(),
+            attempt,
+            percent: *percent,
+        });
+        start.into_iter().chain(throttle).collect()
     }
 
     /// Returns what to do about a reported task that does not belong there.
--- a/crates/wharflane/src/interfere.rs
+++ b/crates/wharflane/src/interfere.rs
@@ -3,66 +3,99 @@
 use std::collections;
 use std::time;
 
-use serde::Serialize;
-
-/// How much the newest observation of a pair counts.
-const ALPHA: f64 = 0.2;
-/// The harm assumed for a pair never seen, so that new pairs are tried with some care.
-const PRIOR: f64 = 0.1;
-/// The weight of the prior, in observations.
-const PRIOR_WEIGHT: f64 = 2.0;
+/// How much of an error is learned at once where a target was missed by more than expected.
+const RATE_UP: f64 = 0.3;
+/// How much is learned where it was missed by less: a rush comes back after a calm.
+const RATE_DOWN: f64 = 0.02;
+/// The harm assumed of a job never seen beside a service, for one task at full speed.
+const FIRST_HARM: f64 = 0.05;
+/// The room below its target that a service is assumed to have alone.
+const FIRST_ROOM: f64 = 0.4;
+/// How much of an error is laid to the service itself.
+const ROOM_SHARE: f64 = 0.2;
 /// The greatest harm that is told apart.
 const MAX_HARM: f64 = 4.0;
+/// The most times that the calm asked for is doubled.
+const MAX_DOUBLINGS: u32 = 5;
 
-/// The load of a service while a pair was observed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Load {
-    /// Below half of its usual peak.
-    Low,
-    /// Above.
-    High,
+/// What is learned of one service.
+#[derive(Clone, Debug)]
+struct Learned {
+    /// The room below its target that it has alone, as a share of the target.
+    room: f64,
+    /// The harm of one task of each job at full speed, as a share of the target.
+    jobs: collections::BTreeMap<String, f64>,
+}
+
+impl Default for Learned {
+    fn default() -> Self {
+        Self { room: FIRST_ROOM, jobs: collections::BTreeMap::new() }
+    }
 }
 
-/// What was seen of one pair at one load.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-struct Pair {
-    /// The average harm.
-    harm: f64,
-    /// How often it was seen.
-    seen: f64,
+/// Tasks of one job beside a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Beside<'a> {
+    /// The job.
+    pub job: &'a str,
+    /// The number of tasks, each counted by its share of speed.
+    pub share: f64,
 }
 
 /// The learned harm of each pair of service and job.
+///
+/// A service is taken to miss its target by the sum of its neighbours' harms less its own room.
+/// Hosts tell misses only, so what was kept says just that the sum was not above the room.
 #[derive(Clone, Debug, Default)]
 pub struct Harms {
-    /// The pairs by service, job and load.
-    pairs: collections::BTreeMap<String, collections::BTreeMap<String, [Pair; 2]>>,
+    /// The services.
+    services: collections::BTreeMap<String, Learned>,
 }
 
 impl Harms {
-    /// Notes by how much the target was missed beside a job: zero where it was kept.
-    pub fn note(&mut self, service: &str, job: &str, load: Load, harm: f64) {
-        let jobs = self.pairs.entry(service.to_owned()).or_default();
-        let pair = &mut jobs.entry(job.to_owned()).or_default()[load as usize];
-        let weight = ALPHA.max(1.0 / (pair.seen + 1.0));
-        pair.harm += (harm.clamp(0.0, MAX_HARM) - pair.harm) * weight;
-        pair.seen += 1.0;
+    /// Learns from one interval: by what share the target was missed, or zero where it was kept.
+    pub fn learn(&mut self, service: &str, beside: &[Beside<'_>], missed: f64) {
+        let error = missed - self.expect(service, beside);
+        if missed <= 0.0 && error >= 0.0 {
+            return;
+        }
+        let learned = self.services.entry(service.to_owned()).or_default();
+        let squares: f64 = beside.iter().map(|beside| beside.share * beside.share).sum();
+        let rate = if error > 0.0 { RATE_UP } else { RATE_DOWN };
+        let step = rate * error / (ROOM_SHARE + squares);
+        learned.room = (learned.room - step * ROOM_SHARE).clamp(0.0, 1.0);
+        for Beside { job, share } in beside {
+            let harm = learned.jobs.entry((*job).to_owned()).or_insert(FIRST_HARM);
+            *harm = (*harm + step * share).clamp(0.0, MAX_HARM);
+        }
     }
 
-    /// Returns the harm to expect of a pair, drawn to the prior where little was seen.
+    /// Returns by what share a target is expected to be missed; below zero it is kept.
     #[must_use]
-    pub fn expected(&self, service: &str, job: &str, load: Load) -> f64 {
-        let pairs = self.pairs.get(service).and_then(|jobs| jobs.get(job));
-        let pair = pairs.map(|loads| loads[load as usize]).unwrap_or_default();
-        (pair.harm * pair.seen + PRIOR * PRIOR_WEIGHT) / (pair.seen + PRIOR_WEIGHT)
+    pub fn expect(&self, service: &str, beside: &[Beside<'_>]) -> f64 {
+        let harms = beside.iter().map(|beside| self.harm(service, beside.job) * beside.share);
+        let room = self.services.get(service).map_or(FIRST_ROOM, |learned| learned.room);
+        harms.sum::<f64>() - room
     }
 
-    /// Returns the learned pairs at high load, for the state dump.
+    /// Returns the harm of one task of a job at full speed.
+    #[must_use]
+    pub fn harm(&self, service: &str, job: &str) -> f64 {
+        let learned = self.services.get(service).and_then(|learned| learned.jobs.get(job));
+        learned.copied().unwrap_or(FIRST_HARM)
+    }
+
+    /// Sets what is known of a pair from elsewhere.
+    pub fn set(&mut self, service: &str, job: &str, harm: f64, room: f64) {
+        let learned = self.services.entry(service.to_owned()).or_default();
+        learned.room = room;
+        learned.jobs.insert(job.to_owned(), harm);
+    }
+
+    /// Returns the learned harms by service and job, for the state dump.
     pub fn pairs(&self) -> impl Iterator<Item = (&str, &str, f64)> {
-        self.pairs.iter().flat_map(|(service, jobs)| {
-            let harm = |loads: &[Pair; 2]| loads[Load::High as usize].harm;
-            jobs.iter().map(move |(job, loads)| (service.as_str(), job.as_str(), harm(loads)))
+        self.services.iter().flat_map(|(service, learned)| {
+            learned.jobs.iter().map(move |(job, harm)| (service.as_str(), job.as_str(), *harm))
         })
     }
 }
@@ -72,12 +105,21 @@
 pub struct Suspect<T> {
     /// The task.
     pub task: T,
-    /// The harm expected of it.
+    /// The harm expected of it at full speed.
     pub harm: f64,
     /// The share of its processors that it has now.
     pub percent: u8,
     /// The work that its eviction would lose, in milliseconds.
     pub lost_ms: u64,
+    /// Whether another worker has room where it would do less harm.
+    pub movable: bool,
+}
+
+impl<T> Suspect<T> {
+    /// Returns the harm that it does at its present speed.
+    fn present_harm(&self) -> f64 {
+        self.harm * f64::from(self.percent)
+    }
 }
 
 /// What to do about a disturbed service.
@@ -100,6 +142,8 @@
     kept: u32,
     /// When the last change was made.
     changed: Option<time::Duration>,
+    /// Changes that a missed target has asked for.
+    relapses: u32,
 }
 
 /// How patient the loop is.
@@ -144,14 +188,17 @@
         if self.missed < patience.misses || settling {
             return Remedy::Wait;
         }
-        let worst = suspects.into_iter().max_by(|a, b| {
+        let lowest = patience.steps.last().copied().unwrap_or(0);
+        let open = suspects.into_iter().filter(|s| s.percent > lowest || s.movable);
+        let worst = open.max_by(|a, b| {
             let cheaper = b.lost_ms.cmp(&a.lost_ms);
-            a.harm.total_cmp(&b.harm).then(cheaper)
+            a.present_harm().total_cmp(&b.present_harm()).then(cheaper)
         });
         let Some(suspect) = worst else {
             return Remedy::Wait;
         };
         self.changed = Some(now);
+        self.relapses = (self.relapses + 1).min(MAX_DOUBLINGS);
         match patience.steps.iter().find(|step| **step < suspect.percent) {
             Some(step) => Remedy::Throttle(suspect.task, *step),
             None => Remedy::Evict(suspect.task),
@@ -160,7 +207,8 @@
 
     /// Returns whether a throttle on the worker may be loosened now.
     pub fn may_loosen(&mut self, patience: &Patience) -> bool {
-        let calm = self.kept >= patience.calm;
+        // Each relapse asks for twice the calm before the next try.
+        let calm = self.kept >= patience.calm.saturating_mul(2_u32.pow(self.relapses));
         if calm {
             self.kept = 0;
         }
