--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -4,9 +4,11 @@
 use std::sync;
 use std::time;
 
-use wharflane::{clock, desired, digest, endpoints, id, members};
+use wharflane::{clock, desired, digest, endpoints, id, members, size, work};
 use wharflane_daemon::{metrics, settings, traffic};
+use wharflane_stand_in::{endpoint, ledger, worker};
 
+use crate::forwarder;
 use crate::recovery;
 use crate::table;
 
@@ -197,6 +199,56 @@
     serde_json::to_vec(&seen).map_or(0, |bytes| bytes.len())
 }
 
+/// Returns the processor time of one message to a worker over HTTP, in microseconds: the
+/// holder's side and the fake worker's side.
+///
+/// # Panics
+/// Panics if a port can't be opened.
+#[must_use]
+pub fn message() -> (f64, f64) {
+    const MESSAGES: u64 = 10_000;
+    let worker = forwarder::runtime("msg-worker", 1);
+    let holder = forwarder::runtime("msg-holder", 1);
+    let listener = worker.block_on(forwarder::bind());
+    let addr = listener.local_addr().expect("its address");
+    let make = worker::Make {
+        worker: "worker-1".into(),
+        capacity: size::Size { cpu_milli: 64_000, mem_mb: 250_000, accelerators: 0 },
+        room: endpoint::Room::default(),
+        endpoint_faults: endpoint::Faults::default(),
+        harm_percent: 0,
+    };
+    let fake = worker::Server::new(make, 1, ledger::Ledger::default());
+    worker.spawn(fake.serve(listener));
+    let client = wharflane_worker::Workers::new(time::Duration::from_secs(5));
+    let send = async move {
+        for seq in 1..=MESSAGES {
+            let _ = client.sync(addr, &full_message(seq)).await;
+        }
+    };
+    let before = ["msg-holder", "msg-worker"].map(forwarder::ticks);
+    holder.block_on(async { tokio::spawn(send).await }).expect("messages sent");
+    let after = ["msg-holder", "msg-worker"].map(forwarder::ticks);
+    let us = |at: usize| (after[at] - before[at]) / forwarder::TICKS * 1e6 / MESSAGES as f64;
+    holder.shutdown_background();
+    worker.shutdown_background();
+    (us(0), us(1))
+}
+
+/// Returns a message that starts fifteen tasks, of which a worker then reports.
+fn full_message(seq: u64) -> work::Sync {
+    let start = |index| work::Command::Start {
+        task: id::TaskId { owner: "settle-fares".into(), born: 1_700, index },
+        attempt: 1,
+        size: size::Size { cpu_milli: 2_000, mem_mb: 4_000, accelerators: 0 },
+        checkpoint: None,
+        kind: work::Kind::Batch { run_time_ms: 3_600_000, checkpoint: true },
+    };
+    let commands = if seq <= 2 { (0..15).map(start).collect() } else { Vec::new() };
+    let lease_until_ms = 600_000;
+    work::Sync { worker: "worker-1".into(), boot: Some(1), epoch: 1, seq, lease_until_ms, commands }
+}
+
 /// Prints all slopes.
 pub fn print(live: Live) {
     let mut halls = table::Table::new(&[
@@ -248,6 +300,8 @@
         ]);
     }
     routes_table.print();
+    let (holder_us, worker_us) = message();
+    println!("processor us of a message over HTTP: holder {holder_us:.0}, worker {worker_us:.0}");
     println!("bytes of a worker in the list: {}", member_bytes());
     println!("bytes of an endpoint in a digest: {}", digest_bytes());
 }
--- a/crates/bench/src/forwarder.rs
+++ b/crates/bench/src/forwarder.rs
@@ -29,7 +29,7 @@
 /// The name of the bare forwarder's threads.
 const BARE: &str = "fw-bare";
 /// Processor ticks in a second, as /proc counts them.
-const TICKS: f64 = 100.0;
+pub(crate) const TICKS: f64 = 100.0;
 
 /// A client.
 type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>;
@@ -237,7 +237,7 @@
 }
 
 /// Makes a runtime whose threads have a name.
-fn runtime(name: &str, threads: usize) -> tokio::runtime::Runtime {
+pub(crate) fn runtime(name: &str, threads: usize) -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
         .thread_name(name)
@@ -247,12 +247,12 @@
 }
 
 /// Opens a port.
-async fn bind() -> tokio::net::TcpListener {
+pub(crate) async fn bind() -> tokio::net::TcpListener {
     tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port")
 }
 
 /// Returns the processor ticks that the threads of a name have used.
-fn ticks(name: &str) -> f64 {
+pub(crate) fn ticks(name: &str) -> f64 {
     let Ok(tasks) = fs::read_dir("/proc/self/task") else {
         return 0.0;
     };
--- a/crates/daemon/src/traffic/lane.rs
+++ b/crates/daemon/src/traffic/lane.rs
@@ -44,8 +44,6 @@
     budget: retry::Budget,
 }
 
-/// The most endpoints of a service that are told of in one interval, the worst first.
-const MAX_TOLD: usize = 16;
 /// How many average service times are kept free before a deadline.
 const SERVICE_TIMES_KEPT: u32 = 2;
 
@@ -268,8 +266,6 @@
             };
             all.push((slot.hall.clone(), seen));
         }
-        all.sort_by_key(|(_, seen)| std::cmp::Reverse(seen.p95_us));
-        all.truncate(MAX_TOLD);
         all
     }
 
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -17,6 +17,9 @@
 
 pub use lane::LaneDump;
 
+/// The most endpoints that a host tells of in one interval, the slowest first.
+const MAX_TOLD: usize = 48;
+
 /// What traffic needs of the configuration and the halls.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -131,10 +134,11 @@
         let mut halls: collections::BTreeMap<id::HallId, Vec<digest::Seen>> =
             collections::BTreeMap::new();
         let now = self.clock.now();
-        for lane in self.lanes.load().values() {
-            for (hall, seen) in lane.take_seen(now) {
-                halls.entry(hall).or_default().push(seen);
-            }
+        let lanes = self.lanes.load();
+        let mut all: Vec<_> = lanes.values().flat_map(|lane| lane.take_seen(now)).collect();
+        all.sort_by_key(|(_, seen)| std::cmp::Reverse(seen.p95_us));
+        for (hall, seen) in all.into_iter().take(MAX_TOLD) {
+            halls.entry(hall).or_default().push(seen);
         }
         let digest = |(hall, endpoints)| digest::Digest { host: host.clone(), hall, endpoints };
         halls.into_iter().map(digest).collect()
--- a/crates/wharflane/src/digest.rs
+++ b/crates/wharflane/src/digest.rs
@@ -11,7 +11,7 @@
     pub host: id::HostId,
     /// The hall.
     pub hall: id::HallId,
-    /// The endpoints that missed their target or failed, the worst of each service.
+    /// The endpoints that missed their target or failed, the slowest first.
     pub endpoints: Vec<Seen>,
 }
 
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -64,7 +64,7 @@
         let secs = time::Duration::from_secs;
         let millis = time::Duration::from_millis;
         Self {
-            timing: lease::Timing { lease: secs(6), turn: secs(2) },
+            timing: lease::Timing { lease: secs(4), turn: secs(1) },
             poll: secs(1),
             commit: millis(300),
             sync: secs(1),
