--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod forwarder;
 pub mod harm;
 pub mod limits;
+pub mod load;
 pub mod queueing;
 pub mod recovery;
 pub mod routing;
--- /dev/null
+++ b/crates/wharflane/src/hall/disturb.rs
@@ -0,0 +1,181 @@
+//! What hosts saw of disturbed services, what is learned of it, and who is throttled or moved.
+
+use std::collections;
+use std::time;
+
+use super::holding;
+use super::plan;
+use crate::book;
+use crate::digest;
+use crate::id;
+use crate::interfere;
+
+/// The fewest answers in an interval that say anything about latency.
+const MIN_ANSWERS: u32 = 5;
+
+impl holding::Holding {
+    /// Returns the learned harm of each job to each service, for the state dump.
+    pub(super) fn learned(&self) -> collections::BTreeMap<&str, collections::BTreeMap<&str, f64>> {
+        let mut all: collections::BTreeMap<&str, collections::BTreeMap<&str, f64>> =
+            collections::BTreeMap::new();
+        for (service, job, harm) in self.harms.pairs() {
+            all.entry(service).or_default().insert(job, harm);
+        }
+        all
+    }
+
+    /// Takes what a host saw: the worst of an interval counts.
+    pub(super) fn note_digest(&mut self, digest: &digest::Digest) {
+        for seen in &digest.endpoints {
+            self.note_seen(seen);
+        }
+    }
+
+    /// Notes by how much an endpoint missed its target.
+    fn note_seen(&mut self, seen: &digest::Seen) {
+        let Some(target_ms) = self.wanted.get(&seen.task).and_then(|s| s.latency_target_ms) else {
+            return;
+        };
+        let worker = self.book.get(&seen.task).and_then(|entry| entry.state.worker());
+        let Some(worker) = worker.filter(|_| seen.answers >= MIN_ANSWERS) else {
+            return;
+        };
+        let missed = seen.p95_us as f64 / (target_ms as f64 * 1_000.0) - 1.0;
+        if let Some(view) = self.views.get_mut(worker) {
+            let worst = view.missed.as_ref().is_none_or(|(_, before)| missed > *before);
+            if missed > 0.0 && worst {
+                view.missed = Some((seen.task.clone(), missed));
+            }
+        }
+    }
+
+    /// Looks at every worker once an interval: learns, and acts on the worst neighbour.
+    pub(super) fn look_at_disturbances(&mut self, now: time::Duration) {
+        if now.saturating_sub(self.looked) < self.settings.sync {
+            return;
+        }
+        self.looked = now;
+        let workers: Vec<id::WorkerId> = self.book.workers().cloned().collect();
+        for worker in workers {
+            self.look_at(now, &worker);
+        }
+    }
+
+    /// Looks at one worker.
+    fn look_at(&mut self, now: time::Duration, worker: &id::WorkerId) {
+        let Some(missed) = self.views.get_mut(worker).map(|view| view.missed.take()) else {
+            return;
+        };
+        self.forget_throttles(worker);
+        let owners = self.owners(worker);
+        let beside = plan::beside(&owners);
+        let by = |service: &str| match &missed {
+            Some((task, missed)) if *task.owner == *service => *missed,
+            _ => 0.0,
+        };
+        for plan::Owner { spec, .. } in owners.iter().filter(|owner| !owner.spec.batch()) {
+            self.harms.learn(&spec.owner, &beside, by(&spec.owner));
+        }
+        let suspects = match &missed {
+            Some((task, _)) => self.suspects(now, worker, task),
+            None => Vec::new(),
+        };
+        let patience = self.settings.patience;
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        view.case.note(missed.is_some());
+        match view.case.remedy(suspects, &patience, now) {
+            interfere::Remedy::Wait => self.loosen(now, worker, &patience),
+            interfere::Remedy::Throttle(task, percent) => {
+                self.throttle(now, worker, task, percent);
+            }
+            interfere::Remedy::Evict(task) => {
+                if let Some(entry) = self.book.get(&task) {
+                    let record = plan::evict(&task, entry, book::Cause::Harm);
+                    self.propose(now, record);
+                }
+            }
+        }
+    }
+
+    /// Forgets the throttles of tasks that have left a worker.
+    fn forget_throttles(&mut self, worker: &id::WorkerId) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let book = &self.book;
+        let here = |task: &id::TaskId| {
+            book.get(task).is_some_and(|entry| entry.state.worker() == Some(worker))
+        };
+        view.throttles.retain(|task, _| here(task));
+    }
+
+    /// Returns the batch tasks beside a disturbed service task.
+    fn suspects(
+        &self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        service: &id::TaskId,
+    ) -> Vec<interfere::Suspect<id::TaskId>> {
+        let slots = self.slots(now);
+        let placed = self.book.on(worker).filter(|(task, entry)| {
+            let here = matches!(entry.state, book::State::Placed { .. });
+            here && self.wanted.get(*task).is_some_and(|spec| spec.batch())
+        });
+        let suspect = |(task, entry): (&id::TaskId, &book::Entry)| {
+            let spec = self.wanted.get(task)?;
+            let elsewhere = slots.iter().filter(|slot| slot.worker != *worker);
+            let mut room = elsewhere.filter(|slot| entry.size.fits(&slot.free()));
+            Some(interfere::Suspect {
+                task: task.clone(),
+                harm: self.harms.harm(&service.owner, &task.owner),
+                percent: self.percent(worker, task),
+                lost_ms: self.lost_ms(task),
+                movable: room.any(|slot| self.expected(slot, spec, plan::WHOLE_PERCENT) <= 0.0),
+            })
+        };
+        placed.filter_map(suspect).collect()
+    }
+
+    /// Returns the share of its processors that a task has.
+    pub(super) fn percent(&self, worker: &id::WorkerId, task: &id::TaskId) -> u8 {
+        let throttles = self.views.get(worker).map(|view| &view.throttles);
+        throttles.and_then(|all| all.get(task)).copied().unwrap_or(plan::WHOLE_PERCENT)
+    }
+
+    /// Leaves a task only a share of its processors.
+    pub(super) fn throttle(
+        &mut self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        task: id::TaskId,
+        percent: u8,
+    ) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.throttles.insert(task.clone(), percent);
+            view.news = true;
+            self.counters.throttled += 1;
+            self.decided(now, task, holding::What::Throttled { percent });
+        }
+    }
+
+    /// Gives a throttled task its processors back after a calm time.
+    fn loosen(
+        &mut self,
+        now: time::Duration,
+        worker: &id::WorkerId,
+        patience: &interfere::Patience,
+    ) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let Some((task, _)) = view.throttles.iter().find(|(_, p)| **p < plan::WHOLE_PERCENT) else {
+            return;
+        };
+        let task = task.clone();
+        if view.case.may_loosen(patience) {
+            self.throttle(now, worker, task, plan::WHOLE_PERCENT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/hall/log.rs
@@ -0,0 +1,50 @@
+//! Where a hall's state is kept, and how it is read back.
+
+use std::collections;
+
+use crate::book;
+use crate::id;
+use crate::lease;
+use crate::platform;
+
+/// Returns the key of a hall's head row.
+#[must_use]
+pub fn head_key(hall: &id::HallId) -> String {
+    format!("hall/{hall}/head")
+}
+
+/// Returns the prefix of a hall's log.
+#[must_use]
+pub fn log_prefix(hall: &id::HallId) -> String {
+    format!("hall/{hall}/log/")
+}
+
+/// Returns the key of one row of a hall's log.
+#[must_use]
+pub fn log_key(hall: &id::HallId, seq: u64) -> String {
+    format!("hall/{hall}/log/{seq:012}")
+}
+
+/// Rebuilds the book, or returns nothing where the log is not whole.
+pub(super) fn replay(
+    hall: &id::HallId,
+    head: &lease::Head,
+    snapshot: Option<&str>,
+    log: &[platform::Row],
+) -> Option<book::Book> {
+    let from = head.snapshot.as_ref().map_or(0, |snapshot| snapshot.seq);
+    let mut book = match (&head.snapshot, snapshot) {
+        (None, _) => book::Book::default(),
+        (Some(_), text) => book::Book::restore(text?).ok()?,
+    };
+    let rows: collections::BTreeMap<&str, &str> =
+        log.iter().map(|row| (row.key.as_str(), row.value.as_str())).collect();
+    for seq in from + 1..=head.seq {
+        let row = rows.get(log_key(hall, seq).as_str())?;
+        let records: Vec<book::Record> = serde_json::from_str(row).ok()?;
+        for record in &records {
+            book.apply(record).ok()?;
+        }
+    }
+    Some(book)
+}
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -2,19 +2,19 @@
 //!
 //! The engine neither sends nor waits: events go in, effects come out.
 
+mod disturb;
+mod dump;
 mod holding;
+mod log;
 mod plan;
 mod spec;
 mod sync;
+mod table;
 mod view;
 
-use std::collections;
 use std::sync as std_sync;
 use std::time;
 
-use serde::Serialize;
-
-use crate::book;
 use crate::commit;
 use crate::desired;
 use crate::digest;
@@ -26,10 +26,11 @@
 use crate::place;
 use crate::platform;
 use crate::rendezvous;
-use crate::size;
 use crate::work;
 
+pub use dump::{Dump, WorkerDump};
 pub use holding::{Counters, Decision, Holding, What};
+pub use log::{head_key, log_key, log_prefix};
 pub use plan::Why;
 
 /// How an engine is timed.
@@ -427,7 +428,7 @@
         };
         let head = committer.head();
         // A stale read may lack rows: it is asked again until the log is whole.
-        let Some(book) = replay(&self.hall, head, snapshot.as_deref(), log) else {
+        let Some(book) = log::replay(&self.hall, head, snapshot.as_deref(), log) else {
             return Vec::new();
         };
         let mut holding =
@@ -483,48 +484,6 @@
     }
 }
 
-/// Returns the key of a hall's head row.
-#[must_use]
-pub fn head_key(hall: &id::HallId) -> String {
-    format!("hall/{hall}/head")
-}
-
-/// Returns the prefix of a hall's log.
-#[must_use]
-pub fn log_prefix(hall: &id::HallId) -> String {
-    format!("hall/{hall}/log/")
-}
-
-/// Returns the key of one row of a hall's log.
-#[must_use]
-pub fn log_key(hall: &id::HallId, seq: u64) -> String {
-    format!("hall/{hall}/log/{seq:012}")
-}
-
-/// Rebuilds the book, or returns nothing where the log is not whole.
-fn replay(
-    hall: &id::HallId,
-    head: &lease::Head,
-    snapshot: Option<&str>,
-    log: &[platform::Row],
-) -> Option<book::Book> {
-    let from = head.snapshot.as_ref().map_or(0, |snapshot| snapshot.seq);
-    let mut book = match (&head.snapshot, snapshot) {
-        (None, _) => book::Book::default(),
-        (Some(_), text) => book::Book::restore(text?).ok()?,
-    };
-    let rows: collections::BTreeMap<&str, &str> =
-        log.iter().map(|row| (row.key.as_str(), row.value.as_str())).collect();
-    for seq in from + 1..=head.seq {
-        let row = rows.get(log_key(hall, seq).as_str())?;
-        let records: Vec<book::Record> = serde_json::from_str(row).ok()?;
-        for record in &records {
-            book.apply(record).ok()?;
-        }
-    }
-    Some(book)
-}
-
 /// Returns whether an interval has passed, and starts the next.
 fn due(last: &mut Option<time::Duration>, every: time::Duration, now: time::Duration) -> bool {
     let due = last.is_none_or(|last| now.saturating_sub(last) >= every);
@@ -533,52 +492,3 @@
     }
     due
 }
-
-/// A hall in the state dump.
-#[derive(Debug, Serialize)]
-pub struct Dump<'a> {
-    /// The hall.
-    pub hall: &'a id::HallId,
-    /// The head row seen last.
-    pub head: Option<&'a lease::Head>,
-    /// The tasks by state, if this host holds the hall.
-    pub tasks: collections::BTreeMap<&'static str, usize>,
-    /// Why tasks wait, by their size and owner.
-    pub waiting: Vec<plan::WhyWaiting>,
-    /// What the workers have and hold.
-    pub workers: collections::BTreeMap<&'a id::WorkerId, WorkerDump>,
-    /// The last decisions.
-    pub decisions: Vec<&'a Decision>,
-    /// The counters.
-    pub counters: Option<&'a Counters>,
-}
-
-/// A worker in the state dump.
-#[derive(Debug, Serialize)]
-pub struct WorkerDump {
-    /// What it has.
-    pub capacity: Option<size::Size>,
-    /// What is set aside.
-    pub used: size::Size,
-    /// The age of its last report.
-    pub report_age_ms: Option<u128>,
-    /// Failures in a row of tasks started there.
-    pub strikes: u32,
-}
-
-impl Engine {
-    /// Returns the state of the hall for people who ask why.
-    #[must_use]
-    pub fn dump(&self, now: time::Duration) -> Dump<'_> {
-        let holding = self.holding();
-        Dump {
-            hall: &self.hall,
-            head: holding.map(Holding::head).or(self.seen()),
-            tasks: holding.map(Holding::task_counts).unwrap_or_default(),
-            waiting: holding.map(Holding::why_waiting).unwrap_or_default(),
-            workers: holding.map(|h| h.worker_dumps(now)).unwrap_or_default(),
-            decisions: holding.map(|h| h.decisions().collect()).unwrap_or_default(),
-            counters: holding.map(Holding::counters),
-        }
-    }
-}
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -12,7 +12,6 @@
 use super::spec;
 use super::view;
 use crate::book;
-use crate::digest;
 use crate::id;
 use crate::interfere;
 use crate::place;
@@ -23,10 +22,8 @@
 const FRESH_INTERVALS: u32 = 3;
 /// Failures after which a task is not tried again until its owner changes.
 const MAX_FAILURES: u32 = 8;
-/// The fewest answers in an interval that say anything about latency.
-const MIN_ANSWERS: u32 = 5;
 /// The share of processors that is no throttle.
-const WHOLE_PERCENT: u8 = 100;
+pub(super) const WHOLE_PERCENT: u8 = 100;
 
 /// The turn of a waiting task: higher priority first.
 pub(super) type Turn = (cmp::Reverse<u32>, id::TaskId);
@@ -74,17 +71,17 @@
 const SLOWED_WEIGHT: f64 = 0.5;
 
 /// The tasks of one owner on a worker.
-struct Owner {
+pub(super) struct Owner {
     /// What they have in common.
-    spec: sync::Arc<spec::Spec>,
+    pub spec: sync::Arc<spec::Spec>,
     /// Their number, each counted by its share of speed.
     share: f64,
 }
 
 /// A worker with what a pass needs of it.
-struct Slot {
+pub(super) struct Slot {
     /// The worker.
-    worker: id::WorkerId,
+    pub worker: id::WorkerId,
     /// Its rack.
     rack: sync::Arc<str>,
     /// What it has.
@@ -97,7 +94,7 @@
 
 impl Slot {
     /// Returns what is free.
-    fn free(&self) -> size::Size {
+    pub(super) fn free(&self) -> size::Size {
         self.capacity.minus(&self.used)
     }
 }
@@ -342,7 +339,7 @@
     }
 
     /// Returns the work that evicting a task would lose: nothing where it can save its progress.
-    fn lost_ms(&self, task: &id::TaskId) -> u64 {
+    pub(super) fn lost_ms(&self, task: &id::TaskId) -> u64 {
         match self.wanted.get(task).map(|spec| &spec.kind) {
             Some(work::Kind::Batch { run_time_ms, checkpoint: false }) => *run_time_ms,
             _ => 0,
@@ -350,7 +347,7 @@
     }
 
     /// Returns the workers that may get a new task.
-    fn slots(&self, now: time::Duration) -> Vec<Slot> {
+    pub(super) fn slots(&self, now: time::Duration) -> Vec<Slot> {
         let fresh = self.settings.sync * FRESH_INTERVALS;
         let open = self.views.iter().filter(|(_, view)| view.takes_new(now, fresh));
         let slot = |(worker, view): (&id::WorkerId, &view::View)| {
@@ -367,7 +364,7 @@
 
     /// Returns by how much the worst service on a worker is expected to miss its target with one
     /// more task there at a share of its speed; below zero all targets are kept.
-    fn expected(&self, slot: &Slot, spec: &spec::Spec, percent: u8) -> f64 {
+    pub(super) fn expected(&self, slot: &Slot, spec: &spec::Spec, percent: u8) -> f64 {
         let owners = slot.owners.get_or_init(|| self.owners(&slot.worker));
         let mut beside = beside(owners);
         let services = owners.iter().map(|owner| &*owner.spec).filter(|spec| !spec.batch());
@@ -402,7 +399,7 @@
     }
 
     /// Returns the owners of the tasks on a worker.
-    fn owners(&self, worker: &id::WorkerId) -> Vec<Owner> {
+    pub(super) fn owners(&self, worker: &id::WorkerId) -> Vec<Owner> {
         let mut owners: Vec<Owner> = Vec::new();
         for (task, _) in self.book.on(worker) {
             let Some(spec) = self.wanted.get(task) else {
@@ -463,171 +460,16 @@
         let entry = |(shape, why): (&Shape, &Why)| WhyWaiting { shape: shape.clone(), why: *why };
         self.blocked.iter().map(entry).collect()
     }
-
-    /// Takes what a host saw: the worst of an interval counts.
-    pub(super) fn note_digest(&mut self, digest: &digest::Digest) {
-        for seen in &digest.endpoints {
-            self.note_seen(seen);
-        }
-    }
-
-    /// Notes by how much an endpoint missed its target.
-    fn note_seen(&mut self, seen: &digest::Seen) {
-        let Some(target_ms) = self.wanted.get(&seen.task).and_then(|s| s.latency_target_ms) else {
-            return;
-        };
-        let worker = self.book.get(&seen.task).and_then(|entry| entry.state.worker());
-        let Some(worker) = worker.filter(|_| seen.answers >= MIN_ANSWERS) else {
-            return;
-        };
-        let missed = seen.p95_us as f64 / (target_ms as f64 * 1_000.0) - 1.0;
-        if let Some(view) = self.views.get_mut(worker) {
-            let worst = view.missed.as_ref().is_none_or(|(_, before)| missed > *before);
-            if missed > 0.0 && worst {
-                view.missed = Some((seen.task.clone(), missed));
-            }
-        }
-    }
-
-    /// Looks at every worker once an interval: learns, and acts on the worst neighbour.
-    pub(super) fn look_at_disturbances(&mut self, now: time::Duration) {
-        if now.saturating_sub(self.looked) < self.settings.sync {
-            return;
-        }
-        self.looked = now;
-        let workers: Vec<id::WorkerId> = self.book.workers().cloned().collect();
-        for worker in workers {
-            self.look_at(now, &worker);
-        }
-    }
-
-    /// Looks at one worker.
-    fn look_at(&mut self, now: time::Duration, worker: &id::WorkerId) {
-        let Some(missed) = self.views.get_mut(worker).map(|view| view.missed.take()) else {
-            return;
-        };
-        self.forget_throttles(worker);
-        let owners = self.owners(worker);
-        let beside = beside(&owners);
-        let by = |service: &str| match &missed {
-            Some((task, missed)) if *task.owner == *service => *missed,
-            _ => 0.0,
-        };
-        for Owner { spec, .. } in owners.iter().filter(|owner| !owner.spec.batch()) {
-            self.harms.learn(&spec.owner, &beside, by(&spec.owner));
-        }
-        let suspects = match &missed {
-            Some((task, _)) => self.suspects(now, worker, task),
-            None => Vec::new(),
-        };
-        let patience = self.settings.patience;
-        let Some(view) = self.views.get_mut(worker) else {
-            return;
-        };
-        view.case.note(missed.is_some());
-        match view.case.remedy(suspects, &patience, now) {
-            interfere::Remedy::Wait => self.loosen(now, worker, &patience),
-            interfere::Remedy::Throttle(task, percent) => {
-                self.throttle(now, worker, task, percent);
-            }
-            interfere::Remedy::Evict(task) => {
-                if let Some(entry) = self.book.get(&task) {
-                    let record = evict(&task, entry, book::Cause::Harm);
-                    self.propose(now, record);
-                }
-            }
-        }
-    }
-
-    /// Forgets the throttles of tasks that have left a worker.
-    fn forget_throttles(&mut self, worker: &id::WorkerId) {
-        let Some(view) = self.views.get_mut(worker) else {
-            return;
-        };
-        let book = &self.book;
-        let here = |task: &id::TaskId| {
-            book.get(task).is_some_and(|entry| entry.state.worker() == Some(worker))
-        };
-        view.throttles.retain(|task, _| here(task));
-    }
-
-    /// Returns the batch tasks beside a disturbed service task.
-    fn suspects(
-        &self,
-        now: time::Duration,
-        worker: &id::WorkerId,
-        service: &id::TaskId,
-    ) -> Vec<interfere::Suspect<id::TaskId>> {
-        let slots = self.slots(now);
-        let placed = self.book.on(worker).filter(|(task, entry)| {
-            let here = matches!(entry.state, book::State::Placed { .. });
-            here && self.wanted.get(*task).is_some_and(|spec| spec.batch())
-        });
-        let suspect = |(task, entry): (&id::TaskId, &book::Entry)| {
-            let spec = self.wanted.get(task)?;
-            let elsewhere = slots.iter().filter(|slot| slot.worker != *worker);
-            let mut room = elsewhere.filter(|slot| entry.size.fits(&slot.free()));
-            Some(interfere::Suspect {
-                task: task.clone(),
-                harm: self.harms.harm(&service.owner, &task.owner),
-                percent: self.percent(worker, task),
-                lost_ms: self.lost_ms(task),
-                movable: room.any(|slot| self.expected(slot, spec, WHOLE_PERCENT) <= 0.0),
-            })
-        };
-        placed.filter_map(suspect).collect()
-    }
-
-    /// Returns the share of its processors that a task has.
-    fn percent(&self, worker: &id::WorkerId, task: &id::TaskId) -> u8 {
-        let throttles = self.views.get(worker).map(|view| &view.throttles);
-        throttles.and_then(|all| all.get(task)).copied().unwrap_or(WHOLE_PERCENT)
-    }
-
-    /// Leaves a task only a share of its processors.
-    fn throttle(
-        &mut self,
-        now: time::Duration,
-        worker: &id::WorkerId,
-        task: id::TaskId,
-        percent: u8,
-    ) {
-        if let Some(view) = self.views.get_mut(worker) {
-            view.throttles.insert(task.clone(), percent);
-            view.news = true;
-            self.counters.throttled += 1;
-            self.decided(now, task, holding::What::Throttled { percent });
-        }
-    }
-
-    /// Gives a throttled task its processors back after a calm time.
-    fn loosen(
-        &mut self,
-        now: time::Duration,
-        worker: &id::WorkerId,
-        patience: &interfere::Patience,
-    ) {
-        let Some(view) = self.views.get_mut(worker) else {
-            return;
-        };
-        let Some((task, _)) = view.throttles.iter().find(|(_, p)| **p < WHOLE_PERCENT) else {
-            return;
-        };
-        let task = task.clone();
-        if view.case.may_loosen(patience) {
-            self.throttle(now, worker, task, WHOLE_PERCENT);
-        }
-    }
 }
 
 /// Returns the batch tasks among the owners on a worker.
-fn beside(owners: &[Owner]) -> Vec<interfere::Beside<'_>> {
+pub(super) fn beside(owners: &[Owner]) -> Vec<interfere::Beside<'_>> {
     let batch = owners.iter().filter(|owner| owner.spec.batch());
     batch.map(|owner| interfere::Beside { job: &owner.spec.owner, share: owner.share }).collect()
 }
 
 /// Returns the record that evicts a task.
-fn evict(task: &id::TaskId, entry: &book::Entry, cause: book::Cause) -> book::Record {
+pub(super) fn evict(task: &id::TaskId, entry: &book::Entry, cause: book::Cause) -> book::Record {
     book::Record::Evict { task: task.clone(), attempt: entry.attempt, cause }
 }
 
