Measure urgent starts where room must be made, and a watcher through a stop

Measured in virtual time: bound of 5.1 s holds in halls of 8 and 32 workers full of batch work (tests/slopes.rs), and for the next holder after a death. Process test: a stream goes on in order through its host's stop until stop_grace_ms, and is then broken, not ended as whole; requests beside it are all answered.

--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -155,6 +155,13 @@
         self.machines.values().map(machine::Machine::running_count).sum()
     }
 
+    /// Returns how many tasks of an owner run on all workers.
+    #[must_use]
+    pub fn running_of(&self, owner: &str) -> usize {
+        let tasks = self.machines.values().flat_map(machine::Machine::shares);
+        tasks.filter(|(task, _)| *task.owner == *owner).count()
+    }
+
     /// Lets the engine take an event, and answers all that it asks for at once.
     fn step(&mut self, event: hall::Event) {
         let mut events = collections::VecDeque::from([event]);
@@ -302,6 +309,35 @@
     Row { workers, placed, burst, burst_took, quiet, recovered }
 }
 
+/// Returns how long urgent tasks take to start in a full hall, in virtual time: room must be made
+/// by evictions first. Checkpoints take no time here.
+///
+/// # Panics
+/// Panics if the hall does not fill or the tasks do not start within minutes.
+#[must_use]
+pub fn urgent(workers: usize) -> time::Duration {
+    // What fills a worker's processors besides its first tasks.
+    const REST: u32 = 17;
+    let most = time::Duration::from_secs(600);
+    let count = u32::try_from(workers).unwrap_or(u32::MAX);
+    let mut hall = Hall::new(workers);
+    let text = filled(workers, count * REST);
+    hall.apply(&text);
+    let full = workers * (SERVICES + BATCH + REST) as usize;
+    hall.run_until(most, |hall| hall.running() == full).expect("the hall fills");
+    hall.run(time::Duration::from_secs(5));
+    hall.apply(&format!(
+        "{text}[[job]]\nname = \"urgent\"\nteam = \"ours\"\nclass = \"p100\"\nhalls = [\"hall\"]\n\
+         tasks = {count}\ncpu_milli = 4000\nmem_mb = 4000\nrun_time_ms = {LONG_MS}\n"
+    ));
+    // Two tasks leave for each urgent one.
+    let after = full - workers;
+    let started = |hall: &Hall| hall.running_of("urgent") == workers;
+    let took = hall.run_until(most, started).expect("urgent tasks start");
+    assert!(hall.running() <= after + workers, "no more was evicted than was needed");
+    took
+}
+
 /// Prints the result.
 pub fn print() {
     let mut table = crate::table::Table::new(&[
@@ -330,4 +366,10 @@
         ]);
     }
     table.print();
+    let mut table = crate::table::Table::new(&["workers", "urgent tasks", "all started after s"]);
+    for workers in [16, 65, 260] {
+        let took = crate::table::two(urgent(workers).as_secs_f64());
+        table.row(vec![workers.to_string(), workers.to_string(), took]);
+    }
+    table.print();
 }
--- a/crates/bench/tests/slopes.rs
+++ b/crates/bench/tests/slopes.rs
@@ -24,6 +24,16 @@
             assert!(row.burst.txns <= 3, "{row:?}");
         }
     },
+    urgent_tasks_start_in_time_where_room_must_be_made => {
+        for workers in [8, 32] {
+            let took = recovery::urgent(workers);
+            assert!(took.as_millis() < 5_100, "{took:?} in virtual time");
+        }
+    },
+    the_next_holder_starts_urgent_tasks_in_time => {
+        let row = recovery::measure(16);
+        assert!(row.recovered.as_millis() < 5_100, "{row:?} in virtual time");
+    },
     a_configuration_grows_by_its_jobs_only => {
         let small = capacity::config(100, uncounted);
         let large = capacity::config(1_000, uncounted);
--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -129,7 +129,7 @@
         let text = format!(
             "host = \"{name}\"\nhall = \"{hall}\"\nseed_peers = [{}]\n[listen]\n\
              caller = \"{caller}\"\noperator = \"{operator}\"\npeer = \"{peer}\"\n\
-             [platform]\naddr = \"{}\"\n[traffic]\nthreads = 2\nstop_notice_ms = 300\n\
+             [platform]\naddr = \"{}\"\n[traffic]\nthreads = 2\nstop_notice_ms = 300\nstop_grace_ms = 3000\n\
              [control]\nlease_ms = 1500\nturn_ms = 300\npoll_ms = 200\ncommit_ms = 100\n\
              sync_ms = 200\nworker_lease_ms = 3000\nmargin_ms = 500\ngossip_ms = 200\n\
              authority_ms = 60000\ndrain_ms = 1500\n[log]\nlevel = \"warn\"\n",
