--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -200,6 +200,10 @@
                 self.store.put_object(&snapshot.key, text).ok()?;
                 hall::Event::Stored(snapshot)
             }
+            hall::Effect::Delete(snapshot) => {
+                self.store.delete_object(&snapshot.key).ok()?;
+                return None;
+            }
             hall::Effect::Sync(_, sync) => {
                 self.counted.syncs += 1;
                 self.counted.sync_bytes += json_bytes(&sync);
--- a/crates/daemon/src/control/hall.rs
+++ b/crates/daemon/src/control/hall.rs
@@ -180,6 +180,12 @@
                 hall::Event::Txn(answer.ok())
             }
             hall::Effect::Store(snapshot, text) => store(&shared, snapshot, text).await,
+            hall::Effect::Delete(snapshot) => {
+                // One that is left behind costs room and nothing else.
+                let deleted = shared.platform.delete_object(&snapshot.key).await;
+                shared.count_call("delete", &deleted);
+                return;
+            }
             hall::Effect::Sync(addr, sync) => send(&shared, addr, &sync).await,
         };
         let _ = myself.cast(Msg::Event(Box::new(event)));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -105,6 +105,16 @@
         }
     }
 
+    /// Deletes an object; one that is not there is no failure.
+    ///
+    /// # Errors
+    /// Returns `PlatformError` where no answer came.
+    pub async fn delete_object(&self, key: &str) -> Result<(), PlatformError> {
+        let url = self.url(&format!("objects/{key}"));
+        self.client.send(Method::DELETE, &url, Bytes::new()).await?;
+        Ok(())
+    }
+
     /// Reads the list of hosts and workers, or nothing while it has the version that is known.
     ///
     /// # Errors
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -135,6 +135,10 @@
         store.put_object(key, text)?;
         return Ok(reply::json(StatusCode::OK, &true));
     }
+    if *method == Method::DELETE {
+        store.delete_object(key)?;
+        return Ok(reply::json(StatusCode::OK, &true));
+    }
     match store.get_object(key)? {
         Some(text) => Ok(reply::text(StatusCode::OK, text)),
         None => Err(Bad::NoObject),
--- a/crates/stand-in/src/scenario.rs
+++ b/crates/stand-in/src/scenario.rs
@@ -255,6 +255,8 @@
         "invalid_records" => counters.map_or(0, |counters| counters.invalid_records),
         "waiting" => world.holding().map_or(0, |holding| holding.waiting_count() as u64),
         "epoch" => world.holding().map_or(0, |holding| holding.head().epoch),
+        "objects" => world.store.object_count() as u64,
+        "commits" => world.holding().map_or(0, |holding| holding.head().seq),
         "txns" => world.store.counts.txns,
         _ => u64::MAX,
     }
--- a/crates/stand-in/src/store.rs
+++ b/crates/stand-in/src/store.rs
@@ -142,6 +142,24 @@
         Ok(self.objects.get(key).cloned())
     }
 
+    /// Deletes an object.
+    ///
+    /// # Errors
+    /// Returns `NoAnswer` while the platform is down.
+    pub fn delete_object(&mut self, key: &str) -> Result<(), NoAnswer> {
+        if self.faults.down {
+            return Err(NoAnswer);
+        }
+        self.objects.remove(key);
+        Ok(())
+    }
+
+    /// Returns how many objects there are.
+    #[must_use]
+    pub fn object_count(&self) -> usize {
+        self.objects.len()
+    }
+
     /// Changes the list of machines; readers see it unless the list is frozen.
     pub fn set_members(&mut self, members: members::Members) {
         let version = self.members.version + 1;
--- a/crates/stand-in/src/world.rs
+++ b/crates/stand-in/src/world.rs
@@ -356,7 +356,7 @@
     /// Sends what a host asks for; returns whether the host still lives.
     fn send(&mut self, at: usize, effect: hall::Effect) -> bool {
         let is_write = match &effect {
-            hall::Effect::Txn(_) | hall::Effect::Store(..) => true,
+            hall::Effect::Txn(_) | hall::Effect::Store(..) | hall::Effect::Delete(_) => true,
             hall::Effect::Sync(_, sync) => !sync.commands.is_empty(),
             hall::Effect::ReadHead | hall::Effect::Load(_) => false,
         };
@@ -422,7 +422,7 @@
                 hall::Effect::ReadHead => return Some(hall::Event::HeadFailed),
                 hall::Effect::Load(_) => return Some(hall::Event::LoadFailed),
                 hall::Effect::Txn(_) => return Some(hall::Event::Txn(None)),
-                hall::Effect::Store(..) | hall::Effect::Sync(..) => {}
+                hall::Effect::Store(..) | hall::Effect::Delete(_) | hall::Effect::Sync(..) => {}
             }
         }
         Some(match effect {
@@ -437,6 +437,10 @@
                 let seq = if put.is_ok() { snapshot.seq } else { 0 };
                 hall::Event::Stored(lease::Snapshot { seq, ..snapshot.clone() })
             }
+            hall::Effect::Delete(snapshot) => {
+                let _ = self.store.delete_object(&snapshot.key);
+                return None;
+            }
             hall::Effect::Sync(_, sync) => {
                 let apart = self.cut_from.contains(&(at, sync.worker.clone()));
                 if apart || self.cut.contains(&sync.worker) {
--- a/crates/wharflane/src/hall/holding.rs
+++ b/crates/wharflane/src/hall/holding.rs
@@ -134,6 +134,8 @@
     confirmed: time::Duration,
     /// When the head row was last asked for in a doubt.
     doubted: Option<time::Duration>,
+    /// The snapshot that the head row names.
+    named: Option<lease::Snapshot>,
     /// Whether a snapshot is being stored.
     storing: bool,
     /// A stored snapshot that the next commit will name.
@@ -158,6 +160,7 @@
         let table =
             endpoints::Table { hall: hall.clone(), epoch, version: 0, endpoints: Vec::new() };
         let old_leases_lapse = now + settings.authority + lease;
+        let named = committer.head().snapshot.clone();
         let views = task_table
             .workers()
             .map(|worker| (worker.clone(), view::View::new(old_leases_lapse)))
@@ -185,6 +188,7 @@
             begun: now,
             confirmed: now,
             doubted: None,
+            named,
             storing: false,
             stored: None,
             decisions: collections::VecDeque::new(),
@@ -436,8 +440,8 @@
         Some(super::Effect::ReadHead)
     }
 
-    /// Notes that a commit stands.
-    pub(super) fn committed(&mut self, now: time::Duration) {
+    /// Notes that a commit stands; returns the snapshot that it has replaced.
+    pub(super) fn committed(&mut self, now: time::Duration) -> Option<lease::Snapshot> {
         let seq = self.committer.head().seq;
         let told: Vec<id::WorkerId> = self
             .ahead
@@ -455,6 +459,9 @@
         // The write took effect after it was begun, so the authority counts from there.
         self.confirmed = self.begun.min(now);
         self.doubted = None;
+        let named = self.committer.head().snapshot.clone();
+        let old = std::mem::replace(&mut self.named, named);
+        old.filter(|old| Some(old) != self.named.as_ref())
     }
 
     /// Returns a snapshot to store where one is due and the task table holds just what is committed.
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -145,6 +145,8 @@
     Txn(platform::Txn),
     /// Store a snapshot.
     Store(lease::Snapshot, String),
+    /// Delete a snapshot that no head row names any more.
+    Delete(lease::Snapshot),
     /// Send a message to a worker.
     Sync(std::net::SocketAddr, work::Sync),
 }
@@ -401,12 +403,12 @@
     /// Goes on after a commit.
     fn committed(&mut self, now: time::Duration) -> Vec<Effect> {
         if let Role::Holding(holding) = &mut self.role {
-            holding.committed(now);
+            let old = holding.committed(now);
             self.seen = Some((0, holding.head().clone()));
             if holding.head().holder.is_none() {
                 return self.step_down(now);
             }
-            return Vec::new();
+            return old.map(Effect::Delete).into_iter().collect();
         }
         if let Role::Acquiring(committer) = &self.role {
             let committer = committer.clone();
