Set aside what tasks truly use where they declare too little

Change: the use of an owner's tasks is learned from the late reports, up quickly and down slowly, and placement sets that much aside, never above what the largest worker has and never below what was declared. The fake worker now reports use 1.5 s late.

Ruled out: sharing more than declared where less is used (no worker is ever given more than it has).

Run times that are off are not corrected.

--- a/crates/stand-in/src/machine.rs
+++ b/crates/stand-in/src/machine.rs
@@ -17,6 +17,8 @@
     pub fail_all: bool,
     /// Tasks take so many percent of their expected time; zero for all of it.
     pub run_time_percent: u64,
+    /// What each task of an owner truly uses, in thousandths of a core.
+    pub uses_milli: collections::BTreeMap<String, u64>,
     /// Fences are not kept, which shows whether a proof would notice.
     pub unfenced: bool,
 }
@@ -38,6 +40,8 @@
     saved_ms: u64,
     /// The share of processors left to it.
     percent: u8,
+    /// When it started, by the worker's clock.
+    started_ms: u64,
 }
 
 impl Run {
@@ -47,6 +51,9 @@
     }
 }
 
+/// How long it takes until the use of a task is reported, in milliseconds.
+const USAGE_LAG_MS: u64 = 1_500;
+
 /// How often a task that can saves its progress, in milliseconds of work.
 const SAVE_EVERY_MS: u64 = 500;
 
@@ -71,6 +78,8 @@
     runs: collections::BTreeMap<id::TaskId, Run>,
     /// What is wrong.
     pub faults: Faults,
+    /// How long its tasks truly used more processors than it has.
+    pub overused_ms: u64,
     /// What it saw.
     history: history::History,
 }
@@ -94,6 +103,7 @@
             now_ms: 0,
             runs: collections::BTreeMap::new(),
             faults: Faults::default(),
+            overused_ms: 0,
             history,
         }
     }
@@ -123,6 +133,9 @@
             }
             return;
         }
+        if self.used_milli() > self.capacity.cpu_milli {
+            self.overused_ms += passed_ms;
+        }
         let share = self.faults.run_time_percent;
         let mut ended = Vec::new();
         for (task, run) in self.runs.iter_mut().filter(|(_, run)| run.running()) {
@@ -264,6 +277,7 @@
             progress_ms: from_ms as f64,
             saved_ms: from_ms,
             percent: 100,
+            started_ms: self.now_ms,
         };
         self.runs.insert(task.clone(), run);
         if failed {
@@ -290,6 +304,7 @@
                     progress_ms: 0.0,
                     saved_ms: 0,
                     percent: 100,
+                    started_ms: 0,
                 };
                 self.runs.insert(task.clone(), run);
             }
@@ -309,6 +324,23 @@
         self.history.add(history::Event::Stopped { worker, task, attempt, saved_ms });
     }
 
+    /// Returns the processors that a task truly uses, in thousandths.
+    fn use_of(&self, task: &id::TaskId, run: &Run) -> u64 {
+        let uses = self.faults.uses_milli.get(&*task.owner).copied();
+        uses.unwrap_or(run.size.cpu_milli) * u64::from(run.percent) / 100
+    }
+
+    /// Returns what all tasks truly use, in thousandths of a core.
+    fn used_milli(&self) -> u64 {
+        self.running().map(|(task, run)| self.use_of(task, run)).sum()
+    }
+
+    /// Returns the use of a task that has run for long enough to be measured.
+    fn late_use(&self, task: &id::TaskId, run: &Run) -> Option<u64> {
+        let measured = run.running() && self.now_ms >= run.started_ms + USAGE_LAG_MS;
+        measured.then(|| self.use_of(task, run))
+    }
+
     /// Returns the tasks that run.
     fn running(&self) -> impl Iterator<Item = (&id::TaskId, &Run)> {
         self.runs.iter().filter(|(_, run)| run.running())
@@ -325,7 +357,7 @@
             task: task.clone(),
             attempt: run.attempt,
             state: run.state.clone(),
-            used_cpu_milli: None,
+            used_cpu_milli: self.late_use(task, run),
         };
         work::Report {
             boot: self.boot,
--- a/crates/stand-in/src/scenario.rs
+++ b/crates/stand-in/src/scenario.rs
@@ -98,6 +98,8 @@
     Reboot(String),
     /// A worker's stop is planned.
     Leave(String),
+    /// Each task of an owner truly uses so much, in thousandths of a core.
+    Uses(String, u64),
     /// Everything that a worker starts fails.
     FailAll(String),
     /// Messages to workers take up to so long.
@@ -257,6 +259,7 @@
         "epoch" => world.holding().map_or(0, |holding| holding.head().epoch),
         "objects" => world.store.object_count() as u64,
         "commits" => world.holding().map_or(0, |holding| holding.head().seq),
+        "overused-ms" => world.machines.values().map(|machine| machine.overused_ms).sum(),
         "txns" => world.store.counts.txns,
         _ => u64::MAX,
     }
@@ -299,6 +302,11 @@
             }
         }
         Act::Leave(worker) => world.leave(worker),
+        Act::Uses(owner, milli) => {
+            for machine in world.machines.values_mut() {
+                machine.faults.uses_milli.insert(owner.clone(), *milli);
+            }
+        }
         Act::FailAll(worker) => {
             if let Some(machine) = world.machines.get_mut(&worker.as_str().into()) {
                 machine.faults.fail_all = true;
@@ -429,6 +437,7 @@
         ["heal", worker] => Act::Heal((*worker).to_owned()),
         ["reboot", worker] => Act::Reboot((*worker).to_owned()),
         ["leave", worker] => Act::Leave((*worker).to_owned()),
+        ["uses", owner, milli] => Act::Uses((*owner).to_owned(), milli.parse().ok()?),
         ["fail-all", worker] => Act::FailAll((*worker).to_owned()),
         ["slow-workers", ms] => Act::SlowWorkers(ms.parse().ok()?),
         ["cancel", owner] => Act::Cancel((*owner).to_owned()),
--- a/crates/wharflane/src/hall/holding.rs
+++ b/crates/wharflane/src/hall/holding.rs
@@ -116,6 +116,8 @@
     pub(super) blocked: collections::BTreeMap<plan::Shape, plan::WaitReason>,
     /// The workers on which room is being made for a task.
     pub(super) promised: collections::BTreeMap<id::TaskId, id::WorkerId>,
+    /// The processors that a task of each owner was seen to use, in thousandths of a core.
+    pub(super) uses: collections::BTreeMap<String, f64>,
     /// The learned harm of pairs.
     pub(super) harms: interfere::Harms,
     /// The endpoints told to the hosts.
@@ -179,6 +181,7 @@
             waiting: collections::BTreeSet::new(),
             blocked: collections::BTreeMap::new(),
             promised: collections::BTreeMap::new(),
+            uses: collections::BTreeMap::new(),
             harms: interfere::Harms::default(),
             table,
             table_changed: true,
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -199,21 +199,22 @@
             let Some(spec) = self.wanted.get(&task).cloned() else {
                 continue;
             };
-            let shape = shape_of(&spec);
+            let need = self.need(&spec);
+            let shape = shape_of(&spec, &need);
             let known = self.blocked.get(&shape);
             // What did not fit for one task does not fit for the next of the same shape.
             if known.is_some() && !self.promised.contains_key(&task) {
                 continue;
             }
             let team = held.entry(spec.team.clone()).or_default();
-            let over = spec.batch() && !self.within_quota(&spec, team);
+            let over = spec.batch() && !self.within_quota(&spec, &need, team);
             let placed = if over {
                 Err(WaitReason::Quota)
             } else {
-                self.place_one(now, &task, &spec, &mut slots)
+                self.place_one(now, &task, &spec, &need, &mut slots)
             };
             match placed {
-                Ok(()) if spec.batch() => *team = team.plus(&spec.size),
+                Ok(()) if spec.batch() => *team = team.plus(&need),
                 Ok(()) => {}
                 // Each urgent task may make room of its own, so this one blocks no other.
                 Err(WaitReason::RoomBeingMade) => {}
@@ -230,6 +231,7 @@
         now: time::Duration,
         task: &id::TaskId,
         spec: &spec::Spec,
+        need: &size::Size,
         slots: &mut [Slot],
     ) -> Result<(), WaitReason> {
         let mut capacities = self.views.values().filter_map(|view| view.capacity);
@@ -240,17 +242,17 @@
                 WaitReason::FitsNowhere
             });
         }
-        if let Some(at) = self.choose(task, spec, slots) {
+        if let Some(at) = self.choose(task, spec, need, slots) {
             let percent = self.first_percent(&slots[at], spec);
             let slot = &mut slots[at];
-            slot.used = slot.used.plus(&spec.size);
+            slot.used = slot.used.plus(need);
             slot.owners = cell::OnceCell::new();
             let attempt = self.task_table.get(task).map_or(0, |entry| entry.attempt) + 1;
             let record = task_table::Record::Place {
                 task: task.clone(),
                 attempt,
                 worker: slot.worker.clone(),
-                size: spec.size,
+                size: *need,
                 priority: spec.priority,
             };
             let worker = slot.worker.clone();
@@ -263,17 +265,23 @@
         if self.room_is_coming(task) {
             return Err(WaitReason::RoomBeingMade);
         }
-        self.make_room(now, task, spec, slots)
+        self.make_room(now, task, spec, need, slots)
     }
 
     /// Returns the best of the workers with room, or of some of them where there are many.
-    fn choose(&self, task: &id::TaskId, spec: &spec::Spec, slots: &[Slot]) -> Option<usize> {
+    fn choose(
+        &self,
+        task: &id::TaskId,
+        spec: &spec::Spec,
+        need: &size::Size,
+        slots: &[Slot],
+    ) -> Option<usize> {
         let racks = self.siblings(spec);
         let compared = if spec.batch() { COMPARED } else { slots.len() };
         // Tasks start at different workers, so that a pass does not look at the same ones only.
         let start = task.index as usize * COMPARED;
         let turns = (0..slots.len()).map(|turn| (start + turn) % slots.len());
-        let fitting = turns.filter(|at| spec.size.fits(&slots[*at].free())).take(compared);
+        let fitting = turns.filter(|at| need.fits(&slots[*at].free())).take(compared);
         let candidates = fitting.map(|at| place::Candidate {
             at,
             capacity: slots[at].capacity,
@@ -281,7 +289,19 @@
             harm: self.harm_there(&slots[at], spec),
             siblings: racks.get(&*slots[at].rack).copied().unwrap_or(0),
         });
-        place::choose(candidates, &spec.size, &self.settings.weights)
+        place::choose(candidates, need, &self.settings.weights)
+    }
+
+    /// Returns what is set aside for a task: its declared size, or more where tasks of its owner
+    /// were seen to use more, but never above what the largest worker has.
+    fn need(&self, spec: &spec::Spec) -> size::Size {
+        let Some(seen) = self.uses.get(&spec.owner) else {
+            return spec.size;
+        };
+        let capacities = self.views.values().filter_map(|view| view.capacity);
+        let largest = capacities.map(|capacity| capacity.cpu_milli).max().unwrap_or(0);
+        let seen = (*seen as u64).min(largest);
+        size::Size { cpu_milli: spec.size.cpu_milli.max(seen), ..spec.size }
     }
 
     /// Returns whether tasks are still leaving to make room for this one.
@@ -299,11 +319,12 @@
         now: time::Duration,
         task: &id::TaskId,
         spec: &spec::Spec,
+        need: &size::Size,
         slots: &[Slot],
     ) -> Result<(), WaitReason> {
         let offers = slots.iter().filter_map(|slot| {
             let movable = self.movable(&slot.worker, spec.priority);
-            let chosen = place::victims(movable, &slot.free(), &spec.size)?;
+            let chosen = place::victims(movable, &slot.free(), need)?;
             Some((place::price(&chosen), &slot.worker, chosen))
         });
         let Some((_, worker, chosen)) = offers.min_by_key(|(price, _, _)| *price) else {
@@ -452,7 +473,7 @@
     }
 
     /// Returns whether one more task stays within the hall's share of its team's quota.
-    fn within_quota(&self, spec: &spec::Spec, held: &size::Size) -> bool {
+    fn within_quota(&self, spec: &spec::Spec, need: &size::Size, held: &size::Size) -> bool {
         let Some(current) = &self.current else {
             return false;
         };
@@ -460,7 +481,7 @@
             return false;
         };
         let share = spec::quota_share(&team.quota, current.desired.halls.len());
-        held.plus(&spec.size).fits(&share)
+        held.plus(need).fits(&share)
     }
 
     /// Returns why tasks wait, for the state dump.
@@ -487,6 +508,6 @@
 }
 
 /// Returns the shape of a task.
-fn shape_of(spec: &spec::Spec) -> Shape {
-    Shape { size: spec.size, priority: spec.priority, team: spec.team.clone(), batch: spec.batch() }
+fn shape_of(spec: &spec::Spec, need: &size::Size) -> Shape {
+    Shape { size: *need, priority: spec.priority, team: spec.team.clone(), batch: spec.batch() }
 }
--- a/crates/wharflane/src/hall/sync.rs
+++ b/crates/wharflane/src/hall/sync.rs
@@ -12,6 +12,10 @@
 use crate::task_table;
 use crate::work;
 
+/// How much of a greater use is learned at once.
+const USE_RATE_UP: f64 = 0.5;
+/// How much of a smaller use is learned at once.
+const USE_RATE_DOWN: f64 = 0.01;
 /// How long the holder waits for a worker's answer, in intervals between messages.
 const ANSWER_INTERVALS: u32 = 2;
 
@@ -179,9 +183,28 @@
         };
         let changed = first || addrs(&before) != addrs(&view.tasks);
         self.table_changed |= changed;
+        self.note_uses(worker);
         self.settle_tasks(now, worker, &before, first);
     }
 
+    /// Learns what the tasks on a worker truly use: up quickly, down slowly.
+    fn note_uses(&mut self, worker: &id::WorkerId) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        for report in view.tasks.values() {
+            // A throttled task shows less than it would use.
+            let throttled = view.throttles.get(&report.task).is_some_and(|share| *share < 100);
+            let Some(used) = report.used_cpu_milli.filter(|_| !throttled) else {
+                continue;
+            };
+            let used = used as f64;
+            let seen = self.uses.entry(report.task.owner.to_string()).or_insert(used);
+            let rate = if used > *seen { USE_RATE_UP } else { USE_RATE_DOWN };
+            *seen += (used - *seen) * rate;
+        }
+    }
+
     /// Proposes what follows from a report for each task that belongs on the worker.
     fn settle_tasks(
         &mut self,
