Test HTTP/2 callers and JSON logs

Cause: both were offered and not tested.

Measured: twenty requests over one HTTP/2 connection get their own answers; the first line of a host's JSON log is read as JSON with its fields.

--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::collections;
 use std::fs;
+use std::io;
+use std::io::BufRead as _;
 use std::net;
 use std::path;
 use std::process;
@@ -121,6 +123,29 @@
         self.members.workers.insert(name.into(), member);
     }
 
+    /// Starts an entry host that ends with this call, and returns its first lines of log.
+    pub fn first_log_lines(&self, name: &str, log: &str, count: usize) -> Vec<String> {
+        let [caller, operator, peer] = [free_port(), free_port(), free_port()];
+        let text = format!(
+            "host = \"{name}\"\nhall = \"gent\"\n[listen]\ncaller = \"{caller}\"\n\
+             operator = \"{operator}\"\npeer = \"{peer}\"\n[platform]\naddr = \"{}\"\n\
+             [log]\n{log}\n",
+            self.platform
+        );
+        let path = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&path, text).expect("settings written");
+        let mut child = process::Command::new(bin("wharflaned"))
+            .arg("--config")
+            .arg(&path)
+            .stderr(process::Stdio::piped())
+            .spawn()
+            .expect("a host");
+        let stderr = child.stderr.take().expect("its log");
+        let _process = Process(child);
+        let lines = io::BufReader::new(stderr).lines().take(count);
+        lines.map(|line| line.expect("a line")).collect()
+    }
+
     /// Starts an entry host.
     pub fn add_host(&mut self, name: &str, hall: &str) {
         let [caller, operator, peer] = [free_port(), free_port(), free_port()];
--- a/crates/cli/tests/processes/path.rs
+++ b/crates/cli/tests/processes/path.rs
@@ -18,6 +18,8 @@
 }
 
 cases! {
+    http_2_callers_are_answered => fleet::run(http_2()),
+    logs_are_json_where_settings_say_so => fleet::run(json_logs()),
     requests_are_answered_and_batch_jobs_end => fleet::run(whole_path()),
 }
 
@@ -43,3 +45,35 @@
     });
     ended.collect()
 }
+
+/// Sends requests over one HTTP/2 connection without TLS.
+async fn http_2() {
+    use http_body_util::BodyExt as _;
+    let fleet = fleet::Fleet::start(1, 4, &["gent", "brugge", "antwerpen", "leuven"]).await;
+    fleet.apply("entry-0", &small_verbeeck()).await;
+    fleet.wait_for_endpoints("dispatch", 4).await;
+    let mut builder =
+        hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new());
+    let client = builder.http2_only(true).build_http();
+    let host = fleet.host("entry-0").caller;
+    let asked = (0..20).map(|number| {
+        let body = http_body_util::Full::new(bytes::Bytes::from(number.to_string()));
+        let uri = format!("http://{host}/dispatch/{number}");
+        client.request(hyper::Request::post(uri).body(body).expect("a request"))
+    });
+    for (number, answer) in futures::future::join_all(asked).await.into_iter().enumerate() {
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.headers()["wharflane-outcome"], "answered");
+        let body = answer.into_body().collect().await.expect("a body").to_bytes();
+        assert_eq!(body, format!("/{number} {number}"));
+    }
+}
+
+/// Starts a host that logs JSON and reads its first lines.
+async fn json_logs() {
+    let fleet = fleet::Fleet::start(0, 0, &["gent"]).await;
+    let lines = fleet.first_log_lines("entry-log", "format = \"json\"\nlevel = \"info\"", 1);
+    let line: serde_json::Value = serde_json::from_str(&lines[0]).expect("JSON");
+    assert_eq!(line["fields"]["message"], "host up");
+    assert_eq!(line["fields"]["host"], "entry-log");
+}
