Send commands for records made while a commit without records is under way

Cause, found while reading and then by cancel_in_a_quiet_hall, which failed first (2 tasks still running 22 s after their job was cancelled): a record proposed during a commit was taken to belong to the commit after next, also where the one under way had no records and so no number. Its command waited for some later commit that a quiet hall never makes.

Change: a record gets the number of its commit when the commit is made.

Ruled out: the stop's way to the worker (no message was sent).

--- a/crates/stand-in/src/scenario.rs
+++ b/crates/stand-in/src/scenario.rs
@@ -260,6 +260,7 @@
         "objects" => world.store.object_count() as u64,
         "commits" => world.holding().map_or(0, |holding| holding.head().seq),
         "overused-ms" => world.machines.values().map(|machine| machine.overused_ms).sum(),
+        "running" => world.machines.values().map(|m| m.running_count() as u64).sum(),
         "txns" => world.store.counts.txns,
         _ => u64::MAX,
     }
--- a/crates/wharflane/src/hall/holding.rs
+++ b/crates/wharflane/src/hall/holding.rs
@@ -20,6 +20,8 @@
 
 /// How many decisions are kept for the state dump.
 const DECISIONS_KEPT: usize = 64;
+/// Stands for the number of the commit that a record has yet to become part of.
+const NO_COMMIT_YET: u64 = u64::MAX;
 /// The number of commits that the lease spans without news.
 const BEATS_PER_LEASE: u32 = 3;
 
@@ -316,10 +318,7 @@
         }
         let task = record.task().clone();
         self.table_changed = true;
-        // A commit under way has the next number, and this record goes into the one after.
-        let next = self.committer.head().seq + 1;
-        let seq = if self.committer.idle() { next } else { next + 1 };
-        self.ahead.insert(task.clone(), seq);
+        self.ahead.insert(task.clone(), NO_COMMIT_YET);
         self.note(now, &record);
         self.queue.push(record);
         self.update_waiting(now, &task);
@@ -403,6 +402,9 @@
     /// Moves the queue into a write of the log.
     fn log_write(&mut self, seq: u64) -> Option<platform::Write> {
         let value = serde_json::to_string(&self.queue).ok()?;
+        for record in &self.queue {
+            self.ahead.insert(record.task().clone(), seq);
+        }
         self.counters.records += self.queue.len() as u64;
         self.counters.commit_bytes += value.len() as u64;
         self.queue.clear();
