Try a service's task for as long as it is wanted

Cause, found while reading plan.rs and then by service_fails_for_long, which failed first (0 of 1 running after the worker was mended): the eight failures after which a task is given up counted for services too.

--- a/crates/stand-in/src/machine.rs
+++ b/crates/stand-in/src/machine.rs
@@ -15,6 +15,8 @@
 pub struct Faults {
     /// Every batch task fails as it starts.
     pub fail_all: bool,
+    /// Every service task fails as it starts.
+    pub fail_services: bool,
     /// Tasks take so many percent of their expected time; zero for all of it.
     pub run_time_percent: u64,
     /// What each task of an owner truly uses, in thousandths of a core.
@@ -263,7 +265,7 @@
         }
         let from_ms = checkpoint.unwrap_or(0);
         let batch = matches!(kind, work::Kind::Batch { .. });
-        let failed = batch && self.faults.fail_all;
+        let failed = if batch { self.faults.fail_all } else { self.faults.fail_services };
         let state = if failed {
             work::TaskState::Failed
         } else {
--- a/crates/stand-in/src/scenario.rs
+++ b/crates/stand-in/src/scenario.rs
@@ -100,8 +100,10 @@
     Leave(String),
     /// Each task of an owner truly uses so much, in thousandths of a core.
     Uses(String, u64),
-    /// Everything that a worker starts fails.
+    /// Every batch task that a worker starts fails.
     FailAll(String),
+    /// Whether every service task that a worker starts fails.
+    FailServices(String, bool),
     /// Messages to workers take up to so long.
     SlowWorkers(u64),
     /// A job is taken out of the desired state.
@@ -308,6 +310,11 @@
                 machine.faults.uses_milli.insert(owner.clone(), *milli);
             }
         }
+        Act::FailServices(worker, fail) => {
+            if let Some(machine) = world.machines.get_mut(&worker.as_str().into()) {
+                machine.faults.fail_services = *fail;
+            }
+        }
         Act::FailAll(worker) => {
             if let Some(machine) = world.machines.get_mut(&worker.as_str().into()) {
                 machine.faults.fail_all = true;
@@ -439,6 +446,8 @@
         ["reboot", worker] => Act::Reboot((*worker).to_owned()),
         ["leave", worker] => Act::Leave((*worker).to_owned()),
         ["uses", owner, milli] => Act::Uses((*owner).to_owned(), milli.parse().ok()?),
+        ["fail-services", worker] => Act::FailServices((*worker).to_owned(), true),
+        ["mend-services", worker] => Act::FailServices((*worker).to_owned(), false),
         ["fail-all", worker] => Act::FailAll((*worker).to_owned()),
         ["slow-workers", ms] => Act::SlowWorkers(ms.parse().ok()?),
         ["cancel", owner] => Act::Cancel((*owner).to_owned()),
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -20,7 +20,7 @@
 
 /// How many intervals a worker may be silent and still get new tasks.
 const FRESH_INTERVALS: u32 = 3;
-/// Failures after which a task is not tried again until its owner changes.
+/// Failures after which a batch task is not tried again until its owner changes.
 const MAX_FAILURES: u32 = 8;
 /// The share of processors that is no throttle.
 pub(super) const WHOLE_PERCENT: u8 = 100;
@@ -135,13 +135,15 @@
             self.cancel(now, task, state);
             return;
         };
-        let turn = (cmp::Reverse(spec.priority), task.clone());
-        let tired = self.task_table.get(task).is_some_and(|entry| entry.failures >= MAX_FAILURES);
+        let key = (cmp::Reverse(spec.priority), task.clone());
+        let failures = self.task_table.get(task).map_or(0, |entry| entry.failures);
+        // A service is tried for as long as it is wanted.
+        let given_up = spec.batch() && failures >= MAX_FAILURES;
         let waits = state.is_none_or(|state| state == task_table::State::Waiting);
-        if waits && !tired {
-            self.waiting.insert(turn);
+        if waits && !given_up {
+            self.waiting.insert(key);
         } else {
-            self.waiting.remove(&turn);
+            self.waiting.remove(&key);
             self.promised.remove(task);
         }
     }
@@ -194,8 +196,8 @@
         }
         let mut held = self.held_by_teams();
         let mut slots = self.slots(now);
-        let turns: Vec<id::TaskId> = self.waiting.iter().map(|(_, task)| task.clone()).collect();
-        for task in turns {
+        let tasks: Vec<id::TaskId> = self.waiting.iter().map(|(_, task)| task.clone()).collect();
+        for task in tasks {
             let Some(spec) = self.wanted.get(&task).cloned() else {
                 continue;
             };
