--- a/crates/stand-in/src/scenario.rs
+++ b/crates/stand-in/src/scenario.rs
@@ -106,6 +106,8 @@
     FailServices(String, bool),
     /// Messages to workers take up to so long.
     SlowWorkers(u64),
+    /// A worker is listed as lost in the desired state.
+    Lost(String),
     /// A job is taken out of the desired state.
     Cancel(String),
     /// A job or service is added to the desired state.
@@ -321,6 +323,10 @@
             }
         }
         Act::SlowWorkers(way_ms) => world.worker_way_ms = *way_ms,
+        Act::Lost(worker) => {
+            owners.insert(String::new(), format!("lost_workers = [\"{worker}\"]\n"));
+            world.apply(&desired_text(owners));
+        }
         Act::Cancel(owner) => {
             owners.remove(owner);
             world.apply(&desired_text(owners));
@@ -360,12 +366,14 @@
 
 /// Returns the desired state of all owners.
 fn desired_text(owners: &collections::BTreeMap<String, String>) -> String {
-    let mut text = String::from(
+    // What stands outside all tables is kept under no name, and goes first.
+    let mut text = owners.get("").cloned().unwrap_or_default();
+    text.push_str(
         "[[team]]\nname = \"ours\"\n[[hall]]\nname = \"hall\"\n\
          [[class]]\nname = \"p1\"\npriority = 1\n[[class]]\nname = \"p10\"\npriority = 10\n\
          [[class]]\nname = \"p100\"\npriority = 100\n",
     );
-    for owner in owners.values() {
+    for (_, owner) in owners.iter().filter(|(name, _)| !name.is_empty()) {
         text.push_str(owner);
     }
     text
@@ -450,6 +458,7 @@
         ["mend-services", worker] => Act::FailServices((*worker).to_owned(), false),
         ["fail-all", worker] => Act::FailAll((*worker).to_owned()),
         ["slow-workers", ms] => Act::SlowWorkers(ms.parse().ok()?),
+        ["lost", worker] => Act::Lost((*worker).to_owned()),
         ["cancel", owner] => Act::Cancel((*owner).to_owned()),
         ["old-start", worker] => Act::Mark((*worker).to_owned()),
         ["job" | "service", ..] => Act::Add(words.join(" ")),
