--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -124,6 +124,7 @@
             "retries" => self.metrics.retries.with_label_values(&[SERVICE]).get(),
             "peak" => self.peak(),
             "at-0" => self.at(0),
+            "refused-at-0" => self.fakes[0].refused.load(sync::atomic::Ordering::Relaxed),
             other => panic!("nothing is called {other}"),
         }
     }
