Tell peers of changes only

Change: the holder and the table are told when the holder or its epoch changes. A counter of messages to peers, by cause, shows it.

Ruled out: the rounds, counted apart.

--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -222,6 +222,13 @@
         }
     }
 
+    /// Returns the metrics of a host.
+    pub async fn metrics(&self, host: &str) -> String {
+        let url = format!("http://{}/metrics", self.host(host).operator);
+        let body = self.client.send(hyper::Method::GET, &url, bytes::Bytes::new()).await;
+        String::from_utf8_lossy(&body.expect("metrics")).into_owned()
+    }
+
     /// Returns what all workers saw.
     pub async fn events(&self) -> Vec<history::Event> {
         let mut all = Vec::new();
--- a/crates/cli/tests/processes/kills.rs
+++ b/crates/cli/tests/processes/kills.rs
@@ -10,6 +10,7 @@
 cases! {
     what_callers_are_told_stays_true_when_hosts_die => fleet::run(kills()),
     every_host_is_replaced_and_nothing_is_cut => fleet::run(rolling()),
+    peers_are_told_of_changes_only => fleet::run(gossip()),
     garbage_on_every_port_harms_nobody => fleet::run(garbage()),
 }
 
@@ -145,3 +146,37 @@
     let report = running.await.expect("callers");
     assert_eq!(report.count(caller::End::Answered), report.seen.len(), "all others are served");
 }
+
+/// Returns how many messages of one cause a host has sent to its peers.
+async fn messages(fleet: &fleet::Fleet, host: &str, cause: &str) -> u64 {
+    let text = fleet.metrics(host).await;
+    let name = format!("wharflane_gossip_messages_total{{cause=\"{cause}\"}} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&name));
+    value.and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+/// Runs many short tasks, which change no endpoint, and counts what is told besides the rounds.
+async fn gossip() {
+    let fleet = fleet::Fleet::start(2, 2, &["vake"]).await;
+    let service = DESIRED.replace("count = 3", "count = 2").replace("tasks = 12", "tasks = 1");
+    fleet.apply("entry-0", &service).await;
+    fleet.wait_for_endpoints("lending", 2).await;
+    fleet::until("the task ends", async || ended(&fleet.events().await) == 1).await;
+    let mut before = 0;
+    for host in ["entry-0", "entry-1"] {
+        before += messages(&fleet, host, "news").await;
+    }
+    let many = service.replace("tasks = 1\n", "tasks = 60\n").replace("1500", "200");
+    fleet.apply("entry-0", &many).await;
+    fleet::until("the tasks end", async || ended(&fleet.events().await) == 60).await;
+    let mut after = 0;
+    for host in ["entry-0", "entry-1"] {
+        after += messages(&fleet, host, "news").await;
+    }
+    assert!(after - before <= 4, "{} messages for one revision", after - before);
+}
+
+/// Returns how many tasks came to their end.
+fn ended(events: &[history::Event]) -> usize {
+    events.iter().filter(|event| matches!(event, history::Event::Completed { .. })).count()
+}
--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -98,11 +98,11 @@
             Msg::Peers(peers) => state.set_peers(&peers),
             Msg::Revision(revision) => {
                 state.revision = revision;
-                state.tell_all(&myself, &[]);
+                state.tell_all(&myself, &[], "news");
             }
             Msg::Table(table) => {
                 state.tables.insert(table.hall.clone(), table);
-                state.tell_all(&myself, &[]);
+                state.tell_all(&myself, &[], "news");
             }
             Msg::Holder(hall, holder) => state.set_holder(hall, holder),
             Msg::Heard(host, heard) => state.heard(&host, heard)?,
@@ -147,12 +147,17 @@
                 self.root.cast(root::Msg::Digest(digest.clone()))?;
             }
         }
-        self.tell_all(myself, &digests);
+        self.tell_all(myself, &digests, "round");
         Ok(())
     }
 
     /// Tells every peer that is not being told already.
-    fn tell_all(&mut self, myself: &ractor::ActorRef<Msg>, digests: &[digest::Digest]) {
+    fn tell_all(
+        &mut self,
+        myself: &ractor::ActorRef<Msg>,
+        digests: &[digest::Digest],
+        cause: &str,
+    ) {
         let timeout = self.shared.time("gossip_ms") * 2;
         let hosts: Vec<id::HostId> = self.peers.keys().cloned().collect();
         for host in hosts {
@@ -162,6 +167,7 @@
                 continue;
             };
             peer_state.busy = true;
+            self.shared.metrics.gossip.with_label_values(&[cause]).inc();
             peer_state.telling =
                 gossip.tables.iter().map(|t| (t.hall.clone(), (t.epoch, t.version))).collect();
             let client = peer_state.client.clone();
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -315,8 +315,12 @@
         hall: id::HallId,
         summary: HallSummary,
     ) -> Result<(), ractor::ActorProcessingErr> {
-        self.gossip.cast(gossip::Msg::Holder(hall.clone(), summary.holder.clone()))?;
-        if summary.held {
+        let before = self.summaries.get(&hall);
+        let same = before.is_some_and(|old| (old.held, old.epoch) == (summary.held, summary.epoch));
+        if !same || before.is_some_and(|old| old.holder != summary.holder) {
+            self.gossip.cast(gossip::Msg::Holder(hall.clone(), summary.holder.clone()))?;
+        }
+        if summary.held && !same {
             // A table made before the summary came is told now.
             let table = self.lock().tables.get(&hall).cloned();
             if let Some(table) = table.filter(|table| table.epoch == summary.epoch) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,8 @@
     pub platform_up: prometheus::IntGauge,
     /// Calls of the platform by kind and result.
     pub platform_calls: prometheus::IntCounterVec,
+    /// Messages to peers, by why they are sent.
+    pub gossip: prometheus::IntCounterVec,
     /// Halls held, by hall.
     pub hall_held: prometheus::IntGaugeVec,
     /// Commits by hall.
@@ -101,6 +103,7 @@
                 "Calls.",
                 &["call", "result"],
             )?,
+            gossip: builder.counter("gossip_messages_total", "Messages to peers.", &["cause"])?,
             hall_held: builder.gauge("hall_held", "Whether the hall is held here.", &["hall"])?,
             commits: builder.gauge("hall_commits", "Commits since taken.", &["hall"])?,
             commit_records: builder.gauge("hall_commit_records", "Records in them.", &["hall"])?,
