--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -181,6 +181,31 @@
     traffic::Snapshot { revision: 1, services, classes, endpoints, hosts: 9 }
 }
 
+/// Returns the processor time to read a list of so many workers, in microseconds, and its bytes.
+///
+/// # Panics
+/// Panics if the list can't be encoded, which its types exclude.
+#[must_use]
+pub fn list(workers: usize) -> (f64, usize) {
+    let member = |number: usize| {
+        let worker = members::Worker {
+            addr: std::net::SocketAddr::from(([10, 20, 30, 40], 8_080)),
+            hall: "antwerpen".into(),
+            rack: format!("rack-{}", number / 8),
+            presence: members::Presence::Live,
+        };
+        (id::WorkerId::from(format!("worker-{number}").as_str()), worker)
+    };
+    let list =
+        members::Members { workers: (0..workers).map(member).collect(), ..Default::default() };
+    let text = serde_json::to_string(&list).expect("a list");
+    let start = cpu_time::ThreadTime::now();
+    let read: members::Members = serde_json::from_str(&text).expect("the same list");
+    let cpu_us = start.elapsed().as_micros() as f64;
+    assert_eq!(read.workers.len(), workers, "read whole");
+    (cpu_us, text.len())
+}
+
 /// Returns the bytes of one worker in the platform's list.
 #[must_use]
 pub fn member_bytes() -> usize {
@@ -308,6 +333,13 @@
         ]);
     }
     routes_table.print();
+    let mut lists = table::Table::new(&["workers in the list", "read ms", "KB"]);
+    for workers in [1_000, 2_200, 4_400] {
+        let (cpu_us, bytes) = list(workers);
+        let kilobytes = (bytes / 1_024).to_string();
+        lists.row(vec![workers.to_string(), table::two(cpu_us / 1_000.0), kilobytes]);
+    }
+    lists.print();
     let (holder_us, worker_us) = message();
     println!("processor us of a message over HTTP: holder {holder_us:.0}, worker {worker_us:.0}");
     println!("bytes of a worker in the list: {}", member_bytes());
