--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -15,6 +15,22 @@
 use wharflane_operator as operator;
 use wharflane_stand_in::{caller, history};
 
+/// One service, which a test may put a job beside.
+pub const SERVICE: &str = r#"
+class = [{ name = "paid", priority = 10 }, { name = "spare", priority = 1 }]
+team = [{ name = "ours" }]
+hall = [{ name = "vake" }]
+[[service]]
+name = "lending"
+team = "ours"
+class = "paid"
+halls = ["vake"]
+count = 4
+cpu_milli = 4000
+mem_mb = 1000
+latency_target_ms = 100
+"#;
+
 /// How long anything may take before the test gives up.
 const PATIENCE: time::Duration = time::Duration::from_secs(60);
 /// The next port to try.
--- a/crates/cli/tests/processes/kills.rs
+++ b/crates/cli/tests/processes/kills.rs
@@ -14,20 +14,8 @@
     garbage_on_every_port_harms_nobody => fleet::run(garbage()),
 }
 
-/// One service on three workers, and a batch job.
-const DESIRED: &str = r#"
-class = [{ name = "paid", priority = 10 }, { name = "spare", priority = 1 }]
-team = [{ name = "ours" }]
-hall = [{ name = "vake" }]
-[[service]]
-name = "lending"
-team = "ours"
-class = "paid"
-halls = ["vake"]
-count = 3
-cpu_milli = 4000
-mem_mb = 1000
-latency_target_ms = 100
+/// A batch job beside the service.
+const JOB: &str = r#"
 [[job]]
 name = "rebuild"
 team = "ours"
@@ -41,6 +29,11 @@
 on_loss = "hold"
 "#;
 
+/// Returns the service on three workers, and the batch job.
+fn desired() -> String {
+    format!("{}{JOB}", fleet::SERVICE.replace("count = 4", "count = 3"))
+}
+
 /// Holds what callers were told against what the endpoints ran.
 fn judge(report: &caller::Report, events: &[history::Event]) {
     let runs = checker::runs(events);
@@ -55,7 +48,7 @@
 /// Kills one host and freezes another under load.
 async fn kills() {
     let mut fleet = fleet::Fleet::start(3, 3, &["vake"]).await;
-    fleet.apply("entry-0", DESIRED).await;
+    fleet.apply("entry-0", &desired()).await;
     fleet.wait_for_endpoints("lending", 3).await;
     let running = tokio::spawn(caller::run(fleet.load("kill", "lending", 150.0, 6)));
     tokio::time::sleep(time::Duration::from_secs(1)).await;
@@ -80,7 +73,7 @@
 /// Replaces every host, one after the other, while callers use only those that are ready.
 async fn rolling() {
     let mut fleet = fleet::Fleet::start(2, 3, &["vake"]).await;
-    fleet.apply("entry-0", DESIRED).await;
+    fleet.apply("entry-0", &desired()).await;
     fleet.wait_for_endpoints("lending", 3).await;
     let mut told = Vec::new();
     for old in ["entry-0", "entry-1"] {
@@ -118,7 +111,7 @@
 async fn garbage() {
     use tokio::io::AsyncWriteExt as _;
     let fleet = fleet::Fleet::start(1, 3, &["vake"]).await;
-    fleet.apply("entry-0", DESIRED).await;
+    fleet.apply("entry-0", &desired()).await;
     fleet.wait_for_endpoints("lending", 3).await;
     let running = tokio::spawn(caller::run(fleet.load("calm", "lending", 100.0, 3)));
     let host = fleet.host("entry-0");
@@ -158,7 +151,7 @@
 /// Runs many short tasks, which change no endpoint, and counts what is told besides the rounds.
 async fn gossip() {
     let fleet = fleet::Fleet::start(2, 2, &["vake"]).await;
-    let service = DESIRED.replace("count = 3", "count = 2").replace("tasks = 12", "tasks = 1");
+    let service = desired().replace("count = 3", "count = 2").replace("tasks = 12", "tasks = 1");
     fleet.apply("entry-0", &service).await;
     fleet.wait_for_endpoints("lending", 2).await;
     fleet::until("the task ends", async || ended(&fleet.events().await) == 1).await;
--- a/crates/cli/tests/processes/stops.rs
+++ b/crates/cli/tests/processes/stops.rs
@@ -13,27 +13,11 @@
     a_leaving_worker_ends_its_requests_and_gets_no_more => fleet::run(worker_leaves()),
 }
 
-/// One service on four workers.
-const SERVICE: &str = r#"
-class = [{ name = "paid", priority = 10 }]
-team = [{ name = "ours" }]
-hall = [{ name = "vake" }]
-[[service]]
-name = "lending"
-team = "ours"
-class = "paid"
-halls = ["vake"]
-count = 4
-cpu_milli = 4000
-mem_mb = 1000
-latency_target_ms = 100
-"#;
-
 /// Stops the host that takes all requests; the balancer's part is played by the test, which
 /// sends nothing new to a host that is not ready.
 async fn host_stops() {
     let mut fleet = fleet::Fleet::start(2, 4, &["vake"]).await;
-    fleet.apply("entry-0", SERVICE).await;
+    fleet.apply("entry-0", fleet::SERVICE).await;
     fleet.wait_for_endpoints("lending", 4).await;
     let slow = wharflane_stand_in::endpoint::Faults { service_ms: 900, ..Default::default() };
     for (_, addr) in fleet.workers.values() {
@@ -54,7 +38,7 @@
 /// Plans the stop of a worker under load.
 async fn worker_leaves() {
     let mut fleet = fleet::Fleet::start(2, 4, &["vake"]).await;
-    fleet.apply("entry-0", SERVICE).await;
+    fleet.apply("entry-0", fleet::SERVICE).await;
     fleet.wait_for_endpoints("lending", 4).await;
     let running = tokio::spawn(caller::run(fleet.load("leave", "lending", 100.0, 5)));
     tokio::time::sleep(time::Duration::from_secs(1)).await;
@@ -73,7 +57,7 @@
 /// Holds a stream open while its host stops, with requests beside it.
 async fn watcher() {
     let mut fleet = fleet::Fleet::start(1, 2, &["vake"]).await;
-    fleet.apply("entry-0", &SERVICE.replace("count = 4", "count = 2")).await;
+    fleet.apply("entry-0", &fleet::SERVICE.replace("count = 4", "count = 2")).await;
     fleet.wait_for_endpoints("lending", 2).await;
     let host = fleet.hosts.remove("entry-0").expect("a host");
     let watching = tokio::spawn(watch(host.caller));
