--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -19,6 +19,7 @@
 
 use crate::control;
 use crate::control::{config, root};
+use crate::jobs;
 use crate::metrics;
 use crate::settings;
 use crate::traffic;
@@ -63,11 +64,15 @@
     settings: settings::Settings,
     stop: impl Future<Output = ()>,
 ) -> Result<(), HostError> {
+    let platform_addr = match settings.mode {
+        settings::Mode::Jobs { store } => return jobs::run::run(settings, store, stop).await,
+        settings::Mode::Declared { platform } => platform,
+    };
     let callers = listen(settings.caller_addr).await?;
     let operators = listen(settings.operator_addr).await?;
     let peers = listen(settings.peer_addr).await?;
     let settings = sync::Arc::new(settings);
-    let shared = share(&settings)?;
+    let shared = share(&settings, platform_addr)?;
     let known = sync::Arc::<sync::Mutex<root::Known>>::default();
     let link = (shared.clone(), sync::Arc::clone(&known));
     let (root, _) = Actor::spawn(None, root::Root, link).await?;
@@ -180,13 +185,16 @@
 }
 
 /// Opens a port.
-async fn listen(addr: net::SocketAddr) -> Result<tokio::net::TcpListener, HostError> {
+pub(crate) async fn listen(addr: net::SocketAddr) -> Result<tokio::net::TcpListener, HostError> {
     let bound = tokio::net::TcpListener::bind(addr).await;
     bound.map_err(|source| HostError::Listen { addr, source })
 }
 
 /// Makes what all actors share.
-fn share(settings: &sync::Arc<settings::Settings>) -> Result<control::Shared, HostError> {
+fn share(
+    settings: &sync::Arc<settings::Settings>,
+    platform_addr: net::SocketAddr,
+) -> Result<control::Shared, HostError> {
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock::new());
     let metrics = metrics::Metrics::new()?;
     let nonce = rand::random();
@@ -194,10 +202,7 @@
     Ok(control::Shared {
         settings: sync::Arc::clone(settings),
         clock,
-        platform: platform::Platform::new(
-            settings.platform_addr,
-            settings.time("platform", "timeout_ms"),
-        ),
+        platform: platform::Platform::new(platform_addr, settings.time("platform", "timeout_ms")),
         workers: worker::Workers::new(settings.time("control", "sync_ms")),
         traffic: sync::Arc::new(traffic),
         metrics,
--- /dev/null
+++ b/crates/daemon/src/jobs/holder.rs
@@ -0,0 +1,200 @@
+//! Runs the engine of a domain: carries out its effects and brings back what comes of them.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use ractor::Actor;
+use wharflane::job;
+
+use super::Shared;
+use super::watch;
+
+/// How often the engine is asked what is due while this host holds the domain.
+const TICK_HOLDING: time::Duration = time::Duration::from_millis(20);
+/// How often it is asked while another host does.
+const TICK_WATCHING: time::Duration = time::Duration::from_millis(100);
+
+/// What the actor of a domain is told.
+#[derive(Debug)]
+pub enum Msg {
+    /// Time has passed.
+    Tick,
+    /// Something happened to the engine.
+    Event(Box<job::Event>),
+    /// The state is asked for.
+    Dump(ractor::RpcReplyPort<serde_json::Value>),
+    /// Whether nothing of the domain is left to give up is asked for.
+    Left(ractor::RpcReplyPort<bool>),
+}
+
+/// The actor of a domain.
+#[derive(Debug)]
+pub struct Holder;
+
+/// What the actor knows.
+#[derive(Debug)]
+pub struct State {
+    /// What the parts of the job service share.
+    shared: Shared,
+    /// The engine.
+    engine: job::Engine,
+    /// Numbers the holdings of this process; those who follow for one end with it.
+    generation: sync::Arc<atomic::AtomicU64>,
+}
+
+/// Tells the actor of an event; one that has ended needs no news.
+pub fn tell(holder: &ractor::ActorRef<Msg>, event: job::Event) {
+    if holder.cast(Msg::Event(Box::new(event))).is_err() {
+        tracing::debug!("event for a holder that has ended");
+    }
+}
+
+impl Actor for Holder {
+    type Msg = Msg;
+    type State = State;
+    type Arguments = Shared;
+
+    async fn pre_start(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        shared: Shared,
+    ) -> Result<State, ractor::ActorProcessingErr> {
+        let settings = engine_settings(&shared);
+        let engine = job::Engine::new(shared.settings.host.clone(), settings, shared.nonce);
+        myself.cast(Msg::Tick)?;
+        Ok(State { shared, engine, generation: sync::Arc::default() })
+    }
+
+    async fn handle(
+        &self,
+        myself: ractor::ActorRef<Msg>,
+        message: Msg,
+        state: &mut State,
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        match message {
+            Msg::Tick => {
+                state.step(&myself, job::Event::Tick { wall_ms: wall_ms() });
+                let holds = state.engine.holding().is_some();
+                let next = if holds { TICK_HOLDING } else { TICK_WATCHING };
+                myself.send_after(next, || Msg::Tick);
+            }
+            Msg::Event(event) => state.step(&myself, *event),
+            Msg::Dump(port) => {
+                let dump = state.engine.holding().map(job::Holding::dump);
+                if port.send(serde_json::to_value(dump)?).is_err() {
+                    tracing::debug!("nobody waits for the dump any more");
+                }
+            }
+            Msg::Left(port) => {
+                if port.send(state.engine.left()).is_err() {
+                    tracing::debug!("nobody waits for the answer any more");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Takes one event and carries out what follows.
+    fn step(&mut self, myself: &ractor::ActorRef<Msg>, event: job::Event) {
+        let held = !self.engine.left();
+        let now = self.shared.clock.now();
+        for effect in self.engine.step(now, event) {
+            self.carry_out(myself, effect);
+        }
+        if held && self.engine.left() {
+            self.generation.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        self.shared
+            .metrics
+            .hall_held
+            .with_label_values(&["jobs"])
+            .set(i64::from(self.engine.holding().is_some()));
+    }
+
+    /// Carries out one effect beside the actor and brings the result back as an event.
+    fn carry_out(&self, myself: &ractor::ActorRef<Msg>, effect: job::Effect) {
+        let myself = myself.clone();
+        let shared = self.shared.clone();
+        let domain = self.engine.domain();
+        match effect {
+            job::Effect::ReadLease => drop(tokio::spawn(async move {
+                let event = read_lease(&shared, domain).await;
+                tell(&myself, event);
+            })),
+            job::Effect::Load => {
+                let on = self.generation.load(atomic::Ordering::Relaxed);
+                let generation = (on, sync::Arc::clone(&self.generation));
+                let follower = watch::Follower { shared, holder: myself, generation };
+                drop(tokio::spawn(follower.load(domain)));
+            }
+            job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
+                let answer = shared.store.transact(&txn).await;
+                shared.count_call("commit", &answer);
+                tell(&myself, job::Event::Txn { number, answer: answer.ok() });
+            })),
+            job::Effect::Start(start) => drop(tokio::spawn(async move {
+                let answer = shared.workers.start(&start).await;
+                tell(&myself, job::Event::Started { order: start.order, answer });
+            })),
+            job::Effect::Stop(order) => drop(tokio::spawn(async move {
+                shared.workers.stop(&order).await;
+            })),
+            job::Effect::Pace(pace) => drop(tokio::spawn(async move {
+                shared.workers.pace(&pace).await;
+            })),
+            job::Effect::Look(look) => drop(tokio::spawn(async move {
+                let answer = shared.workers.look(&look).await;
+                let (worker, epoch) = (look.worker, look.epoch);
+                tell(&myself, job::Event::Looked { worker, epoch, answer });
+            })),
+        }
+    }
+}
+
+/// Reads the lease row.
+async fn read_lease(shared: &Shared, domain: u32) -> job::Event {
+    let row = shared.store.get(&job::lease_key(domain)).await;
+    shared.count_call("lease", &row);
+    match row {
+        Err(_) => job::Event::LeaseUnread,
+        Ok(None) => job::Event::LeaseRead(None),
+        Ok(Some(row)) => {
+            let lease = row.value.as_deref().map(serde_json::from_str::<job::Lease>);
+            match lease {
+                Some(Ok(lease)) => job::Event::LeaseRead(Some((row.version, lease))),
+                Some(Err(err)) => {
+                    tracing::error!(%err, "the lease can't be read");
+                    job::Event::LeaseUnread
+                }
+                None => job::Event::LeaseRead(None),
+            }
+        }
+    }
+}
+
+/// Returns how the engine is timed.
+fn engine_settings(shared: &Shared) -> job::Settings {
+    let hold_max = shared.time("hold_max_ms");
+    job::Settings {
+        domain: 0,
+        lease: shared.time("lease_ms"),
+        margin: shared.time("margin_ms"),
+        poll: shared.time("poll_ms"),
+        commit: shared.time("commit_ms"),
+        renew: shared.time("renew_ms"),
+        hold: hold_max.min(shared.time("hold_ms")),
+        hold_max,
+        look: shared.time("look_ms"),
+        look_idle: shared.time("look_idle_ms"),
+        keep: time::Duration::from_secs(shared.settings.number("jobs", "keep_s")),
+    }
+}
+
+/// Returns the time of day in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/mod.rs
@@ -0,0 +1,87 @@
+//! The job service of a host: takes callers' jobs, and runs them where this host is the holder.
+
+pub mod holder;
+pub mod run;
+pub mod service;
+pub mod watch;
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use wharflane::{clock, job};
+use wharflane_adapter::{store, workers};
+
+use crate::metrics;
+use crate::settings;
+
+/// What the parts of the job service share.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: sync::Arc<settings::Settings>,
+    /// The clock.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// The store.
+    pub store: store::Store,
+    /// The workers.
+    pub workers: workers::Workers,
+    /// The queues in force.
+    pub queues: sync::Arc<arc_swap::ArcSwap<job::Queues>>,
+    /// Whether this host is stopping.
+    pub stopping: sync::Arc<atomic::AtomicBool>,
+    /// When the store answered last, in milliseconds of the clock.
+    pub store_ok_ms: sync::Arc<atomic::AtomicU64>,
+    /// The metrics.
+    pub metrics: metrics::Metrics,
+    /// The mark of this process.
+    pub nonce: u64,
+}
+
+impl Shared {
+    /// Returns a time from the settings of the job service.
+    #[must_use]
+    pub fn time(&self, key: &'static str) -> time::Duration {
+        self.settings.time("jobs", key)
+    }
+
+    /// Returns the number of domains.
+    #[must_use]
+    pub fn domains(&self) -> u32 {
+        u32::try_from(self.settings.number("jobs", "domains")).unwrap_or(1)
+    }
+
+    /// Counts a call of the store, and notes when it was lost or regained.
+    pub fn count_call<T>(&self, call: &str, result: &Result<T, store::StoreError>) {
+        let label = match result {
+            Ok(_) => "ok",
+            Err(store::StoreError::TurnedAway { .. }) => "turned-away",
+            Err(store::StoreError::Silent(_)) => "silent",
+            Err(store::StoreError::Strange { .. }) => "strange",
+        };
+        self.metrics.platform_calls.with_label_values(&[call, label]).inc();
+        let up = result.is_ok();
+        if up {
+            let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
+            self.store_ok_ms.store(now_ms, atomic::Ordering::Relaxed);
+        }
+        let before = self.metrics.platform_up.get() == 1;
+        if before != up {
+            self.metrics.platform_up.set(i64::from(up));
+            match result {
+                Ok(_) => tracing::info!(call, "the store answers"),
+                Err(err) => tracing::warn!(call, %err, "the store is lost"),
+            }
+        }
+    }
+
+    /// Returns whether callers should be sent here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
+        let silent_ms = now_ms.saturating_sub(self.store_ok_ms.load(atomic::Ordering::Relaxed));
+        !self.stopping.load(atomic::Ordering::Relaxed)
+            && self.queues.load().revision > 0
+            && u128::from(silent_ms) < self.time("unready_ms").as_millis()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/run.rs
@@ -0,0 +1,197 @@
+//! Runs the job service on a host: opens its ports and stops without cutting a call.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use hyper::body;
+use hyper::{Method, StatusCode, header};
+use ractor::Actor;
+use wharflane::{clock, job};
+use wharflane_adapter::{callers, store, workers};
+use wharflane_http::{reply, server};
+
+use super::Shared;
+use super::{holder, service, watch};
+use crate::host;
+use crate::metrics;
+use crate::settings;
+
+/// The largest body of a call; a job has at most 64 steps and a text of 4,000 bytes.
+const MAX_BODY_BYTES: usize = 256 << 10;
+/// How long a body may take.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// How long a caller waits that does not say so.
+const PATIENCE: time::Duration = time::Duration::from_secs(3);
+/// What is left of a caller's time for the answer's way back.
+const WAY_BACK: time::Duration = time::Duration::from_millis(50);
+/// How long the lease may take to be given up at a stop.
+const LEAVE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// The time between looks at whether it is.
+const LEAVE_TICK: time::Duration = time::Duration::from_millis(20);
+/// How long an answer to an operator may take.
+const OPERATOR_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Runs the job service until `stop` ends.
+///
+/// # Errors
+/// Returns `HostError` where a port can't be opened.
+pub async fn run(
+    settings: settings::Settings,
+    store_addr: std::net::SocketAddr,
+    stop: impl Future<Output = ()>,
+) -> Result<(), host::HostError> {
+    let callers = host::listen(settings.caller_addr).await?;
+    let operators = host::listen(settings.operator_addr).await?;
+    let shared = share(settings, store_addr)?;
+    let (holder, _) = Actor::spawn(None, holder::Holder, shared.clone()).await?;
+    tokio::spawn(watch::config(shared.clone(), holder.clone()));
+    let (end, ended) = tokio::sync::oneshot::channel::<()>();
+    let calls = Calls { shared: shared.clone(), service: service::Service::new(shared.clone()) };
+    let serving = tokio::spawn(server::serve(
+        callers,
+        server::Bounds::default(),
+        async move { drop(ended.await) },
+        move |request| calls.clone().serve(request),
+    ));
+    let (api, root) = (shared.clone(), holder.clone());
+    tokio::spawn(server::serve(
+        operators,
+        server::Bounds::default(),
+        server::never(),
+        move |request| operator(api.clone(), root.clone(), request),
+    ));
+    let host = shared.settings.host.clone();
+    tracing::info!(%host, callers = %shared.settings.caller_addr, nonce = shared.nonce, "host up");
+    stop.await;
+    tracing::info!(%host, "host stopping");
+    shared.stopping.store(true, atomic::Ordering::Relaxed);
+    leave(&holder).await;
+    tokio::time::sleep(shared.settings.time("traffic", "stop_notice_ms")).await;
+    if end.send(()).is_err() {
+        tracing::warn!("the callers' port had closed before");
+    }
+    let grace = shared.settings.time("traffic", "stop_grace_ms");
+    if tokio::time::timeout(grace, serving).await.is_err() {
+        tracing::warn!("calls cut at the end of the grace");
+    }
+    tracing::info!(%host, "host down");
+    Ok(())
+}
+
+/// Gives the lease up, so that another host may take it at once.
+async fn leave(holder: &ractor::ActorRef<holder::Msg>) {
+    holder::tell(holder, job::Event::Leave);
+    let gone = async {
+        loop {
+            let left = holder.call(holder::Msg::Left, Some(OPERATOR_TIMEOUT)).await;
+            if matches!(left, Ok(ractor::rpc::CallResult::Success(true))) {
+                return;
+            }
+            tokio::time::sleep(LEAVE_TICK).await;
+        }
+    };
+    if tokio::time::timeout(LEAVE_TIMEOUT, gone).await.is_err() {
+        tracing::warn!("the lease was not given up in time");
+    }
+}
+
+/// Makes what the parts of the job service share.
+fn share(
+    settings: settings::Settings,
+    store_addr: std::net::SocketAddr,
+) -> Result<Shared, host::HostError> {
+    let store_timeout = settings.time("jobs", "store_timeout_ms");
+    let order_timeout = settings.time("jobs", "order_timeout_ms");
+    Ok(Shared {
+        settings: sync::Arc::new(settings),
+        clock: sync::Arc::new(clock::SystemClock::new()),
+        store: store::Store::new(store_addr, store_timeout),
+        workers: workers::Workers::new(order_timeout),
+        queues: sync::Arc::default(),
+        stopping: sync::Arc::default(),
+        store_ok_ms: sync::Arc::default(),
+        metrics: metrics::Metrics::new()?,
+        nonce: rand::random(),
+    })
+}
+
+/// Answers callers.
+#[derive(Clone, Debug)]
+struct Calls {
+    /// What the parts of the job service share.
+    shared: Shared,
+    /// The service.
+    service: service::Service,
+}
+
+impl Calls {
+    /// Answers one call.
+    async fn serve(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+        let came = self.shared.clock.now();
+        let (head, body) = request.into_parts();
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let host = text(header::HOST.as_str()).unwrap_or_default();
+        let patience = text(callers::DEADLINE_HEADER).and_then(|text| text.parse().ok());
+        let patience = patience.map_or(PATIENCE, time::Duration::from_millis);
+        let deadline = came + patience.saturating_sub(WAY_BACK);
+        let path = head.uri.path();
+        let queues = self.shared.queues.load_full();
+        let answer = if queues.revision == 0 {
+            job::Answer::NotTaken { retry_after: PATIENCE }
+        } else {
+            match server::read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+                Err(err) => {
+                    tracing::info!(path, %err, "the body of a call was not taken");
+                    job::Answer::BadBody
+                }
+                Ok(body) => match callers::read(&head.method, host, path, &body, &queues) {
+                    Ok(call) => self.service.answer(call, deadline).await,
+                    Err(answer) => answer,
+                },
+            }
+        };
+        let took = self.shared.clock.now().saturating_sub(came);
+        let outcome = answer.label();
+        self.shared.metrics.requests.with_label_values(&["jobs", outcome]).inc();
+        self.shared.metrics.latency.with_label_values(&["jobs"]).observe(took.as_secs_f64());
+        let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(
+            method = head.method.as_str(),
+            path,
+            revision = queues.revision,
+            took_ms,
+            ?answer,
+            "call answered"
+        );
+        callers::write(&answer)
+    }
+}
+
+/// Answers operators and the balancer.
+async fn operator(
+    shared: Shared,
+    holder: ractor::ActorRef<holder::Msg>,
+    request: hyper::Request<body::Incoming>,
+) -> reply::Reply {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/ready") if shared.ready() => {
+            reply::text(StatusCode::OK, "ready\n".to_owned())
+        }
+        (&Method::GET, "/ready") => reply::problem(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not-ready",
+            "no configuration, no store, or stopping",
+        ),
+        (&Method::GET, "/live") => reply::text(StatusCode::OK, "live\n".to_owned()),
+        (&Method::GET, "/metrics") => reply::text(StatusCode::OK, shared.metrics.text()),
+        (&Method::GET, "/dump") => {
+            let asked = holder.call(holder::Msg::Dump, Some(OPERATOR_TIMEOUT)).await;
+            match asked {
+                Ok(ractor::rpc::CallResult::Success(dump)) => reply::json(StatusCode::OK, &dump),
+                _ => reply::problem(StatusCode::SERVICE_UNAVAILABLE, "busy", "no answer in time"),
+            }
+        }
+        _ => reply::problem(StatusCode::NOT_FOUND, "no-such-path", "no such path"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/service.rs
@@ -0,0 +1,218 @@
+//! Answers callers: takes jobs, tells how far they are, cancels them, counts what waits.
+//!
+//! Any host does this for any job, by the rows of the store alone.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use wharflane::{job, rows};
+use wharflane_adapter::store;
+
+use super::Shared;
+
+/// When a caller that was turned away may come back: about as long as a short outage.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// The wait before a call of the store is made again.
+const AGAIN: time::Duration = time::Duration::from_millis(100);
+/// How long counts of what waits are kept; callers are promised counts of at most 2 s.
+const COUNTS_AGE: time::Duration = time::Duration::from_millis(500);
+
+/// The job service towards callers.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// What the parts of the job service share.
+    shared: Shared,
+    /// The counts of what waits, and when they were read.
+    counts: sync::Arc<tokio::sync::Mutex<Option<Counts>>>,
+}
+
+/// What waits in all queues.
+#[derive(Debug)]
+struct Counts {
+    /// When they were read.
+    read: time::Duration,
+    /// Jobs that wait, by queue.
+    queues: collections::BTreeMap<String, u64>,
+}
+
+impl Service {
+    /// Makes the service.
+    #[must_use]
+    pub fn new(shared: Shared) -> Self {
+        Self { shared, counts: sync::Arc::default() }
+    }
+
+    /// Answers a call before its deadline, by the clock.
+    pub async fn answer(&self, call: job::Call, deadline: time::Duration) -> job::Answer {
+        match call {
+            job::Call::Submit { id, job } => self.submit(id, job, deadline).await,
+            job::Call::State { id } => self.state(id).await,
+            job::Call::Cancel { id } => self.cancel(id, deadline).await,
+            job::Call::Waiting { queue } => self.waiting(&queue).await,
+        }
+    }
+
+    /// Takes a job: it is accepted once its row stands.
+    async fn submit(&self, id: job::JobId, job: job::Job, deadline: time::Duration) -> job::Answer {
+        if let Err(refusal) = job.check() {
+            return job::Answer::Refused(refusal);
+        }
+        let key = self.key(job::JOBS, id);
+        let accepted = job::Accepted { job, cancelled: false };
+        let Ok(value) = serde_json::to_string(&accepted) else {
+            return job::Answer::BadBody;
+        };
+        let txn = rows::Txn {
+            expects: vec![rows::Expect { key: key.clone(), version: 0 }],
+            writes: vec![rows::Write { key, value: Some(value) }],
+        };
+        // Once a write had no answer it may land late, so only its row tells what is true.
+        let mut doubt = false;
+        loop {
+            match self.transact(&txn).await {
+                // The same job came before, or an earlier sending of this write has landed.
+                Ok(_) => return job::Answer::Accepted,
+                Err(store::StoreError::TurnedAway { .. }) if !doubt => {
+                    return job::Answer::NotTaken { retry_after: RETRY_AFTER };
+                }
+                Err(err) => doubt |= !matches!(err, store::StoreError::TurnedAway { .. }),
+            }
+            if !self.again(deadline).await {
+                return job::Answer::Unknown { retry_after: RETRY_AFTER };
+            }
+        }
+    }
+
+    /// Tells how far a job is.
+    async fn state(&self, id: job::JobId) -> job::Answer {
+        let unknown = job::Answer::NotTaken { retry_after: RETRY_AFTER };
+        let Ok(progress) = self.get(&self.key(job::PROGRESS, id)).await else {
+            return unknown;
+        };
+        if let Some(text) = progress.and_then(|row| row.value) {
+            return match job::Progress::decode(&text) {
+                Ok(progress) => job::Answer::State(progress.phase),
+                Err(err) => {
+                    tracing::error!(job = %id, %err, "progress can't be read");
+                    unknown
+                }
+            };
+        }
+        match self.get(&self.key(job::JOBS, id)).await {
+            Ok(Some(row)) => job::Answer::State(accepted_phase(&row)),
+            Ok(None) => job::Answer::NoJob,
+            Err(_) => unknown,
+        }
+    }
+
+    /// Cancels a job: it is cancelled once its row says so.
+    async fn cancel(&self, id: job::JobId, deadline: time::Duration) -> job::Answer {
+        let key = self.key(job::JOBS, id);
+        loop {
+            match self.get(&key).await {
+                Ok(None) => return job::Answer::NoJob,
+                Ok(Some(row)) => {
+                    if let Some(answer) = self.write_cancel(&key, &row).await {
+                        return answer;
+                    }
+                }
+                Err(_) => {}
+            }
+            if !self.again(deadline).await {
+                return job::Answer::Unknown { retry_after: RETRY_AFTER };
+            }
+        }
+    }
+
+    /// Writes that a job is cancelled; nothing stands for a write that has to be made again.
+    async fn write_cancel(&self, key: &rows::Key, row: &rows::Row) -> Option<job::Answer> {
+        let text = row.value.as_deref()?;
+        let mut accepted: job::Accepted = match serde_json::from_str(text) {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                tracing::error!(job = %row.name, %err, "an accepted job can't be read");
+                return Some(job::Answer::NoJob);
+            }
+        };
+        if accepted.cancelled {
+            return Some(job::Answer::Cancelled);
+        }
+        accepted.cancelled = true;
+        let txn = rows::Txn {
+            expects: vec![rows::Expect { key: key.clone(), version: row.version }],
+            writes: vec![rows::Write {
+                key: key.clone(),
+                value: serde_json::to_string(&accepted).ok(),
+            }],
+        };
+        match self.transact(&txn).await {
+            Ok(rows::Answer::Done { .. }) => Some(job::Answer::Cancelled),
+            Ok(rows::Answer::Conflict { .. }) | Err(_) => None,
+        }
+    }
+
+    /// Counts the jobs of a queue that wait.
+    async fn waiting(&self, queue: &str) -> job::Answer {
+        let mut counts = self.counts.lock().await;
+        let now = self.shared.clock.now();
+        if counts.as_ref().is_none_or(|counts| now.saturating_sub(counts.read) >= COUNTS_AGE) {
+            match self.read_counts().await {
+                Some(queues) => *counts = Some(Counts { read: now, queues }),
+                None => return job::Answer::NotTaken { retry_after: RETRY_AFTER },
+            }
+        }
+        let waiting = counts.as_ref().and_then(|counts| counts.queues.get(queue)).copied();
+        job::Answer::Waiting(waiting.unwrap_or(0))
+    }
+
+    /// Reads the counts of all domains.
+    async fn read_counts(&self) -> Option<collections::BTreeMap<String, u64>> {
+        let mut queues = collections::BTreeMap::new();
+        for domain in 0..self.shared.domains() {
+            let row = self.get(&job::waiting_key(domain)).await.ok()?;
+            let Some(text) = row.and_then(|row| row.value) else {
+                continue;
+            };
+            let counts: job::Waiting = serde_json::from_str(&text).ok()?;
+            for (queue, count) in counts.queues {
+                *queues.entry(queue).or_insert(0) += count;
+            }
+        }
+        Some(queues)
+    }
+
+    /// Returns the key of a job's row in one of the tables.
+    fn key(&self, table: &'static str, id: job::JobId) -> rows::Key {
+        job::job_key(table, job::domain_of(id, self.shared.domains()), id)
+    }
+
+    /// Waits a little before a call is made again; returns whether there is time for it.
+    async fn again(&self, deadline: time::Duration) -> bool {
+        tokio::time::sleep(AGAIN).await;
+        self.shared.clock.now() + AGAIN < deadline
+    }
+
+    /// Makes a transaction and counts the call.
+    async fn transact(&self, txn: &rows::Txn) -> Result<rows::Answer, store::StoreError> {
+        let answer = self.shared.store.transact(txn).await;
+        self.shared.count_call("submit", &answer);
+        answer
+    }
+
+    /// Reads a row and counts the call.
+    async fn get(&self, key: &rows::Key) -> Result<Option<rows::Row>, store::StoreError> {
+        let row = self.shared.store.get(key).await;
+        self.shared.count_call("get", &row);
+        row
+    }
+}
+
+/// Returns what is told of a job that nobody has begun.
+fn accepted_phase(row: &rows::Row) -> job::Phase {
+    let accepted = row.value.as_deref().map(serde_json::from_str::<job::Accepted>);
+    match accepted {
+        Some(Ok(accepted)) if accepted.cancelled => job::Phase::Cancelled,
+        _ => job::Phase::Queued,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/watch.rs
@@ -0,0 +1,179 @@
+//! Follows what others write to the store: the configuration, the list of workers, accepted jobs.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use wharflane::{job, rows};
+use wharflane_adapter::{config, store};
+
+use super::Shared;
+use super::holder;
+
+/// How long the store may hold a feed open; bounds how long a silent cut goes unseen.
+const FEED_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// The wait before a failed call is made again.
+const AGAIN: time::Duration = time::Duration::from_millis(200);
+
+/// Follows the configuration for the life of the process.
+pub async fn config(shared: Shared, holder: ractor::ActorRef<holder::Msg>) {
+    let key = rows::Key {
+        table: config::OPERATOR_TABLE,
+        part: config::THEIR_PART.to_owned(),
+        name: config::CONFIG_KEY.to_owned(),
+    };
+    loop {
+        let page = shared.store.all(key.table, &key.part).await;
+        shared.count_call("config", &page);
+        let Ok(page) = page else {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        };
+        take_config(&shared, &holder, &page.rows);
+        let mut after = page.version;
+        while let Some(page) = next(&shared, key.table, after).await {
+            take_config(&shared, &holder, &page.rows);
+            after = page.version;
+        }
+    }
+}
+
+/// Puts a configuration in force if it is newer.
+fn take_config(shared: &Shared, holder: &ractor::ActorRef<holder::Msg>, rows: &[rows::Row]) {
+    let rows = rows.iter().filter(|row| row.name == config::CONFIG_KEY);
+    for text in rows.filter_map(|row| row.value.as_deref()) {
+        match config::queues(text) {
+            Ok(queues) if queues.revision > shared.queues.load().revision => {
+                tracing::info!(revision = queues.revision, queues = queues.queues.len(), "config");
+                shared.metrics.revision.set(i64::try_from(queues.revision).unwrap_or(i64::MAX));
+                let queues = sync::Arc::new(queues);
+                shared.queues.store(sync::Arc::clone(&queues));
+                holder::tell(holder, job::Event::Queues(queues));
+            }
+            Ok(_) => {}
+            Err(err) => tracing::error!(%err, "configuration refused, the last one stays"),
+        }
+    }
+}
+
+/// What is followed only while this host holds the domain.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    /// What the parts of the job service share.
+    pub shared: Shared,
+    /// The holder.
+    pub holder: ractor::ActorRef<holder::Msg>,
+    /// Which holding this belongs to, and the one that is on.
+    pub generation: (u64, sync::Arc<atomic::AtomicU64>),
+}
+
+impl Follower {
+    /// Reads everything that a new holder must know, then follows its changes.
+    pub async fn load(self, domain: u32) {
+        let part = job::part(domain);
+        let read = tokio::join!(
+            self.all(config::WORKERS_TABLE, config::THEIR_PART),
+            self.all(job::JOBS, &part),
+            self.all(job::PROGRESS, &part),
+        );
+        let (Ok(workers), Ok(jobs), Ok(progress)) = read else {
+            tokio::time::sleep(AGAIN).await;
+            return holder::tell(&self.holder, job::Event::LoadFailed);
+        };
+        let versions = (workers.version, jobs.version);
+        self.tell_list(&workers);
+        let loaded = job::Event::Loaded { jobs: jobs.rows, progress: progress.rows };
+        holder::tell(&self.holder, loaded);
+        tokio::spawn(self.clone().follow_workers(versions.0));
+        tokio::spawn(self.follow_jobs(part, versions.1));
+    }
+
+    /// Follows the list of workers.
+    async fn follow_workers(self, mut after: u64) {
+        while self.wanted() {
+            while let Some(page) = self.next(config::WORKERS_TABLE, after).await {
+                after = page.version;
+                for row in &page.rows {
+                    match config::member(row) {
+                        Ok((worker, member)) => {
+                            holder::tell(&self.holder, job::Event::Member(worker, member));
+                        }
+                        Err(err) => tracing::error!(%err, "a worker's entry is passed over"),
+                    }
+                }
+            }
+            if let Ok(page) = self.all(config::WORKERS_TABLE, config::THEIR_PART).await {
+                after = page.version;
+                self.tell_list(&page);
+            } else {
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+
+    /// Follows accepted jobs and cancels.
+    async fn follow_jobs(self, part: String, mut after: u64) {
+        while self.wanted() {
+            while let Some(page) = self.next(job::JOBS, after).await {
+                after = page.version;
+                if !page.rows.is_empty() {
+                    holder::tell(&self.holder, job::Event::Jobs(page.rows));
+                }
+            }
+            if let Ok(page) = self.all(job::JOBS, &part).await {
+                after = page.version;
+                holder::tell(&self.holder, job::Event::Jobs(page.rows));
+            } else {
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+
+    /// Tells the whole list of workers.
+    fn tell_list(&self, page: &rows::Page) {
+        let members = page.rows.iter().filter_map(|row| match config::member(row) {
+            Ok((_, member)) => member,
+            Err(err) => {
+                tracing::error!(%err, "a worker's entry is passed over");
+                None
+            }
+        });
+        holder::tell(&self.holder, job::Event::Listed(members.collect()));
+    }
+
+    /// Returns the next changes while they are wanted and the feed goes on.
+    async fn next(&self, table: &'static str, after: u64) -> Option<rows::Page> {
+        if self.wanted() { next(&self.shared, table, after).await } else { None }
+    }
+
+    /// Reads a whole part of a table and counts the call.
+    async fn all(&self, table: &str, part: &str) -> Result<rows::Page, store::StoreError> {
+        let page = self.shared.store.all(table, part).await;
+        self.shared.count_call("all", &page);
+        page
+    }
+
+    /// Returns whether the holding that this belongs to goes on.
+    fn wanted(&self) -> bool {
+        let (own, on) = &self.generation;
+        on.load(atomic::Ordering::Relaxed) == *own
+    }
+}
+
+/// Returns the next changes of a table, or nothing where it must be read anew.
+async fn next(shared: &Shared, table: &str, after: u64) -> Option<rows::Page> {
+    let changes = shared.store.changes(table, after, FEED_WAIT).await;
+    shared.count_call("feed", &changes);
+    match changes {
+        Ok(rows::Changes::Rows(page)) => Some(page),
+        Ok(rows::Changes::Forgotten) => {
+            tracing::info!(table, after, "history forgotten, the table is read anew");
+            None
+        }
+        Err(err) => {
+            tracing::debug!(table, %err, "feed failed");
+            tokio::time::sleep(AGAIN).await;
+            None
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod host;
+pub mod jobs;
 pub mod metrics;
 pub mod settings;
 pub mod traffic;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,7 +20,7 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    log(&settings);
+    let _writer = log(&settings);
     match start(settings) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(err) => {
@@ -59,17 +59,32 @@
     })
 }
 
-/// Starts the log.
-fn log(settings: &settings::Settings) {
+/// Lines that may wait to be written; more are dropped, since nothing may wait for the log.
+const LOG_LINES: usize = 8_192;
+
+/// Starts the log on standard output; it ends, and writes what is left, with the returned guard.
+fn log(settings: &settings::Settings) -> tracing_appender::non_blocking::WorkerGuard {
+    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
     // Libraries' own lines are off unless the setting names them.
     let level = format!("tarpc=off,{}", settings.log_level);
     let filter = tracing_subscriber::EnvFilter::try_new(level)
         .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
     match settings.log_format {
         settings::LogFormat::Text => builder.with_ansi(false).init(),
-        settings::LogFormat::Json => builder.json().init(),
+        settings::LogFormat::Json => {
+            builder
+                .json()
+                .flatten_event(true)
+                .with_current_span(false)
+                .with_span_list(false)
+                .init();
+        }
     }
+    guard
 }
 
 /// Runs the host; this thread carries control.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -39,6 +39,21 @@
 /// All keys whose value is a whole number; docs/SETTINGS.md lists the same.
 pub const NUMBERS: &[Number] = &[
     number("platform", "timeout_ms", 1_000, 10..=60_000, "How long a call may take."),
+    number("jobs", "domains", 1, 1..=1, "Parts that jobs are dealt over, each with a holder."),
+    number("jobs", "lease_ms", 2_500, 500..=60_000, "Lease of a domain."),
+    number("jobs", "margin_ms", 400, 0..=10_000, "How much earlier a holder stops by itself."),
+    number("jobs", "poll_ms", 300, 10..=60_000, "Time between reads of another's lease."),
+    number("jobs", "commit_ms", 20, 1..=10_000, "Least time between two commits."),
+    number("jobs", "renew_ms", 700, 10..=60_000, "Longest time between two commits."),
+    number("jobs", "hold_ms", 6_000, 500..=600_000, "Lease of tasks on a worker."),
+    number("jobs", "hold_max_ms", 6_000, 500..=600_000, "Longest lease that a worker grants."),
+    number("jobs", "stop_ms", 900, 1..=60_000, "Longest time that a stop of a task takes."),
+    number("jobs", "look_ms", 1_000, 10..=2_000, "How long a look waits for an end."),
+    number("jobs", "look_idle_ms", 4_000, 100..=60_000, "Time between looks where nothing runs."),
+    number("jobs", "keep_s", 120, 1..=86_400, "How long an ended job can be asked for."),
+    number("jobs", "unready_ms", 2_500, 100..=60_000, "Silence of the store before unready."),
+    number("jobs", "store_timeout_ms", 800, 10..=60_000, "How long a call of the store may take."),
+    number("jobs", "order_timeout_ms", 600, 10..=60_000, "How long a worker may take to answer."),
     number("traffic", "threads", 4, 1..=256, "Threads that carry requests."),
     number("traffic", "endpoint_slots", 8, 1..=10_000, "Requests an endpoint runs at once."),
     number("traffic", "endpoint_connections", 64, 1..=10_000, "Connections an endpoint takes."),
@@ -94,6 +109,21 @@
     Json,
 }
 
+/// What a host schedules, and where that is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Services and jobs of the operators' file, and the requests to those services.
+    Declared {
+        /// Where the platform answers.
+        platform: net::SocketAddr,
+    },
+    /// Jobs that callers hand in.
+    Jobs {
+        /// Where the store answers.
+        store: net::SocketAddr,
+    },
+}
+
 /// The settings of a host.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -109,8 +139,8 @@
     pub peer_addr: net::SocketAddr,
     /// Peers to ask while the platform's list can't be read.
     pub seed_peers: Vec<net::SocketAddr>,
-    /// Where the platform answers.
-    pub platform_addr: net::SocketAddr,
+    /// What the host schedules.
+    pub mode: Mode,
     /// How logs are written.
     pub log_format: LogFormat,
     /// Which lines are written.
@@ -199,9 +229,16 @@
     check_ports(&listen, [caller, operator, peer]);
     listen.end();
     let mut platform = root.table("platform");
-    let platform_addr = platform.need_address("addr");
+    let mut jobs = root.table("jobs");
+    let store = jobs.address("store");
+    let mode = match store {
+        Some(store) => Some(Mode::Jobs { store }),
+        None => platform.need_address("addr").map(|platform| Mode::Declared { platform }),
+    };
     let mut numbers = read_numbers("platform", &mut platform);
     platform.end();
+    numbers.extend(read_numbers("jobs", &mut jobs));
+    jobs.end();
     for table in ["traffic", "control"] {
         let mut part = root.table(table);
         numbers.extend(read_numbers(table, &mut part));
@@ -219,7 +256,7 @@
         operator_addr: operator?,
         peer_addr: peer?,
         seed_peers,
-        platform_addr: platform_addr?,
+        mode: mode?,
         log_format,
         log_level,
         numbers,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -100,18 +100,40 @@
         tokio::time::timeout(self.timeout, call).await.unwrap_or(Err(CallError::TimedOut))
     }
 
+    /// Sends a request with headers of its own and returns status and body, whatever they are.
+    ///
+    /// # Errors
+    /// Returns `CallError` where no whole answer came within `timeout`.
+    pub async fn call(
+        &self,
+        request: hyper::Request<http_body_util::Full<Bytes>>,
+        timeout: time::Duration,
+    ) -> Result<(hyper::StatusCode, Bytes), CallError> {
+        let call = self.any_status(request);
+        tokio::time::timeout(timeout, call).await.unwrap_or(Err(CallError::TimedOut))
+    }
+
     /// Makes one exchange without a bound on time.
     async fn exchange(
         &self,
         request: hyper::Request<http_body_util::Full<Bytes>>,
     ) -> Result<Bytes, CallError> {
-        let answer = self.inner.request(request).await?;
-        let status = answer.status();
-        let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.or(Err(CallError::Body))?.to_bytes();
+        let (status, body) = self.any_status(request).await?;
         if status.is_success() {
             return Ok(body);
         }
         Err(CallError::Status { status: status.as_u16(), body })
     }
+
+    /// Makes one exchange and returns status and body.
+    async fn any_status(
+        &self,
+        request: hyper::Request<http_body_util::Full<Bytes>>,
+    ) -> Result<(hyper::StatusCode, Bytes), CallError> {
+        let answer = self.inner.request(request).await?;
+        let status = answer.status();
+        let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.or(Err(CallError::Body))?.to_bytes();
+        Ok((status, body))
+    }
 }
--- /dev/null
+++ b/crates/wharflane/src/job/ends.rs
@@ -0,0 +1,488 @@
+//! Orders to workers, looks at them, and what follows from their answers.
+
+use std::collections;
+use std::time;
+
+use super::engine;
+use super::holding;
+use super::order;
+use super::progress;
+use super::spec;
+use crate::id;
+
+/// The wait before an order without an answer is given again.
+const ORDER_AGAIN: time::Duration = time::Duration::from_millis(400);
+/// The wait before a stop that shows no effect is given again; a stop takes up to 900 ms.
+const STOP_AGAIN: time::Duration = time::Duration::from_millis(1_200);
+/// The wait after a look without an answer, and how often it may double.
+const LOOK_AGAIN: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
+/// How long a worker that refuses for want of room, or is not well, gets nothing new.
+const REFUSED_REST: time::Duration = time::Duration::from_millis(400);
+/// The least time between two looks at a worker where something runs.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(50);
+
+impl holding::Holding {
+    /// Sends the starts whose commit stands.
+    pub(super) fn release(&mut self, starts: &[spec::TaskId], now: time::Duration) {
+        for task in starts {
+            let wanted = self.jobs.get(&task.job).is_some_and(holding::Entry::active);
+            let staged =
+                self.placed.get(task).is_some_and(|placed| placed.link == holding::Link::Staged);
+            if !staged {
+                continue;
+            }
+            if wanted && self.may_order(now) && !self.leaving {
+                self.send_start(*task, now);
+            } else if wanted {
+                // Not ordered, so it may be ordered later by whoever holds the domain then.
+                self.set_link(*task, holding::Link::Doubtful(now));
+            } else {
+                self.free(*task, "ended before its start was ordered");
+            }
+        }
+    }
+
+    /// Orders the start of a placed task.
+    fn send_start(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get_mut(&task) else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(&placed.worker) else {
+            return;
+        };
+        let Some(until_ms) = view.grant(now, self.settings.hold) else {
+            placed.link = holding::Link::Doubtful(now + ORDER_AGAIN);
+            return;
+        };
+        placed.link = holding::Link::Ordered;
+        placed.until_ms = placed.until_ms.max(until_ms);
+        let Some(entry) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let state = entry.progress.tasks.get(&task.into());
+        let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
+        let order = holding::order_for(placed, view, task, self.lease.epoch);
+        tracing::info!(
+            %task, run = placed.run, worker = %placed.worker, epoch = self.lease.epoch, until_ms,
+            "start ordered"
+        );
+        let spec = entry.job.spec.clone();
+        let start = order::Start { order, spec, until_ms, checkpoint };
+        self.out.push(engine::Effect::Start(start));
+    }
+
+    /// Orders a placed task to stop.
+    pub(super) fn stop(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get_mut(&task) else {
+            return;
+        };
+        match placed.link {
+            holding::Link::Staged if !self.staged.contains(&task) => return,
+            holding::Link::Staged => return self.free(task, "ended before its start was written"),
+            // A stop that comes before its start has no effect: the start must be there first.
+            holding::Link::Ordered | holding::Link::Doubtful(_) => return,
+            holding::Link::There(_) | holding::Link::Inherited => {}
+        }
+        let due = placed.stopped.is_none_or(|at| now.saturating_sub(at) >= STOP_AGAIN);
+        let Some(view) = self.views.get(&placed.worker).filter(|_| due) else {
+            return;
+        };
+        placed.stopped = Some(now);
+        let order = holding::order_for(placed, view, task, self.lease.epoch);
+        tracing::info!(%task, run = placed.run, worker = %placed.worker, "stop ordered");
+        self.out.push(engine::Effect::Stop(order));
+    }
+
+    /// Gives orders again that had no answer.
+    pub(super) fn repeat_orders(&mut self, now: time::Duration) {
+        let due = self.placed.iter().filter(|(_, placed)| match placed.link {
+            holding::Link::Doubtful(at) => now >= at,
+            _ => false,
+        });
+        let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
+        for task in due {
+            let wanted = self.jobs.get(&task.job).is_some_and(holding::Entry::active);
+            let Some(placed) = self.placed.get(&task) else {
+                continue;
+            };
+            let Some(view) = self.views.get(&placed.worker) else {
+                continue;
+            };
+            if wanted && view.misses == 0 {
+                self.send_start(task, now);
+            } else if !wanted && view.clock_ms(now).is_some_and(|clock| clock > placed.until_ms) {
+                self.free(task, "its start can't be carried out any more");
+            }
+        }
+    }
+
+    /// Notes what is known of a start.
+    fn set_link(&mut self, task: spec::TaskId, link: holding::Link) {
+        if let Some(placed) = self.placed.get_mut(&task) {
+            placed.link = link;
+        }
+    }
+
+    /// Takes the answer to an order to start.
+    pub(super) fn started(
+        &mut self,
+        order: &order::Order,
+        answer: order::StartAnswer,
+        now: time::Duration,
+    ) {
+        if order.epoch != self.lease.epoch {
+            return;
+        }
+        let open = self.placed.get(&order.task).is_some_and(|placed| {
+            placed.run == order.run
+                && placed.worker == order.worker
+                && placed.link == holding::Link::Ordered
+        });
+        if !open {
+            return;
+        }
+        if answer != order::StartAnswer::Taken {
+            tracing::info!(
+                task = %order.task, run = order.run, worker = %order.worker, ?answer,
+                "start not taken"
+            );
+        }
+        let wanted = self.jobs.get(&order.task.job).is_some_and(holding::Entry::active);
+        match answer {
+            order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
+                // An old run is one that ended there: the next look tells how, or that it is gone.
+                self.set_link(order.task, holding::Link::There(now));
+                if !wanted {
+                    self.stop(order.task, now);
+                }
+                self.pace_new(order);
+            }
+            order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
+            order::StartAnswer::Refused(_) | order::StartAnswer::Unwell => {
+                if let Some(view) = self.views.get_mut(&order.worker) {
+                    view.rests_until = view.rests_until.max(now + REFUSED_REST);
+                }
+                self.free(order.task, "refused");
+            }
+            order::StartAnswer::Gone => self.worker_gone(&order.worker),
+            order::StartAnswer::Silent => {
+                self.set_link(order.task, holding::Link::Doubtful(now + ORDER_AGAIN));
+            }
+        }
+    }
+
+    /// Looks at the workers whose turn has come.
+    pub(super) fn look(&mut self, now: time::Duration) {
+        let mut looks = Vec::new();
+        for (worker, view) in &mut self.views {
+            // Ends that are not committed yet would only be told again.
+            if view.look.is_some() || now < view.look_due || view.heard > view.seen {
+                continue;
+            }
+            let busy = !view.tasks.is_empty();
+            let until_ms = if busy { view.grant(now, self.settings.hold) } else { None };
+            let wait = if view.fenced && busy { self.settings.look } else { time::Duration::ZERO };
+            view.look = Some(now);
+            looks.push(order::Look {
+                worker: worker.clone(),
+                addr: view.member.addr,
+                epoch: self.lease.epoch,
+                seen: view.seen,
+                until_ms,
+                wait,
+            });
+        }
+        self.out.extend(looks.into_iter().map(engine::Effect::Look));
+    }
+
+    /// Takes the answer to a look.
+    pub(super) fn looked(
+        &mut self,
+        worker: &id::WorkerId,
+        epoch: u64,
+        answer: order::LookAnswer,
+        now: time::Duration,
+    ) {
+        if epoch != self.lease.epoch {
+            return;
+        }
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let sent = view.look.take();
+        match answer {
+            order::LookAnswer::Lists(lists) => {
+                if view.misses > 0 {
+                    tracing::info!(%worker, misses = view.misses, "worker answers again");
+                }
+                view.misses = 0;
+                view.sample = Some((lists.clock_ms, now));
+                let first = !view.fenced;
+                if first {
+                    // Earlier holders may have granted as much as the worker allows until now.
+                    let inherited = lists.clock_ms + super::worker::millis(self.settings.hold_max);
+                    view.granted_ms = view.granted_ms.max(inherited);
+                }
+                view.fenced = true;
+                view.look_due = if view.tasks.is_empty() {
+                    now + self.settings.look_idle
+                } else {
+                    now + LOOK_GAP
+                };
+                self.changed |= first;
+                self.take_lists(worker, &lists, sent.unwrap_or(now), now);
+            }
+            order::LookAnswer::Fenced => self.fenced = true,
+            order::LookAnswer::Gone => self.worker_gone(worker),
+            order::LookAnswer::Silent => {
+                if view.misses == 0 {
+                    tracing::warn!(%worker, "worker does not answer");
+                }
+                view.misses += 1;
+                let (first, doublings) = LOOK_AGAIN;
+                view.look_due = now + first * 2u32.pow(view.misses.min(doublings));
+            }
+        }
+    }
+
+    /// Takes in both lists of a worker.
+    fn take_lists(
+        &mut self,
+        worker: &id::WorkerId,
+        lists: &order::Lists,
+        sent: time::Duration,
+        now: time::Duration,
+    ) {
+        for ended in &lists.ended {
+            self.ended(worker, ended, now);
+        }
+        let running: collections::BTreeMap<spec::TaskId, u32> =
+            lists.running.iter().map(|row| (row.task, row.run)).collect();
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let leaving = view.member.leaving;
+        let here: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+        for task in here {
+            let Some(placed) = self.placed.get_mut(&task) else {
+                continue;
+            };
+            let runs = running.get(&task) == Some(&placed.run);
+            match placed.link {
+                holding::Link::Inherited | holding::Link::Doubtful(_) if runs => {
+                    placed.link = holding::Link::There(now);
+                }
+                // This epoch's look was answered, so no earlier holder's start can come any more.
+                holding::Link::Inherited => self.free(task, "not there"),
+                holding::Link::There(at) if !runs && at <= sent => self.free(task, "not there"),
+                holding::Link::There(_)
+                | holding::Link::Staged
+                | holding::Link::Ordered
+                | holding::Link::Doubtful(_) => {}
+            }
+        }
+        for row in &lists.running {
+            let known = self.placed.get(&row.task);
+            let ours = known.is_some_and(|p| p.run == row.run && p.worker == *worker);
+            if !ours {
+                self.stop_stray(worker, row);
+            } else if !self.jobs.get(&row.task.job).is_some_and(holding::Entry::active)
+                || leaving && self.leaves(row.task, row.percent)
+            {
+                self.stop(row.task, now);
+            }
+        }
+        self.pace(worker, lists, now);
+    }
+
+    /// Stops a run that nobody knows of.
+    fn stop_stray(&mut self, worker: &id::WorkerId, row: &order::Running) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        tracing::warn!(task = %row.task, run = row.run, %worker, "unknown run is stopped");
+        self.out.push(engine::Effect::Stop(order::Order {
+            worker: worker.clone(),
+            addr: view.member.addr,
+            task: row.task,
+            run: row.run,
+            epoch: self.lease.epoch,
+        }));
+    }
+
+    /// Takes in one end.
+    fn ended(&mut self, worker: &id::WorkerId, ended: &order::Ended, now: time::Duration) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        if ended.number <= view.heard {
+            return;
+        }
+        view.heard = ended.number;
+        view.note_end(ended.kind, now);
+        let placed = self.placed.get(&ended.task);
+        let ours = placed.is_some_and(|p| p.run == ended.run && p.worker == *worker);
+        tracing::info!(
+            task = %ended.task, run = ended.run, %worker, number = ended.number,
+            how = ended.kind.label(), known = ours, "end taken in"
+        );
+        if !ours {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(&ended.task.job) else {
+            return;
+        };
+        let lasting = entry.job.step(ended.task.step).is_some_and(|step| step.lasting);
+        if let Some(state) = entry.progress.tasks.get_mut(&ended.task.into()) {
+            if !ended.checkpoint.is_empty() {
+                state.checkpoint.clone_from(&ended.checkpoint);
+            }
+            state.done |= ended.kind == order::EndKind::Done && !lasting;
+            if ended.kind == order::EndKind::Failed {
+                state.failures += u32::from(!lasting);
+                state.failed_on = Some(worker.clone());
+            }
+        }
+        self.free(ended.task, ended.kind.label());
+        self.advance(ended.task, now);
+    }
+
+    /// Ends a job, or opens steps of it, after one of its tasks has ended.
+    fn advance(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(entry) = self.jobs.get(&task.job).filter(|entry| entry.active()) else {
+            return;
+        };
+        let Some(state) = entry.progress.tasks.get(&task.into()) else {
+            return;
+        };
+        let (_, attempts) = self.terms(&entry.job);
+        if !state.done && state.failures >= attempts {
+            tracing::info!(%task, failures = state.failures, attempts, "job failed");
+            return self.end_job(task.job, progress::Phase::Failed, now);
+        }
+        if !state.done || !entry.progress.step_done(&entry.job, task.round, task.step) {
+            return;
+        }
+        if entry.progress.all_done(&entry.job) {
+            tracing::info!(job = %task.job, "job completed");
+            return self.end_job(task.job, progress::Phase::Completed, now);
+        }
+        let steps = (0u32..).zip(&entry.job.steps);
+        let after = steps.filter(|(_, step)| step.after.contains(&task.step));
+        let after: Vec<u32> = after.map(|(at, _)| at).collect();
+        for step in after {
+            self.open_step(task.job, task.round, step);
+        }
+    }
+
+    /// Frees everything on a worker whose life is known to be over.
+    pub(super) fn worker_gone(&mut self, worker: &id::WorkerId) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        tracing::warn!(%worker, tasks = view.tasks.len(), "worker's life is over");
+        view.listed = false;
+        let tasks: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+        for task in tasks {
+            self.free(task, "worker gone");
+        }
+        self.views.remove(worker);
+    }
+
+    /// Frees the tasks of silent workers once everything granted there has lapsed.
+    pub(super) fn free_lapsed(&mut self, now: time::Duration) {
+        let silent = self.views.iter().filter(|(_, view)| {
+            (view.misses > 0 || !view.listed) && !view.tasks.is_empty() && view.lapsed(now)
+        });
+        let silent: Vec<id::WorkerId> = silent.map(|(worker, _)| worker.clone()).collect();
+        for worker in silent {
+            let Some(view) = self.views.get(&worker) else {
+                continue;
+            };
+            let tasks: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+            tracing::warn!(
+                %worker, tasks = tasks.len(), granted_ms = view.granted_ms,
+                clock_ms = view.clock_ms(now), "leases of a silent worker have lapsed"
+            );
+            for task in tasks {
+                self.free(task, "lease lapsed");
+            }
+        }
+        self.views
+            .retain(|_, view| view.listed || !view.tasks.is_empty() || view.heard > view.seen);
+        self.drop_inherited(now);
+    }
+
+    /// Frees tasks inherited on workers that nobody lists, once earlier grants are over.
+    fn drop_inherited(&mut self, now: time::Duration) {
+        if now < self.inherited_until() {
+            return;
+        }
+        let lost = self.placed.iter().filter(|(_, placed)| {
+            placed.link == holding::Link::Inherited && !self.views.contains_key(&placed.worker)
+        });
+        let lost: Vec<spec::TaskId> = lost.map(|(task, _)| *task).collect();
+        for task in lost {
+            self.free(task, "lease lapsed, worker unknown");
+        }
+    }
+
+    /// Returns when everything that earlier holders granted is over.
+    pub(super) fn inherited_until(&self) -> time::Duration {
+        /// For a clock that is 2 % slow, and one more for rounding and trips.
+        const SLOW_MILLI: u32 = 1_040;
+        self.taken + self.settings.hold_max * SLOW_MILLI / 1_000
+    }
+
+    /// Changes the share of tasks that fill a worker, by the worst tail of those that serve there.
+    fn pace(&mut self, worker: &id::WorkerId, lists: &order::Lists, now: time::Duration) {
+        let mut worst = None;
+        let mut fillers = Vec::new();
+        for row in &lists.running {
+            let Some(step) = self.jobs.get(&row.task.job).and_then(|e| e.job.step(row.task.step))
+            else {
+                continue;
+            };
+            if let Some(target_ms) = step.target_ms.filter(|target| *target > 0) {
+                worst = worst.max(Some(row.load * 100 / target_ms));
+            }
+            if step.fills {
+                fillers.push((row.task, row.run));
+            }
+        }
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let Some(worst) = worst else {
+            return;
+        };
+        if fillers.is_empty() && view.pacing.percent() == 100 {
+            return;
+        }
+        if !view.pacing.note(worst, now) {
+            return;
+        }
+        let percent = view.pacing.percent();
+        self.changed = true;
+        tracing::info!(%worker, worst_percent = worst, percent, fillers = fillers.len(), "paced");
+        let (addr, epoch) = (view.member.addr, self.lease.epoch);
+        for (task, run) in fillers {
+            let order = order::Order { worker: worker.clone(), addr, task, run, epoch };
+            self.out.push(engine::Effect::Pace(order::Pace { order, percent }));
+        }
+    }
+
+    /// Brings a task that has just started to the share of its worker.
+    fn pace_new(&mut self, order: &order::Order) {
+        let fills = self
+            .jobs
+            .get(&order.task.job)
+            .and_then(|entry| entry.job.step(order.task.step))
+            .is_some_and(|step| step.fills);
+        let percent = self.views.get(&order.worker).map_or(100, |view| view.pacing.percent());
+        if fills && percent < 100 {
+            let pace = order::Pace { order: order.clone(), percent };
+            self.out.push(engine::Effect::Pace(pace));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wharflane/src/job/engine.rs
@@ -0,0 +1,434 @@
+//! One domain on one host: watches its lease, and as its holder runs its jobs.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use super::holding;
+use super::order;
+use super::queue;
+use super::rows as kept;
+use super::spec;
+use crate::id;
+use crate::rows;
+
+/// How an engine is timed.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The domain.
+    pub domain: u32,
+    /// How long a lease row must stand unchanged before another host may take it.
+    pub lease: time::Duration,
+    /// How much earlier a holder stops by itself, for clocks that run apart.
+    pub margin: time::Duration,
+    /// The time between two reads of a lease that another host holds.
+    pub poll: time::Duration,
+    /// The least time between two commits.
+    pub commit: time::Duration,
+    /// The longest time between two commits.
+    pub renew: time::Duration,
+    /// The lease of tasks on a worker.
+    pub hold: time::Duration,
+    /// The longest lease that a worker grants, which earlier holders may have asked for.
+    pub hold_max: time::Duration,
+    /// How long a look waits for an end.
+    pub look: time::Duration,
+    /// The time between two looks at a worker where nothing runs.
+    pub look_idle: time::Duration,
+    /// How long an ended job can be asked for.
+    pub keep: time::Duration,
+}
+
+/// What happens to an engine.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick {
+        /// The time of day, in milliseconds since 1970.
+        wall_ms: u64,
+    },
+    /// The lease row was read: a version and a value, or nothing for an absent row.
+    LeaseRead(Option<(u64, kept::Lease)>),
+    /// The lease row could not be read.
+    LeaseUnread,
+    /// All rows of the domain were read.
+    Loaded {
+        /// The accepted jobs.
+        jobs: Vec<rows::Row>,
+        /// How far they have come.
+        progress: Vec<rows::Row>,
+    },
+    /// The rows of the domain could not be read.
+    LoadFailed,
+    /// A transaction was answered, or its answer was lost.
+    Txn {
+        /// Which one.
+        number: u64,
+        /// The answer.
+        answer: Option<rows::Answer>,
+    },
+    /// Rows of accepted jobs were written or read anew.
+    Jobs(Vec<rows::Row>),
+    /// The store's list of workers was read as a whole.
+    Listed(Vec<order::Member>),
+    /// One worker was listed, or is not any more.
+    Member(id::WorkerId, Option<order::Member>),
+    /// The queues changed.
+    Queues(sync::Arc<queue::Queues>),
+    /// A worker answered an order to start, or did not.
+    Started {
+        /// The order.
+        order: order::Order,
+        /// The answer.
+        answer: order::StartAnswer,
+    },
+    /// A worker answered a look, or did not.
+    Looked {
+        /// The worker.
+        worker: id::WorkerId,
+        /// The epoch of the look.
+        epoch: u64,
+        /// The answer.
+        answer: order::LookAnswer,
+    },
+    /// This host is about to stop.
+    Leave,
+}
+
+/// What an engine asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Read the lease row.
+    ReadLease,
+    /// Read all rows of the domain.
+    Load,
+    /// Send a transaction.
+    Txn(u64, rows::Txn),
+    /// Start a task.
+    Start(order::Start),
+    /// Stop a task.
+    Stop(order::Order),
+    /// Look at a worker.
+    Look(order::Look),
+    /// Change the share at which a task works.
+    Pace(order::Pace),
+}
+
+/// What an engine is to its domain.
+#[derive(Debug)]
+enum Role {
+    /// Another host may hold the domain.
+    Watching,
+    /// The lease is being taken.
+    Acquiring {
+        /// The number of the transaction.
+        number: u64,
+        /// What it writes.
+        lease: kept::Lease,
+        /// When it was sent.
+        sent: time::Duration,
+    },
+    /// The lease is taken and the state is being read.
+    Loading {
+        /// The lease and its version.
+        lease: kept::Lease,
+        /// The version of the lease row.
+        version: u64,
+        /// When the lease was taken.
+        taken: time::Duration,
+    },
+    /// The domain is held.
+    Holding(Box<holding::Holding>),
+}
+
+/// A lease as another host wrote it.
+#[derive(Clone, Debug)]
+struct Seen {
+    /// The version of the row; zero where it is absent.
+    version: u64,
+    /// Since when the row stands unchanged, by this host's clock.
+    since: time::Duration,
+}
+
+/// One domain on one host.
+#[derive(Debug)]
+pub struct Engine {
+    /// This host.
+    own: id::HostId,
+    /// The mark of this process.
+    nonce: u64,
+    /// The times.
+    settings: Settings,
+    /// What this host is to the domain.
+    role: Role,
+    /// The lease seen last.
+    seen: Option<Seen>,
+    /// When the lease row was last asked for.
+    polled: Option<time::Duration>,
+    /// The queues in force.
+    queues: sync::Arc<queue::Queues>,
+    /// The workers that the store lists.
+    members: collections::BTreeMap<id::WorkerId, order::Member>,
+    /// The number of transactions sent.
+    numbers: u64,
+    /// Whether this host is about to stop.
+    leaving: bool,
+}
+
+impl Engine {
+    /// Makes an engine that watches; `nonce` differs between any two processes.
+    #[must_use]
+    pub fn new(own: id::HostId, settings: Settings, nonce: u64) -> Self {
+        Self {
+            own,
+            nonce,
+            settings,
+            role: Role::Watching,
+            seen: None,
+            polled: None,
+            queues: sync::Arc::default(),
+            members: collections::BTreeMap::new(),
+            numbers: 0,
+            leaving: false,
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn step(&mut self, now: time::Duration, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Tick { wall_ms } => return self.tick(now, wall_ms),
+            Event::LeaseRead(row) => return self.lease_read(now, row),
+            Event::LeaseUnread => {}
+            Event::Loaded { jobs, progress } => return self.loaded(now, &jobs, &progress),
+            Event::LoadFailed => {
+                if matches!(self.role, Role::Loading { .. }) {
+                    return vec![Effect::Load];
+                }
+            }
+            Event::Txn { number, answer } => return self.answered(now, number, answer),
+            Event::Leave => {
+                self.leaving = true;
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.leave();
+                }
+            }
+            Event::Listed(list) => {
+                self.members = list.iter().map(|m| (m.id.clone(), m.clone())).collect();
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.set_members(&self.members, now);
+                }
+            }
+            Event::Member(worker, member) => {
+                match member.clone() {
+                    Some(member) => self.members.insert(worker.clone(), member),
+                    None => self.members.remove(&worker),
+                };
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.set_member(&worker, member, now);
+                }
+            }
+            Event::Queues(queues) => {
+                self.queues = sync::Arc::clone(&queues);
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.queues = queues;
+                }
+            }
+            Event::Jobs(rows) => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.jobs_read(&rows, now);
+                }
+            }
+            Event::Started { order, answer } => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.started(&order, answer, now);
+                }
+            }
+            Event::Looked { worker, epoch, answer } => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.looked(&worker, epoch, answer, now);
+                }
+            }
+        }
+        self.pump(now)
+    }
+
+    /// Returns what the holder keeps, if this host holds the domain.
+    #[must_use]
+    pub fn holding(&self) -> Option<&holding::Holding> {
+        match &self.role {
+            Role::Holding(holding) => Some(holding),
+            _ => None,
+        }
+    }
+
+    /// Returns whether this host has nothing of the domain left to give up.
+    #[must_use]
+    pub fn left(&self) -> bool {
+        matches!(self.role, Role::Watching)
+    }
+
+    /// Returns the part of the store that belongs to the domain.
+    #[must_use]
+    pub fn domain(&self) -> u32 {
+        self.settings.domain
+    }
+
+    /// Does what is due.
+    fn tick(&mut self, now: time::Duration, wall_ms: u64) -> Vec<Effect> {
+        if let Role::Holding(holding) = &mut self.role {
+            holding.tick(now, wall_ms);
+            return self.pump(now);
+        }
+        let due = self.polled.is_none_or(|at| now.saturating_sub(at) >= self.settings.poll);
+        if !matches!(self.role, Role::Watching) || !due {
+            return Vec::new();
+        }
+        self.polled = Some(now);
+        vec![Effect::ReadLease]
+    }
+
+    /// Lets the holder act on what has happened.
+    fn pump(&mut self, now: time::Duration) -> Vec<Effect> {
+        let Role::Holding(holding) = &mut self.role else {
+            return Vec::new();
+        };
+        let mut effects = holding.pump(now, self.numbers + 1);
+        if effects.iter().any(|effect| matches!(effect, Effect::Txn(..))) {
+            self.numbers += 1;
+        }
+        if holding.fenced {
+            effects.clear();
+            self.step_down(now, "a worker has seen a later holder");
+        }
+        effects
+    }
+
+    /// Takes the lease if it is free, or its holder has let it lapse.
+    fn lease_read(&mut self, now: time::Duration, row: Option<(u64, kept::Lease)>) -> Vec<Effect> {
+        if !matches!(self.role, Role::Watching) {
+            return Vec::new();
+        }
+        let (version, lease) = row.unwrap_or_default();
+        let known = self.seen.as_ref().is_some_and(|seen| seen.version == version);
+        if !known {
+            self.seen = Some(Seen { version, since: now });
+        }
+        let since = self.seen.as_ref().map_or(now, |seen| seen.since);
+        let stands = now.saturating_sub(since);
+        // An earlier process of this host is gone for sure, since this one runs in its place.
+        let own = lease.holder.as_ref() == Some(&self.own) && lease.nonce != self.nonce;
+        let free = lease.holder.is_none() || own;
+        if self.leaving || !(free || stands >= self.settings.lease) {
+            return Vec::new();
+        }
+        let before = lease.holder.clone();
+        let next = kept::Lease {
+            holder: Some(self.own.clone()),
+            epoch: lease.epoch + 1,
+            nonce: self.nonce,
+            seq: 0,
+        };
+        tracing::info!(
+            domain = self.settings.domain,
+            version,
+            before = before.as_ref().map_or("", id::HostId::as_str),
+            unchanged_ms = super::worker::millis(stands),
+            epoch = next.epoch,
+            "taking the lease"
+        );
+        self.numbers += 1;
+        let Ok(txn) = super::commit::lease_txn(self.settings.domain, version, &next) else {
+            return Vec::new();
+        };
+        self.role = Role::Acquiring { number: self.numbers, lease: next, sent: now };
+        vec![Effect::Txn(self.numbers, txn)]
+    }
+
+    /// Takes the answer to a transaction.
+    fn answered(
+        &mut self,
+        now: time::Duration,
+        number: u64,
+        answer: Option<rows::Answer>,
+    ) -> Vec<Effect> {
+        match &mut self.role {
+            Role::Acquiring { number: sent_number, lease, sent } if *sent_number == number => {
+                let version = super::commit::settled(answer.as_ref(), lease);
+                let Some(version) = version else {
+                    // Nothing is lost by watching on: a write that comes late makes this process
+                    // the holder, which it then reads as its own and takes again.
+                    self.step_down(now, "the lease was not taken");
+                    return Vec::new();
+                };
+                self.role = Role::Loading { lease: lease.clone(), version, taken: *sent };
+                vec![Effect::Load]
+            }
+            Role::Holding(holding) => {
+                match holding.answered(number, answer.as_ref(), now) {
+                    super::commit::Fate::Open | super::commit::Fate::Done => {}
+                    super::commit::Fate::Lost => {
+                        self.step_down(now, "another host has the lease");
+                        return Vec::new();
+                    }
+                    super::commit::Fate::Released => {
+                        self.step_down(now, "the lease was given up");
+                        return Vec::new();
+                    }
+                }
+                self.pump(now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Begins to hold the domain with the state that was read.
+    fn loaded(
+        &mut self,
+        now: time::Duration,
+        jobs: &[rows::Row],
+        progress: &[rows::Row],
+    ) -> Vec<Effect> {
+        let Role::Loading { lease, version, taken } = &self.role else {
+            return Vec::new();
+        };
+        let mut holding = holding::Holding::new(
+            self.settings,
+            lease.clone(),
+            *version,
+            *taken,
+            sync::Arc::clone(&self.queues),
+        );
+        holding.load(jobs, progress, now);
+        holding.set_members(&self.members, now);
+        if self.leaving {
+            holding.leave();
+        }
+        tracing::info!(
+            domain = self.settings.domain,
+            epoch = lease.epoch,
+            jobs = jobs.len(),
+            workers = self.members.len(),
+            took_ms = super::worker::millis(now.saturating_sub(*taken)),
+            "holding the domain"
+        );
+        self.role = Role::Holding(Box::new(holding));
+        self.pump(now)
+    }
+
+    /// Gives up everything but the watch.
+    fn step_down(&mut self, now: time::Duration, why: &'static str) {
+        tracing::info!(domain = self.settings.domain, why, "not the holder");
+        self.role = Role::Watching;
+        self.seen = None;
+        self.polled = Some(now);
+    }
+}
+
+/// Returns the name of a job from the key of its row.
+pub(super) fn job_of(row: &rows::Row) -> Option<spec::JobId> {
+    let job = row.name.parse().ok();
+    if job.is_none() {
+        tracing::warn!(key = %row.name, "row without a job's name passed over");
+    }
+    job
+}
--- /dev/null
+++ b/crates/wharflane/src/job/mod.rs
@@ -0,0 +1,38 @@
+//! The job service: jobs that callers hand in, and the engine that runs them on workers.
+//!
+//! The engine neither sends nor waits: events go in, effects come out. One host at a time holds a
+//! domain, by a lease row that each of its writes renews and is conditional on. What a caller or a
+//! worker is told always follows a committed write.
+
+mod call;
+mod commit;
+mod ends;
+mod engine;
+mod holding;
+mod members;
+mod order;
+mod pace;
+mod place;
+mod progress;
+mod queue;
+mod rows;
+mod spec;
+mod worker;
+
+pub use call::{Answer, Call};
+pub use engine::{Effect, Engine, Event, Settings};
+pub use holding::{Dump, Holding};
+pub use order::{
+    EndKind, Ended, Lists, Look, LookAnswer, Member, Order, Pace, Running, Start, StartAnswer,
+    StartRefusal,
+};
+pub use progress::{Phase, Place, Progress, Task};
+pub use queue::{Queue, Queues};
+pub use rows::{
+    Accepted, JOBS, LEASES, Lease, PROGRESS, WAITING, Waiting, domain_of, job_key, lease_key, part,
+    waiting_key,
+};
+pub use spec::{
+    BadJobId, BadTaskId, Job, JobId, MAX_SPEC_BYTES, MAX_STEPS, MAX_TASKS, Refusal, Repeats, Step,
+    TaskId,
+};
--- /dev/null
+++ b/crates/wharflane/src/job/place.rs
@@ -0,0 +1,217 @@
+//! Chooses workers for tasks whose turn has come.
+
+use std::collections;
+use std::time;
+
+use super::holding;
+use super::progress;
+use super::spec;
+use super::worker;
+use crate::id;
+
+/// The time between two tries while nothing has changed, since rests and paces end by time.
+pub(super) const RETRY: time::Duration = time::Duration::from_millis(100);
+/// The share of a lasting task's processors that it is taken to use; measured by no one yet.
+const SERVING_USE_PERCENT: u64 = 50;
+/// The least share of its processors that a task that fills should find, in percent.
+const FILL_LEAST_PERCENT: u64 = 60;
+
+/// The group of tasks that find room together or not at all.
+type Group = (spec::JobId, u32, u32);
+
+/// Stages a start for each task that finds a worker.
+pub(super) fn run(holding: &mut holding::Holding, now: time::Duration) {
+    let mut blocked = collections::BTreeSet::<Group>::new();
+    let ready: Vec<holding::Ready> = holding.ready.iter().copied().collect();
+    for task in ready {
+        let group = (task.task.job, task.task.round, task.task.step);
+        if blocked.contains(&group) {
+            continue;
+        }
+        let Some(step) = step_of(holding, task.task) else {
+            holding.ready.remove(&task);
+            continue;
+        };
+        let placed = if step.gang {
+            blocked.insert(group);
+            place_gang(holding, &task, &step, now)
+        } else {
+            place_one(holding, &task, &step, now)
+        };
+        if !placed {
+            blocked.insert(group);
+        }
+    }
+}
+
+/// Returns the step of a task that is still wanted.
+fn step_of(holding: &holding::Holding, task: spec::TaskId) -> Option<spec::Step> {
+    let entry = holding.jobs.get(&task.job).filter(|entry| entry.active())?;
+    entry.job.step(task.step).cloned()
+}
+
+/// Places one task; returns whether it found a worker.
+fn place_one(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    now: time::Duration,
+) -> bool {
+    let Some(worker) = choose(holding, ready.task, step, now) else {
+        return false;
+    };
+    let run = last_run(holding, ready.task) + 1;
+    assign(holding, ready, step, &worker, run);
+    true
+}
+
+/// Places all tasks of a gang, or none; returns whether they found workers.
+fn place_gang(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    now: time::Duration,
+) -> bool {
+    let task = |index| spec::TaskId { index, ..ready.task };
+    // Members that are still there, or whose fate is open, must be over first.
+    if (0..step.count).any(|index| holding.placed.contains_key(&task(index))) {
+        return false;
+    }
+    let run = (0..step.count).map(|index| last_run(holding, task(index))).max().unwrap_or(0) + 1;
+    let checkpoint = common_checkpoint(holding, ready.task, step.count);
+    let mut taken = Vec::new();
+    for index in 0..step.count {
+        let member = holding::Ready { task: task(index), ..*ready };
+        let Some(worker) = choose(holding, member.task, step, now) else {
+            taken.iter().for_each(|ready| withdraw(holding, ready, step));
+            return false;
+        };
+        assign(holding, &member, step, &worker, run);
+        if let Some(entry) = holding.jobs.get_mut(&member.task.job)
+            && let Some(state) = entry.progress.tasks.get_mut(&member.task.into())
+        {
+            state.checkpoint.clone_from(&checkpoint);
+        }
+        taken.push(member);
+    }
+    true
+}
+
+/// Returns the checkpoint that all members of a gang go on from.
+fn common_checkpoint(holding: &holding::Holding, task: spec::TaskId, count: u32) -> String {
+    let tasks = (0..count).filter_map(|index| {
+        let place = progress::Place::from(spec::TaskId { index, ..task });
+        holding.jobs.get(&task.job)?.progress.tasks.get(&place)
+    });
+    // Checkpoints of one gang grow as texts, so the greatest has the most work in it.
+    tasks.map(|task| task.checkpoint.clone()).max().unwrap_or_default()
+}
+
+/// Takes a staged start back.
+fn withdraw(holding: &mut holding::Holding, ready: &holding::Ready, step: &spec::Step) {
+    if let Some(placed) = holding.placed.remove(&ready.task)
+        && let Some(view) = holding.views.get_mut(&placed.worker)
+    {
+        view.remove(ready.task, step);
+    }
+    if let Some(entry) = holding.jobs.get_mut(&ready.task.job)
+        && let Some(state) = entry.progress.tasks.get_mut(&ready.task.into())
+    {
+        state.worker = None;
+    }
+    holding.staged.retain(|staged| *staged != ready.task);
+    holding.ready.insert(*ready);
+}
+
+/// Returns the number of a task's last start.
+fn last_run(holding: &holding::Holding, task: spec::TaskId) -> u32 {
+    let entry = holding.jobs.get(&task.job);
+    entry.and_then(|entry| entry.progress.tasks.get(&task.into())).map_or(0, |task| task.run)
+}
+
+/// Gives a task a worker; the start waits for its commit.
+fn assign(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    worker: &id::WorkerId,
+    run: u32,
+) {
+    let task = ready.task;
+    holding.ready.remove(ready);
+    let Some(entry) = holding.jobs.get_mut(&task.job) else {
+        return;
+    };
+    let state = entry.progress.tasks.entry(task.into()).or_default();
+    state.run = run;
+    state.worker = Some(worker.clone());
+    entry.progress.phase = progress::Phase::Running;
+    if let Some(view) = holding.views.get_mut(worker) {
+        view.add(task, step);
+    }
+    let link = holding::Link::Staged;
+    let placed = holding::Placed { worker: worker.clone(), run, link, until_ms: 0, stopped: None };
+    holding.placed.insert(task, placed);
+    holding.staged.push(task);
+    holding.mark(task.job);
+}
+
+/// Returns the best worker for a task, or nothing.
+fn choose(
+    holding: &holding::Holding,
+    task: spec::TaskId,
+    step: &spec::Step,
+    now: time::Duration,
+) -> Option<id::WorkerId> {
+    let entry = holding.jobs.get(&task.job)?;
+    let service = holding.service(&entry.job);
+    let need = step.reserved();
+    let failed_on = entry.progress.tasks.get(&task.into()).filter(|state| state.failures > 0);
+    let avoided = failed_on.and_then(|state| state.failed_on.as_ref());
+    let fits = |view: &&worker::View| {
+        view.takes(now)
+            && view.member.service == *service
+            && need.fits(&view.free())
+            && step.label.as_deref().is_none_or(|label| view.has_label(label))
+            && spread(view, task, step)
+            && (!step.fills || left_for_filling(view) * 100 >= fill_need(step))
+    };
+    let candidates = holding.views.values().filter(fits);
+    let best = candidates.min_by_key(|view| {
+        let away = step.rack.as_deref().is_some_and(|rack| !view.has_label(rack));
+        let again = avoided == Some(&view.member.id);
+        (again, away, cost(view, step))
+    });
+    best.map(|view| view.member.id.clone())
+}
+
+/// Returns the cost of a worker: tasks that fill spread out, others leave large rooms whole.
+fn cost(view: &worker::View, step: &spec::Step) -> i64 {
+    let left = if step.fills { left_for_filling(view) } else { view.free().cpu_milli };
+    let left = i64::try_from(left).unwrap_or(i64::MAX);
+    if step.fills { -left } else { left }
+}
+
+/// Returns the processors that a worker is thought to leave to tasks that fill.
+fn left_for_filling(view: &worker::View) -> u64 {
+    if view.pacing.percent() < 100 {
+        return 0;
+    }
+    let idle = view.serving_milli * (100 - SERVING_USE_PERCENT) / 100;
+    (view.free().cpu_milli + idle).saturating_sub(view.filling_milli)
+}
+
+/// Returns the processors that a task that fills should find, in hundredths of the unit.
+fn fill_need(step: &spec::Step) -> u64 {
+    step.size.cpu_milli * FILL_LEAST_PERCENT
+}
+
+/// Returns whether a worker may hold one more task of the step.
+fn spread(view: &worker::View, task: spec::TaskId, step: &spec::Step) -> bool {
+    let Some(most) = step.max_per_worker else {
+        return true;
+    };
+    let first = spec::TaskId { index: 0, ..task };
+    let last = spec::TaskId { index: u32::MAX, ..task };
+    view.tasks.range(first..=last).count() < most as usize
+}
--- /dev/null
+++ b/crates/wharflane/src/job/rows.rs
@@ -0,0 +1,82 @@
+//! Where the job service keeps what must last.
+//!
+//! All rows of one domain share a part of the store, so that every write of its holder can be
+//! conditional on the lease row. The part follows from the job's name alone.
+
+use serde::{Deserialize, Serialize};
+
+use super::spec;
+use crate::id;
+use crate::rows;
+
+/// The table of jobs as they were accepted.
+pub const JOBS: &str = "jobs";
+/// The table of how far jobs have come.
+pub const PROGRESS: &str = "progress";
+/// The table of leases.
+pub const LEASES: &str = "leases";
+/// The table of what waits in the queues.
+pub const WAITING: &str = "waiting";
+/// The only key of a lease or of counts within its part.
+const ONLY: &str = "only";
+
+/// Returns the part of a domain.
+#[must_use]
+pub fn part(domain: u32) -> String {
+    format!("d{domain}")
+}
+
+/// Returns the domain of a job.
+#[must_use]
+pub fn domain_of(job: spec::JobId, domains: u32) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(&job.0.to_le_bytes());
+    u32::try_from(hash % u64::from(domains.max(1))).unwrap_or(0)
+}
+
+/// Returns the key of a job in one of the tables.
+#[must_use]
+pub fn job_key(table: &'static str, domain: u32, job: spec::JobId) -> rows::Key {
+    rows::Key { table, part: part(domain), name: job.to_string() }
+}
+
+/// Returns the key of a domain's lease.
+#[must_use]
+pub fn lease_key(domain: u32) -> rows::Key {
+    rows::Key { table: LEASES, part: part(domain), name: ONLY.to_owned() }
+}
+
+/// Returns the key of a domain's counts of waiting jobs.
+#[must_use]
+pub fn waiting_key(domain: u32) -> rows::Key {
+    rows::Key { table: WAITING, part: part(domain), name: ONLY.to_owned() }
+}
+
+/// The row of an accepted job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// What was handed in.
+    pub job: spec::Job,
+    /// Whether its caller has cancelled it.
+    #[serde(default)]
+    pub cancelled: bool,
+}
+
+/// The lease of a domain; every write of its holder renews it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The holder, or nobody after a release.
+    pub holder: Option<id::HostId>,
+    /// Grows with every change of the holder; workers refuse a lower one.
+    pub epoch: u64,
+    /// The mark of the holder's process.
+    pub nonce: u64,
+    /// Grows with every write of the holder.
+    pub seq: u64,
+}
+
+/// What waits in the queues of a domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waiting {
+    /// Accepted jobs by queue of which no task has begun.
+    pub queues: std::collections::BTreeMap<String, u64>,
+}
--- /dev/null
+++ b/crates/wharflane/src/job/worker.rs
@@ -0,0 +1,175 @@
+//! What a holder knows of one worker.
+
+use std::collections;
+use std::time;
+
+use super::order;
+use super::pace;
+use super::spec;
+use crate::size;
+
+/// A worker's clock may run this much slow, in thousandths; the platform promises 2 %.
+const SLOW_CLOCK_MILLI: u32 = 20;
+/// Failures in a row after which a worker gets nothing new for a while.
+const FAILURES_BEFORE_REST: u32 = 2;
+/// How long such a worker rests; the users' troubles of this kind last some 4 to 8 s.
+const REST: time::Duration = time::Duration::from_secs(4);
+
+/// A worker as its holder sees it.
+#[derive(Debug)]
+pub(super) struct View {
+    /// The worker as it was listed last.
+    pub member: order::Member,
+    /// Whether the store lists it.
+    pub listed: bool,
+    /// Whether it has answered a look of this epoch, so that no earlier holder's order counts.
+    pub fenced: bool,
+    /// Its clock when it answered last, and when that answer came.
+    pub sample: Option<(u64, time::Duration)>,
+    /// Until when tasks may run there by this holder's word, by the worker's clock.
+    pub granted_ms: u64,
+    /// When the grants of earlier holders are over at the latest.
+    pub inherited_until: time::Duration,
+    /// The last end whose result is committed.
+    pub seen: u64,
+    /// The last end that was taken in.
+    pub heard: u64,
+    /// When the look under way was sent.
+    pub look: Option<time::Duration>,
+    /// When the next look is due.
+    pub look_due: time::Duration,
+    /// Looks in a row without an answer.
+    pub misses: u32,
+    /// The room that is set aside.
+    pub used: size::Size,
+    /// Processors wanted by tasks that fill, in thousandths of a core.
+    pub filling_milli: u64,
+    /// Processors set aside for lasting tasks, in thousandths of a core.
+    pub serving_milli: u64,
+    /// The tasks that may run there.
+    pub tasks: collections::BTreeSet<spec::TaskId>,
+    /// Until when it gets nothing new.
+    pub rests_until: time::Duration,
+    /// Failed runs in a row.
+    pub failures: u32,
+    /// The share of tasks that fill beside lasting ones.
+    pub pacing: pace::Pacing,
+}
+
+impl View {
+    /// Makes the view of a worker that was not looked at yet.
+    pub fn new(member: order::Member, inherited_until: time::Duration) -> Self {
+        Self {
+            member,
+            listed: true,
+            fenced: false,
+            sample: None,
+            granted_ms: 0,
+            inherited_until,
+            seen: 0,
+            heard: 0,
+            look: None,
+            look_due: time::Duration::ZERO,
+            misses: 0,
+            used: size::Size::default(),
+            filling_milli: 0,
+            serving_milli: 0,
+            tasks: collections::BTreeSet::new(),
+            rests_until: time::Duration::ZERO,
+            failures: 0,
+            pacing: pace::Pacing::default(),
+        }
+    }
+
+    /// Returns the least that the worker's clock can show now, once it has answered.
+    pub fn clock_ms(&self, now: time::Duration) -> Option<u64> {
+        let (clock_ms, at) = self.sample?;
+        let passed = now.saturating_sub(at);
+        let slow = passed * SLOW_CLOCK_MILLI / 1_000;
+        Some(clock_ms + millis(passed.saturating_sub(slow)))
+    }
+
+    /// Returns until when a new grant of a length lasts, by the worker's clock, and notes it.
+    pub fn grant(&mut self, now: time::Duration, hold: time::Duration) -> Option<u64> {
+        let until_ms = self.clock_ms(now)? + millis(hold);
+        self.granted_ms = self.granted_ms.max(until_ms);
+        Some(until_ms)
+    }
+
+    /// Returns whether all that was granted is over, so that nothing can run there any more.
+    pub fn lapsed(&self, now: time::Duration) -> bool {
+        if !self.fenced && now < self.inherited_until {
+            return false;
+        }
+        match self.clock_ms(now) {
+            Some(clock_ms) => clock_ms > self.granted_ms,
+            None => now >= self.inherited_until,
+        }
+    }
+
+    /// Returns whether new tasks may go there.
+    pub fn takes(&self, now: time::Duration) -> bool {
+        self.listed
+            && self.fenced
+            && !self.member.leaving
+            && self.misses == 0
+            && now >= self.rests_until
+    }
+
+    /// Returns the room that is not set aside.
+    pub fn free(&self) -> size::Size {
+        self.member.capacity.minus(&self.used)
+    }
+
+    /// Returns whether the worker has a label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.member.labels.iter().any(|own| own == label)
+    }
+
+    /// Notes how a run ended, and lets a worker rest that fails again and again.
+    pub fn note_end(&mut self, kind: order::EndKind, now: time::Duration) {
+        match kind {
+            order::EndKind::Done => self.failures = 0,
+            order::EndKind::Failed => {
+                self.failures += 1;
+                if self.failures >= FAILURES_BEFORE_REST {
+                    self.rests_until = now + REST;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Sets room aside for a task.
+    pub fn add(&mut self, task: spec::TaskId, step: &spec::Step) {
+        if self.tasks.insert(task) {
+            self.used = self.used.plus(&step.reserved());
+            self.filling_milli += filling(step);
+            self.serving_milli += serving(step);
+        }
+    }
+
+    /// Gives the room of a task back.
+    pub fn remove(&mut self, task: spec::TaskId, step: &spec::Step) {
+        if self.tasks.remove(&task) {
+            self.used = self.used.minus(&step.reserved());
+            self.filling_milli = self.filling_milli.saturating_sub(filling(step));
+            self.serving_milli = self.serving_milli.saturating_sub(serving(step));
+        }
+    }
+}
+
+/// Returns the processors that a task wants beyond what is set aside.
+fn filling(step: &spec::Step) -> u64 {
+    if step.fills { step.size.cpu_milli } else { 0 }
+}
+
+/// Returns the processors that are set aside for a lasting task.
+fn serving(step: &spec::Step) -> u64 {
+    if step.lasting { step.reserved().cpu_milli } else { 0 }
+}
+
+/// Returns a duration in whole milliseconds.
+pub(super) fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/wharflane/src/toml_read.rs
+++ b/crates/wharflane/src/toml_read.rs
@@ -293,14 +293,27 @@
         default
     }
 
+    /// Reads an address that may be left out.
+    pub fn address(&mut self, key: &str) -> Option<std::net::SocketAddr> {
+        self.text(key).and_then(|found| self.parse_address(key, &found))
+    }
+
     /// Reads an address that must be given.
     pub fn need_address(&mut self, key: &str) -> Option<std::net::SocketAddr> {
-        let (at, text) = self.need_text(key)?;
-        if let Ok(address) = text.parse() {
-            return Some(address);
+        self.need_text(key).and_then(|found| self.parse_address(key, &found))
+    }
+
+    /// Parses an address, or notes that it is none.
+    fn parse_address(
+        &self,
+        key: &str,
+        (at, text): &(usize, String),
+    ) -> Option<std::net::SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.doc.fault(*at, FaultKind::BadAddress { key: key.to_owned() });
         }
-        self.doc.fault(at, FaultKind::BadAddress { key: key.to_owned() });
-        None
+        address
     }
 
     /// Reads a list of texts; an absent list is empty.
