--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -18,6 +18,8 @@
 const LOOK_AGAIN: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
 /// How long a worker that refuses for want of room, or is not well, gets nothing new.
 const REFUSED_REST: time::Duration = time::Duration::from_millis(400);
+/// How long a look waits where some tasks serve and others fill; tails are told this often.
+const LOOK_MIXED: time::Duration = time::Duration::from_millis(500);
 /// The least time between two looks at a worker where something runs.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(50);
 
@@ -61,7 +63,7 @@
         };
         let state = entry.progress.tasks.get(&task.into());
         let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
-        let order = holding::order_for(placed, view, task, self.lease.epoch);
+        let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
         tracing::info!(
             %task, run = placed.run, worker = %placed.worker, epoch = self.lease.epoch, until_ms,
             "start ordered"
@@ -88,7 +90,7 @@
             return;
         };
         placed.stopped = Some(now);
-        let order = holding::order_for(placed, view, task, self.lease.epoch);
+        let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
         tracing::info!(%task, run = placed.run, worker = %placed.worker, "stop ordered");
         self.out.push(engine::Effect::Stop(order));
     }
@@ -155,7 +157,6 @@
                 if !wanted {
                     self.stop(order.task, now);
                 }
-                self.pace_new(order);
             }
             order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
             order::StartAnswer::Refused(_) | order::StartAnswer::Unwell => {
@@ -181,7 +182,12 @@
             }
             let busy = !view.tasks.is_empty();
             let until_ms = if busy { view.grant(now, self.settings.hold) } else { None };
-            let wait = if view.fenced && busy { self.settings.look } else { time::Duration::ZERO };
+            let mixed = !view.serving.is_empty() && !view.filling.is_empty();
+            let wait = match (view.fenced && busy, mixed) {
+                (false, _) => time::Duration::ZERO,
+                (true, true) => self.settings.look.min(LOOK_MIXED),
+                (true, false) => self.settings.look,
+            };
             view.look = Some(now);
             looks.push(order::Look {
                 worker: worker.clone(),
@@ -292,7 +298,7 @@
                 self.stop(row.task, now);
             }
         }
-        self.pace(worker, lists, now);
+        self.weigh(worker, lists, now);
     }
 
     /// Stops a run that nobody knows of.
@@ -433,56 +439,4 @@
         const SLOW_MILLI: u32 = 1_040;
         self.taken + self.settings.hold_max * SLOW_MILLI / 1_000
     }
-
-    /// Changes the share of tasks that fill a worker, by the worst tail of those that serve there.
-    fn pace(&mut self, worker: &id::WorkerId, lists: &order::Lists, now: time::Duration) {
-        let mut worst = None;
-        let mut fillers = Vec::new();
-        for row in &lists.running {
-            let Some(step) = self.jobs.get(&row.task.job).and_then(|e| e.job.step(row.task.step))
-            else {
-                continue;
-            };
-            if let Some(target_ms) = step.target_ms.filter(|target| *target > 0) {
-                worst = worst.max(Some(row.load * 100 / target_ms));
-            }
-            if step.fills {
-                fillers.push((row.task, row.run));
-            }
-        }
-        let Some(view) = self.views.get_mut(worker) else {
-            return;
-        };
-        let Some(worst) = worst else {
-            return;
-        };
-        if fillers.is_empty() && view.pacing.percent() == 100 {
-            return;
-        }
-        if !view.pacing.note(worst, now) {
-            return;
-        }
-        let percent = view.pacing.percent();
-        self.changed = true;
-        tracing::info!(%worker, worst_percent = worst, percent, fillers = fillers.len(), "paced");
-        let (addr, epoch) = (view.member.addr, self.lease.epoch);
-        for (task, run) in fillers {
-            let order = order::Order { worker: worker.clone(), addr, task, run, epoch };
-            self.out.push(engine::Effect::Pace(order::Pace { order, percent }));
-        }
-    }
-
-    /// Brings a task that has just started to the share of its worker.
-    fn pace_new(&mut self, order: &order::Order) {
-        let fills = self
-            .jobs
-            .get(&order.task.job)
-            .and_then(|entry| entry.job.step(order.task.step))
-            .is_some_and(|step| step.fills);
-        let percent = self.views.get(&order.worker).map_or(100, |view| view.pacing.percent());
-        if fills && percent < 100 {
-            let pace = order::Pace { order: order.clone(), percent };
-            self.out.push(engine::Effect::Pace(pace));
-        }
-    }
 }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -6,7 +6,9 @@
 
 use super::commit;
 use super::engine;
+use super::harm;
 use super::order;
+use super::pace;
 use super::place;
 use super::progress;
 use super::queue;
@@ -140,6 +142,10 @@
     pub(super) changed: bool,
     /// When placement was last tried.
     pub(super) placed_at: time::Duration,
+    /// What was learned of who harms whom.
+    pub(super) model: harm::Model,
+    /// The strains of serving tasks as they were last told.
+    pub(super) strains: collections::BTreeMap<spec::TaskId, pace::Strain>,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
@@ -163,6 +169,8 @@
     pub placed: usize,
     /// Workers that are looked at.
     pub workers: usize,
+    /// The strain that one image is learned to cause another.
+    pub harm: collections::BTreeMap<String, f64>,
 }
 
 impl Holding {
@@ -197,6 +205,8 @@
             counted: kept::Waiting::default(),
             changed: true,
             placed_at: time::Duration::ZERO,
+            model: harm::Model::default(),
+            strains: collections::BTreeMap::new(),
             fenced: false,
             leaving: false,
             out: Vec::new(),
@@ -214,6 +224,7 @@
             ready: self.ready.len(),
             placed: self.placed.len(),
             workers: self.views.len(),
+            harm: self.model.dump(),
         }
     }
 
@@ -454,6 +465,7 @@
         {
             view.remove(task, step);
         }
+        self.strains.remove(&task);
         self.staged.retain(|staged| *staged != task);
         tracing::info!(%task, run = placed.run, worker = %placed.worker, why, "task freed");
         self.mark(task.job);
@@ -491,15 +503,9 @@
 /// Makes the order for a placed task.
 pub(super) fn order_for(
     placed: &Placed,
-    view: &worker::View,
+    addr: std::net::SocketAddr,
     task: spec::TaskId,
     epoch: u64,
 ) -> order::Order {
-    order::Order {
-        worker: placed.worker.clone(),
-        addr: view.member.addr,
-        task,
-        run: placed.run,
-        epoch,
-    }
+    order::Order { worker: placed.worker.clone(), addr, task, run: placed.run, epoch }
 }
--- a/crates/wharflane/src/job/members.rs
+++ b/crates/wharflane/src/job/members.rs
@@ -59,7 +59,8 @@
                     holding::Link::Inherited,
                     "known before it is listed"
                 );
-                view.add(*task, step);
+                let image = self.model.image(step.image.as_deref());
+                view.add(*task, step, image);
             }
         }
         self.views.insert(worker.clone(), view);
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -8,6 +8,7 @@
 mod commit;
 mod ends;
 mod engine;
+mod harm;
 mod holding;
 mod members;
 mod order;
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -1,69 +1,286 @@
-//! Holds back tasks that fill a worker while a lasting task there misses its target.
+//! Holds back tasks that fill a worker while a lasting task there would miss its target.
 
+use std::collections;
 use std::time;
 
-/// A tail above this share of the target counts as a miss; leaves room for a rough figure.
-const MISS_PERCENT: u64 = 90;
-/// A tail below this share of the target counts as calm.
-const CALM_PERCENT: u64 = 60;
-/// How long a change of pace takes to show: two figures of half a second each.
-const SETTLE: time::Duration = time::Duration::from_millis(900);
-/// How long a worker must be calm before work is let go faster again.
-const CALM: time::Duration = time::Duration::from_millis(1_500);
-/// The longest wait for calm after paces that were too fast.
-const LONGEST_CALM: time::Duration = time::Duration::from_secs(12);
-/// The shares, from full speed to a standstill.
-const STEPS: [u8; 4] = [100, 50, 20, 0];
+use super::engine;
+use super::harm;
+use super::holding;
+use super::order;
+use super::spec;
+use crate::id;
 
-/// The share at which tasks that fill one worker work.
-#[derive(Clone, Debug)]
-pub(super) struct Pacing {
-    /// The position in `STEPS`.
-    level: usize,
-    /// When the share was changed last.
-    changed: time::Duration,
-    /// Since when all targets are kept with ease.
-    calm_since: Option<time::Duration>,
-    /// How long calm must last before the next faster share.
-    calm: time::Duration,
+/// The strain that is kept free below a target: figures are rough and loads rise meanwhile.
+const MARGIN: f64 = 0.08;
+/// The strain that must be free beyond the margin before work is let go faster.
+const SLACK: f64 = 0.06;
+/// How long a change takes to show: it applies after 100 ms, and figures are of half a second.
+const SETTLE: time::Duration = time::Duration::from_millis(650);
+/// How old a tail may be to tell the own load of its job.
+const FRESH: time::Duration = time::Duration::from_millis(1_300);
+/// The least change of a share that is ordered, in percent.
+const LEAST_CHANGE: f64 = 8.0;
+/// The share below which a task is rather moved, in percent.
+const MOVE_BELOW: u8 = 15;
+/// How long a task may be held back so far before it is moved.
+const MOVE_AFTER: time::Duration = time::Duration::from_millis(1_200);
+
+/// A task that serves, as its worker's neighbours are weighed against it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Serving {
+    /// What it runs.
+    pub image: harm::Image,
+    /// The tail to keep.
+    pub target_ms: u64,
 }
 
-impl Default for Pacing {
-    fn default() -> Self {
-        Self { level: 0, changed: time::Duration::ZERO, calm_since: None, calm: CALM }
-    }
+/// A task that fills a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Filling {
+    /// What it runs.
+    pub image: harm::Image,
+    /// The processors that it asks for.
+    pub cpu_milli: u64,
+    /// The share at which it works.
+    pub percent: u8,
+    /// Since when it is held back so far that it had better move.
+    pub low_since: Option<time::Duration>,
+}
+
+/// The strain of a serving task when it was last told.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Strain {
+    /// When.
+    pub at: time::Duration,
+    /// The strain.
+    pub strain: f64,
 }
 
-impl Pacing {
-    /// Returns the share in force, in percent.
-    pub fn percent(&self) -> u8 {
-        STEPS[self.level]
+impl holding::Holding {
+    /// Returns the strain that the own load of a job's tasks causes, the least of what they tell.
+    pub(super) fn own_load(&self, job: spec::JobId, now: time::Duration) -> Option<f64> {
+        let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
+        let strains = self.strains.range(first..).take_while(|(task, _)| task.job == job);
+        let fresh = strains.filter(|(_, strain)| now.saturating_sub(strain.at) <= FRESH);
+        fresh.map(|(_, strain)| strain.strain).min_by(f64::total_cmp)
     }
 
-    /// Takes the worst tail of a worker as percent of its target; returns whether the share changed.
-    pub fn note(&mut self, worst_percent: u64, now: time::Duration) -> bool {
-        let settled = now.saturating_sub(self.changed) >= SETTLE;
-        if worst_percent > MISS_PERCENT {
-            self.calm_since = None;
-            if !settled || self.level + 1 == STEPS.len() {
-                return false;
+    /// Learns from the tails of a worker and sets the shares of what fills it.
+    pub(super) fn weigh(
+        &mut self,
+        worker: &id::WorkerId,
+        lists: &order::Lists,
+        now: time::Duration,
+    ) {
+        let tails: Vec<(spec::TaskId, Serving, f64)> = self.read_tails(worker, lists, now);
+        let uses = self.read_uses(worker, lists);
+        let mut over = 0.0_f64;
+        let mut excess = Vec::new();
+        for (task, serving, strain) in tails {
+            let own = self.own_load(task.job, now).unwrap_or(strain);
+            if !uses.is_empty() {
+                self.model.learn(serving.image, &uses, strain - own);
             }
-            self.calm = (self.calm * 2).min(LONGEST_CALM);
-            self.level += 1;
-            self.changed = now;
-            return true;
+            let limit = self.model.limit(serving.image, serving.target_ms) - MARGIN;
+            over = over.max(strain - limit);
+            excess.push((serving.image, strain - limit));
+        }
+        if excess.is_empty() {
+            return;
+        }
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        if view.filling.is_empty() || now.saturating_sub(view.paced) < SETTLE {
+            return;
+        }
+        if over > 0.0 {
+            self.hold_back(worker, &excess, now);
+        } else {
+            self.let_go(worker, &excess, now);
+        }
+        self.move_held(worker, now);
+    }
+
+    /// Reads the tails of serving tasks as strains.
+    fn read_tails(
+        &mut self,
+        worker: &id::WorkerId,
+        lists: &order::Lists,
+        now: time::Duration,
+    ) -> Vec<(spec::TaskId, Serving, f64)> {
+        let Some(view) = self.views.get(worker) else {
+            return Vec::new();
+        };
+        let mut tails = Vec::new();
+        for row in lists.running.iter().filter(|row| row.load > 0) {
+            let Some(serving) = view.serving.get(&row.task).copied() else {
+                continue;
+            };
+            let strain = self.model.strain(serving.image, row.load, serving.target_ms);
+            self.strains.insert(row.task, Strain { at: now, strain });
+            tails.push((row.task, serving, strain));
         }
-        if worst_percent > CALM_PERCENT || self.level == 0 {
-            self.calm_since = None;
-            return false;
+        tails
+    }
+
+    /// Reads which part of a worker's processors each filling image uses.
+    fn read_uses(&self, worker: &id::WorkerId, lists: &order::Lists) -> Vec<harm::Use> {
+        let Some(view) = self.views.get(worker) else {
+            return Vec::new();
+        };
+        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+        let mut parts = collections::BTreeMap::<harm::Image, f64>::new();
+        for row in &lists.running {
+            if let Some(filling) = view.filling.get(&row.task) {
+                *parts.entry(filling.image).or_default() += row.load as f64 / capacity;
+            }
         }
-        let since = *self.calm_since.get_or_insert(now);
-        if !settled || now.saturating_sub(since) < self.calm {
-            return false;
+        let uses = parts.into_iter().filter(|(_, part)| *part > 0.0);
+        uses.map(|(image, part)| harm::Use { image, part }).collect()
+    }
+
+    /// Holds back what does most harm to the tasks that miss their target, until it is undone.
+    fn hold_back(
+        &mut self,
+        worker: &id::WorkerId,
+        excess: &[(harm::Image, f64)],
+        now: time::Duration,
+    ) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+        let mut shares = view.filling.clone();
+        for (serving, over) in excess.iter().filter(|(_, over)| *over > 0.0) {
+            let mut left = *over + SLACK / 2.0;
+            let mut by: Vec<(f64, spec::TaskId)> = shares
+                .iter()
+                .map(|(task, filling)| {
+                    let part =
+                        filling.cpu_milli as f64 * f64::from(filling.percent) / 1e2 / capacity;
+                    (self.model.harm(*serving, filling.image) * part, *task)
+                })
+                .collect();
+            by.sort_by(|a, b| b.0.total_cmp(&a.0));
+            for (strain, task) in by {
+                let Some(filling) = shares.get_mut(&task).filter(|_| left > 0.0 && strain > 0.0)
+                else {
+                    continue;
+                };
+                let kept = (1.0 - left / strain).max(0.0);
+                let next = (f64::from(filling.percent) * kept).floor();
+                left -= strain * (1.0 - kept);
+                filling.percent = if next < LEAST_CHANGE { 0 } else { next as u8 };
+            }
         }
-        self.calm_since = None;
-        self.level -= 1;
-        self.changed = now;
-        true
+        self.set_shares(worker, &shares, now);
+    }
+
+    /// Lets work that is held back go faster, as far as all targets are kept with ease.
+    fn let_go(
+        &mut self,
+        worker: &id::WorkerId,
+        excess: &[(harm::Image, f64)],
+        now: time::Duration,
+    ) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+        let mut room: Vec<(harm::Image, f64)> =
+            excess.iter().map(|(image, over)| (*image, -over - SLACK)).collect();
+        let mut shares = view.filling.clone();
+        for filling in shares.values_mut().filter(|filling| filling.percent < 100) {
+            let whole = filling.cpu_milli as f64 / capacity;
+            let part = |(image, room): &(harm::Image, f64)| {
+                let harm = self.model.harm(*image, filling.image) * whole;
+                if harm > 0.0 { (*room).max(0.0) / harm } else { 1.0 }
+            };
+            let more = room.iter().map(part).fold(1.0, f64::min) * 1e2;
+            let more = more.min(f64::from(100 - filling.percent));
+            if more < LEAST_CHANGE {
+                continue;
+            }
+            for (image, room) in &mut room {
+                *room -= self.model.harm(*image, filling.image) * whole * more / 1e2;
+            }
+            filling.percent += more as u8;
+        }
+        self.set_shares(worker, &shares, now);
+    }
+
+    /// Orders the shares that differ from those in force.
+    fn set_shares(
+        &mut self,
+        worker: &id::WorkerId,
+        shares: &collections::BTreeMap<spec::TaskId, Filling>,
+        now: time::Duration,
+    ) {
+        let epoch = self.lease.epoch;
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        for (task, share) in shares {
+            let (Some(filling), Some(placed)) = (view.filling.get_mut(task), self.placed.get(task))
+            else {
+                continue;
+            };
+            if filling.percent == share.percent {
+                continue;
+            }
+            tracing::info!(%task, %worker, from = filling.percent, to = share.percent, "paced");
+            filling.percent = share.percent;
+            filling.low_since =
+                if share.percent < MOVE_BELOW { filling.low_since.or(Some(now)) } else { None };
+            view.paced = now;
+            let order = holding::order_for(placed, view.member.addr, *task, epoch);
+            let pace = order::Pace { order, percent: share.percent };
+            self.out.push(engine::Effect::Pace(pace));
+        }
+    }
+
+    /// Stops tasks that are held back for long and keep their progress, so that they go elsewhere.
+    fn move_held(&mut self, worker: &id::WorkerId, now: time::Duration) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let held = view.filling.iter().filter(|(_, filling)| {
+            filling.low_since.is_some_and(|since| now.saturating_sub(since) >= MOVE_AFTER)
+        });
+        let held: Vec<spec::TaskId> = held.map(|(task, _)| *task).collect();
+        for task in held {
+            let entry = self.jobs.get(&task.job);
+            let step = entry.and_then(|entry| entry.job.step(task.step));
+            if step.is_some_and(|step| step.checkpoint) {
+                self.stop(task, now);
+            }
+        }
+    }
+
+    /// Returns the strain that each serving task of a worker has left for one more neighbour.
+    pub(super) fn headroom(
+        &self,
+        worker: &id::WorkerId,
+        now: time::Duration,
+    ) -> Vec<(harm::Image, f64)> {
+        let Some(view) = self.views.get(worker) else {
+            return Vec::new();
+        };
+        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+        let uses: Vec<harm::Use> = view
+            .filling
+            .values()
+            .map(|filling| harm::Use {
+                image: filling.image,
+                part: filling.cpu_milli as f64 / capacity,
+            })
+            .collect();
+        let room = view.serving.iter().map(|(task, serving)| {
+            let own = self.own_load(task.job, now).unwrap_or(0.0);
+            let limit = self.model.limit(serving.image, serving.target_ms) - MARGIN - SLACK;
+            (serving.image, limit - own - self.model.total(serving.image, &uses))
+        });
+        room.collect()
     }
 }
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use super::harm;
 use super::holding;
 use super::progress;
 use super::spec;
@@ -13,8 +14,10 @@
 pub(super) const RETRY: time::Duration = time::Duration::from_millis(100);
 /// The share of a lasting task's processors that it is taken to use; measured by no one yet.
 const SERVING_USE_PERCENT: u64 = 50;
-/// The least share of its processors that a task that fills should find, in percent.
-const FILL_LEAST_PERCENT: u64 = 60;
+/// The least part of its processors that a task that fills should find.
+const FILL_LEAST: f64 = 0.8;
+/// What a worker's idle processors weigh against the strain on its serving tasks.
+const IDLE_WEIGHT: f64 = 0.1;
 
 /// The group of tasks that find room together or not at all.
 type Group = (spec::JobId, u32, u32);
@@ -146,8 +149,9 @@
     state.run = run;
     state.worker = Some(worker.clone());
     entry.progress.phase = progress::Phase::Running;
+    let image = holding.model.image(step.image.as_deref());
     if let Some(view) = holding.views.get_mut(worker) {
-        view.add(task, step);
+        view.add(task, step, image);
     }
     let link = holding::Link::Staged;
     let placed = holding::Placed { worker: worker.clone(), run, link, until_ms: 0, stopped: None };
@@ -158,11 +162,13 @@
 
 /// Returns the best worker for a task, or nothing.
 fn choose(
-    holding: &holding::Holding,
+    holding: &mut holding::Holding,
     task: spec::TaskId,
     step: &spec::Step,
     now: time::Duration,
 ) -> Option<id::WorkerId> {
+    let image = holding.model.image(step.image.as_deref());
+    let holding = &*holding;
     let entry = holding.jobs.get(&task.job)?;
     let service = holding.service(&entry.job);
     let need = step.reserved();
@@ -174,38 +180,94 @@
             && need.fits(&view.free())
             && step.label.as_deref().is_none_or(|label| view.has_label(label))
             && spread(view, task, step)
-            && (!step.fills || left_for_filling(view) * 100 >= fill_need(step))
     };
-    let candidates = holding.views.values().filter(fits);
-    let best = candidates.min_by_key(|view| {
+    let mut best: Option<(Cost, &worker::View)> = None;
+    for view in holding.views.values().filter(fits) {
         let away = step.rack.as_deref().is_some_and(|rack| !view.has_label(rack));
         let again = avoided == Some(&view.member.id);
-        (again, away, cost(view, step))
-    });
-    best.map(|view| view.member.id.clone())
+        let Some(order) = cost(holding, view, step, image, now) else {
+            continue;
+        };
+        let cost = Cost { again, away, order };
+        if best.as_ref().is_none_or(|(least, _)| cost.before(least)) {
+            best = Some((cost, view));
+        }
+    }
+    best.map(|(_, view)| view.member.id.clone())
+}
+
+/// What speaks against a worker, the graver first.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    /// The task failed there last.
+    again: bool,
+    /// Its data lies on another rack.
+    away: bool,
+    /// The rest, by kind of task.
+    order: f64,
+}
+
+impl Cost {
+    /// Returns whether this cost is lower than another.
+    fn before(&self, other: &Self) -> bool {
+        let graver = (self.again, self.away).cmp(&(other.again, other.away));
+        graver.then(self.order.total_cmp(&other.order)).is_lt()
+    }
+}
+
+/// Returns the cost of a worker by kind of task, or nothing where the task would do harm.
+fn cost(
+    holding: &holding::Holding,
+    view: &worker::View,
+    step: &spec::Step,
+    image: harm::Image,
+    now: time::Duration,
+) -> Option<f64> {
+    if step.fills {
+        return fill_cost(holding, view, step, image, now);
+    }
+    let left = view.free().cpu_milli as f64 / view.member.capacity.cpu_milli.max(1) as f64;
+    if step.target_ms.is_none() {
+        return Some(left);
+    }
+    // Serving tasks of one image together leave other workers to what would harm them.
+    let others = view.serving.values().filter(|serving| serving.image != image).count();
+    let empty = if view.serving.is_empty() { 0.5 } else { 0.0 };
+    Some(others as f64 + empty + left)
 }
 
-/// Returns the cost of a worker: tasks that fill spread out, others leave large rooms whole.
-fn cost(view: &worker::View, step: &spec::Step) -> i64 {
-    let left = if step.fills { left_for_filling(view) } else { view.free().cpu_milli };
-    let left = i64::try_from(left).unwrap_or(i64::MAX);
-    if step.fills { -left } else { left }
+/// Returns the harm of a task that fills, with a little for processors that are short.
+fn fill_cost(
+    holding: &holding::Holding,
+    view: &worker::View,
+    step: &spec::Step,
+    image: harm::Image,
+    now: time::Duration,
+) -> Option<f64> {
+    let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+    let left = left_for_filling(view) as f64;
+    let want = step.size.cpu_milli as f64;
+    if left < want * FILL_LEAST {
+        return None;
+    }
+    let part = want / capacity;
+    let mut worst = 0.0_f64;
+    for (serving, room) in holding.headroom(&view.member.id, now) {
+        let strain = holding.model.harm(serving, image) * part;
+        if strain > room {
+            return None;
+        }
+        worst = worst.max(strain);
+    }
+    Some(worst - left / capacity * IDLE_WEIGHT)
 }
 
 /// Returns the processors that a worker is thought to leave to tasks that fill.
 fn left_for_filling(view: &worker::View) -> u64 {
-    if view.pacing.percent() < 100 {
-        return 0;
-    }
     let idle = view.serving_milli * (100 - SERVING_USE_PERCENT) / 100;
     (view.free().cpu_milli + idle).saturating_sub(view.filling_milli)
 }
 
-/// Returns the processors that a task that fills should find, in hundredths of the unit.
-fn fill_need(step: &spec::Step) -> u64 {
-    step.size.cpu_milli * FILL_LEAST_PERCENT
-}
-
 /// Returns whether a worker may hold one more task of the step.
 fn spread(view: &worker::View, task: spec::TaskId, step: &spec::Step) -> bool {
     let Some(most) = step.max_per_worker else {
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use super::harm;
 use super::order;
 use super::pace;
 use super::spec;
@@ -52,8 +53,12 @@
     pub rests_until: time::Duration,
     /// Failed runs in a row.
     pub failures: u32,
-    /// The share of tasks that fill beside lasting ones.
-    pub pacing: pace::Pacing,
+    /// The tasks that serve.
+    pub serving: collections::BTreeMap<spec::TaskId, pace::Serving>,
+    /// The tasks that fill.
+    pub filling: collections::BTreeMap<spec::TaskId, pace::Filling>,
+    /// When a share was changed last.
+    pub paced: time::Duration,
 }
 
 impl View {
@@ -77,7 +82,9 @@
             tasks: collections::BTreeSet::new(),
             rests_until: time::Duration::ZERO,
             failures: 0,
-            pacing: pace::Pacing::default(),
+            serving: collections::BTreeMap::new(),
+            filling: collections::BTreeMap::new(),
+            paced: time::Duration::ZERO,
         }
     }
 
@@ -141,8 +148,16 @@
     }
 
     /// Sets room aside for a task.
-    pub fn add(&mut self, task: spec::TaskId, step: &spec::Step) {
+    pub fn add(&mut self, task: spec::TaskId, step: &spec::Step, image: harm::Image) {
         if self.tasks.insert(task) {
+            if let Some(target_ms) = step.target_ms {
+                self.serving.insert(task, pace::Serving { image, target_ms });
+            }
+            if step.fills {
+                let cpu_milli = step.size.cpu_milli;
+                let filling = pace::Filling { image, cpu_milli, percent: 100, low_since: None };
+                self.filling.insert(task, filling);
+            }
             self.used = self.used.plus(&step.reserved());
             self.filling_milli += filling(step);
             self.serving_milli += serving(step);
@@ -152,6 +167,8 @@
     /// Gives the room of a task back.
     pub fn remove(&mut self, task: spec::TaskId, step: &spec::Step) {
         if self.tasks.remove(&task) {
+            self.serving.remove(&task);
+            self.filling.remove(&task);
             self.used = self.used.minus(&step.reserved());
             self.filling_milli = self.filling_milli.saturating_sub(filling(step));
             self.serving_milli = self.serving_milli.saturating_sub(serving(step));
