--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -10,6 +10,7 @@
 use super::holding;
 use super::rows as kept;
 use super::spec;
+use super::worker;
 use crate::id;
 use crate::rows;
 
@@ -166,6 +167,7 @@
             return Ok(());
         }
         self.counted_at = now;
+        self.log_state();
         let counts = self.count_waiting();
         if counts != self.counted {
             let key = kept::waiting_key(self.settings.domain);
@@ -176,6 +178,30 @@
         Ok(())
     }
 
+    /// Logs how much there is to do and what is in use.
+    fn log_state(&self) {
+        let sum = |pick: fn(&worker::View) -> u64| self.views.values().map(pick).sum::<u64>();
+        let at_work = |view: &worker::View| -> u64 {
+            let shares = view.filling.values();
+            shares.map(|filling| filling.cpu_milli * u64::from(filling.percent) / 100).sum()
+        };
+        tracing::info!(
+            jobs = self.jobs.values().filter(|entry| entry.active()).count(),
+            ready = self.ready.len(),
+            placed = self.placed.len(),
+            workers = self.views.len(),
+            capacity_milli = sum(|view| view.member.capacity.cpu_milli),
+            reserved_milli = sum(|view| view.used.cpu_milli),
+            serving_milli = sum(|view| view.serving_milli),
+            filling_milli = sum(|view| view.filling_milli),
+            filling_at_work_milli = sum(at_work),
+            capacity_mb = sum(|view| view.member.capacity.mem_mb),
+            used_mb = sum(|view| view.used.mem_mb),
+            commits = self.commits,
+            "domain"
+        );
+    }
+
     /// Counts the jobs that wait, by queue.
     fn count_waiting(&self) -> kept::Waiting {
         let mut queues = collections::BTreeMap::new();
--- a/crates/wharflane/src/job/harm.rs
+++ b/crates/wharflane/src/job/harm.rs
@@ -7,12 +7,20 @@
 
 use std::collections;
 
-/// The strain that one whole worker's processors in use are taken to cause before any was seen.
+/// The strain that a whole worker's processors in use are taken to cause before any was seen.
 const PRIOR: f64 = 0.5;
-/// The part of an error that one observation corrects.
-const RATE: f64 = 0.25;
-/// Keeps corrections small where little is in use, as a square of a part of the processors.
-const DAMPING: f64 = 0.003;
+/// How sure that is, as a variance; the harm of pairs was seen to lie between 0 and 2.5.
+const PRIOR_VARIANCE: f64 = 0.5;
+/// By how much a task's strain exceeds the least of its job where nothing fills, as measured.
+const OFFSET: f64 = 0.06;
+/// How sure that is, as a variance.
+const OFFSET_VARIANCE: f64 = 0.001;
+/// The variance of one strain around the model, as measured.
+const NOISE: f64 = 0.006;
+/// What one observation is worth after another one; forgets over some thousand.
+const MEMORY: f64 = 0.9995;
+/// The largest error that one observation may show; tails have outliers.
+const MOST_ERROR: f64 = 0.25;
 /// The least tail at rest as a part of the target, where no lower one was seen.
 const REST_OF_TARGET: f64 = 0.25;
 /// The highest strain that a tail is read as.
@@ -31,6 +39,85 @@
     pub part: f64,
 }
 
+/// Least squares, one observation at a time, of the strain on one serving image.
+///
+/// The first factor is the offset, the others are the images in the order they were seen.
+#[derive(Clone, Debug)]
+struct Fit {
+    /// The filling images.
+    images: Vec<Image>,
+    /// The factors.
+    factors: Vec<f64>,
+    /// Their covariance.
+    covariance: Vec<Vec<f64>>,
+}
+
+impl Default for Fit {
+    fn default() -> Self {
+        Self { images: Vec::new(), factors: vec![OFFSET], covariance: vec![vec![OFFSET_VARIANCE]] }
+    }
+}
+
+impl Fit {
+    /// Returns the harm of a filling image.
+    fn harm(&self, image: Image) -> f64 {
+        let at = self.images.iter().position(|known| *known == image);
+        at.map_or(PRIOR, |at| self.factors[at + 1].max(0.0))
+    }
+
+    /// Adds an image that was not seen before.
+    fn add(&mut self, image: Image) {
+        if self.images.contains(&image) {
+            return;
+        }
+        self.images.push(image);
+        self.factors.push(PRIOR);
+        self.covariance.iter_mut().for_each(|row| row.push(0.0));
+        let mut row = vec![0.0; self.factors.len()];
+        if let Some(own) = row.last_mut() {
+            *own = PRIOR_VARIANCE;
+        }
+        self.covariance.push(row);
+    }
+
+    /// Takes one observation.
+    fn learn(&mut self, uses: &[Use], strain: f64) {
+        uses.iter().for_each(|used| self.add(used.image));
+        let mut seen = vec![1.0];
+        seen.extend(self.images.iter().map(|image| {
+            uses.iter().find(|used| used.image == *image).map_or(0.0, |used| used.part)
+        }));
+        let spread: Vec<f64> = self.covariance.iter().map(|row| dot(row, &seen)).collect();
+        let total = NOISE + dot(&spread, &seen);
+        let error = (strain - dot(&self.factors, &seen)).clamp(-MOST_ERROR, MOST_ERROR);
+        for (factor, spread) in self.factors.iter_mut().zip(&spread) {
+            *factor += error * spread / total;
+        }
+        for (row, own) in self.covariance.iter_mut().zip(&spread) {
+            for (cell, other) in row.iter_mut().zip(&spread) {
+                *cell = (*cell - own * other / total) / MEMORY;
+            }
+        }
+        self.bound();
+    }
+
+    /// Keeps factors that were not seen for long from becoming less sure than at the start.
+    fn bound(&mut self) {
+        for at in 1..self.factors.len() {
+            if self.covariance[at][at] > PRIOR_VARIANCE {
+                let scale = (PRIOR_VARIANCE / self.covariance[at][at]).sqrt();
+                self.covariance[at].iter_mut().for_each(|cell| *cell *= scale);
+                self.covariance.iter_mut().for_each(|row| row[at] *= scale);
+            }
+        }
+    }
+}
+
+/// Returns the sum of the products of two rows.
+fn dot(a: &[f64], b: &[f64]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| a * b).sum()
+}
+
 /// What was learned; lost with the holder and learned anew.
 #[derive(Debug, Default)]
 pub(super) struct Model {
@@ -38,8 +125,8 @@
     names: Vec<String>,
     /// The lowest tail seen of each serving image, in milliseconds.
     rest_ms: collections::BTreeMap<Image, f64>,
-    /// The strain on the first image by the second, for a whole worker's processors.
-    harm: collections::BTreeMap<(Image, Image), f64>,
+    /// What strains each serving image.
+    fits: collections::BTreeMap<Image, Fit>,
 }
 
 impl Model {
@@ -76,7 +163,7 @@
 
     /// Returns the strain on an image by another, for a whole worker's processors.
     pub fn harm(&self, serving: Image, filling: Image) -> f64 {
-        self.harm.get(&(serving, filling)).copied().unwrap_or(PRIOR)
+        self.fits.get(&serving).map_or(PRIOR, |fit| fit.harm(filling))
     }
 
     /// Returns the strain on an image by all its neighbours.
@@ -86,22 +173,18 @@
 
     /// Learns from the strain that was seen beyond a task's own load.
     pub fn learn(&mut self, serving: Image, uses: &[Use], strain: f64) {
-        let power: f64 = uses.iter().map(|used| used.part * used.part).sum();
-        if power <= 0.0 {
-            return;
-        }
-        let error = strain - self.total(serving, uses);
-        for used in uses {
-            let change = RATE * error * used.part / (power + DAMPING);
-            let harm = self.harm.entry((serving, used.image)).or_insert(PRIOR);
-            *harm = (*harm + change).max(0.0);
-        }
+        self.fits.entry(serving).or_default().learn(uses, strain);
     }
 
     /// Returns what was learned, for operators.
     pub fn dump(&self) -> collections::BTreeMap<String, f64> {
         let name = |image: &Image| self.names.get(image.0).map_or("", String::as_str);
-        let pairs = self.harm.iter();
-        pairs.map(|((on, by), harm)| (format!("{} by {}", name(on), name(by)), *harm)).collect()
+        let mut harm = collections::BTreeMap::new();
+        for (on, fit) in &self.fits {
+            for by in &fit.images {
+                harm.insert(format!("{} by {}", name(on), name(by)), fit.harm(*by));
+            }
+        }
+        harm
     }
 }
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -11,9 +11,9 @@
 use crate::id;
 
 /// The strain that is kept free below a target: figures are rough and loads rise meanwhile.
-const MARGIN: f64 = 0.08;
+const MARGIN: f64 = 0.05;
 /// The strain that must be free beyond the margin before work is let go faster.
-const SLACK: f64 = 0.06;
+const SLACK: f64 = 0.04;
 /// How long a change takes to show: it applies after 100 ms, and figures are of half a second.
 const SETTLE: time::Duration = time::Duration::from_millis(650);
 /// How old a tail may be to tell the own load of its job.
@@ -78,9 +78,7 @@
         let mut excess = Vec::new();
         for (task, serving, strain) in tails {
             let own = self.own_load(task.job, now).unwrap_or(strain);
-            if !uses.is_empty() {
-                self.model.learn(serving.image, &uses, strain - own);
-            }
+            self.model.learn(serving.image, &uses, strain - own);
             let limit = self.model.limit(serving.image, serving.target_ms) - MARGIN;
             over = over.max(strain - limit);
             excess.push((serving.image, strain - limit));
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -16,6 +16,8 @@
 const SERVING_USE_PERCENT: u64 = 50;
 /// The least part of its processors that a task that fills should find.
 const FILL_LEAST: f64 = 0.8;
+/// The strain that one more neighbour may always cause; a tail hardly shows it.
+const HARMLESS: f64 = 0.015;
 /// What a worker's idle processors weigh against the strain on its serving tasks.
 const IDLE_WEIGHT: f64 = 0.1;
 
@@ -254,7 +256,7 @@
     let mut worst = 0.0_f64;
     for (serving, room) in holding.headroom(&view.member.id, now) {
         let strain = holding.model.harm(serving, image) * part;
-        if strain > room {
+        if strain > room.max(HARMLESS) {
             return None;
         }
         worst = worst.max(strain);
