Wait for every host's first answer in the tests of the job service

Cause: a host without a configuration answers 503, truthfully, and the test asked host 2 after waiting for host 0 alone (seen once in two runs).

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -44,13 +44,18 @@
         let folder = tempfile::tempdir().expect("a folder");
         let mut service = Self { platform, hosts: Vec::new(), folder };
         (0..hosts).for_each(|_| service.add_host());
-        fleet::until("the first answer", async || {
-            service.jobs(0).waiting(server::QUEUE).await.is_ok()
-        })
-        .await;
+        for host in 0..hosts {
+            service.until_answers(host).await;
+        }
         service
     }
 
+    /// Waits until a host has a configuration.
+    async fn until_answers(&self, host: usize) {
+        let jobs = self.jobs(host);
+        fleet::until("an answer", async || jobs.waiting(server::QUEUE).await.is_ok()).await;
+    }
+
     /// Starts one more host.
     fn add_host(&mut self) {
         let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
@@ -161,8 +166,7 @@
     }
     service.add_host();
     let last = service.hosts.len() - 1;
-    fleet::until("the new host", async || service.jobs(last).waiting(server::QUEUE).await.is_ok())
-        .await;
+    service.until_answers(last).await;
     service.until(last, id, job::Phase::Completed).await;
     service.judge(5);
 }
