--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -81,8 +81,15 @@
     async fn submit(&self, host: usize, id: u64) -> job::JobId {
         let id = job::JobId(id);
         self.note(id, two_steps());
-        let told = self.jobs(host).submit(server::QUEUE, id, &two_steps()).await;
-        assert_eq!(told.expect("an answer"), caller::Told::Accepted);
+        // A caller that is told that nothing is known asks again, as it is told to.
+        fleet::until("the job accepted", async || {
+            match self.jobs(host).submit(server::QUEUE, id, &two_steps()).await {
+                Ok(told) => told == caller::Told::Accepted,
+                Err(caller::JobError::Refused { status: 504, .. }) => false,
+                Err(err) => panic!("{err}"),
+            }
+        })
+        .await;
         id
     }
 
