--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -20,6 +20,11 @@
 const FRESH: time::Duration = time::Duration::from_millis(1_300);
 /// The least change of a share that is ordered, in percent.
 const LEAST_CHANGE: f64 = 8.0;
+/// The strain below which holding a task back gains nothing that a tail would show.
+const LEAST_STRAIN: f64 = 0.01;
+/// How long a target may be missed before everything that fills the worker stands still, whatever
+/// the model says; the users allow 4 s, and a change takes up to 1.2 s to show.
+const PATIENCE: time::Duration = time::Duration::from_millis(1_600);
 /// The share below which a task is rather moved, in percent.
 const MOVE_BELOW: u8 = 15;
 /// How long a task may be held back so far before it is moved.
@@ -54,6 +59,8 @@
     pub at: time::Duration,
     /// The strain.
     pub strain: f64,
+    /// Since when the target is missed.
+    pub missed_since: Option<time::Duration>,
 }
 
 impl holding::Holding {
@@ -92,7 +99,9 @@
         if view.filling.is_empty() || now.saturating_sub(view.paced) < SETTLE {
             return;
         }
-        if over > 0.0 {
+        if self.missed_long(worker, now) {
+            self.stand_still(worker, now);
+        } else if over > 0.0 {
             self.hold_back(worker, &excess, now);
         } else {
             self.let_go(worker, &excess, now);
@@ -116,7 +125,9 @@
                 continue;
             };
             let strain = self.model.strain(serving.image, row.load, serving.target_ms);
-            self.strains.insert(row.task, Strain { at: now, strain });
+            let before = self.strains.get(&row.task).and_then(|strain| strain.missed_since);
+            let missed_since = (row.load > serving.target_ms).then(|| before.unwrap_or(now));
+            self.strains.insert(row.task, Strain { at: now, strain, missed_since });
             tails.push((row.task, serving, strain));
         }
         tails
@@ -138,6 +149,26 @@
         uses.map(|(image, part)| harm::Use { image, part }).collect()
     }
 
+    /// Returns whether a task of a worker has missed its target for too long.
+    fn missed_long(&self, worker: &id::WorkerId, now: time::Duration) -> bool {
+        let Some(view) = self.views.get(worker) else {
+            return false;
+        };
+        let strains = view.serving.keys().filter_map(|task| self.strains.get(task));
+        let mut missed = strains.filter_map(|strain| strain.missed_since);
+        missed.any(|since| now.saturating_sub(since) >= PATIENCE)
+    }
+
+    /// Lets everything that fills a worker stand still.
+    fn stand_still(&mut self, worker: &id::WorkerId, now: time::Duration) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let mut shares = view.filling.clone();
+        shares.values_mut().for_each(|filling| filling.percent = 0);
+        self.set_shares(worker, &shares, now);
+    }
+
     /// Holds back what does most harm to the tasks that miss their target, until it is undone.
     fn hold_back(
         &mut self,
@@ -162,8 +193,8 @@
                 .collect();
             by.sort_by(|a, b| b.0.total_cmp(&a.0));
             for (strain, task) in by {
-                let Some(filling) = shares.get_mut(&task).filter(|_| left > 0.0 && strain > 0.0)
-                else {
+                let worth_it = left > 0.0 && strain > LEAST_STRAIN;
+                let Some(filling) = shares.get_mut(&task).filter(|_| worth_it) else {
                     continue;
                 };
                 let kept = (1.0 - left / strain).max(0.0);
