Leases of tasks of 4 s, told to the next holder; a domain's lease of 2.2 s

The lease row now says how long its holder's leases are, so the next one waits for those and no longer. 4 s outlast a lease of 2.2 s, the takeover after it (25 ms here) and an outage of 4.5 s: grants go on for 1.8 s of it.

--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -58,6 +58,8 @@
     Stop(job::Order),
     /// A look and when it must be answered at the latest.
     Look(usize, u64, job::Look, time::Duration, bool),
+    /// A life of a host reads everything, and is told of every change from then on.
+    Load(usize, u64),
     /// Back to a life of a host.
     Back(usize, u64, Box<job::Event>),
     /// A fault begins.
@@ -303,10 +305,7 @@
                 self.send(way, Message::Back(host, life, Box::new(read)));
             }
             job::Effect::Load => {
-                let event = if self.down { job::Event::LoadFailed } else { self.loaded() };
-                let listed = job::Event::Listed(self.listed());
-                self.send(way, Message::Back(host, life, Box::new(listed)));
-                self.send(way, Message::Back(host, life, Box::new(event)));
+                self.send(way, Message::Load(host, life));
             }
             job::Effect::Txn(number, txn) => {
                 if self.chance(self.faults.late_txns) {
@@ -374,6 +373,13 @@
                     self.step(host, *event);
                 }
             }
+            Message::Load(host, life) => {
+                if self.hosts[host].life == life {
+                    let event = if self.down { job::Event::LoadFailed } else { self.loaded() };
+                    self.step(host, job::Event::Listed(self.listed()));
+                    self.step(host, event);
+                }
+            }
             Message::Txn(host, life, number, txn, lost) => {
                 if self.down {
                     return self.silent_txn(host, life, number);
@@ -660,12 +666,12 @@
     let millis = time::Duration::from_millis;
     job::Settings {
         domain: 0,
-        lease: millis(2_500),
+        lease: millis(2_200),
         margin: millis(400),
         poll: millis(300),
         commit: millis(20),
         renew: millis(700),
-        hold: worker::HOLD_MAX,
+        hold: millis(4_000),
         hold_max: worker::HOLD_MAX,
         look: millis(1_000),
         look_idle: millis(4_000),
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -228,7 +228,7 @@
                 let first = !view.fenced;
                 if first {
                     // Earlier holders may have granted as much as the worker allows until now.
-                    let inherited = lists.clock_ms + super::worker::millis(self.settings.hold_max);
+                    let inherited = lists.clock_ms + super::worker::millis(self.inherited);
                     view.granted_ms = view.granted_ms.max(inherited);
                 }
                 view.fenced = true;
@@ -439,6 +439,6 @@
     pub(super) fn inherited_until(&self) -> time::Duration {
         /// For a clock that is 2 % slow, and one more for rounding and trips.
         const SLOW_MILLI: u32 = 1_040;
-        self.taken + self.settings.hold_max * SLOW_MILLI / 1_000
+        self.taken + self.inherited * SLOW_MILLI / 1_000
     }
 }
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -127,6 +127,8 @@
         lease: kept::Lease,
         /// When it was sent.
         sent: time::Duration,
+        /// The longest lease of tasks that the holder before asked for.
+        inherited: time::Duration,
     },
     /// The lease is taken and the state is being read.
     Loading {
@@ -136,6 +138,8 @@
         version: u64,
         /// When the lease was taken.
         taken: time::Duration,
+        /// The longest lease of tasks that the holder before asked for.
+        inherited: time::Duration,
     },
     /// The domain is held.
     Holding(Box<holding::Holding>),
@@ -327,6 +331,11 @@
             epoch: lease.epoch + 1,
             nonce: self.nonce,
             seq: 0,
+            hold_ms: super::worker::millis(self.settings.hold),
+        };
+        let inherited = match lease.hold_ms {
+            0 => self.settings.hold_max,
+            hold_ms => time::Duration::from_millis(hold_ms),
         };
         tracing::info!(
             domain = self.settings.domain,
@@ -340,7 +349,7 @@
         let Ok(txn) = super::commit::lease_txn(self.settings.domain, version, &next) else {
             return Vec::new();
         };
-        self.role = Role::Acquiring { number: self.numbers, lease: next, sent: now };
+        self.role = Role::Acquiring { number: self.numbers, lease: next, sent: now, inherited };
         vec![Effect::Txn(self.numbers, txn)]
     }
 
@@ -352,7 +361,9 @@
         answer: Option<rows::Answer>,
     ) -> Vec<Effect> {
         match &mut self.role {
-            Role::Acquiring { number: sent_number, lease, sent } if *sent_number == number => {
+            Role::Acquiring { number: sent_number, lease, sent, inherited }
+                if *sent_number == number =>
+            {
                 let version = super::commit::settled(answer.as_ref(), lease);
                 let Some(version) = version else {
                     // Nothing is lost by watching on: a write that comes late makes this process
@@ -360,7 +371,8 @@
                     self.step_down(now, "the lease was not taken");
                     return Vec::new();
                 };
-                self.role = Role::Loading { lease: lease.clone(), version, taken: *sent };
+                let (lease, taken, inherited) = (lease.clone(), *sent, *inherited);
+                self.role = Role::Loading { lease, version, taken, inherited };
                 vec![Effect::Load]
             }
             Role::Holding(holding) => {
@@ -388,14 +400,14 @@
         jobs: &[rows::Row],
         progress: &[rows::Row],
     ) -> Vec<Effect> {
-        let Role::Loading { lease, version, taken } = &self.role else {
+        let Role::Loading { lease, version, taken, inherited } = &self.role else {
             return Vec::new();
         };
         let mut holding = holding::Holding::new(
             self.settings,
             lease.clone(),
             *version,
-            *taken,
+            (*taken, *inherited),
             sync::Arc::clone(&self.queues),
         );
         holding.load(jobs, progress, now);
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -108,6 +108,8 @@
     pub(super) renewed: time::Duration,
     /// When the lease was taken.
     pub(super) taken: time::Duration,
+    /// The longest lease of tasks that the holder before asked for.
+    pub(super) inherited: time::Duration,
     /// The time of day, in milliseconds since 1970.
     pub(super) wall_ms: u64,
     /// The queues in force.
@@ -179,7 +181,7 @@
         settings: engine::Settings,
         lease: kept::Lease,
         version: u64,
-        taken: time::Duration,
+        (taken, inherited): (time::Duration, time::Duration),
         queues: sync::Arc<queue::Queues>,
     ) -> Self {
         Self {
@@ -188,6 +190,7 @@
             version,
             renewed: taken,
             taken,
+            inherited,
             wall_ms: 0,
             queues,
             jobs: collections::BTreeMap::new(),
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -72,6 +72,9 @@
     pub nonce: u64,
     /// Grows with every write of the holder.
     pub seq: u64,
+    /// The longest lease of tasks that the holder asks workers for, in milliseconds.
+    #[serde(default)]
+    pub hold_ms: u64,
 }
 
 /// What waits in the queues of a domain.
