Misses end when kept for 0.7 s, nothing new beside them; ending tasks before lasting ones just away

Misses now end only once the target was kept for 0.7 s, and no task that fills is started beside one. Tasks that end go first now, unless a lasting task has been away for 3 s. Lasting tasks also leave rooms whole or none, so that what ends finds them.

--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -188,6 +188,10 @@
         tracing::info!(
             jobs = self.jobs.values().filter(|entry| entry.active()).count(),
             ready = self.ready.len(),
+            ready_first = self.ready.values().filter(|ready| ready.priority == 0).count(),
+            ready_lasting = self.ready.values().filter(|ready| ready.lasting).count(),
+            largest_free_milli = self.views.values().map(|view| view.free().cpu_milli).max(),
+            resting = self.views.values().filter(|view| !view.takes(self.now)).count(),
             placed = self.placed.len(),
             workers = self.views.len(),
             capacity_milli = sum(|view| view.member.capacity.cpu_milli),
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -199,6 +199,9 @@
 
     /// Takes an event and returns what is to be done.
     pub fn step(&mut self, now: time::Duration, event: Event) -> Vec<Effect> {
+        if let Role::Holding(holding) = &mut self.role {
+            holding.now = now;
+        }
         match event {
             Event::Tick { wall_ms } => return self.tick(now, wall_ms),
             Event::LeaseRead(row) => return self.lease_read(now, row),
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -82,17 +82,19 @@
     Inherited,
 }
 
-/// A task whose turn has come, in the order in which workers are sought.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// A task whose turn has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Ready {
+    /// The task.
+    pub task: spec::TaskId,
     /// The priority paid for.
     pub priority: u32,
-    /// Lasting tasks go before others of their priority.
-    pub ends: bool,
-    /// Earlier jobs go first.
+    /// Whether it runs until its job is cancelled.
+    pub lasting: bool,
+    /// Earlier jobs have lower ones.
     pub order: u64,
-    /// The task.
-    pub task: spec::TaskId,
+    /// Since when it waits.
+    pub since: time::Duration,
 }
 
 /// A domain on its holder.
@@ -110,6 +112,8 @@
     pub(super) taken: time::Duration,
     /// The longest lease of tasks that the holder before asked for.
     pub(super) inherited: time::Duration,
+    /// When the event that is being taken came.
+    pub(super) now: time::Duration,
     /// The time of day, in milliseconds since 1970.
     pub(super) wall_ms: u64,
     /// The queues in force.
@@ -121,7 +125,7 @@
     /// The tasks that have a worker.
     pub(super) placed: collections::BTreeMap<spec::TaskId, Placed>,
     /// The tasks whose turn has come.
-    pub(super) ready: collections::BTreeSet<Ready>,
+    pub(super) ready: collections::BTreeMap<spec::TaskId, Ready>,
     /// Rounds whose time has not come, by due time.
     pub(super) future: collections::BTreeSet<(u64, spec::JobId, u32)>,
     /// The jobs whose progress is to be written.
@@ -191,12 +195,13 @@
             renewed: taken,
             taken,
             inherited,
+            now: taken,
             wall_ms: 0,
             queues,
             jobs: collections::BTreeMap::new(),
             views: collections::BTreeMap::new(),
             placed: collections::BTreeMap::new(),
-            ready: collections::BTreeSet::new(),
+            ready: collections::BTreeMap::new(),
             future: collections::BTreeSet::new(),
             dirty: collections::VecDeque::new(),
             expired: Vec::new(),
@@ -380,8 +385,9 @@
             let task = spec::TaskId { job, round, step, index };
             let done = entry.progress.tasks.get(&task.into()).is_some_and(|task| task.done);
             if !done && !self.placed.contains_key(&task) {
-                let ends = !spec.lasting;
-                self.ready.insert(Ready { priority, ends, order: entry.order, task });
+                let (lasting, order, since) = (spec.lasting, entry.order, self.now);
+                let ready = Ready { task, priority, lasting, order, since };
+                self.ready.entry(task).or_insert(ready);
             }
         }
         self.changed = true;
@@ -428,7 +434,7 @@
         };
         entry.progress.phase = phase;
         entry.ended = Some(now);
-        self.ready.retain(|ready| ready.task.job != job);
+        self.ready.retain(|task, _| task.job != job);
         self.mark(job);
         let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
         let tasks = self.placed.range(first..).take_while(|(task, _)| task.job == job);
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -8,6 +8,7 @@
 use super::holding;
 use super::order;
 use super::spec;
+use super::worker;
 use crate::id;
 
 /// The strain that is kept free below a target: figures are rough and loads rise meanwhile.
@@ -24,7 +25,13 @@
 const LEAST_STRAIN: f64 = 0.01;
 /// How long a target may be missed before everything that fills the worker stands still, whatever
 /// the model says; the users allow 4 s, and a change takes up to 1.2 s to show.
-const PATIENCE: time::Duration = time::Duration::from_millis(1_600);
+const PATIENCE: time::Duration = time::Duration::from_millis(1_900);
+/// A tail above this part of its target counts as a miss, in percent; figures are rough.
+const MISSED_PERCENT: u64 = 100;
+/// How long a target must be kept until a time of misses is over.
+const KEPT: time::Duration = time::Duration::from_millis(700);
+/// The most by which a share grows at a time, in percent.
+const MOST_GROWTH: f64 = 60.0;
 /// The share below which a task is rather moved, in percent.
 const MOVE_BELOW: u8 = 15;
 /// How long a task may be held back so far before it is moved.
@@ -59,8 +66,33 @@
     pub at: time::Duration,
     /// The strain.
     pub strain: f64,
-    /// Since when the target is missed.
-    pub missed_since: Option<time::Duration>,
+    /// Since when the target is missed, and when it was last.
+    pub missed: Option<Missed>,
+}
+
+/// A time in which a target was missed, with pauses too short to count.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Missed {
+    /// When it began.
+    since: time::Duration,
+    /// When it was last seen.
+    last: time::Duration,
+}
+
+impl Missed {
+    /// Goes on with a time of misses after one more tail; nothing once the target is kept for long.
+    fn next(
+        before: Option<Self>,
+        tail_ms: u64,
+        target_ms: u64,
+        now: time::Duration,
+    ) -> Option<Self> {
+        if tail_ms * 100 > target_ms * MISSED_PERCENT {
+            let since = before.map_or(now, |missed| missed.since);
+            return Some(Self { since, last: now });
+        }
+        before.filter(|missed| now.saturating_sub(missed.last) < KEPT)
+    }
 }
 
 impl holding::Holding {
@@ -125,9 +157,9 @@
                 continue;
             };
             let strain = self.model.strain(serving.image, row.load, serving.target_ms);
-            let before = self.strains.get(&row.task).and_then(|strain| strain.missed_since);
-            let missed_since = (row.load > serving.target_ms).then(|| before.unwrap_or(now));
-            self.strains.insert(row.task, Strain { at: now, strain, missed_since });
+            let before = self.strains.get(&row.task).and_then(|strain| strain.missed);
+            let missed = Missed::next(before, row.load, serving.target_ms, now);
+            self.strains.insert(row.task, Strain { at: now, strain, missed });
             tails.push((row.task, serving, strain));
         }
         tails
@@ -154,9 +186,17 @@
         let Some(view) = self.views.get(worker) else {
             return false;
         };
+        let mut missed = self.misses(view);
+        missed.any(|missed| now.saturating_sub(missed.since) >= PATIENCE)
+    }
+
+    /// Returns the misses of the tasks that serve on a worker.
+    pub(super) fn misses<'a>(
+        &'a self,
+        view: &'a worker::View,
+    ) -> impl Iterator<Item = Missed> + use<'a> {
         let strains = view.serving.keys().filter_map(|task| self.strains.get(task));
-        let mut missed = strains.filter_map(|strain| strain.missed_since);
-        missed.any(|since| now.saturating_sub(since) >= PATIENCE)
+        strains.filter_map(|strain| strain.missed)
     }
 
     /// Lets everything that fills a worker stand still.
@@ -227,7 +267,7 @@
                 if harm > 0.0 { (*room).max(0.0) / harm } else { 1.0 }
             };
             let more = room.iter().map(part).fold(1.0, f64::min) * 1e2;
-            let more = more.min(f64::from(100 - filling.percent));
+            let more = more.min(MOST_GROWTH).min(f64::from(100 - filling.percent));
             if more < LEAST_CHANGE {
                 continue;
             }
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -16,6 +16,12 @@
 const SERVING_USE_PERCENT: u64 = 50;
 /// The least part of its processors that a task that fills should find.
 const FILL_LEAST: f64 = 0.8;
+/// How long a lasting task may be away until it goes first; the users allow 6 s, a start takes 50 ms.
+const LONG_AWAY: time::Duration = time::Duration::from_millis(3_000);
+/// The part of a worker's processors that most tasks that end find enough; both users' are below.
+const USEFUL_ROOM: f64 = 0.15;
+/// What a room left too small weighs against one more image on a worker.
+const SCRAP_WEIGHT: f64 = 1.5;
 /// The strain that one more neighbour may always cause; a tail hardly shows it.
 const HARMLESS: f64 = 0.015;
 /// What a worker's idle processors weigh against the strain on its serving tasks.
@@ -27,14 +33,15 @@
 /// Stages a start for each task that finds a worker.
 pub(super) fn run(holding: &mut holding::Holding, now: time::Duration) {
     let mut blocked = collections::BTreeSet::<Group>::new();
-    let ready: Vec<holding::Ready> = holding.ready.iter().copied().collect();
+    let mut ready: Vec<holding::Ready> = holding.ready.values().copied().collect();
+    ready.sort_by_key(|ready| (ready.priority, turn(ready, now), ready.order, ready.task));
     for task in ready {
         let group = (task.task.job, task.task.round, task.task.step);
         if blocked.contains(&group) {
             continue;
         }
         let Some(step) = step_of(holding, task.task) else {
-            holding.ready.remove(&task);
+            holding.ready.remove(&task.task);
             continue;
         };
         let placed = if step.gang {
@@ -49,6 +56,26 @@
     }
 }
 
+/// The order among tasks of one priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// A lasting task that has been away for long.
+    LongAway,
+    /// A task that ends: somebody waits for its end.
+    Ending,
+    /// A lasting task that was away for a moment only.
+    Lasting,
+}
+
+/// Returns a task's turn among those of its priority.
+fn turn(ready: &holding::Ready, now: time::Duration) -> Turn {
+    match ready.lasting {
+        false => Turn::Ending,
+        true if now.saturating_sub(ready.since) >= LONG_AWAY => Turn::LongAway,
+        true => Turn::Lasting,
+    }
+}
+
 /// Returns the step of a task that is still wanted.
 fn step_of(holding: &holding::Holding, task: spec::TaskId) -> Option<spec::Step> {
     let entry = holding.jobs.get(&task.job).filter(|entry| entry.active())?;
@@ -125,7 +152,7 @@
         state.worker = None;
     }
     holding.staged.retain(|staged| *staged != ready.task);
-    holding.ready.insert(*ready);
+    holding.ready.insert(ready.task, *ready);
 }
 
 /// Returns the number of a task's last start.
@@ -143,7 +170,7 @@
     run: u32,
 ) {
     let task = ready.task;
-    holding.ready.remove(ready);
+    holding.ready.remove(&ready.task);
     let Some(entry) = holding.jobs.get_mut(&task.job) else {
         return;
     };
@@ -235,7 +262,14 @@
     // Serving tasks of one image together leave other workers to what would harm them.
     let others = view.serving.values().filter(|serving| serving.image != image).count();
     let empty = if view.serving.is_empty() { 0.5 } else { 0.0 };
-    Some(others as f64 + empty + left)
+    Some(others as f64 + empty + left + scrap(view, step))
+}
+
+/// Returns what speaks against a room that would be left too small for most tasks that end.
+fn scrap(view: &worker::View, step: &spec::Step) -> f64 {
+    let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+    let left = view.free().minus(&step.reserved()).cpu_milli as f64 / capacity;
+    if left < USEFUL_ROOM { left / USEFUL_ROOM * SCRAP_WEIGHT } else { 0.0 }
 }
 
 /// Returns the harm of a task that fills, with a little for processors that are short.
@@ -249,7 +283,7 @@
     let capacity = view.member.capacity.cpu_milli.max(1) as f64;
     let left = left_for_filling(view) as f64;
     let want = step.size.cpu_milli as f64;
-    if left < want * FILL_LEAST {
+    if left < want * FILL_LEAST || holding.misses(view).next().is_some() {
         return None;
     }
     let part = want / capacity;
