--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -19,6 +19,7 @@
     a_busy_store_means_not_taken_and_when_to_come_back => fleet::run(busy_store()),
     a_bad_job_is_refused_with_a_reason_and_nothing_is_kept => fleet::run(bad_jobs()),
     a_cancelled_job_stops => fleet::run(cancelled()),
+    a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
 }
 
@@ -261,6 +262,17 @@
     service.judge(3);
 }
 
+/// Sends hang-ups to a host while it runs jobs.
+async fn hang_up() {
+    let service = Service::start(1).await;
+    let id = service.submit(0, 8).await;
+    for _ in 0..3 {
+        service.hosts[0].0.signal("-HUP");
+    }
+    service.until(0, id, job::Phase::Completed).await;
+    service.judge(5);
+}
+
 /// Runs the command line against a host.
 async fn command_line() {
     let service = Service::start(1).await;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,7 +21,7 @@
         Err(code) => return code,
     };
     let _writer = log(&settings);
-    match start(settings) {
+    match start(settings, path) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("wharflaned: {err:#}");
@@ -83,15 +83,43 @@
 }
 
 /// Runs the host; this thread carries control.
-fn start(settings: settings::Settings) -> anyhow::Result<()> {
+fn start(settings: settings::Settings, path: &path::Path) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("can't start the control thread")?;
-    runtime.block_on(host::run(settings, asked_to_stop()))?;
+    runtime.block_on(async {
+        let reloads = tokio::spawn(reload(path.to_owned()));
+        let ran = host::run(settings, asked_to_stop()).await;
+        reloads.abort();
+        ran
+    })?;
     Ok(())
 }
 
+/// Reads the settings again at each hang-up, and tells what came of it.
+///
+/// Ports, peers and times stay as they were at the start: a host that is to take other ones is
+/// stopped and started, which costs its callers nothing.
+async fn reload(path: path::PathBuf) {
+    use tokio::signal::unix;
+    let Ok(mut hangup) = unix::signal(unix::SignalKind::hangup()) else {
+        return tracing::warn!("hang-ups can't be heard");
+    };
+    let mut before = fs::read_to_string(&path).ok();
+    while hangup.recv().await.is_some() {
+        match fs::read_to_string(&path) {
+            Err(err) => tracing::warn!(%err, "reload: the settings can't be read"),
+            Ok(text) => {
+                let faults = settings::parse(&text).err().unwrap_or_default().len();
+                let changed = before.as_ref() != Some(&text);
+                tracing::info!(changed, faults, "reload: in force from the next start on");
+                before = Some(text);
+            }
+        }
+    }
+}
+
 /// Ends when the process is asked to stop.
 async fn asked_to_stop() {
     use tokio::signal::unix;
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -353,7 +353,7 @@
                 state.failed_on = Some(worker.clone());
             }
         }
-        self.free(ended.task, ended.kind.label());
+        self.give_back(ended.task);
         self.advance(ended.task, now);
     }
 
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -269,6 +269,14 @@
 
     /// Gives a task's room back and puts it up again where it is still wanted.
     pub(super) fn free(&mut self, task: spec::TaskId, why: &'static str) {
+        if let Some(placed) = self.placed.get(&task) {
+            tracing::info!(%task, run = placed.run, worker = %placed.worker, why, "task freed");
+        }
+        self.give_back(task);
+    }
+
+    /// Gives a task's room back without a line of its own, for a run whose end was logged.
+    pub(super) fn give_back(&mut self, task: spec::TaskId) {
         let Some(placed) = self.placed.remove(&task) else {
             return;
         };
@@ -286,7 +294,6 @@
         }
         self.strains.remove(&task);
         self.staged.retain(|staged| *staged != task);
-        tracing::info!(%task, run = placed.run, worker = %placed.worker, why, "task freed");
         self.mark(task.job);
         self.open_step(task.job, task.round, task.step);
     }
