--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -30,8 +30,6 @@
     pub progress: progress::Progress,
     /// Whether the row of its progress is to be written.
     pub dirty: bool,
-    /// When this holder heard of it.
-    pub heard: time::Duration,
     /// Since when it has ended.
     pub ended: Option<time::Duration>,
 }
@@ -93,17 +91,6 @@
     pub order: u64,
     /// Since when it waits.
     pub since: time::Duration,
-    /// When its job is due; nothing for one that lasts.
-    pub due: Option<Due>,
-}
-
-/// When a job should have come to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Due {
-    /// When it is due.
-    pub at: time::Duration,
-    /// From when on it has waited so long that it goes with those in time again.
-    pub bound: time::Duration,
 }
 
 /// A domain on its holder.
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -17,9 +17,6 @@
 /// The attempts of jobs whose queue is not configured any more.
 const ORPHAN_ATTEMPTS: u32 = 3;
 
-/// How many times what it may take a job waits at most behind those that can still be in time.
-const LONGEST_WAIT: u32 = 4;
-
 impl holding::Holding {
     /// Takes in all rows of the domain.
     pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
@@ -86,15 +83,8 @@
         let spec = sync::Arc::new(spec);
         let (phase, rounds) = (progress.phase, spec.rounds());
         let due: Vec<u64> = (0..rounds).map(|round| spec.due_ms(round)).collect();
-        let entry = holding::Entry {
-            job: spec,
-            order,
-            cancelled: false,
-            progress,
-            dirty: false,
-            heard: now,
-            ended,
-        };
+        let entry =
+            holding::Entry { job: spec, order, cancelled: false, progress, dirty: false, ended };
         self.jobs.insert(job, entry);
         if phase.ended() {
             return;
@@ -143,24 +133,13 @@
             let done = entry.progress.tasks.get(&task.into()).is_some_and(|task| task.done);
             if !done && !self.placed.contains_key(&task) {
                 let (lasting, order, since) = (spec.lasting, entry.order, self.now);
-                let due = (!lasting).then(|| self.due(entry));
-                let ready = holding::Ready { task, priority, lasting, order, since, due };
+                let ready = holding::Ready { task, priority, lasting, order, since };
                 self.ready.entry(task).or_insert(ready);
             }
         }
         self.changed = true;
     }
 
-    /// Returns when a job is due by its queue's terms and its caller's guesses.
-    fn due(&self, entry: &holding::Entry) -> holding::Due {
-        let queue = self.queues.queues.get(&entry.job.queue);
-        let (stretch, objective_ms) =
-            queue.map_or((100, 0), |queue| (queue.stretch_percent, queue.objective_ms));
-        let allowed_ms = entry.job.chain_ms() * stretch / 100 + objective_ms;
-        let allowed = time::Duration::from_millis(allowed_ms);
-        holding::Due { at: entry.heard + allowed, bound: entry.heard + allowed * LONGEST_WAIT }
-    }
-
     /// Returns the priority and the attempts that the queue of a job gives.
     pub(super) fn terms(&self, job: &spec::Job) -> (u32, u32) {
         let queue = self.queues.queues.get(&job.queue);
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -65,14 +65,11 @@
     Ending,
     /// A lasting task that was away for a moment only.
     Lasting,
-    /// A task whose job is late already: one that can be in time is worth more to its caller.
-    Late,
 }
 
 /// Returns a task's turn among those of its priority.
 fn turn(ready: &holding::Ready, now: time::Duration) -> Turn {
     match ready.lasting {
-        false if ready.due.is_some_and(|due| now > due.at && now < due.bound) => Turn::Late,
         false => Turn::Ending,
         true if now.saturating_sub(ready.since) >= LONG_AWAY => Turn::LongAway,
         true => Turn::Lasting,
--- a/crates/wharflane/src/job/spec.rs
+++ b/crates/wharflane/src/job/spec.rs
@@ -242,17 +242,6 @@
         })
     }
 
-    /// Returns the longest chain of work by the caller's guesses, in milliseconds.
-    #[must_use]
-    pub fn chain_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::new();
-        for step in &self.steps {
-            let before = step.after.iter().filter_map(|after| ends.get(*after as usize));
-            ends.push(before.max().copied().unwrap_or(0) + step.estimate_ms);
-        }
-        ends.into_iter().max().unwrap_or(0)
-    }
-
     /// Returns one of the steps.
     #[must_use]
     pub fn step(&self, step: u32) -> Option<&Step> {
