--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -353,6 +353,7 @@
         job::Event::Loaded {
             jobs: self.rows.all(job::JOBS, &part),
             progress: self.rows.all(job::PROGRESS, &part),
+            learned: self.rows.get(&job::learned_key(0)).and_then(|row| row.value),
         }
     }
 
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -18,6 +18,8 @@
 const MAX_JOBS: usize = 45;
 /// The time between two counts of what waits; readers are promised counts of at most 2 s.
 const COUNT_EVERY: time::Duration = time::Duration::from_millis(700);
+/// The time between two writes of what was learned; some 5 KB each.
+const LEARNED_EVERY: time::Duration = time::Duration::from_secs(2);
 /// The wait before a transaction without an answer is sent again.
 const RETRY: time::Duration = time::Duration::from_millis(150);
 
@@ -136,6 +138,7 @@
             }
         }
         self.add_counts(&mut txn, now)?;
+        self.add_learned(&mut txn, now)?;
         let staged = std::mem::take(&mut self.staged);
         let (starts, later) =
             staged.into_iter().partition(|task: &spec::TaskId| jobs.contains(&task.job));
@@ -178,6 +181,22 @@
         Ok(())
     }
 
+    /// Adds what was learned, from time to time.
+    fn add_learned(
+        &mut self,
+        txn: &mut rows::Txn,
+        now: time::Duration,
+    ) -> Result<(), serde_json::Error> {
+        if now.saturating_sub(self.kept_at) < LEARNED_EVERY {
+            return Ok(());
+        }
+        self.kept_at = now;
+        let key = kept::learned_key(self.settings.domain);
+        let value = Some(serde_json::to_string(&self.model)?);
+        txn.writes.push(rows::Write { key, value });
+        Ok(())
+    }
+
     /// Logs how much there is to do and what is in use.
     fn log_state(&self) {
         let sum = |pick: fn(&worker::View) -> u64| self.views.values().map(pick).sum::<u64>();
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -57,6 +57,8 @@
         jobs: Vec<rows::Row>,
         /// How far they have come.
         progress: Vec<rows::Row>,
+        /// What holders before have learned.
+        learned: Option<String>,
     },
     /// The rows of the domain could not be read.
     LoadFailed,
@@ -206,7 +208,9 @@
             Event::Tick { wall_ms } => return self.tick(now, wall_ms),
             Event::LeaseRead(row) => return self.lease_read(now, row),
             Event::LeaseUnread => {}
-            Event::Loaded { jobs, progress } => return self.loaded(now, &jobs, &progress),
+            Event::Loaded { jobs, progress, learned } => {
+                return self.loaded(now, &jobs, &progress, learned.as_deref());
+            }
             Event::LoadFailed => {
                 if matches!(self.role, Role::Loading { .. }) {
                     return vec![Effect::Load];
@@ -402,6 +406,7 @@
         now: time::Duration,
         jobs: &[rows::Row],
         progress: &[rows::Row],
+        learned: Option<&str>,
     ) -> Vec<Effect> {
         let Role::Loading { lease, version, taken, inherited } = &self.role else {
             return Vec::new();
@@ -413,6 +418,7 @@
             (*taken, *inherited),
             sync::Arc::clone(&self.queues),
         );
+        holding.restore_learned(learned);
         holding.load(jobs, progress, now);
         holding.set_members(&self.members, now);
         if self.leaving {
--- a/crates/wharflane/src/job/harm.rs
+++ b/crates/wharflane/src/job/harm.rs
@@ -7,6 +7,8 @@
 
 use std::collections;
 
+use serde::{Deserialize, Serialize};
+
 /// The strain that a whole worker's processors in use are taken to cause before any was seen.
 const PRIOR: f64 = 0.5;
 /// How sure that is, as a variance; the harm of pairs was seen to lie between 0 and 2.5.
@@ -27,7 +29,7 @@
 const MOST_STRAIN: f64 = 0.98;
 
 /// An image, numbered by this holder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(super) struct Image(usize);
 
 /// Part of a worker's processors that tasks of an image use.
@@ -42,7 +44,7 @@
 /// Least squares, one observation at a time, of the strain on one serving image.
 ///
 /// The first factor is the offset, the others are the images in the order they were seen.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Fit {
     /// The filling images.
     images: Vec<Image>,
@@ -118,8 +120,8 @@
     a.iter().zip(b).map(|(a, b)| a * b).sum()
 }
 
-/// What was learned; lost with the holder and learned anew.
-#[derive(Debug, Default)]
+/// What was learned; kept in the store from time to time, so that the next holder goes on from it.
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct Model {
     /// The names of the images.
     names: Vec<String>,
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -146,6 +146,8 @@
     pub(super) placed_at: time::Duration,
     /// What was learned of who harms whom.
     pub(super) model: harm::Model,
+    /// When that was last written.
+    pub(super) kept_at: time::Duration,
     /// The strains of serving tasks as they were last told.
     pub(super) strains: collections::BTreeMap<spec::TaskId, pace::Strain>,
     /// Whether a worker has seen a higher epoch.
@@ -210,6 +212,7 @@
             changed: true,
             placed_at: time::Duration::ZERO,
             model: harm::Model::default(),
+            kept_at: taken,
             strains: collections::BTreeMap::new(),
             fenced: false,
             leaving: false,
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -18,6 +18,17 @@
 const ORPHAN_ATTEMPTS: u32 = 3;
 
 impl holding::Holding {
+    /// Goes on from what holders before have learned; without it everything is learned anew.
+    pub(super) fn restore_learned(&mut self, learned: Option<&str>) {
+        let Some(text) = learned else {
+            return;
+        };
+        match serde_json::from_str(text) {
+            Ok(model) => self.model = model,
+            Err(err) => tracing::warn!(%err, "what was learned can't be read, learned anew"),
+        }
+    }
+
     /// Takes in all rows of the domain.
     pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
         let mut known = collections::BTreeMap::new();
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -17,6 +17,8 @@
 pub const LEASES: &str = "leases";
 /// The table of what waits in the queues.
 pub const WAITING: &str = "waiting";
+/// The table of what holders have learned.
+pub const LEARNED: &str = "learned";
 /// The only key of a lease or of counts within its part.
 const ONLY: &str = "only";
 
@@ -51,6 +53,12 @@
     rows::Key { table: WAITING, part: part(domain), name: ONLY.to_owned() }
 }
 
+/// Returns the key of what the holders of a domain have learned.
+#[must_use]
+pub fn learned_key(domain: u32) -> rows::Key {
+    rows::Key { table: LEARNED, part: part(domain), name: ONLY.to_owned() }
+}
+
 /// The row of an accepted job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
