--- a/crates/wharflane/tests/job.rs
+++ b/crates/wharflane/tests/job.rs
@@ -125,6 +125,12 @@
 
     /// Hands in a job of one step.
     fn submit(&mut self, number: u64, queue: &str, step: job::Step) {
+        let event = self.accepted(number, queue, step);
+        self.take(event);
+    }
+
+    /// Returns the event of a job of one step that was accepted.
+    fn accepted(&mut self, number: u64, queue: &str, step: job::Step) -> job::Event {
         let job = job::Job {
             queue: queue.to_owned(),
             service: "service".into(),
@@ -134,12 +140,12 @@
         };
         let value = serde_json::to_string(&job::Accepted { job, cancelled: false });
         self.version += 1;
-        self.take(job::Event::Jobs(vec![rows::Row {
+        job::Event::Jobs(vec![rows::Row {
             name: job::JobId(number).to_string(),
             part: job::part(0),
             version: self.version,
             value: value.ok(),
-        }]));
+        }])
     }
 
     /// Returns the harm that is learned between the two images of these tests.
@@ -223,9 +229,11 @@
         let mut desk = Desk::new(1, None);
         desk.pass(500, false);
         // The store is silent from here on: nothing renews the lease.
-        desk.now += world::settings().lease;
-        desk.submit(1, "first", step("plain", 1_000));
-        let effects = desk.engine.step(desk.now, job::Event::Tick { wall_ms: 0 });
+        // Long enough for a look at the idle worker to be due.
+        desk.now += world::settings().lease + world::settings().look_idle;
+        let event = desk.accepted(1, "first", step("plain", 1_000));
+        let mut effects = desk.engine.step(desk.now, event);
+        effects.extend(desk.engine.step(desk.now, job::Event::Tick { wall_ms: 0 }));
         let order = |effect: &job::Effect| {
             matches!(effect, job::Effect::Start(_) | job::Effect::Look(_) | job::Effect::Stop(_))
         };
