A job that is handed in is tried for 45 percent of its caller's time, then told as not known

Now 504 comes by 1.4 s of 3 s, with when to come back; a store that turns the write away is told at once as before. Test a_silent_store_means_not_known_within_half_of_the_callers_time: a client that waits 2 s is answered.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -17,6 +17,7 @@
     jobs_are_kept_when_all_hosts_die_after_the_answer => fleet::run(all_killed()),
     a_submission_whose_write_had_no_answer_is_one_job => fleet::run(lost_answers()),
     a_busy_store_means_not_taken_and_when_to_come_back => fleet::run(busy_store()),
+    a_silent_store_means_not_known_within_half_of_the_callers_time => fleet::run(silent_store()),
     a_bad_job_is_refused_with_a_reason_and_nothing_is_kept => fleet::run(bad_jobs()),
     a_cancelled_job_stops => fleet::run(cancelled()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
@@ -207,6 +208,20 @@
     service.judge(0);
 }
 
+/// Hands a job in while the store takes calls and never answers.
+///
+/// The host's own time for a caller that names none is 3 s: it tells that nothing is known by one
+/// and a half, long before the client's own 5 s.
+async fn silent_store() {
+    let service = Service::start(1).await;
+    service.platform.lock().faults.store_silent = true;
+    let client = caller::Jobs::new(service.hosts[0].1, time::Duration::from_secs(2));
+    let told = client.submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let unknown = matches!(told, Err(caller::JobError::Refused { status: 504, .. }));
+    assert!(unknown, "{told:?}");
+    service.judge(0);
+}
+
 /// Hands in jobs that can't be taken.
 async fn bad_jobs() {
     let service = Service::start(1).await;
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -13,6 +13,9 @@
 
 /// When a caller that was turned away may come back: about as long as a short outage.
 const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// The part of a caller's time in which a job that is handed in is tried here, in percent; leaves
+/// as much for another host.
+const TRY_PERCENT: u32 = 45;
 /// The wait before a call of the store is made again.
 const AGAIN: time::Duration = time::Duration::from_millis(100);
 /// How long counts of what waits are kept; callers are promised counts of at most 2 s.
@@ -67,10 +70,23 @@
             expects: vec![rows::Expect { key: key.clone(), version: 0 }],
             writes: vec![rows::Write { key, value: Some(value) }],
         };
+        // Another host may reach the store where this one does not, so the caller is told in time
+        // to ask there.
+        let now = self.shared.clock.now();
+        let give_up = now + deadline.saturating_sub(now) * TRY_PERCENT / 100;
+        let tries = self.keep(&txn, give_up);
+        let left = give_up.saturating_sub(now);
+        tokio::time::timeout(left, tries)
+            .await
+            .unwrap_or(job::Answer::Unknown { retry_after: RETRY_AFTER })
+    }
+
+    /// Writes the row of a job until it is known to stand, or known not to.
+    async fn keep(&self, txn: &rows::Txn, give_up: time::Duration) -> job::Answer {
         // Once a write had no answer it may land late, so only its row tells what is true.
         let mut doubt = false;
         loop {
-            match self.transact(&txn).await {
+            match self.transact(txn).await {
                 // The same job came before, or an earlier sending of this write has landed.
                 Ok(_) => return job::Answer::Accepted,
                 Err(store::StoreError::TurnedAway { .. }) if !doubt => {
@@ -78,7 +94,7 @@
                 }
                 Err(err) => doubt |= !matches!(err, store::StoreError::TurnedAway { .. }),
             }
-            if !self.again(deadline).await {
+            if !self.again(give_up).await {
                 return job::Answer::Unknown { retry_after: RETRY_AFTER };
             }
         }
