--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod capacity;
 pub mod forwarder;
 pub mod harm;
+pub mod journal;
 pub mod limits;
 pub mod load;
 pub mod queueing;
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -187,6 +187,7 @@
         renew: shared.time("renew_ms"),
         hold: hold_max.min(shared.time("hold_ms")),
         hold_max,
+        stop: shared.time("stop_ms"),
         look: shared.time("look_ms"),
         look_idle: shared.time("look_idle_ms"),
         keep: time::Duration::from_secs(shared.settings.number("jobs", "keep_s")),
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -444,6 +444,7 @@
         renew: millis(700),
         hold: millis(4_000),
         hold_max: worker::HOLD_MAX,
+        stop: millis(900),
         look: millis(1_000),
         look_idle: millis(4_000),
         keep: millis(120_000),
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -12,8 +12,8 @@
 
 /// The wait before an order without an answer is given again.
 const ORDER_AGAIN: time::Duration = time::Duration::from_millis(400);
-/// The wait before a stop that shows no effect is given again; a stop takes up to 900 ms.
-const STOP_AGAIN: time::Duration = time::Duration::from_millis(1_200);
+/// What is added to the time of a stop before it is given again: the trips, and one look.
+const STOP_SLACK: time::Duration = time::Duration::from_millis(300);
 /// The wait after a look without an answer, and how often it may double.
 const LOOK_AGAIN: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
 /// How long a worker that refuses for want of room, or is not well, gets nothing new.
@@ -90,7 +90,8 @@
             holding::Link::Ordered | holding::Link::Doubtful(_) => return,
             holding::Link::There(_) | holding::Link::Inherited => {}
         }
-        let due = placed.stopped.is_none_or(|at| now.saturating_sub(at) >= STOP_AGAIN);
+        let again = self.settings.stop + STOP_SLACK;
+        let due = placed.stopped.is_none_or(|at| now.saturating_sub(at) >= again);
         let Some(view) = self.views.get(&placed.worker).filter(|_| due) else {
             return;
         };
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -31,6 +31,8 @@
     pub hold: time::Duration,
     /// The longest lease that a worker grants, which earlier holders may have asked for.
     pub hold_max: time::Duration,
+    /// The longest time that a stop of a task takes.
+    pub stop: time::Duration,
     /// How long a look waits for an end.
     pub look: time::Duration,
     /// The time between two looks at a worker where nothing runs.
