No module of the engine imports another in a circle

worker and pace, holding and place, holding and commit, engine and holding imported each other. What an engine is told and asks for is event.rs now, the types of neighbours stand with the worker, the search for workers with placement.

--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -6,7 +6,7 @@
 use std::collections;
 use std::time;
 
-use super::engine;
+use super::event;
 use super::holding;
 use super::rows as kept;
 use super::spec;
@@ -23,27 +23,6 @@
 /// The wait before a transaction without an answer is sent again.
 const RETRY: time::Duration = time::Duration::from_millis(150);
 
-/// A transaction whose fate is open.
-#[derive(Debug)]
-pub(super) struct Pending {
-    /// Its number as it was sent last.
-    number: u64,
-    /// The transaction, sent again unchanged where it must be.
-    txn: rows::Txn,
-    /// The lease that it writes.
-    lease: kept::Lease,
-    /// When it was first sent, from which the lease counts.
-    sent: time::Duration,
-    /// When it is to be sent again.
-    again: Option<time::Duration>,
-    /// The ends that it makes last, by worker.
-    heard: Vec<(id::WorkerId, u64)>,
-    /// The starts that it makes last.
-    starts: Vec<spec::TaskId>,
-    /// The ended jobs whose rows it removes.
-    removed: Vec<spec::JobId>,
-}
-
 /// What became of a transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fate {
@@ -85,14 +64,14 @@
 
 impl holding::Holding {
     /// Returns the next transaction, if one is due and none is under way.
-    pub(super) fn commit(&mut self, now: time::Duration, number: u64) -> Option<engine::Effect> {
+    pub(super) fn commit(&mut self, now: time::Duration, number: u64) -> Option<event::Effect> {
         if let Some(pending) = &mut self.pending {
             if pending.again.is_none_or(|at| now < at) {
                 return None;
             }
             pending.again = None;
             pending.number = number;
-            return Some(engine::Effect::Txn(number, pending.txn.clone()));
+            return Some(event::Effect::Txn(number, pending.txn.clone()));
         }
         let gap = now.saturating_sub(self.committed);
         let news = !self.dirty.is_empty() || !self.expired.is_empty() || self.leaving;
@@ -100,7 +79,7 @@
             return None;
         }
         match self.gather(now, number) {
-            Ok(txn) => Some(engine::Effect::Txn(number, txn)),
+            Ok(txn) => Some(event::Effect::Txn(number, txn)),
             Err(err) => {
                 tracing::error!(%err, "a row can't be encoded; the domain stands still");
                 None
@@ -145,7 +124,7 @@
         self.staged = later;
         // Ends are acknowledged only with everything that followed from them.
         let heard = if whole { self.unacknowledged() } else { Vec::new() };
-        let pending = Pending {
+        let pending = holding::Pending {
             number,
             txn: txn.clone(),
             lease,
@@ -255,7 +234,7 @@
                 return Fate::Lost;
             }
             tracing::warn!(number, seq = pending.lease.seq, "commit in doubt, sent again");
-            self.pending = Some(Pending { again: Some(now + RETRY), ..pending });
+            self.pending = Some(holding::Pending { again: Some(now + RETRY), ..pending });
             return Fate::Open;
         };
         self.version = version;
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::time;
 
-use super::engine;
+use super::event;
 use super::holding;
 use super::order;
 use super::progress;
@@ -75,7 +75,7 @@
         );
         let spec = entry.job.spec.clone();
         let start = order::Start { order, spec, lease_until_ms, checkpoint };
-        self.out.push(engine::Effect::Start(start));
+        self.out.push(event::Effect::Start(start));
     }
 
     /// Orders a placed task to stop.
@@ -98,7 +98,7 @@
         placed.stopped = Some(now);
         let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
         tracing::info!(%task, run = placed.run, worker = %placed.worker, "stop ordered");
-        self.out.push(engine::Effect::Stop(order));
+        self.out.push(event::Effect::Stop(order));
     }
 
     /// Gives orders again that had no answer.
@@ -208,7 +208,7 @@
                 wait,
             });
         }
-        self.out.extend(looks.into_iter().map(engine::Effect::Look));
+        self.out.extend(looks.into_iter().map(event::Effect::Look));
     }
 
     /// Takes the answer to a look.
@@ -346,7 +346,7 @@
             return;
         };
         tracing::warn!(task = %row.task, run = row.run, %worker, "unknown run is stopped");
-        self.out.push(engine::Effect::Stop(order::Order {
+        self.out.push(event::Effect::Stop(order::Order {
             worker: worker.clone(),
             addr: view.member.addr,
             task: row.task,
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -4,120 +4,14 @@
 use std::sync;
 use std::time;
 
+use super::event;
 use super::holding;
 use super::order;
 use super::queue;
 use super::rows as kept;
-use super::spec;
 use crate::id;
 use crate::rows;
 
-/// How an engine is timed.
-#[derive(Clone, Copy, Debug)]
-pub struct Settings {
-    /// The domain.
-    pub domain: u32,
-    /// How long a lease row must stand unchanged before another host may take it.
-    pub lease: time::Duration,
-    /// How much earlier a holder stops by itself, for clocks that run apart.
-    pub margin: time::Duration,
-    /// The time between two reads of a lease that another host holds.
-    pub poll: time::Duration,
-    /// The least time between two commits.
-    pub commit: time::Duration,
-    /// The longest time between two commits.
-    pub renew: time::Duration,
-    /// The lease of tasks on a worker.
-    pub hold: time::Duration,
-    /// The longest lease that a worker grants, which earlier holders may have asked for.
-    pub hold_max: time::Duration,
-    /// The longest time that a stop of a task takes.
-    pub stop: time::Duration,
-    /// How long a look waits for an end.
-    pub look: time::Duration,
-    /// The time between two looks at a worker where nothing runs.
-    pub look_idle: time::Duration,
-    /// How long an ended job can be asked for.
-    pub keep: time::Duration,
-}
-
-/// What happens to an engine.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick {
-        /// The time of day, in milliseconds since 1970.
-        wall_ms: u64,
-    },
-    /// The lease row was read: a version and a value, or nothing for an absent row.
-    LeaseRead(Option<(u64, kept::Lease)>),
-    /// The lease row could not be read.
-    LeaseUnread,
-    /// All rows of the domain were read.
-    Loaded {
-        /// The accepted jobs.
-        jobs: Vec<rows::Row>,
-        /// How far they have come.
-        progress: Vec<rows::Row>,
-        /// What holders before have learned.
-        learned: Option<String>,
-    },
-    /// The rows of the domain could not be read.
-    LoadFailed,
-    /// A transaction was answered, or its answer was lost.
-    Txn {
-        /// Which one.
-        number: u64,
-        /// The answer.
-        answer: Option<rows::Answer>,
-    },
-    /// Rows of accepted jobs were written or read anew.
-    Jobs(Vec<rows::Row>),
-    /// The store's list of workers was read as a whole.
-    Listed(Vec<order::Member>),
-    /// One worker was listed, or is not any more.
-    Member(id::WorkerId, Option<order::Member>),
-    /// The queues changed.
-    Queues(sync::Arc<queue::Queues>),
-    /// A worker answered an order to start, or did not.
-    Started {
-        /// The order.
-        order: order::Order,
-        /// The answer.
-        answer: order::StartAnswer,
-    },
-    /// A worker answered a look, or did not.
-    Looked {
-        /// The worker.
-        worker: id::WorkerId,
-        /// The epoch of the look.
-        epoch: u64,
-        /// The answer.
-        answer: order::LookAnswer,
-    },
-    /// This host is about to stop.
-    Leave,
-}
-
-/// What an engine asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Read the lease row.
-    ReadLease,
-    /// Read all rows of the domain.
-    Load,
-    /// Send a transaction.
-    Txn(u64, rows::Txn),
-    /// Start a task.
-    Start(order::Start),
-    /// Stop a task.
-    Stop(order::Order),
-    /// Look at a worker.
-    Look(order::Look),
-    /// Change the share at which a task works.
-    Pace(order::Pace),
-}
-
 /// What an engine is to its domain.
 #[derive(Debug)]
 enum Role {
@@ -166,7 +60,7 @@
     /// The mark of this process.
     nonce: u64,
     /// The times.
-    settings: Settings,
+    settings: event::Settings,
     /// What this host is to the domain.
     role: Role,
     /// The lease seen last.
@@ -186,7 +80,7 @@
 impl Engine {
     /// Makes an engine that watches; `nonce` differs between any two processes.
     #[must_use]
-    pub fn new(own: id::HostId, settings: Settings, nonce: u64) -> Self {
+    pub fn new(own: id::HostId, settings: event::Settings, nonce: u64) -> Self {
         Self {
             own,
             nonce,
@@ -202,36 +96,36 @@
     }
 
     /// Takes an event and returns what is to be done.
-    pub fn step(&mut self, now: time::Duration, event: Event) -> Vec<Effect> {
+    pub fn step(&mut self, now: time::Duration, event: event::Event) -> Vec<event::Effect> {
         if let Role::Holding(holding) = &mut self.role {
             holding.now = now;
         }
         match event {
-            Event::Tick { wall_ms } => return self.tick(now, wall_ms),
-            Event::LeaseRead(row) => return self.lease_read(now, row),
-            Event::LeaseUnread => {}
-            Event::Loaded { jobs, progress, learned } => {
+            event::Event::Tick { wall_ms } => return self.tick(now, wall_ms),
+            event::Event::LeaseRead(row) => return self.lease_read(now, row),
+            event::Event::LeaseUnread => {}
+            event::Event::Loaded { jobs, progress, learned } => {
                 return self.loaded(now, &jobs, &progress, learned.as_deref());
             }
-            Event::LoadFailed => {
+            event::Event::LoadFailed => {
                 if matches!(self.role, Role::Loading { .. }) {
-                    return vec![Effect::Load];
+                    return vec![event::Effect::Load];
                 }
             }
-            Event::Txn { number, answer } => return self.answered(now, number, answer),
-            Event::Leave => {
+            event::Event::Txn { number, answer } => return self.answered(now, number, answer),
+            event::Event::Leave => {
                 self.leaving = true;
                 if let Role::Holding(holding) = &mut self.role {
                     holding.leave();
                 }
             }
-            Event::Listed(list) => {
+            event::Event::Listed(list) => {
                 self.members = list.iter().map(|m| (m.id.clone(), m.clone())).collect();
                 if let Role::Holding(holding) = &mut self.role {
                     holding.set_members(&self.members, now);
                 }
             }
-            Event::Member(worker, member) => {
+            event::Event::Member(worker, member) => {
                 match member.clone() {
                     Some(member) => self.members.insert(worker.clone(), member),
                     None => self.members.remove(&worker),
@@ -240,23 +134,23 @@
                     holding.set_member(&worker, member, now);
                 }
             }
-            Event::Queues(queues) => {
+            event::Event::Queues(queues) => {
                 self.queues = sync::Arc::clone(&queues);
                 if let Role::Holding(holding) = &mut self.role {
                     holding.queues = queues;
                 }
             }
-            Event::Jobs(rows) => {
+            event::Event::Jobs(rows) => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.jobs_read(&rows, now);
                 }
             }
-            Event::Started { order, answer } => {
+            event::Event::Started { order, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.started(&order, answer, now);
                 }
             }
-            Event::Looked { worker, epoch, answer } => {
+            event::Event::Looked { worker, epoch, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.looked(&worker, epoch, answer, now);
                 }
@@ -287,7 +181,7 @@
     }
 
     /// Does what is due.
-    fn tick(&mut self, now: time::Duration, wall_ms: u64) -> Vec<Effect> {
+    fn tick(&mut self, now: time::Duration, wall_ms: u64) -> Vec<event::Effect> {
         if let Role::Holding(holding) = &mut self.role {
             holding.tick(now, wall_ms);
             return self.pump(now);
@@ -297,16 +191,16 @@
             return Vec::new();
         }
         self.polled = Some(now);
-        vec![Effect::ReadLease]
+        vec![event::Effect::ReadLease]
     }
 
     /// Lets the holder act on what has happened.
-    fn pump(&mut self, now: time::Duration) -> Vec<Effect> {
+    fn pump(&mut self, now: time::Duration) -> Vec<event::Effect> {
         let Role::Holding(holding) = &mut self.role else {
             return Vec::new();
         };
         let mut effects = holding.pump(now, self.numbers + 1);
-        if effects.iter().any(|effect| matches!(effect, Effect::Txn(..))) {
+        if effects.iter().any(|effect| matches!(effect, event::Effect::Txn(..))) {
             self.numbers += 1;
         }
         if holding.fenced {
@@ -317,7 +211,11 @@
     }
 
     /// Takes the lease if it is free, or its holder has let it lapse.
-    fn lease_read(&mut self, now: time::Duration, row: Option<(u64, kept::Lease)>) -> Vec<Effect> {
+    fn lease_read(
+        &mut self,
+        now: time::Duration,
+        row: Option<(u64, kept::Lease)>,
+    ) -> Vec<event::Effect> {
         if !matches!(self.role, Role::Watching) {
             return Vec::new();
         }
@@ -359,7 +257,7 @@
             return Vec::new();
         };
         self.role = Role::Acquiring { number: self.numbers, lease: next, sent: now, inherited };
-        vec![Effect::Txn(self.numbers, txn)]
+        vec![event::Effect::Txn(self.numbers, txn)]
     }
 
     /// Takes the answer to a transaction.
@@ -368,7 +266,7 @@
         now: time::Duration,
         number: u64,
         answer: Option<rows::Answer>,
-    ) -> Vec<Effect> {
+    ) -> Vec<event::Effect> {
         match &mut self.role {
             Role::Acquiring { number: sent_number, lease, sent, inherited }
                 if *sent_number == number =>
@@ -382,7 +280,7 @@
                 };
                 let (lease, taken, inherited) = (lease.clone(), *sent, *inherited);
                 self.role = Role::Loading { lease, version, taken, inherited };
-                vec![Effect::Load]
+                vec![event::Effect::Load]
             }
             Role::Holding(holding) => {
                 match holding.answered(number, answer.as_ref(), now) {
@@ -409,7 +307,7 @@
         jobs: &[rows::Row],
         progress: &[rows::Row],
         learned: Option<&str>,
-    ) -> Vec<Effect> {
+    ) -> Vec<event::Effect> {
         let Role::Loading { lease, version, taken, inherited } = &self.role else {
             return Vec::new();
         };
@@ -446,12 +344,3 @@
         self.polled = Some(now);
     }
 }
-
-/// Returns the name of a job from the key of its row.
-pub(super) fn job_of(row: &rows::Row) -> Option<spec::JobId> {
-    let job = row.name.parse().ok();
-    if job.is_none() {
-        tracing::warn!(key = %row.name, "row without a job's name passed over");
-    }
-    job
-}
--- /dev/null
+++ b/crates/wharflane/src/job/event.rs
@@ -0,0 +1,116 @@
+//! What happens to an engine, what it asks for, and how it is timed.
+
+use std::sync;
+use std::time;
+
+use super::order;
+use super::queue;
+use super::rows as kept;
+use crate::id;
+use crate::rows;
+
+/// How an engine is timed.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The domain.
+    pub domain: u32,
+    /// How long a lease row must stand unchanged before another host may take it.
+    pub lease: time::Duration,
+    /// How much earlier a holder stops by itself, for clocks that run apart.
+    pub margin: time::Duration,
+    /// The time between two reads of a lease that another host holds.
+    pub poll: time::Duration,
+    /// The least time between two commits.
+    pub commit: time::Duration,
+    /// The longest time between two commits.
+    pub renew: time::Duration,
+    /// The lease of tasks on a worker.
+    pub hold: time::Duration,
+    /// The longest lease that a worker grants, which earlier holders may have asked for.
+    pub hold_max: time::Duration,
+    /// The longest time that a stop of a task takes.
+    pub stop: time::Duration,
+    /// How long a look waits for an end.
+    pub look: time::Duration,
+    /// The time between two looks at a worker where nothing runs.
+    pub look_idle: time::Duration,
+    /// How long an ended job can be asked for.
+    pub keep: time::Duration,
+}
+
+/// What happens to an engine.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick {
+        /// The time of day, in milliseconds since 1970.
+        wall_ms: u64,
+    },
+    /// The lease row was read: a version and a value, or nothing for an absent row.
+    LeaseRead(Option<(u64, kept::Lease)>),
+    /// The lease row could not be read.
+    LeaseUnread,
+    /// All rows of the domain were read.
+    Loaded {
+        /// The accepted jobs.
+        jobs: Vec<rows::Row>,
+        /// How far they have come.
+        progress: Vec<rows::Row>,
+        /// What holders before have learned.
+        learned: Option<String>,
+    },
+    /// The rows of the domain could not be read.
+    LoadFailed,
+    /// A transaction was answered, or its answer was lost.
+    Txn {
+        /// Which one.
+        number: u64,
+        /// The answer.
+        answer: Option<rows::Answer>,
+    },
+    /// Rows of accepted jobs were written or read anew.
+    Jobs(Vec<rows::Row>),
+    /// The store's list of workers was read as a whole.
+    Listed(Vec<order::Member>),
+    /// One worker was listed, or is not any more.
+    Member(id::WorkerId, Option<order::Member>),
+    /// The queues changed.
+    Queues(sync::Arc<queue::Queues>),
+    /// A worker answered an order to start, or did not.
+    Started {
+        /// The order.
+        order: order::Order,
+        /// The answer.
+        answer: order::StartAnswer,
+    },
+    /// A worker answered a look, or did not.
+    Looked {
+        /// The worker.
+        worker: id::WorkerId,
+        /// The epoch of the look.
+        epoch: u64,
+        /// The answer.
+        answer: order::LookAnswer,
+    },
+    /// This host is about to stop.
+    Leave,
+}
+
+/// What an engine asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Read the lease row.
+    ReadLease,
+    /// Read all rows of the domain.
+    Load,
+    /// Send a transaction.
+    Txn(u64, rows::Txn),
+    /// Start a task.
+    Start(order::Start),
+    /// Stop a task.
+    Stop(order::Order),
+    /// Look at a worker.
+    Look(order::Look),
+    /// Change the share at which a task works.
+    Pace(order::Pace),
+}
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -4,18 +4,16 @@
 use std::sync;
 use std::time;
 
-use super::commit;
-use super::engine;
+use super::event;
 use super::harm;
 use super::order;
-use super::pace;
-use super::place;
 use super::progress;
 use super::queue;
 use super::rows as kept;
 use super::spec;
 use super::worker;
 use crate::id;
+use crate::rows;
 
 /// A job and how far it has come.
 #[derive(Debug)]
@@ -93,11 +91,32 @@
     pub since: time::Duration,
 }
 
+/// A transaction whose fate is open.
+#[derive(Debug)]
+pub(super) struct Pending {
+    /// Its number as it was sent last.
+    pub number: u64,
+    /// The transaction, sent again unchanged where it must be.
+    pub txn: rows::Txn,
+    /// The lease that it writes.
+    pub lease: kept::Lease,
+    /// When it was first sent, from which the lease counts.
+    pub sent: time::Duration,
+    /// When it is to be sent again.
+    pub again: Option<time::Duration>,
+    /// The ends that it makes last, by worker.
+    pub heard: Vec<(id::WorkerId, u64)>,
+    /// The starts that it makes last.
+    pub starts: Vec<spec::TaskId>,
+    /// The ended jobs whose rows it removes.
+    pub removed: Vec<spec::JobId>,
+}
+
 /// A domain on its holder.
 #[derive(Debug)]
 pub struct Holding {
     /// The times.
-    pub(super) settings: engine::Settings,
+    pub(super) settings: event::Settings,
     /// The lease as it was written last.
     pub(super) lease: kept::Lease,
     /// The version of the lease row.
@@ -131,7 +150,7 @@
     /// Starts that wait for their commit.
     pub(super) staged: Vec<spec::TaskId>,
     /// The transaction under way.
-    pub(super) pending: Option<commit::Pending>,
+    pub(super) pending: Option<Pending>,
     /// When the last transaction was gathered.
     pub(super) committed: time::Duration,
     /// The number of commits.
@@ -149,13 +168,13 @@
     /// When that was last written.
     pub(super) kept_at: time::Duration,
     /// The strains of serving tasks as they were last told.
-    pub(super) strains: collections::BTreeMap<spec::TaskId, pace::Strain>,
+    pub(super) strains: collections::BTreeMap<spec::TaskId, worker::Strain>,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
     pub(super) leaving: bool,
     /// Effects that wait to be handed out.
-    pub(super) out: Vec<engine::Effect>,
+    pub(super) out: Vec<event::Effect>,
 }
 
 /// The state for operators.
@@ -180,7 +199,7 @@
 impl Holding {
     /// Makes a holder that knows no job yet.
     pub(super) fn new(
-        settings: engine::Settings,
+        settings: event::Settings,
         lease: kept::Lease,
         version: u64,
         (taken, inherited): (time::Duration, time::Duration),
@@ -260,7 +279,7 @@
     }
 
     /// Acts on what has happened and returns what is to be done.
-    pub(super) fn pump(&mut self, now: time::Duration, number: u64) -> Vec<engine::Effect> {
+    pub(super) fn pump(&mut self, now: time::Duration, number: u64) -> Vec<event::Effect> {
         if self.may_order(now) && !self.leaving {
             self.place_ready(now);
             self.repeat_orders(now);
@@ -302,20 +321,6 @@
         self.mark(task.job);
         self.open_step(task.job, task.round, task.step);
     }
-
-    /// Seeks workers for the tasks whose turn has come.
-    fn place_ready(&mut self, now: time::Duration) {
-        let again = now.saturating_sub(self.placed_at) >= place::RETRY;
-        if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
-            return;
-        }
-        if now.saturating_sub(self.committed) < self.settings.commit {
-            return;
-        }
-        self.changed = false;
-        self.placed_at = now;
-        place::run(self, now);
-    }
 }
 
 /// Makes the order for a placed task.
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -4,7 +4,6 @@
 use std::sync;
 use std::time;
 
-use super::engine;
 use super::holding;
 use super::progress;
 use super::rows as kept;
@@ -33,7 +32,7 @@
     pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
         let mut known = collections::BTreeMap::new();
         for row in progress {
-            let (Some(job), Some(text)) = (engine::job_of(row), &row.value) else {
+            let (Some(job), Some(text)) = (job_of(row), &row.value) else {
                 continue;
             };
             match progress::Progress::decode(text) {
@@ -218,7 +217,7 @@
 
 /// Reads the row of an accepted job.
 fn read_job(row: &rows::Row) -> Option<(spec::JobId, kept::Accepted)> {
-    let job = engine::job_of(row)?;
+    let job = job_of(row)?;
     let text = row.value.as_deref()?;
     match serde_json::from_str(text) {
         Ok(accepted) => Some((job, accepted)),
@@ -228,3 +227,12 @@
         }
     }
 }
+
+/// Returns the name of a job from the key of its row.
+fn job_of(row: &rows::Row) -> Option<spec::JobId> {
+    let job = row.name.parse().ok();
+    if job.is_none() {
+        tracing::warn!(key = %row.name, "row without a job's name passed over");
+    }
+    job
+}
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -8,6 +8,7 @@
 mod commit;
 mod ends;
 mod engine;
+mod event;
 mod harm;
 mod holding;
 mod intake;
@@ -22,7 +23,8 @@
 mod worker;
 
 pub use call::{Answer, Call};
-pub use engine::{Effect, Engine, Event, Settings};
+pub use engine::Engine;
+pub use event::{Effect, Event, Settings};
 pub use holding::{Dump, Holding};
 pub use order::{
     EndKind, Ended, Lists, Look, LookAnswer, Member, Order, Pace, Running, Start, StartAnswer,
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::time;
 
-use super::engine;
+use super::event;
 use super::harm;
 use super::holding;
 use super::order;
@@ -26,10 +26,6 @@
 /// How long a target may be missed before everything that fills the worker stands still, whatever
 /// the model says; the users allow 4 s, and a change takes up to 1.2 s to show.
 const PATIENCE: time::Duration = time::Duration::from_millis(1_900);
-/// A tail above this part of its target counts as a miss, in percent; figures are rough.
-const MISSED_PERCENT: u64 = 100;
-/// How long a target must be kept until a time of misses is over.
-const KEPT: time::Duration = time::Duration::from_millis(700);
 /// The most by which a share grows at a time, in percent.
 const MOST_GROWTH: f64 = 60.0;
 /// The share below which a task is rather moved, in percent.
@@ -37,64 +33,6 @@
 /// How long a task may be held back so far before it is moved.
 const MOVE_AFTER: time::Duration = time::Duration::from_millis(1_200);
 
-/// A task that serves, as its worker's neighbours are weighed against it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Serving {
-    /// What it runs.
-    pub image: harm::Image,
-    /// The tail to keep.
-    pub target_ms: u64,
-}
-
-/// A task that fills a worker.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Filling {
-    /// What it runs.
-    pub image: harm::Image,
-    /// The processors that it asks for.
-    pub cpu_milli: u64,
-    /// The share at which it works.
-    pub percent: u8,
-    /// Since when it is held back so far that it had better move.
-    pub low_since: Option<time::Duration>,
-}
-
-/// The strain of a serving task when it was last told.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Strain {
-    /// When.
-    pub at: time::Duration,
-    /// The strain.
-    pub strain: f64,
-    /// Since when the target is missed, and when it was last.
-    pub missed: Option<Missed>,
-}
-
-/// A time in which a target was missed, with pauses too short to count.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Missed {
-    /// When it began.
-    since: time::Duration,
-    /// When it was last seen.
-    last: time::Duration,
-}
-
-impl Missed {
-    /// Goes on with a time of misses after one more tail; nothing once the target is kept for long.
-    fn next(
-        before: Option<Self>,
-        tail_ms: u64,
-        target_ms: u64,
-        now: time::Duration,
-    ) -> Option<Self> {
-        if tail_ms * 100 > target_ms * MISSED_PERCENT {
-            let since = before.map_or(now, |missed| missed.since);
-            return Some(Self { since, last: now });
-        }
-        before.filter(|missed| now.saturating_sub(missed.last) < KEPT)
-    }
-}
-
 impl holding::Holding {
     /// Returns the strain that the own load of a job's tasks causes, the least of what they tell.
     pub(super) fn own_load(&self, job: spec::JobId, now: time::Duration) -> Option<f64> {
@@ -111,7 +49,7 @@
         lists: &order::Lists,
         now: time::Duration,
     ) {
-        let tails: Vec<(spec::TaskId, Serving, f64)> = self.read_tails(worker, lists, now);
+        let tails: Vec<(spec::TaskId, worker::Serving, f64)> = self.read_tails(worker, lists, now);
         let uses = self.read_uses(worker, lists);
         let mut over = 0.0_f64;
         let mut excess = Vec::new();
@@ -147,7 +85,7 @@
         worker: &id::WorkerId,
         lists: &order::Lists,
         now: time::Duration,
-    ) -> Vec<(spec::TaskId, Serving, f64)> {
+    ) -> Vec<(spec::TaskId, worker::Serving, f64)> {
         let Some(view) = self.views.get(worker) else {
             return Vec::new();
         };
@@ -158,8 +96,8 @@
             };
             let strain = self.model.strain(serving.image, row.load, serving.target_ms);
             let before = self.strains.get(&row.task).and_then(|strain| strain.missed);
-            let missed = Missed::next(before, row.load, serving.target_ms, now);
-            self.strains.insert(row.task, Strain { at: now, strain, missed });
+            let missed = worker::Missed::next(before, row.load, serving.target_ms, now);
+            self.strains.insert(row.task, worker::Strain { at: now, strain, missed });
             tails.push((row.task, serving, strain));
         }
         tails
@@ -194,7 +132,7 @@
     pub(super) fn misses<'a>(
         &'a self,
         view: &'a worker::View,
-    ) -> impl Iterator<Item = Missed> + use<'a> {
+    ) -> impl Iterator<Item = worker::Missed> + use<'a> {
         let strains = view.serving.keys().filter_map(|task| self.strains.get(task));
         strains.filter_map(|strain| strain.missed)
     }
@@ -283,7 +221,7 @@
     fn set_shares(
         &mut self,
         worker: &id::WorkerId,
-        shares: &collections::BTreeMap<spec::TaskId, Filling>,
+        shares: &collections::BTreeMap<spec::TaskId, worker::Filling>,
         now: time::Duration,
     ) {
         let epoch = self.lease.epoch;
@@ -305,7 +243,7 @@
             view.paced = now;
             let order = holding::order_for(placed, view.member.addr, *task, epoch);
             let pace = order::Pace { order, percent: share.percent };
-            self.out.push(engine::Effect::Pace(pace));
+            self.out.push(event::Effect::Pace(pace));
         }
     }
 
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -11,7 +11,7 @@
 use crate::id;
 
 /// The time between two tries while nothing has changed, since rests and paces end by time.
-pub(super) const RETRY: time::Duration = time::Duration::from_millis(100);
+const RETRY: time::Duration = time::Duration::from_millis(100);
 /// The share of a lasting task's processors that it is taken to use; measured by no one yet.
 const SERVING_USE_PERCENT: u64 = 50;
 /// The least part of its processors that a task that fills should find.
@@ -30,8 +30,24 @@
 /// The group of tasks that find room together or not at all.
 type Group = (spec::JobId, u32, u32);
 
+impl holding::Holding {
+    /// Seeks workers for the tasks whose turn has come.
+    pub(super) fn place_ready(&mut self, now: time::Duration) {
+        let again = now.saturating_sub(self.placed_at) >= RETRY;
+        if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
+            return;
+        }
+        if now.saturating_sub(self.committed) < self.settings.commit {
+            return;
+        }
+        self.changed = false;
+        self.placed_at = now;
+        run(self, now);
+    }
+}
+
 /// Stages a start for each task that finds a worker.
-pub(super) fn run(holding: &mut holding::Holding, now: time::Duration) {
+fn run(holding: &mut holding::Holding, now: time::Duration) {
     let mut blocked = collections::BTreeSet::<Group>::new();
     let mut ready: Vec<holding::Ready> = holding.ready.values().copied().collect();
     ready.sort_by_key(|ready| (ready.priority, turn(ready, now), ready.order, ready.task));
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -5,7 +5,6 @@
 
 use super::harm;
 use super::order;
-use super::pace;
 use super::spec;
 use crate::size;
 
@@ -13,9 +12,71 @@
 const SLOW_CLOCK_MILLI: u32 = 20;
 /// Failures in a row after which a worker gets nothing new for a while.
 const FAILURES_BEFORE_REST: u32 = 2;
+/// A tail above this part of its target counts as a miss, in percent; figures are rough.
+const MISSED_PERCENT: u64 = 100;
+/// How long a target must be kept until a time of misses is over.
+const KEPT: time::Duration = time::Duration::from_millis(700);
 /// How long such a worker rests; the users' troubles of this kind last some 4 to 8 s.
 const REST: time::Duration = time::Duration::from_secs(4);
 
+/// A task that serves, as its worker's neighbours are weighed against it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Serving {
+    /// What it runs.
+    pub image: harm::Image,
+    /// The tail to keep.
+    pub target_ms: u64,
+}
+
+/// A task that fills a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Filling {
+    /// What it runs.
+    pub image: harm::Image,
+    /// The processors that it asks for.
+    pub cpu_milli: u64,
+    /// The share at which it works.
+    pub percent: u8,
+    /// Since when it is held back so far that it had better move.
+    pub low_since: Option<time::Duration>,
+}
+
+/// The strain of a serving task when it was last told.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Strain {
+    /// When.
+    pub at: time::Duration,
+    /// The strain.
+    pub strain: f64,
+    /// Since when the target is missed, and when it was last.
+    pub missed: Option<Missed>,
+}
+
+/// A time in which a target was missed, with pauses too short to count.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Missed {
+    /// When it began.
+    pub since: time::Duration,
+    /// When it was last seen.
+    pub last: time::Duration,
+}
+
+impl Missed {
+    /// Goes on with a time of misses after one more tail; nothing once the target is kept for long.
+    pub fn next(
+        before: Option<Self>,
+        tail_ms: u64,
+        target_ms: u64,
+        now: time::Duration,
+    ) -> Option<Self> {
+        if tail_ms * 100 > target_ms * MISSED_PERCENT {
+            let since = before.map_or(now, |missed| missed.since);
+            return Some(Self { since, last: now });
+        }
+        before.filter(|missed| now.saturating_sub(missed.last) < KEPT)
+    }
+}
+
 /// A worker as its holder sees it.
 #[derive(Debug)]
 pub(super) struct View {
@@ -54,9 +115,9 @@
     /// Failed runs in a row.
     pub failures: u32,
     /// The tasks that serve.
-    pub serving: collections::BTreeMap<spec::TaskId, pace::Serving>,
+    pub serving: collections::BTreeMap<spec::TaskId, Serving>,
     /// The tasks that fill.
-    pub filling: collections::BTreeMap<spec::TaskId, pace::Filling>,
+    pub filling: collections::BTreeMap<spec::TaskId, Filling>,
     /// When a share was changed last.
     pub paced: time::Duration,
 }
@@ -156,11 +217,11 @@
     pub fn add(&mut self, task: spec::TaskId, step: &spec::Step, image: harm::Image) {
         if self.tasks.insert(task) {
             if let Some(target_ms) = step.target_ms {
-                self.serving.insert(task, pace::Serving { image, target_ms });
+                self.serving.insert(task, Serving { image, target_ms });
             }
             if step.fills {
                 let cpu_milli = step.size.cpu_milli;
-                let filling = pace::Filling { image, cpu_milli, percent: 100, low_since: None };
+                let filling = Filling { image, cpu_milli, percent: 100, low_since: None };
                 self.filling.insert(task, filling);
             }
             self.used = self.used.plus(&step.reserved());
