--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' command line.
 
+mod jobs;
 mod print;
 mod trial;
 
@@ -103,6 +104,7 @@
         .subcommand(
             clap::Command::new("try").about("Run a demo in one process").args([seconds, json()]),
         )
+        .subcommand(jobs::command())
         .subcommand(clap::Command::new("completion").about("Print a shell completion").arg(shell))
 }
 
@@ -113,6 +115,7 @@
     };
     match name {
         "check" => check(args),
+        "job" => jobs::run(args),
         "completion" => {
             if let Some(shell) = args.get_one::<clap_complete::Shell>("shell") {
                 let mut command = command();
--- /dev/null
+++ b/crates/cli/tests/processes/jobs.rs
@@ -0,0 +1,277 @@
+//! The job service with hosts as separate processes, over the platform's protocol.
+
+use std::fs;
+use std::net;
+use std::time;
+
+use wharflane::{job, size};
+use wharflane_caller::job as caller;
+use wharflane_stand_in::cases;
+use wharflane_stand_in::jobs::server;
+
+use crate::fleet;
+
+cases! {
+    jobs_handed_in_run_to_their_end => fleet::run(whole_path()),
+    jobs_end_once_when_holders_are_killed => fleet::run(killed_holders()),
+    jobs_are_kept_when_all_hosts_die_after_the_answer => fleet::run(all_killed()),
+    a_submission_whose_write_had_no_answer_is_one_job => fleet::run(lost_answers()),
+    a_busy_store_means_not_taken_and_when_to_come_back => fleet::run(busy_store()),
+    a_bad_job_is_refused_with_a_reason_and_nothing_is_kept => fleet::run(bad_jobs()),
+    a_cancelled_job_stops => fleet::run(cancelled()),
+    the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
+}
+
+/// How long a call may take.
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// How long a task's work takes.
+const WORK: time::Duration = time::Duration::from_millis(300);
+
+/// Hosts that run the job service on one platform.
+struct Service {
+    /// The platform.
+    platform: server::Platform,
+    /// The hosts, with where callers reach each.
+    hosts: Vec<(fleet::Process, net::SocketAddr)>,
+    /// Where settings lie.
+    folder: tempfile::TempDir,
+}
+
+impl Service {
+    /// Starts a platform with three workers, and hosts.
+    async fn start(hosts: usize) -> Self {
+        let platform = server::Platform::start(3, WORK).await.expect("a platform");
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut service = Self { platform, hosts: Vec::new(), folder };
+        (0..hosts).for_each(|_| service.add_host());
+        fleet::until("the first answer", async || {
+            service.jobs(0).waiting(server::QUEUE).await.is_ok()
+        })
+        .await;
+        service
+    }
+
+    /// Starts one more host.
+    fn add_host(&mut self) {
+        let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
+        let name = format!("host-{}", self.hosts.len());
+        let store = self.platform.store;
+        let text = format!(
+            "host = \"{name}\"\nhall = \"hall\"\n[listen]\ncaller = \"{caller}\"\n\
+             operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\n\
+             lease_ms = 1500\n[log]\nlevel = \"warn\"\n"
+        );
+        let path = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&path, text).expect("settings written");
+        let path = path.display().to_string();
+        self.hosts.push((fleet::spawn("wharflaned", &["--config", &path]), caller));
+    }
+
+    /// Returns a client of one of the hosts.
+    fn jobs(&self, host: usize) -> caller::Jobs {
+        caller::Jobs::new(self.hosts[host].1, TIMEOUT)
+    }
+
+    /// Hands a job of two steps in and lets the judge know of it.
+    async fn submit(&self, host: usize, id: u64) -> job::JobId {
+        let id = job::JobId(id);
+        self.note(id, two_steps());
+        let told = self.jobs(host).submit(server::QUEUE, id, &two_steps()).await;
+        assert_eq!(told.expect("an answer"), caller::Told::Accepted);
+        id
+    }
+
+    /// Lets the judge know of a job.
+    fn note(&self, id: job::JobId, submission: caller::Submission) {
+        let job = job::Job {
+            queue: server::QUEUE.to_owned(),
+            service: "service".into(),
+            spec: submission.spec,
+            steps: submission.steps,
+            repeats: submission.repeats,
+        };
+        self.platform.lock().judge.jobs.insert(id, job);
+    }
+
+    /// Waits until a job is told to have come to a phase.
+    async fn until(&self, host: usize, id: job::JobId, phase: job::Phase) {
+        let jobs = self.jobs(host);
+        fleet::until("the phase", async || {
+            let told = jobs.state(server::QUEUE, id).await;
+            matches!(told, Ok(caller::Told::State(found)) if found == phase)
+        })
+        .await;
+    }
+
+    /// Checks that nothing was broken and that so many tasks were started.
+    fn judge(&self, starts: u64) {
+        let state = self.platform.lock();
+        assert_eq!(state.judge.breaches, Vec::new());
+        assert_eq!(state.judge.starts, starts);
+    }
+}
+
+/// Returns a job of two steps with five tasks.
+fn two_steps() -> caller::Submission {
+    let size = size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 };
+    let first = job::Step { count: 3, size, ..job::Step::default() };
+    let second = job::Step { count: 2, size, after: vec![0], ..job::Step::default() };
+    caller::Submission { spec: "spec".to_owned(), steps: vec![first, second], repeats: None }
+}
+
+/// Hands jobs in at both hosts and sees them completed at both.
+async fn whole_path() {
+    let service = Service::start(2).await;
+    for id in 1..=6 {
+        service.submit(usize::from(id % 2 == 0), id).await;
+    }
+    for id in 1..=6 {
+        service.until(0, job::JobId(id), job::Phase::Completed).await;
+        service.until(1, job::JobId(id), job::Phase::Completed).await;
+    }
+    let told = service.jobs(0).waiting(server::QUEUE).await.expect("an answer");
+    assert_eq!(told, caller::Told::Waiting(0));
+    service.judge(30);
+}
+
+/// Kills one host after the other while jobs run.
+async fn killed_holders() {
+    let mut service = Service::start(3).await;
+    for id in 1..=4 {
+        service.submit(2, id).await;
+    }
+    for host in 0..2 {
+        service.hosts[host].0.kill();
+        service.submit(2, 10 + host as u64).await;
+        tokio::time::sleep(WORK).await;
+    }
+    for id in [1, 2, 3, 4, 10, 11] {
+        service.until(2, job::JobId(id), job::Phase::Completed).await;
+    }
+    let state = service.platform.lock();
+    assert_eq!(state.judge.breaches, Vec::new());
+}
+
+/// Kills every host right after an answer, and starts others.
+async fn all_killed() {
+    let mut service = Service::start(2).await;
+    let id = service.submit(0, 7).await;
+    for (process, _) in &mut service.hosts {
+        process.kill();
+    }
+    service.add_host();
+    let last = service.hosts.len() - 1;
+    fleet::until("the new host", async || service.jobs(last).waiting(server::QUEUE).await.is_ok())
+        .await;
+    service.until(last, id, job::Phase::Completed).await;
+    service.judge(5);
+}
+
+/// Loses the answer of every third transaction, and hands every job in twice.
+async fn lost_answers() {
+    let service = Service::start(2).await;
+    service.platform.lock().faults.lose_every = 3;
+    for id in 1..=4 {
+        service.submit(0, id).await;
+        service.submit(1, id).await;
+    }
+    for id in 1..=4 {
+        service.until(0, job::JobId(id), job::Phase::Completed).await;
+    }
+    service.judge(20);
+}
+
+/// Hands a job in while the store turns every call away.
+async fn busy_store() {
+    let service = Service::start(1).await;
+    service.platform.lock().faults.store_busy = true;
+    let told = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let refused = matches!(told, Err(caller::JobError::Refused { status: 503, .. }));
+    assert!(refused, "{told:?}");
+    service.platform.lock().faults.store_busy = false;
+    let told = service.jobs(0).state(server::QUEUE, job::JobId(1)).await;
+    let gone = matches!(told, Err(caller::JobError::Refused { status: 410, .. }));
+    assert!(gone, "{told:?}");
+    service.judge(0);
+}
+
+/// Hands in jobs that can't be taken.
+async fn bad_jobs() {
+    let service = Service::start(1).await;
+    let mut empty = two_steps();
+    empty.steps.clear();
+    let mut backwards = two_steps();
+    backwards.steps[0].after = vec![1];
+    let mut long = two_steps();
+    long.spec = "x".repeat(job::MAX_SPEC_BYTES + 1);
+    let mut wide = two_steps();
+    wide.steps[0].count = u32::MAX;
+    for (id, (bad, why)) in [
+        (empty, "at least one step"),
+        (backwards, "not an earlier one"),
+        (long, "bytes long"),
+        (wide, "tasks are more"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let id = job::JobId(id as u64);
+        let told = service.jobs(0).submit(server::QUEUE, id, &bad).await;
+        let Err(caller::JobError::Refused { status: 400, title }) = told else {
+            panic!("{told:?}");
+        };
+        assert!(title.contains(why), "{title}");
+        let state = service.jobs(0).state(server::QUEUE, id).await;
+        assert!(matches!(state, Err(caller::JobError::Refused { status: 410, .. })), "{state:?}");
+    }
+    let told = service.jobs(0).submit("nowhere", job::JobId(9), &two_steps()).await;
+    assert!(matches!(told, Err(caller::JobError::Refused { status: 404, .. })), "{told:?}");
+}
+
+/// Cancels a job that lasts.
+async fn cancelled() {
+    let service = Service::start(2).await;
+    let mut lasting = two_steps();
+    lasting.steps.truncate(1);
+    lasting.steps[0].lasting = true;
+    let id = job::JobId(3);
+    service.note(id, lasting.clone());
+    let told = service.jobs(0).submit(server::QUEUE, id, &lasting).await.expect("an answer");
+    assert_eq!(told, caller::Told::Accepted);
+    let running = async || {
+        let state = service.platform.lock();
+        state.workers.iter().map(|worker| worker.running().count()).sum::<usize>()
+    };
+    fleet::until("three at work", async || running().await == 3).await;
+    let told = service.jobs(1).cancel(server::QUEUE, id).await.expect("an answer");
+    assert_eq!(told, caller::Told::Cancelled);
+    fleet::until("none at work", async || running().await == 0).await;
+    service.until(0, id, job::Phase::Cancelled).await;
+    service.judge(3);
+}
+
+/// Runs the command line against a host.
+async fn command_line() {
+    let service = Service::start(1).await;
+    let path = service.folder.path().join("job.toml");
+    let text = "spec = \"spec\"\n[[steps]]\ncount = 2\n\
+                size = { cpu_milli = 300, mem_mb = 100, accelerators = 0 }\n";
+    fs::write(&path, text).expect("a job file");
+    let submission: caller::Submission = toml::from_str(text).expect("a job");
+    service.note(job::JobId(5), submission);
+    let (host, file) = (service.hosts[0].1.to_string(), path.display().to_string());
+    let id = "0000000000000005";
+    let run = async |args: &[&str]| {
+        let mut all = vec!["job"];
+        all.extend(args);
+        all.extend(["--host", &host]);
+        let output = fleet::output("wharflane", &all).await;
+        String::from_utf8_lossy(&output.stdout).trim().to_owned()
+    };
+    assert_eq!(run(&["submit", "work", id, &file]).await, "\"accepted\"");
+    service.until(0, job::JobId(5), job::Phase::Completed).await;
+    assert_eq!(run(&["state", "work", id]).await, "{\"state\":\"completed\"}");
+    assert_eq!(run(&["list", "work"]).await, "{\"waiting\":0}");
+    assert_eq!(run(&["cancel", "work", id]).await, "\"cancelled\"");
+    service.judge(2);
+}
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod fleet;
+mod jobs;
 mod kills;
 mod path;
 mod stops;
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -9,6 +9,7 @@
 use ractor::Actor;
 use wharflane::{clock, job};
 use wharflane_adapter::{callers, store, workers};
+use wharflane_caller::job as caller_job;
 use wharflane_http::{reply, server};
 
 use super::Shared;
@@ -137,6 +138,8 @@
         let deadline = came + patience.saturating_sub(WAY_BACK);
         let path = head.uri.path();
         let queues = self.shared.queues.load_full();
+        // Paths of the configured queues go before our own.
+        let own = path.starts_with(caller_job::PREFIX) && queues.route(host, path).is_none();
         let answer = if queues.revision == 0 {
             job::Answer::NotTaken { retry_after: PATIENCE }
         } else {
@@ -145,10 +148,17 @@
                     tracing::info!(path, %err, "the body of a call was not taken");
                     job::Answer::BadBody
                 }
-                Ok(body) => match callers::read(&head.method, host, path, &body, &queues) {
-                    Ok(call) => self.service.answer(call, deadline).await,
-                    Err(answer) => answer,
-                },
+                Ok(body) => {
+                    let call = if own {
+                        caller_job::read(&head.method, path, &body, &queues)
+                    } else {
+                        callers::read(&head.method, host, path, &body, &queues)
+                    };
+                    match call {
+                        Ok(call) => self.service.answer(call, deadline).await,
+                        Err(answer) => answer,
+                    }
+                }
             }
         };
         let took = self.shared.clock.now().saturating_sub(came);
@@ -164,7 +174,7 @@
             ?answer,
             "call answered"
         );
-        callers::write(&answer)
+        if own { caller_job::write(&answer) } else { callers::write(&answer) }
     }
 }
 
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod judge;
 pub mod rows;
+pub mod server;
 pub mod worker;
 pub mod world;
--- a/crates/stand-in/src/jobs/rows.rs
+++ b/crates/stand-in/src/jobs/rows.rs
@@ -12,6 +12,10 @@
 pub struct Rows {
     /// The rows with the version that wrote them.
     rows: collections::BTreeMap<At, (u64, String)>,
+    /// The versions that removed rows.
+    gone: collections::BTreeMap<At, u64>,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
     /// Grows with every transaction.
     version: u64,
     /// The number of transactions that were made.
@@ -35,7 +39,10 @@
                 Some(value) => {
                     self.rows.insert(at(&write.key), (self.version, value.clone()));
                 }
-                None => drop(self.rows.remove(&at(&write.key))),
+                None => {
+                    self.rows.remove(&at(&write.key));
+                    self.gone.insert(at(&write.key), self.version);
+                }
             }
         }
         rows::Answer::Done { version: self.version }
@@ -48,6 +55,40 @@
         Some(row(&at(key), *version, value))
     }
 
+    /// Returns the version of the newest transaction.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Forgets all changes so far.
+    pub fn forget(&mut self) {
+        self.forgotten = self.version;
+    }
+
+    /// Returns what has changed in a table after a version.
+    #[must_use]
+    pub fn changes(&self, table: &'static str, after: u64) -> rows::Changes {
+        if after < self.forgotten {
+            return rows::Changes::Forgotten;
+        }
+        let written = self.rows.iter().filter(|((t, _, _), (v, _))| *t == table && *v > after);
+        let mut changed: Vec<rows::Row> =
+            written.map(|(at, (version, value))| row(at, *version, value)).collect();
+        let gone = self
+            .gone
+            .iter()
+            .filter(|(at, v)| at.0 == table && **v > after && !self.rows.contains_key(*at));
+        changed.extend(gone.map(|((_, part, name), version)| rows::Row {
+            name: name.clone(),
+            part: part.clone(),
+            version: *version,
+            value: None,
+        }));
+        changed.sort_by_key(|row| row.version);
+        rows::Changes::Rows(rows::Page { rows: changed, more: false, version: self.version })
+    }
+
     /// Returns all rows of one part of a table.
     #[must_use]
     pub fn all(&self, table: &'static str, part: &str) -> Vec<rows::Row> {
--- /dev/null
+++ b/crates/stand-in/src/jobs/server.rs
@@ -0,0 +1,295 @@
+//! The store and the workers over HTTP, in one process, with faults switched by the test.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use hyper::StatusCode;
+use hyper::body;
+use wharflane::{clock, clock::Clock as _, id, job, rows as table, size};
+use wharflane_adapter::{config, serve};
+use wharflane_http::{reply, server};
+
+use super::{judge, rows, worker};
+
+/// The largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// How long a body may take.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// How often an answer that waits looks again.
+const POLL: time::Duration = time::Duration::from_millis(5);
+/// The attempts of a task in the only queue.
+pub const ATTEMPTS: u32 = 3;
+/// The name of the only queue.
+pub const QUEUE: &str = "work";
+
+/// What is wrong at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// The store turns every call away.
+    pub store_busy: bool,
+    /// The store takes calls and never answers.
+    pub store_silent: bool,
+    /// Of so many transactions, one is made and not answered; zero for none.
+    pub lose_every: u64,
+}
+
+/// The state of all fakes.
+#[derive(Debug)]
+pub struct State {
+    /// The store.
+    pub rows: rows::Rows,
+    /// The workers.
+    pub workers: Vec<worker::Worker>,
+    /// Where each worker answers.
+    addrs: Vec<net::SocketAddr>,
+    /// What is wrong.
+    pub faults: Faults,
+    /// The judge.
+    pub judge: judge::Judge,
+    /// How long a task's work takes.
+    pub work: time::Duration,
+    /// Transactions so far.
+    transactions: u64,
+}
+
+/// The fakes.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// The state.
+    state: sync::Arc<sync::Mutex<State>>,
+    /// The clock.
+    clock: sync::Arc<clock::SystemClock>,
+    /// Where the store answers.
+    pub store: net::SocketAddr,
+}
+
+impl Platform {
+    /// Starts a store and workers on free ports of loopback.
+    ///
+    /// # Errors
+    /// Returns the error of a port that can't be opened.
+    pub async fn start(workers: usize, work: time::Duration) -> io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let state = State {
+            rows: rows::Rows::default(),
+            workers: Vec::new(),
+            addrs: Vec::new(),
+            faults: Faults::default(),
+            judge: judge::Judge::default(),
+            work,
+            transactions: 0,
+        };
+        let platform = Self {
+            state: sync::Arc::new(sync::Mutex::new(state)),
+            clock: sync::Arc::default(),
+            store: listener.local_addr()?,
+        };
+        let own = platform.clone();
+        let handle = move |request| own.clone().serve_store(request);
+        tokio::spawn(server::serve(listener, server::Bounds::default(), server::never(), handle));
+        for _ in 0..workers {
+            platform.add_worker().await?;
+        }
+        platform.configure(1);
+        tokio::spawn(platform.clone().tick());
+        Ok(platform)
+    }
+
+    /// Locks the state.
+    pub fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Puts a configuration with the only queue in force.
+    pub fn configure(&self, revision: u64) {
+        let queue = job::Queue {
+            name: QUEUE.to_owned(),
+            host: "callers.example".to_owned(),
+            path_prefix: "/work/".to_owned(),
+            service: "service".into(),
+            priority: 0,
+            max_attempts: ATTEMPTS,
+        };
+        let queues = job::Queues { revision, queues: [(QUEUE.to_owned(), queue)].into() };
+        self.write(config::OPERATOR_TABLE, config::CONFIG_KEY, serve::config(&queues));
+    }
+
+    /// Adds a worker and lists it.
+    async fn add_worker(&self) -> io::Result<()> {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let capacity = size::Size { cpu_milli: 4_000, mem_mb: 4_000, accelerators: 0 };
+        let at = {
+            let mut state = self.lock();
+            let id = id::WorkerId::from(format!("w{}", state.workers.len()).as_str());
+            state.workers.push(worker::Worker::new(id, capacity, 1_000));
+            state.addrs.push(addr);
+            state.workers.len() - 1
+        };
+        let member = job::Member {
+            id: format!("w{at}").as_str().into(),
+            addr,
+            hall: "hall".into(),
+            service: "service".into(),
+            leaving: false,
+            capacity,
+            labels: Vec::new(),
+        };
+        self.write(config::WORKERS_TABLE, member.id.as_str(), serve::member(&member));
+        let own = self.clone();
+        let handle = move |request| own.clone().serve_worker(at, request);
+        tokio::spawn(server::serve(listener, server::Bounds::default(), server::never(), handle));
+        Ok(())
+    }
+
+    /// Writes a row of the platform's own.
+    fn write(&self, table: &'static str, name: &str, value: String) {
+        let key = table::Key { table, part: String::new(), name: name.to_owned() };
+        let writes = vec![table::Write { key, value: Some(value) }];
+        self.lock().rows.transact(&table::Txn { expects: Vec::new(), writes });
+    }
+
+    /// Lets workers end what is due.
+    async fn tick(self) {
+        loop {
+            tokio::time::sleep(POLL).await;
+            let now = self.clock.now();
+            let mut state = self.lock();
+            let State { workers, judge, .. } = &mut *state;
+            for worker in workers.iter_mut() {
+                worker.tick(now);
+                worker.ended().iter().for_each(|ended| judge.ended(ended.task, ended.kind));
+            }
+        }
+    }
+
+    /// Answers a call of the store.
+    async fn serve_store(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let call = read.ok().and_then(|body| serve::store_call(&path, &query, &body));
+        let Some(call) = call else {
+            return reply::problem(StatusCode::BAD_REQUEST, "call", "no such call");
+        };
+        let faults = self.lock().faults;
+        if faults.store_silent {
+            std::future::pending::<()>().await;
+        }
+        if faults.store_busy {
+            return reply::problem(StatusCode::SERVICE_UNAVAILABLE, "busy", "busy");
+        }
+        match call {
+            serve::StoreCall::Transact(txn) => self.transact(&txn).await,
+            serve::StoreCall::Get { table, part, from, limit } => {
+                let state = self.lock();
+                let mut rows = state.rows.all(table, &part);
+                rows.retain(|row| row.name >= from);
+                let more = rows.len() > limit;
+                rows.truncate(limit);
+                let version = state.rows.version();
+                serve::page(&table::Page { rows, more, version })
+            }
+            serve::StoreCall::Feed { table, after, wait } => self.feed(table, after, wait).await,
+        }
+    }
+
+    /// Makes a transaction, and never answers where its answer is to be lost.
+    async fn transact(&self, txn: &table::Txn) -> reply::Reply {
+        let (answer, lost) = {
+            let mut state = self.lock();
+            state.transactions += 1;
+            let every = state.faults.lose_every;
+            let lost = every > 0 && state.transactions.is_multiple_of(every);
+            (state.rows.transact(txn), lost)
+        };
+        if lost {
+            std::future::pending::<()>().await;
+        }
+        serve::transacted(&answer)
+    }
+
+    /// Waits for changes of a table.
+    async fn feed(&self, table: &'static str, after: u64, wait: time::Duration) -> reply::Reply {
+        let end = self.clock.now() + wait;
+        loop {
+            let changes = self.lock().rows.changes(table, after);
+            match changes {
+                table::Changes::Forgotten => return serve::forgotten(),
+                table::Changes::Rows(page) if !page.rows.is_empty() || self.clock.now() >= end => {
+                    return serve::page(&page);
+                }
+                table::Changes::Rows(_) => tokio::time::sleep(POLL).await,
+            }
+        }
+    }
+
+    /// Answers a call of a worker.
+    async fn serve_worker(
+        self,
+        at: usize,
+        request: hyper::Request<body::Incoming>,
+    ) -> reply::Reply {
+        let path = request.uri().path().to_owned();
+        let life = request.headers().get("x-expect-instance").and_then(|life| life.to_str().ok());
+        let life = life.unwrap_or_default().to_owned();
+        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let addr = self.lock().addrs[at];
+        let call = read.ok().and_then(|body| serve::worker_call(&path, &life, addr, &body));
+        match call {
+            Some(serve::WorkerCall::Start(start)) => self.order(at, &start),
+            Some(serve::WorkerCall::Stop(order)) => {
+                let now = self.clock.now();
+                let mut state = self.lock();
+                state.workers[at].stop(&order, now);
+                serve::done(state.workers[at].clock_ms(now))
+            }
+            Some(serve::WorkerCall::Look(look)) => self.look(at, &look).await,
+            Some(serve::WorkerCall::Pace(_)) => {
+                serve::done(self.lock().workers[at].clock_ms(self.clock.now()))
+            }
+            None => reply::problem(StatusCode::BAD_REQUEST, "call", "no such call"),
+        }
+    }
+
+    /// Takes an order to start.
+    fn order(&self, at: usize, start: &job::Start) -> reply::Reply {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let task = start.order.task;
+        let step = state.judge.jobs.get(&task.job).and_then(|job| job.step(task.step)).cloned();
+        let step = step.unwrap_or_default();
+        let work = (!step.lasting).then_some(state.work);
+        let behaviour = worker::Behaviour { work, fails: false, size: step.size };
+        let (answer, began) = state.workers[at].start(start, behaviour, now);
+        if began {
+            let State { workers, judge, .. } = &mut *state;
+            judge.started(task, ATTEMPTS, false, workers);
+        }
+        serve::started(answer, state.workers[at].clock_ms(now))
+    }
+
+    /// Answers a look once there is an end or its wait is over.
+    async fn look(&self, at: usize, look: &job::Look) -> reply::Reply {
+        let end = self.clock.now() + look.wait;
+        loop {
+            let now = self.clock.now();
+            {
+                let mut state = self.lock();
+                let State { workers, judge, .. } = &mut *state;
+                let worker = &mut workers[at];
+                if look.worker == worker.id {
+                    judge.acknowledged(worker.ended(), look.seen, worker.stale);
+                }
+                let answer = worker.look(look, now);
+                let quiet = matches!(&answer, job::LookAnswer::Lists(l) if l.ended.is_empty());
+                if !quiet || now >= end {
+                    return serve::looked(&answer, worker.clock_ms(now));
+                }
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -107,6 +107,12 @@
         self.runs.iter().map(|(task, run)| (*task, run.run))
     }
 
+    /// Returns the ends that were not acknowledged.
+    #[must_use]
+    pub fn ended(&self) -> &[job::Ended] {
+        &self.ended
+    }
+
     /// Returns how many ends were not acknowledged.
     #[must_use]
     pub fn open_ends(&self) -> usize {
