--- /dev/null
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -0,0 +1,73 @@
+//! Callers of the world: jobs handed in and cancelled.
+
+use std::time;
+
+use rand::RngExt as _;
+use wharflane::{job, rows as table, size};
+
+use super::world;
+
+impl world::World {
+    /// Lets a caller hand in a job; one that is turned away by an outage comes again.
+    pub(super) fn submit(&mut self) {
+        if self.down {
+            return self.send(time::Duration::from_secs(1), world::Message::Submit);
+        }
+        let id = job::JobId(self.rng.random_range(0..u64::MAX));
+        let lasting = self.rng.random_range(0..6) == 0;
+        let steps = if lasting { 1 } else { self.rng.random_range(1..4) };
+        let steps: Vec<job::Step> = (0..steps).map(|at| self.draw_step(at, lasting)).collect();
+        let job = job::Job {
+            queue: world::QUEUE.to_owned(),
+            service: "service".into(),
+            spec: "spec".to_owned(),
+            steps,
+            repeats: None,
+        };
+        let accepted = job::Accepted { job: job.clone(), cancelled: false };
+        self.judge.jobs.insert(id, job);
+        self.write_job(id, &accepted);
+        if self.rng.random_range(0..4) == 0 {
+            let after = time::Duration::from_millis(self.rng.random_range(10..6_000));
+            self.send(after, world::Message::Cancel(id));
+        }
+    }
+
+    /// Draws a step.
+    pub(super) fn draw_step(&mut self, at: u32, lasting: bool) -> job::Step {
+        job::Step {
+            count: self.rng.random_range(1..4),
+            size: size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 },
+            estimate_ms: self.rng.random_range(50..2_500),
+            after: (0..at).collect(),
+            lasting,
+            ..job::Step::default()
+        }
+    }
+
+    /// Lets a caller cancel a job.
+    pub(super) fn cancel(&mut self, id: job::JobId) {
+        if self.down {
+            return self.send(time::Duration::from_secs(1), world::Message::Cancel(id));
+        }
+        let Some(job) = self.judge.jobs.get(&id).cloned() else {
+            return;
+        };
+        self.cancelled.insert(id, self.now);
+        self.write_job(id, &job::Accepted { job, cancelled: true });
+    }
+
+    /// Writes the row of a job and lets those who follow the table know.
+    pub(super) fn write_job(&mut self, id: job::JobId, accepted: &job::Accepted) {
+        let key = job::job_key(job::JOBS, 0, id);
+        let value = serde_json::to_string(accepted).unwrap_or_default();
+        let write = table::Write { key: key.clone(), value: Some(value) };
+        self.rows.transact(&table::Txn { expects: Vec::new(), writes: vec![write] });
+        let event = job::Event::Jobs(self.rows.get(&key).into_iter().collect());
+        for host in 0..self.hosts.len() {
+            let life = self.hosts[host].life;
+            let way = self.way();
+            self.send(way, world::Message::Back(host, life, Box::new(event.clone())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/jobs/crew.rs
@@ -0,0 +1,102 @@
+//! How the workers of the world take orders, answer looks and end what is due.
+
+use std::time;
+
+use wharflane::job;
+
+use super::{worker, world};
+
+impl world::World {
+    /// Lets an order to start arrive.
+    pub(super) fn start(
+        &mut self,
+        host: usize,
+        life: u64,
+        start: &job::Start,
+        lost: bool,
+        ordered: time::Duration,
+    ) {
+        let task = start.order.task;
+        let behaviour = self.behaviour(task);
+        let now = self.now;
+        let done =
+            self.reach(&start.order.worker).map(|worker| worker.start(start, behaviour, now));
+        let Some((answer, began)) = done else {
+            if !lost {
+                let answer = job::StartAnswer::Silent;
+                let event = job::Event::Started { order: start.order.clone(), answer };
+                let after = time::Duration::from_millis(600);
+                self.send(after, world::Message::Back(host, life, Box::new(event)));
+            }
+            return;
+        };
+        if began {
+            let cancelled = self.cancelled.get(&task.job);
+            let late = cancelled.is_some_and(|at| ordered > *at + world::CANCEL);
+            self.judge.started(task, world::ATTEMPTS, late, &self.workers);
+        }
+        if !lost {
+            let way = self.way();
+            let event = job::Event::Started { order: start.order.clone(), answer };
+            self.send(way, world::Message::Back(host, life, Box::new(event)));
+        }
+    }
+
+    /// Lets a look arrive; it waits for an end where it may.
+    pub(super) fn look(
+        &mut self,
+        host: usize,
+        life: u64,
+        look: job::Look,
+        latest: time::Duration,
+        lost: bool,
+    ) {
+        let now = self.now;
+        let (worker, epoch) = (look.worker.clone(), look.epoch);
+        let answer = match self.reach(&look.worker) {
+            None => job::LookAnswer::Silent,
+            Some(found) => {
+                let ended = found.ended().to_vec();
+                let answer = found.look(&look, now);
+                let news = matches!(&answer, job::LookAnswer::Lists(l) if !l.ended.is_empty());
+                let stale = found.stale;
+                if matches!(answer, job::LookAnswer::Lists(_)) {
+                    self.judge.acknowledged(&ended, look.seen, stale);
+                }
+                if !news && now < latest && matches!(answer, job::LookAnswer::Lists(_)) {
+                    return self
+                        .send(world::STEP, world::Message::Look(host, life, look, latest, lost));
+                }
+                answer
+            }
+        };
+        let silent = answer == job::LookAnswer::Silent || lost;
+        let after = if silent { time::Duration::from_millis(600) } else { self.way() };
+        let answer = if silent { job::LookAnswer::Silent } else { answer };
+        let event = job::Event::Looked { worker, epoch, answer };
+        self.send(after, world::Message::Back(host, life, Box::new(event)));
+    }
+
+    /// Returns how a task behaves, always the same way.
+    pub(super) fn behaviour(&self, task: job::TaskId) -> worker::Behaviour {
+        let step = self.judge.jobs.get(&task.job).and_then(|job| job.step(task.step));
+        let lasting = step.is_some_and(|step| step.lasting);
+        let estimate = step.map_or(500, |step| step.estimate_ms);
+        let work = (!lasting).then(|| time::Duration::from_millis(estimate));
+        let size = step.map(|step| step.size).unwrap_or_default();
+        // One job in eight is hopeless.
+        worker::Behaviour { work, fails: task.job.0 % 8 == 7 && !lasting, size }
+    }
+
+    /// Lets workers end what is due, and tells the judge.
+    pub(super) fn tick_workers(&mut self) {
+        for worker in self.workers.iter_mut().filter(|worker| worker.alive) {
+            let before = worker.open_ends();
+            worker.tick(self.now);
+            if worker.open_ends() == before {
+                continue;
+            }
+            worker.ended().iter().for_each(|ended| self.judge.ended(ended.task, ended.kind));
+        }
+    }
+}
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -1,7 +1,10 @@
 //! The job service in virtual time: engines on hosts, a store of rows and workers, with faults.
 
+mod callers;
+mod crew;
 pub mod judge;
 pub mod rows;
 pub mod server;
+mod strike;
 pub mod worker;
 pub mod world;
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -107,7 +107,7 @@
         let queue = job::Queue {
             name: QUEUE.to_owned(),
             host: "callers.example".to_owned(),
-            path_prefix: "/work/".to_owned(),
+            prefix: "/work/".to_owned(),
             service: "service".into(),
             priority: 0,
             max_attempts: ATTEMPTS,
@@ -233,11 +233,10 @@
         request: hyper::Request<body::Incoming>,
     ) -> reply::Reply {
         let path = request.uri().path().to_owned();
-        let life = request.headers().get("x-expect-instance").and_then(|life| life.to_str().ok());
-        let life = life.unwrap_or_default().to_owned();
+        let headers = request.headers().clone();
         let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let addr = self.lock().addrs[at];
-        let call = read.ok().and_then(|body| serve::worker_call(&path, &life, addr, &body));
+        let call = read.ok().and_then(|body| serve::worker_call(&path, &headers, addr, &body));
         match call {
             Some(serve::WorkerCall::Start(start)) => self.order(at, &start),
             Some(serve::WorkerCall::Stop(order)) => {
--- /dev/null
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -0,0 +1,85 @@
+//! What strikes the world: hosts, the store and workers fail for a time.
+
+use std::time;
+
+use rand::RngExt as _;
+use wharflane::job;
+
+use super::world;
+
+impl world::World {
+    /// Lets a fault begin.
+    pub(super) fn strike(&mut self, fault: world::Fault) {
+        let holder = self
+            .hosts
+            .iter()
+            .position(|host| host.engine.as_ref().is_some_and(|engine| engine.holding().is_some()));
+        let worker = self.rng.random_range(0..self.workers.len());
+        let (at, secs) = match fault {
+            world::Fault::Kill | world::Fault::Freeze => {
+                let Some(holder) = holder else {
+                    return;
+                };
+                (holder, 4)
+            }
+            world::Fault::Outage => (0, 4),
+            world::Fault::Crash => (worker, 4),
+            world::Fault::Cut => (worker, 7),
+            world::Fault::Sick => (worker, 5),
+        };
+        match fault {
+            world::Fault::Kill => {
+                self.hosts[at].engine = None;
+                self.hosts[at].life += 1;
+            }
+            world::Fault::Freeze => self.hosts[at].frozen = true,
+            world::Fault::Outage => self.down = true,
+            world::Fault::Crash => {
+                if !self.workers[at].alive {
+                    return;
+                }
+                self.workers[at].alive = false;
+            }
+            world::Fault::Cut => self.workers[at].reachable = false,
+            world::Fault::Sick => self.workers[at].fails_all = true,
+        }
+        self.send(time::Duration::from_secs(secs), world::Message::Mend(fault, at));
+    }
+
+    /// Lets a fault end.
+    pub(super) fn mend(&mut self, fault: world::Fault, at: usize) {
+        match fault {
+            world::Fault::Kill => {
+                if self.hosts[at].engine.is_none() {
+                    self.boot(at);
+                }
+            }
+            world::Fault::Freeze => {
+                self.hosts[at].frozen = false;
+                let inbox = std::mem::take(&mut self.hosts[at].inbox);
+                inbox.into_iter().for_each(|event| self.step(at, event));
+            }
+            world::Fault::Outage => self.down = false,
+            world::Fault::Crash => {
+                self.workers[at].listed = false;
+                self.add_worker();
+                self.tell_member(at);
+                self.tell_member(self.workers.len() - 1);
+            }
+            world::Fault::Cut => self.workers[at].reachable = true,
+            world::Fault::Sick => self.workers[at].fails_all = false,
+        }
+    }
+
+    /// Tells all hosts how a worker is listed.
+    pub(super) fn tell_member(&mut self, at: usize) {
+        let worker = &self.workers[at];
+        let entry = worker.listed.then(|| world::member(&worker.id));
+        let event = job::Event::Member(worker.id.clone(), entry);
+        for host in 0..self.hosts.len() {
+            let life = self.hosts[host].life;
+            let way = self.way();
+            self.send(way, world::Message::Back(host, life, Box::new(event.clone())));
+        }
+    }
+}
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -47,7 +47,7 @@
     /// The highest epoch seen.
     epoch: u64,
     /// Until when its tasks may run, by its clock.
-    until_ms: u64,
+    lease_until_ms: u64,
     /// What runs.
     runs: collections::BTreeMap<job::TaskId, Run>,
     /// The highest run of each task that was stopped or ended here.
@@ -86,7 +86,7 @@
             clock_from_ms: 100_000,
             capacity,
             epoch: 0,
-            until_ms: 0,
+            lease_until_ms: 0,
             runs: collections::BTreeMap::new(),
             over: collections::BTreeMap::new(),
             ended: Vec::new(),
@@ -135,10 +135,10 @@
             return refuse(job::StartRefusal::Fenced);
         }
         self.epoch = start.order.epoch;
-        if start.until_ms <= self.clock_ms(now) {
+        if start.lease_until_ms <= self.clock_ms(now) {
             return refuse(job::StartRefusal::Late);
         }
-        self.extend(start.until_ms, now);
+        self.extend(start.lease_until_ms, now);
         if self.runs.get(&task).is_some_and(|run| run.run == number) {
             return (job::StartAnswer::Taken, false);
         }
@@ -182,8 +182,8 @@
             return job::LookAnswer::Fenced;
         }
         self.epoch = look.epoch;
-        if let Some(until_ms) = look.until_ms {
-            self.extend(until_ms, now);
+        if let Some(lease_until_ms) = look.lease_until_ms {
+            self.extend(lease_until_ms, now);
         }
         self.ended.retain(|ended| ended.number > look.seen);
         let running = self.runs.iter().map(|(task, run)| job::Running {
@@ -201,7 +201,7 @@
 
     /// Lets what is due end, and kills everything once the lease is over.
     pub fn tick(&mut self, now: time::Duration) {
-        let lapsed = self.clock_ms(now) >= self.until_ms;
+        let lapsed = self.clock_ms(now) >= self.lease_until_ms;
         if lapsed {
             self.stale = self.number;
         }
@@ -228,8 +228,8 @@
     }
 
     /// Extends the lease; it never gets shorter and never longer than allowed.
-    fn extend(&mut self, until_ms: u64, now: time::Duration) {
+    fn extend(&mut self, lease_until_ms: u64, now: time::Duration) {
         let most = self.clock_ms(now) + u64::try_from(HOLD_MAX.as_millis()).unwrap_or(0);
-        self.until_ms = self.until_ms.max(until_ms.min(most));
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.min(most));
     }
 }
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -52,12 +52,12 @@
         let Some(view) = self.views.get_mut(&placed.worker) else {
             return;
         };
-        let Some(until_ms) = view.grant(now, self.settings.hold) else {
+        let Some(lease_until_ms) = view.grant(now, self.settings.hold) else {
             placed.link = holding::Link::Doubtful(now + ORDER_AGAIN);
             return;
         };
         placed.link = holding::Link::Ordered;
-        placed.until_ms = placed.until_ms.max(until_ms);
+        placed.lease_until_ms = placed.lease_until_ms.max(lease_until_ms);
         let Some(entry) = self.jobs.get(&task.job) else {
             return;
         };
@@ -65,11 +65,11 @@
         let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
         let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
         tracing::info!(
-            %task, run = placed.run, worker = %placed.worker, epoch = self.lease.epoch, until_ms,
+            %task, run = placed.run, worker = %placed.worker, epoch = self.lease.epoch, lease_until_ms,
             "start ordered"
         );
         let spec = entry.job.spec.clone();
-        let start = order::Start { order, spec, until_ms, checkpoint };
+        let start = order::Start { order, spec, lease_until_ms, checkpoint };
         self.out.push(engine::Effect::Start(start));
     }
 
@@ -112,7 +112,9 @@
             };
             if wanted && view.misses == 0 {
                 self.send_start(task, now);
-            } else if !wanted && view.clock_ms(now).is_some_and(|clock| clock > placed.until_ms) {
+            } else if !wanted
+                && view.clock_ms(now).is_some_and(|clock| clock > placed.lease_until_ms)
+            {
                 self.free(task, "its start can't be carried out any more");
             }
         }
@@ -183,7 +185,7 @@
             let busy = !view.tasks.is_empty();
             // A silent worker is granted nothing more, or its leases would never be over.
             let granted = busy && view.misses == 0;
-            let until_ms = if granted { view.grant(now, self.settings.hold) } else { None };
+            let lease_until_ms = if granted { view.grant(now, self.settings.hold) } else { None };
             let mixed = !view.serving.is_empty() && !view.filling.is_empty();
             let wait = match (view.fenced && busy, mixed) {
                 (false, _) => time::Duration::ZERO,
@@ -196,7 +198,7 @@
                 addr: view.member.addr,
                 epoch: self.lease.epoch,
                 seen: view.seen,
-                until_ms,
+                lease_until_ms,
                 wait,
             });
         }
--- /dev/null
+++ b/crates/wharflane/src/job/intake.rs
@@ -0,0 +1,218 @@
+//! Jobs as they come in, open up step by step, and end.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use super::engine;
+use super::holding;
+use super::progress;
+use super::rows as kept;
+use super::spec;
+use crate::id;
+use crate::rows;
+
+/// The priority of jobs whose queue is not configured any more.
+const ORPHAN_PRIORITY: u32 = 9;
+/// The attempts of jobs whose queue is not configured any more.
+const ORPHAN_ATTEMPTS: u32 = 3;
+
+impl holding::Holding {
+    /// Takes in all rows of the domain.
+    pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
+        let mut known = collections::BTreeMap::new();
+        for row in progress {
+            let (Some(job), Some(text)) = (engine::job_of(row), &row.value) else {
+                continue;
+            };
+            match progress::Progress::decode(text) {
+                Ok(progress) => drop(known.insert(job, progress)),
+                Err(err) => tracing::error!(%job, %err, "progress can't be read"),
+            }
+        }
+        for row in jobs {
+            let Some((job, accepted)) = read_job(row) else {
+                continue;
+            };
+            let progress = known.remove(&job).unwrap_or_default();
+            self.add_job(job, accepted, row.version, progress, now);
+        }
+    }
+
+    /// Takes in rows of accepted jobs that were written.
+    pub(super) fn jobs_read(&mut self, rows: &[rows::Row], now: time::Duration) {
+        let part = kept::part(self.settings.domain);
+        for row in rows.iter().filter(|row| row.part == part) {
+            let Some((job, accepted)) = read_job(row) else {
+                continue;
+            };
+            let cancelled = accepted.cancelled;
+            if !self.jobs.contains_key(&job) {
+                self.add_job(job, accepted, row.version, progress::Progress::default(), now);
+            } else if cancelled {
+                self.cancel(job, now);
+            }
+        }
+    }
+
+    /// Adds a job, with the tasks that may run and those whose turn has come.
+    fn add_job(
+        &mut self,
+        job: spec::JobId,
+        accepted: kept::Accepted,
+        order: u64,
+        progress: progress::Progress,
+        now: time::Duration,
+    ) {
+        let kept::Accepted { job: spec, cancelled } = accepted;
+        for (place, task) in &progress.tasks {
+            let Some(worker) = &task.worker else {
+                continue;
+            };
+            let placed = holding::Placed {
+                worker: worker.clone(),
+                run: task.run,
+                link: holding::Link::Inherited,
+                lease_until_ms: 0,
+                stopped: None,
+            };
+            self.placed.insert(place.of(job), placed);
+        }
+        let ended = progress.phase.ended().then_some(now);
+        let spec = sync::Arc::new(spec);
+        let (phase, rounds) = (progress.phase, spec.rounds());
+        let due: Vec<u64> = (0..rounds).map(|round| spec.due_ms(round)).collect();
+        let entry =
+            holding::Entry { job: spec, order, cancelled: false, progress, dirty: false, ended };
+        self.jobs.insert(job, entry);
+        if phase.ended() {
+            return;
+        }
+        for (round, due_ms) in (0..rounds).zip(due) {
+            if due_ms > self.wall_ms && due_ms > 0 {
+                self.future.insert((due_ms, job, round));
+            } else {
+                self.open_round(job, round);
+            }
+        }
+        tracing::debug!(%job, order, "job taken up");
+        if cancelled {
+            self.cancel(job, now);
+        }
+    }
+
+    /// Puts up the tasks of a round whose turn has come.
+    pub(super) fn open_round(&mut self, job: spec::JobId, round: u32) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
+        let steps = u32::try_from(entry.job.steps.len()).unwrap_or(0);
+        for step in 0..steps {
+            self.open_step(job, round, step);
+        }
+    }
+
+    /// Puts up the tasks of a step if all steps before it are done.
+    pub(super) fn open_step(&mut self, job: spec::JobId, round: u32, step: u32) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
+        let Some(spec) = entry.job.step(step).filter(|_| entry.active()) else {
+            return;
+        };
+        let due = entry.job.due_ms(round) <= self.wall_ms || entry.job.repeats.is_none();
+        let open =
+            spec.after.iter().all(|after| entry.progress.step_done(&entry.job, round, *after));
+        if !due || !open {
+            return;
+        }
+        let (priority, _) = self.terms(&entry.job);
+        for index in 0..spec.count {
+            let task = spec::TaskId { job, round, step, index };
+            let done = entry.progress.tasks.get(&task.into()).is_some_and(|task| task.done);
+            if !done && !self.placed.contains_key(&task) {
+                let (lasting, order, since) = (spec.lasting, entry.order, self.now);
+                let ready = holding::Ready { task, priority, lasting, order, since };
+                self.ready.entry(task).or_insert(ready);
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Returns the priority and the attempts that the queue of a job gives.
+    pub(super) fn terms(&self, job: &spec::Job) -> (u32, u32) {
+        let queue = self.queues.queues.get(&job.queue);
+        queue.map_or((ORPHAN_PRIORITY, ORPHAN_ATTEMPTS), |q| (q.priority, q.max_attempts))
+    }
+
+    /// Returns the service whose workers run a job now.
+    pub(super) fn service<'a>(&'a self, job: &'a spec::Job) -> &'a id::ServiceId {
+        self.queues.queues.get(&job.queue).map_or(&job.service, |queue| &queue.service)
+    }
+
+    /// Notes that the row of a job's progress is to be written.
+    pub(super) fn mark(&mut self, job: spec::JobId) {
+        if let Some(entry) = self.jobs.get_mut(&job).filter(|entry| !entry.dirty) {
+            entry.dirty = true;
+            self.dirty.push_back(job);
+        }
+    }
+
+    /// Cancels a job and stops what runs of it.
+    pub(super) fn cancel(&mut self, job: spec::JobId, now: time::Duration) {
+        let Some(entry) = self.jobs.get_mut(&job).filter(|entry| entry.active()) else {
+            return;
+        };
+        entry.cancelled = true;
+        tracing::info!(%job, was = ?entry.progress.phase, "cancelled");
+        self.end_job(job, progress::Phase::Cancelled, now);
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(super) fn end_job(
+        &mut self,
+        job: spec::JobId,
+        phase: progress::Phase,
+        now: time::Duration,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        entry.progress.phase = phase;
+        entry.ended = Some(now);
+        self.ready.retain(|task, _| task.job != job);
+        self.mark(job);
+        let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
+        let tasks = self.placed.range(first..).take_while(|(task, _)| task.job == job);
+        let tasks: Vec<spec::TaskId> = tasks.map(|(task, _)| *task).collect();
+        for task in tasks {
+            self.stop(task, now);
+        }
+    }
+
+    /// Hands the rows of jobs that ended long ago to the next commit for removal.
+    pub(super) fn expire(&mut self, now: time::Duration) {
+        let keep = self.settings.keep;
+        let old = self.jobs.iter_mut().filter(|(_, entry)| {
+            entry.ended.is_some_and(|ended| now.saturating_sub(ended) >= keep)
+        });
+        for (job, entry) in old {
+            // One that is not removed after all is tried again after as long.
+            entry.ended = Some(now);
+            self.expired.push(*job);
+        }
+    }
+}
+
+/// Reads the row of an accepted job.
+fn read_job(row: &rows::Row) -> Option<(spec::JobId, kept::Accepted)> {
+    let job = engine::job_of(row)?;
+    let text = row.value.as_deref()?;
+    match serde_json::from_str(text) {
+        Ok(accepted) => Some((job, accepted)),
+        Err(err) => {
+            tracing::error!(%job, %err, "an accepted job can't be read");
+            None
+        }
+    }
+}
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod harm;
 mod holding;
+mod intake;
 mod members;
 mod order;
 mod pace;
--- a/crates/wharflane/src/job/order.rs
+++ b/crates/wharflane/src/job/order.rs
@@ -49,7 +49,7 @@
     /// The text that the task is given.
     pub spec: String,
     /// Until when what runs on the worker may run, by the worker's clock.
-    pub until_ms: u64,
+    pub lease_until_ms: u64,
     /// The progress to go on from; empty for none.
     pub checkpoint: String,
 }
@@ -105,7 +105,7 @@
     /// Ends up to this number are kept and need not be told again.
     pub seen: u64,
     /// Until when what runs may run, by the worker's clock; nothing leaves the lease as it is.
-    pub until_ms: Option<u64>,
+    pub lease_until_ms: Option<u64>,
     /// How long the answer may wait for an end.
     pub wait: time::Duration,
 }
--- a/crates/wharflane/src/job/queue.rs
+++ b/crates/wharflane/src/job/queue.rs
@@ -12,7 +12,7 @@
     /// The name of the host that callers address.
     pub host: String,
     /// The start of the paths that belong to it.
-    pub path_prefix: String,
+    pub prefix: String,
     /// The service whose workers run its tasks.
     pub service: id::ServiceId,
     /// Its priority; zero comes first.
@@ -36,10 +36,9 @@
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
         let host = host.split(':').next().unwrap_or(host);
         let fits = |queue: &&Queue| {
-            queue.host.eq_ignore_ascii_case(host) && path.starts_with(&queue.path_prefix)
+            queue.host.eq_ignore_ascii_case(host) && path.starts_with(&queue.prefix)
         };
-        let queue =
-            self.queues.values().filter(fits).max_by_key(|queue| queue.path_prefix.len())?;
-        Some((queue, &path[queue.path_prefix.len()..]))
+        let queue = self.queues.values().filter(fits).max_by_key(|queue| queue.prefix.len())?;
+        Some((queue, &path[queue.prefix.len()..]))
     }
 }
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -98,9 +98,9 @@
 
     /// Returns until when a new grant of a length lasts, by the worker's clock, and notes it.
     pub fn grant(&mut self, now: time::Duration, hold: time::Duration) -> Option<u64> {
-        let until_ms = self.clock_ms(now)? + millis(hold);
-        self.granted_ms = self.granted_ms.max(until_ms);
-        Some(until_ms)
+        let lease_until_ms = self.clock_ms(now)? + millis(hold);
+        self.granted_ms = self.granted_ms.max(lease_until_ms);
+        Some(lease_until_ms)
     }
 
     /// Returns whether all that was granted is over, so that nothing can run there any more.
