--- a/crates/caller/src/job.rs
+++ b/crates/caller/src/job.rs
@@ -57,12 +57,24 @@
     let rest = path.strip_prefix(PREFIX).ok_or(job::Answer::NoQueue)?;
     let (name, id) = rest.split_once('/').unwrap_or((rest, ""));
     let queue = queues.queues.get(name).ok_or(job::Answer::NoQueue)?;
+    call(method, queue, id, || read_job(body, queue))
+}
+
+/// Returns the call of a method on a job of a queue, or on the queue where no job is named.
+///
+/// # Errors
+/// Returns the answer to a call that names no job, or whose job can't be read.
+pub fn call(
+    method: &Method,
+    queue: &job::Queue,
+    id: &str,
+    job: impl FnOnce() -> Result<job::Job, job::Answer>,
+) -> Result<job::Call, job::Answer> {
     if method == Method::GET && id.is_empty() {
-        return Ok(job::Call::Waiting { queue: name.to_owned() });
+        return Ok(job::Call::Waiting { queue: queue.name.clone() });
     }
-    let id = id.parse::<job::JobId>();
-    match (method.as_str(), id) {
-        ("POST", Ok(id)) => Ok(job::Call::Submit { id, job: read_job(body, queue)? }),
+    match (method.as_str(), id.parse()) {
+        ("POST", Ok(id)) => Ok(job::Call::Submit { id, job: job()? }),
         ("POST", Err(_)) => Err(job::Answer::BadBody),
         ("GET", Ok(id)) => Ok(job::Call::State { id }),
         ("DELETE", Ok(id)) => Ok(job::Call::Cancel { id }),
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -107,7 +107,7 @@
         let queue = job::Queue {
             name: QUEUE.to_owned(),
             host: "callers.example".to_owned(),
-            prefix: "/work/".to_owned(),
+            prefix: "/queue/".to_owned(),
             service: "service".into(),
             priority: 0,
             max_attempts: ATTEMPTS,
