--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -136,6 +136,7 @@
             leaving: false,
             capacity,
             labels: Vec::new(),
+            rack: None,
         };
         self.write(config::WORKERS_TABLE, member.id.as_str(), serve::member(&member));
         let own = self.clone();
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -428,6 +428,7 @@
         leaving: false,
         capacity: size::Size { cpu_milli: 4_000, mem_mb: 4_000, accelerators: 0 },
         labels: Vec::new(),
+        rack: None,
     }
 }
 
--- /dev/null
+++ b/crates/wharflane/src/job/assign.rs
@@ -0,0 +1,47 @@
+//! Gives tasks to workers; the starts wait for their commit.
+
+use super::holding;
+use super::progress;
+use super::spec;
+use crate::id;
+
+/// Returns the number of a task's last start.
+pub(super) fn last_run(holding: &holding::Holding, task: spec::TaskId) -> u32 {
+    let entry = holding.jobs.get(&task.job);
+    entry.and_then(|entry| entry.progress.tasks.get(&task.into())).map_or(0, |task| task.run)
+}
+
+/// Gives a task a worker; the start waits for its commit.
+pub(super) fn assign(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    worker: &id::WorkerId,
+    run: u32,
+) {
+    let task = ready.task;
+    holding.ready.remove(&ready.task);
+    let Some(entry) = holding.jobs.get_mut(&task.job) else {
+        return;
+    };
+    let state = entry.progress.tasks.entry(task.into()).or_default();
+    state.run = run;
+    state.worker = Some(worker.clone());
+    entry.progress.phase = progress::Phase::Running;
+    let image = holding.model.image(step.image.as_deref());
+    if let Some(view) = holding.views.get_mut(worker) {
+        view.add(task, step, image);
+    }
+    let link = holding::Link::Staged;
+    let placed = holding::Placed {
+        worker: worker.clone(),
+        run,
+        link,
+        lease_until_ms: 0,
+        stopped: None,
+        progress: (0, holding.now),
+    };
+    holding.placed.insert(task, placed);
+    holding.staged.push(task);
+    holding.mark(task.job);
+}
--- /dev/null
+++ b/crates/wharflane/src/job/choose.rs
@@ -0,0 +1,152 @@
+//! Chooses a worker for a task: where it fits, near its data, and harms least.
+
+use std::time;
+
+use super::harm;
+use super::holding;
+use super::obstacle;
+use super::spec;
+use super::worker;
+use crate::id;
+
+/// The share of a lasting task's processors that it is taken to use; measured by no one yet.
+const SERVING_USE_PERCENT: u64 = 50;
+/// The least part of its processors that a task that fills should find.
+const FILL_LEAST: f64 = 0.8;
+/// The part of a worker's processors that most tasks that end find enough; both users' are below.
+const USEFUL_ROOM: f64 = 0.15;
+/// What a room left too small weighs against one more image on a worker.
+const SCRAP_WEIGHT: f64 = 1.5;
+/// The strain that one more neighbour may always cause; a tail hardly shows it.
+const HARMLESS: f64 = 0.015;
+/// What a worker's idle processors weigh against the strain on its serving tasks.
+const IDLE_WEIGHT: f64 = 0.1;
+
+/// Returns the best worker for a task, within one rack where it is given, or nothing.
+pub(super) fn choose(
+    holding: &mut holding::Holding,
+    task: spec::TaskId,
+    step: &spec::Step,
+    within: Option<&str>,
+    now: time::Duration,
+) -> Option<id::WorkerId> {
+    let image = holding.model.image(step.image.as_deref());
+    let holding = &*holding;
+    let near = step.rack.as_deref().or_else(|| kin_rack(holding, task, step));
+    let entry = holding.jobs.get(&task.job)?;
+    let service = holding.service(&entry.job);
+    let failed_on = entry.progress.tasks.get(&task.into()).filter(|state| state.failures > 0);
+    let avoided = failed_on.and_then(|state| state.failed_on.as_ref());
+    let mut best: Option<(Cost, &worker::View)> = None;
+    for view in holding.views.values() {
+        let rack = view.member.rack.as_deref();
+        let outside = within.is_some() && rack != within;
+        if outside || obstacle::plain(view, service, task, step, now).is_some() {
+            continue;
+        }
+        let away = near.is_some() && rack != near;
+        let again = avoided == Some(&view.member.id);
+        let Some(order) = cost(holding, view, step, image, now) else {
+            continue;
+        };
+        let cost = Cost { again, away, order };
+        if best.as_ref().is_none_or(|(least, _)| cost.before(least)) {
+            best = Some((cost, view));
+        }
+    }
+    best.map(|(_, view)| view.member.id.clone())
+}
+
+/// Returns the rack where a task of the same step runs, for steps that are slower across racks.
+fn kin_rack<'a>(
+    holding: &'a holding::Holding,
+    task: spec::TaskId,
+    step: &spec::Step,
+) -> Option<&'a str> {
+    if !step.same_rack {
+        return None;
+    }
+    let first = spec::TaskId { index: 0, ..task };
+    let last = spec::TaskId { index: u32::MAX, ..task };
+    let (_, kin) = holding.placed.range(first..=last).next()?;
+    holding.views.get(&kin.worker)?.member.rack.as_deref()
+}
+
+/// What speaks against a worker, the graver first.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    /// The task failed there last.
+    again: bool,
+    /// Its data or its kin lie on another rack.
+    away: bool,
+    /// The rest, by kind of task.
+    order: f64,
+}
+
+impl Cost {
+    /// Returns whether this cost is lower than another.
+    fn before(&self, other: &Self) -> bool {
+        let graver = (self.again, self.away).cmp(&(other.again, other.away));
+        graver.then(self.order.total_cmp(&other.order)).is_lt()
+    }
+}
+
+/// Returns the cost of a worker by kind of task, or nothing where the task would do harm.
+pub(super) fn cost(
+    holding: &holding::Holding,
+    view: &worker::View,
+    step: &spec::Step,
+    image: harm::Image,
+    now: time::Duration,
+) -> Option<f64> {
+    if step.fills {
+        return fill_cost(holding, view, step, image, now);
+    }
+    let left = view.free().cpu_milli as f64 / view.member.capacity.cpu_milli.max(1) as f64;
+    if step.target_ms.is_none() {
+        return Some(left);
+    }
+    // Serving tasks of one image together leave other workers to what would harm them.
+    let others = view.serving.values().filter(|serving| serving.image != image).count();
+    let empty = if view.serving.is_empty() { 0.5 } else { 0.0 };
+    Some(others as f64 + empty + left + scrap(view, step))
+}
+
+/// Returns what speaks against a room that would be left too small for most tasks that end.
+fn scrap(view: &worker::View, step: &spec::Step) -> f64 {
+    let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+    let left = view.free().minus(&step.reserved()).cpu_milli as f64 / capacity;
+    if left < USEFUL_ROOM { left / USEFUL_ROOM * SCRAP_WEIGHT } else { 0.0 }
+}
+
+/// Returns the harm of a task that fills, with a little for processors that are short.
+fn fill_cost(
+    holding: &holding::Holding,
+    view: &worker::View,
+    step: &spec::Step,
+    image: harm::Image,
+    now: time::Duration,
+) -> Option<f64> {
+    let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+    let left = left_for_filling(view) as f64;
+    let want = step.size.cpu_milli as f64;
+    if left < want * FILL_LEAST || holding.misses(view).next().is_some() {
+        return None;
+    }
+    let part = want / capacity;
+    let mut worst = 0.0_f64;
+    for (serving, room) in holding.headroom(&view.member.id, now) {
+        let strain = holding.model.harm(serving, image) * part;
+        if strain > room.max(HARMLESS) {
+            return None;
+        }
+        worst = worst.max(strain);
+    }
+    Some(worst - left / capacity * IDLE_WEIGHT)
+}
+
+/// Returns the processors that a worker is thought to leave to tasks that fill.
+fn left_for_filling(view: &worker::View) -> u64 {
+    let idle = view.serving_milli * (100 - SERVING_USE_PERCENT) / 100;
+    (view.free().cpu_milli + idle).saturating_sub(view.filling_milli)
+}
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use super::event;
+use super::gang;
 use super::holding;
 use super::order;
 use super::progress;
@@ -61,6 +62,8 @@
             placed.link = holding::Link::Doubtful(now + ORDER_AGAIN);
             return;
         };
+        // A worker that was idle would be looked at much later.
+        view.look_due = view.look_due.min(now + LOOK_GAP);
         placed.link = holding::Link::Ordered;
         placed.lease_until_ms = placed.lease_until_ms.max(lease_until_ms);
         let Some(entry) = self.jobs.get(&task.job) else {
@@ -377,16 +380,23 @@
         let Some(entry) = self.jobs.get_mut(&ended.task.job) else {
             return;
         };
-        let lasting = entry.job.step(ended.task.step).is_some_and(|step| step.lasting);
+        let step = entry.job.step(ended.task.step);
+        let lasting = step.is_some_and(|step| step.lasting);
+        let gang = step.filter(|step| step.gang).map(|step| step.count);
         if let Some(state) = entry.progress.tasks.get_mut(&ended.task.into()) {
             if !ended.checkpoint.is_empty() {
                 state.checkpoint.clone_from(&ended.checkpoint);
             }
-            state.done |= ended.kind == order::EndKind::Done && !lasting;
             if ended.kind == order::EndKind::Failed {
-                state.failures += u32::from(!lasting);
                 state.failed_on = Some(worker.clone());
             }
+            if gang.is_none() && !lasting {
+                state.done |= ended.kind == order::EndKind::Done;
+                state.failures += u32::from(ended.kind == order::EndKind::Failed);
+            }
+        }
+        if let Some(count) = gang.filter(|_| !lasting) {
+            gang::note_end(&mut entry.progress, ended.task, count, ended.run, ended.kind);
         }
         self.give_back(ended.task);
         self.advance(ended.task, now);
--- /dev/null
+++ b/crates/wharflane/src/job/gang.rs
@@ -0,0 +1,150 @@
+//! Tasks that work only together: placed as one, done as one, failed as one.
+
+use std::collections;
+use std::time;
+
+use super::assign;
+use super::choose;
+use super::holding;
+use super::order;
+use super::progress;
+use super::spec;
+use crate::id;
+use crate::size;
+
+/// Places all tasks of a gang, or none; returns whether they found workers.
+pub(super) fn place(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    now: time::Duration,
+) -> bool {
+    let member = |index| spec::TaskId { index, ..ready.task };
+    // Members that are still there, or whose fate is open, must be over first.
+    if (0..step.count).any(|index| holding.placed.contains_key(&member(index))) {
+        return false;
+    }
+    let Some(workers) = seek(holding, ready.task, step, now) else {
+        return false;
+    };
+    let members = 0..step.count;
+    let last = members.clone().map(|index| assign::last_run(holding, member(index)));
+    let run = last.max().unwrap_or(0) + 1;
+    let checkpoint = common_checkpoint(holding, ready.task, step.count);
+    for (index, worker) in members.zip(&workers) {
+        let ready = holding::Ready { task: member(index), ..*ready };
+        assign::assign(holding, &ready, step, worker, run);
+        if let Some(entry) = holding.jobs.get_mut(&ready.task.job)
+            && let Some(state) = entry.progress.tasks.get_mut(&ready.task.into())
+        {
+            state.checkpoint.clone_from(&checkpoint);
+        }
+    }
+    true
+}
+
+/// Returns a worker for each task of a gang, all in one rack where that is asked for and possible.
+fn seek(
+    holding: &mut holding::Holding,
+    task: spec::TaskId,
+    step: &spec::Step,
+    now: time::Duration,
+) -> Option<Vec<id::WorkerId>> {
+    if step.same_rack {
+        for rack in racks(holding, step) {
+            let workers = reserve(holding, task, step, Some(&rack), now);
+            if workers.is_some() {
+                return workers;
+            }
+        }
+    }
+    reserve(holding, task, step, None, now)
+}
+
+/// Returns the racks whose free room is enough for a gang, the one with the data first, then the
+/// fullest first.
+fn racks(holding: &holding::Holding, step: &spec::Step) -> Vec<String> {
+    let mut free = collections::BTreeMap::<&str, size::Size>::new();
+    for view in holding.views.values() {
+        if let Some(rack) = view.member.rack.as_deref() {
+            let sum = free.entry(rack).or_default();
+            *sum = sum.plus(&view.free());
+        }
+    }
+    let need = step.reserved();
+    let whole = (0..step.count).fold(size::Size::default(), |sum, _| sum.plus(&need));
+    let mut racks: Vec<_> = free.into_iter().filter(|(_, free)| whole.fits(free)).collect();
+    racks.sort_by_key(|(rack, free)| (step.rack.as_deref() != Some(*rack), free.cpu_milli));
+    racks.into_iter().map(|(rack, _)| rack.to_owned()).collect()
+}
+
+/// Chooses a worker for each task of a gang; leaves all rooms as they were.
+fn reserve(
+    holding: &mut holding::Holding,
+    task: spec::TaskId,
+    step: &spec::Step,
+    rack: Option<&str>,
+    now: time::Duration,
+) -> Option<Vec<id::WorkerId>> {
+    let image = holding.model.image(step.image.as_deref());
+    let mut workers = Vec::new();
+    for index in 0..step.count {
+        let task = spec::TaskId { index, ..task };
+        let Some(worker) = choose::choose(holding, task, step, rack, now) else {
+            break;
+        };
+        if let Some(view) = holding.views.get_mut(&worker) {
+            view.add(task, step, image);
+        }
+        workers.push(worker);
+    }
+    for (index, worker) in (0..step.count).zip(&workers) {
+        if let Some(view) = holding.views.get_mut(worker) {
+            view.remove(spec::TaskId { index, ..task }, step);
+        }
+    }
+    (workers.len() == step.count as usize).then_some(workers)
+}
+
+/// Returns the checkpoint that all members of a gang go on from.
+fn common_checkpoint(holding: &holding::Holding, task: spec::TaskId, count: u32) -> String {
+    let tasks = (0..count).filter_map(|index| {
+        let place = progress::Place::from(spec::TaskId { index, ..task });
+        holding.jobs.get(&task.job)?.progress.tasks.get(&place)
+    });
+    // Checkpoints of one gang grow as texts, so the greatest has the most work in it.
+    tasks.map(|task| task.checkpoint.clone()).max().unwrap_or_default()
+}
+
+/// Notes that one member of a gang is done, or has failed, which holds for the gang as a whole.
+pub(super) fn note_end(
+    progress: &mut progress::Progress,
+    task: spec::TaskId,
+    count: u32,
+    run: u32,
+    kind: order::EndKind,
+) {
+    let places = (0..count).map(|index| progress::Place::from(spec::TaskId { index, ..task }));
+    let places: Vec<progress::Place> = places.collect();
+    match kind {
+        order::EndKind::Done => {
+            for place in places {
+                progress.tasks.entry(place).or_default().done = true;
+            }
+        }
+        order::EndKind::Failed => {
+            let members = places.iter().filter_map(|place| progress.tasks.get(place));
+            let counted = members.clone().any(|member| member.failed_run == run);
+            let failures = members.map(|member| member.failures).max().unwrap_or(0);
+            if counted {
+                return;
+            }
+            for place in places {
+                let member = progress.tasks.entry(place).or_default();
+                member.failures = failures + 1;
+                member.failed_run = run;
+            }
+        }
+        _ => {}
+    }
+}
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -4,11 +4,14 @@
 //! domain, by a lease row that each of its writes renews and is conditional on. What a caller or a
 //! worker is told always follows a committed write.
 
+mod assign;
 mod call;
+mod choose;
 mod commit;
 mod ends;
 mod engine;
 mod event;
+mod gang;
 mod harm;
 mod holding;
 mod intake;
@@ -21,6 +24,7 @@
 mod queue;
 mod rows;
 mod spec;
+mod waits;
 mod worker;
 
 pub use call::{Answer, Call};
--- a/crates/wharflane/src/job/order.rs
+++ b/crates/wharflane/src/job/order.rs
@@ -24,6 +24,8 @@
     pub capacity: size::Size,
     /// Its kind, its rack and whatever else steps may ask for.
     pub labels: Vec<String>,
+    /// The rack that it stands in, where it is known.
+    pub rack: Option<String>,
 }
 
 /// To whom an order goes, and with what authority.
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -70,6 +70,8 @@
     pub done: bool,
     /// What it saved last; empty where it saved nothing.
     pub checkpoint: String,
+    /// The run in which its gang failed last; zero for none.
+    pub failed_run: u32,
     /// Where it failed last; lost with the holder.
     pub failed_on: Option<id::WorkerId>,
 }
@@ -102,6 +104,9 @@
     /// Failures.
     #[serde(default, skip_serializing_if = "is_zero")]
     bad: u32,
+    /// The run in which the gang failed last.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    bad_run: u32,
     /// The worker.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     on: Option<id::WorkerId>,
@@ -130,6 +135,7 @@
                 at: (place.round, place.step, place.index),
                 run: task.run,
                 bad: task.failures,
+                bad_run: task.failed_run,
                 on: task.worker.clone(),
                 done: task.done,
                 saved: task.checkpoint.clone(),
@@ -148,6 +154,7 @@
             let state = Task {
                 run: task.run,
                 failures: task.bad,
+                failed_run: task.bad_run,
                 worker: task.on,
                 done: task.done,
                 checkpoint: task.saved,
--- /dev/null
+++ b/crates/wharflane/src/job/waits.rs
@@ -0,0 +1,84 @@
+//! Tells operators what keeps tasks that have waited for long.
+
+use std::collections;
+use std::time;
+
+use super::choose;
+use super::holding;
+use super::obstacle;
+use super::spec;
+use super::worker;
+
+/// How long a task waits until it is told what keeps it; most find a worker in a tenth of it.
+const TOLD_AFTER: time::Duration = time::Duration::from_secs(2);
+/// The time between two lines about one step; bounds their number by the steps that wait.
+const TOLD_AGAIN: time::Duration = time::Duration::from_secs(10);
+
+impl holding::Holding {
+    /// Logs what keeps a task that has waited for long; once a while for each step.
+    pub(super) fn tell_wait(
+        &mut self,
+        ready: &holding::Ready,
+        step: &spec::Step,
+        now: time::Duration,
+    ) {
+        let waited = now.saturating_sub(ready.since);
+        let group = obstacle::group(ready.task);
+        let told = self.told.get(&group);
+        let due = told.is_none_or(|at| now.saturating_sub(*at) >= TOLD_AGAIN);
+        if waited < TOLD_AFTER || !due {
+            return;
+        }
+        self.told.insert(group, now);
+        let obstacles = self.obstacles(ready.task, step, now);
+        let count = |obstacle| obstacles.get(&obstacle).copied().unwrap_or(0);
+        tracing::info!(
+            task = %ready.task,
+            waited_ms = worker::millis(waited),
+            workers = self.views.len(),
+            other_service = count(obstacle::Obstacle::Service),
+            no_label = count(obstacle::Obstacle::Label),
+            label = step.label.as_deref().unwrap_or_default(),
+            unavailable = count(obstacle::Obstacle::Unavailable),
+            no_room = count(obstacle::Obstacle::Room),
+            spread = count(obstacle::Obstacle::Spread),
+            harm = count(obstacle::Obstacle::Harm),
+            gang = step.gang,
+            cpu_milli = step.size.cpu_milli,
+            mem_mb = step.size.mem_mb,
+            "no worker for a task"
+        );
+    }
+
+    /// Counts the workers that don't take a task, by what keeps it from them.
+    fn obstacles(
+        &mut self,
+        task: spec::TaskId,
+        step: &spec::Step,
+        now: time::Duration,
+    ) -> collections::BTreeMap<obstacle::Obstacle, usize> {
+        let image = self.model.image(step.image.as_deref());
+        let mut counts = collections::BTreeMap::new();
+        let Some(entry) = self.jobs.get(&task.job) else {
+            return counts;
+        };
+        let service = self.service(&entry.job);
+        for view in self.views.values() {
+            let harm = || {
+                let none = choose::cost(self, view, step, image, now).is_none();
+                none.then_some(obstacle::Obstacle::Harm)
+            };
+            if let Some(obstacle) = obstacle::plain(view, service, task, step, now).or_else(harm) {
+                *counts.entry(obstacle).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Forgets what was told of steps that don't wait any more.
+    pub(super) fn forget_told(&mut self) {
+        let waiting: collections::BTreeSet<obstacle::Group> =
+            self.ready.keys().map(|task| obstacle::group(*task)).collect();
+        self.told.retain(|group, _| waiting.contains(group));
+    }
+}
--- /dev/null
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -0,0 +1,234 @@
+//! An engine with a store and workers that answer at once, event by event.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use wharflane::{id, job, rows, size};
+use wharflane_stand_in::jobs::world;
+
+/// The target of the serving task, in milliseconds.
+const TARGET_MS: u64 = 50;
+/// The tail of the serving task where nothing fills.
+const QUIET_MS: u64 = 13;
+/// Its tail beside a task that harms it.
+const HARMED_MS: u64 = 40;
+
+/// An engine with a store that answers at once, and everything it asked for.
+pub struct Desk {
+    /// The engine.
+    pub engine: job::Engine,
+    /// The time.
+    pub now: time::Duration,
+    /// The version of the store.
+    pub version: u64,
+    /// The rows that were written last.
+    pub rows: collections::BTreeMap<(&'static str, String), String>,
+    /// Orders and looks that were asked for and not answered yet.
+    pub asked: Vec<job::Effect>,
+    /// Runs that have ended, by worker.
+    pub over: Vec<(id::WorkerId, job::Ended)>,
+}
+
+impl Desk {
+    /// Makes an engine that holds its domain, with so many workers.
+    pub fn new(workers: usize, learned: Option<String>) -> Self {
+        let engine = job::Engine::new("host".into(), world::settings(), 1);
+        let mut desk = Self {
+            engine,
+            now: time::Duration::from_secs(1),
+            version: 0,
+            rows: collections::BTreeMap::new(),
+            asked: Vec::new(),
+            over: Vec::new(),
+        };
+        let queue = |name: &str, priority| job::Queue {
+            name: name.to_owned(),
+            host: String::new(),
+            prefix: String::new(),
+            service: "service".into(),
+            priority,
+            max_attempts: 3,
+        };
+        let queues = ["first", "last"].into_iter().zip([0, 2]);
+        let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
+        let queues = job::Queues { revision: 1, queues: queues.collect() };
+        desk.take(job::Event::Queues(sync::Arc::new(queues)));
+        desk.take(job::Event::Listed((0..workers).map(member).collect()));
+        desk.take(job::Event::LeaseRead(None));
+        let (jobs, progress) = (Vec::new(), Vec::new());
+        desk.take(job::Event::Loaded { jobs, progress, learned });
+        desk
+    }
+
+    /// Lets the engine take an event; transactions are answered at once.
+    pub fn take(&mut self, event: job::Event) {
+        let mut effects = self.engine.step(self.now, event);
+        while !effects.is_empty() {
+            let effect = effects.remove(0);
+            let job::Effect::Txn(number, txn) = effect else {
+                self.asked.push(effect);
+                continue;
+            };
+            self.version += 1;
+            for write in txn.writes {
+                let at = (write.key.table, write.key.name);
+                self.rows.insert(at, write.value.unwrap_or_default());
+            }
+            let answer = Some(rows::Answer::Done { version: self.version });
+            effects.extend(self.engine.step(self.now, job::Event::Txn { number, answer }));
+        }
+    }
+
+    /// Lets time pass; looks are answered with what runs, starts are taken.
+    ///
+    /// A serving task beside one that fills has the higher tail where `harmed` says so.
+    pub fn pass(&mut self, millis: u64, harmed: bool) {
+        let mut started: Vec<job::Start> = Vec::new();
+        for _ in 0..millis / 20 {
+            self.now += time::Duration::from_millis(20);
+            self.take(job::Event::Tick { wall_ms: 0 });
+            for effect in std::mem::take(&mut self.asked) {
+                match effect {
+                    job::Effect::Start(start) => {
+                        let order = start.order.clone();
+                        started.push(start);
+                        let answer = job::StartAnswer::Taken;
+                        self.take(job::Event::Started { order, answer });
+                    }
+                    job::Effect::Look(look) => {
+                        let clock_ms = u64::try_from(self.now.as_millis()).expect("a small number");
+                        let here = |start: &&job::Start| {
+                            start.order.worker == look.worker && !self.is_over(&start.order)
+                        };
+                        let here: Vec<&job::Start> = started.iter().filter(here).collect();
+                        let beside = here.iter().any(|start| start.order.task.job.0 == 2);
+                        let row = |start: &&job::Start| row(start, harmed && beside);
+                        let running = here.iter().map(row).collect();
+                        let ended = self.ends_of(&look);
+                        let lists = job::Lists { clock_ms, running, ended };
+                        let answer = job::LookAnswer::Lists(lists);
+                        let (worker, epoch) = (look.worker, look.epoch);
+                        self.take(job::Event::Looked { worker, epoch, answer });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        self.asked.extend(started.into_iter().map(job::Effect::Start));
+    }
+
+    /// Ends the newest run of a task; looks tell it from then on.
+    pub fn end(&mut self, task: job::TaskId, kind: job::EndKind) {
+        let starts = self.asked.iter().filter_map(|effect| match effect {
+            job::Effect::Start(start) if start.order.task == task => Some(&start.order),
+            _ => None,
+        });
+        let order = starts.max_by_key(|order| order.run).expect("a started task").clone();
+        let number = self.over.iter().filter(|(worker, _)| *worker == order.worker).count() + 1;
+        let number = u64::try_from(number).expect("a small number");
+        let checkpoint = String::new();
+        let ended = job::Ended { number, task, run: order.run, kind, checkpoint };
+        self.over.push((order.worker, ended));
+    }
+
+    /// Returns whether the run of an order has ended.
+    fn is_over(&self, order: &job::Order) -> bool {
+        self.over.iter().any(|(_, ended)| ended.task == order.task && ended.run >= order.run)
+    }
+
+    /// Returns the ends that a look is told.
+    fn ends_of(&self, look: &job::Look) -> Vec<job::Ended> {
+        let here = self
+            .over
+            .iter()
+            .filter(|(worker, ended)| *worker == look.worker && ended.number > look.seen);
+        here.map(|(_, ended)| ended.clone()).collect()
+    }
+
+    /// Returns the starts that were ordered, as index of the task and number of the run.
+    pub fn starts(&self, job: u64) -> Vec<(u32, u32)> {
+        let starts = self.asked.iter().filter_map(|effect| match effect {
+            job::Effect::Start(start) if start.order.task.job.0 == job => Some(start),
+            _ => None,
+        });
+        starts.map(|start| (start.order.task.index, start.order.run)).collect()
+    }
+
+    /// Hands in a job of one step.
+    pub fn submit(&mut self, number: u64, queue: &str, step: job::Step) {
+        let event = self.accepted(number, queue, step);
+        self.take(event);
+    }
+
+    /// Returns the event of a job of one step that was accepted.
+    pub fn accepted(&mut self, number: u64, queue: &str, step: job::Step) -> job::Event {
+        let job = job::Job {
+            queue: queue.to_owned(),
+            service: "service".into(),
+            spec: String::new(),
+            steps: vec![step],
+            repeats: None,
+        };
+        let value = serde_json::to_string(&job::Accepted { job, cancelled: false });
+        self.version += 1;
+        job::Event::Jobs(vec![rows::Row {
+            name: job::JobId(number).to_string(),
+            part: job::part(0),
+            version: self.version,
+            value: value.ok(),
+        }])
+    }
+
+    /// Returns the harm that is learned between the two images of these tests.
+    pub fn harm(&self) -> Option<f64> {
+        let dump = self.engine.holding().expect("a holder").dump();
+        dump.harm.get("serving by filling").copied()
+    }
+}
+
+/// Returns a worker as the store lists it.
+pub fn member(at: usize) -> job::Member {
+    job::Member {
+        id: format!("worker-{at}").as_str().into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        hall: "hall".into(),
+        service: "service".into(),
+        leaving: false,
+        capacity: size::Size { cpu_milli: 16_000, mem_mb: 64_000, accelerators: 0 },
+        labels: Vec::new(),
+        rack: None,
+    }
+}
+
+/// Returns a task that serves, or one that fills.
+pub fn step(image: &str, cpu_milli: u64) -> job::Step {
+    let serving = image == "serving";
+    job::Step {
+        count: 1,
+        size: size::Size { cpu_milli, mem_mb: 1_000, accelerators: 0 },
+        lasting: serving,
+        target_ms: serving.then_some(TARGET_MS),
+        fills: image == "filling",
+        image: Some(image.to_owned()),
+        ..job::Step::default()
+    }
+}
+
+/// Returns how a started task is told to run beside others that do or don't harm it.
+pub fn row(start: &job::Start, harmed: bool) -> job::Running {
+    let serving = start.order.task.job.0 == 1;
+    let tail = if harmed { HARMED_MS } else { QUIET_MS };
+    let load = if serving { tail } else { 4_000 };
+    job::Running { task: start.order.task, run: start.order.run, percent: 100, load }
+}
+
+/// Returns the names of the jobs whose tasks were started, in order.
+pub fn order(desk: &Desk) -> Vec<u64> {
+    let starts = desk.asked.iter().filter_map(|effect| match effect {
+        job::Effect::Start(start) => Some(start.order.task.job.0),
+        _ => None,
+    });
+    starts.collect()
+}
