Order of work: what can be in time first, by learned times; lasting tasks that were at work come back

Now: times are fitted by queue to what was seen (job/times.rs), an outlook is in time, late or missed (job/outlook.rs), from the time of day when the job was accepted (kept in its row); within an outlook the order of acceptance stays. One that was at work and has been away for 3 s goes first, and the room of one worker is kept for it. Tests: late behind in time, guesses corrected, return before shorter work (each fails without its part by construction of the order asserted; the first was seen to fail on the order before).

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -74,7 +74,7 @@
     ) -> Result<(), ractor::ActorProcessingErr> {
         match message {
             Msg::Tick => {
-                state.step(&myself, job::Event::Tick { wall_ms: wall_ms() });
+                state.step(&myself, job::Event::Tick { wall_ms: super::wall_ms() });
                 let holds = state.engine.holding().is_some();
                 let next = if holds { TICK_HOLDING } else { TICK_WATCHING };
                 myself.send_after(next, || Msg::Tick);
@@ -193,9 +193,3 @@
         keep: time::Duration::from_secs(shared.settings.number("jobs", "keep_s")),
     }
 }
-
-/// Returns the time of day in milliseconds since 1970.
-fn wall_ms() -> u64 {
-    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -85,3 +85,9 @@
             && u128::from(silent_ms) < self.time("unready_ms").as_millis()
     }
 }
+
+/// Returns the time of day in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -62,7 +62,7 @@
             return job::Answer::Refused(refusal);
         }
         let key = self.key(job::JOBS, id);
-        let accepted = job::Accepted { job, cancelled: false };
+        let accepted = job::Accepted { job, cancelled: false, accepted_ms: super::wall_ms() };
         let Ok(value) = serde_json::to_string(&accepted) else {
             return job::Answer::BadBody;
         };
--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -24,7 +24,7 @@
             steps,
             repeats: None,
         };
-        let accepted = job::Accepted { job: job.clone(), cancelled: false };
+        let accepted = job::Accepted { job: job.clone(), cancelled: false, accepted_ms: 0 };
         self.judge.jobs.insert(id, job);
         self.write_job(id, &accepted);
         if self.rng.random_range(0..4) == 0 {
@@ -54,7 +54,7 @@
             return;
         };
         self.cancelled.insert(id, self.now);
-        self.write_job(id, &job::Accepted { job, cancelled: true });
+        self.write_job(id, &job::Accepted { job, cancelled: true, accepted_ms: 0 });
     }
 
     /// Writes the row of a job and lets those who follow the table know.
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -111,6 +111,8 @@
             service: "service".into(),
             priority: 0,
             max_attempts: ATTEMPTS,
+            stretch_percent: 200,
+            objective_ms: 1_000,
         };
         let queues = job::Queues { revision, queues: [(QUEUE.to_owned(), queue)].into() };
         self.write(config::OPERATOR_TABLE, config::CONFIG_KEY, serve::config(&queues));
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -261,6 +261,8 @@
             service: "service".into(),
             priority: 0,
             max_attempts: ATTEMPTS,
+            stretch_percent: 200,
+            objective_ms: 1_000,
         };
         let queues = [(QUEUE.to_owned(), queue)].into();
         let queues = job::Queues { revision: 1, queues };
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -28,7 +28,7 @@
     state.run = run;
     state.worker = Some(worker.clone());
     entry.progress.phase = progress::Phase::Running;
-    let image = holding.model.image(step.image.as_deref());
+    let image = holding.learned.harm.image(step.image.as_deref());
     if let Some(view) = holding.views.get_mut(worker) {
         view.add(task, step, image);
     }
@@ -38,6 +38,7 @@
         run,
         link,
         lease_until_ms: 0,
+        began: None,
         stopped: None,
         progress: (0, holding.now),
     };
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -22,7 +22,8 @@
 /// What a worker's idle processors weigh against the strain on its serving tasks.
 const IDLE_WEIGHT: f64 = 0.1;
 
-/// Returns the best worker for a task, within one rack where it is given, or nothing.
+/// Returns the best worker for a task, within one rack where it is given, or nothing; workers whose
+/// room is kept for others don't count.
 pub(super) fn choose(
     holding: &mut holding::Holding,
     task: spec::TaskId,
@@ -30,7 +31,7 @@
     within: Option<&str>,
     now: time::Duration,
 ) -> Option<id::WorkerId> {
-    let image = holding.model.image(step.image.as_deref());
+    let image = holding.learned.harm.image(step.image.as_deref());
     let holding = &*holding;
     let near = step.rack.as_deref().or_else(|| kin_rack(holding, task, step));
     let entry = holding.jobs.get(&task.job)?;
@@ -40,7 +41,8 @@
     let mut best: Option<(Cost, &worker::View)> = None;
     for view in holding.views.values() {
         let rack = view.member.rack.as_deref();
-        let outside = within.is_some() && rack != within;
+        let outside =
+            within.is_some() && rack != within || holding.kept_for.contains(&view.member.id);
         if outside || obstacle::plain(view, service, task, step, now).is_some() {
             continue;
         }
@@ -66,9 +68,7 @@
     if !step.same_rack {
         return None;
     }
-    let first = spec::TaskId { index: 0, ..task };
-    let last = spec::TaskId { index: u32::MAX, ..task };
-    let (_, kin) = holding.placed.range(first..=last).next()?;
+    let (_, kin) = holding.placed.range(obstacle::kin(task)).next()?;
     holding.views.get(&kin.worker)?.member.rack.as_deref()
 }
 
@@ -136,7 +136,7 @@
     let part = want / capacity;
     let mut worst = 0.0_f64;
     for (serving, room) in holding.headroom(&view.member.id, now) {
-        let strain = holding.model.harm(serving, image) * part;
+        let strain = holding.learned.harm.harm(serving, image) * part;
         if strain > room.max(HARMLESS) {
             return None;
         }
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -171,7 +171,7 @@
         }
         self.kept_at = now;
         let key = kept::learned_key(self.settings.domain);
-        let value = Some(serde_json::to_string(&self.model)?);
+        let value = Some(serde_json::to_string(&self.learned)?);
         txn.writes.push(rows::Write { key, value });
         Ok(())
     }
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -165,6 +165,9 @@
             order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
                 // An old run is one that ended there: the next look tells how, or that it is gone.
                 self.set_link(order.task, holding::Link::There(now));
+                if let Some(placed) = self.placed.get_mut(&order.task) {
+                    placed.began = placed.began.or(Some(now));
+                }
                 if !wanted {
                     self.stop(order.task, now);
                 }
@@ -377,6 +380,9 @@
         if !ours {
             return;
         }
+        if ended.kind == order::EndKind::Done {
+            self.learn_time(ended.task, now);
+        }
         let Some(entry) = self.jobs.get_mut(&ended.task.job) else {
             return;
         };
@@ -402,6 +408,30 @@
         self.advance(ended.task, now);
     }
 
+    /// Learns how long a task took that is done, where nothing held it up on the way.
+    fn learn_time(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get(&task) else {
+            return;
+        };
+        let view = self.views.get(&placed.worker);
+        let paced = view.and_then(|view| view.filling.get(&task)).is_some_and(|f| f.paced);
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let resumed = placed.run > 1;
+        let (Some(began), Some(step)) = (placed.began, entry.job.step(task.step)) else {
+            return;
+        };
+        if paced || resumed {
+            return;
+        }
+        let time = now.saturating_sub(began);
+        self.learned.times.learn(&entry.job.queue, step.estimate_ms, time);
+        let taken = entry.taken.entry(task.step).or_default();
+        taken.runs += 1;
+        taken.total += time;
+    }
+
     /// Ends a job, or opens steps of it, after one of its tasks has ended.
     fn advance(&mut self, task: spec::TaskId, now: time::Duration) {
         let Some(entry) = self.jobs.get(&task.job).filter(|entry| entry.active()) else {
--- a/crates/wharflane/src/job/gang.rs
+++ b/crates/wharflane/src/job/gang.rs
@@ -86,7 +86,7 @@
     rack: Option<&str>,
     now: time::Duration,
 ) -> Option<Vec<id::WorkerId>> {
-    let image = holding.model.image(step.image.as_deref());
+    let image = holding.learned.harm.image(step.image.as_deref());
     let mut workers = Vec::new();
     for index in 0..step.count {
         let task = spec::TaskId { index, ..task };
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use super::event;
-use super::harm;
+use super::learned;
 use super::obstacle;
 use super::order;
 use super::progress;
@@ -23,6 +23,8 @@
     pub job: sync::Arc<spec::Job>,
     /// The version of its row when it was accepted; earlier jobs have lower ones.
     pub order: u64,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_ms: u64,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
     /// How far it has come, ahead of the store by what is not committed yet.
@@ -31,6 +33,17 @@
     pub dirty: bool,
     /// Since when it has ended.
     pub ended: Option<time::Duration>,
+    /// How long tasks took that this holder saw at work, by step.
+    pub taken: collections::BTreeMap<u32, Taken>,
+}
+
+/// How long the tasks of a step took.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Taken {
+    /// The runs that worked at full speed from their beginning to their end.
+    pub runs: u32,
+    /// The time of all of them.
+    pub total: time::Duration,
 }
 
 impl Entry {
@@ -56,6 +69,8 @@
     pub link: Link,
     /// Until when an order for it may still be carried out, by the worker's clock.
     pub lease_until_ms: u64,
+    /// When the worker took the start; nothing where another holder ordered it.
+    pub began: Option<time::Duration>,
     /// When a stop was last ordered.
     pub stopped: Option<time::Duration>,
     /// How far it was, in percent, and since when.
@@ -86,6 +101,8 @@
     pub priority: u32,
     /// Whether it runs until its job is cancelled.
     pub lasting: bool,
+    /// Whether it was at work before.
+    pub returns: bool,
     /// Earlier jobs have lower ones.
     pub order: u64,
     /// Since when it waits.
@@ -164,11 +181,13 @@
     pub(super) changed: bool,
     /// When placement was last tried.
     pub(super) placed_at: time::Duration,
+    /// Workers whose room is kept for lasting tasks that come back, until the next try.
+    pub(super) kept_for: collections::BTreeSet<id::WorkerId>,
     /// When it was last told what keeps the tasks of a step waiting.
     pub(super) told: collections::BTreeMap<obstacle::Group, time::Duration>,
-    /// What was learned of who harms whom.
-    pub(super) model: harm::Model,
-    /// When that was last written.
+    /// What was learned.
+    pub(super) learned: learned::Learned,
+    /// When what was learned was last written.
     pub(super) kept_at: time::Duration,
     /// The strains of serving tasks as they were last told.
     pub(super) strains: collections::BTreeMap<spec::TaskId, worker::Strain>,
@@ -195,6 +214,9 @@
     pub placed: usize,
     /// Workers that are looked at.
     pub workers: usize,
+    /// How long a task that its caller guesses at one second is likely to take, in milliseconds, by
+    /// queue.
+    pub times_ms: collections::BTreeMap<String, f64>,
     /// The strain that one image is learned to cause another.
     pub harm: collections::BTreeMap<String, f64>,
 }
@@ -233,8 +255,9 @@
             counted: kept::Waiting::default(),
             changed: true,
             placed_at: time::Duration::ZERO,
+            kept_for: collections::BTreeSet::new(),
             told: collections::BTreeMap::new(),
-            model: harm::Model::default(),
+            learned: learned::Learned::default(),
             kept_at: taken,
             strains: collections::BTreeMap::new(),
             fenced: false,
@@ -254,7 +277,8 @@
             ready: self.ready.len(),
             placed: self.placed.len(),
             workers: self.views.len(),
-            harm: self.model.dump(),
+            times_ms: self.learned.times.dump(),
+            harm: self.learned.harm.dump(),
         }
     }
 
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -23,7 +23,7 @@
             return;
         };
         match serde_json::from_str(text) {
-            Ok(model) => self.model = model,
+            Ok(learned) => self.learned = learned,
             Err(err) => tracing::warn!(%err, "what was learned can't be read, learned anew"),
         }
     }
@@ -74,7 +74,8 @@
         progress: progress::Progress,
         now: time::Duration,
     ) {
-        let kept::Accepted { job: spec, cancelled } = accepted;
+        let kept::Accepted { job: spec, cancelled, accepted_ms } = accepted;
+        let accepted_ms = if accepted_ms == 0 { self.wall_ms } else { accepted_ms };
         for (place, task) in &progress.tasks {
             let Some(worker) = &task.worker else {
                 continue;
@@ -84,6 +85,7 @@
                 run: task.run,
                 link: holding::Link::Inherited,
                 lease_until_ms: 0,
+                began: None,
                 stopped: None,
                 progress: (0, now),
             };
@@ -93,8 +95,16 @@
         let spec = sync::Arc::new(spec);
         let (phase, rounds) = (progress.phase, spec.rounds());
         let due: Vec<u64> = (0..rounds).map(|round| spec.due_ms(round)).collect();
-        let entry =
-            holding::Entry { job: spec, order, cancelled: false, progress, dirty: false, ended };
+        let entry = holding::Entry {
+            job: spec,
+            order,
+            accepted_ms,
+            cancelled: false,
+            progress,
+            dirty: false,
+            ended,
+            taken: collections::BTreeMap::new(),
+        };
         self.jobs.insert(job, entry);
         if phase.ended() {
             return;
@@ -140,10 +150,12 @@
         let (priority, _) = self.terms(&entry.job);
         for index in 0..spec.count {
             let task = spec::TaskId { job, round, step, index };
-            let done = entry.progress.tasks.get(&task.into()).is_some_and(|task| task.done);
+            let state = entry.progress.tasks.get(&task.into());
+            let done = state.is_some_and(|state| state.done);
+            let returns = spec.lasting && state.is_some_and(|state| state.run > 0);
             if !done && !self.placed.contains_key(&task) {
                 let (lasting, order, since) = (spec.lasting, entry.order, self.now);
-                let ready = holding::Ready { task, priority, lasting, order, since };
+                let ready = holding::Ready { task, priority, lasting, returns, order, since };
                 self.ready.entry(task).or_insert(ready);
             }
         }
--- a/crates/wharflane/src/job/members.rs
+++ b/crates/wharflane/src/job/members.rs
@@ -59,7 +59,7 @@
                     holding::Link::Inherited,
                     "known before it is listed"
                 );
-                let image = self.model.image(step.image.as_deref());
+                let image = self.learned.harm.image(step.image.as_deref());
                 view.add(*task, step, image);
             }
         }
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -15,15 +15,18 @@
 mod harm;
 mod holding;
 mod intake;
+mod learned;
 mod members;
 mod obstacle;
 mod order;
+mod outlook;
 mod pace;
 mod place;
 mod progress;
 mod queue;
 mod rows;
 mod spec;
+mod times;
 mod waits;
 mod worker;
 
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -1,5 +1,6 @@
 //! Why a worker does not take a task.
 
+use std::ops;
 use std::time;
 
 use super::spec;
@@ -31,6 +32,11 @@
     (task.job, task.round, task.step)
 }
 
+/// Returns the names of all tasks of a task's group.
+pub(super) fn kin(task: spec::TaskId) -> ops::RangeInclusive<spec::TaskId> {
+    spec::TaskId { index: 0, ..task }..=spec::TaskId { index: u32::MAX, ..task }
+}
+
 /// Returns what keeps a task from a worker before harm is weighed.
 pub(super) fn plain(
     view: &worker::View,
@@ -59,7 +65,5 @@
     let Some(most) = step.max_per_worker else {
         return true;
     };
-    let first = spec::TaskId { index: 0, ..task };
-    let last = spec::TaskId { index: u32::MAX, ..task };
-    view.tasks.range(first..=last).count() < most as usize
+    view.tasks.range(kin(task)).count() < most as usize
 }
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -55,8 +55,8 @@
         let mut excess = Vec::new();
         for (task, serving, strain) in tails {
             let own = self.own_load(task.job, now).unwrap_or(strain);
-            self.model.learn(serving.image, &uses, strain - own);
-            let limit = self.model.limit(serving.image, serving.target_ms) - MARGIN;
+            self.learned.harm.learn(serving.image, &uses, strain - own);
+            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - MARGIN;
             over = over.max(strain - limit);
             excess.push((serving.image, strain - limit));
         }
@@ -94,7 +94,7 @@
             let Some(serving) = view.serving.get(&row.task).copied() else {
                 continue;
             };
-            let strain = self.model.strain(serving.image, row.load, serving.target_ms);
+            let strain = self.learned.harm.strain(serving.image, row.load, serving.target_ms);
             let before = self.strains.get(&row.task).and_then(|strain| strain.missed);
             let missed = worker::Missed::next(before, row.load, serving.target_ms, now);
             self.strains.insert(row.task, worker::Strain { at: now, strain, missed });
@@ -166,7 +166,7 @@
                 .map(|(task, filling)| {
                     let part =
                         filling.cpu_milli as f64 * f64::from(filling.percent) / 1e2 / capacity;
-                    (self.model.harm(*serving, filling.image) * part, *task)
+                    (self.learned.harm.harm(*serving, filling.image) * part, *task)
                 })
                 .collect();
             by.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -201,7 +201,7 @@
         for filling in shares.values_mut().filter(|filling| filling.percent < 100) {
             let whole = filling.cpu_milli as f64 / capacity;
             let part = |(image, room): &(harm::Image, f64)| {
-                let harm = self.model.harm(*image, filling.image) * whole;
+                let harm = self.learned.harm.harm(*image, filling.image) * whole;
                 if harm > 0.0 { (*room).max(0.0) / harm } else { 1.0 }
             };
             let more = room.iter().map(part).fold(1.0, f64::min) * 1e2;
@@ -210,7 +210,7 @@
                 continue;
             }
             for (image, room) in &mut room {
-                *room -= self.model.harm(*image, filling.image) * whole * more / 1e2;
+                *room -= self.learned.harm.harm(*image, filling.image) * whole * more / 1e2;
             }
             filling.percent += more as u8;
         }
@@ -238,6 +238,7 @@
             }
             tracing::info!(%task, %worker, from = filling.percent, to = share.percent, "paced");
             filling.percent = share.percent;
+            filling.paced = true;
             filling.low_since =
                 if share.percent < MOVE_BELOW { filling.low_since.or(Some(now)) } else { None };
             view.paced = now;
@@ -285,8 +286,8 @@
             .collect();
         let room = view.serving.iter().map(|(task, serving)| {
             let own = self.own_load(task.job, now).unwrap_or(0.0);
-            let limit = self.model.limit(serving.image, serving.target_ms) - MARGIN - SLACK;
-            (serving.image, limit - own - self.model.total(serving.image, &uses))
+            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - MARGIN - SLACK;
+            (serving.image, limit - own - self.learned.harm.total(serving.image, &uses))
         });
         room.collect()
     }
--- a/crates/wharflane/src/job/queue.rs
+++ b/crates/wharflane/src/job/queue.rs
@@ -19,6 +19,10 @@
     pub priority: u32,
     /// How often a task may fail before its job has failed.
     pub max_attempts: u32,
+    /// How many times its longest chain of work a job may take, in hundredths.
+    pub stretch_percent: u64,
+    /// What a job may take beyond that, in milliseconds; zero where nothing is promised.
+    pub objective_ms: u64,
 }
 
 /// All queues of one revision.
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -67,6 +67,10 @@
     /// Whether its caller has cancelled it.
     #[serde(default)]
     pub cancelled: bool,
+    /// When it was accepted, by the time of day of the host that took it, in milliseconds since 1970;
+    /// zero where that is not known.
+    #[serde(default)]
+    pub accepted_ms: u64,
 }
 
 /// The lease of a domain; every write of its holder renews it.
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -57,7 +57,7 @@
         step: &spec::Step,
         now: time::Duration,
     ) -> collections::BTreeMap<obstacle::Obstacle, usize> {
-        let image = self.model.image(step.image.as_deref());
+        let image = self.learned.harm.image(step.image.as_deref());
         let mut counts = collections::BTreeMap::new();
         let Some(entry) = self.jobs.get(&task.job) else {
             return counts;
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -37,6 +37,8 @@
     pub cpu_milli: u64,
     /// The share at which it works.
     pub percent: u8,
+    /// Whether it was ever held back.
+    pub paced: bool,
     /// Since when it is held back so far that it had better move.
     pub low_since: Option<time::Duration>,
 }
@@ -221,7 +223,8 @@
             }
             if step.fills {
                 let cpu_milli = step.size.cpu_milli;
-                let filling = Filling { image, cpu_milli, percent: 100, low_since: None };
+                let filling =
+                    Filling { image, cpu_milli, percent: 100, paced: false, low_since: None };
                 self.filling.insert(task, filling);
             }
             self.used = self.used.plus(&step.reserved());
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -50,6 +50,8 @@
             service: "service".into(),
             priority,
             max_attempts: 3,
+            stretch_percent: 200,
+            objective_ms: 1_000,
         };
         let queues = ["first", "last"].into_iter().zip([0, 2]);
         let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
@@ -88,7 +90,8 @@
         let mut started: Vec<job::Start> = Vec::new();
         for _ in 0..millis / 20 {
             self.now += time::Duration::from_millis(20);
-            self.take(job::Event::Tick { wall_ms: 0 });
+            let wall_ms = u64::try_from(self.now.as_millis()).expect("a small number");
+            self.take(job::Event::Tick { wall_ms });
             for effect in std::mem::take(&mut self.asked) {
                 match effect {
                     job::Effect::Start(start) => {
@@ -105,7 +108,9 @@
                         let here: Vec<&job::Start> = started.iter().filter(here).collect();
                         let beside = here.iter().any(|start| start.order.task.job.0 == 2);
                         let row = |start: &&job::Start| row(start, harmed && beside);
-                        let running = here.iter().map(row).collect();
+                        let mut running: Vec<job::Running> = here.iter().map(row).collect();
+                        // Work goes on, so that nothing counts as standing still.
+                        running.iter_mut().for_each(|row| row.percent = clock_ms / 100 % 100);
                         let ended = self.ends_of(&look);
                         let lists = job::Lists { clock_ms, running, ended };
                         let answer = job::LookAnswer::Lists(lists);
@@ -171,7 +176,7 @@
             steps: vec![step],
             repeats: None,
         };
-        let value = serde_json::to_string(&job::Accepted { job, cancelled: false });
+        let value = serde_json::to_string(&job::Accepted { job, cancelled: false, accepted_ms: 0 });
         self.version += 1;
         job::Event::Jobs(vec![rows::Row {
             name: job::JobId(number).to_string(),
--- a/crates/wharflane/tests/job.rs
+++ b/crates/wharflane/tests/job.rs
@@ -17,6 +17,11 @@
     desk
 }
 
+/// Returns the name of the first task of a job.
+fn first(job: u64) -> job::TaskId {
+    job::TaskId { job: job::JobId(job), round: 0, step: 0, index: 0 }
+}
+
 cases! {
     a_free_domain_is_taken_and_held => {
         let desk = desk::Desk::new(1, None);
@@ -56,13 +61,58 @@
         desk.pass(400, false);
         assert_eq!(desk::order(&desk), [1, 3], "there is room for one more");
     },
+    a_lasting_task_that_was_at_work_comes_back_before_shorter_work => {
+        let mut desk = desk::Desk::new(1, None);
+        desk.submit(1, "first", desk::step("serving", 9_000));
+        desk.pass(200, false);
+        for job in 2..10 {
+            desk.submit(job, "first", desk::step("plain", 3_500));
+        }
+        desk.pass(200, false);
+        assert_eq!(desk::order(&desk), [1, 2, 3], "two pieces are left beside the lasting task");
+        desk.end(first(1), job::EndKind::Failed);
+        desk.pass(200, false);
+        assert_eq!(desk::order(&desk)[3..], [4, 5], "shorter work takes the room for the moment");
+        for done in [2, 3, 4, 5] {
+            desk.pass(4_000, false);
+            desk.end(first(done), job::EndKind::Done);
+        }
+        desk.pass(500, false);
+        assert_eq!(desk.starts(1).len(), 2, "{:?}", desk::order(&desk));
+        assert!(desk::order(&desk).len() < 9, "pieces are kept for it until they are enough");
+    },
+    a_job_that_can_still_be_in_time_goes_before_one_that_is_late => {
+        let mut desk = desk::Desk::new(1, None);
+        let short = || job::Step { estimate_ms: 500, ..desk::step("plain", 9_000) };
+        desk.submit(1, "first", short());
+        desk.pass(200, false);
+        // Twice half a second of work and one second more are allowed.
+        desk.submit(2, "first", short());
+        desk.pass(2_500, false);
+        desk.submit(3, "first", short());
+        desk.pass(200, false);
+        desk.end(first(1), job::EndKind::Done);
+        desk.pass(300, false);
+        assert_eq!(desk::order(&desk), [1, 3]);
+    },
+    guesses_of_callers_are_corrected_by_what_was_seen => {
+        let mut desk = desk::Desk::new(1, None);
+        for number in 1..20 {
+            desk.submit(number, "first", job::Step { estimate_ms: 1_000, ..desk::step("plain", 9_000) });
+            desk.pass(300, false);
+            desk.end(first(number), job::EndKind::Done);
+            desk.pass(300, false);
+        }
+        let dump = desk.engine.holding().expect("a holder").dump();
+        let times_ms = dump.times_ms["first"];
+        assert!((250.0..600.0).contains(&times_ms), "{times_ms} ms instead of some 300");
+    },
     a_task_on_a_worker_that_was_idle_is_looked_after_at_once => {
         let mut desk = desk::Desk::new(1, None);
         desk.pass(1_000, false);
         desk.submit(1, "first", desk::step("plain", 9_000));
         desk.pass(200, false);
-        let task = job::TaskId { job: job::JobId(1), round: 0, step: 0, index: 0 };
-        desk.end(task, job::EndKind::Done);
+        desk.end(first(1), job::EndKind::Done);
         desk.pass(200, false);
         let row = &desk.rows[&(job::PROGRESS, job::JobId(1).to_string())];
         let progress = job::Progress::decode(row).expect("a row that can be read");
