A start refused after one without answer waits for the lease of the first

An order without answer is given again after 0.4 s; where that one was refused (no room, not well) the task was freed and went to another worker, yet the first order could still be carried out 2 to 12 s later, until its lease is over: two runs of one task. Ruled out: that the fence holds it (the epoch is the same), that a stop helps (workers reject stops of runs that are not there yet). Before -> after: the test's second start came at once on another worker, it now comes once the first order's lease is over by the worker's clock (seen to fail with the branch taken out).

--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -38,6 +38,7 @@
         run,
         link,
         lease_until_ms: 0,
+        unanswered: false,
         began: None,
         stopped: None,
         progress: (0, holding.now),
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -90,7 +90,7 @@
             holding::Link::Staged if !self.staged.contains(&task) => return,
             holding::Link::Staged => return self.free(task, "ended before its start was written"),
             // A stop that comes before its start has no effect: the start must be there first.
-            holding::Link::Ordered | holding::Link::Doubtful(_) => return,
+            holding::Link::Ordered | holding::Link::Doubtful(_) | holding::Link::Lapsing => return,
             holding::Link::There(_) | holding::Link::Inherited => {}
         }
         let again = self.settings.stop + STOP_SLACK;
@@ -108,6 +108,7 @@
     pub(super) fn repeat_orders(&mut self, now: time::Duration) {
         let due = self.placed.iter().filter(|(_, placed)| match placed.link {
             holding::Link::Doubtful(at) => now >= at,
+            holding::Link::Lapsing => true,
             _ => false,
         });
         let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
@@ -119,9 +120,10 @@
             let Some(view) = self.views.get(&placed.worker) else {
                 continue;
             };
-            if wanted && view.misses == 0 {
+            let resend = wanted && placed.link != holding::Link::Lapsing;
+            if resend && view.misses == 0 {
                 self.send_start(task, now);
-            } else if !wanted
+            } else if !resend
                 && view.clock_ms(now).is_some_and(|clock| clock > placed.lease_until_ms)
             {
                 self.free(task, "its start can't be carried out any more");
@@ -177,15 +179,29 @@
                 if let Some(view) = self.views.get_mut(&order.worker) {
                     view.rests_until = view.rests_until.max(now + REFUSED_REST);
                 }
-                self.free(order.task, "refused");
+                self.refused(order.task);
             }
             order::StartAnswer::Gone => self.worker_gone(&order.worker),
             order::StartAnswer::Silent => {
                 self.set_link(order.task, holding::Link::Doubtful(now + ORDER_AGAIN));
+                if let Some(placed) = self.placed.get_mut(&order.task) {
+                    placed.unanswered = true;
+                }
             }
         }
     }
 
+    /// Frees a task whose start was refused, unless an earlier order may still be carried out.
+    fn refused(&mut self, task: spec::TaskId) {
+        let unanswered = self.placed.get(&task).is_some_and(|placed| placed.unanswered);
+        if unanswered {
+            tracing::info!(%task, "refused after an order without answer, waits for its lease");
+            self.set_link(task, holding::Link::Lapsing);
+        } else {
+            self.free(task, "refused");
+        }
+    }
+
     /// Looks at the workers whose turn has come.
     pub(super) fn look(&mut self, now: time::Duration) {
         let mut looks = Vec::new();
@@ -291,7 +307,9 @@
             };
             let runs = running.get(&task) == Some(&placed.run);
             match placed.link {
-                holding::Link::Inherited | holding::Link::Doubtful(_) if runs => {
+                holding::Link::Inherited | holding::Link::Doubtful(_) | holding::Link::Lapsing
+                    if runs =>
+                {
                     placed.link = holding::Link::There(now);
                 }
                 // This epoch's look was answered, so no earlier holder's start can come any more.
@@ -300,7 +318,8 @@
                 holding::Link::There(_)
                 | holding::Link::Staged
                 | holding::Link::Ordered
-                | holding::Link::Doubtful(_) => {}
+                | holding::Link::Doubtful(_)
+                | holding::Link::Lapsing => {}
             }
         }
         for row in &lists.running {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -69,6 +69,8 @@
     pub link: Link,
     /// Until when an order for it may still be carried out, by the worker's clock.
     pub lease_until_ms: u64,
+    /// Whether an order to start it had no answer.
+    pub unanswered: bool,
     /// When the worker took the start; nothing where another holder ordered it.
     pub began: Option<time::Duration>,
     /// When a stop was last ordered.
@@ -86,6 +88,9 @@
     Ordered,
     /// The order had no answer and is given again at a time.
     Doubtful(time::Duration),
+    /// One order had no answer and a later one was refused: the first may still be carried out, so the
+    /// task waits until the lease that it brings is over.
+    Lapsing,
     /// The worker has it, as it said at a time.
     There(time::Duration),
     /// An earlier holder ordered it.
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -85,6 +85,7 @@
                 run: task.run,
                 link: holding::Link::Inherited,
                 lease_until_ms: 0,
+                unanswered: false,
                 began: None,
                 stopped: None,
                 progress: (0, now),
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -29,6 +29,10 @@
     pub asked: Vec<job::Effect>,
     /// Runs that have ended, by worker.
     pub over: Vec<(id::WorkerId, job::Ended)>,
+    /// Starts that were not taken.
+    pub not_taken: Vec<job::Start>,
+    /// What the next starts are answered, before all others are taken.
+    pub answers: collections::VecDeque<job::StartAnswer>,
 }
 
 impl Desk {
@@ -42,6 +46,8 @@
             rows: collections::BTreeMap::new(),
             asked: Vec::new(),
             over: Vec::new(),
+            not_taken: Vec::new(),
+            answers: collections::VecDeque::new(),
         };
         let queue = |name: &str, priority| job::Queue {
             name: name.to_owned(),
@@ -88,6 +94,7 @@
     /// A serving task beside one that fills has the higher tail where `harmed` says so.
     pub fn pass(&mut self, millis: u64, harmed: bool) {
         let mut started: Vec<job::Start> = Vec::new();
+        let mut refused: Vec<job::Start> = Vec::new();
         for _ in 0..millis / 20 {
             self.now += time::Duration::from_millis(20);
             let wall_ms = u64::try_from(self.now.as_millis()).expect("a small number");
@@ -96,8 +103,13 @@
                 match effect {
                     job::Effect::Start(start) => {
                         let order = start.order.clone();
-                        started.push(start);
-                        let answer = job::StartAnswer::Taken;
+                        let answer = self.answers.pop_front();
+                        let answer = answer.unwrap_or(job::StartAnswer::Taken);
+                        if answer == job::StartAnswer::Taken {
+                            started.push(start);
+                        } else {
+                            refused.push(start);
+                        }
                         self.take(job::Event::Started { order, answer });
                     }
                     job::Effect::Look(look) => {
@@ -121,6 +133,7 @@
                 }
             }
         }
+        self.not_taken.extend(refused);
         self.asked.extend(started.into_iter().map(job::Effect::Start));
     }
 
