Advice: steps that only some workers may run are asked for, started with a ticket, and asked for anew

Cause: queues may want a service of the operator's to be asked which workers may run a step; such starts were refused for want of a ticket and tried again for ever (docs/PLATFORM.md listed it as not built). Options: ask about every worker (100 a call, each costs time: the slowest step waits for it all); ask one by one (one trip each, the service takes one question at a time); chosen: ask about workers where the task would fit, at most 30, as many as are wanted by the share that was good so far, known good ones first once a ticket is over. What may not is never asked about again for that step. Four questions under way at most; the service turns away from 32 on. Tests: tests/advice.rs (8 cases, engine), process test `jobs_that_want_advice_run_only_where_they_may` against the stand-in, whose workers refuse a start without the right ticket.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -20,6 +20,7 @@
     a_silent_store_means_not_known_within_half_of_the_callers_time => fleet::run(silent_store()),
     a_bad_job_is_refused_with_a_reason_and_nothing_is_kept => fleet::run(bad_jobs()),
     a_cancelled_job_stops => fleet::run(cancelled()),
+    jobs_that_want_advice_run_only_where_they_may => fleet::run(advised()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
 }
@@ -62,10 +63,10 @@
     fn add_host(&mut self) {
         let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
         let name = format!("host-{}", self.hosts.len());
-        let store = self.platform.store;
+        let (store, advisor) = (self.platform.store, self.platform.advisor);
         let text = format!(
             "host = \"{name}\"\nhall = \"hall\"\n[listen]\ncaller = \"{caller}\"\n\
-             operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\n\
+             operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\nadvisor = \"{advisor}\"\n\
              lease_ms = 1500\n[log]\nlevel = \"warn\"\n"
         );
         let path = self.folder.path().join(format!("{name}.toml"));
@@ -148,6 +149,21 @@
     service.judge(30);
 }
 
+/// Hands jobs in to a queue whose tasks only some workers may run.
+async fn advised() {
+    let service = Service::start(2).await;
+    service.platform.lock().advice = true;
+    service.platform.configure(2);
+    for id in 1..=3 {
+        service.submit(0, id).await;
+    }
+    for id in 1..=3 {
+        service.until(1, job::JobId(id), job::Phase::Completed).await;
+    }
+    assert!(service.platform.lock().questions > 0, "the service was asked");
+    service.judge(15);
+}
+
 /// Kills one host after the other while jobs run.
 async fn killed_holders() {
     let mut service = Service::start(3).await;
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -65,7 +65,9 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), HostError> {
     let platform_addr = match settings.mode {
-        settings::Mode::Jobs { store } => return jobs::run::run(settings, store, stop).await,
+        settings::Mode::Jobs { store, advisor } => {
+            return jobs::run::run(settings, (store, advisor), stop).await;
+        }
         settings::Mode::Declared { platform } => platform,
     };
     let callers = listen(settings.caller_addr).await?;
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -145,6 +145,13 @@
             job::Effect::Pace(pace) => drop(tokio::spawn(async move {
                 shared.workers.pace(&pace).await;
             })),
+            job::Effect::Ask(question) => drop(tokio::spawn(async move {
+                let answer = shared.advisor.ask(&question).await;
+                if let Err(err) = &answer {
+                    tracing::warn!(job = %question.job, step = question.step, %err, "no advice");
+                }
+                tell(&myself, job::Event::Advised { question, answer: answer.ok() });
+            })),
             job::Effect::Look(look) => drop(tokio::spawn(async move {
                 let answer = shared.workers.look(&look).await;
                 let (worker, epoch) = (look.worker, look.epoch);
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -10,7 +10,7 @@
 use std::time;
 
 use wharflane::{clock, job};
-use wharflane_adapter::{store, workers};
+use wharflane_adapter::{advice, store, workers};
 
 use crate::metrics;
 use crate::settings;
@@ -26,6 +26,8 @@
     pub store: store::Store,
     /// The workers.
     pub workers: workers::Workers,
+    /// The service that knows which workers may run a step.
+    pub advisor: advice::Advisor,
     /// The queues in force.
     pub queues: sync::Arc<arc_swap::ArcSwap<job::Queues>>,
     /// Whether this host is stopping.
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, StatusCode, header};
 use ractor::Actor;
 use wharflane::{clock, job};
-use wharflane_adapter::{callers, store, workers};
+use wharflane_adapter::{advice, callers, store, workers};
 use wharflane_caller::job as caller_job;
 use wharflane_http::{reply, server};
 
@@ -39,12 +39,12 @@
 /// Returns `HostError` where a port can't be opened.
 pub async fn run(
     settings: settings::Settings,
-    store_addr: std::net::SocketAddr,
+    addrs: (std::net::SocketAddr, Option<std::net::SocketAddr>),
     stop: impl Future<Output = ()>,
 ) -> Result<(), host::HostError> {
     let callers = host::listen(settings.caller_addr).await?;
     let operators = host::listen(settings.operator_addr).await?;
-    let shared = share(settings, store_addr)?;
+    let shared = share(settings, addrs)?;
     let (holder, _) = Actor::spawn(None, holder::Holder, shared.clone()).await?;
     tokio::spawn(watch::config(shared.clone(), holder.clone()));
     let (end, ended) = tokio::sync::oneshot::channel::<()>();
@@ -100,15 +100,16 @@
 /// Makes what the parts of the job service share.
 fn share(
     settings: settings::Settings,
-    store_addr: std::net::SocketAddr,
+    (store, advisor): (std::net::SocketAddr, Option<std::net::SocketAddr>),
 ) -> Result<Shared, host::HostError> {
     let store_timeout = settings.time("jobs", "store_timeout_ms");
     let order_timeout = settings.time("jobs", "order_timeout_ms");
     Ok(Shared {
         settings: sync::Arc::new(settings),
         clock: sync::Arc::new(clock::SystemClock::new()),
-        store: store::Store::new(store_addr, store_timeout),
+        store: store::Store::new(store, store_timeout),
         workers: workers::Workers::new(order_timeout),
+        advisor: advice::Advisor::new(advisor),
         queues: sync::Arc::default(),
         stopping: sync::Arc::default(),
         store_ok_ms: sync::Arc::default(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -121,6 +121,8 @@
     Jobs {
         /// Where the store answers.
         store: net::SocketAddr,
+        /// Where the service answers that knows which workers may run a step.
+        advisor: Option<net::SocketAddr>,
     },
 }
 
@@ -231,8 +233,9 @@
     let mut platform = root.table("platform");
     let mut jobs = root.table("jobs");
     let store = jobs.address("store");
+    let advisor = jobs.address("advisor");
     let mode = match store {
-        Some(store) => Some(Mode::Jobs { store }),
+        Some(store) => Some(Mode::Jobs { store, advisor }),
         None => platform.need_address("addr").map(|platform| Mode::Declared { platform }),
     };
     let mut numbers = read_numbers("platform", &mut platform);
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -24,6 +24,18 @@
 /// The name of the only queue.
 pub const QUEUE: &str = "work";
 
+/// How the queue asks for advice, where it does.
+const TERMS: job::Terms = job::Terms {
+    decide: time::Duration::from_millis(50),
+    each: time::Duration::from_millis(1),
+    valid: time::Duration::from_millis(900),
+};
+
+/// Returns the ticket for a step on a worker.
+fn ticket(step: &str, worker: &id::WorkerId) -> String {
+    format!("{step} on {worker}")
+}
+
 /// What is wrong at the moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
@@ -50,6 +62,10 @@
     pub judge: judge::Judge,
     /// How long a task's work takes.
     pub work: time::Duration,
+    /// Whether the queue asks for advice; workers with odd numbers then take nothing.
+    pub advice: bool,
+    /// Questions that were asked.
+    pub questions: u64,
     /// Transactions so far.
     transactions: u64,
 }
@@ -63,6 +79,8 @@
     clock: sync::Arc<clock::SystemClock>,
     /// Where the store answers.
     pub store: net::SocketAddr,
+    /// Where the service answers that knows which workers may run a step.
+    pub advisor: net::SocketAddr,
 }
 
 impl Platform {
@@ -72,6 +90,7 @@
     /// Returns the error of a port that can't be opened.
     pub async fn start(workers: usize, work: time::Duration) -> io::Result<Self> {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let advisor = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
         let state = State {
             rows: rows::Rows::default(),
             workers: Vec::new(),
@@ -79,16 +98,22 @@
             faults: Faults::default(),
             judge: judge::Judge::default(),
             work,
+            advice: false,
+            questions: 0,
             transactions: 0,
         };
         let platform = Self {
             state: sync::Arc::new(sync::Mutex::new(state)),
             clock: sync::Arc::default(),
             store: listener.local_addr()?,
+            advisor: advisor.local_addr()?,
         };
         let own = platform.clone();
         let handle = move |request| own.clone().serve_store(request);
         tokio::spawn(server::serve(listener, server::Bounds::default(), server::never(), handle));
+        let own = platform.clone();
+        let handle = move |request| own.clone().serve_advice(request);
+        tokio::spawn(server::serve(advisor, server::Bounds::default(), server::never(), handle));
         for _ in 0..workers {
             platform.add_worker().await?;
         }
@@ -111,6 +136,7 @@
             service: "service".into(),
             priority: 0,
             max_attempts: ATTEMPTS,
+            advice: self.lock().advice.then_some(TERMS),
             stretch_percent: 200,
             objective_ms: 1_000,
         };
@@ -229,6 +255,26 @@
         }
     }
 
+    /// Answers a question about the workers of a step.
+    async fn serve_advice(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let Some((step, workers)) = read.ok().and_then(|body| serve::question(&body)) else {
+            return reply::problem(StatusCode::BAD_REQUEST, "question", "no such question");
+        };
+        tokio::time::sleep(TERMS.decide).await;
+        let mut state = self.lock();
+        state.questions += 1;
+        let good = workers.into_iter().filter(|worker| {
+            let at = state.workers.iter().position(|known| known.id == *worker);
+            at.is_some_and(|at| at.is_multiple_of(2))
+        });
+        let good = good.map(|worker| {
+            let ticket = ticket(&step, &worker);
+            (worker, ticket)
+        });
+        serve::advice(&job::Advice { good: good.collect(), valid: TERMS.valid })
+    }
+
     /// Answers a call of a worker.
     async fn serve_worker(
         self,
@@ -261,6 +307,13 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let task = start.order.task;
+        let group = format!("{}.{}.{}", task.job, task.round, task.step);
+        let allowed = !state.advice
+            || at.is_multiple_of(2) && start.ticket == ticket(&group, &start.order.worker);
+        if !allowed {
+            let answer = job::StartAnswer::Refused(job::StartRefusal::Ticket);
+            return serve::started(answer, state.workers[at].clock_ms(now));
+        }
         let step = state.judge.jobs.get(&task.job).and_then(|job| job.step(task.step)).cloned();
         let step = step.unwrap_or_default();
         let work = (!step.lasting).then_some(state.work);
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -261,6 +261,7 @@
             service: "service".into(),
             priority: 0,
             max_attempts: ATTEMPTS,
+            advice: None,
             stretch_percent: 200,
             objective_ms: 1_000,
         };
@@ -339,7 +340,7 @@
                 let latest = self.now + way + look.wait;
                 self.send(way, Message::Look(host, life, look, latest, lost));
             }
-            job::Effect::Pace(_) => {}
+            job::Effect::Pace(_) | job::Effect::Ask(_) => {}
         }
     }
 
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -43,7 +43,12 @@
         let rack = view.member.rack.as_deref();
         let outside =
             within.is_some() && rack != within || holding.kept_for.contains(&view.member.id);
-        if outside || obstacle::plain(view, service, task, step, now).is_some() {
+        let worker = &view.member.id;
+        let kept_off = || {
+            obstacle::plain(view, service, task, step, now)
+                .or_else(|| holding.without_ticket(&entry.job, task, worker, now))
+        };
+        if outside || kept_off().is_some() {
             continue;
         }
         let away = near.is_some() && rack != near;
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -150,6 +150,11 @@
                     holding.started(&order, answer, now);
                 }
             }
+            event::Event::Advised { question, answer } => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.advised(&question, answer.as_ref(), now);
+                }
+            }
             event::Event::Looked { worker, epoch, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.looked(&worker, epoch, answer, now);
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use super::advice;
 use super::order;
 use super::queue;
 use super::rows as kept;
@@ -92,6 +93,13 @@
         /// The answer.
         answer: order::LookAnswer,
     },
+    /// A question about the workers of a step was answered, or was not.
+    Advised {
+        /// The question.
+        question: advice::Question,
+        /// The answer.
+        answer: Option<advice::Advice>,
+    },
     /// This host is about to stop.
     Leave,
 }
@@ -111,6 +119,8 @@
     Stop(order::Order),
     /// Look at a worker.
     Look(order::Look),
+    /// Ask which workers may run a step.
+    Ask(advice::Question),
     /// Change the share at which a task works.
     Pace(order::Pace),
 }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use super::advice;
 use super::event;
 use super::learned;
 use super::obstacle;
@@ -188,6 +189,8 @@
     pub(super) placed_at: time::Duration,
     /// Workers whose room is kept for lasting tasks that come back, until the next try.
     pub(super) kept_for: collections::BTreeSet<id::WorkerId>,
+    /// Which workers may run steps whose queue asks for advice.
+    pub(super) tickets: advice::Tickets,
     /// When it was last told what keeps the tasks of a step waiting.
     pub(super) told: collections::BTreeMap<obstacle::Group, time::Duration>,
     /// What was learned.
@@ -261,6 +264,7 @@
             changed: true,
             placed_at: time::Duration::ZERO,
             kept_for: collections::BTreeSet::new(),
+            tickets: advice::Tickets::default(),
             told: collections::BTreeMap::new(),
             learned: learned::Learned::default(),
             kept_at: taken,
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -205,6 +205,7 @@
         entry.progress.phase = phase;
         entry.ended = Some(now);
         self.ready.retain(|task, _| task.job != job);
+        self.tickets.forget(job);
         self.mark(job);
         let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
         let tasks = self.placed.range(first..).take_while(|(task, _)| task.job == job);
--- /dev/null
+++ b/crates/wharflane/src/job/looks.rs
@@ -0,0 +1,200 @@
+//! Looks at workers: leases, what runs there, what stands still.
+
+use std::collections;
+use std::time;
+
+use super::event;
+use super::holding;
+use super::order;
+use super::spec;
+use crate::id;
+
+/// The wait after a look without an answer, and how often it may double.
+const LOOK_AGAIN: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
+/// How long a look waits where some tasks serve and others fill; tails are told this often.
+const LOOK_MIXED: time::Duration = time::Duration::from_millis(500);
+/// How long a task may show no progress until it counts as standing still. The slowest tasks of
+/// the users, 5.4 s of work on a worker 7.4 times too slow, show one percent in 0.4 s.
+const STALLED: time::Duration = time::Duration::from_millis(2_000);
+/// The share from which a task that is held back must show progress, in percent.
+const FULL_SHARE: u8 = 40;
+
+impl holding::Holding {
+    /// Looks at the workers whose turn has come.
+    pub(super) fn look(&mut self, now: time::Duration) {
+        let mut looks = Vec::new();
+        for (worker, view) in &mut self.views {
+            // Ends that are not committed yet would only be told again.
+            if view.look.is_some() || now < view.look_due || view.heard > view.seen {
+                continue;
+            }
+            let busy = !view.tasks.is_empty();
+            // A silent worker is granted nothing more, or its leases would never be over.
+            let granted = busy && view.misses == 0;
+            let lease_until_ms = if granted { view.grant(now, self.settings.hold) } else { None };
+            let mixed = !view.serving.is_empty() && !view.filling.is_empty();
+            let wait = match (view.fenced && busy, mixed) {
+                (false, _) => time::Duration::ZERO,
+                (true, true) => self.settings.look.min(LOOK_MIXED),
+                (true, false) => self.settings.look,
+            };
+            view.look = Some(now);
+            looks.push(order::Look {
+                worker: worker.clone(),
+                addr: view.member.addr,
+                epoch: self.lease.epoch,
+                seen: view.seen,
+                lease_until_ms,
+                wait,
+            });
+        }
+        self.out.extend(looks.into_iter().map(event::Effect::Look));
+    }
+
+    /// Takes the answer to a look.
+    pub(super) fn looked(
+        &mut self,
+        worker: &id::WorkerId,
+        epoch: u64,
+        answer: order::LookAnswer,
+        now: time::Duration,
+    ) {
+        if epoch != self.lease.epoch {
+            return;
+        }
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let sent = view.look.take();
+        match answer {
+            order::LookAnswer::Lists(lists) => {
+                if view.misses > 0 {
+                    tracing::info!(%worker, misses = view.misses, "worker answers again");
+                }
+                view.misses = 0;
+                view.sample = Some((lists.clock_ms, now));
+                let first = !view.fenced;
+                if first {
+                    // Earlier holders may have granted as much as the worker allows until now.
+                    let inherited = lists.clock_ms + super::worker::millis(self.inherited);
+                    view.granted_ms = view.granted_ms.max(inherited);
+                }
+                view.fenced = true;
+                view.look_due = if view.tasks.is_empty() {
+                    now + self.settings.look_idle
+                } else {
+                    now + super::worker::LOOK_GAP
+                };
+                self.changed |= first;
+                self.take_lists(worker, &lists, sent.unwrap_or(now), now);
+            }
+            order::LookAnswer::Fenced => self.fenced = true,
+            order::LookAnswer::Gone => self.worker_gone(worker),
+            order::LookAnswer::Silent => {
+                if view.misses == 0 {
+                    tracing::warn!(%worker, "worker does not answer");
+                }
+                view.misses += 1;
+                let (first, doublings) = LOOK_AGAIN;
+                view.look_due = now + first * 2u32.pow(view.misses.min(doublings));
+            }
+        }
+    }
+
+    /// Takes in both lists of a worker.
+    fn take_lists(
+        &mut self,
+        worker: &id::WorkerId,
+        lists: &order::Lists,
+        sent: time::Duration,
+        now: time::Duration,
+    ) {
+        for ended in &lists.ended {
+            self.ended(worker, ended, now);
+        }
+        let running: collections::BTreeMap<spec::TaskId, u32> =
+            lists.running.iter().map(|row| (row.task, row.run)).collect();
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let leaving = view.member.leaving;
+        let here: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+        for task in here {
+            let Some(placed) = self.placed.get_mut(&task) else {
+                continue;
+            };
+            let runs = running.get(&task) == Some(&placed.run);
+            match placed.link {
+                holding::Link::Inherited | holding::Link::Doubtful(_) | holding::Link::Lapsing
+                    if runs =>
+                {
+                    placed.link = holding::Link::There(now);
+                }
+                // This epoch's look was answered, so no earlier holder's start can come any more.
+                holding::Link::Inherited => self.free(task, "not there"),
+                holding::Link::There(at) if !runs && at <= sent => self.free(task, "not there"),
+                holding::Link::There(_)
+                | holding::Link::Staged
+                | holding::Link::Ordered
+                | holding::Link::Doubtful(_)
+                | holding::Link::Lapsing => {}
+            }
+        }
+        for row in &lists.running {
+            let known = self.placed.get(&row.task);
+            let ours = known.is_some_and(|p| p.run == row.run && p.worker == *worker);
+            if !ours {
+                self.stop_stray(worker, row);
+            } else if !self.jobs.get(&row.task.job).is_some_and(holding::Entry::active)
+                || leaving && self.leaves(row.task, row.percent)
+            {
+                self.stop(row.task, now);
+            }
+        }
+        self.weigh(worker, lists, now);
+        self.stop_stalled(worker, lists, now);
+    }
+
+    /// Stops what stands still on a worker, so that it goes on elsewhere, and lets the worker rest.
+    fn stop_stalled(&mut self, worker: &id::WorkerId, lists: &order::Lists, now: time::Duration) {
+        let mut stalled = Vec::new();
+        for row in &lists.running {
+            let entry = self.jobs.get(&row.task.job);
+            let step = entry.and_then(|entry| entry.job.step(row.task.step));
+            let view = self.views.get(worker);
+            let share = view.and_then(|view| view.filling.get(&row.task)).map(|f| f.percent);
+            let Some(placed) = self.placed.get_mut(&row.task) else {
+                continue;
+            };
+            let moves = placed.progress.0 != row.percent || share.is_some_and(|s| s < FULL_SHARE);
+            if moves || step.is_none_or(|step| step.lasting || step.gang) {
+                placed.progress = (row.percent, now);
+            } else if now.saturating_sub(placed.progress.1) >= STALLED {
+                stalled.push(row.task);
+            }
+        }
+        let Some(view) = self.views.get_mut(worker).filter(|_| !stalled.is_empty()) else {
+            return;
+        };
+        tracing::warn!(%worker, tasks = stalled.len(), "tasks stand still, the worker rests");
+        view.rest(now);
+        for task in stalled {
+            self.stop(task, now);
+        }
+    }
+
+    /// Stops a run that nobody knows of.
+    fn stop_stray(&mut self, worker: &id::WorkerId, row: &order::Running) {
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        tracing::warn!(task = %row.task, run = row.run, %worker, "unknown run is stopped");
+        self.out.push(event::Effect::Stop(order::Order {
+            worker: worker.clone(),
+            addr: view.member.addr,
+            task: row.task,
+            run: row.run,
+            epoch: self.lease.epoch,
+        }));
+    }
+}
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -4,6 +4,7 @@
 //! domain, by a lease row that each of its writes renews and is conditional on. What a caller or a
 //! worker is told always follows a committed write.
 
+mod advice;
 mod assign;
 mod call;
 mod choose;
@@ -16,9 +17,11 @@
 mod holding;
 mod intake;
 mod learned;
+mod looks;
 mod members;
 mod obstacle;
 mod order;
+mod orders;
 mod outlook;
 mod pace;
 mod place;
@@ -30,6 +33,7 @@
 mod waits;
 mod worker;
 
+pub use advice::{Advice, Question, Terms};
 pub use call::{Answer, Call};
 pub use engine::Engine;
 pub use event::{Effect, Event, Settings};
--- a/crates/wharflane/src/job/order.rs
+++ b/crates/wharflane/src/job/order.rs
@@ -54,6 +54,8 @@
     pub lease_until_ms: u64,
     /// The progress to go on from; empty for none.
     pub checkpoint: String,
+    /// What proves that the worker may run the step; empty where nothing has to.
+    pub ticket: String,
 }
 
 /// An order to work at a share.
@@ -91,6 +93,8 @@
     Late,
     /// There is no room.
     Room,
+    /// The ticket is not valid there any more.
+    Ticket,
     /// Anything else; nothing was done.
     Other,
 }
--- /dev/null
+++ b/crates/wharflane/src/job/orders.rs
@@ -0,0 +1,198 @@
+//! Orders to workers: starts and stops, given again until they are known.
+
+use std::time;
+
+use super::event;
+use super::holding;
+use super::order;
+use super::spec;
+use super::worker;
+
+/// The wait before an order without an answer is given again.
+const ORDER_AGAIN: time::Duration = time::Duration::from_millis(400);
+/// What is added to the time of a stop before it is given again: the trips, and one look.
+const STOP_SLACK: time::Duration = time::Duration::from_millis(300);
+/// How long a worker that refuses for want of room, or is not well, gets nothing new.
+const REFUSED_REST: time::Duration = time::Duration::from_millis(400);
+
+impl holding::Holding {
+    /// Sends the starts whose commit stands.
+    pub(super) fn release(&mut self, starts: &[spec::TaskId], now: time::Duration) {
+        for task in starts {
+            let wanted = self.jobs.get(&task.job).is_some_and(holding::Entry::active);
+            let staged =
+                self.placed.get(task).is_some_and(|placed| placed.link == holding::Link::Staged);
+            if !staged {
+                continue;
+            }
+            if wanted && self.may_order(now) && !self.leaving {
+                self.send_start(*task, now);
+            } else if wanted {
+                // Not ordered, so it may be ordered later by whoever holds the domain then.
+                self.set_link(*task, holding::Link::Doubtful(now));
+            } else {
+                self.free(*task, "ended before its start was ordered");
+            }
+        }
+    }
+
+    /// Orders the start of a placed task.
+    fn send_start(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get_mut(&task) else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(&placed.worker) else {
+            return;
+        };
+        let Some(lease_until_ms) = view.grant(now, self.settings.hold) else {
+            placed.link = holding::Link::Doubtful(now + ORDER_AGAIN);
+            return;
+        };
+        // A worker that was idle would be looked at much later.
+        view.look_due = view.look_due.min(now + worker::LOOK_GAP);
+        placed.link = holding::Link::Ordered;
+        placed.lease_until_ms = placed.lease_until_ms.max(lease_until_ms);
+        let Some(entry) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let state = entry.progress.tasks.get(&task.into());
+        let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
+        let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
+        let Some(ticket) = self.ticket_for(&order, now) else {
+            self.set_link(task, holding::Link::Doubtful(now + ORDER_AGAIN));
+            return self.ask(task, 1, now);
+        };
+        tracing::info!(
+            %task, run = order.run, worker = %order.worker, epoch = order.epoch, lease_until_ms,
+            "start ordered"
+        );
+        let spec = entry.job.spec.clone();
+        let start = order::Start { order, spec, lease_until_ms, checkpoint, ticket };
+        self.out.push(event::Effect::Start(start));
+    }
+
+    /// Orders a placed task to stop.
+    pub(super) fn stop(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get_mut(&task) else {
+            return;
+        };
+        match placed.link {
+            holding::Link::Staged if !self.staged.contains(&task) => return,
+            holding::Link::Staged => return self.free(task, "ended before its start was written"),
+            // A stop that comes before its start has no effect: the start must be there first.
+            holding::Link::Ordered | holding::Link::Doubtful(_) | holding::Link::Lapsing => return,
+            holding::Link::There(_) | holding::Link::Inherited => {}
+        }
+        let again = self.settings.stop + STOP_SLACK;
+        let due = placed.stopped.is_none_or(|at| now.saturating_sub(at) >= again);
+        let Some(view) = self.views.get(&placed.worker).filter(|_| due) else {
+            return;
+        };
+        placed.stopped = Some(now);
+        let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
+        tracing::info!(%task, run = placed.run, worker = %placed.worker, "stop ordered");
+        self.out.push(event::Effect::Stop(order));
+    }
+
+    /// Gives orders again that had no answer.
+    pub(super) fn repeat_orders(&mut self, now: time::Duration) {
+        let due = self.placed.iter().filter(|(_, placed)| match placed.link {
+            holding::Link::Doubtful(at) => now >= at,
+            holding::Link::Lapsing => true,
+            _ => false,
+        });
+        let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
+        for task in due {
+            let wanted = self.jobs.get(&task.job).is_some_and(holding::Entry::active);
+            let Some(placed) = self.placed.get(&task) else {
+                continue;
+            };
+            let Some(view) = self.views.get(&placed.worker) else {
+                continue;
+            };
+            let resend = wanted && placed.link != holding::Link::Lapsing;
+            if resend && view.misses == 0 {
+                self.send_start(task, now);
+            } else if !resend
+                && view.clock_ms(now).is_some_and(|clock| clock > placed.lease_until_ms)
+            {
+                self.free(task, "its start can't be carried out any more");
+            }
+        }
+    }
+
+    /// Notes what is known of a start.
+    fn set_link(&mut self, task: spec::TaskId, link: holding::Link) {
+        if let Some(placed) = self.placed.get_mut(&task) {
+            placed.link = link;
+        }
+    }
+
+    /// Takes the answer to an order to start.
+    pub(super) fn started(
+        &mut self,
+        order: &order::Order,
+        answer: order::StartAnswer,
+        now: time::Duration,
+    ) {
+        if order.epoch != self.lease.epoch {
+            return;
+        }
+        let open = self.placed.get(&order.task).is_some_and(|placed| {
+            placed.run == order.run
+                && placed.worker == order.worker
+                && placed.link == holding::Link::Ordered
+        });
+        if !open {
+            return;
+        }
+        if answer != order::StartAnswer::Taken {
+            tracing::info!(
+                task = %order.task, run = order.run, worker = %order.worker, ?answer,
+                "start not taken"
+            );
+        }
+        let wanted = self.jobs.get(&order.task.job).is_some_and(holding::Entry::active);
+        match answer {
+            order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
+                // An old run is one that ended there: the next look tells how, or that it is gone.
+                self.set_link(order.task, holding::Link::There(now));
+                if let Some(placed) = self.placed.get_mut(&order.task) {
+                    placed.began = placed.began.or(Some(now));
+                }
+                if !wanted {
+                    self.stop(order.task, now);
+                }
+            }
+            order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
+            order::StartAnswer::Refused(order::StartRefusal::Ticket) => {
+                self.tickets.refused(order.task, &order.worker);
+                self.refused(order.task);
+            }
+            order::StartAnswer::Refused(_) | order::StartAnswer::Unwell => {
+                if let Some(view) = self.views.get_mut(&order.worker) {
+                    view.rests_until = view.rests_until.max(now + REFUSED_REST);
+                }
+                self.refused(order.task);
+            }
+            order::StartAnswer::Gone => self.worker_gone(&order.worker),
+            order::StartAnswer::Silent => {
+                self.set_link(order.task, holding::Link::Doubtful(now + ORDER_AGAIN));
+                if let Some(placed) = self.placed.get_mut(&order.task) {
+                    placed.unanswered = true;
+                }
+            }
+        }
+    }
+
+    /// Frees a task whose start was refused, unless an earlier order may still be carried out.
+    fn refused(&mut self, task: spec::TaskId) {
+        let unanswered = self.placed.get(&task).is_some_and(|placed| placed.unanswered);
+        if unanswered {
+            tracing::info!(%task, "refused after an order without answer, waits for its lease");
+            self.set_link(task, holding::Link::Lapsing);
+        } else {
+            self.free(task, "refused");
+        }
+    }
+}
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -67,6 +67,7 @@
             continue;
         }
         holding.tell_wait(&task, &step, now);
+        ask_workers(holding, task.task, now);
         if returns(&task, now) {
             keep_room(holding, task.task, &step, now);
         } else {
@@ -97,6 +98,15 @@
     ready.returns && now.saturating_sub(ready.since) >= LONG_AWAY
 }
 
+/// Asks for workers of a step whose queue wants advice, for all of its tasks that wait.
+fn ask_workers(holding: &mut holding::Holding, task: spec::TaskId, now: time::Duration) {
+    let entry = holding.jobs.get(&task.job);
+    if entry.is_some_and(|entry| holding.terms_of_advice(&entry.job).is_some()) {
+        let wanted = holding.ready.range(obstacle::kin(task)).count();
+        holding.ask(task, wanted, now);
+    }
+}
+
 /// Keeps what is free on one worker for a lasting task, or shorter work would take every piece of it.
 fn keep_room(
     holding: &mut holding::Holding,
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -42,6 +42,7 @@
             unavailable = count(obstacle::Obstacle::Unavailable),
             no_room = count(obstacle::Obstacle::Room),
             spread = count(obstacle::Obstacle::Spread),
+            no_ticket = count(obstacle::Obstacle::Ticket),
             harm = count(obstacle::Obstacle::Harm),
             gang = step.gang,
             cpu_milli = step.size.cpu_milli,
@@ -68,7 +69,9 @@
                 let none = choose::cost(self, view, step, image, now).is_none();
                 none.then_some(obstacle::Obstacle::Harm)
             };
-            if let Some(obstacle) = obstacle::plain(view, service, task, step, now).or_else(harm) {
+            let ticket = || self.without_ticket(&entry.job, task, &view.member.id, now);
+            let plain = obstacle::plain(view, service, task, step, now);
+            if let Some(obstacle) = plain.or_else(ticket).or_else(harm) {
                 *counts.entry(obstacle).or_default() += 1;
             }
         }
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -19,6 +19,9 @@
 /// How long such a worker rests; the users' troubles of this kind last some 4 to 8 s.
 const REST: time::Duration = time::Duration::from_secs(4);
 
+/// The least time between two looks at a worker where something runs.
+pub(super) const LOOK_GAP: time::Duration = time::Duration::from_millis(50);
+
 /// A task that serves, as its worker's neighbours are weighed against it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Serving {
--- a/crates/wharflane/src/toml_read.rs
+++ b/crates/wharflane/src/toml_read.rs
@@ -295,7 +295,8 @@
 
     /// Reads an address that may be left out.
     pub fn address(&mut self, key: &str) -> Option<std::net::SocketAddr> {
-        self.text(key).and_then(|found| self.parse_address(key, &found))
+        let given = self.text(key).filter(|(_, text)| !text.is_empty());
+        given.and_then(|found| self.parse_address(key, &found))
     }
 
     /// Reads an address that must be given.
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -15,6 +15,11 @@
 /// Its tail beside a task that harms it.
 const HARMED_MS: u64 = 40;
 
+/// The queue that wants advice.
+pub const ADVISED: &str = "advised";
+/// How long a ticket holds.
+pub const TICKET: time::Duration = time::Duration::from_secs(3);
+
 /// An engine with a store that answers at once, and everything it asked for.
 pub struct Desk {
     /// The engine.
@@ -29,6 +34,12 @@
     pub asked: Vec<job::Effect>,
     /// Runs that have ended, by worker.
     pub over: Vec<(id::WorkerId, job::Ended)>,
+    /// Workers that may run steps that advice is wanted for.
+    pub good: Vec<id::WorkerId>,
+    /// Questions that were asked.
+    pub questions: Vec<job::Question>,
+    /// How many questions more are not answered.
+    pub unanswered: usize,
     /// Starts that were not taken.
     pub not_taken: Vec<job::Start>,
     /// What the next starts are answered, before all others are taken.
@@ -46,6 +57,9 @@
             rows: collections::BTreeMap::new(),
             asked: Vec::new(),
             over: Vec::new(),
+            good: Vec::new(),
+            questions: Vec::new(),
+            unanswered: 0,
             not_taken: Vec::new(),
             answers: collections::VecDeque::new(),
         };
@@ -56,10 +70,11 @@
             service: "service".into(),
             priority,
             max_attempts: 3,
+            advice: (name == ADVISED).then(job::Terms::default),
             stretch_percent: 200,
             objective_ms: 1_000,
         };
-        let queues = ["first", "last"].into_iter().zip([0, 2]);
+        let queues = ["first", "last", ADVISED].into_iter().zip([0, 2, 0]);
         let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
         let queues = job::Queues { revision: 1, queues: queues.collect() };
         desk.take(job::Event::Queues(sync::Arc::new(queues)));
@@ -112,6 +127,15 @@
                         }
                         self.take(job::Event::Started { order, answer });
                     }
+                    job::Effect::Ask(question) => {
+                        let good = question.workers.iter().filter(|w| self.good.contains(w));
+                        let good = good.map(|worker| (worker.clone(), format!("for {worker}")));
+                        let advice = job::Advice { good: good.collect(), valid: TICKET };
+                        let answer = (self.unanswered == 0).then_some(advice);
+                        self.unanswered = self.unanswered.saturating_sub(1);
+                        self.questions.push(question.clone());
+                        self.take(job::Event::Advised { question, answer });
+                    }
                     job::Effect::Look(look) => {
                         let clock_ms = u64::try_from(self.now.as_millis()).expect("a small number");
                         let here = |start: &&job::Start| {
