A submission in doubt is read back before it is written again

A write that takes longer than the 0.8 s of a call was sent again and again: each sending queues in its part for another 0.3 s while the store is slow, so the tries themselves kept the part full; and where only the answer was lost, one more write was needed to learn it. Ruled out: too short a time for a call (a longer one helps a slow store, and costs each lost answer that much). Test: process test `a_submission_in_doubt_is_read_back`, 504 before.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -20,6 +20,7 @@
     a_silent_store_means_not_known_within_half_of_the_callers_time => fleet::run(silent_store()),
     a_bad_job_is_refused_with_a_reason_and_nothing_is_kept => fleet::run(bad_jobs()),
     a_cancelled_job_stops => fleet::run(cancelled()),
+    a_submission_in_doubt_is_read_back => fleet::run(read_back()),
     jobs_that_want_advice_run_only_where_they_may => fleet::run(advised()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
@@ -164,6 +165,14 @@
     service.judge(15);
 }
 
+/// Loses the answers to all writes: the row tells that a submission stands.
+async fn read_back() {
+    let service = Service::start(1).await;
+    service.platform.lock().faults.lose_every = 1;
+    let told = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    assert_eq!(told.expect("an answer"), caller::Told::Accepted);
+}
+
 /// Kills one host after the other while jobs run.
 async fn killed_holders() {
     let mut service = Service::start(3).await;
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -68,13 +68,13 @@
         };
         let txn = rows::Txn {
             expects: vec![rows::Expect { key: key.clone(), version: 0 }],
-            writes: vec![rows::Write { key, value: Some(value) }],
+            writes: vec![rows::Write { key: key.clone(), value: Some(value) }],
         };
         // Another host may reach the store where this one does not, so the caller is told in time
         // to ask there.
         let now = self.shared.clock.now();
         let give_up = now + deadline.saturating_sub(now) * TRY_PERCENT / 100;
-        let tries = self.keep(&txn, give_up);
+        let tries = self.keep(&key, &txn, give_up);
         let left = give_up.saturating_sub(now);
         tokio::time::timeout(left, tries)
             .await
@@ -82,7 +82,7 @@
     }
 
     /// Writes the row of a job until it is known to stand, or known not to.
-    async fn keep(&self, txn: &rows::Txn, give_up: time::Duration) -> job::Answer {
+    async fn keep(&self, key: &rows::Key, txn: &rows::Txn, give_up: time::Duration) -> job::Answer {
         // Once a write had no answer it may land late, so only its row tells what is true.
         let mut doubt = false;
         loop {
@@ -94,6 +94,10 @@
                 }
                 Err(err) => doubt |= !matches!(err, store::StoreError::TurnedAway { .. }),
             }
+            // Reads don't queue behind the writes of a slow store, and the row tells as much.
+            if doubt && matches!(self.get(key).await, Ok(Some(_))) {
+                return job::Answer::Accepted;
+            }
             if !self.again(give_up).await {
                 return job::Answer::Unknown { retry_after: RETRY_AFTER };
             }
