Room is kept on one worker in twelve at most for lasting tasks that come back

Ruled out: harm (no task that fills), labels. Test: `room_is_kept_on_few_workers_at_once`, seen to fail without the bound.

--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -20,6 +20,8 @@
     Room,
     /// It holds as many tasks of the step as may be together.
     Spread,
+    /// Its room is kept for a lasting task that comes back.
+    Kept,
     /// There is no ticket for it.
     Ticket,
     /// A serving task there would miss its target, or processors are short.
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -14,6 +14,8 @@
 /// How long a lasting task that was at work may be away until it goes first; the users allow 6 s, a
 /// start takes 50 ms.
 const LONG_AWAY: time::Duration = time::Duration::from_millis(3_000);
+/// One worker in so many may be kept for lasting tasks that come back; shorter work has the others.
+const KEPT_PART: usize = 12;
 /// The time between two tries while nothing has changed, since rests and paces end by time.
 const RETRY: time::Duration = time::Duration::from_millis(100);
 
@@ -114,7 +116,9 @@
     step: &spec::Step,
     now: time::Duration,
 ) {
-    let Some(entry) = holding.jobs.get(&task.job) else {
+    let most = (holding.views.len() / KEPT_PART).max(1);
+    let entry = holding.jobs.get(&task.job).filter(|_| holding.kept_for.len() < most);
+    let Some(entry) = entry else {
         return;
     };
     let service = holding.service(&entry.job);
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -42,6 +42,7 @@
             unavailable = count(obstacle::Obstacle::Unavailable),
             no_room = count(obstacle::Obstacle::Room),
             spread = count(obstacle::Obstacle::Spread),
+            kept = count(obstacle::Obstacle::Kept),
             no_ticket = count(obstacle::Obstacle::Ticket),
             harm = count(obstacle::Obstacle::Harm),
             gang = step.gang,
@@ -69,9 +70,13 @@
                 let none = choose::cost(self, view, step, image, now).is_none();
                 none.then_some(obstacle::Obstacle::Harm)
             };
+            let kept = || {
+                let kept = self.kept_for.contains(&view.member.id);
+                kept.then_some(obstacle::Obstacle::Kept)
+            };
             let ticket = || self.without_ticket(&entry.job, task, &view.member.id, now);
             let plain = obstacle::plain(view, service, task, step, now);
-            if let Some(obstacle) = plain.or_else(ticket).or_else(harm) {
+            if let Some(obstacle) = plain.or_else(kept).or_else(ticket).or_else(harm) {
                 *counts.entry(obstacle).or_default() += 1;
             }
         }
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -191,6 +191,15 @@
         self.over.push((order.worker, ended));
     }
 
+    /// Returns the worker that a task was started on first.
+    pub fn worker_of(&self, task: job::TaskId) -> id::WorkerId {
+        let started = self.asked.iter().find_map(|effect| match effect {
+            job::Effect::Start(start) if start.order.task == task => Some(&start.order.worker),
+            _ => None,
+        });
+        started.expect("a started task").clone()
+    }
+
     /// Returns whether the run of an order has ended.
     fn is_over(&self, order: &job::Order) -> bool {
         self.over.iter().any(|(_, ended)| ended.task == order.task && ended.run >= order.run)
--- a/crates/wharflane/tests/job.rs
+++ b/crates/wharflane/tests/job.rs
@@ -93,6 +93,31 @@
         assert_eq!(desk.starts(1).len(), 2, "{:?}", desk::order(&desk));
         assert!(desk::order(&desk).len() < 9, "pieces are kept for it until they are enough");
     },
+    room_is_kept_on_few_workers_at_once => {
+        let mut desk = desk::Desk::new(2, None);
+        for job in [1, 2] {
+            desk.submit(job, "first", desk::step("serving", 9_000));
+            desk.pass(200, false);
+        }
+        for job in 3..20 {
+            desk.submit(job, "first", desk::step("plain", 3_500));
+        }
+        desk.pass(200, false);
+        for job in [1, 2] {
+            desk.end(first(job), job::EndKind::Failed);
+        }
+        desk.pass(4_000, false);
+        let before = desk::order(&desk);
+        assert_eq!(before.len(), 2 + 8, "shorter work has all of the room: {before:?}");
+        let one = before[2];
+        let away = |job: &&u64| desk.worker_of(first(**job)) != desk.worker_of(first(one));
+        let other = *before[2..].iter().find(away).expect("two workers");
+        for job in [one, other] {
+            desk.end(first(job), job::EndKind::Done);
+        }
+        desk.pass(500, false);
+        assert_eq!(desk::order(&desk).len(), before.len() + 1, "one of two pieces is kept");
+    },
     a_job_that_can_still_be_in_time_goes_before_one_that_is_late => {
         let mut desk = desk::Desk::new(1, None);
         let short = || job::Step { estimate_ms: 500, ..desk::step("plain", 9_000) };
