A host that has lost the store refuses submissions at once

Nothing is sent any more once the store has been silent for 1.2 s; the caller is told so and when to come back, and asks another host. Ruled out: a shorter time for a write (a slow store answers after 0.6 s and more).

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -21,6 +21,7 @@
     a_bad_job_is_refused_with_a_reason_and_nothing_is_kept => fleet::run(bad_jobs()),
     a_cancelled_job_stops => fleet::run(cancelled()),
     a_submission_in_doubt_is_read_back => fleet::run(read_back()),
+    a_host_that_lost_the_store_refuses_at_once => fleet::run(store_lost()),
     jobs_that_want_advice_run_only_where_they_may => fleet::run(advised()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
@@ -165,6 +166,23 @@
     service.judge(15);
 }
 
+/// Hands a job in once the store has been silent for longer than a moment, and once it is back.
+async fn store_lost() {
+    let service = Service::start(1).await;
+    service.platform.lock().faults.store_silent = true;
+    // A feed that was open before goes on for 1.5 s.
+    tokio::time::sleep(time::Duration::from_millis(3_500)).await;
+    let told = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let refused = matches!(told, Err(caller::JobError::Refused { status: 503, .. }));
+    assert!(refused, "{told:?}");
+    service.platform.lock().faults.store_silent = false;
+    fleet::until("the store found again", async || {
+        let told = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+        matches!(told, Ok(caller::Told::Accepted))
+    })
+    .await;
+}
+
 /// Loses the answers to all writes: the row tells that a submission stands.
 async fn read_back() {
     let service = Service::start(1).await;
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -77,14 +77,20 @@
         }
     }
 
+    /// Returns how long the store has not answered this host.
+    #[must_use]
+    pub fn store_silent(&self) -> time::Duration {
+        let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
+        let ok_ms = self.store_ok_ms.load(atomic::Ordering::Relaxed);
+        time::Duration::from_millis(now_ms.saturating_sub(ok_ms))
+    }
+
     /// Returns whether callers should be sent here.
     #[must_use]
     pub fn ready(&self) -> bool {
-        let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
-        let silent_ms = now_ms.saturating_sub(self.store_ok_ms.load(atomic::Ordering::Relaxed));
         !self.stopping.load(atomic::Ordering::Relaxed)
             && self.queues.load().revision > 0
-            && u128::from(silent_ms) < self.time("unready_ms").as_millis()
+            && self.store_silent() < self.time("unready_ms")
     }
 }
 
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -13,6 +13,9 @@
 
 /// When a caller that was turned away may come back: about as long as a short outage.
 const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// How long the store must have been silent until submissions are not tried any more. Every host asks it
+/// three times a second, and a store 60 times slower than usual answers within 0.6 s.
+const LOST_AFTER: time::Duration = time::Duration::from_millis(1_200);
 /// The part of a caller's time in which a job that is handed in is tried here, in percent; leaves
 /// as much for another host.
 const TRY_PERCENT: u32 = 45;
@@ -61,6 +64,12 @@
         if let Err(refusal) = job.check() {
             return job::Answer::Refused(refusal);
         }
+        let silent = self.shared.store_silent();
+        if silent >= LOST_AFTER {
+            // Nothing was sent, so another host may be asked at once.
+            tracing::info!(job = %id, silent_ms = silent.as_millis(), "not tried, the store is lost");
+            return job::Answer::NotTaken { retry_after: RETRY_AFTER };
+        }
         let key = job::job_key(self.domain(id), id);
         let accepted = job::Accepted { job, cancelled: false, accepted_ms: super::wall_ms() };
         let Ok(value) = serde_json::to_string(&accepted) else {
