--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -10,7 +10,7 @@
 use wharflane_operator as operator;
 
 use super::Shared;
-use super::root;
+use super::msg;
 
 /// The key of the head row.
 pub const HEAD_KEY: &str = "config/head";
@@ -39,15 +39,6 @@
     revision: u64,
 }
 
-/// A configuration as it is stored and as it is acted on.
-#[derive(Clone, Debug)]
-pub struct Loaded {
-    /// As it is stored.
-    pub stored: sync::Arc<desired::Stored>,
-    /// As it is acted on.
-    pub current: sync::Arc<hall::Current>,
-}
-
 /// What the keeper of the configuration is told.
 #[derive(Debug)]
 pub enum Msg {
@@ -58,7 +49,7 @@
     /// A revision was read from the object store or came from a peer.
     Offered(Box<desired::Stored>),
     /// A revision was read through beside the control thread.
-    Read(Loaded),
+    Read(msg::Loaded),
     /// A peer has a revision in force.
     Nudged(u64),
 }
@@ -73,7 +64,7 @@
     /// What all actors share.
     shared: Shared,
     /// The root actor.
-    root: ractor::ActorRef<root::Msg>,
+    root: ractor::ActorRef<msg::Msg>,
     /// The revision in force.
     revision: u64,
 }
@@ -81,7 +72,7 @@
 impl Actor for ConfigActor {
     type Msg = Msg;
     type State = State;
-    type Arguments = (Shared, ractor::ActorRef<root::Msg>);
+    type Arguments = (Shared, ractor::ActorRef<msg::Msg>);
 
     async fn pre_start(
         &self,
@@ -105,7 +96,7 @@
                 fetch(&myself, state.shared.clone(), state.revision);
             }
             Msg::Nudged(_) => {}
-            Msg::Head(revision) => state.root.cast(root::Msg::HeadSeen(revision))?,
+            Msg::Head(revision) => state.root.cast(msg::Msg::HeadSeen(revision))?,
             Msg::Offered(stored) => read_through(&myself, *stored, state.revision),
             Msg::Read(loaded) => state.put_in_force(loaded)?,
         }
@@ -115,7 +106,7 @@
 
 impl State {
     /// Puts a revision in force unless it is not newer than the one in force.
-    fn put_in_force(&mut self, loaded: Loaded) -> Result<(), ractor::ActorProcessingErr> {
+    fn put_in_force(&mut self, loaded: msg::Loaded) -> Result<(), ractor::ActorProcessingErr> {
         let revision = loaded.current.revision;
         if revision <= self.revision {
             return Ok(());
@@ -123,7 +114,7 @@
         self.revision = revision;
         self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
         tracing::info!(revision, "configuration in force");
-        self.root.cast(root::Msg::Config(loaded))?;
+        self.root.cast(msg::Msg::Config(loaded))?;
         Ok(())
     }
 }
@@ -138,7 +129,7 @@
     tokio::task::spawn_blocking(move || match stored.desired() {
         Ok(desired) => {
             let current = sync::Arc::new(hall::Current { revision, desired });
-            let loaded = Loaded { stored: sync::Arc::new(stored), current };
+            let loaded = msg::Loaded { stored: sync::Arc::new(stored), current };
             let _ = myself.cast(Msg::Read(loaded));
         }
         Err(_) => tracing::error!(revision, "configuration can't be read by this build"),
--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -9,7 +9,7 @@
 use wharflane_peer as peer;
 
 use super::Shared;
-use super::root;
+use super::msg;
 
 /// What the gossip actor is told.
 #[derive(Debug)]
@@ -55,7 +55,7 @@
     /// What all actors share.
     shared: Shared,
     /// The root actor.
-    root: ractor::ActorRef<root::Msg>,
+    root: ractor::ActorRef<msg::Msg>,
     /// The peers.
     peers: collections::BTreeMap<id::HostId, PeerState>,
     /// The revision in force here.
@@ -69,7 +69,7 @@
 impl Actor for Gossip {
     type Msg = Msg;
     type State = State;
-    type Arguments = (Shared, ractor::ActorRef<root::Msg>);
+    type Arguments = (Shared, ractor::ActorRef<msg::Msg>);
 
     async fn pre_start(
         &self,
@@ -144,7 +144,7 @@
         let own = self.shared.host().clone();
         for digest in &digests {
             if self.holders.get(&digest.hall) == Some(&own) {
-                self.root.cast(root::Msg::Digest(digest.clone()))?;
+                self.root.cast(msg::Msg::Digest(digest.clone()))?;
             }
         }
         self.tell_all(myself, &digests, "round");
@@ -205,7 +205,7 @@
             Some(heard) => {
                 peer_state.told.extend(telling);
                 if heard.revision > self.revision {
-                    self.root.cast(root::Msg::Nudged(heard.revision))?;
+                    self.root.cast(msg::Msg::Nudged(heard.revision))?;
                 }
             }
             None => {
--- a/crates/daemon/src/control/hall.rs
+++ b/crates/daemon/src/control/hall.rs
@@ -6,7 +6,7 @@
 use wharflane::{digest, hall, id, lease, platform, work};
 
 use super::Shared;
-use super::root;
+use super::msg;
 
 /// How often an engine is asked what is due.
 const TICK: std::time::Duration = std::time::Duration::from_millis(100);
@@ -32,7 +32,7 @@
     /// What all actors share.
     shared: Shared,
     /// The root actor.
-    root: ractor::ActorRef<root::Msg>,
+    root: ractor::ActorRef<msg::Msg>,
     /// The hall.
     hall: id::HallId,
     /// The engine.
@@ -40,7 +40,7 @@
     /// The table told last.
     told: Option<(u64, u64)>,
     /// The summary told last.
-    summary: root::HallSummary,
+    summary: msg::HallSummary,
 }
 
 /// What the actor of a hall starts with.
@@ -49,7 +49,7 @@
     /// What all actors share.
     pub shared: Shared,
     /// The root actor.
-    pub root: ractor::ActorRef<root::Msg>,
+    pub root: ractor::ActorRef<msg::Msg>,
     /// The hall.
     pub hall: id::HallId,
 }
@@ -69,7 +69,7 @@
         let host = shared.host().clone();
         let engine = hall::Engine::new(hall.clone(), host, settings, shared.nonce);
         myself.send_interval(TICK, || Msg::Event(Box::new(hall::Event::Tick)));
-        let summary = root::HallSummary::default();
+        let summary = msg::HallSummary::default();
         Ok(State { shared, root, hall, engine, told: None, summary })
     }
 
@@ -106,7 +106,7 @@
             let mark = Some((table.epoch, table.version));
             if self.told != mark {
                 self.told = mark;
-                self.root.cast(root::Msg::Table(table.clone()))?;
+                self.root.cast(msg::Msg::Table(table.clone()))?;
             }
         }
         let summary = self.summarize();
@@ -117,16 +117,16 @@
             }
             self.summary = summary.clone();
             self.gauges();
-            self.root.cast(root::Msg::Summary(self.hall.clone(), summary))?;
+            self.root.cast(msg::Msg::Summary(self.hall.clone(), summary))?;
         }
         Ok(())
     }
 
     /// Returns the summary of the hall.
-    fn summarize(&self) -> root::HallSummary {
+    fn summarize(&self) -> msg::HallSummary {
         let holding = self.engine.holding();
         let head = holding.map(hall::Holding::head).or(self.engine.seen());
-        root::HallSummary {
+        msg::HallSummary {
             holder: head.and_then(|head| head.holder.clone()),
             epoch: head.map_or(0, |head| head.epoch),
             held: holding.is_some(),
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod gossip;
 pub mod hall;
+pub mod msg;
 pub mod root;
 
 use std::sync;
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -15,64 +15,17 @@
 use super::config;
 use super::gossip;
 use super::hall as hall_actor;
+use super::msg;
 use crate::traffic;
 
 /// How long an actor may take to tell its state.
 const DUMP_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// What is known of a hall at a glance.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HallSummary {
-    /// The host that holds it.
-    pub holder: Option<id::HostId>,
-    /// The epoch of its lease.
-    pub epoch: u64,
-    /// Whether it is held here.
-    pub held: bool,
-    /// Whether nothing of it is left to give up here.
-    pub left: bool,
-    /// The tasks by state, if it is held here.
-    pub tasks: collections::BTreeMap<&'static str, usize>,
-}
-
-/// What the root is told.
-#[derive(Debug)]
-pub enum Msg {
-    /// It is time to read the platform's list.
-    Poll,
-    /// The platform's list was read and is new, or nothing is known.
-    Members(Option<members::Members>),
-    /// The configuration's head row was read, or could not be.
-    HeadSeen(Option<u64>),
-    /// A configuration came into force.
-    Config(config::Loaded),
-    /// A peer has a newer revision.
-    Nudged(u64),
-    /// The endpoints of a hall, from its holder here or elsewhere.
-    Table(endpoints::Table),
-    /// A hall changed.
-    Summary(id::HallId, HallSummary),
-    /// What a host saw of a hall held here.
-    Digest(digest::Digest),
-    /// A peer told news.
-    Gossip(peer::Gossip),
-    /// A peer handed over what it knows.
-    Handover(peer::Handover),
-    /// This host is about to stop.
-    Leave,
-    /// Whether every hall has been given up is asked for.
-    Left(ractor::RpcReplyPort<bool>),
-    /// The summary is asked for.
-    Status(ractor::RpcReplyPort<operator::Status>),
-    /// The whole state is asked for.
-    Dump(ractor::RpcReplyPort<serde_json::Value>),
-}
-
 /// What peers may read at any time.
 #[derive(Debug, Default)]
 pub struct Known {
     /// The configuration in force.
-    pub config: Option<config::Loaded>,
+    pub config: Option<msg::Loaded>,
     /// The newest table of each hall.
     pub tables: collections::BTreeMap<id::HallId, endpoints::Table>,
 }
@@ -95,7 +48,7 @@
     /// The actors of halls.
     halls: collections::BTreeMap<id::HallId, ractor::ActorRef<hall_actor::Msg>>,
     /// What is known of each hall.
-    summaries: collections::BTreeMap<id::HallId, HallSummary>,
+    summaries: collections::BTreeMap<id::HallId, msg::HallSummary>,
     /// The platform's list.
     members: sync::Arc<members::Members>,
     /// Whether the platform answered last.
@@ -105,13 +58,13 @@
 }
 
 impl Actor for Root {
-    type Msg = Msg;
+    type Msg = msg::Msg;
     type State = State;
     type Arguments = (Shared, sync::Arc<sync::Mutex<Known>>);
 
     async fn pre_start(
         &self,
-        myself: ractor::ActorRef<Msg>,
+        myself: ractor::ActorRef<msg::Msg>,
         (shared, known): Self::Arguments,
     ) -> Result<State, ractor::ActorProcessingErr> {
         let link = (shared.clone(), myself.clone());
@@ -120,8 +73,8 @@
         let link = (shared.clone(), myself.clone());
         let cell = myself.get_cell();
         let (gossip, _) = Actor::spawn_linked(None, gossip::Gossip, link, cell).await?;
-        myself.cast(Msg::Poll)?;
-        myself.send_interval(shared.time("poll_ms"), || Msg::Poll);
+        myself.cast(msg::Msg::Poll)?;
+        myself.send_interval(shared.time("poll_ms"), || msg::Msg::Poll);
         let state = State {
             shared,
             known,
@@ -139,34 +92,34 @@
 
     async fn handle(
         &self,
-        myself: ractor::ActorRef<Msg>,
-        message: Msg,
+        myself: ractor::ActorRef<msg::Msg>,
+        message: msg::Msg,
         state: &mut State,
     ) -> Result<(), ractor::ActorProcessingErr> {
         match message {
-            Msg::Poll => read_members(&myself, state.shared.clone(), state.members.version),
-            Msg::Members(None) => {}
-            Msg::Members(Some(members)) => state.set_members(members)?,
-            Msg::HeadSeen(revision) => state.head_seen(&myself, revision),
-            Msg::Config(loaded) => state.set_config(&myself, loaded).await?,
-            Msg::Nudged(revision) => {
+            msg::Msg::Poll => read_members(&myself, state.shared.clone(), state.members.version),
+            msg::Msg::Members(None) => {}
+            msg::Msg::Members(Some(members)) => state.set_members(members)?,
+            msg::Msg::HeadSeen(revision) => state.head_seen(&myself, revision),
+            msg::Msg::Config(loaded) => state.set_config(&myself, loaded).await?,
+            msg::Msg::Nudged(revision) => {
                 state.config_actor.cast(config::Msg::Nudged(revision))?;
                 if !state.platform_up {
                     state.ask_peers(&myself);
                 }
             }
-            Msg::Table(table) => state.set_table(table)?,
-            Msg::Summary(hall, summary) => state.set_summary(hall, summary)?,
-            Msg::Digest(digest) => state.pass_digest(digest)?,
-            Msg::Gossip(gossip) => state.hear(&myself, gossip)?,
-            Msg::Handover(handover) => state.take_over(handover)?,
-            Msg::Leave => state.leave()?,
-            Msg::Left(port) => {
+            msg::Msg::Table(table) => state.set_table(table)?,
+            msg::Msg::Summary(hall, summary) => state.set_summary(hall, summary)?,
+            msg::Msg::Digest(digest) => state.pass_digest(digest)?,
+            msg::Msg::Gossip(gossip) => state.hear(&myself, gossip)?,
+            msg::Msg::Handover(handover) => state.take_over(handover)?,
+            msg::Msg::Leave => state.leave()?,
+            msg::Msg::Left(port) => {
                 let left = state.summaries.values().all(|summary| !summary.held);
                 let _ = port.send(left);
             }
-            Msg::Status(port) => drop(port.send(state.status())),
-            Msg::Dump(port) => state.dump(port),
+            msg::Msg::Status(port) => drop(port.send(state.status())),
+            msg::Msg::Dump(port) => state.dump(port),
         }
         Ok(())
     }
@@ -207,7 +160,7 @@
     }
 
     /// Notes whether the platform answers; a host without a configuration then asks its peers.
-    fn head_seen(&mut self, myself: &ractor::ActorRef<Msg>, revision: Option<u64>) {
+    fn head_seen(&mut self, myself: &ractor::ActorRef<msg::Msg>, revision: Option<u64>) {
         let up = revision.is_some();
         if up != self.platform_up {
             tracing::info!(up, "platform");
@@ -219,7 +172,7 @@
     }
 
     /// Asks every peer for what it knows.
-    fn ask_peers(&self, myself: &ractor::ActorRef<Msg>) {
+    fn ask_peers(&self, myself: &ractor::ActorRef<msg::Msg>) {
         let timeout = self.shared.time("gossip_ms") * 2;
         let listed = self.members.hosts.values().map(|member| member.peer_addr);
         let seeds = self.shared.settings.seed_peers.iter().copied();
@@ -232,7 +185,7 @@
                 if let Ok(client) = peer::connect(addr, timeout).await
                     && let Ok(handover) = client.handover(peer::context(timeout)).await
                 {
-                    let _ = myself.cast(Msg::Handover(handover));
+                    let _ = myself.cast(msg::Msg::Handover(handover));
                 }
             });
         }
@@ -249,8 +202,8 @@
     /// Takes a configuration: starts the actors of new halls and tells all.
     async fn set_config(
         &mut self,
-        myself: &ractor::ActorRef<Msg>,
-        loaded: config::Loaded,
+        myself: &ractor::ActorRef<msg::Msg>,
+        loaded: msg::Loaded,
     ) -> Result<(), ractor::ActorProcessingErr> {
         for hall in &loaded.current.desired.halls {
             if !self.halls.contains_key(hall) {
@@ -270,7 +223,7 @@
     /// Starts the actor of a hall.
     async fn start_hall(
         &mut self,
-        myself: &ractor::ActorRef<Msg>,
+        myself: &ractor::ActorRef<msg::Msg>,
         name: &id::HallId,
     ) -> Result<(), ractor::ActorProcessingErr> {
         let start = hall_actor::Start {
@@ -313,7 +266,7 @@
     fn set_summary(
         &mut self,
         hall: id::HallId,
-        summary: HallSummary,
+        summary: msg::HallSummary,
     ) -> Result<(), ractor::ActorProcessingErr> {
         let before = self.summaries.get(&hall);
         let same = before.is_some_and(|old| (old.held, old.epoch) == (summary.held, summary.epoch));
@@ -342,11 +295,11 @@
     /// Takes a peer's news.
     fn hear(
         &mut self,
-        myself: &ractor::ActorRef<Msg>,
+        myself: &ractor::ActorRef<msg::Msg>,
         gossip: peer::Gossip,
     ) -> Result<(), ractor::ActorProcessingErr> {
         if gossip.revision > self.revision() {
-            myself.cast(Msg::Nudged(gossip.revision))?;
+            myself.cast(msg::Msg::Nudged(gossip.revision))?;
         }
         for table in gossip.tables {
             self.set_table(table)?;
@@ -463,11 +416,11 @@
 }
 
 /// Reads the platform's list beside the actor.
-fn read_members(myself: &ractor::ActorRef<Msg>, shared: Shared, known: u64) {
+fn read_members(myself: &ractor::ActorRef<msg::Msg>, shared: Shared, known: u64) {
     let myself = myself.clone();
     tokio::spawn(async move {
         let members = shared.platform.members(known).await;
         shared.count_call("members", &members);
-        let _ = myself.cast(Msg::Members(members.ok().flatten()));
+        let _ = myself.cast(msg::Msg::Members(members.ok().flatten()));
     });
 }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -18,7 +18,7 @@
 use wharflane_worker as worker;
 
 use crate::control;
-use crate::control::{config, root};
+use crate::control::{config, msg, root};
 use crate::jobs;
 use crate::metrics;
 use crate::settings;
@@ -158,10 +158,10 @@
 /// Stops: tells the balancer, gives up the halls, and waits for the requests under way.
 async fn wind_down(
     settings: &settings::Settings,
-    root: &ractor::ActorRef<root::Msg>,
+    root: &ractor::ActorRef<msg::Msg>,
     threads: TrafficThreads,
 ) {
-    let _ = root.cast(root::Msg::Leave);
+    let _ = root.cast(msg::Msg::Leave);
     tracing::info!("host stopping");
     tokio::time::sleep(settings.time("traffic", "stop_notice_ms")).await;
     let _ = threads.stop.send(());
@@ -181,8 +181,8 @@
 }
 
 /// Returns whether every hall has been given up.
-async fn left(root: &ractor::ActorRef<root::Msg>) -> bool {
-    let asked = root.call(root::Msg::Left, Some(OPERATOR_TIMEOUT)).await;
+async fn left(root: &ractor::ActorRef<msg::Msg>) -> bool {
+    let asked = root.call(msg::Msg::Left, Some(OPERATOR_TIMEOUT)).await;
     matches!(asked, Ok(ractor::rpc::CallResult::Success(true)))
 }
 
@@ -214,14 +214,14 @@
 
 /// Makes the answers to peers.
 fn answers(
-    root: &ractor::ActorRef<root::Msg>,
+    root: &ractor::ActorRef<msg::Msg>,
     known: &sync::Arc<sync::Mutex<root::Known>>,
 ) -> peer::Answers {
     let root = root.clone();
     let heard = sync::Arc::clone(known);
     let asked = sync::Arc::clone(known);
     let gossip = move |gossip: peer::Gossip| {
-        let _ = root.cast(root::Msg::Gossip(gossip));
+        let _ = root.cast(msg::Msg::Gossip(gossip));
         let known = heard.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let revision = known.config.as_ref().map_or(0, |loaded| loaded.current.revision);
         peer::Heard { revision }
@@ -240,7 +240,7 @@
     /// What all actors share.
     shared: control::Shared,
     /// The root actor.
-    root: ractor::ActorRef<root::Msg>,
+    root: ractor::ActorRef<msg::Msg>,
     /// Told when an operator asks the host to stop.
     drain: sync::Arc<tokio::sync::Notify>,
 }
@@ -256,7 +256,7 @@
                 None => busy(),
             },
             (&Method::GET, "/dump") => {
-                let asked = self.root.call(root::Msg::Dump, Some(OPERATOR_TIMEOUT)).await;
+                let asked = self.root.call(msg::Msg::Dump, Some(OPERATOR_TIMEOUT)).await;
                 match asked {
                     Ok(ractor::rpc::CallResult::Success(dump)) => {
                         reply::json(StatusCode::OK, &dump)
@@ -292,14 +292,14 @@
         };
         let applied = config::apply(&self.shared, &apply).await;
         if let operator::Applied::Accepted { revision } = &applied {
-            let _ = self.root.cast(root::Msg::Nudged(*revision));
+            let _ = self.root.cast(msg::Msg::Nudged(*revision));
         }
         reply::json(StatusCode::OK, &applied)
     }
 
     /// Returns the summary.
     async fn status(&self) -> Option<operator::Status> {
-        let asked = self.root.call(root::Msg::Status, Some(OPERATOR_TIMEOUT)).await;
+        let asked = self.root.call(msg::Msg::Status, Some(OPERATOR_TIMEOUT)).await;
         match asked {
             Ok(ractor::rpc::CallResult::Success(status)) => Some(status),
             _ => None,
--- a/crates/wharflane/src/hall/cost.rs
+++ b/crates/wharflane/src/hall/cost.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use super::holding;
-use super::plan;
+use super::slot;
 use super::spec;
 use crate::id;
 use crate::interfere;
@@ -11,24 +11,16 @@
 /// How much the time that a throttled task loses weighs against a missed target.
 const SLOWED_WEIGHT: f64 = 0.5;
 
-/// The tasks of one owner on a worker.
-pub(super) struct Owner {
-    /// What they have in common.
-    pub spec: sync::Arc<spec::Spec>,
-    /// Their number, each counted by its share of speed.
-    share: f64,
-}
-
 impl holding::Holding {
     /// Returns by how much the worst service on a worker is expected to miss its target with one
     /// more task there at a share of its speed; below zero all targets are kept.
-    pub(super) fn expected(&self, slot: &plan::Slot, spec: &spec::Spec, percent: u8) -> f64 {
+    pub(super) fn expected(&self, slot: &slot::Slot, spec: &spec::Spec, percent: u8) -> f64 {
         let owners = slot.owners.get_or_init(|| self.owners(&slot.worker));
         let mut beside = job_shares(owners);
         let services = owners.iter().map(|owner| &*owner.spec).filter(|spec| !spec.batch());
         let mut services: Vec<&str> = services.map(|spec| spec.owner.as_str()).collect();
         if spec.batch() {
-            let share = f64::from(percent) / f64::from(plan::WHOLE_PERCENT);
+            let share = f64::from(percent) / f64::from(slot::WHOLE_PERCENT);
             beside.push(interfere::JobShare { job: &spec.owner, share });
         } else {
             services.push(&spec.owner);
@@ -38,35 +30,35 @@
     }
 
     /// Returns the greatest share of speed at which a task is expected to leave targets kept.
-    pub(super) fn first_percent(&self, slot: &plan::Slot, spec: &spec::Spec) -> u8 {
+    pub(super) fn first_percent(&self, slot: &slot::Slot, spec: &spec::Spec) -> u8 {
         let steps = self.settings.patience.steps;
         let kept = |percent: &u8| self.expected(slot, spec, *percent) <= 0.0;
-        if !spec.batch() || kept(&plan::WHOLE_PERCENT) {
-            return plan::WHOLE_PERCENT;
+        if !spec.batch() || kept(&slot::WHOLE_PERCENT) {
+            return slot::WHOLE_PERCENT;
         }
         let step = steps.iter().find(|percent| kept(percent)).or(steps.last());
-        step.copied().unwrap_or(plan::WHOLE_PERCENT)
+        step.copied().unwrap_or(slot::WHOLE_PERCENT)
     }
 
     /// Returns what a task would cost on a worker: targets missed, and its own time lost.
-    pub(super) fn harm_there(&self, slot: &plan::Slot, spec: &spec::Spec) -> f64 {
+    pub(super) fn harm_there(&self, slot: &slot::Slot, spec: &spec::Spec) -> f64 {
         let percent = self.first_percent(slot, spec);
         let missed = self.expected(slot, spec, percent).max(0.0);
-        let slowed = 1.0 - f64::from(percent) / f64::from(plan::WHOLE_PERCENT);
+        let slowed = 1.0 - f64::from(percent) / f64::from(slot::WHOLE_PERCENT);
         missed + slowed * SLOWED_WEIGHT
     }
 
     /// Returns the owners of the tasks on a worker.
-    pub(super) fn owners(&self, worker: &id::WorkerId) -> Vec<Owner> {
-        let mut owners: Vec<Owner> = Vec::new();
+    pub(super) fn owners(&self, worker: &id::WorkerId) -> Vec<slot::Owner> {
+        let mut owners: Vec<slot::Owner> = Vec::new();
         for (task, _) in self.task_table.on(worker) {
             let Some(spec) = self.wanted.get(task) else {
                 continue;
             };
-            let share = f64::from(self.percent(worker, task)) / f64::from(plan::WHOLE_PERCENT);
+            let share = f64::from(self.percent(worker, task)) / f64::from(slot::WHOLE_PERCENT);
             match owners.iter_mut().find(|owner| sync::Arc::ptr_eq(&owner.spec, spec)) {
                 Some(owner) => owner.share += share,
-                None => owners.push(Owner { spec: sync::Arc::clone(spec), share }),
+                None => owners.push(slot::Owner { spec: sync::Arc::clone(spec), share }),
             }
         }
         owners
@@ -74,7 +66,7 @@
 }
 
 /// Returns the batch tasks among the owners on a worker.
-pub(super) fn job_shares(owners: &[Owner]) -> Vec<interfere::JobShare<'_>> {
+pub(super) fn job_shares(owners: &[slot::Owner]) -> Vec<interfere::JobShare<'_>> {
     let batch = owners.iter().filter(|owner| owner.spec.batch());
     batch.map(|owner| interfere::JobShare { job: &owner.spec.owner, share: owner.share }).collect()
 }
--- a/crates/wharflane/src/hall/disturb.rs
+++ b/crates/wharflane/src/hall/disturb.rs
@@ -6,6 +6,7 @@
 use super::cost;
 use super::holding;
 use super::plan;
+use super::slot;
 use crate::digest;
 use crate::id;
 use crate::interfere;
@@ -74,7 +75,7 @@
             Some((task, missed)) if *task.owner == *service => *missed,
             _ => 0.0,
         };
-        for cost::Owner { spec, .. } in owners.iter().filter(|owner| !owner.spec.batch()) {
+        for slot::Owner { spec, .. } in owners.iter().filter(|owner| !owner.spec.batch()) {
             self.harms.learn(&spec.owner, &beside, by(&spec.owner));
         }
         let candidates = match &missed {
@@ -133,7 +134,7 @@
                 harm: self.harms.harm(&service.owner, &task.owner),
                 percent: self.percent(worker, task),
                 lost_ms: self.lost_ms(task),
-                movable: room.any(|slot| self.expected(slot, spec, plan::WHOLE_PERCENT) <= 0.0),
+                movable: room.any(|slot| self.expected(slot, spec, slot::WHOLE_PERCENT) <= 0.0),
             })
         };
         placed.filter_map(candidate).collect()
@@ -142,7 +143,7 @@
     /// Returns the share of its processors that a task has.
     pub(super) fn percent(&self, worker: &id::WorkerId, task: &id::TaskId) -> u8 {
         let throttles = self.views.get(worker).map(|view| &view.throttles);
-        throttles.and_then(|all| all.get(task)).copied().unwrap_or(plan::WHOLE_PERCENT)
+        throttles.and_then(|all| all.get(task)).copied().unwrap_or(slot::WHOLE_PERCENT)
     }
 
     /// Leaves a task only a share of its processors.
@@ -171,12 +172,12 @@
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
-        let Some((task, _)) = view.throttles.iter().find(|(_, p)| **p < plan::WHOLE_PERCENT) else {
+        let Some((task, _)) = view.throttles.iter().find(|(_, p)| **p < slot::WHOLE_PERCENT) else {
             return;
         };
         let task = task.clone();
         if view.tracker.may_loosen(patience) {
-            self.throttle(now, worker, task, plan::WHOLE_PERCENT);
+            self.throttle(now, worker, task, slot::WHOLE_PERCENT);
         }
     }
 }
--- a/crates/wharflane/src/hall/dump.rs
+++ b/crates/wharflane/src/hall/dump.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::holding;
-use super::plan;
+use super::slot;
 use crate::id;
 use crate::lease;
 use crate::size;
@@ -21,7 +21,7 @@
     /// The tasks by state, if this host holds the hall.
     pub tasks: collections::BTreeMap<&'static str, usize>,
     /// Why tasks wait, by their size and owner.
-    pub waiting: Vec<plan::WaitingShape>,
+    pub waiting: Vec<slot::WaitingShape>,
     /// What the workers have and hold.
     pub workers: collections::BTreeMap<&'a id::WorkerId, WorkerDump>,
     /// The learned harm of each job to each service.
--- a/crates/wharflane/src/hall/holding.rs
+++ b/crates/wharflane/src/hall/holding.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use super::plan;
+use super::slot;
 use super::spec;
 use super::view;
 use crate::commit;
@@ -113,9 +113,9 @@
     /// The tasks that it gives to this hall.
     pub(super) wanted: spec::Wanted,
     /// Wanted tasks without a worker, by priority.
-    pub(super) waiting: collections::BTreeSet<plan::QueueKey>,
+    pub(super) waiting: collections::BTreeSet<slot::QueueKey>,
     /// Why tasks of a shape could not be placed in the last pass.
-    pub(super) blocked: collections::BTreeMap<plan::Shape, plan::WaitReason>,
+    pub(super) blocked: collections::BTreeMap<slot::Shape, slot::WaitReason>,
     /// The workers on which room is being made for a task.
     pub(super) promised: collections::BTreeMap<id::TaskId, id::WorkerId>,
     /// The processors that a task of each owner was seen to use, in thousandths of a core.
--- a/crates/wharflane/src/hall/mod.rs
+++ b/crates/wharflane/src/hall/mod.rs
@@ -8,6 +8,7 @@
 mod holding;
 mod log;
 mod plan;
+mod slot;
 mod spec;
 mod sync;
 mod table;
@@ -32,7 +33,7 @@
 pub use dump::{Dump, WorkerDump};
 pub use holding::{Action, Counters, Decision, Holding};
 pub use log::{head_key, log_key, log_prefix};
-pub use plan::WaitReason;
+pub use slot::WaitReason;
 
 /// How an engine is timed.
 #[derive(Clone, Copy, Debug)]
--- a/crates/wharflane/src/hall/plan.rs
+++ b/crates/wharflane/src/hall/plan.rs
@@ -6,10 +6,8 @@
 use std::sync;
 use std::time;
 
-use serde::Serialize;
-
-use super::cost;
 use super::holding;
+use super::slot;
 use super::spec;
 use super::view;
 use crate::id;
@@ -22,72 +20,9 @@
 const FRESH_INTERVALS: u32 = 3;
 /// Failures after which a batch task is not tried again until its owner changes.
 const MAX_FAILURES: u32 = 8;
-/// The share of processors that is no throttle.
-pub(super) const WHOLE_PERCENT: u8 = 100;
-
-/// The turn of a waiting task: higher priority first.
-pub(super) type QueueKey = (cmp::Reverse<u32>, id::TaskId);
-
-/// Tasks that fit or don't fit alike.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-pub(super) struct Shape {
-    /// The size.
-    pub size: size::Size,
-    /// The priority.
-    pub priority: u32,
-    /// The team, whose quota may be used up.
-    pub team: id::TeamId,
-    /// Whether they are batch tasks.
-    pub batch: bool,
-}
-
-/// Why a task waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum WaitReason {
-    /// No worker of the hall is large enough even when empty.
-    FitsNowhere,
-    /// Every worker that is large enough is full.
-    NoRoom,
-    /// Others are leaving to make room.
-    RoomBeingMade,
-    /// The team's quota is used up.
-    Quota,
-}
-
-/// Why the tasks of a shape wait, for the state dump.
-#[derive(Debug, Serialize)]
-pub struct WaitingShape {
-    /// The shape.
-    shape: Shape,
-    /// Why.
-    why: WaitReason,
-}
-
 /// How many workers with room are compared for one task, so that large halls stay quick.
 const COMPARED: usize = 48;
 
-/// A worker with what a pass needs of it.
-pub(super) struct Slot {
-    /// The worker.
-    pub worker: id::WorkerId,
-    /// Its rack.
-    rack: sync::Arc<str>,
-    /// What it has.
-    capacity: size::Size,
-    /// What is set aside on it, the placements of the pass included.
-    used: size::Size,
-    /// The owners of its tasks with their number, once they were asked for.
-    pub owners: cell::OnceCell<Vec<cost::Owner>>,
-}
-
-impl Slot {
-    /// Returns what is free.
-    pub(super) fn free(&self) -> size::Size {
-        self.capacity.minus(&self.used)
-    }
-}
-
 impl holding::Holding {
     /// Decides everything that is due.
     pub(super) fn plan(&mut self, now: time::Duration) {
@@ -200,7 +135,7 @@
             let team = held.entry(spec.team.clone()).or_default();
             let over = spec.batch() && !self.within_quota(&spec, &need, team);
             let placed = if over {
-                Err(WaitReason::Quota)
+                Err(slot::WaitReason::Quota)
             } else {
                 self.place_one(now, &task, &spec, &need, &mut slots)
             };
@@ -208,7 +143,7 @@
                 Ok(()) if spec.batch() => *team = team.plus(&need),
                 Ok(()) => {}
                 // Each urgent task may make room of its own, so this one blocks no other.
-                Err(WaitReason::RoomBeingMade) => {}
+                Err(slot::WaitReason::RoomBeingMade) => {}
                 Err(why) => {
                     self.blocked.insert(shape, why);
                 }
@@ -223,14 +158,14 @@
         task: &id::TaskId,
         spec: &spec::Spec,
         need: &size::Size,
-        slots: &mut [Slot],
-    ) -> Result<(), WaitReason> {
+        slots: &mut [slot::Slot],
+    ) -> Result<(), slot::WaitReason> {
         let mut capacities = self.views.values().filter_map(|view| view.capacity);
         if !capacities.any(|capacity| spec.size.fits(&capacity)) {
             return Err(if slots.is_empty() {
-                WaitReason::NoRoom
+                slot::WaitReason::NoRoom
             } else {
-                WaitReason::FitsNowhere
+                slot::WaitReason::FitsNowhere
             });
         }
         if let Some(at) = self.choose(task, spec, need, slots) {
@@ -248,13 +183,13 @@
             };
             let worker = slot.worker.clone();
             self.propose(now, record);
-            if percent < WHOLE_PERCENT {
+            if percent < slot::WHOLE_PERCENT {
                 self.throttle(now, &worker, task.clone(), percent);
             }
             return Ok(());
         }
         if self.room_is_coming(task) {
-            return Err(WaitReason::RoomBeingMade);
+            return Err(slot::WaitReason::RoomBeingMade);
         }
         self.make_room(now, task, spec, need, slots)
     }
@@ -265,7 +200,7 @@
         task: &id::TaskId,
         spec: &spec::Spec,
         need: &size::Size,
-        slots: &[Slot],
+        slots: &[slot::Slot],
     ) -> Option<usize> {
         let racks = self.siblings(spec);
         let compared = if spec.batch() { COMPARED } else { slots.len() };
@@ -311,15 +246,15 @@
         task: &id::TaskId,
         spec: &spec::Spec,
         need: &size::Size,
-        slots: &[Slot],
-    ) -> Result<(), WaitReason> {
+        slots: &[slot::Slot],
+    ) -> Result<(), slot::WaitReason> {
         let offers = slots.iter().filter_map(|slot| {
             let movable = self.movable(&slot.worker, spec.priority);
             let chosen = place::victims(movable, &slot.free(), need)?;
             Some((place::price(&chosen), &slot.worker, chosen))
         });
         let Some((_, worker, chosen)) = offers.min_by_key(|(price, _, _)| *price) else {
-            return Err(WaitReason::NoRoom);
+            return Err(slot::WaitReason::NoRoom);
         };
         let worker = worker.clone();
         let records: Vec<task_table::Record> = chosen
@@ -333,7 +268,7 @@
             self.propose(now, record);
         }
         self.promised.insert(task.clone(), worker);
-        Err(WaitReason::RoomBeingMade)
+        Err(slot::WaitReason::RoomBeingMade)
     }
 
     /// Returns the batch tasks of a worker that a priority may displace.
@@ -367,11 +302,11 @@
     }
 
     /// Returns the workers that may get a new task.
-    pub(super) fn slots(&self, now: time::Duration) -> Vec<Slot> {
+    pub(super) fn slots(&self, now: time::Duration) -> Vec<slot::Slot> {
         let fresh = self.settings.sync * FRESH_INTERVALS;
         let open = self.views.iter().filter(|(_, view)| view.takes_new(now, fresh));
         let slot = |(worker, view): (&id::WorkerId, &view::View)| {
-            Some(Slot {
+            Some(slot::Slot {
                 worker: worker.clone(),
                 rack: sync::Arc::clone(&view.rack),
                 capacity: view.capacity?,
@@ -424,9 +359,11 @@
     }
 
     /// Returns why tasks wait, for the state dump.
-    pub(super) fn wait_reasons(&self) -> Vec<WaitingShape> {
-        let entry =
-            |(shape, why): (&Shape, &WaitReason)| WaitingShape { shape: shape.clone(), why: *why };
+    pub(super) fn wait_reasons(&self) -> Vec<slot::WaitingShape> {
+        let entry = |(shape, why): (&slot::Shape, &slot::WaitReason)| slot::WaitingShape {
+            shape: shape.clone(),
+            why: *why,
+        };
         self.blocked.iter().map(entry).collect()
     }
 }
@@ -441,6 +378,11 @@
 }
 
 /// Returns the shape of a task.
-fn shape_of(spec: &spec::Spec, need: &size::Size) -> Shape {
-    Shape { size: *need, priority: spec.priority, team: spec.team.clone(), batch: spec.batch() }
+fn shape_of(spec: &spec::Spec, need: &size::Size) -> slot::Shape {
+    slot::Shape {
+        size: *need,
+        priority: spec.priority,
+        team: spec.team.clone(),
+        batch: spec.batch(),
+    }
 }
--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -3,7 +3,6 @@
 //! A queue may ask for it. The service is slow and takes one question at a time, so only workers are
 //! named that would be chosen otherwise, and about as many as are needed.
 
-use std::collections;
 use std::time;
 
 use super::event;
@@ -11,6 +10,7 @@
 use super::obstacle;
 use super::order;
 use super::spec;
+use super::tickets;
 use super::worker;
 use crate::id;
 
@@ -26,113 +26,12 @@
 const MARGIN: time::Duration = time::Duration::from_millis(400);
 /// What an answer may take beyond the time that the service needs.
 const SLACK: time::Duration = time::Duration::from_millis(1_000);
-/// The share of workers that is taken to be good before any answer came.
-const GOOD_SHARE: f64 = 0.5;
 /// What one answer weighs in that share.
 const SHARE_WEIGHT: f64 = 0.2;
 
-/// How the service at the operator's is asked for a queue.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Terms {
-    /// What it takes for a question.
-    pub decide: time::Duration,
-    /// What it takes beyond that for each worker named.
-    pub each: time::Duration,
-    /// How long a ticket holds.
-    pub valid: time::Duration,
-}
-
-/// A question: which of these workers may run the tasks of a step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Question {
-    /// The job.
-    pub job: spec::JobId,
-    /// The round.
-    pub round: u32,
-    /// The step.
-    pub step: u32,
-    /// The workers.
-    pub workers: Vec<id::WorkerId>,
-    /// How long the answer may take.
-    pub timeout: time::Duration,
-}
-
-/// An answer: the workers that may, each with the ticket to show there.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Advice {
-    /// The workers and their tickets.
-    pub good: Vec<(id::WorkerId, String)>,
-    /// How long the tickets hold.
-    pub valid: time::Duration,
-}
-
-/// A ticket for all tasks of a step on one worker.
-#[derive(Clone, Debug)]
-struct Ticket {
-    /// What to show.
-    text: String,
-    /// Until when it is used.
-    until: time::Duration,
-}
-
-/// What is known of one step.
-#[derive(Clone, Debug, Default)]
-struct Known {
-    /// Workers that may run it.
-    good: collections::BTreeMap<id::WorkerId, Ticket>,
-    /// Workers that may not; that does not change.
-    bad: collections::BTreeSet<id::WorkerId>,
-    /// Whether a question is under way.
-    asked: bool,
-    /// When the next question may be asked.
-    again: time::Duration,
-}
-
-/// All tickets of a domain.
-#[derive(Debug)]
-pub(super) struct Tickets {
-    /// What is known, by step.
-    steps: collections::BTreeMap<obstacle::Group, Known>,
-    /// Questions under way.
-    open: usize,
-    /// The share of workers named that are good.
-    share: f64,
-}
-
-impl Default for Tickets {
-    fn default() -> Self {
-        Self { steps: collections::BTreeMap::new(), open: 0, share: GOOD_SHARE }
-    }
-}
-
-impl Tickets {
-    /// Returns the ticket for a task on a worker, as long as it can be used.
-    pub fn get(
-        &self,
-        task: spec::TaskId,
-        worker: &id::WorkerId,
-        now: time::Duration,
-    ) -> Option<&str> {
-        let ticket = self.steps.get(&obstacle::group(task))?.good.get(worker)?;
-        (now < ticket.until).then_some(&ticket.text)
-    }
-
-    /// Forgets a ticket that a worker did not take.
-    pub fn refused(&mut self, task: spec::TaskId, worker: &id::WorkerId) {
-        if let Some(known) = self.steps.get_mut(&obstacle::group(task)) {
-            known.good.remove(worker);
-        }
-    }
-
-    /// Forgets everything about a job that has ended.
-    pub fn forget(&mut self, job: spec::JobId) {
-        self.steps.retain(|(known, ..), _| *known != job);
-    }
-}
-
 impl holding::Holding {
     /// Returns how a job's queue wants its workers to be asked for.
-    pub(super) fn terms_of_advice(&self, job: &spec::Job) -> Option<Terms> {
+    pub(super) fn terms_of_advice(&self, job: &spec::Job) -> Option<tickets::Terms> {
         self.queues.queues.get(&job.queue)?.advice
     }
 
@@ -165,7 +64,7 @@
             known.asked = true;
         }
         let (job, round, step) = group;
-        let question = Question { job, round, step, workers, timeout };
+        let question = tickets::Question { job, round, step, workers, timeout };
         self.out.push(event::Effect::Ask(question));
     }
 
@@ -182,7 +81,7 @@
             return Vec::new();
         };
         let service = self.service(&entry.job);
-        let none = Known::default();
+        let none = tickets::Known::default();
         let known = self.tickets.steps.get(&obstacle::group(task)).unwrap_or(&none);
         let fits = |view: &&worker::View| {
             let plain = obstacle::plain(view, service, task, step, now).is_none();
@@ -203,8 +102,8 @@
     /// Takes the answer to a question; nothing stands for one that did not come.
     pub(super) fn advised(
         &mut self,
-        question: &Question,
-        answer: Option<&Advice>,
+        question: &tickets::Question,
+        answer: Option<&tickets::Advice>,
         now: time::Duration,
     ) {
         self.tickets.open = self.tickets.open.saturating_sub(1);
@@ -220,7 +119,7 @@
         };
         let until = now + advice.valid.saturating_sub(MARGIN);
         for (worker, text) in &advice.good {
-            known.good.insert(worker.clone(), Ticket { text: text.clone(), until });
+            known.good.insert(worker.clone(), tickets::Ticket { text: text.clone(), until });
         }
         for worker in &question.workers {
             if !advice.good.iter().any(|(good, _)| good == worker) {
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -3,11 +3,11 @@
 use std::sync;
 use std::time;
 
-use super::advice;
 use super::order;
 use super::queue;
 use super::rows as kept;
 use super::spec;
+use super::tickets;
 use crate::id;
 use crate::rows;
 
@@ -104,9 +104,9 @@
     /// A question about the workers of a step was answered, or was not.
     Advised {
         /// The question.
-        question: advice::Question,
+        question: tickets::Question,
         /// The answer.
-        answer: Option<advice::Advice>,
+        answer: Option<tickets::Advice>,
     },
     /// This host is about to stop.
     Leave,
@@ -130,7 +130,7 @@
     /// Look at a worker.
     Look(order::Look),
     /// Ask which workers may run a step.
-    Ask(advice::Question),
+    Ask(tickets::Question),
     /// Change the share at which a task works.
     Pace(order::Pace),
 }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -4,7 +4,6 @@
 use std::sync;
 use std::time;
 
-use super::advice;
 use super::event;
 use super::learned;
 use super::obstacle;
@@ -13,6 +12,7 @@
 use super::queue;
 use super::rows as kept;
 use super::spec;
+use super::tickets;
 use super::worker;
 use crate::id;
 use crate::rows;
@@ -192,7 +192,7 @@
     /// Workers whose room is kept for lasting tasks that come back, until the next try.
     pub(super) kept_for: collections::BTreeSet<id::WorkerId>,
     /// Which workers may run steps whose queue asks for advice.
-    pub(super) tickets: advice::Tickets,
+    pub(super) tickets: tickets::Tickets,
     /// When it was last told what keeps the tasks of a step waiting.
     pub(super) told: collections::BTreeMap<obstacle::Group, time::Duration>,
     /// What was learned.
@@ -266,7 +266,7 @@
             changed: true,
             placed_at: time::Duration::ZERO,
             kept_for: collections::BTreeSet::new(),
-            tickets: advice::Tickets::default(),
+            tickets: tickets::Tickets::default(),
             told: collections::BTreeMap::new(),
             learned: learned::Learned::default(),
             kept_at: taken,
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -29,11 +29,11 @@
 mod queue;
 mod rows;
 mod spec;
+mod tickets;
 mod times;
 mod waits;
 mod worker;
 
-pub use advice::{Advice, Question, Terms};
 pub use call::{Answer, Call};
 pub use engine::Engine;
 pub use event::{Effect, Event, Settings};
@@ -52,3 +52,4 @@
     BadJobId, BadTaskId, Job, JobId, MAX_SPEC_BYTES, MAX_STEPS, MAX_TASKS, Refusal, Repeats, Step,
     TaskId,
 };
+pub use tickets::{Advice, Question, Terms};
--- a/crates/wharflane/src/job/queue.rs
+++ b/crates/wharflane/src/job/queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use super::advice;
+use super::tickets;
 use crate::id;
 
 /// One queue.
@@ -21,7 +21,7 @@
     /// How often a task may fail before its job has failed.
     pub max_attempts: u32,
     /// How the service that knows which workers may run a step is asked, where it must be.
-    pub advice: Option<advice::Terms>,
+    pub advice: Option<tickets::Terms>,
     /// How many times its longest chain of work a job may take, in hundredths.
     pub stretch_percent: u64,
     /// What a job may take beyond that, in milliseconds; zero where nothing is promised.
--- /dev/null
+++ b/crates/wharflane/src/job/tickets.rs
@@ -0,0 +1,110 @@
+//! Tickets for steps that only some workers may run, and how they are asked for.
+
+use std::collections;
+use std::time;
+
+use super::obstacle;
+use super::spec;
+use crate::id;
+
+/// The share of workers that is taken to be good before any answer came.
+const GOOD_SHARE: f64 = 0.5;
+
+/// How the service at the operator's is asked for a queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// What it takes for a question.
+    pub decide: time::Duration,
+    /// What it takes beyond that for each worker named.
+    pub each: time::Duration,
+    /// How long a ticket holds.
+    pub valid: time::Duration,
+}
+
+/// A question: which of these workers may run the tasks of a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The job.
+    pub job: spec::JobId,
+    /// The round.
+    pub round: u32,
+    /// The step.
+    pub step: u32,
+    /// The workers.
+    pub workers: Vec<id::WorkerId>,
+    /// How long the answer may take.
+    pub timeout: time::Duration,
+}
+
+/// An answer: the workers that may, each with the ticket to show there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advice {
+    /// The workers and their tickets.
+    pub good: Vec<(id::WorkerId, String)>,
+    /// How long the tickets hold.
+    pub valid: time::Duration,
+}
+
+/// A ticket for all tasks of a step on one worker.
+#[derive(Clone, Debug)]
+pub(super) struct Ticket {
+    /// What to show.
+    pub text: String,
+    /// Until when it is used.
+    pub until: time::Duration,
+}
+
+/// What is known of one step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Known {
+    /// Workers that may run it.
+    pub good: collections::BTreeMap<id::WorkerId, Ticket>,
+    /// Workers that may not; that does not change.
+    pub bad: collections::BTreeSet<id::WorkerId>,
+    /// Whether a question is under way.
+    pub asked: bool,
+    /// When the next question may be asked.
+    pub again: time::Duration,
+}
+
+/// All tickets of a domain.
+#[derive(Debug)]
+pub(super) struct Tickets {
+    /// What is known, by step.
+    pub steps: collections::BTreeMap<obstacle::Group, Known>,
+    /// Questions under way.
+    pub open: usize,
+    /// The share of workers named that are good.
+    pub share: f64,
+}
+
+impl Default for Tickets {
+    fn default() -> Self {
+        Self { steps: collections::BTreeMap::new(), open: 0, share: GOOD_SHARE }
+    }
+}
+
+impl Tickets {
+    /// Returns the ticket for a task on a worker, as long as it can be used.
+    pub fn get(
+        &self,
+        task: spec::TaskId,
+        worker: &id::WorkerId,
+        now: time::Duration,
+    ) -> Option<&str> {
+        let ticket = self.steps.get(&obstacle::group(task))?.good.get(worker)?;
+        (now < ticket.until).then_some(&ticket.text)
+    }
+
+    /// Forgets a ticket that a worker did not take.
+    pub fn refused(&mut self, task: spec::TaskId, worker: &id::WorkerId) {
+        if let Some(known) = self.steps.get_mut(&obstacle::group(task)) {
+            known.good.remove(worker);
+        }
+    }
+
+    /// Forgets everything about a job that has ended.
+    pub fn forget(&mut self, job: spec::JobId) {
+        self.steps.retain(|(known, ..), _| *known != job);
+    }
+}
