A ticket that runs out before its start is asked for anew

Cause: read in the diff: a start without a valid ticket was kept for its worker and asked about workers with room, of which its own is none while it reserves it: it could wait for ever where a commit takes longer than the ticket. It is freed like a refused one now. Short tickets lose a quarter of their time at most, not 0.4 s. No test reaches the first: the engine's tests commit at once.

--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -1,6 +1,5 @@
-//! Tickets: what the service at the operator's says of which workers may run a step.
-//!
-//! A queue may ask for it. The service is slow and takes one question at a time, so only workers are
+//! Asks the operator's advice service which workers may run a step, for queues that want it.
+//! The service is slow and takes one question at a time, so only workers are
 //! named that would be chosen otherwise, and about as many as are needed.
 
 use std::time;
@@ -22,11 +21,14 @@
 const MOST_OPEN: usize = 4;
 /// The wait after a question that had no answer.
 const AGAIN: time::Duration = time::Duration::from_millis(500);
-/// How long before its end a ticket is not used any more: commit and trip to the worker.
+/// How long before its end a ticket is not used any more: commit and trip to the worker; a quarter of
+/// its time at most.
 const MARGIN: time::Duration = time::Duration::from_millis(400);
 /// What an answer may take beyond the time that the service needs.
 const SLACK: time::Duration = time::Duration::from_millis(1_000);
-/// What one answer weighs in that share.
+/// The least share of good workers that is reckoned with.
+const LEAST_SHARE: f64 = 0.05;
+/// What one answer weighs in the share of workers that are good.
 const SHARE_WEIGHT: f64 = 0.2;
 
 impl holding::Holding {
@@ -43,7 +45,7 @@
         if known.asked || now < known.again || open >= MOST_OPEN {
             return;
         }
-        let count = (wanted as f64 / self.tickets.share.max(0.05)).ceil() as usize;
+        let count = (wanted as f64 / self.tickets.share.max(LEAST_SHARE)).ceil() as usize;
         let workers = self.candidates(task, count.clamp(LEAST_NAMED, MOST_NAMED), now);
         let entry = self.jobs.get(&task.job);
         let Some(terms) = entry.and_then(|entry| self.terms_of_advice(&entry.job)) else {
@@ -117,7 +119,7 @@
             known.again = now + AGAIN;
             return;
         };
-        let until = now + advice.valid.saturating_sub(MARGIN);
+        let until = now + advice.valid - MARGIN.min(advice.valid / 4);
         for (worker, text) in &advice.good {
             known.good.insert(worker.clone(), tickets::Ticket { text: text.clone(), until });
         }
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -58,9 +58,9 @@
         let state = entry.progress.tasks.get(&task.into());
         let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
         let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
+        // A ticket that ran out on the way to here is asked for anew, maybe for another worker.
         let Some(ticket) = self.ticket_for(&order, now) else {
-            self.set_link(task, holding::Link::Doubtful(now + ORDER_AGAIN));
-            return self.ask(task, 1, now);
+            return self.refused(task);
         };
         tracing::info!(
             %task, run = order.run, worker = %order.worker, epoch = order.epoch, lease_until_ms,
--- a/crates/wharflane/src/job/queue.rs
+++ b/crates/wharflane/src/job/queue.rs
@@ -20,7 +20,7 @@
     pub priority: u32,
     /// How often a task may fail before its job has failed.
     pub max_attempts: u32,
-    /// How the service that knows which workers may run a step is asked, where it must be.
+    /// The terms of the advice service, where it must be asked which workers may run a step.
     pub advice: Option<tickets::Terms>,
     /// How many times its longest chain of work a job may take, in hundredths.
     pub stretch_percent: u64,
--- a/crates/wharflane/src/job/tickets.rs
+++ b/crates/wharflane/src/job/tickets.rs
@@ -10,7 +10,7 @@
 /// The share of workers that is taken to be good before any answer came.
 const GOOD_SHARE: f64 = 0.5;
 
-/// How the service at the operator's is asked for a queue.
+/// How long the advice service takes for a queue, and how long its tickets hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Terms {
     /// What it takes for a question.
