Room kept for one lasting task that comes back is there for all of them

Ruled out: workers that rest (none), labels, harm (the step reserves). Now lasting tasks that come back may use what is kept for another one of them. Test: `kept_room_is_there_for_every_lasting_task_that_comes_back`, seen to fail without the change.

--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -59,18 +59,22 @@
             holding.ready.remove(&task.task);
             continue;
         };
+        // What is kept for one lasting task that comes back is there for all of them.
+        let own = returns(&task, now);
+        let kept = if own { std::mem::take(&mut holding.kept_for) } else { Default::default() };
         let placed = if step.gang {
             blocked.insert(group);
             gang::place(holding, &task, &step, now)
         } else {
             place_one(holding, &task, &step, now)
         };
+        holding.kept_for.extend(kept);
         if placed {
             continue;
         }
         holding.tell_wait(&task, &step, now);
         ask_workers(holding, task.task, now);
-        if returns(&task, now) {
+        if own {
             keep_room(holding, task.task, &step, now);
         } else {
             blocked.insert(group);
--- a/crates/wharflane/tests/job.rs
+++ b/crates/wharflane/tests/job.rs
@@ -93,6 +93,25 @@
         assert_eq!(desk.starts(1).len(), 2, "{:?}", desk::order(&desk));
         assert!(desk::order(&desk).len() < 9, "pieces are kept for it until they are enough");
     },
+    kept_room_is_there_for_every_lasting_task_that_comes_back => {
+        let mut desk = desk::Desk::new(1, None);
+        for (job, cpu_milli) in [(1, 12_000), (2, 4_000)] {
+            desk.submit(job, "first", desk::step("serving", cpu_milli));
+            desk.pass(200, false);
+        }
+        for job in 3..20 {
+            desk.submit(job, "first", desk::step("plain", 3_500));
+        }
+        desk.pass(200, false);
+        for job in [1, 2] {
+            desk.end(first(job), job::EndKind::Stopped);
+        }
+        desk.pass(4_000, false);
+        assert_eq!(desk::order(&desk).len(), 2 + 4, "shorter work has all of the room");
+        desk.end(first(3), job::EndKind::Done);
+        desk.pass(500, false);
+        assert_eq!(desk.starts(2).len(), 2, "it fits into what is kept for the larger one");
+    },
     room_is_kept_on_few_workers_at_once => {
         let mut desk = desk::Desk::new(2, None);
         for job in [1, 2] {
