--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,11 +1,14 @@
 //! Measures the decisions in virtual time, and what a host and a hall cost.
 
+pub mod ablate;
 pub mod capacity;
+pub mod compare;
 pub mod forwarder;
 pub mod harm;
 pub mod journal;
 pub mod limits;
 pub mod load;
+pub mod plays;
 pub mod queueing;
 pub mod recovery;
 pub mod routing;
