--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -6,6 +6,7 @@
 
 use ractor::Actor;
 use wharflane::{job, rows};
+use wharflane_adapter::store;
 
 use super::Shared;
 use super::watch;
@@ -133,7 +134,7 @@
             job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
                 let answer = shared.store.transact(&txn).await;
                 shared.count_call("commit", &answer);
-                tell(&myself, job::Event::Txn { number, answer: answer.ok() });
+                tell(&myself, job::Event::Txn { number, outcome: outcome(answer) });
             })),
             job::Effect::Drop(job, txn) => drop(tokio::spawn(async move {
                 let answer = shared.store.transact(&txn).await;
@@ -167,6 +168,15 @@
     }
 }
 
+/// Returns what is known of a transaction.
+fn outcome(answer: Result<rows::Answer, store::StoreError>) -> rows::Outcome {
+    match answer {
+        Ok(answer) => rows::Outcome::Answered(answer),
+        Err(store::StoreError::Refused { .. }) => rows::Outcome::Refused,
+        Err(_) => rows::Outcome::Unknown,
+    }
+}
+
 /// Reads the lease row.
 async fn read_lease(shared: &Shared, domain: u32) -> job::Event {
     let row = shared.store.get(&job::lease_key(domain)).await;
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -60,9 +60,13 @@
             Err(store::StoreError::TurnedAway { .. }) => "turned-away",
             Err(store::StoreError::Silent(_) | store::StoreError::Cancelled) => "silent",
             Err(store::StoreError::Strange { .. }) => "strange",
+            Err(store::StoreError::Refused { status }) => {
+                tracing::error!(call, status, "the store refuses a call for good");
+                "refused"
+            }
         };
         self.metrics.platform_calls.with_label_values(&[call, label]).inc();
-        let up = result.is_ok();
+        let up = matches!(result, Ok(_) | Err(store::StoreError::Refused { .. }));
         if up {
             let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
             self.store_ok_ms.store(now_ms, atomic::Ordering::Relaxed);
@@ -71,8 +75,8 @@
         if before != up {
             self.metrics.platform_up.set(i64::from(up));
             match result {
-                Ok(_) => tracing::info!(call, "the store answers"),
-                Err(err) => tracing::warn!(call, %err, "the store is lost"),
+                Err(err) if !up => tracing::warn!(call, %err, "the store is lost"),
+                _ => tracing::info!(call, "the store answers"),
             }
         }
     }
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -75,6 +75,11 @@
         let Ok(value) = serde_json::to_string(&accepted) else {
             return job::Answer::BadBody;
         };
+        let most = self.row_bytes();
+        if value.len() > most {
+            let refusal = job::Refusal::TooLong { bytes: value.len(), most };
+            return job::Answer::Refused(refusal);
+        }
         let txn = rows::Txn {
             expects: vec![rows::Expect { key: key.clone(), version: 0 }],
             writes: vec![rows::Write { key: key.clone(), value: Some(value) }],
@@ -98,6 +103,9 @@
             match self.transact(txn).await {
                 // The same job came before, or an earlier sending of this write has landed.
                 Ok(_) => return job::Answer::Accepted,
+                Err(store::StoreError::Refused { .. }) => {
+                    return job::Answer::Refused(job::Refusal::NotKept);
+                }
                 Err(store::StoreError::TurnedAway { .. }) if !doubt => {
                     return job::Answer::NotTaken { retry_after: RETRY_AFTER };
                 }
@@ -216,6 +224,12 @@
         job::domain_of(id, self.shared.domains())
     }
 
+    /// Returns the longest text that a row of the store takes: it stands there as base64.
+    fn row_bytes(&self) -> usize {
+        let bytes = self.shared.settings.number("jobs", "row_bytes");
+        usize::try_from(bytes).unwrap_or(usize::MAX) / 4 * 3
+    }
+
     /// Waits a little before a call is made again; returns whether there is time for it.
     async fn again(&self, deadline: time::Duration) -> bool {
         tokio::time::sleep(AGAIN).await;
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -71,12 +71,11 @@
     /// Reads everything that a new holder must know, then follows its changes.
     pub async fn load(self, domain: u32) {
         let part = job::part(domain);
-        let learned = job::learned_key(domain);
         let read = tokio::join!(
             self.all(config::WORKERS_TABLE, config::THEIR_PART),
             self.accepted(domain),
             self.all(job::PROGRESS, &part),
-            self.shared.store.get(&learned),
+            self.all(job::LEARNED, &part),
         );
         let (Ok(workers), Ok(jobs), Ok(progress), Ok(learned)) = read else {
             tokio::time::sleep(AGAIN).await;
@@ -84,8 +83,8 @@
         };
         let versions = (workers.version, jobs.version);
         self.tell_list(&workers);
-        let learned = learned.and_then(|row| row.value);
-        let loaded = job::Event::Loaded { jobs: jobs.rows, progress: progress.rows, learned };
+        let loaded =
+            job::Event::Loaded { jobs: jobs.rows, progress: progress.rows, learned: learned.rows };
         holder::tell(&self.holder, loaded);
         tokio::spawn(self.clone().follow_workers(versions.0));
         tokio::spawn(self.follow_jobs(domain, versions.1));
--- a/crates/stand-in/src/jobs/rows.rs
+++ b/crates/stand-in/src/jobs/rows.rs
@@ -4,6 +4,13 @@
 
 use wharflane::rows;
 
+/// The most entries of a transaction, conditions among them.
+const MAX_ENTRIES: usize = 100;
+/// The longest value, as base64.
+const MAX_ROW_BYTES: usize = 65_536;
+/// The most bytes of a transaction.
+const MAX_TXN_BYTES: usize = 1_000_000;
+
 /// The place of a row: table, part and key.
 type At = (&'static str, String, String);
 
@@ -23,6 +30,15 @@
 }
 
 impl Rows {
+    /// Makes a transaction where the store takes its form.
+    pub fn send(&mut self, txn: &rows::Txn) -> rows::Outcome {
+        if takes(txn) {
+            rows::Outcome::Answered(self.transact(txn))
+        } else {
+            rows::Outcome::Refused
+        }
+    }
+
     /// Makes a transaction, or tells how the rows of its conditions are.
     pub fn transact(&mut self, txn: &rows::Txn) -> rows::Answer {
         let holds = |expect: &rows::Expect| {
@@ -97,6 +113,21 @@
     }
 }
 
+/// Returns whether a transaction keeps the store's bounds: entries, the length of rows, and its own.
+#[must_use]
+pub fn takes(txn: &rows::Txn) -> bool {
+    let lengths =
+        txn.writes.iter().filter_map(|write| write.value.as_ref()).map(|value| base64_bytes(value));
+    let entries = txn.expects.len() + txn.writes.len();
+    let longest = lengths.clone().max().unwrap_or(0);
+    entries <= MAX_ENTRIES && longest <= MAX_ROW_BYTES && lengths.sum::<usize>() <= MAX_TXN_BYTES
+}
+
+/// Returns the length of a value as base64.
+fn base64_bytes(value: &str) -> usize {
+    value.len().div_ceil(3) * 4
+}
+
 /// Returns the place that a key names.
 fn at(key: &rows::Key) -> At {
     (key.table, key.part.clone(), key.name.clone())
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -227,6 +227,9 @@
 
     /// Makes a transaction, and never answers where its answer is to be lost.
     async fn transact(&self, txn: &table::Txn) -> reply::Reply {
+        if !rows::takes(txn) {
+            return reply::problem(StatusCode::BAD_REQUEST, "size", "too many or too long rows");
+        }
         let (answer, lost) = {
             let mut state = self.lock();
             state.transactions += 1;
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -346,7 +346,7 @@
 
     /// Tells a host after a while that its transaction had no answer.
     fn silent_txn(&mut self, host: usize, life: u64, number: u64) {
-        let event = Box::new(job::Event::Txn { number, answer: None });
+        let event = Box::new(job::Event::Txn { number, outcome: table::Outcome::Unknown });
         self.send(time::Duration::from_millis(800), Message::Back(host, life, event));
     }
 
@@ -356,7 +356,7 @@
         job::Event::Loaded {
             jobs: job::job_parts(0).flat_map(|part| self.rows.all(job::JOBS, &part)).collect(),
             progress: self.rows.all(job::PROGRESS, &part),
-            learned: self.rows.get(&job::learned_key(0)).and_then(|row| row.value),
+            learned: self.rows.all(job::LEARNED, &part),
         }
     }
 
@@ -388,11 +388,11 @@
                 if self.down {
                     return self.silent_txn(host, life, number);
                 }
-                let answer = self.rows.transact(&txn);
+                let answer = self.rows.send(&txn);
                 if lost {
                     return self.silent_txn(host, life, number);
                 }
-                let event = Box::new(job::Event::Txn { number, answer: Some(answer) });
+                let event = Box::new(job::Event::Txn { number, outcome: answer });
                 let way = self.way();
                 self.send(way, Message::Back(host, life, event));
             }
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -27,6 +27,7 @@
     let state = entry.progress.tasks.entry(task.into()).or_default();
     state.run = run;
     state.worker = Some(worker.clone());
+    let began = entry.progress.phase != progress::Phase::Running;
     entry.progress.phase = progress::Phase::Running;
     let image = holding.learned.harm.image(step.image.as_deref());
     if let Some(view) = holding.views.get_mut(worker) {
@@ -45,5 +46,8 @@
     };
     holding.placed.insert(task, placed);
     holding.staged.push(task);
-    holding.mark(task.job);
+    holding.mark_task(task);
+    if began {
+        holding.mark(task.job);
+    }
 }
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -11,14 +11,17 @@
 use super::rows as kept;
 use super::spec;
 use super::worker;
-use crate::id;
 use crate::rows;
 
-/// The most jobs in one transaction; the store takes 100 entries, the lease and counts among them.
-const MAX_JOBS: usize = 45;
+/// From how many rows on no job is added to a transaction. The store takes 100 entries: a job adds ten at
+/// most, the lease takes two, counts one and what was learned ten.
+const MAX_ROWS: usize = 76;
+/// From which length on no job is added, in bytes. The store takes 1 MB as base64: ten rows of a job and
+/// what was learned add 350 KB at most.
+const MAX_BYTES: usize = 350_000;
 /// The time between two counts of what waits; readers are promised counts of at most 2 s.
 const COUNT_EVERY: time::Duration = time::Duration::from_millis(700);
-/// The time between two writes of what was learned; some 5 KB each.
+/// The time between two writes of what was learned; some 5 KB each for six images a side.
 const LEARNED_EVERY: time::Duration = time::Duration::from_secs(2);
 /// The wait before a transaction without an answer is sent again.
 const RETRY: time::Duration = time::Duration::from_millis(150);
@@ -51,14 +54,33 @@
 }
 
 /// Returns the version of a lease row that stands as it was written.
-pub(super) fn settled(answer: Option<&rows::Answer>, lease: &kept::Lease) -> Option<u64> {
-    match answer? {
-        rows::Answer::Done { version } => Some(*version),
+pub(super) fn settled(outcome: &rows::Outcome, lease: &kept::Lease) -> Option<u64> {
+    match outcome {
+        rows::Outcome::Answered(rows::Answer::Done { version }) => Some(*version),
         // An earlier sending of the same transaction may be what this one conflicts with.
-        rows::Answer::Conflict { rows } => rows.iter().find_map(|row| {
+        rows::Outcome::Answered(rows::Answer::Conflict { rows }) => rows.iter().find_map(|row| {
             let found: kept::Lease = serde_json::from_str(row.value.as_deref()?).ok()?;
             (found == *lease).then_some(row.version)
         }),
+        rows::Outcome::Refused | rows::Outcome::Unknown => None,
+    }
+}
+
+/// The rows of progress that one commit writes.
+#[derive(Debug, Default)]
+struct Batch {
+    /// The jobs that they belong to.
+    jobs: Vec<spec::JobId>,
+    /// The writes.
+    writes: Vec<rows::Write>,
+    /// The length of all values.
+    bytes: usize,
+}
+
+impl Batch {
+    /// Returns whether more rows may be added.
+    fn has_room(&self, most_jobs: usize) -> bool {
+        self.jobs.len() < most_jobs && self.writes.len() < MAX_ROWS && self.bytes < MAX_BYTES
     }
 }
 
@@ -90,45 +112,36 @@
     /// Gathers what has changed into one transaction.
     fn gather(&mut self, now: time::Duration, number: u64) -> Result<rows::Txn, serde_json::Error> {
         let domain = self.settings.domain;
-        let taken = self.dirty.len().min(MAX_JOBS);
-        let jobs: Vec<spec::JobId> = self.dirty.drain(..taken).collect();
-        let whole = self.dirty.is_empty();
-        let release = self.leaving && whole;
+        let batch = self.take_dirty()?;
+        let release = self.leaving && self.dirty.is_empty();
         let lease = kept::Lease {
             holder: if release { None } else { self.lease.holder.clone() },
             seq: self.lease.seq + 1,
             ..self.lease.clone()
         };
         let mut txn = lease_txn(domain, self.version, &lease)?;
-        for job in &jobs {
-            if let Some(entry) = self.jobs.get_mut(job) {
-                entry.dirty = false;
-                let key = kept::progress_key(domain, *job);
-                let value = Some(entry.progress.encode()?);
-                txn.writes.push(rows::Write { key, value });
-            }
+        txn.writes.extend(batch.writes);
+        let removed = self.remove_expired(&mut txn);
+        let before_extras = txn.writes.len();
+        if now >= self.caution.extras_from {
+            self.add_counts(&mut txn, now)?;
+            self.add_learned(&mut txn, now)?;
         }
-        let room = (MAX_JOBS - jobs.len()).min(self.expired.len());
-        let removed: Vec<spec::JobId> = self.expired.drain(..room).collect();
-        for job in &removed {
-            let key = kept::progress_key(domain, *job);
-            txn.writes.push(rows::Write { key, value: None });
-        }
-        self.add_counts(&mut txn, now)?;
-        self.add_learned(&mut txn, now)?;
+        let extras = txn.writes.len() > before_extras;
         let staged = std::mem::take(&mut self.staged);
         let (starts, later) =
-            staged.into_iter().partition(|task: &spec::TaskId| jobs.contains(&task.job));
+            staged.into_iter().partition(|task: &spec::TaskId| batch.jobs.contains(&task.job));
         self.staged = later;
-        // Ends are acknowledged only with everything that followed from them.
-        let heard = if whole { self.unacknowledged() } else { Vec::new() };
+        let ends = self.take_unrecorded(&batch.jobs);
         let pending = holding::Pending {
             number,
             txn: txn.clone(),
             lease,
             sent: now,
             again: None,
-            heard,
+            jobs: batch.jobs,
+            extras,
+            ends,
             starts,
             removed,
         };
@@ -137,6 +150,43 @@
         Ok(txn)
     }
 
+    /// Takes jobs whose progress has changed, with all changed rows of each, as far as one commit may hold.
+    fn take_dirty(&mut self) -> Result<Batch, serde_json::Error> {
+        let domain = self.settings.domain;
+        let mut batch = Batch::default();
+        while batch.has_room(self.caution.jobs) {
+            let Some(job) = self.dirty.pop_front() else {
+                break;
+            };
+            let Some(entry) = self.jobs.get_mut(&job) else {
+                continue;
+            };
+            for row in std::mem::take(&mut entry.dirty) {
+                let value = entry.progress.encode(&entry.job, row)?;
+                batch.bytes += value.as_ref().map_or(0, String::len);
+                let key = kept::progress_row_key(domain, job, row);
+                batch.writes.push(rows::Write { key, value });
+            }
+            batch.jobs.push(job);
+        }
+        Ok(batch)
+    }
+
+    /// Removes the progress of jobs whose own rows are gone, as far as there is room for it.
+    fn remove_expired(&mut self, txn: &mut rows::Txn) -> Vec<(spec::JobId, u32)> {
+        let mut removed = Vec::new();
+        while txn.writes.len() < MAX_ROWS
+            && let Some((job, rows)) = self.expired.pop()
+        {
+            txn.writes.extend((0..rows).map(|row| rows::Write {
+                key: kept::progress_row_key(self.settings.domain, job, row),
+                value: None,
+            }));
+            removed.push((job, rows));
+        }
+        removed
+    }
+
     /// Adds the counts of what waits, where they have changed.
     fn add_counts(
         &mut self,
@@ -168,9 +218,10 @@
             return Ok(());
         }
         self.kept_at = now;
-        let key = kept::learned_key(self.settings.domain);
-        let value = Some(serde_json::to_string(&self.learned)?);
-        txn.writes.push(rows::Write { key, value });
+        for (name, value) in self.learned.rows()? {
+            let key = kept::learned_key(self.settings.domain, name);
+            txn.writes.push(rows::Write { key, value: Some(value) });
+        }
         Ok(())
     }
 
@@ -211,41 +262,37 @@
         kept::Waiting { queues }
     }
 
-    /// Returns the ends that were taken in and not yet acknowledged, by worker.
-    fn unacknowledged(&self) -> Vec<(id::WorkerId, u64)> {
-        let open = self.views.iter().filter(|(_, view)| view.heard > view.seen);
-        open.map(|(worker, view)| (worker.clone(), view.heard)).collect()
-    }
-
-    /// Takes the answer to a transaction.
+    /// Takes what is known of a transaction.
     pub(super) fn answered(
         &mut self,
         number: u64,
-        answer: Option<&rows::Answer>,
+        outcome: &rows::Outcome,
         now: time::Duration,
     ) -> Fate {
         let Some(pending) = self.pending.take_if(|pending| pending.number == number) else {
             return Fate::Open;
         };
-        let Some(version) = settled(answer, &pending.lease) else {
-            if answer.is_some() {
-                return Fate::Lost;
+        let version = match (settled(outcome, &pending.lease), outcome) {
+            (Some(version), _) => version,
+            (None, rows::Outcome::Answered(_)) => return Fate::Lost,
+            (None, rows::Outcome::Refused) => {
+                self.commit_refused(pending, now);
+                return Fate::Open;
+            }
+            (None, rows::Outcome::Unknown) => {
+                tracing::warn!(number, seq = pending.lease.seq, "commit in doubt, sent again");
+                self.pending = Some(holding::Pending { again: Some(now + RETRY), ..pending });
+                return Fate::Open;
             }
-            tracing::warn!(number, seq = pending.lease.seq, "commit in doubt, sent again");
-            self.pending = Some(holding::Pending { again: Some(now + RETRY), ..pending });
-            return Fate::Open;
         };
+        self.caution.taken();
         self.version = version;
         self.renewed = pending.sent;
         let released = pending.lease.holder.is_none();
         self.lease = pending.lease;
         self.commits += 1;
-        for (worker, heard) in &pending.heard {
-            if let Some(view) = self.views.get_mut(worker) {
-                view.seen = *heard;
-            }
-        }
-        for job in &pending.removed {
+        self.recorded(&pending.ends);
+        for (job, _) in &pending.removed {
             self.jobs.remove(job);
         }
         if released {
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -44,9 +44,7 @@
         let lasting = step.is_some_and(|step| step.lasting);
         let gang = step.filter(|step| step.gang).map(|step| step.count);
         if let Some(state) = entry.progress.tasks.get_mut(&ended.task.into()) {
-            if !ended.checkpoint.is_empty() {
-                state.checkpoint.clone_from(&ended.checkpoint);
-            }
+            state.save(&ended.checkpoint);
             if ended.kind == order::EndKind::Failed {
                 state.failed_on = Some(worker.clone());
             }
@@ -58,6 +56,10 @@
         if let Some(count) = gang.filter(|_| !lasting) {
             gang::note_end(&mut entry.progress, ended.task, count, ended.run, ended.kind);
         }
+        self.note_unrecorded(ended.task.job, worker, ended.number);
+        for index in 0..gang.unwrap_or(0) {
+            self.mark_task(spec::TaskId { index, ..ended.task });
+        }
         self.give_back(ended.task);
         self.advance(ended.task, now);
     }
@@ -148,7 +150,7 @@
             }
         }
         self.views
-            .retain(|_, view| view.listed || !view.tasks.is_empty() || view.heard > view.seen);
+            .retain(|_, view| view.listed || !view.tasks.is_empty() || !view.unrecorded.is_empty());
         self.drop_inherited(now);
     }
 
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -105,14 +105,14 @@
             event::Event::LeaseRead(row) => return self.lease_read(now, row),
             event::Event::LeaseUnread => {}
             event::Event::Loaded { jobs, progress, learned } => {
-                return self.loaded(now, &jobs, &progress, learned.as_deref());
+                return self.loaded(now, &jobs, &progress, &learned);
             }
             event::Event::LoadFailed => {
                 if matches!(self.role, Role::Loading { .. }) {
                     return vec![event::Effect::Load];
                 }
             }
-            event::Event::Txn { number, answer } => return self.answered(now, number, answer),
+            event::Event::Txn { number, outcome } => return self.answered(now, number, &outcome),
             event::Event::Leave => {
                 self.leaving = true;
                 if let Role::Holding(holding) = &mut self.role {
@@ -275,13 +275,13 @@
         &mut self,
         now: time::Duration,
         number: u64,
-        answer: Option<rows::Answer>,
+        outcome: &rows::Outcome,
     ) -> Vec<event::Effect> {
         match &mut self.role {
             Role::Acquiring { number: sent_number, lease, sent, inherited }
                 if *sent_number == number =>
             {
-                let version = super::commit::settled(answer.as_ref(), lease);
+                let version = super::commit::settled(outcome, lease);
                 let Some(version) = version else {
                     // Nothing is lost by watching on: a write that comes late makes this process
                     // the holder, which it then reads as its own and takes again.
@@ -293,7 +293,7 @@
                 vec![event::Effect::Load]
             }
             Role::Holding(holding) => {
-                match holding.answered(number, answer.as_ref(), now) {
+                match holding.answered(number, outcome, now) {
                     super::commit::Fate::Open | super::commit::Fate::Done => {}
                     super::commit::Fate::Lost => {
                         self.step_down(now, "another host has the lease");
@@ -316,7 +316,7 @@
         now: time::Duration,
         jobs: &[rows::Row],
         progress: &[rows::Row],
-        learned: Option<&str>,
+        learned: &[rows::Row],
     ) -> Vec<event::Effect> {
         let Role::Loading { lease, version, taken, inherited } = &self.role else {
             return Vec::new();
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -59,16 +59,16 @@
         /// How far they have come.
         progress: Vec<rows::Row>,
         /// What holders before have learned.
-        learned: Option<String>,
+        learned: Vec<rows::Row>,
     },
     /// The rows of the domain could not be read.
     LoadFailed,
-    /// A transaction was answered, or its answer was lost.
+    /// A transaction was answered, refused for good, or its answer was lost.
     Txn {
         /// Which one.
         number: u64,
-        /// The answer.
-        answer: Option<rows::Answer>,
+        /// What is known of it.
+        outcome: rows::Outcome,
     },
     /// The row of an old job was removed, or not.
     Dropped {
--- a/crates/wharflane/src/job/harm.rs
+++ b/crates/wharflane/src/job/harm.rs
@@ -5,6 +5,7 @@
 //! all tasks of its job at a time, and a share for each neighbour that fills, in proportion to the
 //! part of the worker's processors that it uses. docs/PLATFORM.md has the fit that speaks for it.
 
+use std::borrow;
 use std::collections;
 
 use serde::{Deserialize, Serialize};
@@ -28,10 +29,25 @@
 /// The highest strain that a tail is read as.
 const MOST_STRAIN: f64 = 0.98;
 
+/// The most images that are told apart; further ones count as one. Their names fill 40 KB of a row.
+const MAX_IMAGES: usize = 500;
+/// The longest name of an image that is kept whole, in bytes; of a longer one its hash is kept.
+const MAX_NAME_BYTES: usize = 64;
+/// The most filling images that are weighed against one serving image; the one that was not seen for
+/// longest gives way. Their fit fills 16 KB of a row.
+const MAX_FACTORS: usize = 48;
+
 /// An image, numbered by this holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(super) struct Image(usize);
 
+impl Image {
+    /// Returns the number.
+    pub fn number(self) -> usize {
+        self.0
+    }
+}
+
 /// Part of a worker's processors that tasks of an image use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Use {
@@ -44,10 +60,14 @@
 /// Least squares, one observation at a time, of the strain on one serving image.
 ///
 /// The first factor is the offset, the others are the images in the order they were seen.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
 struct Fit {
     /// The filling images.
     images: Vec<Image>,
+    /// The observation that each was last part of.
+    last: Vec<u64>,
+    /// The number of observations.
+    seen: u64,
     /// The factors.
     factors: Vec<f64>,
     /// Their covariance.
@@ -56,7 +76,54 @@
 
 impl Default for Fit {
     fn default() -> Self {
-        Self { images: Vec::new(), factors: vec![OFFSET], covariance: vec![vec![OFFSET_VARIANCE]] }
+        Self {
+            images: Vec::new(),
+            last: Vec::new(),
+            seen: 0,
+            factors: vec![OFFSET],
+            covariance: vec![vec![OFFSET_VARIANCE]],
+        }
+    }
+}
+
+/// A fit as it is kept.
+#[derive(Serialize, Deserialize)]
+struct KeptFit {
+    /// The filling images.
+    images: Vec<Image>,
+    /// The factors, the offset first.
+    factors: Vec<f32>,
+    /// The lower half of the covariance, row by row.
+    covariance: Vec<f32>,
+}
+
+impl From<&Fit> for KeptFit {
+    fn from(fit: &Fit) -> Self {
+        let rows = fit.covariance.iter().enumerate();
+        Self {
+            images: fit.images.clone(),
+            factors: fit.factors.iter().map(|factor| *factor as f32).collect(),
+            covariance: rows.flat_map(|(at, row)| row[..=at].iter().map(|v| *v as f32)).collect(),
+        }
+    }
+}
+
+impl KeptFit {
+    /// Returns the fit, or nothing where the numbers don't belong together.
+    fn restore(self) -> Option<Fit> {
+        let size = self.images.len() + 1;
+        let whole = self.factors.len() == size && self.covariance.len() == size * (size + 1) / 2;
+        let finite = self.factors.iter().chain(&self.covariance).all(|value| value.is_finite());
+        if !whole || !finite {
+            return None;
+        }
+        // Cell (a, b) of the lower half stands behind all rows before a.
+        let cell = |a: usize, b: usize| f64::from(self.covariance[a * (a + 1) / 2 + b]);
+        let row = |a: usize| (0..size).map(|b| cell(a.max(b), a.min(b))).collect();
+        let covariance = (0..size).map(row).collect();
+        let factors = self.factors.into_iter().map(f64::from).collect();
+        let last = vec![0; self.images.len()];
+        Some(Fit { images: self.images, last, seen: 0, factors, covariance })
     }
 }
 
@@ -69,10 +136,15 @@
 
     /// Adds an image that was not seen before.
     fn add(&mut self, image: Image) {
-        if self.images.contains(&image) {
+        if let Some(at) = self.images.iter().position(|known| *known == image) {
+            self.last[at] = self.seen;
             return;
         }
+        if self.images.len() >= MAX_FACTORS {
+            self.forget_oldest();
+        }
         self.images.push(image);
+        self.last.push(self.seen);
         self.factors.push(PRIOR);
         self.covariance.iter_mut().for_each(|row| row.push(0.0));
         let mut row = vec![0.0; self.factors.len()];
@@ -82,9 +154,24 @@
         self.covariance.push(row);
     }
 
+    /// Forgets the image that was not seen for longest.
+    fn forget_oldest(&mut self) {
+        let Some((at, _)) = self.last.iter().enumerate().min_by_key(|(_, last)| **last) else {
+            return;
+        };
+        self.images.remove(at);
+        self.last.remove(at);
+        self.factors.remove(at + 1);
+        self.covariance.remove(at + 1);
+        for row in &mut self.covariance {
+            row.remove(at + 1);
+        }
+    }
+
     /// Takes one observation.
     fn learn(&mut self, uses: &[Use], strain: f64) {
-        uses.iter().for_each(|used| self.add(used.image));
+        self.seen += 1;
+        uses.iter().take(MAX_FACTORS).for_each(|used| self.add(used.image));
         let mut seen = vec![1.0];
         seen.extend(self.images.iter().map(|image| {
             uses.iter().find(|used| used.image == *image).map_or(0.0, |used| used.part)
@@ -115,13 +202,21 @@
     }
 }
 
+/// Returns the name by which an image is kept.
+fn kept_name(name: &str) -> borrow::Cow<'_, str> {
+    if name.len() <= MAX_NAME_BYTES {
+        return borrow::Cow::Borrowed(name);
+    }
+    borrow::Cow::Owned(format!("{:016x}", xxhash_rust::xxh3::xxh3_64(name.as_bytes())))
+}
+
 /// Returns the sum of the products of two rows.
 fn dot(a: &[f64], b: &[f64]) -> f64 {
     a.iter().zip(b).map(|(a, b)| a * b).sum()
 }
 
 /// What was learned; kept in the store from time to time, so that the next holder goes on from it.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Default)]
 pub(super) struct Model {
     /// The names of the images.
     names: Vec<String>,
@@ -131,17 +226,71 @@
     fits: collections::BTreeMap<Image, Fit>,
 }
 
+/// The images as they are kept.
+#[derive(Serialize, Deserialize)]
+struct KeptImages {
+    /// Their names, by number.
+    names: Vec<String>,
+    /// The lowest tail seen of each serving image, in milliseconds.
+    rest_ms: collections::BTreeMap<Image, f64>,
+}
+
 impl Model {
     /// Returns the number of an image.
     pub fn image(&mut self, name: Option<&str>) -> Image {
-        let name = name.unwrap_or_default();
-        let known = self.names.iter().position(|known| known == name);
+        let name = kept_name(name.unwrap_or_default());
+        let known = self.names.iter().position(|known| *known == *name);
         Image(known.unwrap_or_else(|| {
-            self.names.push(name.to_owned());
+            if self.names.len() < MAX_IMAGES {
+                self.names.push(name.into_owned());
+            }
             self.names.len() - 1
         }))
     }
 
+    /// Returns the serving images of which something is known.
+    pub fn serving(&self) -> Vec<Image> {
+        self.fits.keys().copied().collect()
+    }
+
+    /// Writes the names of images.
+    pub fn encode_images(&self) -> Result<String, serde_json::Error> {
+        let (names, rest_ms) = (self.names.clone(), self.rest_ms.clone());
+        serde_json::to_string(&KeptImages { names, rest_ms })
+    }
+
+    /// Reads the names of images.
+    pub fn decode_images(&mut self, text: &str) -> Result<(), serde_json::Error> {
+        let kept: KeptImages = serde_json::from_str(text)?;
+        (self.names, self.rest_ms) = (kept.names, kept.rest_ms);
+        Ok(())
+    }
+
+    /// Writes what strains a serving image.
+    pub fn encode_fit(&self, image: Image) -> Result<Option<String>, serde_json::Error> {
+        let fit = self.fits.get(&image).map(KeptFit::from);
+        fit.map(|fit| serde_json::to_string(&fit)).transpose()
+    }
+
+    /// Reads what strains a serving image.
+    pub fn decode_fit(&mut self, number: usize, text: &str) -> Result<(), serde_json::Error> {
+        let kept: KeptFit = serde_json::from_str(text)?;
+        match kept.restore() {
+            Some(fit) => drop(self.fits.insert(Image(number), fit)),
+            None => tracing::warn!(number, "numbers of an image don't belong together"),
+        }
+        Ok(())
+    }
+
+    /// Drops what is known of images that have no name, since their row could not be read.
+    pub fn drop_unnamed(&mut self) {
+        let named = self.names.len();
+        self.rest_ms.retain(|image, _| image.0 < named);
+        self.fits.retain(|image, fit| {
+            image.0 < named && fit.images.iter().all(|filling| filling.0 < named)
+        });
+    }
+
     /// Returns the tail at rest of a serving image.
     fn rest_ms(&self, image: Image, target_ms: u64) -> f64 {
         let prior = target_ms as f64 * REST_OF_TARGET;
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -10,6 +10,7 @@
 use super::order;
 use super::progress;
 use super::queue;
+use super::refused;
 use super::rows as kept;
 use super::spec;
 use super::tickets;
@@ -32,8 +33,10 @@
     pub cancelled: bool,
     /// How far it has come, ahead of the store by what is not committed yet.
     pub progress: progress::Progress,
-    /// Whether the row of its progress is to be written.
-    pub dirty: bool,
+    /// The rows of its progress that are to be written.
+    pub dirty: collections::BTreeSet<u32>,
+    /// Since when it is set aside because the store refuses its progress for good.
+    pub set_aside: Option<time::Duration>,
     /// Since when it has ended.
     pub ended: Option<time::Duration>,
     /// How long tasks took that this holder saw at work, by step.
@@ -130,12 +133,16 @@
     pub sent: time::Duration,
     /// When it is to be sent again.
     pub again: Option<time::Duration>,
-    /// The ends that it makes last, by worker.
-    pub heard: Vec<(id::WorkerId, u64)>,
+    /// The jobs whose progress it writes.
+    pub jobs: Vec<spec::JobId>,
+    /// Whether it writes what may be left out, such as what was learned.
+    pub extras: bool,
+    /// The ends that it makes last, by job and worker.
+    pub ends: Vec<(spec::JobId, id::WorkerId, u64)>,
     /// The starts that it makes last.
     pub starts: Vec<spec::TaskId>,
-    /// The ended jobs whose rows it removes.
-    pub removed: Vec<spec::JobId>,
+    /// The ended jobs whose rows it removes, with the number of their rows.
+    pub removed: Vec<(spec::JobId, u32)>,
 }
 
 /// A domain on its holder.
@@ -171,8 +178,12 @@
     pub(super) future: collections::BTreeSet<(u64, spec::JobId, u32)>,
     /// The jobs whose progress is to be written.
     pub(super) dirty: collections::VecDeque<spec::JobId>,
-    /// The jobs whose progress is to be removed, since their own rows are.
-    pub(super) expired: Vec<spec::JobId>,
+    /// The jobs whose progress is to be removed, since their own rows are, with the number of its rows.
+    pub(super) expired: Vec<(spec::JobId, u32)>,
+    /// The ends that were taken in and not committed yet, by job.
+    pub(super) unrecorded: collections::BTreeMap<spec::JobId, Vec<(id::WorkerId, u64)>>,
+    /// What commits leave out after one was refused.
+    pub(super) caution: refused::Caution,
     /// Starts that wait for their commit.
     pub(super) staged: Vec<spec::TaskId>,
     /// The transaction under way.
@@ -257,6 +268,8 @@
             future: collections::BTreeSet::new(),
             dirty: collections::VecDeque::new(),
             expired: Vec::new(),
+            unrecorded: collections::BTreeMap::new(),
+            caution: refused::Caution::default(),
             staged: Vec::new(),
             pending: None,
             committed: taken,
@@ -314,6 +327,7 @@
             self.open_round(job, round);
         }
         self.expire(now);
+        self.take_up_again(now);
         self.free_lapsed(now);
     }
 
@@ -357,7 +371,7 @@
         }
         self.strains.remove(&task);
         self.staged.retain(|staged| *staged != task);
-        self.mark(task.job);
+        self.mark_task(task);
         self.open_step(task.job, task.round, task.step);
     }
 }
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -6,6 +6,7 @@
 
 use super::event;
 use super::holding;
+use super::learned;
 use super::progress;
 use super::rows as kept;
 use super::spec;
@@ -19,25 +20,22 @@
 
 impl holding::Holding {
     /// Goes on from what holders before have learned; without it everything is learned anew.
-    pub(super) fn restore_learned(&mut self, learned: Option<&str>) {
-        let Some(text) = learned else {
-            return;
-        };
-        match serde_json::from_str(text) {
-            Ok(learned) => self.learned = learned,
-            Err(err) => tracing::warn!(%err, "what was learned can't be read, learned anew"),
-        }
+    pub(super) fn restore_learned(&mut self, learned: &[rows::Row]) {
+        self.learned = learned::Learned::read(learned);
     }
 
     /// Takes in all rows of the domain.
     pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
-        let mut known = collections::BTreeMap::new();
+        let mut known = collections::BTreeMap::<spec::JobId, (progress::Progress, u32)>::new();
         for row in progress {
-            let (Some(job), Some(text)) = (job_of(row), &row.value) else {
+            let (Some((job, at)), Some(text)) = (kept::progress_row(&row.name), &row.value) else {
+                tracing::warn!(key = %row.name, "row of progress without a job's name passed over");
                 continue;
             };
+            let (progress, rows) = known.entry(job).or_default();
+            *rows = (*rows).max(at + 1);
             match progress::Progress::decode(text) {
-                Ok(progress) => drop(known.insert(job, progress)),
+                Ok(read) => progress.add_row(at, read),
                 Err(err) => tracing::error!(%job, %err, "progress can't be read"),
             }
         }
@@ -45,11 +43,11 @@
             let Some((job, accepted)) = read_job(row) else {
                 continue;
             };
-            let progress = known.remove(&job).unwrap_or_default();
+            let (progress, _) = known.remove(&job).unwrap_or_default();
             self.add_job(job, accepted, row.version, progress, now);
         }
         // Their own rows were removed by a holder before.
-        self.expired.extend(known.keys());
+        self.expired.extend(known.into_iter().map(|(job, (_, rows))| (job, rows)));
     }
 
     /// Takes in rows of accepted jobs that were written.
@@ -109,7 +107,8 @@
             accepted_ms,
             cancelled: false,
             progress,
-            dirty: false,
+            dirty: collections::BTreeSet::new(),
+            set_aside: None,
             ended,
             taken: collections::BTreeMap::new(),
         };
@@ -181,10 +180,27 @@
         self.queues.queues.get(&job.queue).map_or(&job.service, |queue| &queue.service)
     }
 
-    /// Notes that the row of a job's progress is to be written.
+    /// Notes that the row of progress is to be written that tells what callers ask for.
     pub(super) fn mark(&mut self, job: spec::JobId) {
-        if let Some(entry) = self.jobs.get_mut(&job).filter(|entry| !entry.dirty) {
-            entry.dirty = true;
+        self.mark_row(job, 0);
+    }
+
+    /// Notes that the row of progress is to be written that holds a task.
+    pub(super) fn mark_task(&mut self, task: spec::TaskId) {
+        if let Some(entry) = self.jobs.get(&task.job) {
+            let row = progress::Progress::row_of(&entry.job, task.into());
+            self.mark_row(task.job, row);
+        }
+    }
+
+    /// Notes that a row of a job's progress is to be written.
+    fn mark_row(&mut self, job: spec::JobId, row: u32) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let clean = entry.dirty.is_empty();
+        entry.dirty.insert(row);
+        if clean && entry.set_aside.is_none() {
             self.dirty.push_back(job);
         }
     }
@@ -244,8 +260,8 @@
     /// Hands the progress of a job to the next commit for removal, once its own row is gone.
     pub(super) fn dropped(&mut self, job: spec::JobId, done: bool) {
         tracing::debug!(%job, done, "row of an old job removed");
-        if done {
-            self.expired.push(job);
+        if let Some(entry) = self.jobs.get(&job).filter(|_| done) {
+            self.expired.push((job, progress::Progress::rows(&entry.job)));
         }
     }
 }
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -11,6 +11,9 @@
 
 /// The wait after a look without an answer, and how often it may double.
 const LOOK_AGAIN: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
+/// How long a look is held back for ends whose commit is open. Most commits take 10 ms; where one takes
+/// longer, leases of tasks are renewed at this pace, four times within a lease of 4 s.
+const HELD_BACK: time::Duration = time::Duration::from_millis(1_000);
 /// How long a look waits where some tasks serve and others fill; tails are told this often.
 const LOOK_MIXED: time::Duration = time::Duration::from_millis(500);
 /// How long a task may show no progress until it counts as standing still. The slowest tasks of
@@ -24,8 +27,9 @@
     pub(super) fn look(&mut self, now: time::Duration) {
         let mut looks = Vec::new();
         for (worker, view) in &mut self.views {
-            // Ends that are not committed yet would only be told again.
-            if view.look.is_some() || now < view.look_due || view.heard > view.seen {
+            // Ends that are not committed yet would only be told again, but what runs is renewed.
+            let held_back = !view.unrecorded.is_empty() && now < view.look_due + HELD_BACK;
+            if view.look.is_some() || now < view.look_due || held_back {
                 continue;
             }
             let busy = !view.tasks.is_empty();
@@ -43,7 +47,7 @@
                 worker: worker.clone(),
                 addr: view.member.addr,
                 epoch: self.lease.epoch,
-                seen: view.seen,
+                seen: view.seen(),
                 lease_until_ms,
                 wait,
             });
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -4,6 +4,7 @@
 //! domain, by a lease row that each of its writes renews and is conditional on. What a caller or a
 //! worker is told always follows a committed write.
 
+mod acks;
 mod advice;
 mod assign;
 mod call;
@@ -27,6 +28,7 @@
 mod place;
 mod progress;
 mod queue;
+mod refused;
 mod rows;
 mod spec;
 mod tickets;
@@ -46,7 +48,7 @@
 pub use queue::{Queue, Queues};
 pub use rows::{
     Accepted, JOBS, LEARNED, LEASES, Lease, PROGRESS, WAITING, Waiting, domain_of, job_key,
-    job_parts, learned_key, lease_key, part, progress_key, waiting_key,
+    job_parts, lease_key, part, progress_key, waiting_key,
 };
 pub use spec::{
     BadJobId, BadTaskId, Job, JobId, MAX_SPEC_BYTES, MAX_STEPS, MAX_TASKS, Refusal, Repeats, Step,
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -60,7 +60,7 @@
         let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
         // A ticket that ran out on the way to here is asked for anew, maybe for another worker.
         let Some(ticket) = self.ticket_for(&order, now) else {
-            return self.refused(task);
+            return self.start_refused(task);
         };
         tracing::info!(
             %task, run = order.run, worker = %order.worker, epoch = order.epoch, lease_until_ms,
@@ -167,13 +167,13 @@
             order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
             order::StartAnswer::Refused(order::StartRefusal::Ticket) => {
                 self.tickets.refused(order.task, &order.worker);
-                self.refused(order.task);
+                self.start_refused(order.task);
             }
             order::StartAnswer::Refused(_) | order::StartAnswer::Unwell => {
                 if let Some(view) = self.views.get_mut(&order.worker) {
                     view.rests_until = view.rests_until.max(now + REFUSED_REST);
                 }
-                self.refused(order.task);
+                self.start_refused(order.task);
             }
             order::StartAnswer::Gone => self.worker_gone(&order.worker),
             order::StartAnswer::Silent => {
@@ -186,7 +186,7 @@
     }
 
     /// Frees a task whose start was refused, unless an earlier order may still be carried out.
-    fn refused(&mut self, task: spec::TaskId) {
+    fn start_refused(&mut self, task: spec::TaskId) {
         let unanswered = self.placed.get(&task).is_some_and(|placed| placed.unanswered);
         if unanswered {
             tracing::info!(%task, "refused after an order without answer, waits for its lease");
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -52,7 +52,7 @@
     holding.kept_for.clear();
     for task in in_turn(holding, now) {
         let group = obstacle::group(task.task);
-        if blocked.contains(&group) {
+        if blocked.contains(&group) || holding.is_aside(task.task.job) {
             continue;
         }
         let Some(step) = step_of(holding, task.task) else {
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -76,6 +76,20 @@
     pub failed_on: Option<id::WorkerId>,
 }
 
+impl Task {
+    /// Notes what the task saved; nothing, and a text too long to be kept, leave it as it was.
+    pub(super) fn save(&mut self, checkpoint: &str) {
+        if checkpoint.len() > MAX_CHECKPOINT_BYTES {
+            tracing::warn!(
+                bytes = checkpoint.len(),
+                "checkpoint too long, work since the last is lost"
+            );
+        } else if !checkpoint.is_empty() {
+            checkpoint.clone_into(&mut self.checkpoint);
+        }
+    }
+}
+
 /// How far a job has come.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
@@ -85,10 +99,16 @@
     pub tasks: collections::BTreeMap<Place, Task>,
 }
 
-/// The row of a job's progress.
+/// The most tasks in one row of progress. A task takes 480 bytes at most, with the longest name of a
+/// worker (200 bytes) and the longest checkpoint that is kept, and a row of the store 48 KiB.
+const ROW_TASKS: u64 = 100;
+/// The longest checkpoint that is kept, in bytes; workers' own are texts of 16.
+const MAX_CHECKPOINT_BYTES: usize = 160;
+
+/// One row of a job's progress.
 #[derive(Serialize, Deserialize)]
 struct Kept {
-    /// What is told of the job.
+    /// What is told of the job; counts in the first row.
     phase: Phase,
     /// The tasks, the rarer fields left out where they are empty.
     tasks: Vec<KeptTask>,
@@ -124,14 +144,34 @@
 }
 
 impl Progress {
-    /// Writes the row; tasks of an ended job are kept only while they may still run.
+    /// Returns the number of the row that holds a task.
+    #[must_use]
+    pub fn row_of(job: &spec::Job, place: Place) -> u32 {
+        let ordinal = job.ordinal(place.round, place.step, place.index);
+        u32::try_from(ordinal / ROW_TASKS).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of rows that a job's progress takes.
+    #[must_use]
+    pub fn rows(job: &spec::Job) -> u32 {
+        u32::try_from(job.task_count().div_ceil(ROW_TASKS)).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Writes one row, or nothing for one that has nothing to keep; tasks of an ended job are kept only
+    /// while they may still run.
     ///
     /// # Errors
     /// Returns the encoder's error.
-    pub fn encode(&self) -> Result<String, serde_json::Error> {
-        let kept = |task: &Task| !self.phase.ended() || task.worker.is_some();
-        let tasks =
-            self.tasks.iter().filter(|(_, task)| kept(task)).map(|(place, task)| KeptTask {
+    pub fn encode(&self, job: &spec::Job, row: u32) -> Result<Option<String>, serde_json::Error> {
+        let kept = |(place, task): &(&Place, &Task)| {
+            let open = !self.phase.ended() || task.worker.is_some();
+            open && Self::row_of(job, **place) == row
+        };
+        let tasks: Vec<KeptTask> = self
+            .tasks
+            .iter()
+            .filter(kept)
+            .map(|(place, task)| KeptTask {
                 at: (place.round, place.step, place.index),
                 run: task.run,
                 bad: task.failures,
@@ -139,11 +179,23 @@
                 on: task.worker.clone(),
                 done: task.done,
                 saved: task.checkpoint.clone(),
-            });
-        serde_json::to_string(&Kept { phase: self.phase, tasks: tasks.collect() })
+            })
+            .collect();
+        if row > 0 && tasks.is_empty() {
+            return Ok(None);
+        }
+        serde_json::to_string(&Kept { phase: self.phase, tasks }).map(Some)
+    }
+
+    /// Adds what another row of the same job says of its tasks.
+    pub fn add_row(&mut self, row: u32, other: Self) {
+        if row == 0 {
+            self.phase = other.phase;
+        }
+        self.tasks.extend(other.tasks);
     }
 
-    /// Reads the row.
+    /// Reads one row.
     ///
     /// # Errors
     /// Returns the parser's error for a text that is no such row.
--- /dev/null
+++ b/crates/wharflane/src/job/refused.rs
@@ -0,0 +1,134 @@
+//! What follows when the store refuses a commit for good: the domain goes on without what is at fault.
+//!
+//! The same commit is never sent again. What may be left out is left out first; then the commit is halved
+//! until the job at fault is alone, and that job is set aside: nothing new of it starts, its ends stay
+//! unacknowledged at their workers, and its progress is tried again from time to time.
+
+use std::time;
+
+use super::holding;
+use super::spec;
+use super::worker;
+use crate::rows;
+
+/// How long what may be left out is left out after a refusal.
+const EXTRAS_AGAIN: time::Duration = time::Duration::from_secs(30);
+/// How long a job is set aside before its progress is tried again; it may have become shorter.
+const JOB_AGAIN: time::Duration = time::Duration::from_secs(10);
+/// The most jobs in one commit; the bound by rows and bytes is reached before.
+const MOST_JOBS: usize = 100;
+
+/// What commits leave out after one was refused.
+#[derive(Debug)]
+pub(super) struct Caution {
+    /// The most jobs in one commit.
+    pub jobs: usize,
+    /// From when on commits may hold what can be left out.
+    pub extras_from: time::Duration,
+}
+
+impl Default for Caution {
+    fn default() -> Self {
+        Self { jobs: MOST_JOBS, extras_from: time::Duration::ZERO }
+    }
+}
+
+impl Caution {
+    /// Notes that a commit was taken.
+    pub fn taken(&mut self) {
+        self.jobs = (self.jobs * 2).min(MOST_JOBS);
+    }
+}
+
+impl holding::Holding {
+    /// Takes back a commit that the store refuses for good, and sees to it that the next one differs.
+    pub(super) fn commit_refused(&mut self, pending: holding::Pending, now: time::Duration) {
+        let longest = pending.txn.writes.iter().max_by_key(|write| length(write));
+        let longest_bytes = longest.map_or(0, length);
+        tracing::error!(
+            seq = pending.lease.seq,
+            jobs = pending.jobs.len(),
+            rows = pending.txn.writes.len(),
+            longest = longest.map_or("", |write| &write.key.name),
+            longest_bytes,
+            extras = pending.extras,
+            "the store refuses a commit for good"
+        );
+        let alone = match pending.jobs.as_slice() {
+            [job] if !pending.extras => Some(*job),
+            _ => None,
+        };
+        if pending.extras {
+            self.caution.extras_from = now + EXTRAS_AGAIN;
+        } else {
+            self.caution.jobs = (pending.jobs.len() / 2).max(1);
+        }
+        self.put_back(pending);
+        if let Some(job) = alone {
+            self.set_aside(job, now);
+        }
+    }
+
+    /// Makes everything that a commit held due for the next one.
+    fn put_back(&mut self, pending: holding::Pending) {
+        for write in &pending.txn.writes {
+            if let Some((job, row)) = super::rows::progress_row(&write.key.name)
+                && let Some(entry) = self.jobs.get_mut(&job)
+            {
+                entry.dirty.insert(row);
+            }
+        }
+        for job in pending.jobs.iter().rev() {
+            if !self.dirty.contains(job) {
+                self.dirty.push_front(*job);
+            }
+        }
+        for (job, worker, number) in pending.ends {
+            self.unrecorded.entry(job).or_default().push((worker, number));
+        }
+        self.staged.extend(pending.starts);
+        self.expired.extend(pending.removed);
+        self.counted = super::rows::Waiting::default();
+    }
+
+    /// Sets a job aside whose progress the store refuses.
+    fn set_aside(&mut self, job: spec::JobId, now: time::Duration) {
+        tracing::error!(%job, "progress of a job can't be kept, the job is set aside");
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.set_aside = Some(now);
+        }
+        self.dirty.retain(|dirty| *dirty != job);
+        self.caution.jobs = MOST_JOBS;
+        let staged: Vec<spec::TaskId> =
+            self.staged.iter().copied().filter(|task| task.job == job).collect();
+        for task in staged {
+            self.free(task, "its start can't be kept");
+        }
+    }
+
+    /// Takes up jobs again that were set aside some time ago.
+    pub(super) fn take_up_again(&mut self, now: time::Duration) {
+        let old = self.jobs.iter_mut().filter(|(_, entry)| {
+            entry.set_aside.is_some_and(|since| now.saturating_sub(since) >= JOB_AGAIN)
+        });
+        for (job, entry) in old {
+            let aside_ms = entry.set_aside.map_or(0, |since| worker::millis(now - since));
+            tracing::info!(%job, aside_ms, "a job that was set aside is taken up again");
+            entry.set_aside = None;
+            if !entry.dirty.is_empty() {
+                self.dirty.push_back(*job);
+            }
+            self.changed = true;
+        }
+    }
+
+    /// Returns whether a job is set aside, so that nothing new of it may start.
+    pub(super) fn is_aside(&self, job: spec::JobId) -> bool {
+        self.jobs.get(&job).is_some_and(|entry| entry.set_aside.is_some())
+    }
+}
+
+/// Returns the length of what a write puts into its row.
+fn length(write: &rows::Write) -> usize {
+    write.value.as_ref().map_or(0, String::len)
+}
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -62,10 +62,25 @@
     rows::Key { table: JOBS, part: job_part(domain, at), name: job.to_string() }
 }
 
-/// Returns the key of a job's progress.
+/// Returns the key of the first row of a job's progress, which tells what callers ask for.
 #[must_use]
 pub fn progress_key(domain: u32, job: spec::JobId) -> rows::Key {
-    rows::Key { table: PROGRESS, part: part(domain), name: job.to_string() }
+    progress_row_key(domain, job, 0)
+}
+
+/// Returns the key of one of the rows of a job's progress.
+#[must_use]
+pub fn progress_row_key(domain: u32, job: spec::JobId, row: u32) -> rows::Key {
+    let name = if row == 0 { job.to_string() } else { format!("{job}.{row}") };
+    rows::Key { table: PROGRESS, part: part(domain), name }
+}
+
+/// Reads the job and the number of a row of progress from its name.
+pub(super) fn progress_row(name: &str) -> Option<(spec::JobId, u32)> {
+    match name.split_once('.') {
+        Some((job, row)) => Some((job.parse().ok()?, row.parse().ok()?)),
+        None => Some((name.parse().ok()?, 0)),
+    }
 }
 
 /// Returns the key of a domain's lease.
@@ -80,10 +95,10 @@
     rows::Key { table: WAITING, part: part(domain), name: ONLY.to_owned() }
 }
 
-/// Returns the key of what the holders of a domain have learned.
+/// Returns the key of one row of what the holders of a domain have learned.
 #[must_use]
-pub fn learned_key(domain: u32) -> rows::Key {
-    rows::Key { table: LEARNED, part: part(domain), name: ONLY.to_owned() }
+pub fn learned_key(domain: u32, name: String) -> rows::Key {
+    rows::Key { table: LEARNED, part: part(domain), name }
 }
 
 /// The row of an accepted job.
--- a/crates/wharflane/src/job/spec.rs
+++ b/crates/wharflane/src/job/spec.rs
@@ -12,7 +12,7 @@
 pub const MAX_SPEC_BYTES: usize = 4_000;
 /// The most steps of a job; keeps the row of a job within what the store takes.
 pub const MAX_STEPS: usize = 64;
-/// The most tasks of a job, over all steps; keeps its progress within one row of 64 KiB.
+/// The most tasks of a job, over all steps; keeps its progress within one transaction of the store.
 pub const MAX_TASKS: u64 = 1_000;
 /// The number of hexadecimal digits of a job's name.
 const ID_DIGITS: usize = 16;
@@ -162,6 +162,17 @@
         /// Its length.
         bytes: usize,
     },
+    /// What would be kept of the job is too long for a row of the store.
+    #[error("the job takes {bytes} bytes to keep, more than {most}")]
+    TooLong {
+        /// Its length as it would be kept.
+        bytes: usize,
+        /// The most that the store keeps in one row.
+        most: usize,
+    },
+    /// The store never takes the job's row, whatever its reason.
+    #[error("the store does not take the job's row")]
+    NotKept,
     /// There is nothing to run.
     #[error("a job needs at least one step")]
     NoSteps,
@@ -242,6 +253,15 @@
         })
     }
 
+    /// Returns where a task stands among all tasks of the job, round by round and step by step.
+    #[must_use]
+    pub fn ordinal(&self, round: u32, step: u32, index: u32) -> u64 {
+        let counts = self.steps.iter().map(|step| u64::from(step.count));
+        let once: u64 = counts.clone().sum();
+        let before: u64 = counts.take(step as usize).sum();
+        once * u64::from(round) + before + u64::from(index)
+    }
+
     /// Returns one of the steps.
     #[must_use]
     pub fn step(&self, step: u32) -> Option<&Step> {
--- a/crates/wharflane/src/job/times.rs
+++ b/crates/wharflane/src/job/times.rs
@@ -14,6 +14,11 @@
 const PRIOR_SPREAD: f64 = 0.5;
 /// The guess for which operators are shown an expectation.
 const SAMPLE_GUESS_MS: u64 = 1_000;
+/// The most queues whose times are learned, and the longest name of one, in bytes; with 150 bytes of sums
+/// each they fill 45 KB of a row.
+const MAX_QUEUES: usize = 200;
+/// See `MAX_QUEUES`.
+const MAX_NAME_BYTES: usize = 70;
 /// What a run is worth after another one; forgets over some thousand.
 const MEMORY: f64 = 0.999;
 
@@ -43,6 +48,9 @@
     /// Learns from a run that worked at full speed from its beginning to its end.
     pub fn learn(&mut self, queue: &str, guess_ms: u64, taken: time::Duration) {
         if !self.queues.contains_key(queue) {
+            if self.queues.len() >= MAX_QUEUES || queue.len() > MAX_NAME_BYTES {
+                return;
+            }
             self.queues.insert(queue.to_owned(), Sums::default());
         }
         let Some(sums) = self.queues.get_mut(queue) else {
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -97,8 +97,8 @@
     pub granted_ms: u64,
     /// When the grants of earlier holders are over at the latest.
     pub inherited_until: time::Duration,
-    /// The last end whose result is committed.
-    pub seen: u64,
+    /// The ends that were taken in and whose result is not committed yet.
+    pub unrecorded: collections::BTreeSet<u64>,
     /// The last end that was taken in.
     pub heard: u64,
     /// When the look under way was sent.
@@ -137,7 +137,7 @@
             sample: None,
             granted_ms: 0,
             inherited_until,
-            seen: 0,
+            unrecorded: collections::BTreeSet::new(),
             heard: 0,
             look: None,
             look_due: time::Duration::ZERO,
@@ -189,6 +189,11 @@
             && now >= self.rests_until
     }
 
+    /// Returns the last end up to which all results are committed, so that they need not be told again.
+    pub fn seen(&self) -> u64 {
+        self.unrecorded.first().map_or(self.heard, |first| first - 1)
+    }
+
     /// Returns the room that is not set aside.
     pub fn free(&self) -> size::Size {
         self.member.capacity.minus(&self.used)
--- a/crates/wharflane/src/rows.rs
+++ b/crates/wharflane/src/rows.rs
@@ -68,6 +68,17 @@
     },
 }
 
+/// What is known of a transaction after it was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Answered(Answer),
+    /// The store never takes it as it is, for its form or its size: nothing was or will be written.
+    Refused,
+    /// It may have been made, may be made later, or was turned away for the moment.
+    Unknown,
+}
+
 /// Rows as of one moment.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
--- a/crates/wharflane/tests/advice.rs
+++ b/crates/wharflane/tests/advice.rs
@@ -15,7 +15,7 @@
 
 /// Returns an engine with so many workers of which the last may run what advice is wanted for.
 fn desk(workers: usize) -> desk::Desk {
-    let mut desk = desk::Desk::new(workers, None);
+    let mut desk = desk::Desk::new(workers, Vec::new());
     desk.good = vec![worker(workers - 1)];
     // All workers have answered a first look.
     desk.pass(300, false);
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use wharflane::{id, job, rows, size};
-use wharflane_stand_in::jobs::world;
+use wharflane_stand_in::jobs::{rows as store, world};
 
 /// The target of the serving task, in milliseconds.
 const TARGET_MS: u64 = 50;
@@ -15,6 +15,8 @@
 /// Its tail beside a task that harms it.
 const HARMED_MS: u64 = 40;
 
+/// The numbers of jobs whose tasks serve, beside the first.
+pub const SERVING_JOBS: std::ops::Range<u64> = 1_000..2_000;
 /// The queue that wants advice.
 pub const ADVISED: &str = "advised";
 /// How long a ticket holds.
@@ -44,13 +46,17 @@
     pub unanswered: usize,
     /// Starts that were not taken.
     pub not_taken: Vec<job::Start>,
+    /// Returns whether the store refuses a transaction for good.
+    pub refuses: fn(&rows::Txn) -> bool,
+    /// How many transactions were refused for good.
+    pub refusals: usize,
     /// What the next starts are answered, before all others are taken.
     pub answers: collections::VecDeque<job::StartAnswer>,
 }
 
 impl Desk {
     /// Makes an engine that holds its domain, with so many workers.
-    pub fn new(workers: usize, learned: Option<String>) -> Self {
+    pub fn new(workers: usize, learned: Vec<rows::Row>) -> Self {
         let engine = job::Engine::new("host".into(), world::settings(), 1);
         let mut desk = Self {
             engine,
@@ -64,6 +70,8 @@
             questions: Vec::new(),
             unanswered: 0,
             not_taken: Vec::new(),
+            refuses: |txn| !store::takes(txn),
+            refusals: 0,
             answers: collections::VecDeque::new(),
         };
         let queue = |name: &str, priority| job::Queue {
@@ -107,6 +115,12 @@
                     continue;
                 }
             };
+            if (self.refuses)(&txn) {
+                self.refusals += 1;
+                let event = job::Event::Txn { number, outcome: rows::Outcome::Refused };
+                effects.extend(self.engine.step(self.now, event));
+                continue;
+            }
             for write in txn.writes {
                 let at = (write.key.table, write.key.name);
                 match write.value {
@@ -115,8 +129,9 @@
                     None => {}
                 }
             }
-            let answer = Some(rows::Answer::Done { version: self.version });
-            effects.extend(self.engine.step(self.now, job::Event::Txn { number, answer }));
+            let answer = rows::Answer::Done { version: self.version };
+            let event = job::Event::Txn { number, outcome: rows::Outcome::Answered(answer) };
+            effects.extend(self.engine.step(self.now, event));
         }
     }
 
@@ -248,6 +263,18 @@
         }])
     }
 
+    /// Returns the rows of a table.
+    pub fn table(&self, table: &'static str) -> Vec<rows::Row> {
+        let rows = self.rows.iter().filter(|((of, _), _)| *of == table);
+        let row = |((_, name), value): (&(&str, String), &String)| rows::Row {
+            name: name.clone(),
+            part: job::part(0),
+            version: self.version,
+            value: Some(value.clone()),
+        };
+        rows.map(row).collect()
+    }
+
     /// Returns the harm that is learned between the two images of these tests.
     pub fn harm(&self) -> Option<f64> {
         let dump = self.engine.holding().expect("a holder").dump();
@@ -285,7 +312,8 @@
 
 /// Returns how a started task is told to run beside others that do or don't harm it.
 pub fn row(start: &job::Start, harmed: bool) -> job::Running {
-    let serving = start.order.task.job.0 == 1;
+    let job = start.order.task.job.0;
+    let serving = job == 1 || SERVING_JOBS.contains(&job);
     let tail = if harmed { HARMED_MS } else { QUIET_MS };
     let load = if serving { tail } else { 4_000 };
     job::Running { task: start.order.task, run: start.order.run, percent: 100, load }
--- a/crates/wharflane/tests/gang.rs
+++ b/crates/wharflane/tests/gang.rs
@@ -20,7 +20,7 @@
 
 /// Starts a gang of two on two workers and returns the desk.
 fn started() -> desk::Desk {
-    let mut desk = desk::Desk::new(2, None);
+    let mut desk = desk::Desk::new(2, Vec::new());
     desk.submit(JOB, "first", pair());
     desk.pass(200, false);
     assert_eq!(desk.starts(JOB), [(0, 1), (1, 1)]);
@@ -36,7 +36,7 @@
 
 cases! {
     nothing_starts_while_one_member_finds_no_room => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.submit(JOB, "first", pair());
         desk.pass(500, false);
         assert_eq!(desk.starts(JOB), []);
@@ -81,7 +81,7 @@
         assert_eq!(phase(&desk), job::Phase::Running);
     },
     a_gang_stays_in_one_rack_where_there_is_room => {
-        let mut desk = desk::Desk::new(0, None);
+        let mut desk = desk::Desk::new(0, Vec::new());
         for (at, rack) in [(0, "r1"), (1, "r2"), (2, "r1"), (3, "r2")] {
             let member = job::Member { rack: Some(rack.to_owned()), ..desk::member(at) };
             desk.take(job::Event::Member(member.id.clone(), Some(member)));
--- a/crates/wharflane/tests/job.rs
+++ b/crates/wharflane/tests/job.rs
@@ -8,7 +8,7 @@
 
 /// Lets two tasks serve, one of them beside a task that fills, and returns the desk.
 fn learn(harmed: bool) -> desk::Desk {
-    let mut desk = desk::Desk::new(2, None);
+    let mut desk = desk::Desk::new(2, Vec::new());
     let serving = desk::step("serving", 4_000);
     desk.submit(1, "first", job::Step { count: 2, max_per_worker: Some(1), ..serving });
     desk.pass(3_000, harmed);
@@ -24,7 +24,7 @@
 
 cases! {
     a_free_domain_is_taken_and_held => {
-        let desk = desk::Desk::new(1, None);
+        let desk = desk::Desk::new(1, Vec::new());
         assert!(desk.engine.holding().is_some());
     },
     harm_is_learned_where_there_is_some => {
@@ -46,16 +46,17 @@
     },
     what_was_learned_is_kept_for_the_next_holder => {
         let desk = learn(true);
-        let kept = desk.rows.get(&(job::LEARNED, "only".to_owned())).cloned();
-        let next = desk::Desk::new(1, Some(kept.expect("a row")));
+        let next = desk::Desk::new(1, desk.table(job::LEARNED));
         let (before, after) = (desk.harm().expect("learned"), next.harm().expect("restored"));
         assert!((before - after).abs() < 0.2 * before, "{before} before, {after} after");
     },
     learned_rows_that_cannot_be_read_are_learned_anew => {
-        assert_eq!(desk::Desk::new(1, Some("{".to_owned())).harm(), None);
+        let mut rows = learn(true).table(job::LEARNED);
+        rows.iter_mut().for_each(|row| row.value = Some("{".to_owned()));
+        assert_eq!(desk::Desk::new(1, rows).harm(), None);
     },
     higher_priority_goes_first_and_lasting_tasks_after_those_that_end => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.submit(1, "last", desk::step("plain", 9_000));
         desk.submit(2, "first", desk::step("serving", 9_000));
         desk.submit(3, "first", desk::step("plain", 9_000));
@@ -63,7 +64,7 @@
         assert_eq!(desk::order(&desk), [3], "only one of them has room");
     },
     a_lasting_task_waits_behind_those_that_end_however_long_it_was_away => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.submit(1, "first", desk::step("plain", 9_000));
         desk.pass(200, false);
         desk.submit(2, "first", desk::step("serving", 9_000));
@@ -74,7 +75,7 @@
         assert_eq!(desk::order(&desk), [1, 3], "there is room for one more");
     },
     a_lasting_task_that_was_at_work_comes_back_before_shorter_work => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.submit(1, "first", desk::step("serving", 9_000));
         desk.pass(200, false);
         for job in 2..10 {
@@ -94,7 +95,7 @@
         assert!(desk::order(&desk).len() < 9, "pieces are kept for it until they are enough");
     },
     kept_room_is_there_for_every_lasting_task_that_comes_back => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         for (job, cpu_milli) in [(1, 12_000), (2, 4_000)] {
             desk.submit(job, "first", desk::step("serving", cpu_milli));
             desk.pass(200, false);
@@ -113,7 +114,7 @@
         assert_eq!(desk.starts(2).len(), 2, "it fits into what is kept for the larger one");
     },
     room_is_kept_on_few_workers_at_once => {
-        let mut desk = desk::Desk::new(2, None);
+        let mut desk = desk::Desk::new(2, Vec::new());
         for job in [1, 2] {
             desk.submit(job, "first", desk::step("serving", 9_000));
             desk.pass(200, false);
@@ -138,7 +139,7 @@
         assert_eq!(desk::order(&desk).len(), before.len() + 1, "one of two pieces is kept");
     },
     a_job_that_can_still_be_in_time_goes_before_one_that_is_late => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         let short = || job::Step { estimate_ms: 500, ..desk::step("plain", 9_000) };
         desk.submit(1, "first", short());
         desk.pass(200, false);
@@ -152,7 +153,7 @@
         assert_eq!(desk::order(&desk), [1, 3]);
     },
     guesses_of_callers_are_corrected_by_what_was_seen => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         for number in 1..20 {
             desk.submit(number, "first", job::Step { estimate_ms: 1_000, ..desk::step("plain", 9_000) });
             desk.pass(300, false);
@@ -164,7 +165,7 @@
         assert!((250.0..600.0).contains(&times_ms), "{times_ms} ms instead of some 300");
     },
     a_start_refused_after_one_without_answer_waits_for_the_lease => {
-        let mut desk = desk::Desk::new(2, None);
+        let mut desk = desk::Desk::new(2, Vec::new());
         let refused = job::StartAnswer::Refused(job::StartRefusal::Room);
         desk.answers = [job::StartAnswer::Silent, refused].into();
         desk.submit(1, "first", desk::step("plain", 9_000));
@@ -175,7 +176,7 @@
         assert_eq!(desk.starts(1), [(0, 2)], "its lease is over");
     },
     an_old_job_is_removed_with_its_own_row_first => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.submit(1, "first", desk::step("plain", 9_000));
         desk.pass(200, false);
         desk.end(first(1), job::EndKind::Done);
@@ -186,7 +187,7 @@
         assert_eq!(desk.removed, [job::JOBS, job::PROGRESS]);
     },
     a_task_on_a_worker_that_was_idle_is_looked_after_at_once => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.pass(1_000, false);
         desk.submit(1, "first", desk::step("plain", 9_000));
         desk.pass(200, false);
@@ -197,7 +198,7 @@
         assert_eq!(progress.phase, job::Phase::Completed);
     },
     nothing_is_ordered_once_the_lease_may_be_over => {
-        let mut desk = desk::Desk::new(1, None);
+        let mut desk = desk::Desk::new(1, Vec::new());
         desk.pass(500, false);
         // The store is silent from here on: nothing renews the lease.
         // Long enough for a look at the idle worker to be due.
