A new holder orders the shares of held-back tasks anew, by what they use

Cause: a new holder took each filling task that it inherited to work at its full share. Those that the last one held back stayed so, unknown to all: they counted as standing still 2 s later, were stopped, and their workers rested for 4 s; what was learned meanwhile was wrong. Change: at the first look the share is read from the processors in use and ordered anew, so that it is known.

--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -123,6 +123,7 @@
         };
         let leaving = view.member.leaving;
         let here: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+        let mut adopted = collections::BTreeSet::new();
         for task in here {
             let Some(placed) = self.placed.get_mut(&task) else {
                 continue;
@@ -132,6 +133,9 @@
                 holding::Link::Inherited | holding::Link::Doubtful(_) | holding::Link::Lapsing
                     if runs =>
                 {
+                    if placed.link == holding::Link::Inherited {
+                        adopted.insert(task);
+                    }
                     placed.link = holding::Link::There(now);
                 }
                 // This epoch's look was answered, so no earlier holder's start can come any more.
@@ -155,6 +159,7 @@
                 self.stop(row.task, now);
             }
         }
+        self.adopt_shares(worker, lists, &adopted, now);
         self.weigh(worker, lists, now);
         self.stop_stalled(worker, lists, now);
     }
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -21,6 +21,9 @@
 const FRESH: time::Duration = time::Duration::from_millis(1_300);
 /// The least change of a share that is ordered, in percent.
 const LEAST_CHANGE: f64 = 8.0;
+/// From which part of its processors on a task is taken not to be held back, in percent: in their calm
+/// phases tasks use two thirds.
+const UNPACED_USE: u64 = 60;
 /// The strain below which holding a task back gains nothing that a tail would show.
 const LEAST_STRAIN: f64 = 0.01;
 /// How long a target may be missed before everything that fills the worker stands still, whatever
@@ -79,6 +82,32 @@
         self.move_held(worker, now);
     }
 
+    /// Sets the shares of tasks anew that an earlier holder ordered, by the processors that they use: what
+    /// that holder held back stays so, whatever of its orders got through.
+    pub(super) fn adopt_shares(
+        &mut self,
+        worker: &id::WorkerId,
+        lists: &order::Lists,
+        adopted: &collections::BTreeSet<spec::TaskId>,
+        now: time::Duration,
+    ) {
+        let Some(view) = self.views.get_mut(worker).filter(|_| !adopted.is_empty()) else {
+            return;
+        };
+        let mut shares = collections::BTreeMap::new();
+        for row in lists.running.iter().filter(|row| adopted.contains(&row.task)) {
+            let Some(filling) = view.filling.get_mut(&row.task) else {
+                continue;
+            };
+            let used = row.load * 100 / filling.cpu_milli.max(1);
+            let percent = if used >= UNPACED_USE { 100 } else { u8::try_from(used).unwrap_or(100) };
+            // An unknown share differs from any, so that the order is given.
+            filling.percent = u8::MAX;
+            shares.insert(row.task, worker::Filling { percent, ..*filling });
+        }
+        self.set_shares(worker, &shares, now);
+    }
+
     /// Reads the tails of serving tasks as strains.
     fn read_tails(
         &mut self,
@@ -238,7 +267,7 @@
             }
             tracing::info!(%task, %worker, from = filling.percent, to = share.percent, "paced");
             filling.percent = share.percent;
-            filling.paced = true;
+            filling.paced |= share.percent < 100;
             filling.low_since =
                 if share.percent < MOVE_BELOW { filling.low_since.or(Some(now)) } else { None };
             view.paced = now;
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -57,6 +57,15 @@
 impl Desk {
     /// Makes an engine that holds its domain, with so many workers.
     pub fn new(workers: usize, learned: Vec<rows::Row>) -> Self {
+        Self::after(workers, (Vec::new(), Vec::new()), learned)
+    }
+
+    /// Makes an engine that takes over jobs and their progress, with so many workers.
+    pub fn after(
+        workers: usize,
+        (jobs, progress): (Vec<rows::Row>, Vec<rows::Row>),
+        learned: Vec<rows::Row>,
+    ) -> Self {
         let engine = job::Engine::new("host".into(), world::settings(), 1);
         let mut desk = Self {
             engine,
@@ -91,7 +100,6 @@
         desk.take(job::Event::Queues(sync::Arc::new(queues)));
         desk.take(job::Event::Listed((0..workers).map(member).collect()));
         desk.take(job::Event::LeaseRead(None));
-        let (jobs, progress) = (Vec::new(), Vec::new());
         desk.take(job::Event::Loaded { jobs, progress, learned });
         desk
     }
@@ -244,6 +252,16 @@
         self.take(event);
     }
 
+    /// Lets the engine hear what runs on a worker, in answer to a look.
+    pub fn hear(&mut self, worker: usize, running: Vec<job::Running>) {
+        let clock_ms = u64::try_from(self.now.as_millis()).expect("a small number");
+        let lists = job::Lists { clock_ms, running, ended: Vec::new() };
+        let (worker, epoch) =
+            (member(worker).id, self.engine.holding().expect("a holder").dump().epoch);
+        let answer = job::LookAnswer::Lists(lists);
+        self.take(job::Event::Looked { worker, epoch, answer });
+    }
+
     /// Returns the event of a job of one step that was accepted.
     pub fn accepted(&mut self, number: u64, queue: &str, step: job::Step) -> job::Event {
         let job = job::Job {
