The cost of a pass of placement does not grow with what waits

Cause: each pass tried one task of each waiting step on every worker, and found out anew for each what the serving tasks there bear (some 8 us a worker). At 490 workers and a backlog of hundreds of steps the holder's half core was full from second 6 on; the backlog made the next pass slower still. Change: waiting tasks are taken step by step; a kind of task that found nothing is not tried again in the pass, nor a larger one of that kind; what a worker bears is kept for 0.1 s or until something changes there; harm of an image is looked up once a search; orders without answer are looked for by tick, not by event; two lines a pass about what waits. The number of searches is told in the log and the dump.

--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -1,5 +1,6 @@
 //! Chooses a worker for a task: where it fits, near its data, and harms least.
 
+use std::borrow;
 use std::time;
 
 use super::harm;
@@ -34,6 +35,7 @@
     within: Option<&str>,
     now: time::Duration,
 ) -> Option<id::WorkerId> {
+    holding.sought += 1;
     let image = holding.learned.harm.image(step.image.as_deref());
     let holding = &*holding;
     let near = step.rack.as_deref().or_else(|| kin_rack(holding, task, step));
@@ -41,6 +43,7 @@
     let service = holding.service(&entry.job);
     let failed_on = entry.progress.tasks.get(&task.into()).filter(|state| state.failures > 0);
     let avoided = failed_on.and_then(|state| state.failed_on.as_ref());
+    let harms = harms(holding, step, image);
     let mut best: Option<(Cost, &worker::View)> = None;
     for view in holding.views.values() {
         let rack = view.member.rack.as_deref();
@@ -56,7 +59,7 @@
         }
         let away = near.is_some() && rack != near;
         let again = avoided == Some(&view.member.id);
-        let Some(order) = cost(holding, view, step, image, now) else {
+        let Some(order) = cost(holding, view, step, image, &harms, now) else {
             continue;
         };
         let cost = Cost { again, away, order };
@@ -67,6 +70,15 @@
     best.map(|(_, view)| view.member.id.clone())
 }
 
+/// Returns the strain that a task causes each serving image on average, by the image's number; none for
+/// tasks that don't fill.
+pub(super) fn harms(holding: &holding::Holding, step: &spec::Step, image: harm::Image) -> Vec<f64> {
+    if !step.fills {
+        return Vec::new();
+    }
+    holding.learned.harm.harms_of(image)
+}
+
 /// Returns the rack where a task of the same step runs, for steps that are slower across racks.
 fn kin_rack<'a>(
     holding: &'a holding::Holding,
@@ -105,10 +117,11 @@
     view: &worker::View,
     step: &spec::Step,
     image: harm::Image,
+    harms: &[f64],
     now: time::Duration,
 ) -> Option<f64> {
     if step.fills {
-        return fill_cost(holding, view, step, image, now);
+        return fill_cost(holding, view, step, harms, now);
     }
     let left = view.free().cpu_milli as f64 / view.member.capacity.cpu_milli.max(1) as f64;
     if step.target_ms.is_none() {
@@ -132,19 +145,24 @@
     holding: &holding::Holding,
     view: &worker::View,
     step: &spec::Step,
-    image: harm::Image,
+    harms: &[f64],
     now: time::Duration,
 ) -> Option<f64> {
     let capacity = view.member.capacity.cpu_milli.max(1) as f64;
     let left = left_for_filling(view) as f64;
     let want = step.size.cpu_milli as f64;
-    if left < want * FILL_LEAST || holding.misses(view).next().is_some() {
+    if left < want * FILL_LEAST {
+        return None;
+    }
+    let known = view.headroom.as_ref().map(borrow::Cow::Borrowed);
+    let headroom = known.unwrap_or_else(|| borrow::Cow::Owned(holding.headroom(view, now)));
+    if headroom.missed {
         return None;
     }
     let part = want / capacity;
     let mut worst = 0.0_f64;
-    for (serving, room) in holding.headroom(&view.member.id, now) {
-        let strain = holding.learned.harm.harm(serving, image) * part * SURGE;
+    for (serving, room) in &headroom.left {
+        let strain = harms.get(serving.number()).copied().unwrap_or(0.0) * part * SURGE;
         if strain > room.max(HARMLESS) {
             return None;
         }
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -249,6 +249,7 @@
             capacity_mb = sum(|view| view.member.capacity.mem_mb),
             used_mb = sum(|view| view.used.mem_mb),
             commits = self.commits,
+            sought = self.sought,
             "domain"
         );
     }
--- a/crates/wharflane/src/job/harm.rs
+++ b/crates/wharflane/src/job/harm.rs
@@ -317,6 +317,12 @@
         self.fits.get(&serving).map_or(PRIOR, |fit| fit.harm(filling))
     }
 
+    /// Returns the strain that a filling image causes each serving one, by the serving image's number, for a
+    /// whole worker's processors.
+    pub fn harms_of(&self, filling: Image) -> Vec<f64> {
+        (0..self.names.len()).map(|serving| self.harm(Image(serving), filling)).collect()
+    }
+
     /// Returns the strain on an image by all its neighbours.
     pub fn total(&self, serving: Image, uses: &[Use]) -> f64 {
         uses.iter().map(|used| self.harm(serving, used.image) * used.part).sum()
--- /dev/null
+++ b/crates/wharflane/src/job/headroom.rs
@@ -0,0 +1,65 @@
+//! What the serving tasks of a worker still bear, kept with the worker while it is fresh.
+
+use std::time;
+
+use super::harm;
+use super::holding;
+use super::pace;
+use super::worker;
+use crate::id;
+
+/// How long what a worker bears is taken as known while nothing is placed there: loads change over seconds,
+/// and figures of them come each half second.
+const FRESH: time::Duration = time::Duration::from_millis(100);
+
+/// What the serving tasks of a worker bear of one more neighbour.
+#[derive(Clone, Debug)]
+pub(super) struct Headroom {
+    /// When it was found out.
+    at: time::Duration,
+    /// Whether one of them misses its target.
+    pub missed: bool,
+    /// The strain that each has left.
+    pub left: Vec<(harm::Image, f64)>,
+}
+
+impl holding::Holding {
+    /// Finds out anew what workers bear of which it is not known, or not fresh.
+    pub(super) fn refresh_headroom(&mut self, now: time::Duration) {
+        let stale = self.views.iter().filter(|(_, view)| {
+            view.headroom.as_ref().is_none_or(|known| now.saturating_sub(known.at) >= FRESH)
+        });
+        let stale: Vec<id::WorkerId> = stale.map(|(worker, _)| worker.clone()).collect();
+        for worker in stale {
+            self.refresh_headroom_of(&worker, now);
+        }
+    }
+
+    /// Finds out anew what one worker bears.
+    pub(super) fn refresh_headroom_of(&mut self, worker: &id::WorkerId, now: time::Duration) {
+        let headroom = self.views.get(worker).map(|view| self.headroom(view, now));
+        if let Some(view) = self.views.get_mut(worker) {
+            view.headroom = headroom;
+        }
+    }
+
+    /// Returns what a worker bears at the moment.
+    pub(super) fn headroom(&self, view: &worker::View, now: time::Duration) -> Headroom {
+        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+        let uses: Vec<harm::Use> = view
+            .filling
+            .values()
+            .map(|filling| harm::Use {
+                image: filling.image,
+                part: filling.cpu_milli as f64 / capacity,
+            })
+            .collect();
+        let kept_free = pace::MARGIN + pace::SLACK;
+        let left = view.serving.iter().map(|(task, serving)| {
+            let own = self.own_load(task.job, now).unwrap_or(0.0);
+            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - kept_free;
+            (serving.image, limit - own - self.learned.harm.total(serving.image, &uses))
+        });
+        Headroom { at: now, missed: self.misses(view).next().is_some(), left: left.collect() }
+    }
+}
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -200,6 +200,8 @@
     pub(super) changed: bool,
     /// When placement was last tried.
     pub(super) placed_at: time::Duration,
+    /// How often a worker was sought for a task.
+    pub(super) sought: u64,
     /// Workers whose room is kept for lasting tasks that come back, until the next try.
     pub(super) kept_for: collections::BTreeSet<id::WorkerId>,
     /// Which workers may run steps whose queue asks for advice.
@@ -235,6 +237,8 @@
     pub placed: usize,
     /// Workers that are looked at.
     pub workers: usize,
+    /// How often a worker was sought for a task, since the lease was taken.
+    pub sought: u64,
     /// How long a task that its caller guesses at one second is likely to take, in milliseconds, by
     /// queue.
     pub times_ms: collections::BTreeMap<String, f64>,
@@ -278,6 +282,7 @@
             counted: kept::Waiting::default(),
             changed: true,
             placed_at: time::Duration::ZERO,
+            sought: 0,
             kept_for: collections::BTreeSet::new(),
             tickets: tickets::Tickets::default(),
             told: collections::BTreeMap::new(),
@@ -301,6 +306,7 @@
             ready: self.ready.len(),
             placed: self.placed.len(),
             workers: self.views.len(),
+            sought: self.sought,
             times_ms: self.learned.times.dump(),
             harm: self.learned.harm.dump(),
         }
@@ -328,6 +334,9 @@
         }
         self.expire(now);
         self.take_up_again(now);
+        if self.may_order(now) && !self.leaving {
+            self.repeat_orders(now);
+        }
         self.free_lapsed(now);
     }
 
@@ -335,7 +344,6 @@
     pub(super) fn pump(&mut self, now: time::Duration, number: u64) -> Vec<event::Effect> {
         if self.may_order(now) && !self.leaving {
             self.place_ready(now);
-            self.repeat_orders(now);
             self.look(now);
         }
         if let Some(effect) = self.commit(now, number) {
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -12,9 +12,9 @@
 use crate::id;
 
 /// The strain that is kept free below a target: figures are rough and loads rise meanwhile.
-const MARGIN: f64 = 0.05;
+pub(super) const MARGIN: f64 = 0.05;
 /// The strain that must be free beyond the margin before work is let go faster.
-const SLACK: f64 = 0.04;
+pub(super) const SLACK: f64 = 0.04;
 /// How long a change takes to show: it applies after 100 ms, and figures are of half a second.
 const SETTLE: time::Duration = time::Duration::from_millis(650);
 /// How old a tail may be to tell the own load of its job.
@@ -66,9 +66,10 @@
         if excess.is_empty() {
             return;
         }
-        let Some(view) = self.views.get(worker) else {
+        let Some(view) = self.views.get_mut(worker) else {
             return;
         };
+        view.headroom = None;
         if view.filling.is_empty() || now.saturating_sub(view.paced) < SETTLE {
             return;
         }
@@ -294,30 +295,4 @@
             }
         }
     }
-
-    /// Returns the strain that each serving task of a worker has left for one more neighbour.
-    pub(super) fn headroom(
-        &self,
-        worker: &id::WorkerId,
-        now: time::Duration,
-    ) -> Vec<(harm::Image, f64)> {
-        let Some(view) = self.views.get(worker) else {
-            return Vec::new();
-        };
-        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
-        let uses: Vec<harm::Use> = view
-            .filling
-            .values()
-            .map(|filling| harm::Use {
-                image: filling.image,
-                part: filling.cpu_milli as f64 / capacity,
-            })
-            .collect();
-        let room = view.serving.iter().map(|(task, serving)| {
-            let own = self.own_load(task.job, now).unwrap_or(0.0);
-            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - MARGIN - SLACK;
-            (serving.image, limit - own - self.learned.harm.total(serving.image, &uses))
-        });
-        room.collect()
-    }
 }
--- /dev/null
+++ b/crates/wharflane/src/job/pass.rs
@@ -0,0 +1,68 @@
+//! What one pass of placement has found out, so that its cost does not grow with what waits.
+//!
+//! A kind of task that found no worker finds none later in the same pass, since a pass only takes room
+//! away; nor does a larger task of that kind. At 490 workers and 5,000 waiting tasks a pass tries some
+//! dozens of tasks in place of one for each of 300 steps.
+
+use super::harm;
+use super::spec;
+use crate::id;
+use crate::size;
+
+/// What decides which workers take a task, but for its size.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Kind {
+    /// The service whose workers run it.
+    service: id::ServiceId,
+    /// The label that they need.
+    label: Option<String>,
+    /// What it runs, where that decides: harm is learned by image.
+    fills: Option<harm::Image>,
+}
+
+/// What one pass has found out.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    /// Kinds that found no worker, with the sizes that were tried.
+    hopeless: Vec<(Kind, size::Size)>,
+    /// How many lines were written about tasks that wait.
+    pub told: usize,
+}
+
+impl Pass {
+    /// Returns whether a task can't find a worker in this pass any more.
+    pub fn is_hopeless(
+        &self,
+        service: &id::ServiceId,
+        step: &spec::Step,
+        image: harm::Image,
+    ) -> bool {
+        let fills = step.fills.then_some(image);
+        self.hopeless.iter().any(|(kind, size)| {
+            kind.service == *service
+                && kind.label == step.label
+                && kind.fills == fills
+                && size.fits(&step.size)
+        })
+    }
+
+    /// Notes that a task found no worker. Bounds on a step's tasks by worker, and tickets, are its own, so
+    /// nothing follows from them for others.
+    pub fn note(
+        &mut self,
+        service: &id::ServiceId,
+        step: &spec::Step,
+        image: harm::Image,
+        ticket: bool,
+    ) {
+        if step.max_per_worker.is_some() || ticket {
+            return;
+        }
+        let kind = Kind {
+            service: service.clone(),
+            label: step.label.clone(),
+            fills: step.fills.then_some(image),
+        };
+        self.hopeless.push((kind, step.size));
+    }
+}
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -1,6 +1,7 @@
 //! Seeks workers for the tasks whose turn has come, the first in line first.
 
 use std::collections;
+use std::sync;
 use std::time;
 
 use super::assign;
@@ -9,7 +10,9 @@
 use super::holding;
 use super::obstacle;
 use super::outlook;
+use super::pass;
 use super::spec;
+use crate::id;
 
 /// How long a lasting task that was at work may be away until it goes first; the users allow 6 s, a
 /// start takes 50 ms.
@@ -46,57 +49,92 @@
     Lasting,
 }
 
+/// Tasks of one step that wait together.
+#[derive(Clone, Copy, Debug)]
+struct Group {
+    /// The first of them.
+    first: holding::Ready,
+    /// Whether they are lasting ones that were at work and have been away for long.
+    returning: bool,
+}
+
 /// Stages a start for each task that finds a worker.
 fn run(holding: &mut holding::Holding, now: time::Duration) {
-    let mut blocked = collections::BTreeSet::<obstacle::Group>::new();
     holding.kept_for.clear();
-    for task in in_turn(holding, now) {
-        let group = obstacle::group(task.task);
-        if blocked.contains(&group) || holding.is_aside(task.task.job) {
-            continue;
+    if holding.ready.values().any(|ready| !ready.lasting) {
+        holding.refresh_headroom(now);
+    }
+    let mut pass = pass::Pass::default();
+    for group in in_turn(holding, now) {
+        place_group(holding, &mut pass, group, now);
+    }
+    holding.forget_told();
+}
+
+/// Seeks workers for the tasks of one group, until one finds none.
+fn place_group(
+    holding: &mut holding::Holding,
+    pass: &mut pass::Pass,
+    group: Group,
+    now: time::Duration,
+) {
+    if holding.is_aside(group.first.task.job) {
+        return;
+    }
+    let kin = holding.ready.range(obstacle::kin(group.first.task)).map(|(_, ready)| *ready);
+    let kin = kin.filter(|ready| returns(ready, now) == group.returning);
+    let kin: Vec<holding::Ready> = kin.collect();
+    let Some(step) = step_of(holding, group.first.task) else {
+        for ready in kin {
+            holding.ready.remove(&ready.task);
         }
-        let Some(step) = step_of(holding, task.task) else {
-            holding.ready.remove(&task.task);
-            continue;
-        };
-        // What is kept for one lasting task that comes back is there for all of them.
-        let own = returns(&task, now);
-        let kept = if own { std::mem::take(&mut holding.kept_for) } else { Default::default() };
+        return;
+    };
+    for ready in kin {
         let placed = if step.gang {
-            blocked.insert(group);
-            gang::place(holding, &task, &step, now)
+            gang::place(holding, &ready, &step, now)
+        } else if group.returning {
+            place_returning(holding, &ready, &step, now)
         } else {
-            place_one(holding, &task, &step, now)
+            place_one(holding, pass, &ready, &step, now)
         };
-        holding.kept_for.extend(kept);
-        if placed {
-            continue;
+        if !placed {
+            holding.tell_wait(pass, &ready, &step, now);
+            ask_workers(holding, ready.task, now);
         }
-        holding.tell_wait(&task, &step, now);
-        ask_workers(holding, task.task, now);
-        if own {
-            keep_room(holding, task.task, &step, now);
-        } else {
-            blocked.insert(group);
+        if !group.returning && !placed || step.gang {
+            return;
         }
     }
-    holding.forget_told();
 }
 
-/// Returns the tasks whose turn has come, the first in line first.
-fn in_turn(holding: &holding::Holding, now: time::Duration) -> Vec<holding::Ready> {
-    let mut ready: Vec<holding::Ready> = holding.ready.values().copied().collect();
-    let outlooks = outlooks(holding, &ready);
-    let turn = |ready: &holding::Ready| {
-        let outlook = outlooks.get(&(ready.task.job, ready.task.round)).copied();
-        match outlook.filter(|_| !ready.lasting) {
+/// Returns the groups of tasks whose turn has come, the first in line first.
+fn in_turn(holding: &holding::Holding, now: time::Duration) -> Vec<Group> {
+    let mut groups = Vec::<Group>::new();
+    for ready in holding.ready.values() {
+        let returning = returns(ready, now);
+        let last = groups.iter().rev().take(2);
+        let known = last
+            .filter(|group| group.returning == returning)
+            .any(|group| obstacle::group(group.first.task) == obstacle::group(ready.task));
+        if !known {
+            groups.push(Group { first: *ready, returning });
+        }
+    }
+    let outlooks = outlooks(holding, &groups);
+    let turn = |group: &Group| {
+        let task = group.first.task;
+        let outlook = outlooks.get(&(task.job, task.round)).copied();
+        match outlook.filter(|_| !group.first.lasting) {
             Some(outlook) => Turn::Ending(outlook),
-            None if returns(ready, now) => Turn::Returning,
+            None if group.returning => Turn::Returning,
             None => Turn::Lasting,
         }
     };
-    ready.sort_by_cached_key(|ready| (ready.priority, turn(ready), ready.order, ready.task));
-    ready
+    groups.sort_by_cached_key(|group| {
+        (group.first.priority, turn(group), group.first.order, group.first.task)
+    });
+    groups
 }
 
 /// Returns whether a lasting task has been away for so long that it goes first.
@@ -142,10 +180,11 @@
 /// Returns how the rounds of jobs stand that have tasks to place.
 fn outlooks(
     holding: &holding::Holding,
-    ready: &[holding::Ready],
+    groups: &[Group],
 ) -> collections::BTreeMap<(spec::JobId, u32), outlook::Outlook> {
     let mut outlooks = collections::BTreeMap::new();
-    for task in ready.iter().filter(|ready| !ready.lasting).map(|ready| ready.task) {
+    let ending = groups.iter().map(|group| group.first).filter(|ready| !ready.lasting);
+    for task in ending.map(|ready| ready.task) {
         if let Some(entry) = holding.jobs.get(&task.job) {
             outlooks
                 .entry((task.job, task.round))
@@ -161,17 +200,57 @@
     entry.job.step(task.step).cloned()
 }
 
+/// Places a task that comes back; what is kept for one of them is there for all.
+fn place_returning(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    now: time::Duration,
+) -> bool {
+    let kept = std::mem::take(&mut holding.kept_for);
+    let worker = choose::choose(holding, ready.task, step, None, now);
+    holding.kept_for.extend(kept);
+    match &worker {
+        Some(worker) => take(holding, ready, step, worker, now),
+        None => keep_room(holding, ready.task, step, now),
+    }
+    worker.is_some()
+}
+
 /// Places one task; returns whether it found a worker.
 fn place_one(
     holding: &mut holding::Holding,
+    pass: &mut pass::Pass,
     ready: &holding::Ready,
     step: &spec::Step,
     now: time::Duration,
 ) -> bool {
+    let image = holding.learned.harm.image(step.image.as_deref());
+    let Some(entry) = holding.jobs.get(&ready.task.job) else {
+        return false;
+    };
+    let job = sync::Arc::clone(&entry.job);
+    if pass.is_hopeless(holding.service(&job), step, image) {
+        return false;
+    }
     let Some(worker) = choose::choose(holding, ready.task, step, None, now) else {
+        let ticket = holding.terms_of_advice(&job).is_some();
+        pass.note(holding.service(&job), step, image, ticket);
         return false;
     };
-    let run = assign::last_run(holding, ready.task) + 1;
-    assign::assign(holding, ready, step, &worker, run);
+    take(holding, ready, step, &worker, now);
     true
 }
+
+/// Gives a task to the worker that was found.
+fn take(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    worker: &id::WorkerId,
+    now: time::Duration,
+) {
+    let run = assign::last_run(holding, ready.task) + 1;
+    assign::assign(holding, ready, step, worker, run);
+    holding.refresh_headroom_of(worker, now);
+}
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -6,11 +6,14 @@
 use super::choose;
 use super::holding;
 use super::obstacle;
+use super::pass;
 use super::spec;
 use super::worker;
 
 /// How long a task waits until it is told what keeps it; most find a worker in a tenth of it.
 const TOLD_AFTER: time::Duration = time::Duration::from_secs(2);
+/// The most lines in one pass; each looks at all workers anew.
+const MOST_TOLD: usize = 2;
 /// The time between two lines about one step; bounds their number by the steps that wait.
 const TOLD_AGAIN: time::Duration = time::Duration::from_secs(10);
 
@@ -18,6 +21,7 @@
     /// Logs what keeps a task that has waited for long; once a while for each step.
     pub(super) fn tell_wait(
         &mut self,
+        pass: &mut pass::Pass,
         ready: &holding::Ready,
         step: &spec::Step,
         now: time::Duration,
@@ -26,9 +30,10 @@
         let group = obstacle::group(ready.task);
         let told = self.told.get(&group);
         let due = told.is_none_or(|at| now.saturating_sub(*at) >= TOLD_AGAIN);
-        if waited < TOLD_AFTER || !due {
+        if waited < TOLD_AFTER || !due || pass.told >= MOST_TOLD {
             return;
         }
+        pass.told += 1;
         self.told.insert(group, now);
         let obstacles = self.obstacles(ready.task, step, now);
         let count = |obstacle| obstacles.get(&obstacle).copied().unwrap_or(0);
@@ -65,9 +70,10 @@
             return counts;
         };
         let service = self.service(&entry.job);
+        let harms = choose::harms(self, step, image);
         for view in self.views.values() {
             let harm = || {
-                let none = choose::cost(self, view, step, image, now).is_none();
+                let none = choose::cost(self, view, step, image, &harms, now).is_none();
                 none.then_some(obstacle::Obstacle::Harm)
             };
             let kept = || {
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use super::harm;
+use super::headroom;
 use super::order;
 use super::spec;
 use crate::size;
@@ -125,6 +126,8 @@
     pub filling: collections::BTreeMap<spec::TaskId, Filling>,
     /// When a share was changed last.
     pub paced: time::Duration,
+    /// What the tasks that serve bear of one more neighbour, as it was found out last.
+    pub headroom: Option<headroom::Headroom>,
 }
 
 impl View {
@@ -151,6 +154,7 @@
             serving: collections::BTreeMap::new(),
             filling: collections::BTreeMap::new(),
             paced: time::Duration::ZERO,
+            headroom: None,
         }
     }
 
@@ -226,6 +230,7 @@
     /// Sets room aside for a task.
     pub fn add(&mut self, task: spec::TaskId, step: &spec::Step, image: harm::Image) {
         if self.tasks.insert(task) {
+            self.headroom = None;
             if let Some(target_ms) = step.target_ms {
                 self.serving.insert(task, Serving { image, target_ms });
             }
@@ -244,6 +249,7 @@
     /// Gives the room of a task back.
     pub fn remove(&mut self, task: spec::TaskId, step: &spec::Step) {
         if self.tasks.remove(&task) {
+            self.headroom = None;
             self.serving.remove(&task);
             self.filling.remove(&task);
             self.used = self.used.minus(&step.reserved());
