Strong hosts take a lease before weak ones; a state that can't be read gives the lease up

Change: a host with less than 0.2 cores or 50 Mbit/s, as its settings say, waits 1.2 s longer before it takes a lease; whoever has not read the state within its lease gives up.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -10,6 +10,7 @@
 
 use super::Shared;
 use super::watch;
+use crate::settings;
 
 /// How often the engine is asked what is due while this host holds the domain.
 const TICK_HOLDING: time::Duration = time::Duration::from_millis(20);
@@ -198,6 +199,15 @@
     }
 }
 
+/// Returns how much longer than others this host waits before it takes a lease.
+fn handicap(settings: &settings::Settings) -> time::Duration {
+    let limits = &settings.limits;
+    let jobs = |key| settings.number("jobs", key);
+    let strong = limits.cpu_milli.is_none_or(|milli| milli >= jobs("holder_cpu_milli"))
+        && limits.link_mbps.is_none_or(|mbps| mbps >= jobs("holder_link_mbps"));
+    if strong { time::Duration::ZERO } else { settings.time("jobs", "weak_wait_ms") }
+}
+
 /// Returns how the engine is timed.
 fn engine_settings(shared: &Shared) -> job::Settings {
     let hold_max = shared.time("hold_max_ms");
@@ -205,6 +215,7 @@
         domain: 0,
         lease: shared.time("lease_ms"),
         margin: shared.time("margin_ms"),
+        handicap: handicap(&shared.settings),
         poll: shared.time("poll_ms"),
         commit: shared.time("commit_ms"),
         renew: shared.time("renew_ms"),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -42,6 +42,9 @@
     number("jobs", "domains", 1, 1..=1, "Parts that jobs are dealt over, each with a holder."),
     number("jobs", "lease_ms", 2_200, 500..=60_000, "Lease of a domain."),
     number("jobs", "margin_ms", 400, 0..=10_000, "How much earlier a holder stops by itself."),
+    number("jobs", "holder_cpu_milli", 200, 0..=1_000_000, "Processor below which a host is weak."),
+    number("jobs", "holder_link_mbps", 50, 0..=1_000_000, "Link below which a host is weak."),
+    number("jobs", "weak_wait_ms", 1_200, 0..=60_000, "How much later a weak host takes a lease."),
     number("jobs", "poll_ms", 300, 10..=60_000, "Time between reads of another's lease."),
     number("jobs", "commit_ms", 20, 1..=10_000, "Least time between two commits."),
     number("jobs", "renew_ms", 700, 10..=60_000, "Longest time between two commits."),
@@ -101,6 +104,15 @@
     number("control", "gossip_ms", 1_000, 10..=60_000, "Time between messages to a peer."),
 ];
 
+/// What the host has; nothing where it is not said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// The processors, in thousandths of a core.
+    pub cpu_milli: Option<u64>,
+    /// The link, in whole megabits a second.
+    pub link_mbps: Option<u64>,
+}
+
 /// How logs are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -144,6 +156,8 @@
     pub seed_peers: Vec<net::SocketAddr>,
     /// What the host schedules.
     pub mode: Mode,
+    /// What the host has.
+    pub limits: Limits,
     /// How logs are written.
     pub log_format: LogFormat,
     /// Which lines are written.
@@ -249,6 +263,7 @@
         check_leases(&part, &numbers);
         part.end();
     }
+    let limits = read_limits(root);
     let mut log = root.table("log");
     let log_format = read_log_format(doc, &mut log);
     let log_level = log.text("level").map_or_else(|| "info".to_owned(), |(_, level)| level);
@@ -261,6 +276,7 @@
         peer_addr: peer?,
         seed_peers,
         mode: mode?,
+        limits,
         log_format,
         log_level,
         numbers,
@@ -330,6 +346,17 @@
     }
 }
 
+/// Reads what the host has.
+fn read_limits(root: &mut toml_read::Table<'_, '_>) -> Limits {
+    let mut table = root.table("limits");
+    let limits = Limits {
+        cpu_milli: table.decimal_milli("cpu_cores", 0..=1_000_000),
+        link_mbps: table.decimal_milli("link_mbps", 0..=1_000_000_000).map(|milli| milli / 1_000),
+    };
+    table.end();
+    limits
+}
+
 /// Reads how logs are written.
 fn read_log_format(doc: &toml_read::Doc<'_>, table: &mut toml_read::Table<'_, '_>) -> LogFormat {
     match table.text("format") {
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -443,6 +443,7 @@
         domain: 0,
         lease: millis(2_200),
         margin: millis(400),
+        handicap: millis(0),
         poll: millis(300),
         commit: millis(20),
         renew: millis(700),
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -196,6 +196,12 @@
             holding.tick(now, wall_ms);
             return self.pump(now);
         }
+        if let Role::Loading { taken, .. } = &self.role
+            && now.saturating_sub(*taken)
+                >= self.settings.lease.saturating_sub(self.settings.margin)
+        {
+            self.step_down(now, "the state was not read within the lease");
+        }
         let due = self.polled.is_none_or(|at| now.saturating_sub(at) >= self.settings.poll);
         if !matches!(self.role, Role::Watching) || !due {
             return Vec::new();
@@ -239,7 +245,8 @@
         // An earlier process of this host is gone for sure, since this one runs in its place.
         let own = lease.holder.as_ref() == Some(&self.own) && lease.nonce != self.nonce;
         let free = lease.holder.is_none() || own;
-        if self.leaving || !(free || stands >= self.settings.lease) {
+        let wait = if free { time::Duration::ZERO } else { self.settings.lease };
+        if self.leaving || stands < wait + self.settings.handicap {
             return Vec::new();
         }
         let before = lease.holder.clone();
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -20,6 +20,9 @@
     pub lease: time::Duration,
     /// How much earlier a holder stops by itself, for clocks that run apart.
     pub margin: time::Duration,
+    /// How much longer than others this host waits before it takes a lease: hosts too weak to hold a domain
+    /// with ease leave it to stronger ones.
+    pub handicap: time::Duration,
     /// The time between two reads of a lease that another host holds.
     pub poll: time::Duration,
     /// The least time between two commits.
--- a/crates/wharflane/src/toml_read.rs
+++ b/crates/wharflane/src/toml_read.rs
@@ -272,6 +272,28 @@
         }
     }
 
+    /// Reads a whole number or a decimal one that may be left out, in thousandths within a range.
+    pub fn decimal_milli(&mut self, key: &str, range: ops::RangeInclusive<u64>) -> Option<u64> {
+        let (at, value) = self.take(key)?;
+        let parsed = match &value {
+            de::DeValue::Integer(number) => number.as_str().parse::<f64>().ok(),
+            de::DeValue::Float(number) => number.as_str().parse::<f64>().ok(),
+            _ => None,
+        };
+        let Some(number) = parsed.filter(|number| number.is_finite()) else {
+            self.wrong(at, key, "a number");
+            return None;
+        };
+        let milli = (number * 1e3).round();
+        if milli < 0.0 || milli > *range.end() as f64 || milli < *range.start() as f64 {
+            let (low, high) = (*range.start(), *range.end());
+            let value = milli as i64;
+            self.doc.fault(at, FaultKind::OutOfRange { key: key.to_owned(), value, low, high });
+            return None;
+        }
+        Some(milli as u64)
+    }
+
     /// Reads a number that must be given.
     pub fn need_number(&mut self, key: &str, range: ops::RangeInclusive<u64>) -> u64 {
         if !self.rest.contains_key(key) {
