--- a/crates/daemon/src/traffic/balancer.rs
+++ b/crates/daemon/src/traffic/balancer.rs
@@ -185,7 +185,8 @@
         self.lock().service.clone()
     }
 
-    /// Waits for a place at an endpoint.
+    /// Waits for a place at an endpoint; one that has just failed the request is taken only where no other
+    /// has room.
     ///
     /// # Errors
     /// Returns `NoPermit` as soon as it is clear that the request can't be served in time.
@@ -195,11 +196,12 @@
         now: time::Duration,
         deadline: time::Duration,
         first: bool,
+        failed_at: Option<net::SocketAddr>,
     ) -> Result<Permit, NoPermit> {
         let waiting = {
             let mut state = self.lock();
             if state.queue.is_empty()
-                && let Some(addr) = reserve(&mut state, now)
+                && let Some(addr) = reserve_beside(&mut state, now, failed_at)
             {
                 return Ok(self.permit(addr, now));
             }
@@ -343,7 +345,7 @@
     ) -> Vec<(oneshot::Sender<Grant>, Grant)> {
         let mut woken = Vec::new();
         while !state.queue.is_empty() {
-            let Some(addr) = reserve(state, now) else {
+            let Some(addr) = reserve(state, now, None) else {
                 break;
             };
             let (late, next) = state.queue.pop(now);
@@ -410,13 +412,28 @@
     }
 }
 
-/// Takes a place at the better of two endpoints.
-fn reserve(state: &mut State, now: time::Duration) -> Option<net::SocketAddr> {
+/// Takes a place at another endpoint than one that failed, or there where no other has room.
+fn reserve_beside(
+    state: &mut State,
+    now: time::Duration,
+    failed_at: Option<net::SocketAddr>,
+) -> Option<net::SocketAddr> {
+    let other = failed_at.and_then(|addr| reserve(state, now, Some(addr)));
+    other.or_else(|| reserve(state, now, None))
+}
+
+/// Takes a place at the better of two endpoints, of which one may be left out.
+fn reserve(
+    state: &mut State,
+    now: time::Duration,
+    without: Option<net::SocketAddr>,
+) -> Option<net::SocketAddr> {
     let cap = state.cap;
     let slots = &state.slots;
     let cost = |at: usize| {
         let slot: &Slot = &slots[at];
-        if slot.endpoint.leaving { None } else { route::offer(&slot.health, cap, now) }
+        let out = slot.endpoint.leaving || Some(slot.endpoint.addr) == without;
+        if out { None } else { route::offer(&slot.health, cap, now) }
     };
     let mut rng = rand::rng();
     let at = route::pick(slots.len(), cost, |below| rng.random_range(0..below))?;
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -125,10 +125,12 @@
         under_way: forward::UnderWay,
     ) -> Result<http_reply::Reply, Rejection> {
         let mut tries = outcome::Tries::default();
+        let mut failed_at = None;
         let service = call.parsed.service.as_str();
         call.balancer.first_try();
         loop {
-            let permit = self.enter(call, &tries).await?;
+            let permit = self.enter(call, &tries, failed_at).await?;
+            let addr = permit.addr;
             let failure = match self.attempt(call, &permit).await {
                 Ok((answer, sent)) => {
                     return Ok(self.pass_on(call, answer, permit, sent, under_way));
@@ -144,6 +146,7 @@
             let now = self.clock.now();
             permit.failed(failure, now);
             tries.note(failure);
+            failed_at = Some(addr);
             if failure == outcome::Failure::Refused && tries.refused < MAX_REFUSALS {
                 // A full endpoint ran nothing and was asked little; the queue bounds the wait.
                 continue;
@@ -161,10 +164,12 @@
         &self,
         call: &Call<'_>,
         tries: &outcome::Tries,
+        failed_at: Option<std::net::SocketAddr>,
     ) -> Result<balancer::Permit, Rejection> {
         let now = self.clock.now();
         let first = *tries == outcome::Tries::default();
-        let entered = call.balancer.enter(call.priority, now, call.deadline, first).await;
+        let entered =
+            call.balancer.enter(call.priority, now, call.deadline, first, failed_at).await;
         entered.map_err(|none| {
             let (why, retry_after) = match none {
                 balancer::NoPermit::NoEndpoint => (reply::GaveUp::NoEndpoint, LEAST_RETRY_AFTER),
