wharflane why: what became of a job, and where the time of all went

Change: wharflane why reads JSON logs, tells the lines of one job, or by queue: whole time, work (longest run of each step), failed and lost runs, and the time beyond the work by cause (no holder, no store, room, harm, unavailable, other).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod jobs;
 mod print;
 mod trial;
+mod why;
 
 use std::fs;
 use std::io;
@@ -105,6 +106,7 @@
             clap::Command::new("try").about("Run a demo in one process").args([seconds, json()]),
         )
         .subcommand(jobs::command())
+        .subcommand(why::command())
         .subcommand(clap::Command::new("completion").about("Print a shell completion").arg(shell))
 }
 
@@ -116,6 +118,7 @@
     match name {
         "check" => check(args),
         "job" => jobs::run(args),
+        "why" => why::run(args),
         "completion" => {
             if let Some(shell) = args.get_one::<clap_complete::Shell>("shell") {
                 let mut command = command();
--- /dev/null
+++ b/crates/cli/tests/why.rs
@@ -0,0 +1,76 @@
+//! `wharflane why` on logs of two hosts, of which the first loses the domain.
+
+use std::fs;
+use std::process;
+
+use wharflane_stand_in::cases;
+
+/// What two hosts wrote: a job that waits for a new holder, and one that waits for harm.
+const LOGS: &[&str] = &[
+    "\
+-0.1 host-a {\"timestamp\":\"2026-01-01T00:00:00.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/first/00000000000000aa\",\"answer\":\"Accepted\"}}
+{\"timestamp\":\"2026-01-01T00:00:00.100000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"00000000000000aa.0.0.0\",\"run\":1}}
+no line of ours
+{\"timestamp\":\"2026-01-01T00:00:01.100000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000aa.0.0.0\",\"run\":1,\"how\":\"failed\"}}
+",
+    "\
+{\"timestamp\":\"2026-01-01T00:00:04.100000Z\",\"fields\":{\"message\":\"holding the domain\",\"epoch\":2}}
+{\"timestamp\":\"2026-01-01T00:00:04.200000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"00000000000000aa.0.0.0\",\"run\":2}}
+{\"timestamp\":\"2026-01-01T00:00:05.200000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000aa.0.0.0\",\"run\":2,\"how\":\"done\"}}
+{\"timestamp\":\"2026-01-01T00:00:05.200000Z\",\"fields\":{\"message\":\"job completed\",\"job\":\"00000000000000aa\"}}
+{\"timestamp\":\"2026-01-01T00:00:06.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/last/00000000000000bb\",\"answer\":\"Accepted\"}}
+{\"timestamp\":\"2026-01-01T00:00:08.000000Z\",\"fields\":{\"message\":\"no worker for a task\",\"task\":\"00000000000000bb.0.0.0\",\"harm\":5,\"no_room\":1,\"unavailable\":0}}
+{\"timestamp\":\"2026-01-01T00:00:09.000000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"00000000000000bb.0.0.0\",\"run\":1}}
+{\"timestamp\":\"2026-01-01T00:00:10.000000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000bb.0.0.0\",\"run\":1,\"how\":\"done\"}}
+{\"timestamp\":\"2026-01-01T00:00:10.000000Z\",\"fields\":{\"message\":\"job completed\",\"job\":\"00000000000000bb\"}}
+{\"timestamp\":\"2026-01-01T00:00:11.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/last/00000000000000cc\",\"answer\":\"NotTaken { retry_after: 1s }\"}}
+",
+];
+
+/// Runs the command on the logs and returns its exit code and what it printed.
+fn why(job: &[&str]) -> (Option<i32>, String) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_wharflane"));
+    command.arg("why").args(job);
+    for (at, log) in LOGS.iter().enumerate() {
+        let path = folder.path().join(at.to_string());
+        fs::write(&path, log).expect("a log");
+        command.arg("--log").arg(path);
+    }
+    let output = command.output().expect("the command runs");
+    (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+/// Returns the cells of a queue's row.
+fn cells(queue: &str) -> Vec<String> {
+    let (_, table) = why(&[]);
+    let row = table.lines().find(|line| line.starts_with(&format!("| {queue} "))).expect("a row");
+    row.split('|').map(|cell| cell.trim().to_owned()).collect()
+}
+
+cases! {
+    the_lines_of_a_job_are_told_in_order => {
+        let (code, told) = why(&["00000000000000aa"]);
+        assert_eq!(code, Some(0));
+        let lines: Vec<&str> = told.lines().collect();
+        assert_eq!(lines.len(), 6, "{told}");
+        assert!(lines[5].contains("5200 ms") && lines[5].contains("job completed"), "{told}");
+    },
+    a_job_that_nobody_knows_is_said_so => {
+        assert_eq!(why(&["00000000000000dd"]).0, Some(4));
+    },
+    time_without_a_holder_is_told_apart => {
+        // 5.2 s in all, 1 s of work, 3 s without a holder; the rest is the failed run.
+        let cells = cells("/first");
+        assert_eq!(cells[6..8], ["5.20", "1.00"], "{cells:?}");
+        assert_eq!(cells[11..17], ["3.00", "0.00", "0.00", "0.00", "0.00", "1.20"], "{cells:?}");
+    },
+    time_kept_waiting_for_harm_is_told_apart => {
+        let cells = cells("/last");
+        assert_eq!(cells[11..17], ["0.00", "0.00", "0.00", "3.00", "0.00", "0.00"], "{cells:?}");
+    },
+    submissions_turned_away_are_counted => {
+        let (_, table) = why(&[]);
+        assert!(table.contains("submissions turned away: 1"), "{table}");
+    },
+}
