--- a/crates/cli/src/why/summary.rs
+++ b/crates/cli/src/why/summary.rs
@@ -168,12 +168,10 @@
     fn take(&mut self, record: &read::Record) {
         let task = record.text("task").unwrap_or_default();
         match record.message.as_str() {
-            "call answered" if record.text("method") == Some("POST") => {
-                if record.text("answer") == Some("Accepted") {
-                    let path = record.text("path").unwrap_or_default();
-                    self.queue = path.rsplit_once('/').map(|(queue, _)| queue.to_owned());
-                    self.accepted = self.accepted.or(Some(record.at));
-                }
+            "call answered" if record.text("answer") == Some("Accepted") => {
+                let path = record.text("path").unwrap_or_default();
+                self.queue = path.rsplit_once('/').map(|(queue, _)| queue.to_owned());
+                self.accepted = self.accepted.or(Some(record.at));
             }
             "start ordered" => {
                 self.first = self.first.or(Some(record.at));
