The lease of a dead process or a silent host is taken before it is over

Ruled out: a shorter lease, since a commit may take 1 s where answers are lost. Change: the lease row says where its holder listens; once it has stood still for 0.5 s that port is tried. Where nothing listens the lease is taken at once, where the host is silent after 0.8 s. A path may lie about both, so nothing rests on it: the write is conditional as before, and leases of tasks that the last holder may have granted are then taken to last longer by its whole lease.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -14,6 +14,8 @@
 
 /// How often the engine is asked what is due while this host holds the domain.
 const TICK_HOLDING: time::Duration = time::Duration::from_millis(20);
+/// How long a host may take to answer a connection; between halls it takes 2 ms.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// How often it is asked while another host does.
 const TICK_WATCHING: time::Duration = time::Duration::from_millis(100);
 
@@ -126,6 +128,10 @@
                 let event = read_lease(&shared, domain).await;
                 tell(&myself, event);
             })),
+            job::Effect::Probe { version, addr } => drop(tokio::spawn(async move {
+                let sign = probe(addr).await;
+                tell(&myself, job::Event::Probed { version, sign });
+            })),
             job::Effect::Load => {
                 let on = self.generation.load(atomic::Ordering::Relaxed);
                 let generation = (on, sync::Arc::clone(&self.generation));
@@ -169,6 +175,21 @@
     }
 }
 
+/// Returns what a host answers to a connection.
+async fn probe(addr: std::net::SocketAddr) -> job::Sign {
+    let connecting = tokio::net::TcpStream::connect(addr);
+    match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => job::Sign::Listens,
+        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => job::Sign::Refused,
+        // Other errors are this host's own, such as too few descriptors, and say nothing of the holder.
+        Ok(Err(err)) => {
+            tracing::warn!(%addr, %err, "the holder can't be looked for");
+            job::Sign::Listens
+        }
+        Err(_) => job::Sign::Silent,
+    }
+}
+
 /// Returns what is known of a transaction.
 fn outcome(answer: Result<rows::Answer, store::StoreError>) -> rows::Outcome {
     match answer {
@@ -215,6 +236,9 @@
         domain: 0,
         lease: shared.time("lease_ms"),
         margin: shared.time("margin_ms"),
+        addr: Some(shared.settings.operator_addr),
+        probe: shared.time("probe_ms"),
+        silence: shared.time("silence_ms"),
         handicap: handicap(&shared.settings),
         poll: shared.time("poll_ms"),
         commit: shared.time("commit_ms"),
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -19,6 +19,8 @@
 pub(super) const ATTEMPTS: u32 = 3;
 /// The name of the only queue.
 pub(super) const QUEUE: &str = "queue";
+/// The port of the first host.
+const FIRST_PORT: u16 = 7_000;
 /// The time that an order may be late after a cancel and still be no breach.
 pub(super) const CANCEL: time::Duration = time::Duration::from_secs(3);
 
@@ -37,6 +39,8 @@
     pub kills: u32,
     /// Freezes of the holder for 4 s.
     pub freezes: u32,
+    /// Probes of a living holder that are refused or lost on the way.
+    pub refused_probes: u32,
     /// Outages of the store for 4 s.
     pub outages: u32,
     /// Workers that die in silence; a new life comes 4 s later.
@@ -253,7 +257,9 @@
     pub(super) fn boot(&mut self, host: usize) {
         let own = id::HostId::from(format!("h{host}").as_str());
         let nonce = self.rng.random_range(1..u64::MAX);
-        let mut engine = job::Engine::new(own, settings(), nonce);
+        let port = FIRST_PORT + u16::try_from(host).unwrap_or(0);
+        let settings = job::Settings { addr: Some(([127, 0, 0, 1], port).into()), ..settings() };
+        let mut engine = job::Engine::new(own, settings, nonce);
         let queue = job::Queue {
             name: QUEUE.to_owned(),
             host: String::new(),
@@ -307,6 +313,17 @@
                     if self.down { job::Event::LeaseUnread } else { job::Event::LeaseRead(row) };
                 self.send(way, Message::Back(host, life, Box::new(read)));
             }
+            job::Effect::Probe { version, addr } => {
+                let at = usize::from(addr.port() - FIRST_PORT);
+                let lie = self.chance(self.faults.refused_probes);
+                let sign = match (self.hosts[at].engine.is_none() || lie, self.chance(500)) {
+                    (false, _) => job::Sign::Listens,
+                    (true, false) => job::Sign::Refused,
+                    (true, true) => job::Sign::Silent,
+                };
+                let event = Box::new(job::Event::Probed { version, sign });
+                self.send(way, Message::Back(host, life, event));
+            }
             job::Effect::Load => {
                 self.send(way, Message::Load(host, life));
             }
@@ -443,6 +460,9 @@
         domain: 0,
         lease: millis(2_200),
         margin: millis(400),
+        addr: None,
+        probe: millis(500),
+        silence: millis(1_200),
         handicap: millis(0),
         poll: millis(300),
         commit: millis(20),
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -31,6 +31,12 @@
     }),
     holders_killed => judge(world::Faults { kills: 5, ..world::Faults::default() }),
     holders_frozen => judge(world::Faults { freezes: 3, ..world::Faults::default() }),
+    holders_probed_in_vain => judge(world::Faults {
+        refused_probes: 1_000,
+        cuts: 3,
+        lost_answers: 50,
+        ..world::Faults::default()
+    }),
     store_down => judge(world::Faults { outages: 2, ..world::Faults::default() }),
     workers_lost => judge(world::Faults { crashes: 4, ..world::Faults::default() }),
     workers_cut => judge(world::Faults { cuts: 4, ..world::Faults::default() }),
@@ -42,6 +48,7 @@
         late_txns: 20,
         kills: 3,
         freezes: 1,
+        refused_probes: 200,
         outages: 1,
         crashes: 2,
         cuts: 2,
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -48,6 +48,8 @@
 struct Seen {
     /// The version of the row; zero where it is absent.
     version: u64,
+    /// What it says.
+    lease: kept::Lease,
     /// Since when the row stands unchanged, by this host's clock.
     since: time::Duration,
 }
@@ -104,6 +106,7 @@
             event::Event::Tick { wall_ms } => return self.tick(now, wall_ms),
             event::Event::LeaseRead(row) => return self.lease_read(now, row),
             event::Event::LeaseUnread => {}
+            event::Event::Probed { version, sign } => return self.probed(now, version, sign),
             event::Event::Loaded { jobs, progress, learned } => {
                 return self.loaded(now, &jobs, &progress, &learned);
             }
@@ -238,7 +241,7 @@
         let (version, lease) = row.unwrap_or_default();
         let known = self.seen.as_ref().is_some_and(|seen| seen.version == version);
         if !known {
-            self.seen = Some(Seen { version, since: now });
+            self.seen = Some(Seen { version, lease: lease.clone(), since: now });
         }
         let since = self.seen.as_ref().map_or(now, |seen| seen.since);
         let stands = now.saturating_sub(since);
@@ -246,9 +249,56 @@
         let own = lease.holder.as_ref() == Some(&self.own) && lease.nonce != self.nonce;
         let free = lease.holder.is_none() || own;
         let wait = if free { time::Duration::ZERO } else { self.settings.lease };
-        if self.leaving || stands < wait + self.settings.handicap {
+        if self.leaving {
+            return Vec::new();
+        }
+        if stands < wait + self.settings.handicap {
+            let addr = lease.addr.filter(|_| !free && stands >= self.settings.probe);
+            return addr.map(|addr| event::Effect::Probe { version, addr }).into_iter().collect();
+        }
+        self.take(now, version, &lease, time::Duration::ZERO)
+    }
+
+    /// Takes the lease of a holder whose process is gone, or whose host is silent.
+    ///
+    /// Nothing rests on that: a path that refuses connections or loses them may lie, and the holder then acts
+    /// on until its next commit or until its lease is over. So the leases of tasks that it may grant are taken
+    /// to last longer by its own.
+    fn probed(
+        &mut self,
+        now: time::Duration,
+        version: u64,
+        sign: event::Sign,
+    ) -> Vec<event::Effect> {
+        let wait = match sign {
+            event::Sign::Listens => return Vec::new(),
+            event::Sign::Refused => self.settings.probe,
+            event::Sign::Silent => self.settings.silence,
+        };
+        let seen = self.seen.clone().filter(|seen| seen.version == version);
+        let Some(seen) = seen.filter(|_| matches!(self.role, Role::Watching) && !self.leaving)
+        else {
+            return Vec::new();
+        };
+        let stands = now.saturating_sub(seen.since);
+        if stands < wait + self.settings.handicap {
             return Vec::new();
         }
+        let unchanged_ms = super::worker::millis(stands);
+        let domain = self.settings.domain;
+        tracing::info!(domain, version, ?sign, unchanged_ms, "the holder seems to be gone");
+        self.take(now, version, &seen.lease, self.settings.lease)
+    }
+
+    /// Takes a lease; `beyond` is how much longer than by the row its holder may have acted.
+    fn take(
+        &mut self,
+        now: time::Duration,
+        version: u64,
+        lease: &kept::Lease,
+        beyond: time::Duration,
+    ) -> Vec<event::Effect> {
+        let stands = self.seen.as_ref().map_or(now, |seen| now.saturating_sub(seen.since));
         let before = lease.holder.clone();
         let next = kept::Lease {
             holder: Some(self.own.clone()),
@@ -256,11 +306,12 @@
             nonce: self.nonce,
             seq: 0,
             hold_ms: super::worker::millis(self.settings.hold),
+            addr: self.settings.addr,
         };
         let inherited = match lease.hold_ms {
             0 => self.settings.hold_max,
             hold_ms => time::Duration::from_millis(hold_ms),
-        };
+        } + beyond;
         tracing::info!(
             domain = self.settings.domain,
             version,
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -1,5 +1,6 @@
 //! What happens to an engine, what it asks for, and how it is timed.
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -20,6 +21,12 @@
     pub lease: time::Duration,
     /// How much earlier a holder stops by itself, for clocks that run apart.
     pub margin: time::Duration,
+    /// Where this process listens, for as long as it runs.
+    pub addr: Option<net::SocketAddr>,
+    /// How long a lease row must stand unchanged before its holder's process is looked for.
+    pub probe: time::Duration,
+    /// How long it must stand unchanged before it is taken from a holder whose host is silent.
+    pub silence: time::Duration,
     /// How much longer than others this host waits before it takes a lease: hosts too weak to hold a domain
     /// with ease leave it to stronger ones.
     pub handicap: time::Duration,
@@ -43,6 +50,17 @@
     pub keep: time::Duration,
 }
 
+/// What the host of a holder answers to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// The process listens, or its host takes connections for it.
+    Listens,
+    /// Nothing listens there.
+    Refused,
+    /// No answer came: the host has no power, or can't be reached.
+    Silent,
+}
+
 /// What happens to an engine.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -55,6 +73,13 @@
     LeaseRead(Option<(u64, kept::Lease)>),
     /// The lease row could not be read.
     LeaseUnread,
+    /// The process of a holder was looked for.
+    Probed {
+        /// The version of the lease row that named it.
+        version: u64,
+        /// What its host answered.
+        sign: Sign,
+    },
     /// All rows of the domain were read.
     Loaded {
         /// The accepted jobs.
@@ -120,6 +145,13 @@
 pub enum Effect {
     /// Read the lease row.
     ReadLease,
+    /// Look for the process of a holder.
+    Probe {
+        /// The version of the lease row that names it.
+        version: u64,
+        /// Where it listened.
+        addr: net::SocketAddr,
+    },
     /// Read all rows of the domain.
     Load,
     /// Send a transaction.
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -40,7 +40,7 @@
 
 pub use call::{Answer, Call};
 pub use engine::Engine;
-pub use event::{Effect, Event, Settings};
+pub use event::{Effect, Event, Settings, Sign};
 pub use holding::{Dump, Holding};
 pub use order::{
     EndKind, Ended, Lists, Look, LookAnswer, Member, Order, Pace, Running, Start, StartAnswer,
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -5,6 +5,8 @@
 //! one part one after the other, and callers' writes would wait behind the holder's and each other's.
 //! Every part follows from the job's name alone.
 
+use std::net;
+
 use serde::{Deserialize, Serialize};
 
 use super::spec;
@@ -129,6 +131,9 @@
     /// The longest lease of tasks that the holder asks workers for, in milliseconds.
     #[serde(default)]
     pub hold_ms: u64,
+    /// Where the holder's process listens, so that others can tell whether it is gone.
+    #[serde(default)]
+    pub addr: Option<net::SocketAddr>,
 }
 
 /// What waits in the queues of a domain.
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -83,21 +83,7 @@
             refusals: 0,
             answers: collections::VecDeque::new(),
         };
-        let queue = |name: &str, priority| job::Queue {
-            name: name.to_owned(),
-            host: String::new(),
-            prefix: String::new(),
-            service: "service".into(),
-            priority,
-            max_attempts: 3,
-            advice: (name == ADVISED).then(job::Terms::default),
-            stretch_percent: 200,
-            objective_ms: 1_000,
-        };
-        let queues = ["first", "last", ADVISED].into_iter().zip([0, 2, 0]);
-        let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
-        let queues = job::Queues { revision: 1, queues: queues.collect() };
-        desk.take(job::Event::Queues(sync::Arc::new(queues)));
+        desk.take(job::Event::Queues(queues()));
         desk.take(job::Event::Listed((0..workers).map(member).collect()));
         desk.take(job::Event::LeaseRead(None));
         desk.take(job::Event::Loaded { jobs, progress, learned });
@@ -300,6 +286,25 @@
     }
 }
 
+/// Returns the queues of these tests.
+pub fn queues() -> sync::Arc<job::Queues> {
+    let queue = |name: &str, priority| job::Queue {
+        name: name.to_owned(),
+        host: String::new(),
+        prefix: String::new(),
+        service: "service".into(),
+        priority,
+        max_attempts: 3,
+        advice: (name == ADVISED).then(job::Terms::default),
+        stretch_percent: 200,
+        objective_ms: 1_000,
+    };
+    let queues = ["first", "last", ADVISED].into_iter().zip([0, 2, 0]);
+    let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
+    let queues = job::Queues { revision: 1, queues: queues.collect() };
+    sync::Arc::new(queues)
+}
+
 /// Returns a worker as the store lists it.
 pub fn member(at: usize) -> job::Member {
     job::Member {
@@ -345,3 +350,14 @@
     });
     starts.collect()
 }
+
+/// Returns the rows of a job whose only task runs on the worker with number 0, and of its progress.
+pub fn started_rows() -> (Vec<rows::Row>, Vec<rows::Row>) {
+    let mut before = Desk::new(1, Vec::new());
+    before.submit(1, "first", step("plain", 1_000));
+    before.pass(200, false);
+    let job::Event::Jobs(jobs) = before.accepted(1, "first", step("plain", 1_000)) else {
+        panic!("no rows");
+    };
+    (jobs, before.table(job::PROGRESS))
+}
