The player of the comparison's tests lies as a file

Each test wrote its own script and started it; another test's thread that starts a process meanwhile holds the script open for writing for a moment. Ruled out: a missing file or mode (the error is 26). Change: the script is a file of the repository and is never written by a test. No bound was changed.

--- a/crates/bench/tests/compare.rs
+++ b/crates/bench/tests/compare.rs
@@ -1,28 +1,14 @@
 //! The comparison of trees, played by a script in place of a player.
 
 use std::fs;
-use std::os::unix::fs::PermissionsExt as _;
 use std::path;
 
 use wharflane_bench::{ablate, compare, plays};
 use wharflane_stand_in::cases;
 
-/// A player whose days are worth what the tree says, and a little by seed; rule `TWICE` is broken where
-/// the tree says so. It leaves an entry in the tree's journal.
-const PLAYER: &str = r#"#!/bin/sh
-[ "$1" = build ] && exit 0
-seed=; report=
-while [ $# -gt 0 ]; do
-  case "$1" in --seed) seed=$2; shift;; --report) report=$2; shift;; esac
-  shift
-done
-[ -f silent ] && { echo "no day of that name"; exit 1; }
-mkdir -p journal
-echo "{}" > "journal/$seed-$(basename "$PWD").json"
-breaks='{}'
-[ -f broken ] && breaks='{"TWICE": 1}'
-echo "{\"G\": $(cat worth)$seed, \"breaks\": $breaks}" > "$report"
-"#;
+/// The player of these tests. It lies here as a file: one that a test writes may still be open in the child of
+/// another test's thread as it is started, and is then refused as busy.
+const PLAYER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/player.sh");
 
 /// A folder with a player and two trees.
 struct Setup {
@@ -34,9 +20,6 @@
     /// Makes a player and trees with what their days are worth.
     fn new(trees: &[(&str, &str)]) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let player = folder.path().join("player");
-        fs::write(&player, PLAYER).expect("the player");
-        fs::set_permissions(&player, fs::Permissions::from_mode(0o755)).expect("runnable");
         fs::create_dir(folder.path().join("journal")).expect("a journal");
         for (name, worth) in trees {
             fs::create_dir(folder.path().join(name)).expect("a tree");
@@ -59,11 +42,7 @@
         };
         let days = seeds.iter().flat_map(|seed| [day("a.toml", seed), day("b.toml", seed)]);
         compare::Comparison {
-            player: plays::Player {
-                program: self.folder.path().join("player"),
-                jobs: 3,
-                why: "a test".to_owned(),
-            },
+            player: plays::Player { program: PLAYER.into(), jobs: 3, why: "a test".to_owned() },
             days: days.collect(),
             journal: self.folder.path().join("journal"),
         }
