A margin is kept beside targets while nothing that fills waits

Change: what runs is held back for the margin unless tasks that fill found no worker when they were last tried.

--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -202,6 +202,8 @@
     pub(super) placed_at: time::Duration,
     /// How often a worker was sought for a task.
     pub(super) sought: u64,
+    /// Whether tasks that fill found no worker when they were last tried.
+    pub(super) fills_wait: bool,
     /// Workers whose room is kept for lasting tasks that come back, until the next try.
     pub(super) kept_for: collections::BTreeSet<id::WorkerId>,
     /// Which workers may run steps whose queue asks for advice.
@@ -283,6 +285,7 @@
             changed: true,
             placed_at: time::Duration::ZERO,
             sought: 0,
+            fills_wait: false,
             kept_for: collections::BTreeSet::new(),
             tickets: tickets::Tickets::default(),
             told: collections::BTreeMap::new(),
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -11,9 +11,8 @@
 use super::worker;
 use crate::id;
 
-/// The strain that is kept free below a target when something is placed: figures are rough and loads rise
-/// meanwhile. Nothing is held back for it: work that is held back while targets are still kept costs
-/// callers more than the targets gain, 0.012 of the worth of a day in 24 pairs.
+/// The strain that is kept free below a target: figures are rough and loads rise meanwhile. While work that
+/// fills waits for workers it counts for placement alone, and what runs is held back only for a missed target.
 pub(super) const MARGIN: f64 = 0.05;
 /// The strain that must be free beyond the margin before work is let go faster.
 pub(super) const SLACK: f64 = 0.04;
@@ -56,12 +55,13 @@
     ) {
         let tails: Vec<(spec::TaskId, worker::Serving, f64)> = self.read_tails(worker, lists, now);
         let uses = self.read_uses(worker, lists);
+        let margin = if self.fills_wait { 0.0 } else { MARGIN };
         let mut over = 0.0_f64;
         let mut excess = Vec::new();
         for (task, serving, strain) in tails {
             let own = self.own_load(task.job, now).unwrap_or(strain);
             self.learned.harm.learn(serving.image, &uses, strain - own);
-            let limit = self.learned.harm.limit(serving.image, serving.target_ms);
+            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - margin;
             over = over.max(strain - limit);
             excess.push((serving.image, strain - limit));
         }
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -26,6 +26,7 @@
     /// Seeks workers for the tasks whose turn has come.
     pub(super) fn place_ready(&mut self, now: time::Duration) {
         let again = now.saturating_sub(self.placed_at) >= RETRY;
+        self.fills_wait &= !self.ready.is_empty();
         if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
             return;
         }
@@ -61,6 +62,7 @@
 /// Stages a start for each task that finds a worker.
 fn run(holding: &mut holding::Holding, now: time::Duration) {
     holding.kept_for.clear();
+    holding.fills_wait = false;
     if holding.ready.values().any(|ready| !ready.lasting) {
         holding.refresh_headroom(now);
     }
@@ -99,6 +101,7 @@
             place_one(holding, pass, &ready, &step, now)
         };
         if !placed {
+            holding.fills_wait |= step.fills;
             holding.tell_wait(pass, &ready, &step, now);
             ask_workers(holding, ready.task, now);
         }
--- a/crates/wharflane/tests/pace.rs
+++ b/crates/wharflane/tests/pace.rs
@@ -52,8 +52,8 @@
 }
 
 /// Returns the shares that are ordered for a task that fills beside one of two serving tasks, where that one
-/// has a tail and the other is at rest.
-fn shares_beside(tail_ms: u64) -> Vec<u8> {
+/// has a tail and the other is at rest; one more task that fills may wait for a worker.
+fn shares_beside(tail_ms: u64, waits: bool) -> Vec<u8> {
     let alone = job::Step { count: 2, max_per_worker: Some(1), ..desk::step("serving", 4_000) };
     let filling = desk::step("filling", ASKED_MILLI);
     let mut before = desk::Desk::new(2, Vec::new());
@@ -68,12 +68,17 @@
     let mut desk = desk::Desk::after(2, (jobs, before.table(job::PROGRESS)), Vec::new());
     let row = |task, percent, load| job::Running { task, run: 1, percent, load };
     let busy = (0..2).find(|worker| desk::member(*worker).id == at).expect("a worker");
+    if waits {
+        desk.submit(3, "first", desk::step("filling", 1_000_000));
+    }
     for tail_ms in [13, tail_ms] {
         let serving = |index| job::TaskId { index, ..first(1) };
         desk.hear(1 - busy, vec![row(serving(1 - beside), 100, 13)]);
         let fills = row(first(2), 40, ASKED_MILLI);
         desk.hear(busy, vec![row(serving(beside), 100, tail_ms), fills]);
         desk.now += time::Duration::from_millis(700);
+        let wall_ms = u64::try_from(desk.now.as_millis()).expect("a small number");
+        desk.take(job::Event::Tick { wall_ms });
     }
     shares(&desk)
 }
@@ -94,9 +99,13 @@
         desk.hear(0, running(ASKED_MILLI * 2 / 3));
         assert_eq!(shares(&desk), [100], "two thirds are the calm phase of a task");
     },
-    nothing_is_held_back_while_a_target_is_kept => {
-        assert_eq!(shares_beside(48), [100], "48 ms of 50 is kept");
-        let held = shares_beside(56);
+    nothing_is_held_back_for_a_margin_while_work_waits => {
+        assert_eq!(shares_beside(48, true), [100], "48 ms of 50 is kept");
+        let held = shares_beside(56, true);
+        assert!(held.len() == 2 && held[1] < 100, "{held:?}");
+    },
+    a_margin_is_kept_where_nothing_waits => {
+        let held = shares_beside(48, false);
         assert!(held.len() == 2 && held[1] < 100, "{held:?}");
     },
     a_task_held_back_by_the_last_holder_does_not_count_as_standing_still => {
