A loopback proxy whose open connections go silent while new ones work

Cause: no stand-in could show what a connection without a reset and without an answer does to a pool, a feed or a long answer. Ruled out: the switch store_silent, which silences the store and not a connection.

--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod jobs;
 pub mod machine;
 pub mod platform;
+pub mod proxy;
 pub mod scenario;
 mod scenario_text;
 pub mod store;
--- /dev/null
+++ b/crates/stand-in/tests/proxy.rs
@@ -0,0 +1,57 @@
+//! The proxy: what it carries, and what a silent connection looks like from both sides.
+
+use std::time;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use wharflane_stand_in::cases;
+use wharflane_stand_in::proxy;
+
+cases! {
+    an_open_connection_goes_silent_and_a_new_one_works => run(silenced()),
+}
+
+/// How long silence is listened to: an answer on loopback takes less than a thousandth of it.
+const LISTEN: time::Duration = time::Duration::from_millis(300);
+
+/// Runs a case.
+fn run(case: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(case);
+}
+
+/// Starts a server that sends back what it gets.
+async fn echo() -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                drop(tokio::io::copy(&mut from, &mut to).await);
+            });
+        }
+    });
+    addr
+}
+
+/// Sends one byte and returns whether it came back.
+async fn answers(stream: &mut tokio::net::TcpStream) -> bool {
+    stream.write_all(b"x").await.expect("written");
+    let mut byte = [0];
+    matches!(tokio::time::timeout(LISTEN, stream.read_exact(&mut byte)).await, Ok(Ok(_)))
+}
+
+/// Silences one connection and opens another.
+async fn silenced() {
+    let proxy = proxy::Proxy::start(echo().await).await.expect("a proxy");
+    let mut old = tokio::net::TcpStream::connect(proxy.addr).await.expect("connected");
+    assert!(answers(&mut old).await, "carried before");
+    proxy.silence();
+    assert!(!answers(&mut old).await, "silent, yet neither closed nor reset");
+    let mut new = tokio::net::TcpStream::connect(proxy.addr).await.expect("connected");
+    assert!(answers(&mut new).await, "a new one works");
+    assert_eq!(proxy.opened(), 2);
+}
