A round whose time of day goes back is opened again when it comes

Cause: a task that ends is put up again only if its round is due; where the time of day has gone back meanwhile it is not, and nothing opened the round a second time, so the task, or a step after it, waited for good. It now waits for the due time as any round does. Failed first on: a_round_that_was_open_stays_so_when_the_time_of_day_goes_back saw 1 start of 2; now it sees 2.

--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -148,10 +148,15 @@
         let Some(spec) = entry.job.step(step).filter(|_| entry.active()) else {
             return;
         };
-        let due = entry.job.due_ms(round) <= self.wall_ms || entry.job.repeats.is_none();
+        let due_ms = entry.job.due_ms(round);
+        if due_ms > self.wall_ms && entry.job.repeats.is_some() {
+            // The time of day may have gone back since the round was opened first.
+            self.future.insert((due_ms, job, round));
+            return;
+        }
         let open =
             spec.after.iter().all(|after| entry.progress.step_done(&entry.job, round, *after));
-        if !due || !open {
+        if !open {
             return;
         }
         let (priority, _) = self.terms(&entry.job);
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -47,6 +47,11 @@
     desk
 }
 
+/// Returns the name of a task.
+fn task(job: u64, index: u32) -> job::TaskId {
+    job::TaskId { job: job::JobId(job), round: 0, step: 0, index }
+}
+
 cases! {
     // Seen: a task of a job accepted 78 s before ran nothing, while most of the workers' room was free.
     // How it can come about: all workers hold serving tasks, and the task's image is learned to harm them more
@@ -59,4 +64,25 @@
         desk.pass(BOUND_MS, false);
         assert_eq!(desk.starts(WAITING).len(), 1);
     },
+    a_round_that_was_open_stays_so_when_the_time_of_day_goes_back => {
+        let mut desk = desk::Desk::new(1, Vec::new());
+        let job::Event::Jobs(mut rows) =
+            desk.accepted(WAITING, "first", desk::step("plain", 1_000))
+        else {
+            panic!("no rows");
+        };
+        let text = rows[0].value.take().expect("a job");
+        let mut accepted: job::Accepted = serde_json::from_str(&text).expect("a job");
+        accepted.job.repeats = Some(job::Repeats { times: 1, first_ms: 1_500, every_ms: 0 });
+        rows[0].value = serde_json::to_string(&accepted).ok();
+        desk.take(job::Event::Jobs(rows));
+        desk.pass(1_000, false);
+        assert_eq!(desk.starts(WAITING).len(), 1);
+        desk.behind_ms = 1_000;
+        desk.pass(100, false);
+        desk.end(task(WAITING, 0), job::EndKind::Lapsed);
+        desk.pass(400, false);
+        desk.pass(BOUND_MS, false);
+        assert_eq!(desk.starts(WAITING).len(), 2);
+    },
 }
