What was held back goes on once nothing serves beside it

Cause: shares were weighed only where a serving task told its tail, so a task held back to 0 % stood still for good once the last serving task had left its worker. Such a worker now lets everything go. Failed first on: what_was_held_back_goes_on_once_nothing_serves_beside_it saw 0 % last; now it sees 100 %.

--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -65,12 +65,12 @@
             over = over.max(strain - limit);
             excess.push((serving.image, strain - limit));
         }
-        if excess.is_empty() {
-            return;
-        }
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
+        if excess.is_empty() && !view.serving.is_empty() {
+            return;
+        }
         view.headroom = None;
         if view.filling.is_empty() || now.saturating_sub(view.paced) < SETTLE {
             return;
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -85,4 +85,25 @@
         desk.pass(BOUND_MS, false);
         assert_eq!(desk.starts(WAITING).len(), 2);
     },
+    what_was_held_back_goes_on_once_nothing_serves_beside_it => {
+        let mut desk = serving(1, 0.0);
+        desk.submit(WAITING, "last", desk::step("filling", FILLING_MILLI));
+        desk.pass(1_000, false);
+        desk.tail_ms = Some(|_| 200);
+        desk.pass(6_000, false);
+        assert_eq!(desk.paces.last().map(|(_, pace)| pace.percent), Some(0));
+        let job::Event::Jobs(mut rows) =
+            desk.accepted(SERVING, "first", desk::step("serving", 4_000))
+        else {
+            panic!("no rows");
+        };
+        let text = rows[0].value.take().expect("a job");
+        let mut accepted: job::Accepted = serde_json::from_str(&text).expect("a job");
+        accepted.cancelled = true;
+        rows[0].value = serde_json::to_string(&accepted).ok();
+        desk.take(job::Event::Jobs(rows));
+        desk.end(task(SERVING, 0), job::EndKind::Stopped);
+        desk.pass(BOUND_MS, false);
+        assert_eq!(desk.paces.last().map(|(_, pace)| pace.percent), Some(100));
+    },
 }
