--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -23,6 +23,7 @@
     a_submission_in_doubt_is_read_back => fleet::run(read_back()),
     a_host_that_lost_the_store_refuses_at_once => fleet::run(store_lost()),
     jobs_that_want_advice_run_only_where_they_may => fleet::run(advised()),
+    a_count_without_a_living_writer_is_not_told => fleet::run(frozen_writer()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
 }
@@ -32,6 +33,13 @@
 /// How long a task's work takes.
 const WORK: time::Duration = time::Duration::from_millis(300);
 
+/// How long a lease must stand unchanged until a host takes it.
+const LEASE_MS: u64 = 1_500;
+/// The same for a host that is to take none while a test runs.
+const LEASE_OF_A_WATCHER_MS: u64 = 60_000;
+/// How old a count may be that a caller is told.
+const COUNT_AGE: time::Duration = time::Duration::from_secs(2);
+
 /// Hosts that run the job service on one platform.
 struct Service {
     /// The platform.
@@ -48,7 +56,7 @@
         let platform = server::Platform::start(3, WORK).await.expect("a platform");
         let folder = tempfile::tempdir().expect("a folder");
         let mut service = Self { platform, hosts: Vec::new(), folder };
-        (0..hosts).for_each(|_| service.add_host());
+        (0..hosts).for_each(|_| service.add_host(LEASE_MS));
         for host in 0..hosts {
             service.until_answers(host).await;
         }
@@ -61,15 +69,15 @@
         fleet::until("an answer", async || jobs.waiting(server::QUEUE).await.is_ok()).await;
     }
 
-    /// Starts one more host.
-    fn add_host(&mut self) {
+    /// Starts one more host, which takes a lease that stood unchanged for so long.
+    fn add_host(&mut self, lease_ms: u64) {
         let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
         let name = format!("host-{}", self.hosts.len());
         let (store, advisor) = (self.platform.store, self.platform.advisor);
         let text = format!(
             "host = \"{name}\"\nhall = \"hall\"\n[listen]\ncaller = \"{caller}\"\n\
              operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\nadvisor = \"{advisor}\"\n\
-             lease_ms = 1500\n[log]\nlevel = \"warn\"\n"
+             lease_ms = {lease_ms}\n[log]\nlevel = \"warn\"\n"
         );
         let path = self.folder.path().join(format!("{name}.toml"));
         fs::write(&path, text).expect("settings written");
@@ -216,7 +224,7 @@
     for (process, _) in &mut service.hosts {
         process.kill();
     }
-    service.add_host();
+    service.add_host(LEASE_MS);
     let last = service.hosts.len() - 1;
     service.until_answers(last).await;
     service.until(last, id, job::Phase::Completed).await;
@@ -320,6 +328,35 @@
     service.judge(3);
 }
 
+/// Freezes the holder, hands a job in at another host, and asks there how many wait once every count of the
+/// holder is older than callers are promised.
+///
+/// Callers were told that no job waits while seven had waited for 5 s. The holder's host had become several
+/// times slower, and accepted jobs stood in an ever longer queue of events before the holder. The cause: every
+/// host believed the row of counts however old it was and however far its writer lagged, since nothing in
+/// the row told how old the truth behind it is. What proved it is the trace of that day: commits 1 to 2 s
+/// apart, and the count of 0 in force while jobs waited. A frozen holder is the same case without chance.
+async fn frozen_writer() {
+    let mut service = Service::start(1).await;
+    service.add_host(LEASE_OF_A_WATCHER_MS);
+    service.until_answers(1).await;
+    service.hosts[0].0.signal("-STOP");
+    let id = service.submit(1, 9).await;
+    tokio::time::sleep(2 * COUNT_AGE).await;
+    let told = service.jobs(1).waiting(server::QUEUE).await;
+    let known = matches!(&told, Ok(caller::Told::Waiting(1)));
+    let not_known = matches!(&told, Err(caller::JobError::Refused { status: 503, .. }));
+    assert!(known || not_known, "{told:?}");
+    service.hosts[0].0.signal("-CONT");
+    service.until(1, id, job::Phase::Completed).await;
+    let jobs = service.jobs(1);
+    fleet::until("a count", async || {
+        matches!(jobs.waiting(server::QUEUE).await, Ok(caller::Told::Waiting(0)))
+    })
+    .await;
+    service.judge(5);
+}
+
 /// Sends hang-ups to a host while it runs jobs.
 async fn hang_up() {
     let service = Service::start(1).await;
