--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -22,7 +22,7 @@
 /// The port of the first host.
 const FIRST_PORT: u16 = 7_000;
 /// The time that an order may be late after a cancel and still be no breach.
-pub(super) const CANCEL: time::Duration = time::Duration::from_secs(3);
+pub const CANCEL: time::Duration = time::Duration::from_secs(3);
 
 /// How much goes wrong, as chances in thousandths or counts over the time of faults.
 #[derive(Clone, Copy, Debug, Default)]
