A call without an answer in time retires all connections to its peer

Cause: connecting was bounded by the whole call alone, and idle connections of a peer that has gone silent stayed in the pool; hyper-util's pool has no way to take them out. Ruled out: one pool of hyper-util for each peer, replaced as a whole (an executor, two protocols and a timer for each of 4,400 workers, and no count of calls under way); TCP keep-alive and TCP_USER_TIMEOUT (a kernel that still answers for a connection which nobody reads satisfies both, and a call's limit notices sooner).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,15 +1,25 @@
 //! JSON calls over pooled connections, each bounded in time and size.
+//!
+//! A call without an answer in time retires all connections to its peer that were open by then: the
+//! pool of this package does so rather than hyper-util's, whose connections can't be taken out of it.
 
+use std::io;
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper_util::client::legacy;
-use hyper_util::rt;
+use hyper::header;
+use hyper::http::uri;
 use serde::de;
 
+use crate::pool;
+
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// How long a connection may take to stand: on one network it takes a few milliseconds, and a first
+/// packet that was lost is sent again only after a second. No call waits longer for it.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
@@ -17,9 +27,18 @@
     /// The request could not be built.
     #[error("request can't be built")]
     Build(#[from] hyper::http::Error),
-    /// No connection, or it broke.
-    #[error("no answer")]
-    Transport(#[from] legacy::Error),
+    /// The request names no peer, or one that is not spoken to by plain HTTP.
+    #[error("the address names no peer of plain HTTP")]
+    NoPeer,
+    /// No connection could be made; nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(#[source] io::Error),
+    /// No connection stood in time; nothing was sent.
+    #[error("no connection in time")]
+    ConnectTimedOut,
+    /// The connection broke.
+    #[error("no answer: {0}")]
+    Transport(#[from] hyper::Error),
     /// The answer broke off or was too large.
     #[error("answer could not be read")]
     Body,
@@ -39,11 +58,36 @@
     Json(#[from] serde_json::Error),
 }
 
-/// A client for JSON calls.
+impl CallError {
+    /// Returns whether the call waited in vain, for a connection or an answer.
+    #[must_use]
+    pub fn timed_out(&self) -> bool {
+        matches!(self, Self::ConnectTimedOut | Self::TimedOut)
+    }
+}
+
+/// What is kept of idle connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Keep {
+    /// How many to each peer.
+    pub connections: usize,
+    /// How long each.
+    pub time: time::Duration,
+}
+
+impl Default for Keep {
+    /// The most calls made to a store at once are the eight reads of accepted jobs; the longest pause between
+    /// calls of a peer that stays in use is the 4 s between looks at a worker on which nothing runs.
+    fn default() -> Self {
+        Self { connections: 8, time: time::Duration::from_secs(10) }
+    }
+}
+
+/// A client for JSON calls; clones share their connections.
 #[derive(Clone, Debug)]
 pub struct Client {
-    /// The pooled client.
-    inner: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>,
+    /// The connections.
+    pool: sync::Arc<pool::Pool>,
     /// How long a call may take.
     timeout: time::Duration,
 }
@@ -52,10 +96,13 @@
     /// Makes a client whose calls may take so long.
     #[must_use]
     pub fn new(timeout: time::Duration) -> Self {
-        let mut connector = legacy::connect::HttpConnector::new();
-        connector.set_nodelay(true);
-        let inner = legacy::Client::builder(rt::TokioExecutor::new()).build(connector);
-        Self { inner, timeout }
+        Self::keeping(timeout, Keep::default())
+    }
+
+    /// Makes a client that keeps so much of its connections to each peer.
+    #[must_use]
+    pub fn keeping(timeout: time::Duration, keep: Keep) -> Self {
+        Self { pool: sync::Arc::new(pool::Pool::new(keep)), timeout }
     }
 
     /// Posts a value and reads the answer.
@@ -94,10 +141,13 @@
         let request = hyper::Request::builder()
             .method(method)
             .uri(url)
-            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .header(header::CONTENT_TYPE, "application/json")
             .body(http_body_util::Full::new(body))?;
-        let call = self.exchange(request);
-        tokio::time::timeout(self.timeout, call).await.unwrap_or(Err(CallError::TimedOut))
+        let (status, body) = self.call(request, self.timeout).await?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        Err(CallError::Status { status: status.as_u16(), body })
     }
 
     /// Sends a request with headers of its own and returns status and body, whatever they are.
@@ -106,34 +156,78 @@
     /// Returns `CallError` where no whole answer came within `timeout`.
     pub async fn call(
         &self,
-        request: hyper::Request<http_body_util::Full<Bytes>>,
+        mut request: hyper::Request<pool::Body>,
         timeout: time::Duration,
     ) -> Result<(hyper::StatusCode, Bytes), CallError> {
-        let call = self.any_status(request);
-        tokio::time::timeout(timeout, call).await.unwrap_or(Err(CallError::TimedOut))
+        let deadline = tokio::time::Instant::now() + timeout;
+        let peer = address_peer(&mut request)?;
+        let call = self.pool.begin(peer);
+        let mut conn = match call.idle() {
+            Some(conn) => conn,
+            None => connect(&call, deadline).await?,
+        };
+        loop {
+            let sent = conn.sender.try_send_request(request);
+            let mut err = match tokio::time::timeout_at(deadline, sent).await {
+                Err(_) => return Err(lost(&call, &conn)),
+                Ok(Ok(answer)) => return finish(&call, conn, answer, deadline).await,
+                Ok(Err(err)) => err,
+            };
+            // hyper gives the request back only if no byte of it was written: an idle connection that its
+            // peer had closed costs no call.
+            request = match err.take_message() {
+                Some(unsent) if conn.reused => unsent,
+                _ => return Err(err.into_error().into()),
+            };
+            conn = connect(&call, deadline).await?;
+        }
     }
+}
 
-    /// Makes one exchange without a bound on time.
-    async fn exchange(
-        &self,
-        request: hyper::Request<http_body_util::Full<Bytes>>,
-    ) -> Result<Bytes, CallError> {
-        let (status, body) = self.any_status(request).await?;
-        if status.is_success() {
-            return Ok(body);
+/// Reads the rest of an answer and gives the connection back.
+async fn finish(
+    call: &pool::Call<'_>,
+    conn: pool::Conn,
+    answer: hyper::Response<hyper::body::Incoming>,
+    deadline: tokio::time::Instant,
+) -> Result<(hyper::StatusCode, Bytes), CallError> {
+    let status = answer.status();
+    let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+    match tokio::time::timeout_at(deadline, body.collect()).await {
+        Err(_) => Err(lost(call, &conn)),
+        Ok(Err(_)) => Err(CallError::Body),
+        Ok(Ok(body)) => {
+            call.give_back(conn);
+            Ok((status, body.to_bytes()))
         }
-        Err(CallError::Status { status: status.as_u16(), body })
     }
+}
 
-    /// Makes one exchange and returns status and body.
-    async fn any_status(
-        &self,
-        request: hyper::Request<http_body_util::Full<Bytes>>,
-    ) -> Result<(hyper::StatusCode, Bytes), CallError> {
-        let answer = self.inner.request(request).await?;
-        let status = answer.status();
-        let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.or(Err(CallError::Body))?.to_bytes();
-        Ok((status, body))
+/// Notes that a call got no answer in time over a connection.
+fn lost(call: &pool::Call<'_>, conn: &pool::Conn) -> CallError {
+    call.retire(conn);
+    CallError::TimedOut
+}
+
+/// Opens a connection for a call; one that does not stand in time says nothing of those that do.
+async fn connect(
+    call: &pool::Call<'_>,
+    deadline: tokio::time::Instant,
+) -> Result<pool::Conn, CallError> {
+    let end = deadline.min(tokio::time::Instant::now() + CONNECT_TIMEOUT);
+    let opened = tokio::time::timeout_at(end, call.open()).await;
+    opened.unwrap_or(Err(CallError::ConnectTimedOut))
+}
+
+/// Takes the peer out of a request's address, and names it in the header that is for it.
+fn address_peer(request: &mut hyper::Request<pool::Body>) -> Result<uri::Authority, CallError> {
+    let mut parts = request.uri().clone().into_parts();
+    let plain = parts.scheme.take() == Some(uri::Scheme::HTTP);
+    let peer = parts.authority.take().filter(|_| plain).ok_or(CallError::NoPeer)?;
+    *request.uri_mut() = uri::Uri::from_parts(parts).map_err(hyper::http::Error::from)?;
+    if !request.headers().contains_key(header::HOST) {
+        let host = header::HeaderValue::from_str(peer.as_str());
+        request.headers_mut().insert(header::HOST, host.map_err(hyper::http::Error::from)?);
     }
+    Ok(peer)
 }
--- a/crates/http/tests/silence.rs
+++ b/crates/http/tests/silence.rs
@@ -4,14 +4,18 @@
 use std::time;
 
 use futures::future;
-use wharflane::{job, rows};
-use wharflane_adapter::store;
+use wharflane::{id, job, rows};
+use wharflane_adapter::{advice, config, store, workers};
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 use wharflane_stand_in::proxy;
 
 cases! {
     of_calls_of_the_store_silence_costs_one => run(store_calls()),
+    of_feeds_silence_costs_one => run(store_feeds()),
+    of_looks_at_a_worker_silence_costs_one => run(worker_looks()),
+    of_orders_to_a_worker_silence_costs_one => run(worker_orders()),
+    of_questions_for_advice_silence_costs_one => run(questions()),
 }
 
 /// How long a call may take: an answer on loopback takes a thousandth of it.
@@ -75,3 +79,104 @@
     let key = rows::Key { table: job::JOBS, part: String::new(), name: "none".to_owned() };
     only_the_first_is_lost(&one_by_one(async || store.get(&key).await.is_ok()).await);
 }
+
+/// Feeds, one after another, over connections that went silent while idle.
+async fn store_feeds() {
+    let platform = platform(0).await;
+    let proxy = before(platform.store).await;
+    let store = store_with_idle(&proxy).await;
+    proxy.silence();
+    let feed = async || store.changes(job::JOBS, u64::MAX, WAIT).await.is_ok();
+    only_the_first_is_lost(&one_by_one(feed).await);
+}
+
+/// A worker behind a proxy, to which several connections lie idle.
+struct Worker {
+    /// The platform that it belongs to.
+    _platform: server::Platform,
+    /// The proxy.
+    proxy: proxy::Proxy,
+    /// The client.
+    client: workers::Workers,
+    /// The worker.
+    id: id::WorkerId,
+}
+
+impl Worker {
+    /// Starts the only worker of a platform and looks at it several times at once.
+    async fn start() -> Self {
+        let platform = platform(1).await;
+        let store = store::Store::new(platform.store, LIMIT);
+        let listed = store.all(config::WORKERS_TABLE, config::THEIR_PART).await.expect("a list");
+        let (id, member) = config::member(&listed.rows[0]).expect("a worker");
+        let proxy = before(member.expect("one that is listed").addr).await;
+        let client = workers::Workers::new(LIMIT);
+        let worker = Self { _platform: platform, proxy, client, id };
+        let looks = future::join_all((0..AT_ONCE).map(|_| worker.look(WAIT))).await;
+        assert_eq!(looks, [true; AT_ONCE]);
+        let opened = worker.proxy.opened();
+        assert!(opened >= AT_ONCE, "{opened} connections");
+        worker
+    }
+
+    /// Looks at the worker and returns whether it answered.
+    async fn look(&self, wait: time::Duration) -> bool {
+        let look = job::Look {
+            worker: self.id.clone(),
+            addr: self.proxy.addr,
+            epoch: 1,
+            seen: 0,
+            lease_until_ms: None,
+            wait,
+        };
+        matches!(self.client.look(&look).await, job::LookAnswer::Lists(_))
+    }
+
+    /// Orders the start of a task and returns whether it was taken.
+    async fn start_task(&self) -> bool {
+        let task = job::TaskId { job: job::JobId(1), round: 0, step: 0, index: 0 };
+        let (worker, addr) = (self.id.clone(), self.proxy.addr);
+        let start = job::Start {
+            order: job::Order { worker, addr, task, run: 1, epoch: 1 },
+            spec: String::new(),
+            lease_until_ms: u64::MAX,
+            checkpoint: String::new(),
+            ticket: String::new(),
+        };
+        self.client.start(&start).await != job::StartAnswer::Silent
+    }
+}
+
+/// Looks at a worker, one after another, over connections that went silent while idle.
+async fn worker_looks() {
+    let worker = Worker::start().await;
+    worker.proxy.silence();
+    only_the_first_is_lost(&one_by_one(async || worker.look(WAIT).await).await);
+}
+
+/// Orders to a worker, one after another, over connections that went silent while idle.
+async fn worker_orders() {
+    let worker = Worker::start().await;
+    worker.proxy.silence();
+    only_the_first_is_lost(&one_by_one(async || worker.start_task().await).await);
+}
+
+/// Questions for advice, one after another, over connections that went silent while idle.
+async fn questions() {
+    let platform = platform(1).await;
+    let proxy = before(platform.advisor).await;
+    let advisor = advice::Advisor::new(Some(proxy.addr));
+    let question = job::Question {
+        job: job::JobId(1),
+        round: 0,
+        step: 0,
+        workers: vec!["w0".into()],
+        timeout: LIMIT,
+    };
+    let ask = async || advisor.ask(&question).await.is_ok();
+    let asked = future::join_all((0..AT_ONCE).map(|_| ask())).await;
+    assert_eq!(asked, [true; AT_ONCE]);
+    assert!(proxy.opened() >= AT_ONCE, "{} connections", proxy.opened());
+    proxy.silence();
+    only_the_first_is_lost(&one_by_one(ask).await);
+}
--- a/crates/worker/src/lib.rs
+++ b/crates/worker/src/lib.rs
@@ -9,6 +9,9 @@
 /// The path of the message on a worker.
 pub const SYNC_PATH: &str = "/sync";
 
+/// How many idle connections to a worker are kept: messages to one go one after another.
+const IDLE: usize = 1;
+
 /// A client of all workers.
 #[derive(Clone, Debug)]
 pub struct Workers {
@@ -20,7 +23,8 @@
     /// Makes a client whose calls may take so long.
     #[must_use]
     pub fn new(timeout: time::Duration) -> Self {
-        Self { client: client::Client::new(timeout) }
+        let keep = client::Keep { connections: IDLE, ..client::Keep::default() };
+        Self { client: client::Client::keeping(timeout, keep) }
     }
 
     /// Sends a message to a worker.
