A feed that got no answer in time goes on after the same version

Cause: a feed over a silent connection was given up after 2.4 s, then waited 0.2 s and read its whole table anew, nine reads for the holder's two. The store keeps its history and says by a 410 where it does not, so nothing is missed by going on; an answer that is not understood still reads anew. Ruled out: a much shorter wait; every feed call has its price. 0.85 s and 0.65 s of slack make 1.5 s (a store 60 times slower than usual answers within 0.6 s); a quiet feed asks 1.18 times a second where it asked 0.67 times. Conclusion: silence is noticed within 1.5 s, which the compiler checks from the constants, and the next call follows at once over a new connection; only a failure that came early waits 0.2 s.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -5,4 +5,5 @@
 mod jobs;
 mod kills;
 mod path;
+mod silence;
 mod stops;
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -10,11 +10,28 @@
 use super::Shared;
 use super::holder;
 
-/// How long the store may hold a feed open; bounds how long a silent cut goes unseen.
-const FEED_WAIT: time::Duration = time::Duration::from_millis(1_500);
-/// The wait before a failed call is made again.
+/// How long the store may hold a feed open. Each call has its price, and silence goes unseen until this
+/// and the slack are over, so it takes what `SILENCE` leaves.
+const FEED_WAIT: time::Duration = time::Duration::from_millis(850);
+/// How long a feed may go on over a connection that has gone silent: a configuration has to be in force
+/// 2 s after its acknowledgement, and half a second is left for the next call and what follows.
+const SILENCE: time::Duration = time::Duration::from_millis(1_500);
+/// The wait before a call that was answered by an error, or got no connection, is made again.
 const AGAIN: time::Duration = time::Duration::from_millis(200);
 
+const _: () = assert!(FEED_WAIT.as_millis() + store::FEED_SLACK.as_millis() <= SILENCE.as_millis());
+
+/// What a feed gave.
+#[derive(Debug)]
+enum Next {
+    /// Changes, maybe none.
+    Rows(rows::Page),
+    /// No answer that tells of changes; the store keeps its history, so the feed goes on after the same version.
+    Same,
+    /// What it gave can't be gone on from: the table must be read anew.
+    Anew,
+}
+
 /// Follows the configuration for the life of the process.
 pub async fn config(shared: Shared, holder: ractor::ActorRef<holder::Msg>) {
     let key = rows::Key {
@@ -25,15 +42,24 @@
     loop {
         let page = shared.store.all(key.table, &key.part).await;
         shared.count_call("config", &page);
-        let Ok(page) = page else {
-            tokio::time::sleep(AGAIN).await;
-            continue;
+        let page = match page {
+            Ok(page) => page,
+            Err(err) => {
+                pause(&err).await;
+                continue;
+            }
         };
         take_config(&shared, &holder, &page.rows);
         let mut after = page.version;
-        while let Some(page) = next(&shared, key.table, after).await {
-            take_config(&shared, &holder, &page.rows);
-            after = page.version;
+        loop {
+            match next(&shared, key.table, after).await {
+                Next::Rows(page) => {
+                    take_config(&shared, &holder, &page.rows);
+                    after = page.version;
+                }
+                Next::Same => {}
+                Next::Anew => break,
+            }
         }
     }
 }
@@ -93,8 +119,7 @@
     /// Follows the list of workers.
     async fn follow_workers(self, mut after: u64) {
         while self.wanted() {
-            while let Some(page) = self.next(config::WORKERS_TABLE, after).await {
-                after = page.version;
+            while let Some(page) = self.next(config::WORKERS_TABLE, &mut after).await {
                 for row in &page.rows {
                     match config::member(row) {
                         Ok((worker, member)) => {
@@ -104,11 +129,12 @@
                     }
                 }
             }
-            if let Ok(page) = self.all(config::WORKERS_TABLE, config::THEIR_PART).await {
-                after = page.version;
-                self.tell_list(&page);
-            } else {
-                tokio::time::sleep(AGAIN).await;
+            match self.all(config::WORKERS_TABLE, config::THEIR_PART).await {
+                Ok(page) => {
+                    after = page.version;
+                    self.tell_list(&page);
+                }
+                Err(err) => pause(&err).await,
             }
         }
     }
@@ -116,17 +142,17 @@
     /// Follows accepted jobs and cancels.
     async fn follow_jobs(self, domain: u32, mut after: u64) {
         while self.wanted() {
-            while let Some(page) = self.next(job::JOBS, after).await {
-                after = page.version;
+            while let Some(page) = self.next(job::JOBS, &mut after).await {
                 if !page.rows.is_empty() {
                     holder::tell(&self.holder, job::Event::Jobs(page.rows));
                 }
             }
-            if let Ok(page) = self.accepted(domain).await {
-                after = page.version;
-                holder::tell(&self.holder, job::Event::Jobs(page.rows));
-            } else {
-                tokio::time::sleep(AGAIN).await;
+            match self.accepted(domain).await {
+                Ok(page) => {
+                    after = page.version;
+                    holder::tell(&self.holder, job::Event::Jobs(page.rows));
+                }
+                Err(err) => pause(&err).await,
             }
         }
     }
@@ -143,9 +169,19 @@
         holder::tell(&self.holder, job::Event::Listed(members.collect()));
     }
 
-    /// Returns the next changes while they are wanted and the feed goes on.
-    async fn next(&self, table: &'static str, after: u64) -> Option<rows::Page> {
-        if self.wanted() { next(&self.shared, table, after).await } else { None }
+    /// Returns the next changes while they are wanted, or nothing where the table must be read anew.
+    async fn next(&self, table: &'static str, after: &mut u64) -> Option<rows::Page> {
+        while self.wanted() {
+            match next(&self.shared, table, *after).await {
+                Next::Rows(page) => {
+                    *after = page.version;
+                    return Some(page);
+                }
+                Next::Same => {}
+                Next::Anew => return None,
+            }
+        }
+        None
     }
 
     /// Reads a whole part of a table and counts the call.
@@ -181,20 +217,31 @@
     }
 }
 
-/// Returns the next changes of a table, or nothing where it must be read anew.
-async fn next(shared: &Shared, table: &str, after: u64) -> Option<rows::Page> {
+/// Makes one call of a feed; after a failure it waits a little where it has not waited in vain already.
+async fn next(shared: &Shared, table: &str, after: u64) -> Next {
     let changes = shared.store.changes(table, after, FEED_WAIT).await;
     shared.count_call("feed", &changes);
     match changes {
-        Ok(rows::Changes::Rows(page)) => Some(page),
+        Ok(rows::Changes::Rows(page)) => Next::Rows(page),
         Ok(rows::Changes::Forgotten) => {
             tracing::info!(table, after, "history forgotten, the table is read anew");
-            None
+            Next::Anew
         }
         Err(err) => {
-            tracing::debug!(table, %err, "feed failed");
-            tokio::time::sleep(AGAIN).await;
-            None
+            tracing::debug!(table, after, %err, "feed failed");
+            pause(&err).await;
+            let strange = matches!(
+                err,
+                store::StoreError::Strange { .. } | store::StoreError::Refused { .. }
+            );
+            if strange { Next::Anew } else { Next::Same }
         }
     }
 }
+
+/// Waits before a failed call is made again, unless it has waited in vain already: the next goes over a new connection.
+async fn pause(err: &store::StoreError) {
+    if !err.timed_out() {
+        tokio::time::sleep(AGAIN).await;
+    }
+}
