A task that waits in vain in an idle service is started, held back as far as needed

Cause: four things kept tasks from all workers without bound, or beyond 3 s, although less than half of their service was in use: learned harm (also read back after a change of the holder, and for gangs and lasting tasks that fill), too few processors left for a wide task that fills, room kept for a larger lasting task where that is all there is, and rests of all workers at once (4 s). Change: a task that has waited 1.5 s in vain, of which nothing of its job is at work (each one of a lasting step), takes a worker that only these keep from it, the one that harms least; one a pass, two searches a pass by turns, by one worker in eight at most while held back. It is held back from its start: the share, 10 % at least, is ordered once the worker has taken the start, and shares of tasks that are not there yet wait for that in general, since an order for them would be refused. Not where a target was missed for 1.9 s, nor where the task failed last and which rests since.

--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -22,7 +22,7 @@
 const HARMLESS: f64 = 0.015;
 /// How much more than on average a task may harm for some seconds. Tasks work in phases: the
 /// harm of an image in its busy phase was fitted at 1.2 to 1.8 times its mean, some 0.25 in the other.
-const SURGE: f64 = 2.0;
+pub(super) const SURGE: f64 = 2.0;
 /// What a worker's idle processors weigh against the strain on its serving tasks.
 const IDLE_WEIGHT: f64 = 0.1;
 
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -243,10 +243,6 @@
     /// Logs how much there is to do and what is in use.
     fn log_state(&self) {
         let sum = |pick: fn(&worker::View) -> u64| self.views.values().map(pick).sum::<u64>();
-        let at_work = |view: &worker::View| -> u64 {
-            let shares = view.filling.values();
-            shares.map(|filling| filling.cpu_milli * u64::from(filling.percent) / 100).sum()
-        };
         tracing::info!(
             jobs = self.jobs.values().filter(|entry| entry.active()).count(),
             ready = self.ready.len(),
@@ -260,11 +256,12 @@
             reserved_milli = sum(|view| view.used.cpu_milli),
             serving_milli = sum(|view| view.serving_milli),
             filling_milli = sum(|view| view.filling_milli),
-            filling_at_work_milli = sum(at_work),
+            filling_at_work_milli = sum(worker::View::filling_at_work_milli),
             capacity_mb = sum(|view| view.member.capacity.mem_mb),
             used_mb = sum(|view| view.used.mem_mb),
             commits = self.commits,
             sought = self.sought,
+            relieved = self.relieved,
             "domain"
         );
     }
--- a/crates/wharflane/src/job/gang.rs
+++ b/crates/wharflane/src/job/gang.rs
@@ -4,7 +4,6 @@
 use std::time;
 
 use super::assign;
-use super::choose;
 use super::holding;
 use super::order;
 use super::progress;
@@ -12,11 +11,21 @@
 use crate::id;
 use crate::size;
 
+/// How a worker is chosen for a task, within one rack where it is given.
+type Choose = fn(
+    &mut holding::Holding,
+    spec::TaskId,
+    &spec::Step,
+    Option<&str>,
+    time::Duration,
+) -> Option<id::WorkerId>;
+
 /// Places all tasks of a gang, or none; returns whether they found workers.
 pub(super) fn place(
     holding: &mut holding::Holding,
     ready: &holding::Ready,
     step: &spec::Step,
+    choose: Choose,
     now: time::Duration,
 ) -> bool {
     let member = |index| spec::TaskId { index, ..ready.task };
@@ -24,7 +33,7 @@
     if (0..step.count).any(|index| holding.placed.contains_key(&member(index))) {
         return false;
     }
-    let Some(workers) = seek(holding, ready.task, step, now) else {
+    let Some(workers) = seek(holding, ready.task, step, choose, now) else {
         return false;
     };
     let members = 0..step.count;
@@ -48,17 +57,18 @@
     holding: &mut holding::Holding,
     task: spec::TaskId,
     step: &spec::Step,
+    choose: Choose,
     now: time::Duration,
 ) -> Option<Vec<id::WorkerId>> {
     if step.same_rack {
         for rack in racks(holding, step) {
-            let workers = reserve(holding, task, step, Some(&rack), now);
+            let workers = reserve(holding, task, step, (choose, Some(&rack)), now);
             if workers.is_some() {
                 return workers;
             }
         }
     }
-    reserve(holding, task, step, None, now)
+    reserve(holding, task, step, (choose, None), now)
 }
 
 /// Returns the racks whose free room is enough for a gang, the one with the data first, then the
@@ -83,14 +93,14 @@
     holding: &mut holding::Holding,
     task: spec::TaskId,
     step: &spec::Step,
-    rack: Option<&str>,
+    (choose, rack): (Choose, Option<&str>),
     now: time::Duration,
 ) -> Option<Vec<id::WorkerId>> {
     let image = holding.learned.harm.image(step.image.as_deref());
     let mut workers = Vec::new();
     for index in 0..step.count {
         let task = spec::TaskId { index, ..task };
-        let Some(worker) = choose::choose(holding, task, step, rack, now) else {
+        let Some(worker) = choose(holding, task, step, rack, now) else {
             break;
         };
         if let Some(view) = holding.views.get_mut(&worker) {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -202,6 +202,10 @@
     pub(super) placed_at: time::Duration,
     /// How often a worker was sought for a task.
     pub(super) sought: u64,
+    /// How many tasks were started in need.
+    pub(super) relieved: u64,
+    /// The task in need for which a worker was sought last, so that they take turns.
+    pub(super) relieved_last: Option<spec::TaskId>,
     /// Whether tasks that fill found no worker when they were last tried.
     pub(super) fills_wait: bool,
     /// Workers whose room is kept for lasting tasks that come back, until the next try.
@@ -241,6 +245,8 @@
     pub workers: usize,
     /// How often a worker was sought for a task, since the lease was taken.
     pub sought: u64,
+    /// How many tasks were started in need, since the lease was taken.
+    pub relieved: u64,
     /// How long a task that its caller guesses at one second is likely to take, in milliseconds, by
     /// queue.
     pub times_ms: collections::BTreeMap<String, f64>,
@@ -285,6 +291,8 @@
             changed: true,
             placed_at: time::Duration::ZERO,
             sought: 0,
+            relieved: 0,
+            relieved_last: None,
             fills_wait: false,
             kept_for: collections::BTreeSet::new(),
             tickets: tickets::Tickets::default(),
@@ -310,6 +318,7 @@
             placed: self.placed.len(),
             workers: self.views.len(),
             sought: self.sought,
+            relieved: self.relieved,
             times_ms: self.learned.times.dump(),
             harm: self.learned.harm.dump(),
         }
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -21,6 +21,7 @@
 mod learned;
 mod looks;
 mod members;
+mod need;
 mod obstacle;
 mod order;
 mod orders;
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -48,6 +48,28 @@
     task: spec::TaskId,
     step: &spec::Step,
     now: time::Duration,
+) -> Option<Obstacle> {
+    fixed(view, service, task, step, view.takes(now))
+}
+
+/// Returns what keeps a task in need from a worker, whatever that rests from and whom it is kept for.
+pub(super) fn in_need(
+    view: &worker::View,
+    service: &id::ServiceId,
+    task: spec::TaskId,
+    step: &spec::Step,
+    now: time::Duration,
+) -> Option<Obstacle> {
+    fixed(view, service, task, step, view.takes_in_need(now))
+}
+
+/// Returns what keeps a task from a worker that takes new tasks, or doesn't.
+fn fixed(
+    view: &worker::View,
+    service: &id::ServiceId,
+    task: spec::TaskId,
+    step: &spec::Step,
+    takes: bool,
 ) -> Option<Obstacle> {
     if view.member.service != *service {
         return Some(Obstacle::Service);
@@ -55,7 +77,7 @@
     if !step.label.as_deref().is_none_or(|label| view.has_label(label)) {
         return Some(Obstacle::Label);
     }
-    if !view.takes(now) {
+    if !takes {
         return Some(Obstacle::Unavailable);
     }
     if !step.reserved().fits(&view.free()) {
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -160,6 +160,7 @@
                 if let Some(placed) = self.placed.get_mut(&order.task) {
                     placed.began = placed.began.or(Some(now));
                 }
+                self.tell_shares(&order.worker, now);
                 if !wanted {
                     self.stop(order.task, now);
                 }
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -53,6 +53,7 @@
         lists: &order::Lists,
         now: time::Duration,
     ) {
+        self.tell_shares(worker, now);
         let tails: Vec<(spec::TaskId, worker::Serving, f64)> = self.read_tails(worker, lists, now);
         let uses = self.read_uses(worker, lists);
         let margin = if self.fills_wait { 0.0 } else { MARGIN };
@@ -152,7 +153,7 @@
     }
 
     /// Returns whether a task of a worker has missed its target for too long.
-    fn missed_long(&self, worker: &id::WorkerId, now: time::Duration) -> bool {
+    pub(super) fn missed_long(&self, worker: &id::WorkerId, now: time::Duration) -> bool {
         let Some(view) = self.views.get(worker) else {
             return false;
         };
@@ -230,7 +231,9 @@
         let mut room: Vec<(harm::Image, f64)> =
             excess.iter().map(|(image, over)| (*image, -over - SLACK)).collect();
         let mut shares = view.filling.clone();
-        for filling in shares.values_mut().filter(|filling| filling.percent < 100) {
+        // Nothing speaks for a share that was not ordered yet.
+        let held = |filling: &&mut worker::Filling| filling.percent < 100 && !filling.untold;
+        for filling in shares.values_mut().filter(held) {
             let whole = filling.cpu_milli as f64 / capacity;
             let part = |(image, room): &(harm::Image, f64)| {
                 let harm = self.learned.harm.harm(*image, filling.image) * whole;
@@ -256,13 +259,11 @@
         shares: &collections::BTreeMap<spec::TaskId, worker::Filling>,
         now: time::Duration,
     ) {
-        let epoch = self.lease.epoch;
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
         for (task, share) in shares {
-            let (Some(filling), Some(placed)) = (view.filling.get_mut(task), self.placed.get(task))
-            else {
+            let Some(filling) = view.filling.get_mut(task) else {
                 continue;
             };
             if filling.percent == share.percent {
@@ -273,9 +274,30 @@
             filling.paced |= share.percent < 100;
             filling.low_since =
                 if share.percent < MOVE_BELOW { filling.low_since.or(Some(now)) } else { None };
+            filling.eased &= share.percent < 100;
+            filling.untold = true;
+            view.paced = now;
+        }
+        self.tell_shares(worker, now);
+    }
+
+    /// Orders the shares that differ from those in force, of tasks that are there: an order for a task that is not
+    /// there yet would be refused.
+    pub(super) fn tell_shares(&mut self, worker: &id::WorkerId, now: time::Duration) {
+        let epoch = self.lease.epoch;
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        for (task, filling) in view.filling.iter_mut().filter(|(_, filling)| filling.untold) {
+            let placed = self.placed.get(task);
+            let there = placed.filter(|placed| matches!(placed.link, holding::Link::There(_)));
+            let Some(placed) = there else {
+                continue;
+            };
+            filling.untold = false;
             view.paced = now;
             let order = holding::order_for(placed, view.member.addr, *task, epoch);
-            let pace = order::Pace { order, percent: share.percent };
+            let pace = order::Pace { order, percent: filling.percent };
             self.out.push(event::Effect::Pace(pace));
         }
     }
@@ -286,7 +308,9 @@
             return;
         };
         let held = view.filling.iter().filter(|(_, filling)| {
-            filling.low_since.is_some_and(|since| now.saturating_sub(since) >= MOVE_AFTER)
+            // Elsewhere a task in need would be held back alike.
+            let moves = |since| now.saturating_sub(since) >= MOVE_AFTER;
+            !filling.eased && filling.low_since.is_some_and(moves)
         });
         let held: Vec<spec::TaskId> = held.map(|(task, _)| *task).collect();
         for task in held {
--- a/crates/wharflane/src/job/pass.rs
+++ b/crates/wharflane/src/job/pass.rs
@@ -4,7 +4,10 @@
 //! away; nor does a larger task of that kind. Behind 3,000 to 4,000 waiting tasks at 490 workers some 230
 //! searches a pass were counted, by the figures `sought` and `commits` of the log.
 
+use std::collections;
+
 use super::harm;
+use super::holding;
 use super::spec;
 use crate::id;
 use crate::size;
@@ -27,6 +30,8 @@
     hopeless: Vec<(Kind, size::Size)>,
     /// How many lines were written about tasks that wait.
     pub told: usize,
+    /// The tasks that found no worker and are in need, the first of each group.
+    pub in_need: collections::BTreeMap<spec::TaskId, holding::Ready>,
 }
 
 impl Pass {
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -8,6 +8,7 @@
 use super::choose;
 use super::gang;
 use super::holding;
+use super::need;
 use super::obstacle;
 use super::outlook;
 use super::pass;
@@ -70,6 +71,7 @@
     for group in in_turn(holding, now) {
         place_group(holding, &mut pass, group, now);
     }
+    need::relieve(holding, &pass, now);
     holding.forget_told();
 }
 
@@ -94,7 +96,7 @@
     };
     for ready in kin {
         let placed = if step.gang {
-            gang::place(holding, &ready, &step, now)
+            gang::place(holding, &ready, &step, choose::choose, now)
         } else if group.returning {
             place_returning(holding, &ready, &step, now)
         } else {
@@ -103,6 +105,7 @@
         if !placed {
             holding.fills_wait |= step.fills;
             holding.tell_wait(pass, &ready, &step, now);
+            need::note(holding, pass, &ready, now);
             ask_workers(holding, ready.task, now);
         }
         if !group.returning && !placed || step.gang {
@@ -246,7 +249,7 @@
 }
 
 /// Gives a task to the worker that was found.
-fn take(
+pub(super) fn take(
     holding: &mut holding::Holding,
     ready: &holding::Ready,
     step: &spec::Step,
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -43,6 +43,10 @@
     pub percent: u8,
     /// Whether it was ever held back.
     pub paced: bool,
+    /// Whether it was started in need and never worked at full speed.
+    pub eased: bool,
+    /// Whether the share is to be ordered as soon as the task is there.
+    pub untold: bool,
     /// Since when it is held back so far that it had better move.
     pub low_since: Option<time::Duration>,
 }
@@ -116,8 +120,10 @@
     pub serving_milli: u64,
     /// The tasks that may run there.
     pub tasks: collections::BTreeSet<spec::TaskId>,
-    /// Until when it gets nothing new.
+    /// Until when it gets nothing new, since it turned a start away.
     pub rests_until: time::Duration,
+    /// Until when it gets nothing new but tasks in need, since runs failed or stood still there.
+    pub unsound_until: time::Duration,
     /// Failed runs in a row.
     pub failures: u32,
     /// The tasks that serve.
@@ -150,6 +156,7 @@
             serving_milli: 0,
             tasks: collections::BTreeSet::new(),
             rests_until: time::Duration::ZERO,
+            unsound_until: time::Duration::ZERO,
             failures: 0,
             serving: collections::BTreeMap::new(),
             filling: collections::BTreeMap::new(),
@@ -186,6 +193,16 @@
 
     /// Returns whether new tasks may go there.
     pub fn takes(&self, now: time::Duration) -> bool {
+        self.takes_in_need(now) && !self.rests(now)
+    }
+
+    /// Returns whether it rests, since runs failed or stood still there.
+    pub fn rests(&self, now: time::Duration) -> bool {
+        now < self.unsound_until
+    }
+
+    /// Returns whether tasks in need may go there, also while it rests.
+    pub fn takes_in_need(&self, now: time::Duration) -> bool {
         self.listed
             && self.fenced
             && !self.member.leaving
@@ -203,6 +220,22 @@
         self.member.capacity.minus(&self.used)
     }
 
+    /// Returns so many of its processors as a part of all.
+    pub fn part(&self, cpu_milli: u64) -> f64 {
+        cpu_milli as f64 / self.member.capacity.cpu_milli.max(1) as f64
+    }
+
+    /// Returns the processors that are set aside, or at work for tasks that fill.
+    pub fn at_work_milli(&self) -> u64 {
+        self.used.cpu_milli + self.filling_at_work_milli()
+    }
+
+    /// Returns the processors that are at work for tasks that fill, by their shares.
+    pub fn filling_at_work_milli(&self) -> u64 {
+        let shares = self.filling.values();
+        shares.map(|filling| filling.cpu_milli * u64::from(filling.percent) / 100).sum()
+    }
+
     /// Returns whether the worker has a label.
     pub fn has_label(&self, label: &str) -> bool {
         self.member.labels.iter().any(|own| own == label)
@@ -224,7 +257,7 @@
 
     /// Gives it nothing new for a while.
     pub fn rest(&mut self, now: time::Duration) {
-        self.rests_until = now + REST;
+        self.unsound_until = now + REST;
     }
 
     /// Sets room aside for a task.
@@ -236,8 +269,15 @@
             }
             if step.fills {
                 let cpu_milli = step.size.cpu_milli;
-                let filling =
-                    Filling { image, cpu_milli, percent: 100, paced: false, low_since: None };
+                let filling = Filling {
+                    image,
+                    cpu_milli,
+                    percent: 100,
+                    paced: false,
+                    eased: false,
+                    untold: false,
+                    low_since: None,
+                };
                 self.filling.insert(task, filling);
             }
             self.used = self.used.plus(&step.reserved());
--- a/crates/wharflane/tests/backlog.rs
+++ b/crates/wharflane/tests/backlog.rs
@@ -29,7 +29,29 @@
     assert!(many <= 2 * few, "{few} times behind 60 jobs, {many} behind 600");
 }
 
+/// Returns how often a worker was sought within a second while so many jobs are in need in an idle service.
+fn sought_in_need(jobs: u64) -> u64 {
+    let mut desk = desk::Desk::new(4, Vec::new());
+    let alone = job::Step { count: 4, max_per_worker: Some(1), ..desk::step("serving", 7_000) };
+    desk.submit(1, "first", alone);
+    desk.pass(500, false);
+    // Less than half is in use, and no worker has room.
+    for job in 0..jobs {
+        desk.submit(5_000 + job, "first", desk::step("plain", 10_000 + job));
+    }
+    desk.pass(5_000, false);
+    let sought = |desk: &desk::Desk| desk.engine.holding().expect("a holder").dump().sought;
+    let before = sought(&desk);
+    desk.pass(1_000, false);
+    sought(&desk) - before
+}
+
 cases! {
+    tasks_in_need_are_tried_a_few_times_a_pass => {
+        let (few, many) = (sought_in_need(60), sought_in_need(600));
+        assert!(few > 0);
+        assert!(many <= 2 * few, "{few} times with 60 jobs in need, {many} with 600");
+    },
     waiting_tasks_of_one_size_are_tried_once_a_pass => flat(|_| desk::step("plain", 4_000)),
     waiting_tasks_of_many_sizes_are_tried_a_few_times_a_pass => {
         // Sizes that fall and rise again, as those of jobs do.
