A miss that nobody tells any more is over, and what it held back goes on

Cause: a serving task without users tells no tail, and its last miss stood for good: what filled its worker stood still, nothing new that fills was placed there, and a task in need was kept from it too. A miss now holds for 2.6 s after it was told last; and where all that serves told tails once and none of late, shares are let go as where nothing strains.

--- a/crates/wharflane/src/job/headroom.rs
+++ b/crates/wharflane/src/job/headroom.rs
@@ -60,6 +60,6 @@
             let limit = self.learned.harm.limit(serving.image, serving.target_ms) - kept_free;
             (serving.image, limit - own - self.learned.harm.total(serving.image, &uses))
         });
-        Headroom { at: now, missed: self.misses(view).next().is_some(), left: left.collect() }
+        Headroom { at: now, missed: self.misses(view, now).next().is_some(), left: left.collect() }
     }
 }
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -20,6 +20,9 @@
 const SETTLE: time::Duration = time::Duration::from_millis(650);
 /// How old a tail may be to tell the own load of its job.
 const FRESH: time::Duration = time::Duration::from_millis(1_300);
+/// How long a miss holds that is not told again: a task without users tells no tail. Twice as long as a tail
+/// tells the own load, since looks may be late.
+const MISS_TOLD: time::Duration = time::Duration::from_millis(2_600);
 /// The least change of a share that is ordered, in percent.
 const LEAST_CHANGE: f64 = 8.0;
 /// From which part of its processors on a task is taken not to be held back, in percent: in their calm
@@ -66,6 +69,9 @@
             over = over.max(strain - limit);
             excess.push((serving.image, strain - limit));
         }
+        if excess.is_empty() {
+            excess = self.unstrained(worker, margin, now);
+        }
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -136,6 +142,23 @@
         tails
     }
 
+    /// Returns how far the serving tasks of a worker are below their limits where nobody uses them: they told
+    /// tails once, and none of late. Nothing where one of them may be used.
+    fn unstrained(
+        &self,
+        worker: &id::WorkerId,
+        margin: f64,
+        now: time::Duration,
+    ) -> Vec<(harm::Image, f64)> {
+        let serving = self.views.get(worker).into_iter().flat_map(|view| &view.serving);
+        let below = serving.map(|(task, serving)| {
+            let told = self.strains.get(task)?;
+            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - margin;
+            (now.saturating_sub(told.at) > FRESH).then_some((serving.image, -limit))
+        });
+        below.collect::<Option<_>>().unwrap_or_default()
+    }
+
     /// Reads which part of a worker's processors each filling image uses.
     fn read_uses(&self, worker: &id::WorkerId, lists: &order::Lists) -> Vec<harm::Use> {
         let Some(view) = self.views.get(worker) else {
@@ -157,17 +180,19 @@
         let Some(view) = self.views.get(worker) else {
             return false;
         };
-        let mut missed = self.misses(view);
+        let mut missed = self.misses(view, now);
         missed.any(|missed| now.saturating_sub(missed.since) >= PATIENCE)
     }
 
-    /// Returns the misses of the tasks that serve on a worker.
+    /// Returns the misses of the tasks that serve on a worker, but for those that nobody tells of any more.
     pub(super) fn misses<'a>(
         &'a self,
         view: &'a worker::View,
+        now: time::Duration,
     ) -> impl Iterator<Item = worker::Missed> + use<'a> {
         let strains = view.serving.keys().filter_map(|task| self.strains.get(task));
-        strains.filter_map(|strain| strain.missed)
+        let told = strains.filter(move |strain| now.saturating_sub(strain.at) <= MISS_TOLD);
+        told.filter_map(|strain| strain.missed)
     }
 
     /// Lets everything that fills a worker stand still.
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -224,6 +224,27 @@
         desk.pass(2_400, false);
         assert_eq!(desk.starts(WAITING).len(), 1);
     },
+    what_was_held_back_goes_on_while_nobody_uses_what_serves => {
+        let mut desk = serving(1, 0.0);
+        submit_filling(&mut desk, 1);
+        desk.pass(1_000, false);
+        desk.tail_ms = Some(|_| 200);
+        desk.pass(6_000, false);
+        assert_eq!(shares(&desk, WAITING).last(), Some(&0));
+        desk.tail_ms = Some(|_| 0);
+        desk.pass(2 * BOUND_MS, false);
+        assert_eq!(shares(&desk, WAITING).last(), Some(&100));
+    },
+    a_miss_that_is_not_told_any_more_keeps_no_task_away => {
+        let mut desk = serving(4, 0.0);
+        desk.tail_ms = Some(|_| 80);
+        desk.pass(3_000, false);
+        desk.tail_ms = Some(|_| 0);
+        desk.pass(1_000, false);
+        submit_filling(&mut desk, 1);
+        desk.pass(BOUND_MS, false);
+        assert_eq!(started(&desk, 1), 1);
+    },
     it_is_held_back_from_its_start_and_let_go_where_the_figure_was_wrong => {
         let mut desk = serving(4, 2.5);
         submit_filling(&mut desk, 1);
