--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -20,6 +20,9 @@
 const SETTLE: time::Duration = time::Duration::from_millis(650);
 /// How old a tail may be to tell the own load of its job.
 const FRESH: time::Duration = time::Duration::from_millis(1_300);
+/// How long a miss holds that is not told again: a task without users tells no tail. Twice as long as a tail
+/// tells the own load, since looks may be late.
+const MISS_TOLD: time::Duration = time::Duration::from_millis(2_600);
 /// The least change of a share that is ordered, in percent.
 const LEAST_CHANGE: f64 = 8.0;
 /// From which part of its processors on a task is taken not to be held back, in percent: in their calm
@@ -53,6 +56,7 @@
         lists: &order::Lists,
         now: time::Duration,
     ) {
+        self.tell_shares(worker, now);
         let tails: Vec<(spec::TaskId, worker::Serving, f64)> = self.read_tails(worker, lists, now);
         let uses = self.read_uses(worker, lists);
         let margin = if self.fills_wait { 0.0 } else { MARGIN };
@@ -65,6 +69,9 @@
             over = over.max(strain - limit);
             excess.push((serving.image, strain - limit));
         }
+        if excess.is_empty() {
+            excess = self.unstrained(worker, margin, now);
+        }
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -135,6 +142,23 @@
         tails
     }
 
+    /// Returns how far the serving tasks of a worker are below their limits where nobody uses them: they told
+    /// tails once, and none of late. Nothing where one of them may be used.
+    fn unstrained(
+        &self,
+        worker: &id::WorkerId,
+        margin: f64,
+        now: time::Duration,
+    ) -> Vec<(harm::Image, f64)> {
+        let serving = self.views.get(worker).into_iter().flat_map(|view| &view.serving);
+        let below = serving.map(|(task, serving)| {
+            let told = self.strains.get(task)?;
+            let limit = self.learned.harm.limit(serving.image, serving.target_ms) - margin;
+            (now.saturating_sub(told.at) > FRESH).then_some((serving.image, -limit))
+        });
+        below.collect::<Option<_>>().unwrap_or_default()
+    }
+
     /// Reads which part of a worker's processors each filling image uses.
     fn read_uses(&self, worker: &id::WorkerId, lists: &order::Lists) -> Vec<harm::Use> {
         let Some(view) = self.views.get(worker) else {
@@ -152,21 +176,23 @@
     }
 
     /// Returns whether a task of a worker has missed its target for too long.
-    fn missed_long(&self, worker: &id::WorkerId, now: time::Duration) -> bool {
+    pub(super) fn missed_long(&self, worker: &id::WorkerId, now: time::Duration) -> bool {
         let Some(view) = self.views.get(worker) else {
             return false;
         };
-        let mut missed = self.misses(view);
+        let mut missed = self.misses(view, now);
         missed.any(|missed| now.saturating_sub(missed.since) >= PATIENCE)
     }
 
-    /// Returns the misses of the tasks that serve on a worker.
+    /// Returns the misses of the tasks that serve on a worker, but for those that nobody tells of any more.
     pub(super) fn misses<'a>(
         &'a self,
         view: &'a worker::View,
+        now: time::Duration,
     ) -> impl Iterator<Item = worker::Missed> + use<'a> {
         let strains = view.serving.keys().filter_map(|task| self.strains.get(task));
-        strains.filter_map(|strain| strain.missed)
+        let told = strains.filter(move |strain| now.saturating_sub(strain.at) <= MISS_TOLD);
+        told.filter_map(|strain| strain.missed)
     }
 
     /// Lets everything that fills a worker stand still.
@@ -230,7 +256,9 @@
         let mut room: Vec<(harm::Image, f64)> =
             excess.iter().map(|(image, over)| (*image, -over - SLACK)).collect();
         let mut shares = view.filling.clone();
-        for filling in shares.values_mut().filter(|filling| filling.percent < 100) {
+        // Nothing speaks for a share that was not ordered yet.
+        let held = |filling: &&mut worker::Filling| filling.percent < 100 && !filling.untold;
+        for filling in shares.values_mut().filter(held) {
             let whole = filling.cpu_milli as f64 / capacity;
             let part = |(image, room): &(harm::Image, f64)| {
                 let harm = self.learned.harm.harm(*image, filling.image) * whole;
@@ -256,13 +284,11 @@
         shares: &collections::BTreeMap<spec::TaskId, worker::Filling>,
         now: time::Duration,
     ) {
-        let epoch = self.lease.epoch;
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
         for (task, share) in shares {
-            let (Some(filling), Some(placed)) = (view.filling.get_mut(task), self.placed.get(task))
-            else {
+            let Some(filling) = view.filling.get_mut(task) else {
                 continue;
             };
             if filling.percent == share.percent {
@@ -273,9 +299,30 @@
             filling.paced |= share.percent < 100;
             filling.low_since =
                 if share.percent < MOVE_BELOW { filling.low_since.or(Some(now)) } else { None };
+            filling.eased &= share.percent < 100;
+            filling.untold = true;
+            view.paced = now;
+        }
+        self.tell_shares(worker, now);
+    }
+
+    /// Orders the shares that differ from those in force, of tasks that are there: an order for a task that is not
+    /// there yet would be refused.
+    pub(super) fn tell_shares(&mut self, worker: &id::WorkerId, now: time::Duration) {
+        let epoch = self.lease.epoch;
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        for (task, filling) in view.filling.iter_mut().filter(|(_, filling)| filling.untold) {
+            let placed = self.placed.get(task);
+            let there = placed.filter(|placed| matches!(placed.link, holding::Link::There(_)));
+            let Some(placed) = there else {
+                continue;
+            };
+            filling.untold = false;
             view.paced = now;
             let order = holding::order_for(placed, view.member.addr, *task, epoch);
-            let pace = order::Pace { order, percent: share.percent };
+            let pace = order::Pace { order, percent: filling.percent };
             self.out.push(event::Effect::Pace(pace));
         }
     }
@@ -286,7 +333,9 @@
             return;
         };
         let held = view.filling.iter().filter(|(_, filling)| {
-            filling.low_since.is_some_and(|since| now.saturating_sub(since) >= MOVE_AFTER)
+            // Elsewhere a task in need would be held back alike.
+            let moves = |since| now.saturating_sub(since) >= MOVE_AFTER;
+            !filling.eased && filling.low_since.is_some_and(moves)
         });
         let held: Vec<spec::TaskId> = held.map(|(task, _)| *task).collect();
         for task in held {
