Measurements read the shapes of sites and endpoints from data files with neutral names

Cause: the sources held the figures of sites under their names. A name of a hall and one of a job in capacity.rs are neutral words of the same length, so byte counts stay. Ruled out: the desired states in examples/, which have no harm, slots or phases.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -190,7 +190,7 @@
     let member = |number: usize| {
         let worker = members::Worker {
             addr: std::net::SocketAddr::from(([10, 20, 30, 40], 8_080)),
-            hall: "antwerpen".into(),
+            hall: "north-one".into(),
             rack: format!("rack-{}", number / 8),
             presence: members::Presence::Live,
         };
@@ -211,7 +211,7 @@
 pub fn member_bytes() -> usize {
     let member = members::Worker {
         addr: std::net::SocketAddr::from(([10, 20, 30, 40], 8_080)),
-        hall: "antwerpen".into(),
+        hall: "north-one".into(),
         rack: "rack-12".to_owned(),
         presence: members::Presence::Live,
     };
@@ -271,7 +271,7 @@
 /// Returns a message that starts fifteen tasks, of which a worker then reports.
 fn full_message(seq: u64) -> work::Sync {
     let start = |index| work::Command::Start {
-        task: id::TaskId { owner: "settle-fares".into(), born: 1_700, index },
+        task: id::TaskId { owner: "night-report".into(), born: 1_700, index },
         attempt: 1,
         size: size::Size { cpu_milli: 2_000, mem_mb: 4_000, accelerators: 0 },
         checkpoint: None,
--- a/crates/bench/src/harm.rs
+++ b/crates/bench/src/harm.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use serde::Deserialize;
 use wharflane::{digest, hall, id, interfere, place, size, task_table};
 use wharflane_stand_in::{history, world};
 
@@ -21,11 +22,20 @@
 /// The share of the target that a service takes alone.
 const ALONE: f64 = 0.5;
 
+/// The sites of a file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Sites {
+    /// The sites in their order.
+    site: Vec<Site>,
+}
+
 /// A site with its work.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Site {
     /// Its name.
-    pub name: &'static str,
+    pub name: String,
     /// The number of workers.
     workers: usize,
     /// The processors of each, in thousandths.
@@ -40,28 +50,14 @@
     harms: [f64; 4],
 }
 
-/// Returns the two sites with their sizes of today.
+/// Returns the sites of `data/sites.toml`.
+///
+/// # Panics
+/// Panics on data with faults, which would be a fault of the bench.
 #[must_use]
-pub fn sites() -> [Site; 2] {
-    let verbeeck = Site {
-        name: "Verbeeck",
-        workers: 65,
-        cpu_milli: 16_000,
-        service_milli: 10_000,
-        batch_milli: 2_000,
-        tasks_percent: 220,
-        harms: [0.02, 0.1, 0.5, 1.2],
-    };
-    let chveni = Site {
-        name: "Chveni Tsigni",
-        workers: 50,
-        cpu_milli: 64_000,
-        service_milli: 40_000,
-        batch_milli: 4_000,
-        tasks_percent: 500,
-        harms: [0.01, 0.04, 0.2, 0.5],
-    };
-    [verbeeck, chveni]
+pub fn sites() -> Vec<Site> {
+    let text = include_str!("../data/sites.toml");
+    toml::from_str::<Sites>(text).expect("the bench's own data").site
 }
 
 impl Site {
@@ -256,7 +252,7 @@
         for policy in [Policy::FirstFit, Policy::EvictAtOnce, Policy::Product, Policy::KnowsHarm] {
             let row = run(&site, policy, DURATION);
             table.row(vec![
-                site.name.to_owned(),
+                site.name.clone(),
                 format!("{policy:?}"),
                 table::percent(row.over, row.seconds),
                 format!("{:.0}", row.missed),
--- a/crates/bench/src/limits.rs
+++ b/crates/bench/src/limits.rs
@@ -14,9 +14,9 @@
     pub outcome: queueing::Outcome,
 }
 
-/// Returns a part of Verbeeck's endpoints, so that queues without an end stay small.
+/// Returns a few of the endpoints, so that queues without an end stay small.
 fn small(load: f64) -> queueing::Setup {
-    let mut setup = queueing::Setup::verbeeck(6, load);
+    let mut setup = queueing::Setup::shared(6, load);
     setup.rate *= SMALL as f64 / setup.endpoints as f64;
     setup.endpoints = SMALL;
     setup.troubles.truncate(SMALL);
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use serde::Deserialize;
+
 /// How hosts share the slots of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sharing {
@@ -87,32 +89,60 @@
     pub budget: bool,
 }
 
+/// The endpoints of `data/endpoints.toml`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Endpoints {
+    /// Their number.
+    endpoints: usize,
+    /// The slots of each.
+    slots: u32,
+    /// The connections that each takes.
+    connections: u32,
+    /// The mean time of a request, in milliseconds.
+    service_ms: u64,
+    /// The share of requests that paid for priority.
+    paid_share: f64,
+    /// How long a caller waits, in milliseconds.
+    patience_ms: u64,
+}
+
 impl Setup {
-    /// Returns Verbeeck's endpoints under a share of their capacity.
+    /// Returns the endpoints of `data/endpoints.toml` under a share of their capacity.
+    ///
+    /// # Panics
+    /// Panics on data with faults, which would be a fault of the bench.
     #[must_use]
-    pub fn verbeeck(hosts: usize, load: f64) -> Self {
-        let (endpoints, slots) = (65, 8);
-        let service = time::Duration::from_millis(10);
-        let rate = load * endpoints as f64 * f64::from(slots) / service.as_secs_f64();
+    pub fn shared(hosts: usize, load: f64) -> Self {
+        let text = include_str!("../data/endpoints.toml");
+        let shape: Endpoints = toml::from_str(text).expect("the bench's own data");
+        let service = time::Duration::from_millis(shape.service_ms);
+        let asked_slots = load * shape.endpoints as f64 * f64::from(shape.slots);
         Self {
             hosts,
-            endpoints,
-            slots,
-            connections: 64,
+            endpoints: shape.endpoints,
+            slots: shape.slots,
+            connections: shape.connections,
             service,
-            rate,
+            rate: asked_slots / service.as_secs_f64(),
             first_share: 1.0 / hosts as f64,
-            paid_share: 0.2,
+            paid_share: shape.paid_share,
             duration: time::Duration::from_secs(6),
-            patience: time::Duration::from_millis(500),
+            patience: time::Duration::from_millis(shape.patience_ms),
             sharing: Sharing::Window,
             choice: Choice::TwoChoices,
             waiting: Waiting::Bounded,
-            troubles: vec![(Trouble::Well, time::Duration::ZERO); endpoints],
+            troubles: vec![(Trouble::Well, time::Duration::ZERO); shape.endpoints],
             tries: 3,
             budget: true,
         }
     }
+
+    /// Returns `shared` under the name that `tests/decisions.rs` calls.
+    #[must_use]
+    pub fn verbeeck(hosts: usize, load: f64) -> Self {
+        Self::shared(hosts, load)
+    }
 }
 
 /// What came of a load.
--- a/crates/bench/src/routing.rs
+++ b/crates/bench/src/routing.rs
@@ -38,7 +38,7 @@
             queueing::Choice::LeastConnections,
             queueing::Choice::TwoChoices,
         ] {
-            let mut setup = queueing::Setup::verbeeck(6, LOAD);
+            let mut setup = queueing::Setup::shared(6, LOAD);
             setup.choice = choice;
             setup.tries = 1;
             setup.troubles[..troubled].fill((trouble, HEALED));
--- a/crates/bench/src/sharing.rs
+++ b/crates/bench/src/sharing.rs
@@ -32,7 +32,7 @@
                 queueing::Sharing::Optimistic,
                 queueing::Sharing::Window,
             ] {
-                let mut setup = queueing::Setup::verbeeck(hosts, LOAD);
+                let mut setup = queueing::Setup::shared(hosts, LOAD);
                 setup.sharing = sharing;
                 setup.duration = std::time::Duration::from_secs(4);
                 if skewed {
