Threads, ports and the traffic of a host stand in modules of their own

Cause: the modules capacity and forwarder each used the other: one for named threads, processor ticks and a port, the other for the traffic of a host. Both use `threads` and `host` now. Ruled out: moving only the traffic, which would leave capacity on the forwarder for its threads.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -1,16 +1,15 @@
 //! The slopes behind docs/CAPACITY.md: what each role costs at three sizes.
 
 use std::collections;
-use std::sync;
 use std::time;
 
-use wharflane::{clock, desired, digest, endpoints, id, members, size, work};
-use wharflane_daemon::{metrics, settings, traffic};
+use wharflane::{desired, digest, endpoints, id, members, size, work};
 use wharflane_stand_in::{endpoint, history, worker};
 
-use crate::forwarder;
+use crate::host;
 use crate::recovery;
 use crate::table;
+use crate::threads;
 
 /// Returns the bytes that are allocated now, where the program counts them.
 pub type Live = fn() -> usize;
@@ -125,31 +124,17 @@
 /// Panics on settings with faults, which would be a fault of the bench.
 #[must_use]
 pub fn routes(count: usize, live: Live) -> RoutesCost {
-    let traffic = host_traffic();
+    let traffic = host::traffic();
     let endpoints: Vec<endpoints::Endpoint> = (0..count).map(endpoint).collect();
     let bytes = serde_json::to_vec(&endpoints).map_or(0, |bytes| bytes.len());
     let before = live();
     let start = cpu_time::ThreadTime::now();
-    traffic.publish(snapshot(&endpoints));
+    traffic.publish(host::snapshot(&endpoints, 9));
     let cpu_us = start.elapsed().as_micros() as f64;
     let memory = live().saturating_sub(before);
     RoutesCost { endpoints: count, cpu_us, memory, bytes }
 }
 
-/// Makes the traffic of a host with default settings.
-///
-/// # Panics
-/// Panics on settings with faults, which would be a fault of the bench.
-pub(crate) fn host_traffic() -> traffic::Traffic {
-    let text = "host = \"h\"\nhall = \"a\"\n[listen]\ncaller = \"127.0.0.1:0\"\n\
-                operator = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
-                [platform]\naddr = \"127.0.0.1:1\"\n";
-    let settings = settings::parse(text).expect("the bench's own settings");
-    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock::new());
-    let metrics = metrics::Metrics::new().expect("metrics");
-    traffic::Traffic::new(&settings, clock, metrics, 1)
-}
-
 /// Returns an endpoint.
 fn endpoint(number: usize) -> endpoints::Endpoint {
     let owner = format!("service-{}", number / 100);
@@ -164,23 +149,6 @@
     }
 }
 
-/// Returns what traffic reads, with so many endpoints.
-fn snapshot(all: &[endpoints::Endpoint]) -> traffic::Snapshot {
-    let mut endpoints: collections::BTreeMap<id::ServiceId, Vec<_>> = collections::BTreeMap::new();
-    let mut services = collections::BTreeMap::new();
-    let desired = desired::parse(&recovery::filled(1, 0)).unwrap_or_default();
-    let Some(service) = desired.services.values().next() else {
-        return traffic::Snapshot::default();
-    };
-    for endpoint in all {
-        services.insert(endpoint.service.clone(), service.clone());
-        let entry = (id::HallId::from("hall"), endpoint.clone());
-        endpoints.entry(endpoint.service.clone()).or_default().push(entry);
-    }
-    let classes = collections::BTreeMap::new();
-    traffic::Snapshot { revision: 1, services, classes, endpoints, hosts: 9 }
-}
-
 /// Returns the processor time to read a list of so many workers, in microseconds, and its bytes.
 ///
 /// # Panics
@@ -240,9 +208,9 @@
 #[must_use]
 pub fn message() -> (f64, f64) {
     const MESSAGES: u64 = 10_000;
-    let worker = forwarder::runtime("msg-worker", 1);
-    let holder = forwarder::runtime("msg-holder", 1);
-    let listener = worker.block_on(forwarder::bind());
+    let worker = threads::runtime("msg-worker", 1);
+    let holder = threads::runtime("msg-holder", 1);
+    let listener = worker.block_on(threads::bind());
     let addr = listener.local_addr().expect("its address");
     let make = worker::Make {
         worker: "worker-1".into(),
@@ -259,10 +227,10 @@
             let _ = client.sync(addr, &full_message(seq)).await;
         }
     };
-    let before = ["msg-holder", "msg-worker"].map(forwarder::ticks);
+    let before = ["msg-holder", "msg-worker"].map(threads::ticks);
     holder.block_on(async { tokio::spawn(send).await }).expect("messages sent");
-    let after = ["msg-holder", "msg-worker"].map(forwarder::ticks);
-    let us = |at: usize| (after[at] - before[at]) / forwarder::TICKS * 1e6 / MESSAGES as f64;
+    let after = ["msg-holder", "msg-worker"].map(threads::ticks);
+    let us = |at: usize| (after[at] - before[at]) / threads::TICKS * 1e6 / MESSAGES as f64;
     holder.shutdown_background();
     worker.shutdown_background();
     (us(0), us(1))
--- a/crates/bench/src/forwarder.rs
+++ b/crates/bench/src/forwarder.rs
@@ -1,7 +1,6 @@
 //! What a host costs for a request, against a bare forwarder of a few lines.
 
 use std::convert;
-use std::fs;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -13,24 +12,24 @@
 use hyper_util::client::legacy;
 use hyper_util::rt;
 use hyper_util::server::conn::auto;
-use wharflane::{desired, endpoints, id};
-use wharflane_daemon::traffic;
+use wharflane::{endpoints, id};
 use wharflane_http::server;
 use wharflane_stand_in::{endpoint, history};
 
-use crate::capacity;
+use crate::host;
 use crate::table;
+use crate::threads;
 
 /// The number of endpoints, enough for all requests in flight.
 const ENDPOINTS: usize = 64;
+/// The service that all of them serve.
+const SERVICE: &str = "echo";
 /// The threads of each of the two.
 const THREADS: usize = 2;
 /// The name of the host's threads.
 const HOST: &str = "fw-host";
 /// The name of the bare forwarder's threads.
 const BARE: &str = "fw-bare";
-/// Processor ticks in a second, as /proc counts them.
-pub(crate) const TICKS: f64 = 100.0;
 
 /// A client.
 type Client = legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<Bytes>>;
@@ -46,7 +45,7 @@
 
 /// Measures both and prints the ratios.
 pub fn print() {
-    let runtime = runtime("fw-load", 4);
+    let runtime = threads::runtime("fw-load", 4);
     let addrs = runtime.block_on(start_endpoints());
     let host = start_host(&addrs);
     let bare = start_bare(addrs);
@@ -63,10 +62,10 @@
     for (bytes, in_flight, requests) in
         [(20, 8, 20_000), (20, 512, 40_000), (1 << 20, 8, 400), (1 << 20, 512, 800)]
     {
-        let mut costs = [(BARE, bare), (HOST, host)].map(|(threads, addr)| {
+        let mut costs = [(BARE, bare), (HOST, host)].map(|(name, addr)| {
             let warm = load(addr, bytes, in_flight, requests / 10);
             runtime.block_on(warm);
-            measure(&runtime, threads, addr, bytes, in_flight, requests)
+            measure(&runtime, name, addr, bytes, in_flight, requests)
         });
         costs[0].cpu_us = costs[0].cpu_us.max(0.01);
         let [bare, host] = costs;
@@ -88,17 +87,17 @@
 /// Measures one side.
 fn measure(
     runtime: &tokio::runtime::Runtime,
-    threads: &str,
+    name: &str,
     addr: net::SocketAddr,
     bytes: usize,
     in_flight: usize,
     requests: u64,
 ) -> Cost {
-    let before = ticks(threads);
+    let before = threads::ticks(name);
     let latency = runtime.block_on(load(addr, bytes, in_flight, requests));
-    let used = ticks(threads) - before;
+    let used = threads::ticks(name) - before;
     Cost {
-        cpu_us: used / TICKS * 1e6 / requests as f64,
+        cpu_us: used / threads::TICKS * 1e6 / requests as f64,
         p99_ms: latency.value_at_quantile(0.99) as f64 / 1_000.0,
     }
 }
@@ -124,7 +123,8 @@
                 .is_ok()
             {
                 let start = time::Instant::now();
-                let uri = format!("http://{addr}/echo/x?bytes={bytes}").parse().expect("a URI");
+                let uri =
+                    format!("http://{addr}/{SERVICE}/x?bytes={bytes}").parse().expect("a URI");
                 let Ok(answer) = client.get(uri).await else { continue };
                 if answer.into_body().collect().await.is_ok() {
                     latencies.push(start.elapsed());
@@ -146,10 +146,9 @@
 async fn start_endpoints() -> Vec<net::SocketAddr> {
     let mut addrs = Vec::new();
     for index in 0..ENDPOINTS {
-        let task = id::TaskId { owner: "echo".into(), born: 1, index: index as u32 };
         let room = endpoint::Room { slots: 1_000, connections: 1_000 };
-        let fake = endpoint::Endpoint::new(task, room, history::History::default());
-        let listener = bind().await;
+        let fake = endpoint::Endpoint::new(task(index), room, history::History::default());
+        let listener = threads::bind().await;
         addrs.push(listener.local_addr().expect("its address"));
         tokio::spawn(fake.serve(listener, std::future::pending()));
     }
@@ -158,39 +157,36 @@
 
 /// Starts the traffic of a host on threads of its own.
 fn start_host(addrs: &[net::SocketAddr]) -> net::SocketAddr {
-    let traffic = sync::Arc::new(capacity::host_traffic());
-    traffic.publish(snapshot(addrs));
+    let traffic = sync::Arc::new(host::traffic());
+    let endpoints: Vec<_> = addrs.iter().enumerate().map(endpoint).collect();
+    traffic.publish(host::snapshot(&endpoints, 1));
     serve_on(HOST, move |request| sync::Arc::clone(&traffic).serve(request))
 }
 
-/// Returns what the host's traffic reads.
-fn snapshot(addrs: &[net::SocketAddr]) -> traffic::Snapshot {
-    let text = crate::recovery::filled(1, 0).replace("\"service\"", "\"echo\"");
-    let desired = desired::parse(&text).expect("the bench's own text");
-    let entry = |(index, addr): (usize, &net::SocketAddr)| {
-        let task = id::TaskId { owner: "echo".into(), born: 1, index: index as u32 };
-        let worker = format!("worker-{index}").as_str().into();
-        let (service, leaving) = ("echo".into(), false);
-        let endpoint = endpoints::Endpoint { task, service, worker, addr: *addr, leaving };
-        (id::HallId::from("hall"), endpoint)
-    };
-    traffic::Snapshot {
-        revision: 1,
-        services: desired.services,
-        classes: std::collections::BTreeMap::new(),
-        endpoints: [("echo".into(), addrs.iter().enumerate().map(entry).collect())].into(),
-        hosts: 1,
+/// Returns what a host knows of an endpoint.
+fn endpoint((index, addr): (usize, &net::SocketAddr)) -> endpoints::Endpoint {
+    endpoints::Endpoint {
+        task: task(index),
+        service: SERVICE.into(),
+        worker: format!("worker-{index}").as_str().into(),
+        addr: *addr,
+        leaving: false,
     }
 }
 
+/// Returns the task of an endpoint.
+fn task(index: usize) -> id::TaskId {
+    id::TaskId { owner: SERVICE.into(), born: 1, index: index as u32 }
+}
+
 /// Serves on threads of a name.
 fn serve_on<H, F>(name: &str, handle: H) -> net::SocketAddr
 where
     H: Fn(hyper::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = wharflane_http::reply::Reply> + Send + 'static,
 {
-    let runtime = runtime(name, THREADS);
-    let listener = runtime.block_on(bind());
+    let runtime = threads::runtime(name, THREADS);
+    let listener = runtime.block_on(threads::bind());
     let addr = listener.local_addr().expect("its address");
     runtime.spawn(server::serve(listener, server::Bounds::default(), server::never(), handle));
     std::mem::forget(runtime);
@@ -199,8 +195,8 @@
 
 /// Starts a forwarder of a few lines, with no choice, no limits and no retries.
 fn start_bare(addrs: Vec<net::SocketAddr>) -> net::SocketAddr {
-    let runtime = runtime(BARE, THREADS);
-    let listener = runtime.block_on(bind());
+    let runtime = threads::runtime(BARE, THREADS);
+    let listener = runtime.block_on(threads::bind());
     let addr = listener.local_addr().expect("its address");
     runtime.spawn(async move {
         let client: legacy::Client<_, hyper::body::Incoming> =
@@ -230,37 +226,3 @@
     std::mem::forget(runtime);
     addr
 }
-
-/// Makes a runtime whose threads have a name.
-pub(crate) fn runtime(name: &str, threads: usize) -> tokio::runtime::Runtime {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads)
-        .thread_name(name)
-        .enable_all()
-        .build()
-        .expect("threads")
-}
-
-/// Opens a port.
-pub(crate) async fn bind() -> tokio::net::TcpListener {
-    tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await.expect("a port")
-}
-
-/// Returns the processor ticks that the threads of a name have used.
-pub(crate) fn ticks(name: &str) -> f64 {
-    let Ok(tasks) = fs::read_dir("/proc/self/task") else {
-        return 0.0;
-    };
-    let stats = tasks.filter_map(|task| fs::read_to_string(task.ok()?.path().join("stat")).ok());
-    stats.filter(|stat| stat.contains(&format!("({name})"))).map(|stat| used(&stat)).sum()
-}
-
-/// Returns the processor ticks in one line of /proc.
-fn used(stat: &str) -> f64 {
-    const USER: usize = 11;
-    const SYSTEM: usize = 12;
-    let rest = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let fields: Vec<&str> = rest.split_whitespace().collect();
-    let number = |at: usize| fields.get(at).and_then(|field| field.parse::<f64>().ok());
-    number(USER).unwrap_or(0.0) + number(SYSTEM).unwrap_or(0.0)
-}
