A simulated hall, and each slope, in a file of its own

The hall is `hall` now, which recovery, capacity and host use; the slopes are capacity/{quiet,texts,routes,message}.rs below the functions that print.

--- /dev/null
+++ b/crates/bench/src/capacity/mod.rs
@@ -0,0 +1,106 @@
+//! The slopes behind docs/CAPACITY.md: what each role costs at three sizes.
+
+mod message;
+mod quiet;
+mod routes;
+mod texts;
+
+pub use message::message;
+pub use quiet::{HTTP_BYTES, HallCost, hall};
+pub use routes::{RoutesCost, digest_bytes, routes};
+pub use texts::{ConfigCost, config, list, member_bytes};
+
+use crate::hall;
+use crate::table;
+
+/// Returns the bytes that are allocated now, where the program counts them.
+pub type Live = fn() -> usize;
+
+/// Prints all slopes.
+pub fn print(live: Live) {
+    print_halls(live);
+    print_configs(live);
+    print_routes(live);
+    print_lists();
+    print_messages();
+}
+
+/// Prints what halls cost at rest.
+fn print_halls(live: Live) {
+    let mut table = table::Table::new(&[
+        "workers",
+        "tasks",
+        "holder us/s",
+        "us/s a worker",
+        "B/s a worker",
+        "txn/s",
+        "memory KB",
+        "B a task",
+    ]);
+    for workers in hall::WORKERS {
+        let cost = quiet::hall(workers, live);
+        table.row(vec![
+            workers.to_string(),
+            cost.tasks.to_string(),
+            format!("{:.0}", cost.cpu_us),
+            table::two(cost.cpu_us / workers as f64),
+            format!("{:.0}", cost.worker_bytes),
+            table::two(cost.txns),
+            format!("{}", cost.memory / 1_024),
+            format!("{}", cost.memory / cost.tasks),
+        ]);
+    }
+    table.print();
+}
+
+/// Prints what configurations cost.
+fn print_configs(live: Live) {
+    let mut table = table::Table::new(&["jobs", "text KB", "read ms", "memory KB", "B a job"]);
+    for jobs in [1_000, 8_000, 24_000] {
+        let cost = texts::config(jobs, live);
+        table.row(vec![
+            jobs.to_string(),
+            (cost.bytes / 1_024).to_string(),
+            table::two(cost.cpu_us / 1_000.0),
+            (cost.memory / 1_024).to_string(),
+            (cost.bytes / jobs).to_string(),
+        ]);
+    }
+    table.print();
+}
+
+/// Prints what endpoints cost a host.
+fn print_routes(live: Live) {
+    let mut table =
+        table::Table::new(&["endpoints", "publish ms", "memory KB", "B an endpoint", "table KB"]);
+    for count in [1_000, 4_000, 11_000] {
+        let cost = routes::routes(count, live);
+        table.row(vec![
+            count.to_string(),
+            table::two(cost.cpu_us / 1_000.0),
+            (cost.memory / 1_024).to_string(),
+            (cost.memory / count).to_string(),
+            (cost.bytes / 1_024).to_string(),
+        ]);
+    }
+    table.print();
+}
+
+/// Prints what it costs to read lists of workers.
+fn print_lists() {
+    let mut table = table::Table::new(&["workers in the list", "read ms", "KB"]);
+    for workers in [1_000, 2_200, 4_400] {
+        let (cpu_us, bytes) = texts::list(workers);
+        let kilobytes = (bytes / 1_024).to_string();
+        table.row(vec![workers.to_string(), table::two(cpu_us / 1_000.0), kilobytes]);
+    }
+    table.print();
+}
+
+/// Prints what single messages and entries cost.
+fn print_messages() {
+    let (holder_us, worker_us) = message::message();
+    println!("processor us of a message over HTTP: holder {holder_us:.0}, worker {worker_us:.0}");
+    println!("bytes of a worker in the list: {}", texts::member_bytes());
+    println!("bytes of an endpoint in a digest: {}", routes::digest_bytes());
+}
--- a/crates/bench/src/host.rs
+++ b/crates/bench/src/host.rs
@@ -6,7 +6,7 @@
 use wharflane::{clock, desired, endpoints, id};
 use wharflane_daemon::{metrics, settings, traffic};
 
-use crate::recovery;
+use crate::hall;
 
 /// Makes the traffic of a host with default settings.
 ///
@@ -31,7 +31,7 @@
 pub fn snapshot(all: &[endpoints::Endpoint], hosts: usize) -> traffic::Snapshot {
     let mut endpoints: collections::BTreeMap<id::ServiceId, Vec<_>> = collections::BTreeMap::new();
     let mut services = collections::BTreeMap::new();
-    let desired = desired::parse(&recovery::filled(1, 0)).expect("the bench's own text");
+    let desired = desired::parse(&hall::filled(1, 0)).expect("the bench's own text");
     let service = desired.services.values().next().expect("its one service");
     for endpoint in all {
         services.insert(endpoint.service.clone(), service.clone());
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod compare;
 pub mod forwarder;
+pub mod hall;
 pub mod harm;
 pub mod host;
 pub mod journal;
