--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -4,6 +4,9 @@
 
 use serde::Deserialize;
 
+/// The largest latency that is told apart, in microseconds.
+pub const MAX_US: u64 = 600_000_000;
+
 /// How hosts share the slots of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sharing {
@@ -179,6 +182,31 @@
 }
 
 impl Outcome {
+    /// Returns the outcome of a load that has not begun.
+    ///
+    /// # Panics
+    /// Panics on bounds of latency that are no bounds, which are fixed here.
+    #[must_use]
+    pub fn empty() -> Self {
+        let histogram = || hdrhistogram::Histogram::new_with_max(MAX_US, 3);
+        Self {
+            latency_us: histogram().expect("bounds are fixed"),
+            refusal_us: histogram().expect("bounds are fixed"),
+            asked: 0,
+            answered: 0,
+            paid_answered: 0,
+            paid: 0,
+            refused: 0,
+            failed: 0,
+            tries: 0,
+            full: 0,
+            at_trouble: 0,
+            control_bytes: 0.0,
+            left_after: time::Duration::ZERO,
+            used_again: None,
+        }
+    }
+
     /// Returns a latency quantile in milliseconds.
     #[must_use]
     pub fn quantile_ms(&self, share: f64) -> f64 {
