The last name of a user leaves the benches' sources

Cause: a test called the load by a user's name. It calls the same load by its neutral one; no bound changes.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -140,12 +140,6 @@
             budget: true,
         }
     }
-
-    /// Returns `shared` under the name that `tests/decisions.rs` calls.
-    #[must_use]
-    pub fn verbeeck(hosts: usize, load: f64) -> Self {
-        Self::shared(hosts, load)
-    }
 }
 
 /// What came of a load.
--- a/crates/bench/tests/decisions.rs
+++ b/crates/bench/tests/decisions.rs
@@ -5,9 +5,9 @@
 use wharflane_bench::{harm, queueing};
 use wharflane_stand_in::cases;
 
-/// Returns a small part of Verbeeck's endpoints under a share of their capacity.
+/// Returns a small part of the endpoints under a share of their capacity.
 fn setup(hosts: usize, load: f64) -> queueing::Setup {
-    let mut setup = queueing::Setup::verbeeck(hosts, load);
+    let mut setup = queueing::Setup::shared(hosts, load);
     let endpoints = 24;
     setup.rate *= endpoints as f64 / setup.endpoints as f64;
     setup.endpoints = endpoints;
