An idle connection is waited for until its task is through with the last answer

Cause: a caller may hear the end of an answer before the connection's task is ready for the next request; the pool passed over such a connection and opened another, so a peer that was slow once cost up to three instead of one. Conclusion: the wait is bounded by 0.1 s and asks no network, so silence does not reach it.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -20,6 +20,9 @@
 /// How long a connection may take to stand: on one network it takes a few milliseconds, and a first
 /// packet that was lost is sent again only after a second. No call waits longer for it.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// How long the task of an idle connection may take until it is ready: no network is asked for it, so it takes
+/// microseconds, and beside load milliseconds. One that sends a body yet which its peer answered early takes longer.
+const READY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
@@ -162,7 +165,7 @@
         let deadline = tokio::time::Instant::now() + timeout;
         let peer = address_peer(&mut request)?;
         let call = self.pool.begin(peer);
-        let mut conn = match call.idle() {
+        let mut conn = match idle(&call, deadline).await {
             Some(conn) => conn,
             None => connect(&call, deadline).await?,
         };
@@ -209,6 +212,17 @@
     CallError::TimedOut
 }
 
+/// Takes an idle connection once its task is through with the answer before, which its caller may hear of sooner.
+async fn idle(call: &pool::Call<'_>, deadline: tokio::time::Instant) -> Option<pool::Conn> {
+    let end = deadline.min(tokio::time::Instant::now() + READY_TIMEOUT);
+    while let Some(mut conn) = call.idle() {
+        if matches!(tokio::time::timeout_at(end, conn.sender.ready()).await, Ok(Ok(()))) {
+            return Some(conn);
+        }
+    }
+    None
+}
+
 /// Opens a connection for a call; one that does not stand in time says nothing of those that do.
 async fn connect(
     call: &pool::Call<'_>,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -201,11 +201,10 @@
 }
 
 impl Peer {
-    /// Takes the connection that was used last among those that can carry a request.
+    /// Takes the connection that was used last.
     fn take(&mut self, now: tokio::time::Instant, keep: client::Keep) -> Option<Conn> {
         self.expire(now, keep);
-        let at = self.idle.iter().rposition(|conn| conn.sender.is_ready())?;
-        Some(self.idle.remove(at))
+        self.idle.pop()
     }
 
     /// Keeps a connection of this era, and so many at most.
