--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -306,6 +306,22 @@
         desk.pass(2 * BOUND_MS, false);
         assert_eq!(started(&desk, 1), 0);
     },
+    the_share_is_ordered_as_soon_as_the_start_is_taken => {
+        let mut desk = serving(4, 2.5);
+        submit_filling(&mut desk, 1);
+        desk.pass(1_400, false);
+        // No look is answered from here on.
+        while desk.starts(WAITING).is_empty() {
+            assert!(desk.now < time::Duration::from_secs(5), "no start");
+            desk.now += time::Duration::from_millis(20);
+            let wall_ms = u64::try_from(desk.now.as_millis()).expect("a small number");
+            desk.take(job::Event::Tick { wall_ms });
+        }
+        let order = desk.order_of(task(WAITING, 0));
+        desk.take(job::Event::Started { order, answer: job::StartAnswer::Taken });
+        let paced = |effect: &job::Effect| matches!(effect, job::Effect::Pace(pace) if pace.percent < 100);
+        assert!(desk.asked.iter().any(paced));
+    },
     the_share_of_a_start_without_answer_is_ordered_once_the_task_is_there => {
         let mut desk = serving(4, 3.0 * GREAT_HARM);
         submit_filling(&mut desk, 1);
