Counts of waiting jobs carry the store's time up to which they hold all accepted jobs

Cause: a host believed the row of counts however old it was, and a job counted as begun as soon as one of its tasks was given a worker, before any worker had taken a start.

Now the feed of accepted jobs tells the holder, through its queue of events, up to which time of the store it has heard all of them; the counts carry that time and are written every 0.7 s also where they have not changed. A host compares it with the store's time in its own read, and beyond 2 s says not known, 503 with when to come back; rows without a mark are of unknown age. The feed of accepted jobs waits 0.7 s instead of 1.5 s. A job waits until a start was taken, a run or an end was seen, or its progress shows one. A new holder counts once it knows of the starts before it, or after 1.5 s. Those who ask during one read of the store share what comes of it, within their own time.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -24,6 +24,7 @@
     a_host_that_lost_the_store_refuses_at_once => fleet::run(store_lost()),
     jobs_that_want_advice_run_only_where_they_may => fleet::run(advised()),
     a_count_without_a_living_writer_is_not_told => fleet::run(frozen_writer()),
+    all_who_ask_for_a_count_behind_a_silent_store_are_answered => fleet::run(many_askers()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
 }
@@ -357,6 +358,28 @@
     service.judge(5);
 }
 
+/// Lets many callers ask at once how many jobs wait while the store takes calls and never answers.
+///
+/// A read of the store is given up after 0.8 s. One read after the other would take longer than the callers'
+/// 5 s, and the host's own time for a caller that names none is 3 s.
+async fn many_askers() {
+    /// More than there are reads in a caller's time.
+    const ASKERS: usize = 12;
+    let service = Service::start(1).await;
+    service.platform.lock().faults.store_silent = true;
+    // What was read before may be told for as long as a count may be old.
+    tokio::time::sleep(COUNT_AGE).await;
+    let mut askers = tokio::task::JoinSet::new();
+    for _ in 0..ASKERS {
+        let jobs = service.jobs(0);
+        askers.spawn(async move { jobs.waiting(server::QUEUE).await });
+    }
+    for told in askers.join_all().await {
+        let refused = matches!(&told, Err(caller::JobError::Refused { status: 503, .. }));
+        assert!(refused, "{told:?}");
+    }
+}
+
 /// Sends hang-ups to a host while it runs jobs.
 async fn hang_up() {
     let service = Service::start(1).await;
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -21,27 +21,67 @@
 const TRY_PERCENT: u32 = 45;
 /// The wait before a call of the store is made again.
 const AGAIN: time::Duration = time::Duration::from_millis(100);
-/// How long counts of what waits are kept; callers are promised counts of at most 2 s.
-const COUNTS_AGE: time::Duration = time::Duration::from_millis(500);
+/// How old a count may be that a caller is told, from the moment up to which it holds all accepted jobs: what
+/// the users' protocol allows.
+const MOST_AGE: time::Duration = time::Duration::from_secs(2);
+/// How long a host keeps what it read of the counts; bounds its reads of them to some two a second.
+const COUNTS_KEPT: time::Duration = time::Duration::from_millis(500);
+/// How long a read of them that failed stands for those who waited behind it, and come right after.
+const FAILURE_KEPT: time::Duration = time::Duration::from_millis(100);
 
 /// The job service towards callers.
 #[derive(Clone, Debug)]
 pub struct Service {
     /// What the parts of the job service share.
     shared: Shared,
-    /// The counts of what waits, and when they were read.
-    counts: sync::Arc<tokio::sync::Mutex<Option<Counts>>>,
+    /// What was last read of the counts of what waits.
+    counts: sync::Arc<tokio::sync::Mutex<Option<Reading>>>,
+}
+
+/// What came of a read of the counts of what waits.
+#[derive(Debug)]
+struct Reading {
+    /// When it was begun.
+    asked: time::Duration,
+    /// When it was over.
+    over: time::Duration,
+    /// The counts, or nothing where they could not be read.
+    counts: Option<Counts>,
+    /// Whether the counts that were last read were new enough to be told; nothing before any were read.
+    believed: Option<bool>,
 }
 
 /// What waits in all queues.
 #[derive(Debug)]
 struct Counts {
-    /// When they were read.
-    read: time::Duration,
+    /// How old they were when they were read; nothing where that is not known.
+    age: Option<time::Duration>,
     /// Jobs that wait, by queue.
     queues: collections::BTreeMap<String, u64>,
 }
 
+impl Reading {
+    /// Returns how old the counts are now; nothing where that is not known.
+    fn age(&self, now: time::Duration) -> Option<time::Duration> {
+        Some(self.counts.as_ref()?.age? + now.saturating_sub(self.asked))
+    }
+
+    /// Returns the counts where they are new enough to be told.
+    fn told(&self, now: time::Duration) -> Option<&Counts> {
+        self.counts.as_ref().filter(|_| self.age(now).is_some_and(|age| age <= MOST_AGE))
+    }
+
+    /// Returns whether it still stands for another read.
+    fn stands(&self, now: time::Duration) -> bool {
+        if self.counts.is_none() {
+            return now.saturating_sub(self.over) < FAILURE_KEPT;
+        }
+        // Counts that were too old at once are not read again by every caller; those that have become so are.
+        let became_old = self.told(self.over).is_some() && self.told(now).is_none();
+        now.saturating_sub(self.over) < COUNTS_KEPT && !became_old
+    }
+}
+
 impl Service {
     /// Makes the service.
     #[must_use]
@@ -55,7 +95,7 @@
             job::Call::Submit { id, job } => self.submit(id, job, deadline).await,
             job::Call::State { id } => self.state(id).await,
             job::Call::Cancel { id } => self.cancel(id, deadline).await,
-            job::Call::Waiting { queue } => self.waiting(&queue).await,
+            job::Call::Waiting { queue } => self.waiting(&queue, deadline).await,
         }
     }
 
@@ -189,34 +229,60 @@
         }
     }
 
-    /// Counts the jobs of a queue that wait.
-    async fn waiting(&self, queue: &str) -> job::Answer {
-        let mut counts = self.counts.lock().await;
-        let now = self.shared.clock.now();
-        if counts.as_ref().is_none_or(|counts| now.saturating_sub(counts.read) >= COUNTS_AGE) {
-            match self.read_counts().await {
-                Some(queues) => *counts = Some(Counts { read: now, queues }),
-                None => return job::Answer::NotTaken { retry_after: RETRY_AFTER },
+    /// Counts the jobs of a queue that wait, where that is known well enough.
+    async fn waiting(&self, queue: &str, deadline: time::Duration) -> job::Answer {
+        let left = deadline.saturating_sub(self.shared.clock.now());
+        let count = tokio::time::timeout(left, self.count(queue)).await;
+        match count {
+            Ok(Some(count)) => job::Answer::Waiting(count),
+            Ok(None) | Err(_) => job::Answer::NotTaken { retry_after: RETRY_AFTER },
+        }
+    }
+
+    /// Returns how many jobs of a queue wait; those who ask while the counts are read share what comes of it.
+    async fn count(&self, queue: &str) -> Option<u64> {
+        let mut last = self.counts.lock().await;
+        if !last.as_ref().is_some_and(|last| last.stands(self.shared.clock.now())) {
+            let asked = self.shared.clock.now();
+            let counts = self.read_counts().await;
+            let before = last.as_ref().and_then(|last| last.believed);
+            let over = self.shared.clock.now();
+            let mut reading = Reading { asked, over, counts, believed: before };
+            if reading.counts.is_some() {
+                reading.believed = Some(reading.told(over).is_some());
             }
+            log_belief(before, &reading);
+            *last = Some(reading);
         }
-        let waiting = counts.as_ref().and_then(|counts| counts.queues.get(queue)).copied();
-        job::Answer::Waiting(waiting.unwrap_or(0))
+        let counts = last.as_ref()?.told(self.shared.clock.now())?;
+        Some(counts.queues.get(queue).copied().unwrap_or(0))
     }
 
-    /// Reads the counts of all domains.
-    async fn read_counts(&self) -> Option<collections::BTreeMap<String, u64>> {
-        let mut queues = collections::BTreeMap::new();
+    /// Reads the counts of all domains; their age is that of the oldest.
+    async fn read_counts(&self) -> Option<Counts> {
+        let mut all =
+            Counts { age: Some(time::Duration::ZERO), queues: collections::BTreeMap::new() };
         for domain in 0..self.shared.domains() {
-            let row = self.get(&job::waiting_key(domain)).await.ok()?;
-            let Some(text) = row.and_then(|row| row.value) else {
-                continue;
+            let read = self.shared.store.get_stamped(&job::waiting_key(domain)).await;
+            self.shared.count_call("get", &read);
+            let (row, now_ms) = read.ok()?;
+            let text = row.and_then(|row| row.value);
+            let waiting =
+                text.as_deref().map_or_else(|| Ok(job::Waiting::default()), serde_json::from_str);
+            let waiting: job::Waiting = match waiting {
+                Ok(waiting) => waiting,
+                Err(err) => {
+                    tracing::error!(domain, %err, "counts of what waits can't be read");
+                    return None;
+                }
             };
-            let counts: job::Waiting = serde_json::from_str(&text).ok()?;
-            for (queue, count) in counts.queues {
-                *queues.entry(queue).or_insert(0) += count;
+            let age = now_ms.and_then(|now_ms| waiting.age(now_ms));
+            all.age = all.age.zip(age).map(|(all, age)| all.max(age));
+            for (queue, count) in waiting.queues {
+                *all.queues.entry(queue).or_insert(0) += count;
             }
         }
-        Some(queues)
+        Some(all)
     }
 
     /// Returns the domain of a job.
@@ -251,6 +317,21 @@
     }
 }
 
+/// Logs whether counts are told, when that has changed; reads that failed change nothing.
+fn log_belief(before: Option<bool>, reading: &Reading) {
+    let age_ms = reading.age(reading.over).map(|age| age.as_millis());
+    let limit_ms = MOST_AGE.as_millis();
+    match (before, reading.believed) {
+        (before, after) if before == after => {}
+        (_, Some(true)) => tracing::info!(age_ms, limit_ms, "counts of what waits are told"),
+        _ => tracing::warn!(
+            age_ms,
+            limit_ms,
+            "counts of what waits are too old, or of unknown age, and not told"
+        ),
+    }
+}
+
 /// Returns what is told of a job that nobody has begun.
 fn accepted_phase(row: &rows::Row) -> job::Phase {
     let accepted = row.value.as_deref().map(serde_json::from_str::<job::Accepted>);
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -12,6 +12,9 @@
 
 /// How long the store may hold a feed open; bounds how long a silent cut goes unseen.
 const FEED_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// The same for accepted jobs, whose every answer renews what the holder may say of them. Counts are written
+/// every 0.7 s besides, and may be 2 s old where they are told.
+const JOBS_FEED_WAIT: time::Duration = time::Duration::from_millis(700);
 /// The wait before a failed call is made again.
 const AGAIN: time::Duration = time::Duration::from_millis(200);
 
@@ -31,7 +34,7 @@
         };
         take_config(&shared, &holder, &page.rows);
         let mut after = page.version;
-        while let Some(page) = next(&shared, key.table, after).await {
+        while let Some(page) = next(&shared, key.table, after, FEED_WAIT).await {
             take_config(&shared, &holder, &page.rows);
             after = page.version;
         }
@@ -82,10 +85,12 @@
             return holder::tell(&self.holder, job::Event::LoadFailed);
         };
         let versions = (workers.version, jobs.version);
+        let heard_ms = jobs.now_ms;
         self.tell_list(&workers);
         let loaded =
             job::Event::Loaded { jobs: jobs.rows, progress: progress.rows, learned: learned.rows };
         holder::tell(&self.holder, loaded);
+        self.tell_heard(heard_ms);
         tokio::spawn(self.clone().follow_workers(versions.0));
         tokio::spawn(self.follow_jobs(domain, versions.1));
     }
@@ -93,7 +98,7 @@
     /// Follows the list of workers.
     async fn follow_workers(self, mut after: u64) {
         while self.wanted() {
-            while let Some(page) = self.next(config::WORKERS_TABLE, after).await {
+            while let Some(page) = self.next(config::WORKERS_TABLE, after, FEED_WAIT).await {
                 after = page.version;
                 for row in &page.rows {
                     match config::member(row) {
@@ -116,21 +121,37 @@
     /// Follows accepted jobs and cancels.
     async fn follow_jobs(self, domain: u32, mut after: u64) {
         while self.wanted() {
-            while let Some(page) = self.next(job::JOBS, after).await {
+            while let Some(page) = self.next(job::JOBS, after, JOBS_FEED_WAIT).await {
                 after = page.version;
-                if !page.rows.is_empty() {
-                    holder::tell(&self.holder, job::Event::Jobs(page.rows));
-                }
+                self.tell_jobs(page);
             }
             if let Ok(page) = self.accepted(domain).await {
                 after = page.version;
-                holder::tell(&self.holder, job::Event::Jobs(page.rows));
+                self.tell_jobs(page);
             } else {
                 tokio::time::sleep(AGAIN).await;
             }
         }
     }
 
+    /// Tells of accepted jobs, and up to when they are all that were accepted.
+    fn tell_jobs(&self, page: rows::Page) {
+        // Behind an answer that is not whole there are more, as old as its last.
+        let heard_ms = page.now_ms.filter(|_| !page.more);
+        if !page.rows.is_empty() {
+            holder::tell(&self.holder, job::Event::Jobs(page.rows));
+        }
+        self.tell_heard(heard_ms);
+    }
+
+    /// Tells up to when all accepted jobs were told, where the store said; behind them, so that a holder that
+    /// lags knows no more than it has taken in.
+    fn tell_heard(&self, heard_ms: Option<u64>) {
+        if let Some(up_to_ms) = heard_ms {
+            holder::tell(&self.holder, job::Event::Heard { up_to_ms });
+        }
+    }
+
     /// Tells the whole list of workers.
     fn tell_list(&self, page: &rows::Page) {
         let members = page.rows.iter().filter_map(|row| match config::member(row) {
@@ -144,8 +165,13 @@
     }
 
     /// Returns the next changes while they are wanted and the feed goes on.
-    async fn next(&self, table: &'static str, after: u64) -> Option<rows::Page> {
-        if self.wanted() { next(&self.shared, table, after).await } else { None }
+    async fn next(
+        &self,
+        table: &'static str,
+        after: u64,
+        wait: time::Duration,
+    ) -> Option<rows::Page> {
+        if self.wanted() { next(&self.shared, table, after, wait).await } else { None }
     }
 
     /// Reads a whole part of a table and counts the call.
@@ -155,20 +181,23 @@
         page
     }
 
-    /// Reads the accepted jobs of a domain, all parts at once; the version is that of the oldest answer.
+    /// Reads the accepted jobs of a domain, all parts at once; the version and the time are those of
+    /// the oldest answer.
     async fn accepted(&self, domain: u32) -> Result<rows::Page, store::StoreError> {
         let mut reads = tokio::task::JoinSet::new();
         for part in job::job_parts(domain) {
             let own = self.clone();
             reads.spawn(async move { own.all(job::JOBS, &part).await });
         }
-        let mut all = rows::Page { version: u64::MAX, ..rows::Page::default() };
+        let mut all =
+            rows::Page { version: u64::MAX, now_ms: Some(u64::MAX), ..rows::Page::default() };
         while let Some(read) = reads.join_next().await {
             let page = read.map_err(|err| {
                 tracing::error!(%err, "a read of accepted jobs ended");
                 store::StoreError::Cancelled
             })??;
             all.version = all.version.min(page.version);
+            all.now_ms = all.now_ms.min(page.now_ms);
             all.rows.extend(page.rows);
         }
         Ok(all)
@@ -182,8 +211,13 @@
 }
 
 /// Returns the next changes of a table, or nothing where it must be read anew.
-async fn next(shared: &Shared, table: &str, after: u64) -> Option<rows::Page> {
-    let changes = shared.store.changes(table, after, FEED_WAIT).await;
+async fn next(
+    shared: &Shared,
+    table: &str,
+    after: u64,
+    wait: time::Duration,
+) -> Option<rows::Page> {
+    let changes = shared.store.changes(table, after, wait).await;
     shared.count_call("feed", &changes);
     match changes {
         Ok(rows::Changes::Rows(page)) => Some(page),
--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -26,6 +26,7 @@
         };
         let accepted = job::Accepted { job: job.clone(), cancelled: false, accepted_ms: 0 };
         self.judge.jobs.insert(id, job);
+        self.judge.accepted_ms.insert(id, world::millis(self.now));
         self.write_job(id, &accepted);
         if self.rng.random_range(0..4) == 0 {
             let after = time::Duration::from_millis(self.rng.random_range(10..6_000));
--- a/crates/stand-in/src/jobs/judge.rs
+++ b/crates/stand-in/src/jobs/judge.rs
@@ -39,6 +39,14 @@
         /// The task.
         task: job::TaskId,
     },
+    /// Fewer jobs were said to wait than were handed in before the time of the count and have not begun.
+    #[error("{told} jobs are said to wait, {waiting} do")]
+    Undercounted {
+        /// What a caller is told.
+        told: u64,
+        /// What waits.
+        waiting: u64,
+    },
     /// A task was started more often than its failures allow.
     #[error("{task} started after it failed too often")]
     Attempts {
@@ -52,6 +60,12 @@
 pub struct Judge {
     /// The jobs that were handed in.
     pub jobs: collections::BTreeMap<job::JobId, job::Job>,
+    /// When jobs were accepted, in milliseconds.
+    pub accepted_ms: collections::BTreeMap<job::JobId, u64>,
+    /// Jobs of which a task was started.
+    begun: collections::BTreeSet<job::JobId>,
+    /// How often a count that may be told was judged.
+    pub counts: u64,
     /// Tasks whose end was done, acknowledged or not.
     done: collections::BTreeSet<job::TaskId>,
     /// Tasks whose end as done was acknowledged.
@@ -83,6 +97,17 @@
         }
     }
 
+    /// Judges a count that a caller may be told, and the time up to which it is said to be true.
+    pub fn counted(&mut self, told: u64, as_of_ms: u64, cancelled: impl Fn(job::JobId) -> bool) {
+        self.counts += 1;
+        let before = self.accepted_ms.iter().filter(|(_, at_ms)| **at_ms <= as_of_ms);
+        let waits = before.filter(|(job, _)| !self.begun.contains(job) && !cancelled(**job));
+        let waiting = waits.count() as u64;
+        if told < waiting {
+            self.breaches.push(Breach::Undercounted { told, waiting });
+        }
+    }
+
     /// Judges a start that was carried out.
     pub fn started(
         &mut self,
@@ -92,6 +117,7 @@
         workers: &[worker::Worker],
     ) {
         self.starts += 1;
+        self.begun.insert(task.job);
         let alive = workers.iter().filter(|worker| worker.alive);
         let running = alive.flat_map(worker::Worker::running).filter(|(t, _)| *t == task).count();
         if running > 1 {
--- a/crates/stand-in/src/jobs/rows.rs
+++ b/crates/stand-in/src/jobs/rows.rs
@@ -102,7 +102,12 @@
             value: None,
         }));
         changed.sort_by_key(|row| row.version);
-        rows::Changes::Rows(rows::Page { rows: changed, more: false, version: self.version })
+        rows::Changes::Rows(rows::Page {
+            rows: changed,
+            more: false,
+            version: self.version,
+            now_ms: None,
+        })
     }
 
     /// Returns all rows of one part of a table.
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -127,6 +127,12 @@
         self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns what the store's clock shows.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Puts a configuration with the only queue in force.
     pub fn configure(&self, revision: u64) {
         let queue = job::Queue {
@@ -219,7 +225,8 @@
                 let more = rows.len() > limit;
                 rows.truncate(limit);
                 let version = state.rows.version();
-                serve::page(&table::Page { rows, more, version })
+                let now_ms = Some(self.now_ms());
+                serve::page(&table::Page { rows, more, version, now_ms })
             }
             serve::StoreCall::Feed { table, after, wait } => self.feed(table, after, wait).await,
         }
@@ -240,18 +247,20 @@
         if lost {
             std::future::pending::<()>().await;
         }
-        serve::transacted(&answer)
+        serve::transacted(&answer, self.now_ms())
     }
 
     /// Waits for changes of a table.
     async fn feed(&self, table: &'static str, after: u64, wait: time::Duration) -> reply::Reply {
         let end = self.clock.now() + wait;
         loop {
+            // The time first: what is written after it may be missing from the answer.
+            let now_ms = Some(self.now_ms());
             let changes = self.lock().rows.changes(table, after);
             match changes {
                 table::Changes::Forgotten => return serve::forgotten(),
                 table::Changes::Rows(page) if !page.rows.is_empty() || self.clock.now() >= end => {
-                    return serve::page(&page);
+                    return serve::page(&table::Page { now_ms, ..page });
                 }
                 table::Changes::Rows(_) => tokio::time::sleep(POLL).await,
             }
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -21,6 +21,12 @@
 pub(super) const QUEUE: &str = "queue";
 /// The port of the first host.
 const FIRST_PORT: u16 = 7_000;
+/// The time between two answers of the feed of accepted jobs where nothing changes.
+const FEED: time::Duration = time::Duration::from_millis(700);
+/// The longest way of a message; what was accepted so long ago has been told.
+const LONGEST_WAY: time::Duration = time::Duration::from_millis(8);
+/// How old counts of what waits may be that a caller is told.
+const COUNT_AGE: time::Duration = time::Duration::from_secs(2);
 /// The time that an order may be late after a cancel and still be no breach.
 pub(super) const CANCEL: time::Duration = time::Duration::from_secs(3);
 
@@ -70,6 +76,8 @@
     Fault(Fault),
     /// A fault ends.
     Mend(Fault, usize),
+    /// The feed of accepted jobs answers the hosts that follow it.
+    Feed,
     /// A caller hands in a job.
     Submit,
     /// A caller cancels a job.
@@ -156,6 +164,7 @@
         }
         (0..hosts).for_each(|host| world.boot(host));
         (0..jobs).for_each(|_| world.plan(Message::Submit));
+        world.send(FEED, Message::Feed);
         let kinds = [
             (faults.kills, Fault::Kill),
             (faults.freezes, Fault::Freeze),
@@ -183,6 +192,7 @@
                 let wall_ms = u64::try_from(self.now.as_millis()).unwrap_or(0);
                 self.step(host, job::Event::Tick { wall_ms });
             }
+            self.judge_counts();
         }
     }
 
@@ -237,7 +247,7 @@
 
     /// Returns a way of some milliseconds.
     pub(super) fn way(&mut self) -> time::Duration {
-        time::Duration::from_millis(self.rng.random_range(1..8))
+        time::Duration::from_millis(self.rng.random_range(1..LONGEST_WAY.as_millis() as u64))
     }
 
     /// Returns whether something of a chance in thousandths happens now.
@@ -427,17 +437,54 @@
             }
             Message::Fault(fault) => self.strike(fault),
             Message::Mend(fault, at) => self.mend(fault, at),
+            Message::Feed => self.feed(),
             Message::Submit => self.submit(),
             Message::Cancel(job) => self.cancel(job),
         }
     }
 
+    /// Lets the feed of accepted jobs tell all hosts up to when they have heard all of them.
+    fn feed(&mut self) {
+        self.send(FEED, Message::Feed);
+        if self.down {
+            return;
+        }
+        let up_to = self.now.saturating_sub(LONGEST_WAY);
+        let event = job::Event::Heard { up_to_ms: millis(up_to) };
+        for host in 0..self.hosts.len() {
+            let life = self.hosts[host].life;
+            self.send(LONGEST_WAY, Message::Back(host, life, Box::new(event.clone())));
+        }
+    }
+
+    /// Judges the counts that a caller would be told now.
+    fn judge_counts(&mut self) {
+        let row = self.rows.get(&job::waiting_key(0)).and_then(|row| row.value);
+        let Some(counts) = row.and_then(|text| serde_json::from_str::<job::Waiting>(&text).ok())
+        else {
+            return;
+        };
+        let Some(as_of_ms) = counts.as_of_ms else {
+            return;
+        };
+        if counts.age(millis(self.now)).is_some_and(|age| age <= COUNT_AGE) {
+            let told = counts.queues.get(QUEUE).copied().unwrap_or(0);
+            let cancelled = &self.cancelled;
+            self.judge.counted(told, as_of_ms, |job| cancelled.contains_key(&job));
+        }
+    }
+
     /// Returns a worker that lives and can be reached.
     pub(super) fn reach(&mut self, id: &id::WorkerId) -> Option<&mut worker::Worker> {
         self.workers.iter_mut().find(|worker| worker.id == *id && worker.alive && worker.reachable)
     }
 }
 
+/// Returns a time in milliseconds.
+pub(super) fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns how a worker is listed.
 pub(super) fn member(id: &id::WorkerId) -> job::Member {
     job::Member {
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -16,6 +16,7 @@
         let left = world.unfinished();
         assert!(left.is_empty(), "seed {seed}: {left:?}");
         assert_eq!(world.open_ends(), 0, "seed {seed}: ends that nobody acknowledged");
+        assert!(world.judge.counts > 1_000, "seed {seed}: too few counts may be told");
         assert!(world.judge.starts > 30, "seed {seed}: too little happened");
     }
 }
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -21,6 +21,9 @@
 const MAX_BYTES: usize = 500_000;
 /// The time between two counts of what waits; readers are promised counts of at most 2 s.
 const COUNT_EVERY: time::Duration = time::Duration::from_millis(700);
+/// How long a new holder waits with its first count until it knows which of the starts before it were taken;
+/// a look that is answered takes 5 ms, and counts of the holder before stand for 2 s.
+const SETTLE: time::Duration = time::Duration::from_millis(1_500);
 /// The time between two writes of what was learned; some 5 KB each for six images a side.
 const LEARNED_EVERY: time::Duration = time::Duration::from_secs(2);
 /// The wait before a transaction without an answer is sent again.
@@ -202,7 +205,8 @@
         removed
     }
 
-    /// Adds the counts of what waits, where they have changed.
+    /// Adds the counts of what waits and up to when they are true, also where they have not changed: readers
+    /// trust no old ones.
     fn add_counts(
         &mut self,
         txn: &mut rows::Txn,
@@ -211,18 +215,29 @@
         if now.saturating_sub(self.counted_at) < COUNT_EVERY {
             return Ok(());
         }
+        let settled = self.heard_ms.is_some() && !self.has_open_starts();
+        if now < self.taken + SETTLE && !settled {
+            return Ok(());
+        }
         self.counted_at = now;
         self.log_state();
-        let counts = self.count_waiting();
-        if counts != self.counted {
-            let key = kept::waiting_key(self.settings.domain);
-            let value = Some(serde_json::to_string(&counts)?);
-            txn.writes.push(rows::Write { key, value });
-            self.counted = counts;
+        if self.heard_ms.is_none() {
+            return Ok(());
         }
+        let key = kept::waiting_key(self.settings.domain);
+        let value = Some(serde_json::to_string(&self.count_waiting())?);
+        txn.writes.push(rows::Write { key, value });
         Ok(())
     }
 
+    /// Returns whether it is open which starts of an earlier holder were taken, of jobs that may wait.
+    fn has_open_starts(&self) -> bool {
+        self.placed.iter().any(|(task, placed)| {
+            placed.link == holding::Link::Inherited
+                && self.jobs.get(&task.job).is_some_and(holding::Entry::waits)
+        })
+    }
+
     /// Adds what was learned, from time to time.
     fn add_learned(
         &mut self,
@@ -275,7 +290,7 @@
         for entry in self.jobs.values().filter(|entry| entry.waits()) {
             *queues.entry(entry.job.queue.clone()).or_insert(0) += 1;
         }
-        kept::Waiting { queues }
+        kept::Waiting { queues, as_of_ms: self.heard_ms }
     }
 
     /// Takes what is known of a transaction.
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -31,6 +31,7 @@
             task = %ended.task, run = ended.run, %worker, number = ended.number,
             how = ended.kind.label(), known = ours, "end taken in"
         );
+        self.note_begun(ended.task.job);
         if !ours {
             return;
         }
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -153,6 +153,11 @@
                     holding.jobs_read(&rows, now);
                 }
             }
+            event::Event::Heard { up_to_ms } => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.heard_ms = Some(up_to_ms);
+                }
+            }
             event::Event::Started { order, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.started(&order, answer, now);
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -107,6 +107,11 @@
     },
     /// Rows of accepted jobs were written or read anew.
     Jobs(Vec<rows::Row>),
+    /// All jobs that were accepted up to a time of the store's clock were told before this.
+    Heard {
+        /// The time, in milliseconds.
+        up_to_ms: u64,
+    },
     /// The store's list of workers was read as a whole.
     Listed(Vec<order::Member>),
     /// One worker was listed, or is not any more.
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -37,6 +37,9 @@
     pub dirty: collections::BTreeSet<u32>,
     /// Since when it is set aside because the store refuses its progress for good.
     pub set_aside: Option<time::Duration>,
+    /// Whether any of its tasks has begun, as far as this holder knows. Not kept: a start that was written
+    /// may never have reached its worker, and only workers tell.
+    pub begun: bool,
     /// Since when it has ended.
     pub ended: Option<time::Duration>,
     /// How long tasks took that this holder saw at work, by step.
@@ -53,9 +56,9 @@
 }
 
 impl Entry {
-    /// Returns whether none of its tasks has begun.
+    /// Returns whether none of its tasks has begun; one that was only given a worker has not.
     pub fn waits(&self) -> bool {
-        self.progress.phase == progress::Phase::Queued && !self.cancelled
+        self.active() && !self.begun
     }
 
     /// Returns whether its tasks are to run.
@@ -194,8 +197,8 @@
     pub(super) commits: u64,
     /// When what waits was last counted.
     pub(super) counted_at: time::Duration,
-    /// What waited then.
-    pub(super) counted: kept::Waiting,
+    /// Up to which time of the store's clock all accepted jobs were heard of, in milliseconds.
+    pub(super) heard_ms: Option<u64>,
     /// Whether anything that placement looks at has changed.
     pub(super) changed: bool,
     /// When placement was last tried.
@@ -281,7 +284,7 @@
             committed: taken,
             commits: 0,
             counted_at: time::Duration::ZERO,
-            counted: kept::Waiting::default(),
+            heard_ms: None,
             changed: true,
             placed_at: time::Duration::ZERO,
             sought: 0,
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -97,6 +97,7 @@
             self.placed.insert(place.of(job), placed);
         }
         let ended = progress.phase.ended().then_some(now);
+        let begun = progress.tasks.values().any(progress::Task::shows_work);
         let spec = sync::Arc::new(spec);
         let (phase, rounds) = (progress.phase, spec.rounds());
         let due: Vec<u64> = (0..rounds).map(|round| spec.due_ms(round)).collect();
@@ -109,6 +110,7 @@
             progress,
             dirty: collections::BTreeSet::new(),
             set_aside: None,
+            begun,
             ended,
             taken: collections::BTreeMap::new(),
         };
@@ -205,6 +207,15 @@
         }
     }
 
+    /// Notes that a task has begun, so that its job does not wait any more.
+    pub(super) fn note_begun(&mut self, job: spec::JobId) {
+        let Some(entry) = self.jobs.get_mut(&job).filter(|entry| !entry.begun) else {
+            return;
+        };
+        entry.begun = true;
+        tracing::debug!(%job, "first task seen to begin");
+    }
+
     /// Cancels a job and stops what runs of it.
     pub(super) fn cancel(&mut self, job: spec::JobId, now: time::Duration) {
         let Some(entry) = self.jobs.get_mut(&job).filter(|entry| entry.active()) else {
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -151,6 +151,7 @@
         for row in &lists.running {
             let known = self.placed.get(&row.task);
             let ours = known.is_some_and(|p| p.run == row.run && p.worker == *worker);
+            self.note_begun(row.task.job);
             if !ours {
                 self.stop_stray(worker, row);
             } else if !self.jobs.get(&row.task.job).is_some_and(holding::Entry::active)
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -157,6 +157,7 @@
             order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
                 // An old run is one that ended there: the next look tells how, or that it is gone.
                 self.set_link(order.task, holding::Link::There(now));
+                self.note_begun(order.task.job);
                 if let Some(placed) = self.placed.get_mut(&order.task) {
                     placed.began = placed.began.or(Some(now));
                 }
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -77,6 +77,11 @@
 }
 
 impl Task {
+    /// Returns whether what is kept of the task shows that it was at work; a start alone does not.
+    pub(super) fn shows_work(&self) -> bool {
+        self.done || self.failures > 0 || self.failed_run > 0 || !self.checkpoint.is_empty()
+    }
+
     /// Notes what the task saved; nothing, and a text too long to be kept, leave it as it was.
     pub(super) fn save(&mut self, checkpoint: &str) {
         if checkpoint.len() > MAX_CHECKPOINT_BYTES {
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/refused.rs
@@ -88,7 +88,6 @@
         }
         self.staged.extend(pending.starts);
         self.expired.extend(pending.removed);
-        self.counted = super::rows::Waiting::default();
     }
 
     /// Sets a job aside whose progress the store refuses.
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -6,6 +6,7 @@
 //! Every part follows from the job's name alone.
 
 use std::net;
+use std::time;
 
 use serde::{Deserialize, Serialize};
 
@@ -145,4 +146,17 @@
 pub struct Waiting {
     /// Accepted jobs by queue of which no task has begun.
     pub queues: std::collections::BTreeMap<String, u64>,
+    /// Up to which time of the store's clock all accepted jobs are counted, in milliseconds; nothing where
+    /// the writer did not say, so that nobody knows how old the counts are.
+    #[serde(default)]
+    pub as_of_ms: Option<u64>,
+}
+
+impl Waiting {
+    /// Returns how old the counts were when the store's clock showed a time; nothing where that can't be
+    /// known.
+    #[must_use]
+    pub fn age(&self, now_ms: u64) -> Option<time::Duration> {
+        Some(time::Duration::from_millis(now_ms.checked_sub(self.as_of_ms?)?))
+    }
 }
--- a/crates/wharflane/src/rows.rs
+++ b/crates/wharflane/src/rows.rs
@@ -88,6 +88,8 @@
     pub more: bool,
     /// The version of the store at that moment.
     pub version: u64,
+    /// What the store's steady clock showed then, in milliseconds; nothing where it did not say.
+    pub now_ms: Option<u64>,
 }
 
 /// What has changed in a table.
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -46,6 +46,8 @@
     pub unanswered: usize,
     /// Starts that were not taken.
     pub not_taken: Vec<job::Start>,
+    /// Whether the feed of accepted jobs answers.
+    pub feed: bool,
     /// Returns whether the store refuses a transaction for good.
     pub refuses: fn(&rows::Txn) -> bool,
     /// How many transactions were refused for good.
@@ -79,6 +81,7 @@
             questions: Vec::new(),
             unanswered: 0,
             not_taken: Vec::new(),
+            feed: true,
             refuses: |txn| !store::takes(txn),
             refusals: 0,
             answers: collections::VecDeque::new(),
@@ -138,6 +141,9 @@
         for _ in 0..millis / 20 {
             self.now += time::Duration::from_millis(20);
             let wall_ms = u64::try_from(self.now.as_millis()).expect("a small number");
+            if self.feed {
+                self.take(job::Event::Heard { up_to_ms: wall_ms });
+            }
             self.take(job::Event::Tick { wall_ms });
             for effect in std::mem::take(&mut self.asked) {
                 match effect {
@@ -279,6 +285,12 @@
         rows.map(row).collect()
     }
 
+    /// Returns the counts of what waits that were written last.
+    pub fn waiting(&self) -> Option<job::Waiting> {
+        let row = self.rows.iter().find(|((table, _), _)| *table == job::WAITING);
+        row.map(|(_, value)| serde_json::from_str(value).expect("counts"))
+    }
+
     /// Returns the harm that is learned between the two images of these tests.
     pub fn harm(&self) -> Option<f64> {
         let dump = self.engine.holding().expect("a holder").dump();
