--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -9,6 +9,7 @@
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::lag;
 use super::watch;
 use crate::settings;
 
@@ -23,7 +24,10 @@
 #[derive(Debug)]
 pub enum Msg {
     /// Time has passed.
-    Tick,
+    Tick {
+        /// When it was due, by the clock.
+        due: time::Duration,
+    },
     /// Something happened to the engine.
     Event(Box<job::Event>),
     /// The state is asked for.
@@ -45,6 +49,8 @@
     engine: job::Engine,
     /// Numbers the holdings of this process; those who follow for one end with it.
     generation: sync::Arc<atomic::AtomicU64>,
+    /// How late ticks are taken.
+    lag: lag::Lag,
 }
 
 /// Tells the actor of an event; one that has ended needs no news.
@@ -66,8 +72,9 @@
     ) -> Result<State, ractor::ActorProcessingErr> {
         let settings = engine_settings(&args);
         let engine = job::Engine::new(args.settings.host.clone(), settings, args.nonce);
-        myself.cast(Msg::Tick)?;
-        Ok(State { shared: args, engine, generation: sync::Arc::default() })
+        myself.cast(Msg::Tick { due: args.clock.now() })?;
+        let (generation, lag) = (sync::Arc::default(), lag::Lag::default());
+        Ok(State { shared: args, engine, generation, lag })
     }
 
     async fn handle(
@@ -77,11 +84,13 @@
         state: &mut State,
     ) -> Result<(), ractor::ActorProcessingErr> {
         match message {
-            Msg::Tick => {
+            Msg::Tick { due } => {
+                state.note_lag(due);
                 state.step(&myself, job::Event::Tick { wall_ms: super::wall_ms() });
                 let holds = state.engine.holding().is_some();
                 let next = if holds { TICK_HOLDING } else { TICK_WATCHING };
-                myself.send_after(next, || Msg::Tick);
+                let due = state.shared.clock.now() + next;
+                myself.send_after(next, move || Msg::Tick { due });
             }
             Msg::Event(event) => state.step(&myself, *event),
             Msg::Dump(port) => {
@@ -101,6 +110,25 @@
 }
 
 impl State {
+    /// Notes how late a tick is taken.
+    fn note_lag(&mut self, due: time::Duration) {
+        let now = self.shared.clock.now();
+        let lag = now.saturating_sub(due);
+        let lag_ms = i64::try_from(lag.as_millis()).unwrap_or(i64::MAX);
+        self.shared.metrics.holder_lag_ms.set(lag_ms);
+        if let Some(longest) = self.lag.note(due, now) {
+            let holds = self.engine.holding().is_some();
+            let limit_ms = lag::MOST.as_millis();
+            tracing::warn!(
+                lag_ms,
+                longest_ms = longest.as_millis(),
+                limit_ms,
+                holds,
+                "domain lags"
+            );
+        }
+    }
+
     /// Takes one event and carries out what follows.
     fn step(&mut self, myself: &ractor::ActorRef<Msg>, event: job::Event) {
         let held = !self.engine.left();
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! The job service of a host: takes callers' jobs, and runs them where this host is the holder.
 
 pub mod holder;
+pub mod lag;
 pub mod run;
 pub mod service;
 pub mod watch;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -46,6 +46,8 @@
     pub gossip: prometheus::IntCounterVec,
     /// Halls held, by hall.
     pub hall_held: prometheus::IntGaugeVec,
+    /// How much later than due the holder of the job service took its last tick, in milliseconds.
+    pub holder_lag_ms: prometheus::IntGauge,
     /// Commits by hall.
     pub commits: prometheus::IntGaugeVec,
     /// Records in commits, by hall.
@@ -105,6 +107,10 @@
             )?,
             gossip: builder.counter("gossip_messages_total", "Messages to peers.", &["cause"])?,
             hall_held: builder.gauge("hall_held", "Whether the hall is held here.", &["hall"])?,
+            holder_lag_ms: builder.keep(prometheus::IntGauge::new(
+                "wharflane_holder_lag_ms",
+                "Lag of the job service's holder.",
+            )?)?,
             commits: builder.gauge("hall_commits", "Commits since taken.", &["hall"])?,
             commit_records: builder.gauge("hall_commit_records", "Records in them.", &["hall"])?,
             commit_bytes: builder.gauge("hall_commit_bytes", "Bytes in them.", &["hall"])?,
