--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -195,7 +195,7 @@
 /// A slow link is not silence: the answer may take longer than the call's limit in all, but not between two pieces.
 async fn finish(
     call: &pool::Call<'_>,
-    mut conn: pool::Conn,
+    conn: pool::Conn,
     answer: hyper::Response<hyper::body::Incoming>,
     gap: time::Duration,
 ) -> Result<(hyper::StatusCode, Bytes), CallError> {
@@ -214,10 +214,7 @@
             }
         }
     }
-    // The end of the body is told a moment before the connection can carry the next exchange.
-    if let Ok(Ok(())) = tokio::time::timeout_at(end, conn.sender.ready()).await {
-        call.give_back(conn);
-    }
+    call.give_back(conn);
     Ok((status, read.freeze()))
 }
 
