Silent connections to endpoints and of callers are noticed and given up

Cause: nothing but a request's deadline noticed that an open connection had gone silent. The pool then handed the next silent connection to the next request; a request that may run again had no time left for a second try; an answer that stood still held its place, its caller's slot and a descriptor for good; a caller that sent nothing at first, or went silent over HTTP/2, held its slot for good.

Ruled out: keep-alive and user time-out of the kernel (what forwards a connection may acknowledge for a side that is gone); cutting a try at half of its time (a slow endpoint's request would be lost once the retry budget is used up: the first try goes on beside the second, and the first answer counts).

Now: the idle connections of an endpoint go as soon as a request there had no answer for half of its time or at all; a request that may run again gets a second try beside the first, within the retry budget; idle connections are kept for 4 s; an answer other than a stream that stands still for 30 s is broken off on either side; the start of a connection is bounded like a head; HTTP/2 is pinged after 10 s of quiet.

--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -125,6 +125,8 @@
         connections: settings.count("traffic", "caller_connections"),
         head_bytes: settings.count("traffic", "head_limit_bytes"),
         head_timeout: settings.time("traffic", "head_timeout_ms"),
+        stall: settings.time("traffic", "stall_timeout_ms"),
+        ..server::Bounds::default()
     };
     let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
     let (ended, done) = tokio::sync::oneshot::channel();
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -76,10 +76,13 @@
     number("traffic", "endpoint_slots", 8, 1..=10_000, "Requests an endpoint runs at once."),
     number("traffic", "endpoint_connections", 64, 1..=10_000, "Connections an endpoint takes."),
     number("traffic", "connect_timeout_ms", 500, 1..=60_000, "How long a connection may take."),
+    // Shorter than servers keep idle connections by their defaults, of which the shortest known is 5 s.
+    number("traffic", "idle_timeout_ms", 4_000, 1..=600_000, "How long a connection may be idle."),
     number("traffic", "body_limit_bytes", 1 << 20, 1..=1 << 30, "Largest body of a request."),
     number("traffic", "body_timeout_ms", 10_000, 1..=600_000, "How long a body may take."),
     number("traffic", "head_limit_bytes", 32_768, 8_192..=1 << 20, "Largest head of a request."),
     number("traffic", "head_timeout_ms", 10_000, 1..=600_000, "How long a head may take."),
+    number("traffic", "stall_timeout_ms", 30_000, 1..=600_000, "Longest standstill of an answer."),
     number("traffic", "caller_connections", 4_096, 1..=1_000_000, "Connections of callers."),
     number("traffic", "queue_limit", 256, 0..=1_000_000, "Waiting requests of a service."),
     number("traffic", "tries", 3, 1..=16, "Most tries of a request."),
--- a/crates/daemon/src/traffic/forward.rs
+++ b/crates/daemon/src/traffic/forward.rs
@@ -9,7 +9,7 @@
 use hyper::body;
 use wharflane::{clock, outcome};
 use wharflane_endpoint as endpoint;
-use wharflane_http::reply;
+use wharflane_http::{guard, reply};
 
 use super::balancer;
 use crate::metrics;
@@ -52,11 +52,21 @@
     }
 }
 
+/// The endpoint stood still in the middle of its answer.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the endpoint stood still for {stall:?}")]
+pub struct Stalled {
+    /// For how long.
+    stall: time::Duration,
+}
+
 /// A body on its way from an endpoint to a caller.
 #[derive(Debug)]
 pub struct Forward {
     /// The endpoint's body.
     body: body::Incoming,
+    /// Tells whether the endpoint stands still; nothing for a stream, which may be quiet for long.
+    watch: Option<guard::Watch>,
     /// What is done at its end.
     ending: Option<Ending>,
     /// The clock.
@@ -66,14 +76,16 @@
 }
 
 impl Forward {
-    /// Starts to pass a body on.
+    /// Starts to pass a body on, which may stand still for so long.
     pub fn new(
         body: body::Incoming,
+        stall: Option<time::Duration>,
         ending: Ending,
         clock: sync::Arc<dyn clock::Clock>,
         metrics: metrics::Metrics,
     ) -> Self {
-        let mut forward = Self { body, ending: Some(ending), clock, metrics };
+        let watch = stall.map(guard::Watch::new);
+        let mut forward = Self { body, watch, ending: Some(ending), clock, metrics };
         if body::Body::is_end_stream(&forward.body) {
             forward.whole();
         }
@@ -109,6 +121,22 @@
         }
         self.metrics.broken.with_label_values(&[&ending.service]).inc();
     }
+
+    /// Breaks a body off whose endpoint stands still.
+    fn poll_stall(&mut self, cx: &mut task::Context<'_>) -> task::Poll<Stalled> {
+        let Some(watch) = &mut self.watch else {
+            return task::Poll::Pending;
+        };
+        task::ready!(watch.poll(cx));
+        let stall = watch.limit();
+        if let Some(ending) = &self.ending {
+            let (service, addr) = (&ending.service, ending.lease.addr());
+            let retired = ending.lease.retire_idle();
+            tracing::info!(service, %addr, ?stall, retired, "an answer stood still and is broken off");
+        }
+        self.broken();
+        task::Poll::Ready(Stalled { stall })
+    }
 }
 
 impl body::Body for Forward {
@@ -120,8 +148,13 @@
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<body::Frame<Bytes>, reply::BodyError>>> {
         let polled = pin::Pin::new(&mut self.body).poll_frame(cx);
+        if polled.is_ready()
+            && let Some(watch) = &mut self.watch
+        {
+            watch.moved();
+        }
         match polled {
-            task::Poll::Pending => task::Poll::Pending,
+            task::Poll::Pending => self.poll_stall(cx).map(|stalled| Some(Err(stalled.into()))),
             task::Poll::Ready(Some(Ok(frame))) => {
                 if body::Body::is_end_stream(&self.body) {
                     self.whole();
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -52,6 +52,8 @@
     pub retry_burst: u64,
     /// Most endpoints left at once.
     pub eject_share_percent: u32,
+    /// How long an endpoint may stand still in an answer.
+    pub stall: time::Duration,
     /// The largest body and how long it may take.
     pub body: wharflane_caller::request::BodyBounds,
 }
@@ -90,14 +92,17 @@
         nonce: u64,
     ) -> Self {
         let limits = limits(settings);
-        let connect_timeout = settings.time("traffic", "connect_timeout_ms");
-        let idle = usize::try_from(limits.connections).unwrap_or(usize::MAX);
+        let bounds = endpoint::Bounds {
+            idle: usize::try_from(limits.connections).unwrap_or(usize::MAX),
+            idle_timeout: settings.time("traffic", "idle_timeout_ms"),
+            connect_timeout: settings.time("traffic", "connect_timeout_ms"),
+        };
         Self {
             clock,
             limits,
             snapshot: arc_swap::ArcSwap::default(),
             balancers: arc_swap::ArcSwap::default(),
-            pool: sync::Arc::new(endpoint::Pool::new(idle, connect_timeout)),
+            pool: sync::Arc::new(endpoint::Pool::new(bounds)),
             duplicates: duplicates::Duplicates::new(
                 settings.time("traffic", "duplicate_window_ms"),
             ),
@@ -131,10 +136,12 @@
         self.snapshot.store(sync::Arc::new(snapshot));
     }
 
-    /// Returns what this host saw since the last call, by hall, and brings gauges up to date.
+    /// Returns what this host saw since the last call, by hall, brings gauges up to date and closes idle
+    /// connections.
     pub fn take_digests(&self, host: &id::HostId) -> Vec<digest::Digest> {
         let mut halls: collections::BTreeMap<id::HallId, Vec<digest::Seen>> =
             collections::BTreeMap::new();
+        self.pool.prune();
         let now = self.clock.now();
         let balancers = self.balancers.load();
         let mut all: Vec<_> =
@@ -185,6 +192,7 @@
         retry_share_milli: number("retry_share_milli"),
         retry_burst: number("retry_burst"),
         eject_share_percent: small("eject_share_percent"),
+        stall: settings.time("traffic", "stall_timeout_ms"),
         body: wharflane_caller::request::BodyBounds {
             limit_bytes: settings.count("traffic", "body_limit_bytes"),
             timeout: time::Duration::from_millis(number("body_timeout_ms")),
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -22,6 +22,42 @@
 /// The most refusals by full endpoints that a request bears.
 const MAX_REFUSALS: u32 = 16;
 
+/// The part of the time left after which a try without an answer counts as silent: a second try then has as
+/// long as the first had.
+const QUIET_PART: u32 = 2;
+
+/// The start of an answer and when its request was sent, or why there is none.
+type Tried = Result<(endpoint::Answer, time::Duration), endpoint::TryError>;
+
+/// An answer on its way.
+#[derive(Debug)]
+struct Answered {
+    /// Its start.
+    answer: endpoint::Answer,
+    /// The place at the endpoint.
+    permit: balancer::Permit,
+    /// When the request was sent to the endpoint.
+    sent: time::Duration,
+}
+
+/// A try without an answer.
+#[derive(Clone, Copy, Debug)]
+struct Failed {
+    /// What is known of it.
+    failure: outcome::Failure,
+    /// The endpoint.
+    addr: std::net::SocketAddr,
+}
+
+/// What two tries beside each other came to.
+#[derive(Debug)]
+enum Beside {
+    /// The end of the first.
+    First(Tried),
+    /// The second was answered before.
+    Second(Answered),
+}
+
 /// A request that ended without an answer.
 #[derive(Clone, Copy, Debug)]
 struct Rejection {
@@ -126,37 +162,159 @@
     ) -> Result<http_reply::Reply, Rejection> {
         let mut tries = outcome::Tries::default();
         let mut failed_at = None;
-        let service = call.parsed.service.as_str();
         call.balancer.first_try();
         loop {
             let permit = self.enter(call, &tries, failed_at).await?;
-            let addr = permit.addr;
-            let failure = match self.attempt(call, &permit).await {
-                Ok((answer, sent)) => {
-                    return Ok(self.pass_on(call, answer, permit, sent, under_way));
-                }
-                Err(err) => {
-                    if err.leaving {
-                        call.balancer.leaving(permit.addr);
-                    }
-                    err.failure
+            let failure = match self.attempt_with_help(call, permit, &mut tries).await {
+                Ok(answered) => return Ok(self.pass_on(call, answered, under_way)),
+                Err(failed) => {
+                    failed_at = Some(failed.addr);
+                    failed.failure
                 }
             };
-            self.metrics.failures.with_label_values(&[service, failure.label()]).inc();
-            let now = self.clock.now();
-            permit.failed(failure, now);
-            tries.note(failure);
-            failed_at = Some(addr);
             if failure == outcome::Failure::Refused && tries.refused < MAX_REFUSALS {
                 // A full endpoint ran nothing and was asked little; the queue bounds the wait.
                 continue;
             }
-            let allowed = tries.made() < self.limits.tries && now < call.deadline;
-            if !allowed || !tries.may_repeat(call.repeatable) || !call.balancer.may_retry() {
+            if !self.try_left(call, &tries) || !call.balancer.may_retry() {
                 return Err(given_up(failure, &tries));
             }
-            self.metrics.retries.with_label_values(&[service]).inc();
+            self.count_retry(call);
+        }
+    }
+
+    /// Returns whether one more try may be made, but for the retry budget.
+    fn try_left(&self, call: &Call<'_>, tries: &outcome::Tries) -> bool {
+        let allowed = tries.made() < self.limits.tries && self.clock.now() < call.deadline;
+        allowed && tries.may_repeat(call.repeatable)
+    }
+
+    /// Counts a retry.
+    fn count_retry(&self, call: &Call<'_>) {
+        self.metrics.retries.with_label_values(&[call.parsed.service.as_str()]).inc();
+    }
+
+    /// Makes one try, and a second beside it where the first has no answer after its share of the time.
+    async fn attempt_with_help(
+        &self,
+        call: &Call<'_>,
+        permit: balancer::Permit,
+        tries: &mut outcome::Tries,
+    ) -> Result<Answered, Failed> {
+        let addr = permit.addr;
+        let patience = call.deadline.saturating_sub(self.clock.now()) / QUIET_PART;
+        let mut first = std::pin::pin!(self.attempt(call, permit.addr));
+        let quick = tokio::time::timeout(patience, first.as_mut()).await;
+        let ended = match quick {
+            Ok(ended) => ended,
+            Err(_elapsed) => {
+                self.suspect(call, addr, patience);
+                match self.beside(call, first.as_mut(), addr, tries).await {
+                    Beside::First(ended) => ended,
+                    Beside::Second(answered) => {
+                        self.note(call, permit, outcome::Failure::TimedOut, tries);
+                        return Ok(answered);
+                    }
+                }
+            }
+        };
+        match ended {
+            Ok((answer, sent)) => Ok(Answered { answer, permit, sent }),
+            Err(err) => Err(self.failed(call, permit, &err, tries)),
+        }
+    }
+
+    /// Makes a second try beside one that may be silent, and returns the first answer of both.
+    async fn beside(
+        &self,
+        call: &Call<'_>,
+        mut first: std::pin::Pin<&mut impl Future<Output = Tried>>,
+        addr: std::net::SocketAddr,
+        tries: &mut outcome::Tries,
+    ) -> Beside {
+        // The first may have run, and may yet answer: it counts as open for the second.
+        let mut open = *tries;
+        open.note(outcome::Failure::TimedOut);
+        if !self.try_left(call, &open) || !call.balancer.may_retry() {
+            return Beside::First(first.await);
+        }
+        self.count_retry(call);
+        let mut second = std::pin::pin!(self.second(call, addr, open));
+        tokio::select! {
+            ended = first.as_mut() => match ended {
+                Ok(answered) => Beside::First(Ok(answered)),
+                Err(err) => match second.await {
+                    Ok(answered) => Beside::Second(answered),
+                    Err(more) => {
+                        more.into_iter().for_each(|failure| tries.note(failure));
+                        Beside::First(Err(err))
+                    }
+                },
+            },
+            ended = second.as_mut() => match ended {
+                Ok(answered) => Beside::Second(answered),
+                Err(more) => {
+                    more.into_iter().for_each(|failure| tries.note(failure));
+                    Beside::First(first.await)
+                }
+            },
+        }
+    }
+
+    /// Makes the second of two tries, at another endpoint where one has room; returns its failure if it was made.
+    async fn second(
+        &self,
+        call: &Call<'_>,
+        failed_at: std::net::SocketAddr,
+        mut tries: outcome::Tries,
+    ) -> Result<Answered, Option<outcome::Failure>> {
+        let entered = self.enter(call, &tries, Some(failed_at)).await;
+        let permit = entered.map_err(|_rejection| None)?;
+        match self.attempt(call, permit.addr).await {
+            Ok((answer, sent)) => Ok(Answered { answer, permit, sent }),
+            Err(err) => Err(Some(self.failed(call, permit, &err, &mut tries).failure)),
+        }
+    }
+
+    /// Closes the idle connections of an endpoint that may be silent.
+    fn suspect(&self, call: &Call<'_>, addr: std::net::SocketAddr, quiet: time::Duration) {
+        let retired = self.pool.retire(addr);
+        let (service, request) = (call.parsed.service.as_str(), call.request_id);
+        tracing::info!(service, request, %addr, ?quiet, retired, "no answer for half of the time");
+    }
+
+    /// Notes the end of a try without an answer.
+    fn failed(
+        &self,
+        call: &Call<'_>,
+        permit: balancer::Permit,
+        err: &endpoint::TryError,
+        tries: &mut outcome::Tries,
+    ) -> Failed {
+        let addr = permit.addr;
+        if err.leaving {
+            call.balancer.leaving(addr);
+        }
+        if err.retired > 0 {
+            let (service, request) = (call.parsed.service.as_str(), call.request_id);
+            tracing::info!(service, request, %addr, retired = err.retired, "no answer in time");
         }
+        self.note(call, permit, err.failure, tries);
+        Failed { failure: err.failure, addr }
+    }
+
+    /// Notes a failure at an endpoint.
+    fn note(
+        &self,
+        call: &Call<'_>,
+        permit: balancer::Permit,
+        failure: outcome::Failure,
+        tries: &mut outcome::Tries,
+    ) {
+        let service = call.parsed.service.as_str();
+        self.metrics.failures.with_label_values(&[service, failure.label()]).inc();
+        permit.failed(failure, self.clock.now());
+        tries.note(failure);
     }
 
     /// Waits for a place at an endpoint.
@@ -183,15 +341,11 @@
     }
 
     /// Makes one try.
-    async fn attempt(
-        &self,
-        call: &Call<'_>,
-        permit: &balancer::Permit,
-    ) -> Result<(endpoint::Answer, time::Duration), endpoint::TryError> {
+    async fn attempt(&self, call: &Call<'_>, addr: std::net::SocketAddr) -> Tried {
         let sent = self.clock.now();
-        let request = to_endpoint(call, permit);
+        let request = to_endpoint(call, addr);
         let patience = call.deadline.saturating_sub(sent);
-        let answer = self.pool.exchange(permit.addr, request, patience).await?;
+        let answer = self.pool.exchange(addr, request, patience).await?;
         Ok((answer, sent))
     }
 
@@ -199,11 +353,10 @@
     fn pass_on(
         &self,
         call: &Call<'_>,
-        answer: endpoint::Answer,
-        permit: balancer::Permit,
-        sent: time::Duration,
+        answered: Answered,
         under_way: forward::UnderWay,
     ) -> http_reply::Reply {
+        let Answered { answer, permit, sent } = answered;
         let service = call.parsed.service.to_string();
         let outcome = outcome::Outcome::Answered;
         self.metrics.requests.with_label_values(&[service.as_str(), outcome.label()]).inc();
@@ -230,7 +383,8 @@
             under_way,
         };
         let clock = sync::Arc::clone(&self.clock);
-        let body = forward::Forward::new(body, ending, clock, self.metrics.clone());
+        let stall = if call.parsed.watch { None } else { Some(self.limits.stall) };
+        let body = forward::Forward::new(body, stall, ending, clock, self.metrics.clone());
         hyper::Response::from_parts(head, body.boxed_unsync())
     }
 
@@ -261,7 +415,7 @@
 /// Builds the request to an endpoint.
 fn to_endpoint(
     call: &Call<'_>,
-    permit: &balancer::Permit,
+    addr: std::net::SocketAddr,
 ) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
     let parsed = call.parsed;
     let body = http_body_util::Full::new(parsed.body.clone());
@@ -272,7 +426,7 @@
     let headers = request.headers_mut();
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
-    if let Ok(host) = header::HeaderValue::from_str(&permit.addr.to_string()) {
+    if let Ok(host) = header::HeaderValue::from_str(&addr.to_string()) {
         headers.insert(header::HOST, host);
     }
     if let Ok(id) = header::HeaderValue::from_str(call.request_id) {
--- /dev/null
+++ b/crates/daemon/tests/silence.rs
@@ -0,0 +1,37 @@
+//! Open connections go silent without a reset while new ones work: what each peer of a host then costs.
+
+mod silence {
+    //! The kinds of peers.
+    pub mod callers;
+    pub mod endpoints;
+}
+
+use std::time;
+
+use wharflane_stand_in::cases;
+
+/// How long a test waits for what must come; the limits under test are a hundredth of it.
+const AMPLE: time::Duration = time::Duration::from_secs(30);
+
+cases! {
+    one_request_of_an_endpoint_is_lost_and_its_idle_connections_go => run(silence::endpoints::idle_connections()),
+    a_connection_idle_for_too_long_is_not_used_again => run(silence::endpoints::idle_too_long()),
+    an_answer_that_stands_still_is_broken_and_its_place_is_free => run(silence::endpoints::in_an_answer()),
+    a_stream_of_a_quiet_endpoint_is_kept => run(silence::endpoints::quiet_stream()),
+    a_caller_that_sends_nothing_gives_its_slot_back => run(silence::callers::before_a_head()),
+    a_caller_that_sends_half_a_preface_gives_its_slot_back => run(silence::callers::in_a_preface()),
+    a_caller_between_requests_gives_its_slot_back => run(silence::callers::between_requests()),
+    a_caller_silent_in_its_body_gives_its_slot_back => run(silence::callers::in_a_body()),
+    a_caller_silent_in_its_answer_gives_its_slot_back => run(silence::callers::in_an_answer()),
+    a_caller_that_reads_slowly_gets_its_whole_answer => run(silence::callers::slow_reader()),
+    a_silent_caller_of_http_2_gives_its_slot_back => run(silence::callers::http_2()),
+    a_quiet_caller_of_http_2_that_answers_pings_is_kept => run(silence::callers::quiet_http_2()),
+}
+
+/// Runs a case.
+fn run(case: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime
+        .block_on(async { tokio::time::timeout(AMPLE, case).await.expect("ended in ample time") });
+    runtime.shutdown_background();
+}
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -11,7 +11,7 @@
 use wharflane::{clock, desired, endpoints, id, size};
 use wharflane_daemon::{metrics, settings, traffic};
 use wharflane_http::server;
-use wharflane_stand_in::{caller, checker, endpoint, history};
+use wharflane_stand_in::{caller, checker, endpoint, history, proxy};
 
 /// The service of every scenario.
 const SERVICE: &str = "dispatch";
@@ -39,6 +39,8 @@
     patience: time::Duration,
     /// Whether every request is sent twice under the same name.
     twice: bool,
+    /// Whether all connections to endpoints go silent after the load, which then comes once more.
+    silenced: bool,
     /// What must hold at the end.
     expects: Vec<(String, u64, u64)>,
 }
@@ -57,25 +59,35 @@
     let history = history::History::default();
     let mut table = Vec::new();
     let mut fakes = Vec::new();
+    let mut proxies = Vec::new();
     for number in 0..scenario.endpoints {
-        let fake = start_endpoint(scenario, number, &history).await;
-        table.push((id::HallId::from("hall"), fake.1));
-        fakes.push(fake.0);
+        let (fake, mut entry) = start_endpoint(scenario, number, &history).await;
+        if scenario.silenced {
+            let proxy = proxy::Proxy::start(entry.addr).await.expect("a proxy");
+            entry.addr = proxy.addr;
+            proxies.push(proxy);
+        }
+        table.push((id::HallId::from("hall"), entry));
+        fakes.push(fake);
     }
     let metrics = metrics::Metrics::new().expect("metrics");
     let host = start_host(scenario, table, metrics.clone()).await;
-    let load = || caller::Load {
+    let load = |name: &str| caller::Load {
         hosts: vec![host],
         service: SERVICE.to_owned(),
         rate: scenario.rate,
         duration: time::Duration::from_secs_f64(f64::from(scenario.requests) / scenario.rate),
         repeatable: None,
         patience: scenario.patience,
-        name: "call".to_owned(),
+        name: name.to_owned(),
     };
-    let mut report = caller::run(load()).await;
+    let mut report = caller::run(load("call")).await;
     if scenario.twice {
-        report.seen.extend(caller::run(load()).await.seen);
+        report.seen.extend(caller::run(load("call")).await.seen);
+    }
+    if scenario.silenced {
+        proxies.iter().for_each(proxy::Proxy::silence);
+        report.seen.extend(caller::run(load("again")).await.seen);
     }
     let events = history.events();
     judge(scenario, &report, &events);
@@ -152,16 +164,30 @@
     let task = id::TaskId { owner: SERVICE.into(), born: 1, index };
     let fake = endpoint::Endpoint::new(task.clone(), scenario.room, history.clone());
     fake.set_faults(scenario.faults[number].clone());
-    let listener = bind().await;
-    let addr = listener.local_addr().expect("its address");
-    if !scenario.gone.contains(&number) {
-        tokio::spawn(sync::Arc::clone(&fake).serve(listener, std::future::pending()));
-    }
+    let gone = scenario.gone.contains(&number);
+    let addr = if gone { closed_port() } else { serve(&fake).await };
     let worker = format!("worker-{number}").as_str().into();
     let entry = endpoints::Endpoint { task, service: SERVICE.into(), worker, addr, leaving: false };
     (fake, entry)
 }
 
+/// Serves an endpoint and returns where.
+async fn serve(fake: &sync::Arc<endpoint::Endpoint>) -> net::SocketAddr {
+    let listener = bind().await;
+    let addr = listener.local_addr().expect("its address");
+    tokio::spawn(sync::Arc::clone(fake).serve(listener, std::future::pending()));
+    addr
+}
+
+/// Returns a port that refuses connections and that no other scenario is given while this process runs.
+fn closed_port() -> net::SocketAddr {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind((net::Ipv4Addr::LOCALHOST, 0).into()).expect("a port");
+    let addr = socket.local_addr().expect("its address");
+    std::mem::forget(socket);
+    addr
+}
+
 /// Starts the traffic of a host and returns where it is called.
 async fn start_host(
     scenario: &Scenario,
@@ -231,6 +257,7 @@
         rate: 200.0,
         patience: time::Duration::from_secs(2),
         twice: false,
+        silenced: false,
         expects: Vec::new(),
     };
     for line in text.lines() {
@@ -255,6 +282,7 @@
         ["set", key, value] => scenario.settings.push_str(&format!("{key} = {value}\n")),
         ["repeatable"] => scenario.repeatable = true,
         ["twice"] => scenario.twice = true,
+        ["silenced"] => scenario.silenced = true,
         ["requests", count, "rate", rate] => {
             scenario.requests = number(count) as u32;
             scenario.rate = number(rate) as f64;
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -32,6 +32,8 @@
     pub failure: outcome::Failure,
     /// Whether the endpoint said that it is leaving.
     pub leaving: bool,
+    /// How many idle connections to the endpoint were retired because the try had no answer in time.
+    pub retired: usize,
     /// What the transport said.
     #[source]
     pub source: Option<io::Error>,
@@ -58,6 +60,18 @@
 }
 
 impl ConnLease {
+    /// Returns the endpoint.
+    #[must_use]
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Closes the idle connections to the endpoint, which stands still on this one, and returns how many.
+    #[must_use]
+    pub fn retire_idle(&self) -> usize {
+        self.pool.retire(self.addr)
+    }
+
     /// Gives the connection back after the whole answer was read.
     pub fn whole(self) {
         let Self { pool, addr, sender } = self;
@@ -65,22 +79,43 @@
     }
 }
 
+/// A connection that waits for its next exchange.
+#[derive(Debug)]
+struct Idle {
+    /// The connection.
+    sender: Sender,
+    /// When its last answer was whole.
+    since: tokio::time::Instant,
+}
+
+/// Idle connections by endpoint, the one used last at the end.
+type IdleByAddr = collections::HashMap<net::SocketAddr, Vec<Idle>>;
+
 /// Idle connections by endpoint.
 #[derive(Debug)]
 pub struct Pool {
     /// The idle connections.
-    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<Sender>>>,
+    idle: sync::Mutex<IdleByAddr>,
+    /// The bounds.
+    bounds: Bounds,
+}
+
+/// The bounds of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
     /// The most idle connections kept for an endpoint.
-    idle_limit: usize,
+    pub idle: usize,
+    /// How long an idle connection is kept.
+    pub idle_timeout: time::Duration,
     /// How long a connection may take to stand.
-    connect_timeout: time::Duration,
+    pub connect_timeout: time::Duration,
 }
 
 impl Pool {
     /// Makes an empty pool.
     #[must_use]
-    pub fn new(idle_limit: usize, connect_timeout: time::Duration) -> Self {
-        Self { idle: sync::Mutex::default(), idle_limit, connect_timeout }
+    pub fn new(bounds: Bounds) -> Self {
+        Self { idle: sync::Mutex::default(), bounds }
     }
 
     /// Makes one try of a request at an endpoint and returns the start of its answer.
@@ -99,7 +134,10 @@
         loop {
             let sent = tokio::time::timeout_at(deadline, sender.try_send_request(request)).await;
             let err = match sent {
-                Err(_) => return Err(failed(outcome::Failure::TimedOut, None)),
+                Err(_) => {
+                    let retired = self.retire(addr);
+                    return Err(TryError { retired, ..failed(outcome::Failure::TimedOut, None) });
+                }
                 Ok(Ok(response)) => return self.check(addr, sender, response),
                 Ok(Err(err)) => err,
             };
@@ -119,6 +157,23 @@
         self.lock().retain(|addr, _| keep(addr));
     }
 
+    /// Closes the idle connections to an endpoint that left a request without an answer, and returns how many.
+    ///
+    /// Connections go silent together and without a reset, so one that has no answer speaks against
+    /// all that were open beside it. One that is in use is kept if its answer still comes.
+    pub fn retire(&self, addr: net::SocketAddr) -> usize {
+        self.lock().remove(&addr).map_or(0, |idle| idle.len())
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn prune(&self) {
+        let timeout = self.bounds.idle_timeout;
+        self.lock().retain(|_, idle| {
+            idle.retain(|conn| conn.since.elapsed() < timeout);
+            !idle.is_empty()
+        });
+    }
+
     /// Turns a refusal into a failure, and passes an answer on only if its end can be told.
     fn check(
         self: &sync::Arc<Self>,
@@ -134,7 +189,7 @@
             if ended {
                 lease.whole();
             }
-            return Err(TryError { failure: outcome::Failure::Refused, leaving, source: None });
+            return Err(TryError { leaving, ..failed(outcome::Failure::Refused, None) });
         }
         if !framed(&response) {
             // The end of such a body can't be told from a break, so it is never taken as whole.
@@ -147,7 +202,8 @@
     async fn take(&self, addr: net::SocketAddr) -> Result<Sender, TryError> {
         loop {
             let idle = self.lock().get_mut(&addr).and_then(Vec::pop);
-            let Some(mut sender) = idle else {
+            let young = idle.filter(|idle| idle.since.elapsed() < self.bounds.idle_timeout);
+            let Some(Idle { mut sender, .. }) = young else {
                 return self.connect(addr).await;
             };
             // A connection that was closed while idle is passed over.
@@ -166,7 +222,7 @@
             shaken.map_err(io::Error::other)
         };
         let not_sent = |source| failed(outcome::Failure::NotSent, Some(source));
-        let dialed = tokio::time::timeout(self.connect_timeout, dial).await;
+        let dialed = tokio::time::timeout(self.bounds.connect_timeout, dial).await;
         let (sender, conn) = dialed
             .map_err(|_elapsed| not_sent(io::ErrorKind::TimedOut.into()))?
             .map_err(not_sent)?;
@@ -184,13 +240,13 @@
         }
         let mut idle = self.lock();
         let kept = idle.entry(addr).or_default();
-        if kept.len() < self.idle_limit {
-            kept.push(sender);
+        if kept.len() < self.bounds.idle {
+            kept.push(Idle { sender, since: tokio::time::Instant::now() });
         }
     }
 
     /// Locks the idle connections.
-    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<Sender>>> {
+    fn lock(&self) -> sync::MutexGuard<'_, IdleByAddr> {
         self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
@@ -209,5 +265,5 @@
 
 /// Returns a failure.
 fn failed(failure: outcome::Failure, source: Option<io::Error>) -> TryError {
-    TryError { failure, leaving: false, source }
+    TryError { failure, leaving: false, retired: 0, source }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small HTTP pieces shared by the packages: JSON calls, JSON answers, and a bounded server.
 
 pub mod client;
+pub mod guard;
 pub mod reply;
 pub mod server;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,7 +14,15 @@
 use hyper_util::server::graceful;
 use tokio::net;
 
-use crate::reply;
+use crate::{guard, reply};
+
+/// The longest standstill of an answer: half of what nginx allows by default, so that a slow reader has time
+/// to empty the part of a socket's buffers that lets the next byte in.
+const STALL: time::Duration = time::Duration::from_secs(30);
+/// How long a connection of HTTP/2 may be quiet before it is pinged: as long as a quiet one of HTTP/1.1 lasts.
+const PING_EVERY: time::Duration = time::Duration::from_secs(10);
+/// How long the answer to a ping may take: many round trips of a slow link, and a pause of the caller's process.
+const PING_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// The bounds of a server.
 #[derive(Clone, Copy, Debug)]
@@ -23,8 +31,14 @@
     pub connections: usize,
     /// The largest head, in bytes.
     pub head_bytes: usize,
-    /// How long a caller may take to send a head.
+    /// How long a caller may take to send a head, with the time that it is quiet before over HTTP/1.1.
     pub head_timeout: time::Duration,
+    /// How long an answer may stand still, with no byte of it taken, before its caller counts as gone.
+    pub stall: time::Duration,
+    /// How long a connection of HTTP/2 may be quiet before it is pinged.
+    pub ping_every: time::Duration,
+    /// How long the answer to a ping may take.
+    pub ping_timeout: time::Duration,
 }
 
 impl Default for Bounds {
@@ -33,6 +47,9 @@
             connections: 4_096,
             head_bytes: 32 << 10,
             head_timeout: time::Duration::from_secs(10),
+            stall: STALL,
+            ping_every: PING_EVERY,
+            ping_timeout: PING_TIMEOUT,
         }
     }
 }
@@ -88,11 +105,17 @@
         .header_read_timeout(bounds.head_timeout)
         .max_buf_size(bounds.head_bytes);
     let max_head = u32::try_from(bounds.head_bytes).unwrap_or(u32::MAX);
-    builder.http2().timer(rt::TokioTimer::new()).max_header_list_size(max_head);
+    builder
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .keep_alive_interval(bounds.ping_every)
+        .keep_alive_timeout(bounds.ping_timeout)
+        .max_header_list_size(max_head);
     let service = service::service_fn(move |request| {
         let answer = handle(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
+    let stream = guard::Guarded::new(stream, bounds.head_timeout, bounds.stall);
     let conn = builder.serve_connection(rt::TokioIo::new(stream), service).into_owned();
     let watched = graceful.watch(conn);
     tokio::spawn(async move {
