Silent connections between hosts: told again at once, closed on both sides

Cause: a call over a kept connection that went silent ends by its own limit (two rounds), and the next round opened a new connection; until then nothing was told to that peer, though what had changed was known. The serving side kept a silent connection for good. A connection that was given up in the middle of a message longer than the socket's buffers kept its task and descriptor, since the task that carries calls looks at its clients only once it can write.

Ruled out: keep-alive of its own (gossip is one: a call a round, each with a limit); sending the digests of the lost call again (its answer may be all that was lost, and a holder would count them twice).

Now: a kept connection without an answer is closed, and the peer is told again at once over a new one, without digests; a peer's connection without a call for 150 s is closed; the task that carries calls ends with the last clone of its connection.

--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -27,7 +27,9 @@
     /// A peer said which revision it has.
     Heard(id::HostId, Option<peer::Heard>),
     /// A connection to a peer stands.
-    Connected(id::HostId, peer::PeerClient),
+    Connected(id::HostId, peer::Link),
+    /// A connection to a peer that was kept from an earlier message gave no answer.
+    Silent(id::HostId),
 }
 
 /// The gossip actor.
@@ -40,7 +42,7 @@
     /// Where it is reached.
     addr: net::SocketAddr,
     /// The connection.
-    client: Option<peer::PeerClient>,
+    client: Option<peer::Link>,
     /// Whether an answer is awaited.
     busy: bool,
     /// The tables it was told, by hall.
@@ -106,6 +108,12 @@
             }
             Msg::Holder(hall, holder) => state.set_holder(hall, holder),
             Msg::Heard(host, heard) => state.heard(&host, heard)?,
+            Msg::Silent(host) => {
+                tracing::info!(peer = %host, "no answer over a kept connection, which is closed");
+                state.heard(&host, None)?;
+                // What it was to be told waits no further round; digests are of their interval only.
+                state.tell(&myself, &host, &[], "again");
+            }
             Msg::Connected(host, client) => {
                 if let Some(peer_state) = state.peers.get_mut(&host) {
                     peer_state.client = Some(client);
@@ -158,23 +166,34 @@
         digests: &[digest::Digest],
         cause: &str,
     ) {
-        let timeout = self.shared.time("gossip_ms") * 2;
         let hosts: Vec<id::HostId> = self.peers.keys().cloned().collect();
         for host in hosts {
-            let gossip = self.gossip_for(&host, digests);
-            let Some(peer_state) = self.peers.get_mut(&host).filter(|peer_state| !peer_state.busy)
-            else {
-                continue;
-            };
-            peer_state.busy = true;
-            self.shared.metrics.gossip.with_label_values(&[cause]).inc();
-            peer_state.telling =
-                gossip.tables.iter().map(|t| (t.hall.clone(), (t.epoch, t.version))).collect();
-            let client = peer_state.client.clone();
-            tokio::spawn(tell(myself.clone(), host, peer_state.addr, client, gossip, timeout));
+            self.tell(myself, &host, digests, cause);
         }
     }
 
+    /// Tells one peer unless it is being told already.
+    fn tell(
+        &mut self,
+        myself: &ractor::ActorRef<Msg>,
+        host: &id::HostId,
+        digests: &[digest::Digest],
+        cause: &str,
+    ) {
+        let timeout = self.shared.time("gossip_ms") * 2;
+        let gossip = self.gossip_for(host, digests);
+        let Some(peer_state) = self.peers.get_mut(host).filter(|peer_state| !peer_state.busy)
+        else {
+            return;
+        };
+        peer_state.busy = true;
+        self.shared.metrics.gossip.with_label_values(&[cause]).inc();
+        peer_state.telling =
+            gossip.tables.iter().map(|t| (t.hall.clone(), (t.epoch, t.version))).collect();
+        let client = peer_state.client.clone();
+        tokio::spawn(tell(myself.clone(), host.clone(), peer_state.addr, client, gossip, timeout));
+    }
+
     /// Returns what a peer has not been told yet.
     fn gossip_for(&self, host: &id::HostId, digests: &[digest::Digest]) -> peer::Gossip {
         let told = self.peers.get(host).map(|peer_state| &peer_state.told);
@@ -236,20 +255,26 @@
     myself: ractor::ActorRef<Msg>,
     host: id::HostId,
     addr: net::SocketAddr,
-    client: Option<peer::PeerClient>,
+    client: Option<peer::Link>,
     gossip: peer::Gossip,
     timeout: time::Duration,
 ) {
-    let client = match client {
-        Some(client) => Some(client),
-        None => peer::connect(addr, timeout).await.ok(),
+    let kept = client.is_some();
+    let link = match client {
+        Some(link) => Some(link),
+        None => peer::Link::connect(addr, timeout).await.ok(),
     };
-    let heard = match &client {
-        Some(client) => client.gossip(peer::context(timeout), gossip).await.ok(),
+    let heard = match &link {
+        Some(link) => link.gossip(gossip, timeout).await.ok(),
         None => None,
     };
-    if let Some(client) = client.filter(|_| heard.is_some()) {
-        let _ = myself.cast(Msg::Connected(host.clone(), client));
-    }
-    let _ = myself.cast(Msg::Heard(host, heard));
+    let told = match (heard, link) {
+        (Some(heard), Some(link)) => {
+            let _ = myself.cast(Msg::Connected(host.clone(), link));
+            Msg::Heard(host, Some(heard))
+        }
+        _ if kept => Msg::Silent(host),
+        _ => Msg::Heard(host, None),
+    };
+    let _ = myself.cast(told);
 }
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -182,8 +182,9 @@
         for addr in addrs {
             let myself = myself.clone();
             tokio::spawn(async move {
-                if let Ok(client) = peer::connect(addr, timeout).await
-                    && let Ok(handover) = client.handover(peer::context(timeout)).await
+                // A connection of its own: one that was open before may be silent.
+                if let Ok(link) = peer::Link::connect(addr, timeout).await
+                    && let Ok(handover) = link.handover(timeout).await
                 {
                     let _ = myself.cast(msg::Msg::Handover(handover));
                 }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -78,7 +78,7 @@
     let known = sync::Arc::<sync::Mutex<root::Known>>::default();
     let link = (shared.clone(), sync::Arc::clone(&known));
     let (root, _) = Actor::spawn(None, root::Root, link).await?;
-    tokio::spawn(peer::serve(peers, answers(&root, &known)));
+    tokio::spawn(peer::serve(peers, peer::IDLE, answers(&root, &known)));
     let api =
         OperatorApi { shared: shared.clone(), root: root.clone(), drain: sync::Arc::default() };
     let drain = sync::Arc::clone(&api.drain);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,8 +13,9 @@
 use tarpc::tokio_serde::formats;
 use wharflane::{desired, digest, endpoints};
 
-/// The most calls of one peer under way at once.
-const MAX_CALLS: usize = 64;
+/// How long a peer's connection may bring no call: two and a half times the longest time between two
+/// messages to a peer that the settings allow, so that only a silent one is closed.
+pub const IDLE: time::Duration = time::Duration::from_secs(150);
 /// The largest message, in bytes.
 const MAX_FRAME_BYTES: usize = 32 << 20;
 
@@ -65,24 +66,70 @@
     Rpc(#[from] tarpc::client::RpcError),
 }
 
-/// Connects to a peer.
-///
-/// # Errors
-/// Returns `PeerError` where there is no connection in time.
-pub async fn connect(
-    addr: net::SocketAddr,
-    timeout: time::Duration,
-) -> Result<PeerClient, PeerError> {
-    let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(addr))
-        .await
-        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    Ok(PeerClient::new(tarpc::client::Config::default(), transport(stream)).spawn())
+/// A connection to a peer; it is closed with its last clone, whatever it waits for.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Makes calls.
+    client: PeerClient,
+    /// Carries them.
+    #[expect(dead_code, reason = "carries until it is dropped")]
+    dispatch: sync::Arc<Dispatch>,
+}
+
+/// The task that carries the calls of a connection until it is dropped.
+#[derive(Debug)]
+struct Dispatch(tokio::task::JoinHandle<()>);
+
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Link {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    /// Returns `PeerError` where there is no connection in time.
+    pub async fn connect(
+        addr: net::SocketAddr,
+        timeout: time::Duration,
+    ) -> Result<Self, PeerError> {
+        let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(addr))
+            .await
+            .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let made = PeerClient::new(tarpc::client::Config::default(), transport(stream));
+        let dispatch = tokio::spawn(async move {
+            // What ends a connection is told to the calls that run on it.
+            drop(made.dispatch.await);
+        });
+        Ok(Self { client: made.client, dispatch: sync::Arc::new(Dispatch(dispatch)) })
+    }
+
+    /// Tells the peer news and returns what it has.
+    ///
+    /// # Errors
+    /// Returns `PeerError` where there is no answer in time.
+    pub async fn gossip(
+        &self,
+        gossip: Gossip,
+        timeout: time::Duration,
+    ) -> Result<Heard, PeerError> {
+        Ok(self.client.gossip(context(timeout), gossip).await?)
+    }
+
+    /// Asks for the configuration in force and all endpoint tables.
+    ///
+    /// # Errors
+    /// Returns `PeerError` where there is no answer in time.
+    pub async fn handover(&self, timeout: time::Duration) -> Result<Handover, PeerError> {
+        Ok(self.client.handover(context(timeout)).await?)
+    }
 }
 
 /// Returns a context whose deadline is so far off.
-#[must_use]
-pub fn context(timeout: time::Duration) -> tarpc::context::Context {
+fn context(timeout: time::Duration) -> tarpc::context::Context {
     let mut context = tarpc::context::current();
     context.deadline = time::Instant::now() + timeout;
     context
@@ -118,8 +165,8 @@
     }
 }
 
-/// Serves peers on a listener until the process ends.
-pub async fn serve(listener: tokio::net::TcpListener, server: Answers) {
+/// Serves peers on a listener until the process ends; a connection without a call for `idle` is closed.
+pub async fn serve(listener: tokio::net::TcpListener, idle: time::Duration, server: Answers) {
     let accepted = futures::stream::unfold(listener, |listener| async move {
         Some((listener.accept().await, listener))
     });
@@ -127,13 +174,23 @@
         .filter_map(|accepted| future::ready(accepted.ok()))
         .map(|(stream, _)| server::BaseChannel::with_defaults(transport(stream)))
         .for_each(|channel| {
-            let requests = channel.execute(server.clone().serve());
-            tokio::spawn(requests.for_each_concurrent(MAX_CALLS, |answer| answer));
+            tokio::spawn(answer_all(channel.execute(server.clone().serve()), idle));
             future::ready(())
         })
         .await;
 }
 
+/// Answers the calls of one peer, one after the other, until it ends its connection or is silent.
+async fn answer_all(
+    calls: impl futures::Stream<Item = impl Future<Output = ()>>,
+    idle: time::Duration,
+) {
+    let mut calls = std::pin::pin!(calls);
+    while let Ok(Some(answer)) = tokio::time::timeout(idle, calls.next()).await {
+        answer.await;
+    }
+}
+
 /// Frames a connection.
 fn transport<I, O>(
     stream: tokio::net::TcpStream,
