Silence of an endpoint is logged where it closes connections, not for each slow request

Under overload each request that used half of its time wrote a line; now only one that closes idle connections does, of which there are at most as many as connections.

--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -279,8 +279,10 @@
     /// Closes the idle connections of an endpoint that may be silent.
     fn suspect(&self, call: &Call<'_>, addr: std::net::SocketAddr, quiet: time::Duration) {
         let retired = self.pool.retire(addr);
-        let (service, request) = (call.parsed.service.as_str(), call.request_id);
-        tracing::info!(service, request, %addr, ?quiet, retired, "no answer for half of the time");
+        if retired > 0 {
+            let (service, request) = (call.parsed.service.as_str(), call.request_id);
+            tracing::info!(service, request, %addr, ?quiet, retired, "no answer for half of the time");
+        }
     }
 
     /// Notes the end of a try without an answer.
