--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -78,7 +78,7 @@
     let known = sync::Arc::<sync::Mutex<root::Known>>::default();
     let link = (shared.clone(), sync::Arc::clone(&known));
     let (root, _) = Actor::spawn(None, root::Root, link).await?;
-    tokio::spawn(peer::serve(peers, answers(&root, &known)));
+    tokio::spawn(peer::serve(peers, peer::IDLE, answers(&root, &known)));
     let api =
         OperatorApi { shared: shared.clone(), root: root.clone(), drain: sync::Arc::default() };
     let drain = sync::Arc::clone(&api.drain);
@@ -125,6 +125,8 @@
         connections: settings.count("traffic", "caller_connections"),
         head_bytes: settings.count("traffic", "head_limit_bytes"),
         head_timeout: settings.time("traffic", "head_timeout_ms"),
+        stall: settings.time("traffic", "stall_timeout_ms"),
+        ..server::Bounds::default()
     };
     let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
     let (ended, done) = tokio::sync::oneshot::channel();
