A start without an answer is fenced off when it is given up, and stops that are not taken are given again

A start without an answer may be carried out seconds later. One that was given up (its job cancelled, or refused when it was given again) was freed once the holder's clock had passed the time that it brings. It could come just before that and run on under the lease that others on its worker renewed, unseen while looks had no answer: the task then ran twice. A stop without an answer was only given again by the next look but one, 2.1 s later, and a worker that left each start unanswered was given the same start for ever.

Epochs are 1,000 apart. Where a start is given up, a look brings a fence raised by one for that worker and is answered at once: the run is there and is stopped, or it never comes and the task is free. Without that answer, one that shows a clock after the start's own time says the same. An order that the raised fence overtakes is given again and is no sign of another holder. A stop that was not taken is given again 0.1 s after that is known. After three starts without an answer the task goes elsewhere; that costs one look and up to 3 s. Ruled out: waiting for the start's time and then one more look (the task and its room wait 4 s for nothing); a commit with a higher epoch (orders to all workers would be overtaken).

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -154,7 +154,9 @@
                 tell(&myself, job::Event::Started { order: start.order, answer });
             })),
             job::Effect::Stop(order) => drop(tokio::spawn(async move {
-                shared.workers.stop(&order).await;
+                if !shared.workers.stop(&order).await {
+                    tell(&myself, job::Event::StopNotTaken(order));
+                }
             })),
             job::Effect::Pace(pace) => drop(tokio::spawn(async move {
                 shared.workers.pace(&pace).await;
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -8,13 +8,15 @@
 /// The longest lease that it grants.
 pub const HOLD_MAX: time::Duration = time::Duration::from_secs(6);
 /// How long a stop takes.
-const STOP: time::Duration = time::Duration::from_millis(300);
+pub const STOP: time::Duration = time::Duration::from_millis(300);
 
 /// A run on a worker.
 #[derive(Clone, Debug)]
 struct Run {
     /// The number of the start.
     run: u32,
+    /// When it began.
+    began: time::Duration,
     /// When it ends by itself; nothing for one that lasts.
     ends: Option<time::Duration>,
     /// Whether it fails at its end.
@@ -36,6 +38,8 @@
     pub reachable: bool,
     /// Whether the store lists it.
     pub listed: bool,
+    /// When it was out of reach last.
+    pub cut: time::Duration,
     /// Whether everything it starts fails at once.
     pub fails_all: bool,
     /// How fast its clock goes, in thousandths.
@@ -81,6 +85,7 @@
             alive: true,
             reachable: true,
             listed: true,
+            cut: time::Duration::ZERO,
             fails_all: false,
             clock_milli,
             clock_from_ms: 100_000,
@@ -107,6 +112,11 @@
         self.runs.iter().map(|(task, run)| (*task, run.run))
     }
 
+    /// Returns since when each run is here.
+    pub fn since(&self) -> impl Iterator<Item = (job::TaskId, time::Duration)> + '_ {
+        self.runs.iter().map(|(task, run)| (*task, run.began))
+    }
+
     /// Returns the ends that were not acknowledged.
     #[must_use]
     pub fn ended(&self) -> &[job::Ended] {
@@ -153,6 +163,7 @@
         let work = if self.fails_all { Some(time::Duration::ZERO) } else { behaviour.work };
         let run = Run {
             run: number,
+            began: now,
             ends: work.map(|work| now + work),
             fails: behaviour.fails || self.fails_all,
             stops: None,
@@ -162,15 +173,14 @@
         (job::StartAnswer::Taken, true)
     }
 
-    /// Takes an order to stop.
-    pub fn stop(&mut self, order: &job::Order, now: time::Duration) {
+    /// Takes an order to stop, and returns whether the run is there.
+    pub fn stop(&mut self, order: &job::Order, now: time::Duration) -> bool {
         if order.worker != self.id || order.epoch < self.epoch {
-            return;
+            return false;
         }
         self.epoch = order.epoch;
-        if let Some(run) = self.runs.get_mut(&order.task).filter(|run| run.run == order.run) {
-            run.stops.get_or_insert(now + STOP);
-        }
+        let run = self.runs.get_mut(&order.task).filter(|run| run.run == order.run);
+        run.map(|run| run.stops.get_or_insert(now + STOP)).is_some()
     }
 
     /// Answers a look.
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -23,6 +23,8 @@
 const FIRST_PORT: u16 = 7_000;
 /// The time that an order may be late after a cancel and still be no breach.
 pub const CANCEL: time::Duration = time::Duration::from_secs(3);
+/// The time that a start carried out late may go unnoticed.
+pub const CONTACT: time::Duration = time::Duration::from_secs(3);
 
 /// How much goes wrong, as chances in thousandths or counts over the time of faults.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -1,5 +1,6 @@
 //! Gives tasks to workers; the starts wait for their commit.
 
+use super::fence;
 use super::holding;
 use super::progress;
 use super::spec;
@@ -39,7 +40,7 @@
         run,
         link,
         lease_until_ms: 0,
-        unanswered: false,
+        doubt: fence::Doubt::default(),
         began: None,
         stopped: None,
         progress: (0, holding.now),
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -158,6 +158,11 @@
                     holding.started(&order, answer, now);
                 }
             }
+            event::Event::StopNotTaken(order) => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.stop_not_taken(&order, now);
+                }
+            }
             event::Event::Advised { question, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.advised(&question, answer.as_ref(), now);
@@ -302,7 +307,7 @@
         let before = lease.holder.clone();
         let next = kept::Lease {
             holder: Some(self.own.clone()),
-            epoch: lease.epoch + 1,
+            epoch: kept::next_epoch(lease.epoch),
             nonce: self.nonce,
             seq: 0,
             hold_ms: super::worker::millis(self.settings.hold),
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -120,6 +120,8 @@
         /// The answer.
         answer: order::StartAnswer,
     },
+    /// A worker did not take an order to stop, or left it without an answer.
+    StopNotTaken(order::Order),
     /// A worker answered a look, or did not.
     Looked {
         /// The worker.
--- /dev/null
+++ b/crates/wharflane/src/job/fence.rs
@@ -0,0 +1,70 @@
+//! The fence of each worker: the holder's epoch, raised for a worker alone where a start had no answer.
+//!
+//! Such a start may be carried out seconds later, unless the worker has seen a higher fence by then. So a
+//! look brings one wherever a start is to be given up: its answer tells whether the run is there, and if it
+//! is not, that it never will be. Without it, that is known only once the time is over that the start
+//! itself brings, by the clock of an answer.
+
+use super::holding;
+use super::order;
+use super::rows;
+use super::spec;
+use crate::id;
+
+/// What is in doubt about the start of a task.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Doubt {
+    /// The orders that had no answer.
+    pub unanswered: u32,
+    /// The highest fence that an order brought; zero where none was given by this holder.
+    pub fence: u64,
+}
+
+impl holding::Holding {
+    /// Returns the fence that orders to a worker bring.
+    pub(super) fn fence(&self, worker: &id::WorkerId) -> u64 {
+        self.lease.epoch + self.raised.get(worker).copied().unwrap_or(0)
+    }
+
+    /// Returns whether a fence is one of this holder's.
+    pub(super) fn is_own(&self, fence: u64) -> bool {
+        rows::same_holder(fence, self.lease.epoch)
+    }
+
+    /// Raises the fence of a worker above all orders to start a task there that is to be given up.
+    pub(super) fn raise_fence(&mut self, worker: &id::WorkerId) {
+        let fence = self.fence(worker);
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
+        let below = view.tasks.iter().any(|task| {
+            self.gives_up(*task) && self.placed.get(task).is_some_and(|p| p.doubt.fence >= fence)
+        });
+        if below && self.is_own(fence + 1) {
+            tracing::info!(%worker, fence = fence + 1, "fence raised, so that no late start comes");
+            *self.raised.entry(worker.clone()).or_insert(0) += 1;
+        }
+    }
+
+    /// Returns whether the start of a task had no answer and is not wanted there any more.
+    pub(super) fn gives_up(&self, task: spec::TaskId) -> bool {
+        self.placed.get(&task).is_some_and(|placed| match placed.link {
+            holding::Link::Lapsing => true,
+            holding::Link::Doubtful(_) => !self.wanted(task),
+            _ => false,
+        })
+    }
+
+    /// Returns whether a task is to run.
+    pub(super) fn wanted(&self, task: spec::TaskId) -> bool {
+        self.jobs.get(&task.job).is_some_and(holding::Entry::active)
+    }
+
+    /// Returns whether the answer to a look proves that no start of a task which it does not show can come
+    /// any more.
+    pub(super) fn is_over(&self, task: spec::TaskId, fence: u64, lists: &order::Lists) -> bool {
+        self.placed.get(&task).is_some_and(|placed| {
+            fence > placed.doubt.fence || lists.clock_ms > placed.lease_until_ms
+        })
+    }
+}
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::event;
+use super::fence;
 use super::learned;
 use super::obstacle;
 use super::order;
@@ -75,8 +76,8 @@
     pub link: Link,
     /// Until when an order for it may still be carried out, by the worker's clock.
     pub lease_until_ms: u64,
-    /// Whether an order to start it had no answer.
-    pub unanswered: bool,
+    /// What is in doubt about its start.
+    pub doubt: fence::Doubt,
     /// When the worker took the start; nothing where another holder ordered it.
     pub began: Option<time::Duration>,
     /// When a stop was last ordered.
@@ -216,6 +217,13 @@
     pub(super) kept_at: time::Duration,
     /// The strains of serving tasks as they were last told.
     pub(super) strains: collections::BTreeMap<spec::TaskId, worker::Strain>,
+    /// By how much the fences of workers are raised above the epoch; kept while the lease is, since the
+    /// workers remember it.
+    pub(super) raised: collections::BTreeMap<id::WorkerId, u64>,
+    /// Workers with starts that are to be given up, which the next look there settles.
+    pub(super) unsettled: collections::BTreeSet<id::WorkerId>,
+    /// When stops that were not taken are given again.
+    pub(super) stops_again: collections::BTreeMap<spec::TaskId, time::Duration>,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
@@ -292,6 +300,9 @@
             learned: learned::Learned::default(),
             kept_at: taken,
             strains: collections::BTreeMap::new(),
+            raised: collections::BTreeMap::new(),
+            unsettled: collections::BTreeSet::new(),
+            stops_again: collections::BTreeMap::new(),
             fenced: false,
             leaving: false,
             out: Vec::new(),
@@ -339,6 +350,7 @@
         self.take_up_again(now);
         if self.may_order(now) && !self.leaving {
             self.repeat_orders(now);
+            self.repeat_stops(now);
         }
         self.free_lapsed(now);
     }
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::event;
+use super::fence;
 use super::holding;
 use super::learned;
 use super::progress;
@@ -89,7 +90,7 @@
                 run: task.run,
                 link: holding::Link::Inherited,
                 lease_until_ms: 0,
-                unanswered: false,
+                doubt: fence::Doubt::default(),
                 began: None,
                 stopped: None,
                 progress: (0, now),
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -25,34 +25,46 @@
 impl holding::Holding {
     /// Looks at the workers whose turn has come.
     pub(super) fn look(&mut self, now: time::Duration) {
-        let mut looks = Vec::new();
-        for (worker, view) in &mut self.views {
+        let due = self.views.iter().filter(|(_, view)| {
             // Ends that are not committed yet would only be told again, but what runs is renewed.
             let held_back = !view.unrecorded.is_empty() && now < view.look_due + HELD_BACK;
-            if view.look.is_some() || now < view.look_due || held_back {
-                continue;
-            }
-            let busy = !view.tasks.is_empty();
-            // A silent worker is granted nothing more, or its leases would never be over.
-            let granted = busy && view.misses == 0;
-            let lease_until_ms = if granted { view.grant(now, self.settings.hold) } else { None };
-            let mixed = !view.serving.is_empty() && !view.filling.is_empty();
-            let wait = match (view.fenced && busy, mixed) {
-                (false, _) => time::Duration::ZERO,
-                (true, true) => self.settings.look.min(LOOK_MIXED),
-                (true, false) => self.settings.look,
-            };
-            view.look = Some(now);
-            looks.push(order::Look {
-                worker: worker.clone(),
-                addr: view.member.addr,
-                epoch: self.lease.epoch,
-                seen: view.seen(),
-                lease_until_ms,
-                wait,
-            });
+            view.look.is_none() && now >= view.look_due && !held_back
+        });
+        let due: Vec<id::WorkerId> = due.map(|(worker, _)| worker.clone()).collect();
+        for worker in due {
+            self.look_at(&worker, now);
         }
-        self.out.extend(looks.into_iter().map(event::Effect::Look));
+    }
+
+    /// Looks at a worker; where a start is to be given up, the answer is wanted at once.
+    fn look_at(&mut self, worker: &id::WorkerId, now: time::Duration) {
+        let unsettled = self.unsettled.remove(worker);
+        if unsettled {
+            self.raise_fence(worker);
+        }
+        let epoch = self.fence(worker);
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let busy = !view.tasks.is_empty();
+        // A silent worker is granted nothing more, or its leases would never be over.
+        let granted = busy && view.misses == 0;
+        let lease_until_ms = if granted { view.grant(now, self.settings.hold) } else { None };
+        let mixed = !view.serving.is_empty() && !view.filling.is_empty();
+        let wait = match (view.fenced && busy && !unsettled, mixed) {
+            (false, _) => time::Duration::ZERO,
+            (true, true) => self.settings.look.min(LOOK_MIXED),
+            (true, false) => self.settings.look,
+        };
+        view.look = Some(now);
+        self.out.push(event::Effect::Look(order::Look {
+            worker: worker.clone(),
+            addr: view.member.addr,
+            epoch,
+            seen: view.seen(),
+            lease_until_ms,
+            wait,
+        }));
     }
 
     /// Takes the answer to a look.
@@ -63,9 +75,12 @@
         answer: order::LookAnswer,
         now: time::Duration,
     ) {
-        if epoch != self.lease.epoch {
+        if !self.is_own(epoch) {
             return;
         }
+        // A look that the holder's own later order overtook was not answered.
+        let overtaken = answer == order::LookAnswer::Fenced && epoch < self.fence(worker);
+        let answer = if overtaken { order::LookAnswer::Silent } else { answer };
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -90,7 +105,7 @@
                     now + super::worker::LOOK_GAP
                 };
                 self.changed |= first;
-                self.take_lists(worker, &lists, sent.unwrap_or(now), now);
+                self.take_lists(worker, (epoch, &lists), sent.unwrap_or(now), now);
             }
             order::LookAnswer::Fenced => self.fenced = true,
             order::LookAnswer::Gone => self.worker_gone(worker),
@@ -105,11 +120,11 @@
         }
     }
 
-    /// Takes in both lists of a worker.
+    /// Takes in both lists of a worker, in answer to a look with a fence.
     fn take_lists(
         &mut self,
         worker: &id::WorkerId,
-        lists: &order::Lists,
+        (fence, lists): (u64, &order::Lists),
         sent: time::Duration,
         now: time::Duration,
     ) {
@@ -125,6 +140,7 @@
         let here: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
         let mut adopted = collections::BTreeSet::new();
         for task in here {
+            let over = self.gives_up(task) && self.is_over(task, fence, lists);
             let Some(placed) = self.placed.get_mut(&task) else {
                 continue;
             };
@@ -140,6 +156,9 @@
                 }
                 // This epoch's look was answered, so no earlier holder's start can come any more.
                 holding::Link::Inherited => self.free(task, "not there"),
+                holding::Link::Doubtful(_) | holding::Link::Lapsing if over => {
+                    self.free(task, "its start can't be carried out any more");
+                }
                 holding::Link::There(at) if !runs && at <= sent => self.free(task, "not there"),
                 holding::Link::There(_)
                 | holding::Link::Staged
@@ -203,7 +222,7 @@
             addr: view.member.addr,
             task: row.task,
             run: row.run,
-            epoch: self.lease.epoch,
+            epoch: self.fence(worker),
         }));
     }
 }
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod engine;
 mod event;
+mod fence;
 mod gang;
 mod harm;
 mod headroom;
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -10,6 +10,12 @@
 
 /// The wait before an order without an answer is given again.
 const ORDER_AGAIN: time::Duration = time::Duration::from_millis(400);
+/// The orders without an answer after which a task goes to another worker; three take 3 s, and one that was
+/// only late or lost is known by then.
+const MOST_UNANSWERED: u32 = 3;
+/// The wait before a stop that was not taken is given again. With 0.6 s until a call counts as unanswered, four in a
+/// row may be lost within the 3 s that a cancel may take.
+const STOP_AGAIN: time::Duration = time::Duration::from_millis(100);
 /// What is added to the time of a stop before it is given again: the trips, and one look.
 const STOP_SLACK: time::Duration = time::Duration::from_millis(300);
 /// How long a worker that refuses for want of room, or is not well, gets nothing new.
@@ -38,6 +44,10 @@
 
     /// Orders the start of a placed task.
     fn send_start(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get(&task) else {
+            return;
+        };
+        let fence = self.fence(&placed.worker);
         let Some(placed) = self.placed.get_mut(&task) else {
             return;
         };
@@ -52,12 +62,13 @@
         view.look_due = view.look_due.min(now + worker::LOOK_GAP);
         placed.link = holding::Link::Ordered;
         placed.lease_until_ms = placed.lease_until_ms.max(lease_until_ms);
+        placed.doubt.fence = fence;
         let Some(entry) = self.jobs.get(&task.job) else {
             return;
         };
         let state = entry.progress.tasks.get(&task.into());
         let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
-        let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
+        let order = holding::order_for(placed, view.member.addr, task, fence);
         // A ticket that ran out on the way to here is asked for anew, maybe for another worker.
         let Some(ticket) = self.ticket_for(&order, now) else {
             return self.start_refused(task);
@@ -89,11 +100,41 @@
             return;
         };
         placed.stopped = Some(now);
-        let order = holding::order_for(placed, view.member.addr, task, self.lease.epoch);
+        let addr = view.member.addr;
+        let placed = placed.clone();
+        let order = holding::order_for(&placed, addr, task, self.fence(&placed.worker));
         tracing::info!(%task, run = placed.run, worker = %placed.worker, "stop ordered");
         self.out.push(event::Effect::Stop(order));
     }
 
+    /// Notes that an order to stop was not taken, so that it is given again soon.
+    pub(super) fn stop_not_taken(&mut self, order: &order::Order, now: time::Duration) {
+        let open = self.placed.get(&order.task).is_some_and(|placed| {
+            placed.run == order.run && placed.worker == order.worker && self.is_own(order.epoch)
+        });
+        if open {
+            tracing::info!(task = %order.task, run = order.run, worker = %order.worker, "stop not taken");
+            self.stops_again.insert(order.task, now + STOP_AGAIN);
+        }
+    }
+
+    /// Gives stops again that were not taken, unless the run has ended.
+    pub(super) fn repeat_stops(&mut self, now: time::Duration) {
+        let due = self.stops_again.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
+        for task in due {
+            self.stops_again.remove(&task);
+            let Some(placed) = self.placed.get_mut(&task).filter(|p| p.stopped.is_some()) else {
+                continue;
+            };
+            placed.stopped = None;
+            // Where looks have no answer either, the next one that has leads to the next stop.
+            if self.views.get(&placed.worker).is_some_and(|view| view.misses == 0) {
+                self.stop(task, now);
+            }
+        }
+    }
+
     /// Gives orders again that had no answer.
     pub(super) fn repeat_orders(&mut self, now: time::Duration) {
         let due = self.placed.iter().filter(|(_, placed)| match placed.link {
@@ -103,22 +144,46 @@
         });
         let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
         for task in due {
-            let wanted = self.jobs.get(&task.job).is_some_and(holding::Entry::active);
-            let Some(placed) = self.placed.get(&task) else {
-                continue;
-            };
-            let Some(view) = self.views.get(&placed.worker) else {
-                continue;
-            };
-            let resend = wanted && placed.link != holding::Link::Lapsing;
-            if resend && view.misses == 0 {
-                self.send_start(task, now);
-            } else if !resend
-                && view.clock_ms(now).is_some_and(|clock| clock > placed.lease_until_ms)
-            {
-                self.free(task, "its start can't be carried out any more");
-            }
+            self.repeat_start(task, now);
+        }
+    }
+
+    /// Gives an order to start again, or sees to it that it can be given up.
+    fn repeat_start(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get(&task) else {
+            return;
+        };
+        let (worker, doubt) = (placed.worker.clone(), placed.doubt);
+        if self.gives_up(task) {
+            return self.settle(task, now);
+        }
+        let Some(view) = self.views.get_mut(&worker) else {
+            return;
+        };
+        if doubt.unanswered >= MOST_UNANSWERED {
+            tracing::warn!(%task, %worker, doubt.unanswered, "starts without an answer, given up");
+            view.rest(now);
+            self.set_link(task, holding::Link::Lapsing);
+            return self.settle(task, now);
+        }
+        if view.misses == 0 {
+            self.send_start(task, now);
+        }
+    }
+
+    /// Lets a look find out at once what became of a start that is to be given up.
+    fn settle(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get(&task) else {
+            return;
+        };
+        if placed.doubt.fence == 0 {
+            return self.free(task, "its start was never ordered");
+        }
+        let worker = placed.worker.clone();
+        if let Some(view) = self.views.get_mut(&worker).filter(|view| view.misses == 0) {
+            view.look_due = view.look_due.min(now);
         }
+        self.unsettled.insert(worker);
     }
 
     /// Notes what is known of a start.
@@ -135,7 +200,7 @@
         answer: order::StartAnswer,
         now: time::Duration,
     ) {
-        if order.epoch != self.lease.epoch {
+        if !self.is_own(order.epoch) {
             return;
         }
         let open = self.placed.get(&order.task).is_some_and(|placed| {
@@ -164,6 +229,12 @@
                     self.stop(order.task, now);
                 }
             }
+            order::StartAnswer::Refused(order::StartRefusal::Fenced)
+                if order.epoch < self.fence(&order.worker) =>
+            {
+                // The fence was raised while the order was on its way.
+                self.set_link(order.task, holding::Link::Doubtful(now));
+            }
             order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
             order::StartAnswer::Refused(order::StartRefusal::Ticket) => {
                 self.tickets.refused(order.task, &order.worker);
@@ -179,7 +250,7 @@
             order::StartAnswer::Silent => {
                 self.set_link(order.task, holding::Link::Doubtful(now + ORDER_AGAIN));
                 if let Some(placed) = self.placed.get_mut(&order.task) {
-                    placed.unanswered = true;
+                    placed.doubt.unanswered += 1;
                 }
             }
         }
@@ -187,9 +258,9 @@
 
     /// Frees a task whose start was refused, unless an earlier order may still be carried out.
     fn start_refused(&mut self, task: spec::TaskId) {
-        let unanswered = self.placed.get(&task).is_some_and(|placed| placed.unanswered);
+        let unanswered = self.placed.get(&task).is_some_and(|p| p.doubt.unanswered > 0);
         if unanswered {
-            tracing::info!(%task, "refused after an order without answer, waits for its lease");
+            tracing::info!(%task, "refused after an order without answer, which may still come");
             self.set_link(task, holding::Link::Lapsing);
         } else {
             self.free(task, "refused");
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -256,7 +256,7 @@
         shares: &collections::BTreeMap<spec::TaskId, worker::Filling>,
         now: time::Duration,
     ) {
-        let epoch = self.lease.epoch;
+        let epoch = self.fence(worker);
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -27,6 +27,9 @@
 /// The parts that the accepted jobs of one domain are dealt over. Where the store is 60 times slower than
 /// usual one part takes three writes a second; eight take 10 jobs a second and 25 in a burst.
 const JOB_PARTS: u64 = 8;
+/// How far the epochs of two holders are apart: a holder raises the fence of a single worker by less, at each
+/// start there without an answer that is to be given up.
+const EPOCH_STEP: u64 = 1_000;
 /// The only key of a lease or of counts within its part.
 const ONLY: &str = "only";
 
@@ -95,6 +98,16 @@
     rows::Key { table: LEASES, part: part(domain), name: ONLY.to_owned() }
 }
 
+/// Returns the epoch of the holder after one.
+pub(super) fn next_epoch(epoch: u64) -> u64 {
+    (epoch / EPOCH_STEP + 1) * EPOCH_STEP
+}
+
+/// Returns whether two fences are of the same holder.
+pub(super) fn same_holder(one: u64, other: u64) -> bool {
+    one / EPOCH_STEP == other / EPOCH_STEP
+}
+
 /// Returns the key of a domain's counts of waiting jobs.
 #[must_use]
 pub fn waiting_key(domain: u32) -> rows::Key {
