Workers that nobody lists, and still run something, are left to the next holder by address

Cause: a worker's entry may go seconds before its tasks do. A holder that comes then had neither view nor address of it: a cancelled job's task ran on until its lease was over, and one that was to go on lapsed with it. Change: a holder keeps id and address of the workers that leave or are not listed, and run something, in one row beside what it learned (64 workers, 18 KB at most; written only where its workers change, at once where one is missing). The next one takes them as workers that are not listed: it looks at them with its higher fence, renews them and stops what is cancelled; nothing new goes there. Weighed: the address beside each task in its row of progress, which covers an entry that goes while nobody holds the domain too, and adds a third to what each running task takes in every write of its row; shorter leases (3.6 s), which leave the slowest takeover no slack and end sound work at each change of the holder.

--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -14,7 +14,7 @@
 use crate::rows;
 
 /// The most rows of progress in one transaction. The store takes 100 entries: the lease takes two, counts
-/// one, and what was learned ten.
+/// and workers that are not listed one each, and what was learned ten.
 const MAX_ROWS: usize = 86;
 /// The most bytes of progress in one transaction. The store takes 1 MB, which is 750 KB before base64; what
 /// was learned takes 210 KB at most, and one job alone 480 KB.
@@ -106,7 +106,8 @@
         }
         let gap = now.saturating_sub(self.committed);
         let news = !self.dirty.is_empty() || !self.expired.is_empty() || self.leaving;
-        if !(news && gap >= self.settings.commit || gap >= self.settings.renew) {
+        let wanted = gap >= self.settings.commit && (news || self.lacks_unlisted(now));
+        if !(wanted || gap >= self.settings.renew) {
             return None;
         }
         match self.gather(now, number) {
@@ -135,6 +136,7 @@
         if now >= self.caution.extras_from {
             self.add_counts(&mut txn, now)?;
             self.add_learned(&mut txn, now)?;
+            self.add_unlisted(&mut txn)?;
         }
         let extras = txn.writes.len() > before_extras;
         let staged = std::mem::take(&mut self.staged);
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -394,6 +394,7 @@
         holding.restore_learned(learned);
         holding.load(jobs, progress, now);
         holding.set_members(&self.members, now);
+        holding.restore_unlisted(learned, now);
         if self.leaving {
             holding.leave();
         }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -15,6 +15,7 @@
 use super::rows as kept;
 use super::spec;
 use super::tickets;
+use super::unlisted;
 use super::worker;
 use crate::id;
 use crate::rows;
@@ -224,6 +225,8 @@
     pub(super) unsettled: collections::BTreeSet<id::WorkerId>,
     /// When stops that were not taken are given again.
     pub(super) stops_again: collections::BTreeMap<spec::TaskId, time::Duration>,
+    /// The workers that are not listed, as they were written last.
+    pub(super) unlisted: Vec<unlisted::Unlisted>,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
@@ -303,6 +306,7 @@
             raised: collections::BTreeMap::new(),
             unsettled: collections::BTreeSet::new(),
             stops_again: collections::BTreeMap::new(),
+            unlisted: Vec::new(),
             fenced: false,
             leaving: false,
             out: Vec::new(),
--- a/crates/wharflane/src/job/learned.rs
+++ b/crates/wharflane/src/job/learned.rs
@@ -8,6 +8,8 @@
 
 /// The row that names images.
 const IMAGES: &str = "images";
+/// The row of workers that are not listed, which is kept beside what is learned and read elsewhere.
+pub(super) const UNLISTED: &str = "unlisted";
 /// The row of times.
 const TIMES: &str = "times";
 /// What the names of rows about single serving images begin with.
@@ -56,6 +58,7 @@
                 continue;
             };
             let read = match row.name.as_str() {
+                UNLISTED => Ok(()),
                 IMAGES => learned.harm.decode_images(text),
                 TIMES => serde_json::from_str(text).map(|times| learned.times = times),
                 name => match name.strip_prefix(FIT).and_then(|number| number.parse().ok()) {
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -36,6 +36,7 @@
 mod spec;
 mod tickets;
 mod times;
+mod unlisted;
 mod waits;
 mod worker;
 
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/refused.rs
@@ -89,6 +89,7 @@
         self.staged.extend(pending.starts);
         self.expired.extend(pending.removed);
         self.counted = super::rows::Waiting::default();
+        self.unlisted.clear();
     }
 
     /// Sets a job aside whose progress the store refuses.
--- /dev/null
+++ b/crates/wharflane/src/job/unlisted.rs
@@ -0,0 +1,105 @@
+//! Workers that may run something and are not listed, or soon won't be, as a holder leaves them to the next.
+//!
+//! A worker's entry may go from the store's list seconds before its tasks do. The holder that started them
+//! knows the worker's address; without it the next one can neither renew them nor stop what is cancelled.
+//! Weighed: the address beside each task in its row of progress, which takes no row of its own and a third
+//! more bytes in every write of a task that runs; shorter leases, which end sound work at each change of the
+//! holder. This row is written only where its workers change.
+
+use std::net;
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+use super::holding;
+use super::learned;
+use super::order;
+use super::rows as kept;
+use crate::id;
+use crate::rows;
+use crate::size;
+
+/// The most workers in the row; with names of 200 bytes, the longest of the store, it takes 18 KB.
+const MOST: usize = 64;
+
+/// A worker in the row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Unlisted {
+    /// The name of its life.
+    id: id::WorkerId,
+    /// Where it takes orders.
+    addr: net::SocketAddr,
+    /// Whether it is about to leave.
+    leaving: bool,
+}
+
+impl Unlisted {
+    /// Returns what is kept of a worker.
+    fn of(member: &order::Member) -> Self {
+        Self { id: member.id.clone(), addr: member.addr, leaving: member.leaving }
+    }
+
+    /// Returns a worker of which only this is known; nothing new goes there while nobody lists it.
+    fn member(&self) -> order::Member {
+        order::Member {
+            id: self.id.clone(),
+            addr: self.addr,
+            hall: "".into(),
+            service: "".into(),
+            leaving: self.leaving,
+            capacity: size::Size::default(),
+            labels: Vec::new(),
+            rack: None,
+        }
+    }
+}
+
+impl holding::Holding {
+    /// Returns the workers that the next holder may not find in the list, though something runs there.
+    fn soon_unlisted(&self) -> Vec<Unlisted> {
+        let busy = self.views.values().filter(|view| !view.tasks.is_empty());
+        let soon = busy.filter(|view| !view.listed || view.member.leaving);
+        soon.map(|view| Unlisted::of(&view.member)).take(MOST).collect()
+    }
+
+    /// Returns whether the row lacks a worker and may be written.
+    pub(super) fn lacks_unlisted(&self, now: time::Duration) -> bool {
+        now >= self.caution.extras_from
+            && self.soon_unlisted().iter().any(|unlisted| !self.unlisted.contains(unlisted))
+    }
+
+    /// Adds the row to a transaction, where it has changed.
+    pub(super) fn add_unlisted(&mut self, txn: &mut rows::Txn) -> Result<(), serde_json::Error> {
+        let unlisted = self.soon_unlisted();
+        if unlisted == self.unlisted {
+            return Ok(());
+        }
+        let key = kept::learned_key(self.settings.domain, learned::UNLISTED.to_owned());
+        let value = Some(serde_json::to_string(&unlisted)?);
+        txn.writes.push(rows::Write { key, value });
+        self.unlisted = unlisted;
+        Ok(())
+    }
+
+    /// Takes over the workers of the row that nobody lists.
+    pub(super) fn restore_unlisted(&mut self, learned: &[rows::Row], now: time::Duration) {
+        let row = learned.iter().find(|row| row.name == learned::UNLISTED);
+        let Some(text) = row.and_then(|row| row.value.as_deref()) else {
+            return;
+        };
+        match serde_json::from_str::<Vec<Unlisted>>(text) {
+            Ok(unlisted) => self.unlisted = unlisted,
+            Err(err) => {
+                return tracing::warn!(%err, "workers that are not listed can't be read");
+            }
+        }
+        for unlisted in self.unlisted.clone() {
+            if self.views.contains_key(&unlisted.id) {
+                continue;
+            }
+            tracing::info!(worker = %unlisted.id, addr = %unlisted.addr, "worker known from before");
+            self.set_member(&unlisted.id, Some(unlisted.member()), now);
+            self.set_member(&unlisted.id, None, now);
+        }
+    }
+}
--- a/crates/wharflane/tests/cancel.rs
+++ b/crates/wharflane/tests/cancel.rs
@@ -392,6 +392,16 @@
         let after = floor.gone_after(1, cancelled);
         assert!(after <= CANCEL + world::settings().stop, "gone {after:?} after the cancel");
     },
+    a_task_on_a_worker_that_nobody_lists_runs_on_under_the_next_holder => {
+        let mut floor = Floor::new(2);
+        let worker = floor.submit(1);
+        floor.unlist(&worker);
+        floor.pass(100);
+        floor.replace_holder(&worker, (1, false), &[]);
+        floor.pass(10_000);
+        assert_eq!(floor.run_on(1), [worker]);
+        assert_eq!(floor.ordered.len(), 1, "it was never started again");
+    },
     a_stop_that_is_lost_twice_is_given_again_in_time => {
         let mut floor = Floor::new(1);
         floor.submit(1);
@@ -413,6 +423,7 @@
         for (lost_looks_ms, lost_on_the_way) in [(1_500, false), (2_500, true)] {
             let ran = longest_late_run(1, lost_looks_ms, lost_on_the_way);
             assert!(ran <= CONTACT + worker::STOP, "it ran for {ran:?}");
+            assert_eq!(ran.is_zero(), !lost_on_the_way, "where a look arrives, none begins");
         }
     },
     a_late_start_never_comes_beside_the_one_that_replaces_it => {
