A job is not forgotten while one of its tasks still runs

Cause: the rows of an ended job were removed after its time although a task of it was still being stopped; its room was then never given back, since that goes by the job's steps. Needs a stop that has no effect for as long as jobs are kept.

--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -243,8 +243,13 @@
     /// again.
     pub(super) fn expire(&mut self, now: time::Duration) {
         let keep = self.settings.keep;
-        let old = self.jobs.iter_mut().filter(|(_, entry)| {
-            entry.ended.is_some_and(|ended| now.saturating_sub(ended) >= keep)
+        // One whose tasks still run somewhere is kept: their room is given back by its steps.
+        let runs = |job: spec::JobId| {
+            let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
+            self.placed.range(first..).next().is_some_and(|(task, _)| task.job == job)
+        };
+        let old = self.jobs.iter_mut().filter(|(job, entry)| {
+            entry.ended.is_some_and(|ended| now.saturating_sub(ended) >= keep) && !runs(**job)
         });
         for (job, entry) in old {
             // One that is not removed after all is tried again after as long.
--- a/crates/wharflane/tests/cancel.rs
+++ b/crates/wharflane/tests/cancel.rs
@@ -519,4 +519,19 @@
         let after = floor.gone_after(1, cancelled);
         assert!(after <= CANCEL + worker::STOP, "gone {after:?} after the cancel");
     },
+    a_job_whose_task_still_runs_is_not_forgotten => {
+        let mut floor = Floor::new(1);
+        floor.submit(1);
+        floor.cancel(1);
+        floor.lost_stops = usize::MAX;
+        floor.pass(1_000);
+        let keep = u64::try_from(world::settings().keep.as_millis()).expect("a small number");
+        floor.pass(keep + 1_000);
+        assert_eq!(floor.run_on(1).len(), 1, "no stop arrives");
+        floor.lost_stops = 0;
+        floor.pass(3_000);
+        assert_eq!(floor.run_on(1), [], "it is stopped");
+        floor.step = desk::step("serving", 16_000);
+        floor.submit(2);
+    },
 }
