The judge of the worlds tells a cancelled job's task that runs on; holders removed, workers unlisted, stops lost

Cause: the worlds judged orders after a cancel and not how long tasks run on, and had no holder that goes for good, no worker that serves on after its entry went, and no stop that is lost or late. Change: a task of a cancelled job must be gone 3 s after the cancel, or after its late start, and the time of a stop; what excuses it are an outage of the store, a host that stands still and a worker out of reach, each until 3 s after, and never that hosts were killed or removed.

--- a/crates/stand-in/src/jobs/crew.rs
+++ b/crates/stand-in/src/jobs/crew.rs
@@ -88,6 +88,31 @@
         worker::Behaviour { work, fails: task.job.0 % 8 == 7 && !lasting, size }
     }
 
+    /// Judges what still runs of cancelled jobs.
+    ///
+    /// Time counts from the cancel, from a late start, and from when the store was up, no host stood still
+    /// and the worker could be reached; that hosts are killed or removed meanwhile is no excuse.
+    pub(super) fn judge_cancelled(&mut self) {
+        if self.down || self.hosts.iter().any(|host| host.frozen) {
+            self.disturbed = self.now;
+        }
+        for worker in self.workers.iter_mut().filter(|worker| worker.alive) {
+            if !worker.reachable {
+                worker.cut = self.now;
+            }
+            let excused = self.disturbed.max(worker.cut) + world::CONTACT;
+            for (task, began) in worker.since() {
+                let Some(cancelled) = self.cancelled.get(&task.job) else {
+                    continue;
+                };
+                let due = (*cancelled + world::CANCEL).max(began + world::CONTACT).max(excused);
+                if self.now > due + super::worker::STOP {
+                    self.judge.runs_on(task);
+                }
+            }
+        }
+    }
+
     /// Lets workers end what is due, and tells the judge.
     pub(super) fn tick_workers(&mut self) {
         for worker in self.workers.iter_mut().filter(|worker| worker.alive) {
--- a/crates/stand-in/src/jobs/judge.rs
+++ b/crates/stand-in/src/jobs/judge.rs
@@ -39,6 +39,12 @@
         /// The task.
         task: job::TaskId,
     },
+    /// A task of a cancelled job ran on for longer than allowed.
+    #[error("{task} runs on after its job was cancelled")]
+    RunsOn {
+        /// The task.
+        task: job::TaskId,
+    },
     /// A task was started more often than its failures allow.
     #[error("{task} started after it failed too often")]
     Attempts {
@@ -83,6 +89,14 @@
         }
     }
 
+    /// Judges a run of a cancelled job that is there though it should be gone; told once for each task.
+    pub fn runs_on(&mut self, task: job::TaskId) {
+        let breach = Breach::RunsOn { task };
+        if !self.breaches.contains(&breach) {
+            self.breaches.push(breach);
+        }
+    }
+
     /// Judges a start that was carried out.
     pub fn started(
         &mut self,
--- a/crates/stand-in/src/jobs/strike.rs
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -16,7 +16,7 @@
             .position(|host| host.engine.as_ref().is_some_and(|engine| engine.holding().is_some()));
         let worker = self.rng.random_range(0..self.workers.len());
         let (at, secs) = match fault {
-            world::Fault::Kill | world::Fault::Freeze => {
+            world::Fault::Kill | world::Fault::Freeze | world::Fault::Remove => {
                 let Some(holder) = holder else {
                     return;
                 };
@@ -24,11 +24,12 @@
             }
             world::Fault::Outage => (0, 4),
             world::Fault::Crash => (worker, 4),
+            world::Fault::Unlist => (worker, 8),
             world::Fault::Cut => (worker, 7),
             world::Fault::Sick => (worker, 5),
         };
         match fault {
-            world::Fault::Kill => {
+            world::Fault::Kill | world::Fault::Remove => {
                 self.hosts[at].engine = None;
                 self.hosts[at].life += 1;
             }
@@ -40,6 +41,13 @@
                 }
                 self.workers[at].alive = false;
             }
+            world::Fault::Unlist => {
+                if !self.workers[at].alive || !self.workers[at].listed {
+                    return;
+                }
+                self.workers[at].listed = false;
+                self.tell_member(at);
+            }
             world::Fault::Cut => self.workers[at].reachable = false,
             world::Fault::Sick => self.workers[at].fails_all = true,
         }
@@ -54,6 +62,10 @@
                     self.boot(at);
                 }
             }
+            world::Fault::Remove => {
+                self.hosts.push(world::Host::default());
+                self.boot(self.hosts.len() - 1);
+            }
             world::Fault::Freeze => {
                 self.hosts[at].frozen = false;
                 let inbox = std::mem::take(&mut self.hosts[at].inbox);
@@ -66,6 +78,11 @@
                 self.tell_member(at);
                 self.tell_member(self.workers.len() - 1);
             }
+            world::Fault::Unlist => {
+                self.workers[at].alive = false;
+                self.add_worker();
+                self.tell_member(self.workers.len() - 1);
+            }
             world::Fault::Cut => self.workers[at].reachable = true,
             world::Fault::Sick => self.workers[at].fails_all = false,
         }
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -33,12 +33,16 @@
     pub late_starts: u32,
     /// Looks and starts that are carried out and not answered.
     pub lost_answers: u32,
+    /// Stops without an answer, half of which are never carried out and half 2 to 12 s later.
+    pub lost_stops: u32,
     /// Transactions that are made and not answered.
     pub lost_txns: u32,
     /// Transactions that are made 1 to 6 s later and not answered.
     pub late_txns: u32,
     /// Kills of the holder.
     pub kills: u32,
+    /// Holders that are removed for good; another host joins 4 s later.
+    pub removals: u32,
     /// Freezes of the holder for 4 s.
     pub freezes: u32,
     /// Probes of a living holder that are refused or lost on the way.
@@ -47,6 +51,8 @@
     pub outages: u32,
     /// Workers that die in silence; a new life comes 4 s later.
     pub crashes: u32,
+    /// Workers whose entry goes while they serve on for 8 s; a new life comes then.
+    pub unlisted: u32,
     /// Workers that can't be reached for 7 s and run on.
     pub cuts: u32,
     /// Workers that fail all that they start for 5 s.
@@ -60,8 +66,8 @@
     Txn(usize, u64, u64, table::Txn, bool),
     /// An order to start, answered unless the answer is lost.
     Start(usize, u64, job::Start, bool, time::Duration),
-    /// An order to stop.
-    Stop(job::Order),
+    /// An order to stop, from a life of a host, and whether the answer is lost.
+    Stop(usize, u64, job::Order, bool),
     /// A look and when it must be answered at the latest.
     Look(usize, u64, job::Look, time::Duration, bool),
     /// A life of a host reads everything, and is told of every change from then on.
@@ -83,12 +89,16 @@
 pub(super) enum Fault {
     /// The holder is killed.
     Kill,
+    /// The holder is removed for good.
+    Remove,
     /// The holder stands still.
     Freeze,
     /// The store is down.
     Outage,
     /// A worker dies.
     Crash,
+    /// A worker's entry goes.
+    Unlist,
     /// A worker can't be reached.
     Cut,
     /// A worker fails everything.
@@ -96,7 +106,7 @@
 }
 
 /// A host of the world.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Host {
     /// The engine, while the host lives.
     pub(super) engine: Option<job::Engine>,
@@ -129,6 +139,8 @@
     mail: collections::BTreeMap<(time::Duration, u64), Message>,
     /// The number of messages sent.
     sent: u64,
+    /// When the store was down last, or a host stood still.
+    pub(super) disturbed: time::Duration,
     /// When jobs were cancelled.
     pub(super) cancelled: collections::BTreeMap<job::JobId, time::Duration>,
     /// The judge.
@@ -149,6 +161,7 @@
             workers: Vec::new(),
             mail: collections::BTreeMap::new(),
             sent: 0,
+            disturbed: time::Duration::ZERO,
             cancelled: collections::BTreeMap::new(),
             judge: judge::Judge::default(),
         };
@@ -161,6 +174,8 @@
         let kinds = [
             (faults.kills, Fault::Kill),
             (faults.freezes, Fault::Freeze),
+            (faults.removals, Fault::Remove),
+            (faults.unlisted, Fault::Unlist),
             (faults.outages, Fault::Outage),
             (faults.crashes, Fault::Crash),
             (faults.cuts, Fault::Cut),
@@ -177,6 +192,7 @@
         while self.now < END {
             self.now += STEP;
             self.tick_workers();
+            self.judge_cancelled();
             while let Some(entry) = self.mail.first_entry().filter(|e| e.key().0 <= self.now) {
                 let message = entry.remove();
                 self.deliver(message);
@@ -353,7 +369,19 @@
                     self.send(after, Message::Back(host, life, Box::new(event)));
                 }
             }
-            job::Effect::Stop(order) => self.send(way, Message::Stop(order)),
+            job::Effect::Stop(order) => {
+                let lost = self.chance(self.faults.lost_stops);
+                let late_ms = self.rng.random_range(2_000..12_000);
+                let late = lost && self.rng.random_range(0..2) == 0;
+                if late {
+                    let after = time::Duration::from_millis(late_ms);
+                    self.send(after, Message::Stop(host, life, order.clone(), true));
+                }
+                if lost {
+                    return self.stop_not_taken(host, life, order);
+                }
+                self.send(way, Message::Stop(host, life, order, false));
+            }
             job::Effect::Look(look) => {
                 let lost = self.chance(self.faults.lost_answers);
                 let latest = self.now + way + look.wait;
@@ -363,6 +391,12 @@
         }
     }
 
+    /// Tells a host after a while that a stop had no answer.
+    fn stop_not_taken(&mut self, host: usize, life: u64, order: job::Order) {
+        let event = Box::new(job::Event::StopNotTaken(order));
+        self.send(time::Duration::from_millis(600), Message::Back(host, life, event));
+    }
+
     /// Tells a host after a while that its transaction had no answer.
     fn silent_txn(&mut self, host: usize, life: u64, number: u64) {
         let event = Box::new(job::Event::Txn { number, outcome: table::Outcome::Unknown });
@@ -418,10 +452,11 @@
             Message::Start(host, life, start, lost, ordered) => {
                 self.start(host, life, &start, lost, ordered);
             }
-            Message::Stop(order) => {
+            Message::Stop(host, life, order, lost) => {
                 let now = self.now;
-                if let Some(worker) = self.reach(&order.worker) {
-                    worker.stop(&order, now);
+                let taken = self.reach(&order.worker).map(|worker| worker.stop(&order, now));
+                if taken != Some(true) && !lost {
+                    self.stop_not_taken(host, life, order);
                 }
             }
             Message::Look(host, life, look, latest, lost) => {
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -38,6 +38,21 @@
         ..world::Faults::default()
     }),
     store_down => judge(world::Faults { outages: 2, ..world::Faults::default() }),
+    lost_stops => judge(world::Faults { lost_stops: 200, ..world::Faults::default() }),
+    holders_removed => judge(world::Faults { removals: 3, ..world::Faults::default() }),
+    holders_removed_while_starts_are_late => judge(world::Faults {
+        removals: 3,
+        late_starts: 100,
+        lost_stops: 50,
+        ..world::Faults::default()
+    }),
+    workers_unlisted => judge(world::Faults { unlisted: 4, ..world::Faults::default() }),
+    workers_unlisted_and_holders_removed => judge(world::Faults {
+        unlisted: 5,
+        removals: 4,
+        late_starts: 50,
+        ..world::Faults::default()
+    }),
     workers_lost => judge(world::Faults { crashes: 4, ..world::Faults::default() }),
     workers_cut => judge(world::Faults { cuts: 4, ..world::Faults::default() }),
     workers_sick => judge(world::Faults { sick: 2, ..world::Faults::default() }),
@@ -53,5 +68,8 @@
         crashes: 2,
         cuts: 2,
         sick: 1,
+        lost_stops: 50,
+        removals: 2,
+        unlisted: 2,
     }),
 }
