--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::event;
+use super::fence;
 use super::holding;
 use super::learned;
 use super::progress;
@@ -89,7 +90,7 @@
                 run: task.run,
                 link: holding::Link::Inherited,
                 lease_until_ms: 0,
-                unanswered: false,
+                doubt: fence::Doubt::default(),
                 began: None,
                 stopped: None,
                 progress: (0, now),
@@ -258,8 +259,13 @@
     /// again.
     pub(super) fn expire(&mut self, now: time::Duration) {
         let keep = self.settings.keep;
-        let old = self.jobs.iter_mut().filter(|(_, entry)| {
-            entry.ended.is_some_and(|ended| now.saturating_sub(ended) >= keep)
+        // One whose tasks still run somewhere is kept: their room is given back by its steps.
+        let runs = |job: spec::JobId| {
+            let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
+            self.placed.range(first..).next().is_some_and(|(task, _)| task.job == job)
+        };
+        let old = self.jobs.iter_mut().filter(|(job, entry)| {
+            entry.ended.is_some_and(|ended| now.saturating_sub(ended) >= keep) && !runs(**job)
         });
         for (job, entry) in old {
             // One that is not removed after all is tried again after as long.
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod engine;
 mod event;
+mod fence;
 mod gang;
 mod harm;
 mod headroom;
@@ -37,6 +38,7 @@
 mod spec;
 mod tickets;
 mod times;
+mod unlisted;
 mod waits;
 mod worker;
 
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -309,7 +309,7 @@
     /// Orders the shares that differ from those in force, of tasks that are there: an order for a task that is not
     /// there yet would be refused.
     pub(super) fn tell_shares(&mut self, worker: &id::WorkerId, now: time::Duration) {
-        let epoch = self.lease.epoch;
+        let epoch = self.fence(worker);
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/refused.rs
@@ -88,6 +88,7 @@
         }
         self.staged.extend(pending.starts);
         self.expired.extend(pending.removed);
+        self.unlisted.clear();
     }
 
     /// Sets a job aside whose progress the store refuses.
