A slow holder gives its domain up; accepted jobs are read two parts at a time

The rule of the engine is used by its actor now: each event counts, each tick tells how long it waited. Beside it, a host that reads a state read eleven tables and parts at once, so a configuration had a twelfth of its link; now a fifth.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -51,6 +51,8 @@
     generation: sync::Arc<atomic::AtomicU64>,
     /// How late ticks are taken.
     lag: lag::Lag,
+    /// Tells whether this host is slow while it holds the domain.
+    slowness: job::Slowness,
 }
 
 /// Tells the actor of an event; one that has ended needs no news.
@@ -73,8 +75,13 @@
         let settings = engine_settings(&args);
         let engine = job::Engine::new(args.settings.host.clone(), settings, args.nonce);
         myself.cast(Msg::Tick { due: args.clock.now() })?;
-        let (generation, lag) = (sync::Arc::default(), lag::Lag::default());
-        Ok(State { shared: args, engine, generation, lag })
+        Ok(State {
+            shared: args,
+            engine,
+            generation: sync::Arc::default(),
+            lag: lag::Lag::default(),
+            slowness: job::Slowness::default(),
+        })
     }
 
     async fn handle(
@@ -86,13 +93,17 @@
         match message {
             Msg::Tick { due } => {
                 state.note_lag(due);
+                state.yield_if_slow(&myself, due);
                 state.step(&myself, job::Event::Tick { wall_ms: super::wall_ms() });
                 let holds = state.engine.holding().is_some();
                 let next = if holds { TICK_HOLDING } else { TICK_WATCHING };
                 let due = state.shared.clock.now() + next;
                 myself.send_after(next, move || Msg::Tick { due });
             }
-            Msg::Event(event) => state.step(&myself, *event),
+            Msg::Event(event) => {
+                state.slowness.event();
+                state.step(&myself, *event);
+            }
             Msg::Dump(port) => {
                 let dump = state.engine.holding().map(job::Holding::dump);
                 if port.send(serde_json::to_value(dump)?).is_err() {
@@ -129,6 +140,19 @@
         }
     }
 
+    /// Gives the domain up where this host has become too slow for it.
+    fn yield_if_slow(&mut self, myself: &ractor::ActorRef<Msg>, due: time::Duration) {
+        if self.engine.holding().is_none() {
+            self.slowness = job::Slowness::default();
+            return;
+        }
+        let now = self.shared.clock.now();
+        if self.slowness.tick(now, now.saturating_sub(due)) {
+            self.slowness = job::Slowness::default();
+            self.step(myself, job::Event::Yield);
+        }
+    }
+
     /// Takes one event and carries out what follows.
     fn step(&mut self, myself: &ractor::ActorRef<Msg>, event: job::Event) {
         let held = !self.engine.left();
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -59,7 +59,7 @@
         let label = match result {
             Ok(_) => "ok",
             Err(store::StoreError::TurnedAway { .. }) => "turned-away",
-            Err(store::StoreError::Silent(_) | store::StoreError::Cancelled) => "silent",
+            Err(store::StoreError::Silent(_)) => "silent",
             Err(store::StoreError::Strange { .. }) => "strange",
             Err(store::StoreError::Refused { status }) => {
                 tracing::error!(call, status, "the store refuses a call for good");
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 use std::time;
 
+use futures::{StreamExt as _, TryStreamExt as _, stream};
 use wharflane::{job, rows};
 use wharflane_adapter::{config, store};
 
@@ -22,6 +23,10 @@
 /// The wait before a call that was answered by an error, or got no connection, is made again.
 const AGAIN: time::Duration = time::Duration::from_millis(200);
 
+/// How many parts of the accepted jobs are read at once: beside a whole state the link of a weak host, 10 Mbit/s, has to
+/// carry a configuration within 3 s, and each read takes as much of it.
+const READS_AT_ONCE: usize = 2;
+
 const _: () = assert!(FEED_WAIT.as_millis() + store::FEED_SLACK.as_millis() <= SILENCE.as_millis());
 
 /// What a feed gave.
@@ -217,21 +222,14 @@
         page
     }
 
-    /// Reads the accepted jobs of a domain, all parts at once; the version and the time are those of
-    /// the oldest answer.
+    /// Reads the accepted jobs of a domain; the version and the time are those of the oldest answer.
     async fn accepted(&self, domain: u32) -> Result<rows::Page, store::StoreError> {
-        let mut reads = tokio::task::JoinSet::new();
-        for part in job::job_parts(domain) {
-            let own = self.clone();
-            reads.spawn(async move { own.all(job::JOBS, &part).await });
-        }
+        let reads =
+            job::job_parts(domain).map(|part| async move { self.all(job::JOBS, &part).await });
+        let mut reads = stream::iter(reads).buffer_unordered(READS_AT_ONCE);
         let mut all =
             rows::Page { version: u64::MAX, now_ms: Some(u64::MAX), ..rows::Page::default() };
-        while let Some(read) = reads.join_next().await {
-            let page = read.map_err(|err| {
-                tracing::error!(%err, "a read of accepted jobs ended");
-                store::StoreError::Cancelled
-            })??;
+        while let Some(page) = reads.try_next().await? {
             all.version = all.version.min(page.version);
             all.now_ms = all.now_ms.min(page.now_ms);
             all.rows.extend(page.rows);
