--- a/crates/wharflane/src/job/slowness.rs
+++ b/crates/wharflane/src/job/slowness.rs
@@ -7,9 +7,9 @@
 
 /// How long events are counted at a time.
 const WINDOW: time::Duration = time::Duration::from_millis(500);
-/// The wait of a tick from which on a host lags. Looks, commits and orders count on answers within some tens of
-/// milliseconds; at 490 workers and 900 starts a second a tick waits for less than 30 ms.
-const LAGS: time::Duration = time::Duration::from_millis(300);
+/// The wait of a tick from which on a host lags. A commit passes some five tasks of the process and each waits as long, so
+/// one takes half a second then; at 490 workers and 900 starts a second a tick waits for less than 30 ms.
+const LAGS: time::Duration = time::Duration::from_millis(100);
 /// The wait of a tick up to which a window shows what the host handles with ease.
 const CALM: time::Duration = time::Duration::from_millis(60);
 /// Below which part of its usual rate a host that lags is slow, in percent. Hosts are slowed fivefold and more.
