--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -274,18 +274,22 @@
     }
 }
 
-/// Returns how much longer than others this host waits before it takes a lease.
-fn handicap(settings: &settings::Settings) -> time::Duration {
+/// Returns whether this host can hold a domain with ease.
+fn is_strong(settings: &settings::Settings) -> bool {
     let limits = &settings.limits;
     let jobs = |key| settings.number("jobs", key);
-    let strong = limits.cpu_milli.is_none_or(|milli| milli >= jobs("holder_cpu_milli"))
-        && limits.link_mbps.is_none_or(|mbps| mbps >= jobs("holder_link_mbps"));
-    if strong { time::Duration::ZERO } else { settings.time("jobs", "weak_wait_ms") }
+    limits.cpu_milli.is_none_or(|milli| milli >= jobs("holder_cpu_milli"))
+        && limits.link_mbps.is_none_or(|mbps| mbps >= jobs("holder_link_mbps"))
 }
 
 /// Returns how the engine is timed.
 fn engine_settings(shared: &Shared) -> job::Settings {
     let hold_max = shared.time("hold_max_ms");
+    let (handicap, poll) = if is_strong(&shared.settings) {
+        (time::Duration::ZERO, "poll_ms")
+    } else {
+        (shared.time("weak_wait_ms"), "weak_poll_ms")
+    };
     job::Settings {
         domain: 0,
         lease: shared.time("lease_ms"),
@@ -293,8 +297,8 @@
         addr: Some(shared.settings.operator_addr),
         probe: shared.time("probe_ms"),
         silence: shared.time("silence_ms"),
-        handicap: handicap(&shared.settings),
-        poll: shared.time("poll_ms"),
+        handicap,
+        poll: shared.time(poll),
         commit: shared.time("commit_ms"),
         renew: shared.time("renew_ms"),
         hold: hold_max.min(shared.time("hold_ms")),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -60,6 +60,13 @@
         "Standstill before a silent host's lease is taken.",
     ),
     number("jobs", "poll_ms", 300, 10..=60_000, "Time between reads of another's lease."),
+    number(
+        "jobs",
+        "weak_poll_ms",
+        900,
+        10..=60_000,
+        "The same on a weak host, which takes it later.",
+    ),
     number("jobs", "commit_ms", 20, 1..=10_000, "Least time between two commits."),
     number("jobs", "renew_ms", 700, 10..=60_000, "Longest time between two commits."),
     number("jobs", "hold_ms", 4_000, 500..=600_000, "Lease of tasks on a worker."),
