A state read for a holding that is over is not told to the next one

A read may outlast its holding: each page may take up to 5.6 s now, and a host gives the lease up 1.8 to 3.6 s after it took it. Told to the next holding of the same host, its rows stood for the state, and nobody followed on from them: jobs accepted between both reads were in neither the state nor the feed, and progress could be older than what another holder had written meanwhile. Test: crates/daemon/tests/stale_load.rs, told 1 time instead of none on the code before.

--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -111,6 +111,11 @@
             self.all(job::PROGRESS, &part),
             self.all(job::LEARNED, &part),
         );
+        // A read may outlast its holding: the next one would take old rows for the state, and no one would
+        // follow on from them.
+        if !self.wanted() {
+            return tracing::info!(domain, "state read for a holding that is over, passed over");
+        }
         let (Ok(workers), Ok(jobs), Ok(progress), Ok(learned)) = read else {
             tokio::time::sleep(AGAIN).await;
             return holder::tell(&self.holder, job::Event::LoadFailed);
