A host that stops gives its lease up while it reads the state

It went on to renew it, five times in 3.6 s, and kept others out for that long and a lease more. Test: a_host_that_stops_does_not_keep_others_out_while_it_reads, 5 renewals instead of none on the code before.

--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -268,14 +268,16 @@
         }
         let due = match renewal {
             Some(renewal) => renewal.number.is_none(),
-            None => now.saturating_sub(*renewed) >= self.settings.renew,
+            None => self.leaving || now.saturating_sub(*renewed) >= self.settings.renew,
         };
         if !due {
             return Vec::new();
         }
+        // A host that stops gives the lease up rather than to renew it.
+        let holder = lease.holder.clone().filter(|_| !self.leaving);
         let first = || Renewal {
             number: None,
-            lease: kept::Lease { seq: lease.seq + 1, ..lease.clone() },
+            lease: kept::Lease { seq: lease.seq + 1, holder, ..lease.clone() },
             sent: now,
         };
         let renewal = renewal.get_or_insert_with(first);
@@ -300,6 +302,9 @@
             return;
         };
         match (super::commit::settled(outcome, &made.lease), outcome) {
+            (Some(_), _) if made.lease.holder.is_none() => {
+                self.step_down(now, "the lease was given up");
+            }
             (Some(written), _) => {
                 *version = written;
                 *renewed = made.sent;
--- a/crates/wharflane/tests/slowness.rs
+++ b/crates/wharflane/tests/slowness.rs
@@ -170,4 +170,25 @@
         });
         assert_eq!(expected, Some(9), "conditional on the renewal");
     },
+    a_host_that_stops_does_not_keep_others_out_while_it_reads => {
+        let (mut engine, start) = loading();
+        engine.step(start, job::Event::Leave);
+        let settings = world::settings();
+        let mut renewals = 0;
+        for passed_ms in (0..5_000).step_by(100) {
+            let now = start + time::Duration::from_millis(passed_ms);
+            for effect in engine.step(now, job::Event::Tick { wall_ms: 0 }) {
+                let job::Effect::Txn(number, txn) = effect else {
+                    continue;
+                };
+                let lease = txn.writes.iter().find(|write| write.key.table == job::LEASES);
+                let lease = lease.and_then(|write| write.value.as_deref()).expect("a lease");
+                let lease: job::Lease = serde_json::from_str(lease).expect("a lease");
+                renewals += usize::from(lease.holder.is_some());
+                let outcome = rows::Outcome::Answered(rows::Answer::Done { version: number + 1 });
+                engine.step(now, job::Event::Txn { number, outcome });
+            }
+        }
+        assert_eq!(renewals, 0, "renewed every {:?} though the host stops", settings.renew);
+    },
 }
