--- a/crates/http/tests/silence.rs
+++ b/crates/http/tests/silence.rs
@@ -13,6 +13,7 @@
 cases! {
     of_calls_of_the_store_silence_costs_one => run(store_calls()),
     of_feeds_silence_costs_one => run(store_feeds()),
+    of_calls_whose_callers_wait_less_silence_costs_one => run(impatient_calls()),
     of_looks_at_a_worker_silence_costs_one => run(worker_looks()),
     of_orders_to_a_worker_silence_costs_one => run(worker_orders()),
     of_questions_for_advice_silence_costs_one => run(questions()),
@@ -80,6 +81,19 @@
     only_the_first_is_lost(&one_by_one(async || store.get(&key).await.is_ok()).await);
 }
 
+/// Calls of the store whose callers give up before the client does, over connections that went silent while idle.
+async fn impatient_calls() {
+    let platform = platform(0).await;
+    let proxy = before(platform.store).await;
+    let store = store_with_idle(&proxy).await;
+    proxy.silence();
+    let key = rows::Key { table: job::JOBS, part: String::new(), name: "none".to_owned() };
+    let call = async || {
+        tokio::time::timeout(LIMIT / 2, store.get(&key)).await.is_ok_and(|answer| answer.is_ok())
+    };
+    only_the_first_is_lost(&one_by_one(call).await);
+}
+
 /// Feeds, one after another, over connections that went silent while idle.
 async fn store_feeds() {
     let platform = platform(0).await;
--- a/crates/wharflane/tests/slowness.rs
+++ b/crates/wharflane/tests/slowness.rs
@@ -191,4 +191,17 @@
         }
         assert_eq!(renewals, 0, "renewed every {:?} though the host stops", settings.renew);
     },
+    a_host_with_less_to_do_that_pauses_now_and_then_is_not_slow => {
+        // Twice a second it stands still for a tenth of one, as under a quota; all that comes is handled at once.
+        let mut slowness = job::Slowness::default();
+        let mut now = time::Duration::ZERO;
+        let mut slow = false;
+        for tick in 0..1_000 {
+            let pause = tick >= 500 && tick % 20 == 0;
+            (0..if tick < 500 { 40 } else { 4 }).for_each(|_| slowness.event());
+            now += time::Duration::from_millis(if pause { 120 } else { 20 });
+            slow |= slowness.tick(now, time::Duration::from_millis(if pause { 100 } else { 2 }));
+        }
+        assert!(!slow);
+    },
 }
