--- a/crates/wharflane/tests/waiting.rs
+++ b/crates/wharflane/tests/waiting.rs
@@ -4,7 +4,7 @@
 
 use std::time;
 
-use wharflane::job;
+use wharflane::{job, rows};
 use wharflane_stand_in::cases;
 
 cases! {
@@ -19,6 +19,8 @@
     a_holder_that_heard_of_no_job_counts_none => never_heard(),
     counts_are_renewed_where_nothing_changes => renewed(),
     the_age_of_counts_is_known_by_their_mark_only => ages(),
+    counts_go_on_where_the_store_refuses_a_job => refused_job(),
+    counts_go_on_where_the_store_refuses_what_was_learned => refused_learned(),
 }
 
 /// More answers than any case uses up.
@@ -155,3 +157,28 @@
 fn millis(desk: &desk::Desk) -> u64 {
     u64::try_from(desk.now.as_millis()).expect("a small number")
 }
+
+/// Returns how old the counts of a desk are, in milliseconds, after the store has refused something for 20 s.
+fn age_after(refuses: fn(&rows::Txn) -> bool) -> u64 {
+    let mut desk = desk::Desk::new(1, Vec::new());
+    desk.pass(SETTLED_MS, false);
+    desk.refuses = refuses;
+    desk.submit(7, "first", desk::step("plain", 1_000));
+    desk.pass(20_000, false);
+    assert!(desk.refusals > 0, "something was refused");
+    let now_ms = u64::try_from(desk.now.as_millis()).expect("a small number");
+    now_ms - desk.waiting().and_then(|counts| counts.as_of_ms).expect("a mark")
+}
+
+/// The progress of one job is refused.
+fn refused_job() {
+    let age_ms =
+        age_after(|txn| txn.writes.iter().any(|w| w.key.name == job::JobId(7).to_string()));
+    assert!(age_ms <= 2_000, "the counts of all queues are {age_ms} ms old");
+}
+
+/// What was learned is refused.
+fn refused_learned() {
+    let age_ms = age_after(|txn| txn.writes.iter().any(|w| w.key.table == job::LEARNED));
+    assert!(age_ms <= 2_000, "the counts of all queues are {age_ms} ms old");
+}
