--- a/crates/wharflane/tests/slowness.rs
+++ b/crates/wharflane/tests/slowness.rs
@@ -170,4 +170,38 @@
         });
         assert_eq!(expected, Some(9), "conditional on the renewal");
     },
+    a_host_that_stops_does_not_keep_others_out_while_it_reads => {
+        let (mut engine, start) = loading();
+        engine.step(start, job::Event::Leave);
+        let settings = world::settings();
+        let mut renewals = 0;
+        for passed_ms in (0..5_000).step_by(100) {
+            let now = start + time::Duration::from_millis(passed_ms);
+            for effect in engine.step(now, job::Event::Tick { wall_ms: 0 }) {
+                let job::Effect::Txn(number, txn) = effect else {
+                    continue;
+                };
+                let lease = txn.writes.iter().find(|write| write.key.table == job::LEASES);
+                let lease = lease.and_then(|write| write.value.as_deref()).expect("a lease");
+                let lease: job::Lease = serde_json::from_str(lease).expect("a lease");
+                renewals += usize::from(lease.holder.is_some());
+                let outcome = rows::Outcome::Answered(rows::Answer::Done { version: number + 1 });
+                engine.step(now, job::Event::Txn { number, outcome });
+            }
+        }
+        assert_eq!(renewals, 0, "renewed every {:?} though the host stops", settings.renew);
+    },
+    a_host_with_less_to_do_that_pauses_now_and_then_is_not_slow => {
+        // Twice a second it stands still for a tenth of one, as under a quota; all that comes is handled at once.
+        let mut slowness = job::Slowness::default();
+        let mut now = time::Duration::ZERO;
+        let mut slow = false;
+        for tick in 0..1_000 {
+            let pause = tick >= 500 && tick % 20 == 0;
+            (0..if tick < 500 { 40 } else { 4 }).for_each(|_| slowness.event());
+            now += time::Duration::from_millis(if pause { 120 } else { 20 });
+            slow |= slowness.tick(now, time::Duration::from_millis(if pause { 100 } else { 2 }));
+        }
+        assert!(!slow);
+    },
 }
