Groups, headroom and taking a task lie below what uses them

Cause: event, queue and tickets used obstacle for the name of a group; worker used headroom, which uses holding; need and place used each other. The name of a group has a module of its own, what a worker bears is part of its view, and giving a task to the worker that was found stands with assigning. Nothing changes in behaviour.

--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::event;
+use super::group;
 use super::holding;
 use super::obstacle;
 use super::order;
@@ -39,7 +40,7 @@
 
     /// Asks which workers may run a step, unless that is being asked.
     pub(super) fn ask(&mut self, task: spec::TaskId, wanted: usize, now: time::Duration) {
-        let group = obstacle::group(task);
+        let group = group::group(task);
         let open = self.tickets.open;
         let known = self.tickets.steps.entry(group).or_default();
         if known.asked || now < known.again || open >= MOST_OPEN {
@@ -84,7 +85,7 @@
         };
         let service = self.service(&entry.job);
         let none = tickets::Known::default();
-        let known = self.tickets.steps.get(&obstacle::group(task)).unwrap_or(&none);
+        let known = self.tickets.steps.get(&group::group(task)).unwrap_or(&none);
         let fits = |view: &&worker::View| {
             let plain = obstacle::plain(view, service, task, step, now).is_none();
             plain
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -1,11 +1,26 @@
 //! Gives tasks to workers; the starts wait for their commit.
 
+use std::time;
+
 use super::fence;
 use super::holding;
 use super::progress;
 use super::spec;
 use crate::id;
 
+/// Gives a task to the worker that was found.
+pub(super) fn take(
+    holding: &mut holding::Holding,
+    ready: &holding::Ready,
+    step: &spec::Step,
+    worker: &id::WorkerId,
+    now: time::Duration,
+) {
+    let run = last_run(holding, ready.task) + 1;
+    assign(holding, ready, step, worker, run);
+    holding.refresh_headroom_of(worker, now);
+}
+
 /// Returns the number of a task's last start.
 pub(super) fn last_run(holding: &holding::Holding, task: spec::TaskId) -> u32 {
     let entry = holding.jobs.get(&task.job);
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -3,6 +3,7 @@
 use std::borrow;
 use std::time;
 
+use super::group;
 use super::harm;
 use super::holding;
 use super::obstacle;
@@ -88,7 +89,7 @@
     if !step.same_rack {
         return None;
     }
-    let (_, kin) = holding.placed.range(obstacle::kin(task)).next()?;
+    let (_, kin) = holding.placed.range(group::kin(task)).next()?;
     holding.views.get(&kin.worker)?.member.rack.as_deref()
 }
 
--- a/crates/wharflane/src/job/headroom.rs
+++ b/crates/wharflane/src/job/headroom.rs
@@ -12,17 +12,6 @@
 /// and figures of them come each half second.
 const FRESH: time::Duration = time::Duration::from_millis(100);
 
-/// What the serving tasks of a worker bear of one more neighbour.
-#[derive(Clone, Debug)]
-pub(super) struct Headroom {
-    /// When it was found out.
-    at: time::Duration,
-    /// Whether one of them misses its target.
-    pub missed: bool,
-    /// The strain that each has left.
-    pub left: Vec<(harm::Image, f64)>,
-}
-
 impl holding::Holding {
     /// Finds out anew what workers bear of which it is not known, or not fresh.
     pub(super) fn refresh_headroom(&mut self, now: time::Duration) {
@@ -44,7 +33,7 @@
     }
 
     /// Returns what a worker bears at the moment.
-    pub(super) fn headroom(&self, view: &worker::View, now: time::Duration) -> Headroom {
+    pub(super) fn headroom(&self, view: &worker::View, now: time::Duration) -> worker::Headroom {
         let capacity = view.member.capacity.cpu_milli.max(1) as f64;
         let uses: Vec<harm::Use> = view
             .filling
@@ -60,6 +49,10 @@
             let limit = self.learned.harm.limit(serving.image, serving.target_ms) - kept_free;
             (serving.image, limit - own - self.learned.harm.total(serving.image, &uses))
         });
-        Headroom { at: now, missed: self.misses(view, now).next().is_some(), left: left.collect() }
+        worker::Headroom {
+            at: now,
+            missed: self.misses(view, now).next().is_some(),
+            left: left.collect(),
+        }
     }
 }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -6,8 +6,8 @@
 
 use super::event;
 use super::fence;
+use super::group;
 use super::learned;
-use super::obstacle;
 use super::order;
 use super::progress;
 use super::queue;
@@ -218,7 +218,7 @@
     /// Which workers may run steps whose queue asks for advice.
     pub(super) tickets: tickets::Tickets,
     /// When it was last told what keeps the tasks of a step waiting.
-    pub(super) told: collections::BTreeMap<obstacle::Group, time::Duration>,
+    pub(super) told: collections::BTreeMap<group::Group, time::Duration>,
     /// What was learned.
     pub(super) learned: learned::Learned,
     /// When what was learned was last written.
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod event;
 mod fence;
 mod gang;
+mod group;
 mod harm;
 mod headroom;
 mod holding;
--- a/crates/wharflane/src/job/need.rs
+++ b/crates/wharflane/src/job/need.rs
@@ -8,13 +8,13 @@
 use std::sync;
 use std::time;
 
+use super::assign;
 use super::choose;
 use super::gang;
 use super::harm;
 use super::holding;
 use super::obstacle;
 use super::pass;
-use super::place;
 use super::spec;
 use super::worker;
 use crate::id;
@@ -134,7 +134,7 @@
     let Some(worker) = seek(holding, ready.task, step, None, now) else {
         return false;
     };
-    place::take(holding, ready, step, &worker, now);
+    assign::take(holding, ready, step, &worker, now);
     ease(holding, ready, step, now);
     true
 }
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -1,8 +1,8 @@
 //! Why a worker does not take a task.
 
-use std::ops;
 use std::time;
 
+use super::group;
 use super::spec;
 use super::worker;
 use crate::id;
@@ -28,19 +28,6 @@
     Harm,
 }
 
-/// A step of one round, whose tasks find workers together or wait together.
-pub(super) type Group = (spec::JobId, u32, u32);
-
-/// Returns the group of a task.
-pub(super) fn group(task: spec::TaskId) -> Group {
-    (task.job, task.round, task.step)
-}
-
-/// Returns the names of all tasks of a task's group.
-pub(super) fn kin(task: spec::TaskId) -> ops::RangeInclusive<spec::TaskId> {
-    spec::TaskId { index: 0, ..task }..=spec::TaskId { index: u32::MAX, ..task }
-}
-
 /// Returns what keeps a task from a worker before harm is weighed.
 pub(super) fn plain(
     view: &worker::View,
@@ -91,5 +78,5 @@
     let Some(most) = step.max_per_worker else {
         return true;
     };
-    view.tasks.range(kin(task)).count() < most as usize
+    view.tasks.range(group::kin(task)).count() < most as usize
 }
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -7,13 +7,13 @@
 use super::assign;
 use super::choose;
 use super::gang;
+use super::group;
 use super::holding;
 use super::need;
 use super::obstacle;
 use super::outlook;
 use super::pass;
 use super::spec;
-use crate::id;
 
 /// How long a lasting task that was at work may be away until it goes first; the users allow 6 s, a
 /// start takes 50 ms.
@@ -85,7 +85,7 @@
     if holding.is_aside(group.first.task.job) {
         return;
     }
-    let kin = holding.ready.range(obstacle::kin(group.first.task)).map(|(_, ready)| *ready);
+    let kin = holding.ready.range(group::kin(group.first.task)).map(|(_, ready)| *ready);
     let kin = kin.filter(|ready| returns(ready, now) == group.returning);
     let kin: Vec<holding::Ready> = kin.collect();
     let Some(step) = step_of(holding, group.first.task) else {
@@ -122,7 +122,7 @@
         let last = groups.iter().rev().take(2);
         let known = last
             .filter(|group| group.returning == returning)
-            .any(|group| obstacle::group(group.first.task) == obstacle::group(ready.task));
+            .any(|group| group::group(group.first.task) == group::group(ready.task));
         if !known {
             groups.push(Group { first: *ready, returning });
         }
@@ -152,7 +152,7 @@
 fn ask_workers(holding: &mut holding::Holding, task: spec::TaskId, now: time::Duration) {
     let entry = holding.jobs.get(&task.job);
     if entry.is_some_and(|entry| holding.terms_of_advice(&entry.job).is_some()) {
-        let wanted = holding.ready.range(obstacle::kin(task)).count();
+        let wanted = holding.ready.range(group::kin(task)).count();
         holding.ask(task, wanted, now);
     }
 }
@@ -217,7 +217,7 @@
     let worker = choose::choose(holding, ready.task, step, None, now);
     holding.kept_for.extend(kept);
     match &worker {
-        Some(worker) => take(holding, ready, step, worker, now),
+        Some(worker) => assign::take(holding, ready, step, worker, now),
         None => keep_room(holding, ready.task, step, now),
     }
     worker.is_some()
@@ -244,19 +244,6 @@
         pass.note(holding.service(&job), step, image, ticket);
         return false;
     };
-    take(holding, ready, step, &worker, now);
+    assign::take(holding, ready, step, &worker, now);
     true
 }
-
-/// Gives a task to the worker that was found.
-pub(super) fn take(
-    holding: &mut holding::Holding,
-    ready: &holding::Ready,
-    step: &spec::Step,
-    worker: &id::WorkerId,
-    now: time::Duration,
-) {
-    let run = assign::last_run(holding, ready.task) + 1;
-    assign::assign(holding, ready, step, worker, run);
-    holding.refresh_headroom_of(worker, now);
-}
--- a/crates/wharflane/src/job/tickets.rs
+++ b/crates/wharflane/src/job/tickets.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::time;
 
-use super::obstacle;
+use super::group;
 use super::spec;
 use crate::id;
 
@@ -71,7 +71,7 @@
 #[derive(Debug)]
 pub(super) struct Tickets {
     /// What is known, by step.
-    pub steps: collections::BTreeMap<obstacle::Group, Known>,
+    pub steps: collections::BTreeMap<group::Group, Known>,
     /// Questions under way.
     pub open: usize,
     /// The share of workers named that are good.
@@ -92,13 +92,13 @@
         worker: &id::WorkerId,
         now: time::Duration,
     ) -> Option<&str> {
-        let ticket = self.steps.get(&obstacle::group(task))?.good.get(worker)?;
+        let ticket = self.steps.get(&group::group(task))?.good.get(worker)?;
         (now < ticket.until).then_some(&ticket.text)
     }
 
     /// Forgets a ticket that a worker did not take.
     pub fn refused(&mut self, task: spec::TaskId, worker: &id::WorkerId) {
-        if let Some(known) = self.steps.get_mut(&obstacle::group(task)) {
+        if let Some(known) = self.steps.get_mut(&group::group(task)) {
             known.good.remove(worker);
         }
     }
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use super::choose;
+use super::group;
 use super::holding;
 use super::obstacle;
 use super::pass;
@@ -27,7 +28,7 @@
         now: time::Duration,
     ) {
         let waited = now.saturating_sub(ready.since);
-        let group = obstacle::group(ready.task);
+        let group = group::group(ready.task);
         let told = self.told.get(&group);
         let due = told.is_none_or(|at| now.saturating_sub(*at) >= TOLD_AGAIN);
         if waited < TOLD_AFTER || !due || pass.told >= MOST_TOLD {
@@ -91,8 +92,8 @@
 
     /// Forgets what was told of steps that don't wait any more.
     pub(super) fn forget_told(&mut self) {
-        let waiting: collections::BTreeSet<obstacle::Group> =
-            self.ready.keys().map(|task| obstacle::group(*task)).collect();
+        let waiting: collections::BTreeSet<group::Group> =
+            self.ready.keys().map(|task| group::group(*task)).collect();
         self.told.retain(|group, _| waiting.contains(group));
     }
 }
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -4,7 +4,6 @@
 use std::time;
 
 use super::harm;
-use super::headroom;
 use super::order;
 use super::spec;
 use crate::size;
@@ -87,6 +86,17 @@
     }
 }
 
+/// What the serving tasks of a worker bear of one more neighbour.
+#[derive(Clone, Debug)]
+pub(super) struct Headroom {
+    /// When it was found out.
+    pub at: time::Duration,
+    /// Whether one of them misses its target.
+    pub missed: bool,
+    /// The strain that each has left.
+    pub left: Vec<(harm::Image, f64)>,
+}
+
 /// A worker as its holder sees it.
 #[derive(Debug)]
 pub(super) struct View {
@@ -133,7 +143,7 @@
     /// When a share was changed last.
     pub paced: time::Duration,
     /// What the tasks that serve bear of one more neighbour, as it was found out last.
-    pub headroom: Option<headroom::Headroom>,
+    pub headroom: Option<Headroom>,
 }
 
 impl View {
