What a holder keeps of tasks and commits lies below the holder

Cause: holding took Doubt, Caution and the unlisted workers from the modules that implement on it, and they took Entry, Placed and Pending from it. The plain types have modules of their own: work (jobs, tasks, starts), pending (the commit under way, caution); the unlisted workers stand with the other kept rows.

--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -2,16 +2,16 @@
 
 use std::time;
 
-use super::fence;
 use super::holding;
 use super::progress;
 use super::spec;
+use super::work;
 use crate::id;
 
 /// Gives a task to the worker that was found.
 pub(super) fn take(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     worker: &id::WorkerId,
     now: time::Duration,
@@ -30,7 +30,7 @@
 /// Gives a task a worker; the start waits for its commit.
 pub(super) fn assign(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     worker: &id::WorkerId,
     run: u32,
@@ -49,13 +49,13 @@
     if let Some(view) = holding.views.get_mut(worker) {
         view.add(task, step, image);
     }
-    let link = holding::Link::Staged;
-    let placed = holding::Placed {
+    let link = work::Link::Staged;
+    let placed = work::Placed {
         worker: worker.clone(),
         run,
         link,
         lease_until_ms: 0,
-        doubt: fence::Doubt::default(),
+        doubt: work::Doubt::default(),
         began: None,
         stopped: None,
         progress: (0, holding.now),
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -8,8 +8,10 @@
 
 use super::event;
 use super::holding;
+use super::pending;
 use super::rows as kept;
 use super::spec;
+use super::work;
 use super::worker;
 use crate::rows;
 
@@ -131,7 +133,7 @@
     ) -> Result<(), serde_json::Error> {
         let again = number.is_none().then_some(sent);
         let txn = lease_txn(self.settings.domain, self.version, lease)?;
-        let pending = holding::Pending {
+        let pending = pending::Pending {
             number: number.unwrap_or_default(),
             txn,
             lease: lease.clone(),
@@ -172,7 +174,7 @@
             staged.into_iter().partition(|task: &spec::TaskId| batch.jobs.contains(&task.job));
         self.staged = later;
         let ends = self.take_unrecorded(&batch.jobs);
-        let pending = holding::Pending {
+        let pending = pending::Pending {
             number,
             txn: txn.clone(),
             lease,
@@ -260,8 +262,8 @@
     /// Returns whether it is open which starts of an earlier holder were taken, of jobs that may wait.
     fn has_open_starts(&self) -> bool {
         self.placed.iter().any(|(task, placed)| {
-            placed.link == holding::Link::Inherited
-                && self.jobs.get(&task.job).is_some_and(holding::Entry::waits)
+            placed.link == work::Link::Inherited
+                && self.jobs.get(&task.job).is_some_and(work::Entry::waits)
         })
     }
 
@@ -336,7 +338,7 @@
             }
             (None, rows::Outcome::Unknown) => {
                 tracing::warn!(number, seq = pending.lease.seq, "commit in doubt, sent again");
-                self.pending = Some(holding::Pending { again: Some(now + RETRY), ..pending });
+                self.pending = Some(pending::Pending { again: Some(now + RETRY), ..pending });
                 return Fate::Open;
             }
         };
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -7,6 +7,7 @@
 use super::order;
 use super::progress;
 use super::spec;
+use super::work;
 use crate::id;
 
 impl holding::Holding {
@@ -161,7 +162,7 @@
             return;
         }
         let lost = self.placed.iter().filter(|(_, placed)| {
-            placed.link == holding::Link::Inherited && !self.views.contains_key(&placed.worker)
+            placed.link == work::Link::Inherited && !self.views.contains_key(&placed.worker)
         });
         let lost: Vec<spec::TaskId> = lost.map(|(task, _)| *task).collect();
         for task in lost {
--- a/crates/wharflane/src/job/fence.rs
+++ b/crates/wharflane/src/job/fence.rs
@@ -9,17 +9,9 @@
 use super::order;
 use super::rows;
 use super::spec;
+use super::work;
 use crate::id;
 
-/// What is in doubt about the start of a task.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Doubt {
-    /// The orders that had no answer.
-    pub unanswered: u32,
-    /// The highest fence that an order brought; zero where none was given by this holder.
-    pub fence: u64,
-}
-
 impl holding::Holding {
     /// Returns the fence that orders to a worker bring.
     pub(super) fn fence(&self, worker: &id::WorkerId) -> u64 {
@@ -49,15 +41,15 @@
     /// Returns whether the start of a task had no answer and is not wanted there any more.
     pub(super) fn gives_up(&self, task: spec::TaskId) -> bool {
         self.placed.get(&task).is_some_and(|placed| match placed.link {
-            holding::Link::Lapsing => true,
-            holding::Link::Doubtful(_) => !self.wanted(task),
+            work::Link::Lapsing => true,
+            work::Link::Doubtful(_) => !self.wanted(task),
             _ => false,
         })
     }
 
     /// Returns whether a task is to run.
     pub(super) fn wanted(&self, task: spec::TaskId) -> bool {
-        self.jobs.get(&task.job).is_some_and(holding::Entry::active)
+        self.jobs.get(&task.job).is_some_and(work::Entry::active)
     }
 
     /// Returns whether the answer to a look proves that no start of a task which it does not show can come
--- a/crates/wharflane/src/job/gang.rs
+++ b/crates/wharflane/src/job/gang.rs
@@ -8,6 +8,7 @@
 use super::order;
 use super::progress;
 use super::spec;
+use super::work;
 use crate::id;
 use crate::size;
 
@@ -23,7 +24,7 @@
 /// Places all tasks of a gang, or none; returns whether they found workers.
 pub(super) fn place(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     choose: Choose,
     now: time::Duration,
@@ -41,7 +42,7 @@
     let run = last.max().unwrap_or(0) + 1;
     let checkpoint = common_checkpoint(holding, ready.task, step.count);
     for (index, worker) in members.zip(&workers) {
-        let ready = holding::Ready { task: member(index), ..*ready };
+        let ready = work::Ready { task: member(index), ..*ready };
         assign::assign(holding, &ready, step, worker, run);
         if let Some(entry) = holding.jobs.get_mut(&ready.task.job)
             && let Some(state) = entry.progress.tasks.get_mut(&ready.task.into())
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -5,150 +5,17 @@
 use std::time;
 
 use super::event;
-use super::fence;
 use super::group;
 use super::learned;
-use super::order;
+use super::pending;
 use super::progress;
 use super::queue;
-use super::refused;
 use super::rows as kept;
 use super::spec;
 use super::tickets;
-use super::unlisted;
+use super::work;
 use super::worker;
 use crate::id;
-use crate::rows;
-
-/// A job and how far it has come.
-#[derive(Debug)]
-pub(super) struct Entry {
-    /// What was handed in.
-    pub job: sync::Arc<spec::Job>,
-    /// The version of its row when it was accepted; earlier jobs have lower ones.
-    pub order: u64,
-    /// The version of its row as it was read last.
-    pub version: u64,
-    /// When it was accepted, in milliseconds since 1970.
-    pub accepted_ms: u64,
-    /// Whether its caller has cancelled it.
-    pub cancelled: bool,
-    /// How far it has come, ahead of the store by what is not committed yet.
-    pub progress: progress::Progress,
-    /// The rows of its progress that are to be written.
-    pub dirty: collections::BTreeSet<u32>,
-    /// Since when it is set aside because the store refuses its progress for good.
-    pub set_aside: Option<time::Duration>,
-    /// Whether any of its tasks has begun, as far as this holder knows. Not kept: a start that was written
-    /// may never have reached its worker, and only workers tell.
-    pub begun: bool,
-    /// Since when it has ended.
-    pub ended: Option<time::Duration>,
-    /// How long tasks took that this holder saw at work, by step.
-    pub taken: collections::BTreeMap<u32, Taken>,
-}
-
-/// How long the tasks of a step took.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Taken {
-    /// The runs that worked at full speed from their beginning to their end.
-    pub runs: u32,
-    /// The time of all of them.
-    pub total: time::Duration,
-}
-
-impl Entry {
-    /// Returns whether none of its tasks has begun; one that was only given a worker has not.
-    pub fn waits(&self) -> bool {
-        self.active() && !self.begun
-    }
-
-    /// Returns whether its tasks are to run.
-    pub fn active(&self) -> bool {
-        !self.cancelled && !self.progress.phase.ended()
-    }
-}
-
-/// What is known of a task that has a worker.
-#[derive(Clone, Debug)]
-pub(super) struct Placed {
-    /// The worker.
-    pub worker: id::WorkerId,
-    /// The number of the start.
-    pub run: u32,
-    /// What is known of the start.
-    pub link: Link,
-    /// Until when an order for it may still be carried out, by the worker's clock.
-    pub lease_until_ms: u64,
-    /// What is in doubt about its start.
-    pub doubt: fence::Doubt,
-    /// When the worker took the start; nothing where another holder ordered it.
-    pub began: Option<time::Duration>,
-    /// When a stop was last ordered.
-    pub stopped: Option<time::Duration>,
-    /// How far it was, in percent, and since when.
-    pub progress: (u64, time::Duration),
-}
-
-/// What is known of a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Link {
-    /// It is not committed yet.
-    Staged,
-    /// The order is under way.
-    Ordered,
-    /// The order had no answer and is given again at a time.
-    Doubtful(time::Duration),
-    /// One order had no answer and a later one was refused: the first may still be carried out, so the
-    /// task waits until the lease that it brings is over.
-    Lapsing,
-    /// The worker has it, as it said at a time.
-    There(time::Duration),
-    /// An earlier holder ordered it.
-    Inherited,
-}
-
-/// A task whose turn has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Ready {
-    /// The task.
-    pub task: spec::TaskId,
-    /// The priority paid for.
-    pub priority: u32,
-    /// Whether it runs until its job is cancelled.
-    pub lasting: bool,
-    /// Whether it was at work before.
-    pub returns: bool,
-    /// Earlier jobs have lower ones.
-    pub order: u64,
-    /// Since when it waits.
-    pub since: time::Duration,
-}
-
-/// A transaction whose fate is open.
-#[derive(Debug)]
-pub(super) struct Pending {
-    /// Its number as it was sent last.
-    pub number: u64,
-    /// The transaction, sent again unchanged where it must be.
-    pub txn: rows::Txn,
-    /// The lease that it writes.
-    pub lease: kept::Lease,
-    /// When it was first sent, from which the lease counts.
-    pub sent: time::Duration,
-    /// When it is to be sent again.
-    pub again: Option<time::Duration>,
-    /// The jobs whose progress it writes.
-    pub jobs: Vec<spec::JobId>,
-    /// Whether it writes what may be left out, such as what was learned.
-    pub extras: bool,
-    /// The ends that it makes last, by job and worker.
-    pub ends: Vec<(spec::JobId, id::WorkerId, u64)>,
-    /// The starts that it makes last.
-    pub starts: Vec<spec::TaskId>,
-    /// The ended jobs whose rows it removes, with the number of their rows.
-    pub removed: Vec<(spec::JobId, u32)>,
-}
 
 /// A domain on its holder.
 #[derive(Debug)]
@@ -172,13 +39,13 @@
     /// The queues in force.
     pub(super) queues: sync::Arc<queue::Queues>,
     /// The jobs.
-    pub(super) jobs: collections::BTreeMap<spec::JobId, Entry>,
+    pub(super) jobs: collections::BTreeMap<spec::JobId, work::Entry>,
     /// The workers.
     pub(super) views: collections::BTreeMap<id::WorkerId, worker::View>,
     /// The tasks that have a worker.
-    pub(super) placed: collections::BTreeMap<spec::TaskId, Placed>,
+    pub(super) placed: collections::BTreeMap<spec::TaskId, work::Placed>,
     /// The tasks whose turn has come.
-    pub(super) ready: collections::BTreeMap<spec::TaskId, Ready>,
+    pub(super) ready: collections::BTreeMap<spec::TaskId, work::Ready>,
     /// Rounds whose time has not come, by due time.
     pub(super) future: collections::BTreeSet<(u64, spec::JobId, u32)>,
     /// The jobs whose progress is to be written.
@@ -188,11 +55,11 @@
     /// The ends that were taken in and not committed yet, by job.
     pub(super) unrecorded: collections::BTreeMap<spec::JobId, Vec<(id::WorkerId, u64)>>,
     /// What commits leave out after one was refused.
-    pub(super) caution: refused::Caution,
+    pub(super) caution: pending::Caution,
     /// Starts that wait for their commit.
     pub(super) staged: Vec<spec::TaskId>,
     /// The transaction under way.
-    pub(super) pending: Option<Pending>,
+    pub(super) pending: Option<pending::Pending>,
     /// When the last transaction was gathered.
     pub(super) committed: time::Duration,
     /// The number of commits.
@@ -233,7 +100,7 @@
     /// When stops that were not taken are given again.
     pub(super) stops_again: collections::BTreeMap<spec::TaskId, time::Duration>,
     /// The workers that are not listed, as they were written last.
-    pub(super) unlisted: Vec<unlisted::Unlisted>,
+    pub(super) unlisted: Vec<kept::Unlisted>,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
@@ -297,7 +164,7 @@
             dirty: collections::VecDeque::new(),
             expired: Vec::new(),
             unrecorded: collections::BTreeMap::new(),
-            caution: refused::Caution::default(),
+            caution: pending::Caution::default(),
             staged: Vec::new(),
             pending: None,
             committed: taken,
@@ -423,13 +290,3 @@
         self.open_step(task.job, task.round, task.step);
     }
 }
-
-/// Makes the order for a placed task.
-pub(super) fn order_for(
-    placed: &Placed,
-    addr: std::net::SocketAddr,
-    task: spec::TaskId,
-    epoch: u64,
-) -> order::Order {
-    order::Order { worker: placed.worker.clone(), addr, task, run: placed.run, epoch }
-}
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -5,12 +5,12 @@
 use std::time;
 
 use super::event;
-use super::fence;
 use super::holding;
 use super::learned;
 use super::progress;
 use super::rows as kept;
 use super::spec;
+use super::work;
 use crate::id;
 use crate::rows;
 
@@ -85,12 +85,12 @@
             let Some(worker) = &task.worker else {
                 continue;
             };
-            let placed = holding::Placed {
+            let placed = work::Placed {
                 worker: worker.clone(),
                 run: task.run,
-                link: holding::Link::Inherited,
+                link: work::Link::Inherited,
                 lease_until_ms: 0,
-                doubt: fence::Doubt::default(),
+                doubt: work::Doubt::default(),
                 began: None,
                 stopped: None,
                 progress: (0, now),
@@ -102,7 +102,7 @@
         let spec = sync::Arc::new(spec);
         let (phase, rounds) = (progress.phase, spec.rounds());
         let due: Vec<u64> = (0..rounds).map(|round| spec.due_ms(round)).collect();
-        let entry = holding::Entry {
+        let entry = work::Entry {
             job: spec,
             order,
             version: order,
@@ -170,7 +170,7 @@
             let returns = spec.lasting && state.is_some_and(|state| state.run > 0);
             if !done && !self.placed.contains_key(&task) {
                 let (lasting, order, since) = (spec.lasting, entry.order, self.now);
-                let ready = holding::Ready { task, priority, lasting, returns, order, since };
+                let ready = work::Ready { task, priority, lasting, returns, order, since };
                 self.ready.entry(task).or_insert(ready);
             }
         }
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -7,6 +7,7 @@
 use super::holding;
 use super::order;
 use super::spec;
+use super::work;
 use crate::id;
 
 /// The wait after a look without an answer, and how often it may double.
@@ -146,25 +147,23 @@
             };
             let runs = running.get(&task) == Some(&placed.run);
             match placed.link {
-                holding::Link::Inherited | holding::Link::Doubtful(_) | holding::Link::Lapsing
-                    if runs =>
-                {
-                    if placed.link == holding::Link::Inherited {
+                work::Link::Inherited | work::Link::Doubtful(_) | work::Link::Lapsing if runs => {
+                    if placed.link == work::Link::Inherited {
                         adopted.insert(task);
                     }
-                    placed.link = holding::Link::There(now);
+                    placed.link = work::Link::There(now);
                 }
                 // This epoch's look was answered, so no earlier holder's start can come any more.
-                holding::Link::Inherited => self.free(task, "not there"),
-                holding::Link::Doubtful(_) | holding::Link::Lapsing if over => {
+                work::Link::Inherited => self.free(task, "not there"),
+                work::Link::Doubtful(_) | work::Link::Lapsing if over => {
                     self.free(task, "its start can't be carried out any more");
                 }
-                holding::Link::There(at) if !runs && at <= sent => self.free(task, "not there"),
-                holding::Link::There(_)
-                | holding::Link::Staged
-                | holding::Link::Ordered
-                | holding::Link::Doubtful(_)
-                | holding::Link::Lapsing => {}
+                work::Link::There(at) if !runs && at <= sent => self.free(task, "not there"),
+                work::Link::There(_)
+                | work::Link::Staged
+                | work::Link::Ordered
+                | work::Link::Doubtful(_)
+                | work::Link::Lapsing => {}
             }
         }
         for row in &lists.running {
@@ -173,7 +172,7 @@
             self.note_begun(row.task.job);
             if !ours {
                 self.stop_stray(worker, row);
-            } else if !self.jobs.get(&row.task.job).is_some_and(holding::Entry::active)
+            } else if !self.jobs.get(&row.task.job).is_some_and(work::Entry::active)
                 || leaving && self.leaves(row.task, row.percent)
             {
                 self.stop(row.task, now);
--- a/crates/wharflane/src/job/members.rs
+++ b/crates/wharflane/src/job/members.rs
@@ -6,6 +6,7 @@
 use super::holding;
 use super::order;
 use super::spec;
+use super::work;
 use super::worker;
 use crate::id;
 
@@ -54,11 +55,7 @@
         for (task, placed) in self.placed.iter().filter(|(_, placed)| placed.worker == *worker) {
             let entry = self.jobs.get(&task.job);
             if let Some(step) = entry.and_then(|entry| entry.job.step(task.step)) {
-                debug_assert_eq!(
-                    placed.link,
-                    holding::Link::Inherited,
-                    "known before it is listed"
-                );
+                debug_assert_eq!(placed.link, work::Link::Inherited, "known before it is listed");
                 let image = self.learned.harm.image(step.image.as_deref());
                 view.add(*task, step, image);
             }
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -30,6 +30,7 @@
 mod outlook;
 mod pace;
 mod pass;
+mod pending;
 mod place;
 mod progress;
 mod queue;
@@ -41,6 +42,7 @@
 mod times;
 mod unlisted;
 mod waits;
+mod work;
 mod worker;
 
 pub use call::{Answer, Call};
--- a/crates/wharflane/src/job/need.rs
+++ b/crates/wharflane/src/job/need.rs
@@ -16,6 +16,7 @@
 use super::obstacle;
 use super::pass;
 use super::spec;
+use super::work;
 use super::worker;
 use crate::id;
 
@@ -37,7 +38,7 @@
 pub(super) fn note(
     holding: &holding::Holding,
     pass: &mut pass::Pass,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     now: time::Duration,
 ) {
     let waited = now.saturating_sub(ready.since);
@@ -81,11 +82,10 @@
     let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
     let mut placed = holding.placed.range(first..).take_while(|(task, _)| task.job == job);
     placed.any(|(_, placed)| match placed.link {
-        holding::Link::Staged
-        | holding::Link::Ordered
-        | holding::Link::There(_)
-        | holding::Link::Inherited => true,
-        holding::Link::Doubtful(_) | holding::Link::Lapsing => false,
+        work::Link::Staged | work::Link::Ordered | work::Link::There(_) | work::Link::Inherited => {
+            true
+        }
+        work::Link::Doubtful(_) | work::Link::Lapsing => false,
     })
 }
 
@@ -119,7 +119,7 @@
 /// Starts a task in need, or its whole gang; returns whether workers were found.
 fn start(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     now: time::Duration,
 ) -> bool {
@@ -127,7 +127,7 @@
         let placed = gang::place(holding, ready, step, seek, now);
         for index in (0..step.count).filter(|_| placed) {
             let task = spec::TaskId { index, ..ready.task };
-            ease(holding, &holding::Ready { task, ..*ready }, step, now);
+            ease(holding, &work::Ready { task, ..*ready }, step, now);
         }
         return placed;
     }
@@ -228,7 +228,7 @@
 /// Holds a task in need back from its start on, as far as its neighbours don't bear it.
 fn ease(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     now: time::Duration,
 ) {
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -6,6 +6,7 @@
 use super::holding;
 use super::order;
 use super::spec;
+use super::work;
 use super::worker;
 
 /// The wait before an order without an answer is given again.
@@ -25,9 +26,9 @@
     /// Sends the starts whose commit stands.
     pub(super) fn release(&mut self, starts: &[spec::TaskId], now: time::Duration) {
         for task in starts {
-            let wanted = self.jobs.get(&task.job).is_some_and(holding::Entry::active);
+            let wanted = self.jobs.get(&task.job).is_some_and(work::Entry::active);
             let staged =
-                self.placed.get(task).is_some_and(|placed| placed.link == holding::Link::Staged);
+                self.placed.get(task).is_some_and(|placed| placed.link == work::Link::Staged);
             if !staged {
                 continue;
             }
@@ -35,7 +36,7 @@
                 self.send_start(*task, now);
             } else if wanted {
                 // Not ordered, so it may be ordered later by whoever holds the domain then.
-                self.set_link(*task, holding::Link::Doubtful(now));
+                self.set_link(*task, work::Link::Doubtful(now));
             } else {
                 self.free(*task, "ended before its start was ordered");
             }
@@ -55,12 +56,12 @@
             return;
         };
         let Some(lease_until_ms) = view.grant(now, self.settings.hold) else {
-            placed.link = holding::Link::Doubtful(now + ORDER_AGAIN);
+            placed.link = work::Link::Doubtful(now + ORDER_AGAIN);
             return;
         };
         // A worker that was idle would be looked at much later.
         view.look_due = view.look_due.min(now + worker::LOOK_GAP);
-        placed.link = holding::Link::Ordered;
+        placed.link = work::Link::Ordered;
         placed.lease_until_ms = placed.lease_until_ms.max(lease_until_ms);
         placed.doubt.fence = fence;
         let Some(entry) = self.jobs.get(&task.job) else {
@@ -68,7 +69,7 @@
         };
         let state = entry.progress.tasks.get(&task.into());
         let checkpoint = state.map_or_else(String::new, |state| state.checkpoint.clone());
-        let order = holding::order_for(placed, view.member.addr, task, fence);
+        let order = work::order_for(placed, view.member.addr, task, fence);
         // A ticket that ran out on the way to here is asked for anew, maybe for another worker.
         let Some(ticket) = self.ticket_for(&order, now) else {
             return self.start_refused(task);
@@ -88,11 +89,11 @@
             return;
         };
         match placed.link {
-            holding::Link::Staged if !self.staged.contains(&task) => return,
-            holding::Link::Staged => return self.free(task, "ended before its start was written"),
+            work::Link::Staged if !self.staged.contains(&task) => return,
+            work::Link::Staged => return self.free(task, "ended before its start was written"),
             // A stop that comes before its start has no effect: the start must be there first.
-            holding::Link::Ordered | holding::Link::Doubtful(_) | holding::Link::Lapsing => return,
-            holding::Link::There(_) | holding::Link::Inherited => {}
+            work::Link::Ordered | work::Link::Doubtful(_) | work::Link::Lapsing => return,
+            work::Link::There(_) | work::Link::Inherited => {}
         }
         let again = self.settings.stop + STOP_SLACK;
         let due = placed.stopped.is_none_or(|at| now.saturating_sub(at) >= again);
@@ -102,7 +103,7 @@
         placed.stopped = Some(now);
         let addr = view.member.addr;
         let placed = placed.clone();
-        let order = holding::order_for(&placed, addr, task, self.fence(&placed.worker));
+        let order = work::order_for(&placed, addr, task, self.fence(&placed.worker));
         tracing::info!(%task, run = placed.run, worker = %placed.worker, "stop ordered");
         self.out.push(event::Effect::Stop(order));
     }
@@ -138,8 +139,8 @@
     /// Gives orders again that had no answer.
     pub(super) fn repeat_orders(&mut self, now: time::Duration) {
         let due = self.placed.iter().filter(|(_, placed)| match placed.link {
-            holding::Link::Doubtful(at) => now >= at,
-            holding::Link::Lapsing => true,
+            work::Link::Doubtful(at) => now >= at,
+            work::Link::Lapsing => true,
             _ => false,
         });
         let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
@@ -163,7 +164,7 @@
         if doubt.unanswered >= MOST_UNANSWERED {
             tracing::warn!(%task, %worker, doubt.unanswered, "starts without an answer, given up");
             view.rest(now);
-            self.set_link(task, holding::Link::Lapsing);
+            self.set_link(task, work::Link::Lapsing);
             return self.settle(task, now);
         }
         if view.misses == 0 {
@@ -187,7 +188,7 @@
     }
 
     /// Notes what is known of a start.
-    fn set_link(&mut self, task: spec::TaskId, link: holding::Link) {
+    fn set_link(&mut self, task: spec::TaskId, link: work::Link) {
         if let Some(placed) = self.placed.get_mut(&task) {
             placed.link = link;
         }
@@ -206,7 +207,7 @@
         let open = self.placed.get(&order.task).is_some_and(|placed| {
             placed.run == order.run
                 && placed.worker == order.worker
-                && placed.link == holding::Link::Ordered
+                && placed.link == work::Link::Ordered
         });
         if !open {
             return;
@@ -217,11 +218,11 @@
                 "start not taken"
             );
         }
-        let wanted = self.jobs.get(&order.task.job).is_some_and(holding::Entry::active);
+        let wanted = self.jobs.get(&order.task.job).is_some_and(work::Entry::active);
         match answer {
             order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
                 // An old run is one that ended there: the next look tells how, or that it is gone.
-                self.set_link(order.task, holding::Link::There(now));
+                self.set_link(order.task, work::Link::There(now));
                 self.note_begun(order.task.job);
                 if let Some(placed) = self.placed.get_mut(&order.task) {
                     placed.began = placed.began.or(Some(now));
@@ -235,7 +236,7 @@
                 if order.epoch < self.fence(&order.worker) =>
             {
                 // The fence was raised while the order was on its way.
-                self.set_link(order.task, holding::Link::Doubtful(now));
+                self.set_link(order.task, work::Link::Doubtful(now));
             }
             order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
             order::StartAnswer::Refused(order::StartRefusal::Ticket) => {
@@ -250,7 +251,7 @@
             }
             order::StartAnswer::Gone => self.worker_gone(&order.worker),
             order::StartAnswer::Silent => {
-                self.set_link(order.task, holding::Link::Doubtful(now + ORDER_AGAIN));
+                self.set_link(order.task, work::Link::Doubtful(now + ORDER_AGAIN));
                 if let Some(placed) = self.placed.get_mut(&order.task) {
                     placed.doubt.unanswered += 1;
                 }
@@ -263,7 +264,7 @@
         let unanswered = self.placed.get(&task).is_some_and(|p| p.doubt.unanswered > 0);
         if unanswered {
             tracing::info!(%task, "refused after an order without answer, which may still come");
-            self.set_link(task, holding::Link::Lapsing);
+            self.set_link(task, work::Link::Lapsing);
         } else {
             self.free(task, "refused");
         }
--- a/crates/wharflane/src/job/outlook.rs
+++ b/crates/wharflane/src/job/outlook.rs
@@ -3,6 +3,7 @@
 use super::holding;
 use super::spec;
 use super::times;
+use super::work;
 
 /// Up to how many times the time allowed an end still counts as late rather than as missed.
 const LATE_TIMES: f64 = 3.0;
@@ -19,7 +20,7 @@
 }
 
 /// Returns how a round of a job stands, by the time of day.
-pub(super) fn outlook(holding: &holding::Holding, entry: &holding::Entry, round: u32) -> Outlook {
+pub(super) fn outlook(holding: &holding::Holding, entry: &work::Entry, round: u32) -> Outlook {
     let Some(queue) = holding.queues.queues.get(&entry.job.queue) else {
         return Outlook::Missed;
     };
@@ -40,7 +41,7 @@
 }
 
 /// Returns the longest chain of work of a round and what is left of it, in milliseconds.
-fn chain(entry: &holding::Entry, round: u32, times: &times::Times) -> (f64, f64) {
+fn chain(entry: &work::Entry, round: u32, times: &times::Times) -> (f64, f64) {
     let mut ends: Vec<(f64, f64)> = Vec::new();
     for (at, step) in (0u32..).zip(&entry.job.steps) {
         let before = step.after.iter().filter_map(|after| ends.get(*after as usize));
@@ -54,7 +55,7 @@
 }
 
 /// Returns how long a task of a step takes: as its kin did, or as is known of its queue.
-fn step_ms(entry: &holding::Entry, at: u32, step: &spec::Step, times: &times::Times) -> f64 {
+fn step_ms(entry: &work::Entry, at: u32, step: &spec::Step, times: &times::Times) -> f64 {
     match entry.taken.get(&at) {
         Some(taken) if taken.runs > 0 => taken.total.as_secs_f64() * 1e3 / f64::from(taken.runs),
         _ => times.expect_ms(&entry.job.queue, step.estimate_ms),
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -8,6 +8,7 @@
 use super::holding;
 use super::order;
 use super::spec;
+use super::work;
 use super::worker;
 use crate::id;
 
@@ -315,13 +316,13 @@
         };
         for (task, filling) in view.filling.iter_mut().filter(|(_, filling)| filling.untold) {
             let placed = self.placed.get(task);
-            let there = placed.filter(|placed| matches!(placed.link, holding::Link::There(_)));
+            let there = placed.filter(|placed| matches!(placed.link, work::Link::There(_)));
             let Some(placed) = there else {
                 continue;
             };
             filling.untold = false;
             view.paced = now;
-            let order = holding::order_for(placed, view.member.addr, *task, epoch);
+            let order = work::order_for(placed, view.member.addr, *task, epoch);
             let pace = order::Pace { order, percent: filling.percent };
             self.out.push(event::Effect::Pace(pace));
         }
--- a/crates/wharflane/src/job/pass.rs
+++ b/crates/wharflane/src/job/pass.rs
@@ -7,8 +7,8 @@
 use std::collections;
 
 use super::harm;
-use super::holding;
 use super::spec;
+use super::work;
 use crate::id;
 use crate::size;
 
@@ -31,7 +31,7 @@
     /// How many lines were written about tasks that wait.
     pub told: usize,
     /// The tasks that found no worker and are in need, the first of each group.
-    pub in_need: collections::BTreeMap<spec::TaskId, holding::Ready>,
+    pub in_need: collections::BTreeMap<spec::TaskId, work::Ready>,
 }
 
 impl Pass {
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -14,6 +14,7 @@
 use super::outlook;
 use super::pass;
 use super::spec;
+use super::work;
 
 /// How long a lasting task that was at work may be away until it goes first; the users allow 6 s, a
 /// start takes 50 ms.
@@ -55,7 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Group {
     /// The first of them.
-    first: holding::Ready,
+    first: work::Ready,
     /// Whether they are lasting ones that were at work and have been away for long.
     returning: bool,
 }
@@ -87,7 +88,7 @@
     }
     let kin = holding.ready.range(group::kin(group.first.task)).map(|(_, ready)| *ready);
     let kin = kin.filter(|ready| returns(ready, now) == group.returning);
-    let kin: Vec<holding::Ready> = kin.collect();
+    let kin: Vec<work::Ready> = kin.collect();
     let Some(step) = step_of(holding, group.first.task) else {
         for ready in kin {
             holding.ready.remove(&ready.task);
@@ -144,7 +145,7 @@
 }
 
 /// Returns whether a lasting task has been away for so long that it goes first.
-fn returns(ready: &holding::Ready, now: time::Duration) -> bool {
+fn returns(ready: &work::Ready, now: time::Duration) -> bool {
     ready.returns && now.saturating_sub(ready.since) >= LONG_AWAY
 }
 
@@ -209,7 +210,7 @@
 /// Places a task that comes back; what is kept for one of them is there for all.
 fn place_returning(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     now: time::Duration,
 ) -> bool {
@@ -227,7 +228,7 @@
 fn place_one(
     holding: &mut holding::Holding,
     pass: &mut pass::Pass,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     now: time::Duration,
 ) -> bool {
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/refused.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use super::holding;
+use super::pending;
 use super::spec;
 use super::worker;
 use crate::rows;
@@ -15,34 +16,10 @@
 const EXTRAS_AGAIN: time::Duration = time::Duration::from_secs(30);
 /// How long a job is set aside before its progress is tried again; it may have become shorter.
 const JOB_AGAIN: time::Duration = time::Duration::from_secs(10);
-/// The most jobs in one commit; the bound by rows and bytes is reached before.
-const MOST_JOBS: usize = 100;
-
-/// What commits leave out after one was refused.
-#[derive(Debug)]
-pub(super) struct Caution {
-    /// The most jobs in one commit.
-    pub jobs: usize,
-    /// From when on commits may hold what can be left out.
-    pub extras_from: time::Duration,
-}
-
-impl Default for Caution {
-    fn default() -> Self {
-        Self { jobs: MOST_JOBS, extras_from: time::Duration::ZERO }
-    }
-}
-
-impl Caution {
-    /// Notes that a commit was taken.
-    pub fn taken(&mut self) {
-        self.jobs = (self.jobs * 2).min(MOST_JOBS);
-    }
-}
 
 impl holding::Holding {
     /// Takes back a commit that the store refuses for good, and sees to it that the next one differs.
-    pub(super) fn commit_refused(&mut self, pending: holding::Pending, now: time::Duration) {
+    pub(super) fn commit_refused(&mut self, pending: pending::Pending, now: time::Duration) {
         let longest = pending.txn.writes.iter().max_by_key(|write| length(write));
         let longest_bytes = longest.map_or(0, length);
         tracing::error!(
@@ -70,7 +47,7 @@
     }
 
     /// Makes everything that a commit held due for the next one.
-    fn put_back(&mut self, pending: holding::Pending) {
+    fn put_back(&mut self, pending: pending::Pending) {
         for write in &pending.txn.writes {
             if let Some((job, row)) = super::rows::progress_row(&write.key.name)
                 && let Some(entry) = self.jobs.get_mut(&job)
@@ -98,7 +75,7 @@
             entry.set_aside = Some(now);
         }
         self.dirty.retain(|dirty| *dirty != job);
-        self.caution.jobs = MOST_JOBS;
+        self.caution.jobs = pending::MOST_JOBS;
         let staged: Vec<spec::TaskId> =
             self.staged.iter().copied().filter(|task| task.job == job).collect();
         for task in staged {
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -10,10 +10,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::order;
 use super::progress;
 use super::spec;
 use crate::id;
 use crate::rows;
+use crate::size;
 
 /// The table of jobs as they were accepted.
 pub const JOBS: &str = "jobs";
@@ -173,3 +175,35 @@
         Some(time::Duration::from_millis(now_ms.checked_sub(self.as_of_ms?)?))
     }
 }
+
+/// A worker in the row of those that are not listed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Unlisted {
+    /// The name of its life.
+    pub id: id::WorkerId,
+    /// Where it takes orders.
+    pub addr: net::SocketAddr,
+    /// Whether it is about to leave.
+    leaving: bool,
+}
+
+impl Unlisted {
+    /// Returns what is kept of a worker.
+    pub fn of(member: &order::Member) -> Self {
+        Self { id: member.id.clone(), addr: member.addr, leaving: member.leaving }
+    }
+
+    /// Returns a worker of which only this is known; nothing new goes there while nobody lists it.
+    pub fn member(&self) -> order::Member {
+        order::Member {
+            id: self.id.clone(),
+            addr: self.addr,
+            hall: "".into(),
+            service: "".into(),
+            leaving: self.leaving,
+            capacity: size::Size::default(),
+            labels: Vec::new(),
+            rack: None,
+        }
+    }
+}
--- a/crates/wharflane/src/job/unlisted.rs
+++ b/crates/wharflane/src/job/unlisted.rs
@@ -6,60 +6,22 @@
 //! more bytes in every write of a task that runs; shorter leases, which end sound work at each change of the
 //! holder. This row is written only where its workers change.
 
-use std::net;
 use std::time;
 
-use serde::{Deserialize, Serialize};
-
 use super::holding;
 use super::learned;
-use super::order;
 use super::rows as kept;
-use crate::id;
 use crate::rows;
-use crate::size;
 
 /// The most workers in the row; with names of 200 bytes, the longest of the store, it takes 18 KB.
 const MOST: usize = 64;
 
-/// A worker in the row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Unlisted {
-    /// The name of its life.
-    id: id::WorkerId,
-    /// Where it takes orders.
-    addr: net::SocketAddr,
-    /// Whether it is about to leave.
-    leaving: bool,
-}
-
-impl Unlisted {
-    /// Returns what is kept of a worker.
-    fn of(member: &order::Member) -> Self {
-        Self { id: member.id.clone(), addr: member.addr, leaving: member.leaving }
-    }
-
-    /// Returns a worker of which only this is known; nothing new goes there while nobody lists it.
-    fn member(&self) -> order::Member {
-        order::Member {
-            id: self.id.clone(),
-            addr: self.addr,
-            hall: "".into(),
-            service: "".into(),
-            leaving: self.leaving,
-            capacity: size::Size::default(),
-            labels: Vec::new(),
-            rack: None,
-        }
-    }
-}
-
 impl holding::Holding {
     /// Returns the workers that the next holder may not find in the list, though something runs there.
-    fn soon_unlisted(&self) -> Vec<Unlisted> {
+    fn soon_unlisted(&self) -> Vec<kept::Unlisted> {
         let busy = self.views.values().filter(|view| !view.tasks.is_empty());
         let soon = busy.filter(|view| !view.listed || view.member.leaving);
-        soon.map(|view| Unlisted::of(&view.member)).take(MOST).collect()
+        soon.map(|view| kept::Unlisted::of(&view.member)).take(MOST).collect()
     }
 
     /// Returns whether the row lacks a worker and may be written.
@@ -87,7 +49,7 @@
         let Some(text) = row.and_then(|row| row.value.as_deref()) else {
             return;
         };
-        match serde_json::from_str::<Vec<Unlisted>>(text) {
+        match serde_json::from_str::<Vec<kept::Unlisted>>(text) {
             Ok(unlisted) => self.unlisted = unlisted,
             Err(err) => {
                 return tracing::warn!(%err, "workers that are not listed can't be read");
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -9,6 +9,7 @@
 use super::obstacle;
 use super::pass;
 use super::spec;
+use super::work;
 use super::worker;
 
 /// How long a task waits until it is told what keeps it; most find a worker in a tenth of it.
@@ -23,7 +24,7 @@
     pub(super) fn tell_wait(
         &mut self,
         pass: &mut pass::Pass,
-        ready: &holding::Ready,
+        ready: &work::Ready,
         step: &spec::Step,
         now: time::Duration,
     ) {
