--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -1,11 +1,26 @@
 //! Gives tasks to workers; the starts wait for their commit.
 
-use super::fence;
+use std::time;
+
 use super::holding;
 use super::progress;
 use super::spec;
+use super::work;
 use crate::id;
 
+/// Gives a task to the worker that was found.
+pub(super) fn take(
+    holding: &mut holding::Holding,
+    ready: &work::Ready,
+    step: &spec::Step,
+    worker: &id::WorkerId,
+    now: time::Duration,
+) {
+    let run = last_run(holding, ready.task) + 1;
+    assign(holding, ready, step, worker, run);
+    holding.refresh_headroom_of(worker, now);
+}
+
 /// Returns the number of a task's last start.
 pub(super) fn last_run(holding: &holding::Holding, task: spec::TaskId) -> u32 {
     let entry = holding.jobs.get(&task.job);
@@ -15,7 +30,7 @@
 /// Gives a task a worker; the start waits for its commit.
 pub(super) fn assign(
     holding: &mut holding::Holding,
-    ready: &holding::Ready,
+    ready: &work::Ready,
     step: &spec::Step,
     worker: &id::WorkerId,
     run: u32,
@@ -34,13 +49,13 @@
     if let Some(view) = holding.views.get_mut(worker) {
         view.add(task, step, image);
     }
-    let link = holding::Link::Staged;
-    let placed = holding::Placed {
+    let link = work::Link::Staged;
+    let placed = work::Placed {
         worker: worker.clone(),
         run,
         link,
         lease_until_ms: 0,
-        doubt: fence::Doubt::default(),
+        doubt: work::Doubt::default(),
         began: None,
         stopped: None,
         progress: (0, holding.now),
