--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -151,19 +151,31 @@
         }
     }
 
+    /// Watches a call that waits for its answer over a connection, for callers that give up before the call's limit.
+    #[must_use]
+    pub fn waits(&self, conn: &Conn, patience: time::Duration) -> Waiting<'_> {
+        let since = tokio::time::Instant::now();
+        Waiting { call: self, era: conn.era, reused: conn.reused, since, patience, open: true }
+    }
+
     /// Retires every connection to the peer after a call over this one had no answer in time: they may have gone
     /// silent with it. Calls under way go on; the first of them to get no answer speaks for all of its era.
     pub fn retire(&self, conn: &Conn) {
+        self.retire_era(conn.era, conn.reused);
+    }
+
+    /// Retires every connection of an era, if it is still on.
+    fn retire_era(&self, era: u64, reused: bool) {
         let now = tokio::time::Instant::now();
         let mut state = self.pool.lock();
         let State { peers, lines, .. } = &mut *state;
-        let Some(peer) = peers.get_mut(&self.peer).filter(|peer| peer.era == conn.era) else {
+        let Some(peer) = peers.get_mut(&self.peer).filter(|peer| peer.era == era) else {
             return;
         };
         peer.era += 1;
         let idle = std::mem::take(&mut peer.idle).len();
         // A peer that never answers at all would have a line for each call.
-        if (idle > 0 || conn.reused)
+        if (idle > 0 || reused)
             && let Some(untold) = lines.tell(now)
         {
             tracing::info!(
@@ -186,6 +198,38 @@
     }
 }
 
+/// A call that waits for its answer; dropped before it is over, its caller has given it up.
+#[derive(Debug)]
+pub struct Waiting<'a> {
+    /// The call.
+    call: &'a Call<'a>,
+    /// The era of the connection that carries it.
+    era: u64,
+    /// Whether that connection carried an exchange before.
+    reused: bool,
+    /// When it began to wait.
+    since: tokio::time::Instant,
+    /// How long it must have waited in vain for its connection to count as silent.
+    patience: time::Duration,
+    /// Whether it still waits.
+    open: bool,
+}
+
+impl Waiting<'_> {
+    /// Notes that the wait is over, with an answer or without.
+    pub fn over(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.open && self.since.elapsed() >= self.patience {
+            self.call.retire_era(self.era, self.reused);
+        }
+    }
+}
+
 impl State {
     /// Closes connections that were idle for long, and forgets peers to which there is neither connection nor call.
     fn sweep(&mut self, now: tokio::time::Instant, keep: client::Keep) {
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -162,9 +162,11 @@
         let mut txn = lease_txn(domain, self.version, &lease)?;
         txn.writes.extend(batch.writes);
         let removed = self.remove_expired(&mut txn);
+        if now >= self.caution.counts_from {
+            self.add_counts(&mut txn, now)?;
+        }
         let before_extras = txn.writes.len();
         if now >= self.caution.extras_from {
-            self.add_counts(&mut txn, now)?;
             self.add_learned(&mut txn, now)?;
             self.add_unlisted(&mut txn)?;
         }
--- a/crates/wharflane/src/job/pending.rs
+++ b/crates/wharflane/src/job/pending.rs
@@ -42,11 +42,14 @@
     pub jobs: usize,
     /// From when on commits may hold what can be left out.
     pub extras_from: time::Duration,
+    /// From when on commits may hold counts of what waits.
+    pub counts_from: time::Duration,
 }
 
 impl Default for Caution {
     fn default() -> Self {
-        Self { jobs: MOST_JOBS, extras_from: time::Duration::ZERO }
+        let (extras_from, counts_from) = (time::Duration::ZERO, time::Duration::ZERO);
+        Self { jobs: MOST_JOBS, extras_from, counts_from }
     }
 }
 
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/refused.rs
@@ -37,9 +37,13 @@
         };
         if pending.extras {
             self.caution.extras_from = now + EXTRAS_AGAIN;
+        } else if pending.jobs.is_empty() {
+            self.caution.counts_from = now + EXTRAS_AGAIN;
         } else {
             self.caution.jobs = (pending.jobs.len() / 2).max(1);
         }
+        // Callers are told no old counts, so those of a commit that was refused for something else go with the next one.
+        self.counted_at = time::Duration::ZERO;
         self.put_back(pending);
         if let Some(job) = alone {
             self.set_aside(job, now);
--- a/crates/wharflane/src/job/slowness.rs
+++ b/crates/wharflane/src/job/slowness.rs
@@ -30,6 +30,10 @@
     handled: u64,
     /// The longest wait of a tick in it.
     most_lag: time::Duration,
+    /// The ticks in it.
+    ticks: u32,
+    /// Those that lagged.
+    lagging: u32,
     /// The usual rate, in events in 1,000 seconds.
     usual_milli: u64,
     /// The calm windows seen so far.
@@ -48,6 +52,8 @@
     pub fn tick(&mut self, now: time::Duration, waited: time::Duration) -> bool {
         self.handled += 1;
         self.most_lag = self.most_lag.max(waited);
+        self.ticks += 1;
+        self.lagging += u32::from(waited >= LAGS);
         let began = *self.began.get_or_insert(now);
         let lasted = now.saturating_sub(began);
         if lasted < WINDOW {
@@ -58,12 +64,14 @@
         self.began = Some(now);
         self.handled = 0;
         self.most_lag = time::Duration::ZERO;
+        (self.ticks, self.lagging) = (0, 0);
         self.slow >= SLOW_WINDOWS
     }
 
     /// Judges a window by its rate.
     fn close(&mut self, rate_milli: u64) {
-        let lags = self.most_lag >= LAGS;
+        // Where events wait all the time the rate is what the host can do; behind a short pause it is what there was to do.
+        let lags = self.lagging * 2 > self.ticks;
         let known = self.calm >= CALM_WINDOWS;
         let slow = lags && known && rate_milli < self.usual_milli * SLOW_PERCENT / 100;
         self.slow = if slow { self.slow + 1 } else { 0 };
