A read of the state ends with its holding; an answer is not broken off before its caller's time is over

Cause, from the review: an abandoned read went on beside the next one and filled a weak link; an endpoint silent for 30 s within an answer was given up also where the caller waits for longer.

--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -23,6 +23,8 @@
 /// The wait before a call that was answered by an error, or got no connection, is made again.
 const AGAIN: time::Duration = time::Duration::from_millis(200);
 
+/// How often a read of the whole state looks whether it is still wanted; one takes 25 ms to some seconds.
+const OVER_TICK: time::Duration = time::Duration::from_millis(100);
 /// How many parts of the accepted jobs are read at once: beside a whole state the link of a weak host, 10 Mbit/s, has to
 /// carry a configuration within 3 s, and each read takes as much of it.
 const READS_AT_ONCE: usize = 2;
@@ -105,21 +107,32 @@
     /// Reads everything that a new holder must know, then follows its changes.
     pub async fn load(self, domain: u32) {
         let part = job::part(domain);
-        let read = tokio::join!(
-            self.all(config::WORKERS_TABLE, config::THEIR_PART),
-            self.accepted(domain),
-            self.all(job::PROGRESS, &part),
-            self.all(job::LEARNED, &part),
-        );
-        // A read may outlast its holding: the next one would take old rows for the state, and no one would
-        // follow on from them.
-        if !self.wanted() {
-            return tracing::info!(domain, "state read for a holding that is over, passed over");
-        }
+        let reads = async {
+            tokio::join!(
+                self.all(config::WORKERS_TABLE, config::THEIR_PART),
+                self.accepted(domain),
+                self.all(job::PROGRESS, &part),
+                self.all(job::LEARNED, &part),
+            )
+        };
+        // A read may outlast its holding. The next one would take old rows for the state, with no one to follow on
+        // from them, and a weak link would carry both.
+        let read = tokio::select! {
+            read = reads => read,
+            () = self.over() => {
+                return tracing::info!(domain, "state read for a holding that is over, passed over");
+            }
+        };
         let (Ok(workers), Ok(jobs), Ok(progress), Ok(learned)) = read else {
             tokio::time::sleep(AGAIN).await;
-            return holder::tell(&self.holder, job::Event::LoadFailed);
+            if self.wanted() {
+                holder::tell(&self.holder, job::Event::LoadFailed);
+            }
+            return;
         };
+        if !self.wanted() {
+            return tracing::info!(domain, "state read for a holding that is over, passed over");
+        }
         let versions = (workers.version, jobs.version);
         let heard_ms = jobs.now_ms;
         self.tell_list(&workers);
@@ -242,6 +255,13 @@
         Ok(all)
     }
 
+    /// Waits until the holding that this belongs to is over.
+    async fn over(&self) {
+        while self.wanted() {
+            tokio::time::sleep(OVER_TICK).await;
+        }
+    }
+
     /// Returns whether the holding that this belongs to goes on.
     fn wanted(&self) -> bool {
         let (own, on) = &self.generation;
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -385,7 +385,9 @@
             under_way,
         };
         let clock = sync::Arc::clone(&self.clock);
-        let stall = if call.parsed.watch { None } else { Some(self.limits.stall) };
+        // A caller that waits for longer than the limit is not cut off sooner than it asked for.
+        let left = call.deadline.saturating_sub(self.clock.now());
+        let stall = (!call.parsed.watch).then_some(self.limits.stall.max(left));
         let body = forward::Forward::new(body, stall, ending, clock, self.metrics.clone());
         hyper::Response::from_parts(head, body.boxed_unsync())
     }
