One search over workers, one check of what keeps a task off, one order of shares

Cause: choose and need each had the loop that keeps the cheapest worker; obstacle had two entries that differed by whether the worker takes tasks of that kind; each of the three ways to set shares looked its worker up, and counted parts of its processors itself. Ruled out: one sum for a held task's part in pace (processors times share over capacity), since another order of the factors rounds differently. Nothing changes in behaviour.

--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -87,7 +87,7 @@
         let none = tickets::Known::default();
         let known = self.tickets.steps.get(&group::group(task)).unwrap_or(&none);
         let fits = |view: &&worker::View| {
-            let plain = obstacle::plain(view, service, task, step, now).is_none();
+            let plain = obstacle::plain(view, service, task, step, view.takes(now)).is_none();
             plain
                 && !known.bad.contains(&view.member.id)
                 && self.tickets.get(task, &view.member.id, now).is_none()
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -45,26 +45,36 @@
     let failed_on = entry.progress.tasks.get(&task.into()).filter(|state| state.failures > 0);
     let avoided = failed_on.and_then(|state| state.failed_on.as_ref());
     let harms = harms(holding, step, image);
-    let mut best: Option<(Cost, &worker::View)> = None;
-    for view in holding.views.values() {
+    let kept_off = |view: &worker::View| {
+        obstacle::plain(view, service, task, step, view.takes(now))
+            .or_else(|| holding.without_ticket(&entry.job, task, &view.member.id, now))
+    };
+    let weigh = |view: &worker::View| {
         let rack = view.member.rack.as_deref();
-        let outside =
-            within.is_some() && rack != within || holding.kept_for.contains(&view.member.id);
-        let worker = &view.member.id;
-        let kept_off = || {
-            obstacle::plain(view, service, task, step, now)
-                .or_else(|| holding.without_ticket(&entry.job, task, worker, now))
-        };
-        if outside || kept_off().is_some() {
-            continue;
+        let outside = within.is_some() && rack != within;
+        if outside || holding.kept_for.contains(&view.member.id) || kept_off(view).is_some() {
+            return None;
         }
         let away = near.is_some() && rack != near;
         let again = avoided == Some(&view.member.id);
-        let Some(order) = cost(holding, view, step, image, &harms, now) else {
+        let order = cost(holding, view, step, image, &harms, now)?;
+        Some(Cost { again, away, order })
+    };
+    cheapest(holding, weigh, Cost::before)
+}
+
+/// Returns the worker of the least cost among those that have one, the first of equals.
+pub(super) fn cheapest<C>(
+    holding: &holding::Holding,
+    weigh: impl Fn(&worker::View) -> Option<C>,
+    before: impl Fn(&C, &C) -> bool,
+) -> Option<id::WorkerId> {
+    let mut best: Option<(C, &worker::View)> = None;
+    for view in holding.views.values() {
+        let Some(cost) = weigh(view) else {
             continue;
         };
-        let cost = Cost { again, away, order };
-        if best.as_ref().is_none_or(|(least, _)| cost.before(least)) {
+        if best.as_ref().is_none_or(|(least, _)| before(&cost, least)) {
             best = Some((cost, view));
         }
     }
@@ -124,7 +134,7 @@
     if step.fills {
         return fill_cost(holding, view, step, harms, now);
     }
-    let left = view.free().cpu_milli as f64 / view.member.capacity.cpu_milli.max(1) as f64;
+    let left = view.part(view.free().cpu_milli);
     if step.target_ms.is_none() {
         return Some(left);
     }
@@ -136,8 +146,7 @@
 
 /// Returns what speaks against a room that would be left too small for most tasks that end.
 fn scrap(view: &worker::View, step: &spec::Step) -> f64 {
-    let capacity = view.member.capacity.cpu_milli.max(1) as f64;
-    let left = view.free().minus(&step.reserved()).cpu_milli as f64 / capacity;
+    let left = view.part(view.free().minus(&step.reserved()).cpu_milli);
     if left < USEFUL_ROOM { left / USEFUL_ROOM * SCRAP_WEIGHT } else { 0.0 }
 }
 
--- a/crates/wharflane/src/job/headroom.rs
+++ b/crates/wharflane/src/job/headroom.rs
@@ -34,14 +34,10 @@
 
     /// Returns what a worker bears at the moment.
     pub(super) fn headroom(&self, view: &worker::View, now: time::Duration) -> worker::Headroom {
-        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
         let uses: Vec<harm::Use> = view
             .filling
             .values()
-            .map(|filling| harm::Use {
-                image: filling.image,
-                part: filling.cpu_milli as f64 / capacity,
-            })
+            .map(|filling| harm::Use { image: filling.image, part: view.part(filling.cpu_milli) })
             .collect();
         let kept_free = pace::MARGIN + pace::SLACK;
         let left = view.serving.iter().map(|(task, serving)| {
--- a/crates/wharflane/src/job/need.rs
+++ b/crates/wharflane/src/job/need.rs
@@ -172,28 +172,24 @@
     let state = entry.progress.tasks.get(&task.into());
     let avoided = state.and_then(|state| state.failed_on.as_ref());
     let harms = choose::harms(holding, step, image);
-    let mut best: Option<(Cost, &worker::View)> = None;
-    for view in holding.views.values() {
+    let kept_off = |view: &worker::View| {
+        obstacle::plain(view, service, task, step, view.takes_in_need(now))
+            .or_else(|| holding.without_ticket(&entry.job, task, &view.member.id, now))
+    };
+    let weigh = |view: &worker::View| {
         let worker = &view.member.id;
         let outside = within.is_some() && view.member.rack.as_deref() != within;
         let again = view.rests(now) && avoided == Some(worker);
-        let kept_off = || {
-            obstacle::in_need(view, service, task, step, now)
-                .or_else(|| holding.without_ticket(&entry.job, task, worker, now))
-        };
-        if outside || again || kept_off().is_some() {
-            continue;
+        if outside || again || kept_off(view).is_some() {
+            return None;
         }
         if step.fills && holding.missed_long(worker, now) {
-            continue;
+            return None;
         }
-        let cost = cost(holding, view, step, &harms, now);
-        let before = |(least, _): &(Cost, _)| cost.partial_cmp(least) == Some(cmp::Ordering::Less);
-        if best.as_ref().is_none_or(before) {
-            best = Some((cost, view));
-        }
-    }
-    best.map(|(_, view)| view.member.id.clone())
+        Some(cost(holding, view, step, &harms, now))
+    };
+    let before = |a: &Cost, b: &Cost| a.partial_cmp(b) == Some(cmp::Ordering::Less);
+    choose::cheapest(holding, weigh, before)
 }
 
 /// Returns what speaks against a worker for a task in need.
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -1,7 +1,5 @@
 //! Why a worker does not take a task.
 
-use std::time;
-
 use super::group;
 use super::spec;
 use super::worker;
@@ -28,30 +26,9 @@
     Harm,
 }
 
-/// Returns what keeps a task from a worker before harm is weighed.
+/// Returns what keeps a task from a worker before harm is weighed; `takes` tells whether the worker takes new
+/// tasks of this kind.
 pub(super) fn plain(
-    view: &worker::View,
-    service: &id::ServiceId,
-    task: spec::TaskId,
-    step: &spec::Step,
-    now: time::Duration,
-) -> Option<Obstacle> {
-    fixed(view, service, task, step, view.takes(now))
-}
-
-/// Returns what keeps a task in need from a worker, whatever that rests from and whom it is kept for.
-pub(super) fn in_need(
-    view: &worker::View,
-    service: &id::ServiceId,
-    task: spec::TaskId,
-    step: &spec::Step,
-    now: time::Duration,
-) -> Option<Obstacle> {
-    fixed(view, service, task, step, view.takes_in_need(now))
-}
-
-/// Returns what keeps a task from a worker that takes new tasks, or doesn't.
-fn fixed(
     view: &worker::View,
     service: &id::ServiceId,
     task: spec::TaskId,
--- a/crates/wharflane/src/job/pace.rs
+++ b/crates/wharflane/src/job/pace.rs
@@ -41,6 +41,9 @@
 /// How long a task may be held back so far before it is moved.
 const MOVE_AFTER: time::Duration = time::Duration::from_millis(1_200);
 
+/// The tasks that fill a worker, at the shares that they are to have.
+type Shares = collections::BTreeMap<spec::TaskId, worker::Filling>;
+
 impl holding::Holding {
     /// Returns the strain that the own load of a job's tasks causes, the least of what they tell.
     pub(super) fn own_load(&self, job: spec::JobId, now: time::Duration) -> Option<f64> {
@@ -80,16 +83,20 @@
             return;
         }
         view.headroom = None;
+        let Some(view) = self.views.get(worker) else {
+            return;
+        };
         if view.filling.is_empty() || now.saturating_sub(view.paced) < SETTLE {
             return;
         }
-        if self.missed_long(worker, now) {
-            self.stand_still(worker, now);
+        let shares = if self.missed_long(worker, now) {
+            standing_still(view)
         } else if over > 0.0 {
-            self.hold_back(worker, &excess, now);
+            self.held_back(view, &excess)
         } else {
-            self.let_go(worker, &excess, now);
-        }
+            self.let_go(view, &excess)
+        };
+        self.set_shares(worker, &shares, now);
         self.move_held(worker, now);
     }
 
@@ -105,7 +112,7 @@
         let Some(view) = self.views.get_mut(worker).filter(|_| !adopted.is_empty()) else {
             return;
         };
-        let mut shares = collections::BTreeMap::new();
+        let mut shares = Shares::new();
         for row in lists.running.iter().filter(|row| adopted.contains(&row.task)) {
             let Some(filling) = view.filling.get_mut(&row.task) else {
                 continue;
@@ -165,11 +172,10 @@
         let Some(view) = self.views.get(worker) else {
             return Vec::new();
         };
-        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
         let mut parts = collections::BTreeMap::<harm::Image, f64>::new();
         for row in &lists.running {
             if let Some(filling) = view.filling.get(&row.task) {
-                *parts.entry(filling.image).or_default() += row.load as f64 / capacity;
+                *parts.entry(filling.image).or_default() += view.part(row.load);
             }
         }
         let uses = parts.into_iter().filter(|(_, part)| *part > 0.0);
@@ -196,26 +202,8 @@
         told.filter_map(|strain| strain.missed)
     }
 
-    /// Lets everything that fills a worker stand still.
-    fn stand_still(&mut self, worker: &id::WorkerId, now: time::Duration) {
-        let Some(view) = self.views.get(worker) else {
-            return;
-        };
-        let mut shares = view.filling.clone();
-        shares.values_mut().for_each(|filling| filling.percent = 0);
-        self.set_shares(worker, &shares, now);
-    }
-
-    /// Holds back what does most harm to the tasks that miss their target, until it is undone.
-    fn hold_back(
-        &mut self,
-        worker: &id::WorkerId,
-        excess: &[(harm::Image, f64)],
-        now: time::Duration,
-    ) {
-        let Some(view) = self.views.get(worker) else {
-            return;
-        };
+    /// Returns shares that hold back what does most harm to the tasks that miss their target, until it is undone.
+    fn held_back(&self, view: &worker::View, excess: &[(harm::Image, f64)]) -> Shares {
         let capacity = view.member.capacity.cpu_milli.max(1) as f64;
         let mut shares = view.filling.clone();
         for (serving, over) in excess.iter().filter(|(_, over)| *over > 0.0) {
@@ -240,27 +228,18 @@
                 filling.percent = if next < LEAST_CHANGE { 0 } else { next as u8 };
             }
         }
-        self.set_shares(worker, &shares, now);
+        shares
     }
 
-    /// Lets work that is held back go faster, as far as all targets are kept with ease.
-    fn let_go(
-        &mut self,
-        worker: &id::WorkerId,
-        excess: &[(harm::Image, f64)],
-        now: time::Duration,
-    ) {
-        let Some(view) = self.views.get(worker) else {
-            return;
-        };
-        let capacity = view.member.capacity.cpu_milli.max(1) as f64;
+    /// Returns shares at which work that is held back goes faster, as far as all targets are kept with ease.
+    fn let_go(&self, view: &worker::View, excess: &[(harm::Image, f64)]) -> Shares {
         let mut room: Vec<(harm::Image, f64)> =
             excess.iter().map(|(image, over)| (*image, -over - SLACK)).collect();
         let mut shares = view.filling.clone();
         // Nothing speaks for a share that was not ordered yet.
         let held = |filling: &&mut worker::Filling| filling.percent < 100 && !filling.untold;
         for filling in shares.values_mut().filter(held) {
-            let whole = filling.cpu_milli as f64 / capacity;
+            let whole = view.part(filling.cpu_milli);
             let part = |(image, room): &(harm::Image, f64)| {
                 let harm = self.learned.harm.harm(*image, filling.image) * whole;
                 if harm > 0.0 { (*room).max(0.0) / harm } else { 1.0 }
@@ -275,16 +254,11 @@
             }
             filling.percent += more as u8;
         }
-        self.set_shares(worker, &shares, now);
+        shares
     }
 
     /// Orders the shares that differ from those in force.
-    fn set_shares(
-        &mut self,
-        worker: &id::WorkerId,
-        shares: &collections::BTreeMap<spec::TaskId, worker::Filling>,
-        now: time::Duration,
-    ) {
+    fn set_shares(&mut self, worker: &id::WorkerId, shares: &Shares, now: time::Duration) {
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -348,3 +322,10 @@
         }
     }
 }
+
+/// Returns shares at which everything that fills a worker stands still.
+fn standing_still(view: &worker::View) -> Shares {
+    let mut shares = view.filling.clone();
+    shares.values_mut().for_each(|filling| filling.percent = 0);
+    shares
+}
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -176,7 +176,8 @@
         .values()
         .filter(|view| !holding.kept_for.contains(&view.member.id))
         .filter(|view| {
-            obstacle::plain(view, service, task, step, now) == Some(obstacle::Obstacle::Room)
+            obstacle::plain(view, service, task, step, view.takes(now))
+                == Some(obstacle::Obstacle::Room)
         })
         .max_by_key(|view| view.free().cpu_milli);
     if let Some(worker) = best.map(|view| view.member.id.clone()) {
