Requests that wait are not sent back to an endpoint that failed them, nor refused for its failures

Change: the time kept free counts answers alone; a request that waits keeps the endpoint that failed it and passes places there by, as long as another is in use. One that was full is avoided only where another has room at once, as before. Ruled out: ejection, which with two endpoints and a share of 30 % never comes.

--- a/crates/daemon/src/traffic/balancer.rs
+++ b/crates/daemon/src/traffic/balancer.rs
@@ -39,19 +39,43 @@
     /// The most requests of this host under way at one endpoint.
     cap: u32,
     /// The requests that wait.
-    queue: limit::Queue<oneshot::Sender<Grant>>,
+    queue: limit::Queue<Waiter>,
     /// The retry budget.
     budget: retry::Budget,
 }
 
+/// A request that waits for a place.
+#[derive(Debug)]
+struct Waiter {
+    /// The endpoint that it avoids.
+    avoid: Avoid,
+    /// Where it is told.
+    sender: oneshot::Sender<Grant>,
+}
+
+/// What a request avoids that has been tried before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Avoid {
+    /// Nothing: this is its first try.
+    Nothing,
+    /// An endpoint that was full, unless no other has room at once.
+    Full(net::SocketAddr),
+    /// An endpoint that failed it, as long as any other is in use: one that fails fast has room at once and would
+    /// take all tries of requests that wait.
+    Failed(net::SocketAddr),
+}
+
 /// How many average service times are kept free before a deadline.
 const SERVICE_TIMES_KEPT: u32 = 2;
 
 impl State {
     /// Returns how long before its deadline a request must be taken.
+    ///
+    /// Only answers count: the penalty of one endpoint that fails fast would soon be longer than any deadline, and
+    /// every request that has to wait would be refused though the others are well.
     fn service_time(&self) -> time::Duration {
-        let latencies = self.slots.iter().map(|slot| slot.health.latency_us());
-        let mean_us = latencies.sum::<f64>() / self.slots.len().max(1) as f64;
+        let answers = self.slots.iter().map(|slot| slot.health.answer_us());
+        let mean_us = answers.sum::<f64>() / self.slots.len().max(1) as f64;
         time::Duration::from_micros(mean_us as u64) * SERVICE_TIMES_KEPT
     }
 }
@@ -185,8 +209,7 @@
         self.lock().service.clone()
     }
 
-    /// Waits for a place at an endpoint; one that has just failed the request is taken only where no other
-    /// has room.
+    /// Waits for a place at an endpoint, and not at one that the request avoids.
     ///
     /// # Errors
     /// Returns `NoPermit` as soon as it is clear that the request can't be served in time.
@@ -196,12 +219,12 @@
         now: time::Duration,
         deadline: time::Duration,
         first: bool,
-        failed_at: Option<net::SocketAddr>,
+        avoid: Avoid,
     ) -> Result<Permit, NoPermit> {
         let waiting = {
             let mut state = self.lock();
             if state.queue.is_empty()
-                && let Some(addr) = reserve_beside(&mut state, now, failed_at)
+                && let Some(addr) = reserve_beside(&mut state, now, avoid)
             {
                 return Ok(self.permit(addr, now));
             }
@@ -210,11 +233,12 @@
             }
             let (sender, receiver) = oneshot::channel();
             let start_by = deadline.saturating_sub(state.service_time());
-            match state.queue.push(priority, start_by, now, first, sender) {
+            let waiter = Waiter { avoid, sender };
+            match state.queue.push(priority, start_by, now, first, waiter) {
                 limit::Admission::Queued => {}
                 limit::Admission::Refused(refused) => return Err(NoPermit::Overloaded(refused)),
                 limit::Admission::Displaced(other, refused) => {
-                    let _ = other.send(Grant::Refused(refused));
+                    let _ = other.sender.send(Grant::Refused(refused));
                 }
             }
             receiver
@@ -348,17 +372,40 @@
             let Some(addr) = reserve(state, now, None) else {
                 break;
             };
-            let (late, next) = state.queue.pop(now);
-            let refused = limit::Refused { retry_after: state.queue.retry_after() };
-            woken.extend(late.into_iter().map(|sender| (sender, Grant::Refused(refused))));
-            match next {
-                Some(sender) => woken.push((sender, Grant::Go(self.permit(addr, now)))),
-                None => unreserve(state, addr),
+            let mut found = self.grant(state, addr, now, &mut woken);
+            if !found && let Some(other) = reserve(state, now, Some(addr)) {
+                // All that wait avoid the first place, so the next of them takes any other.
+                found = self.grant(state, other, now, &mut woken);
+            }
+            if !found {
+                break;
             }
         }
         woken
     }
 
+    /// Gives a reserved place to the next request that does not avoid it, or gives it back; returns whether
+    /// there was one.
+    fn grant(
+        self: &sync::Arc<Self>,
+        state: &mut State,
+        addr: net::SocketAddr,
+        now: time::Duration,
+        woken: &mut Vec<(oneshot::Sender<Grant>, Grant)>,
+    ) -> bool {
+        let only = !others_in_use(state, addr, now);
+        let fits = |waiter: &Waiter| only || waiter.avoid != Avoid::Failed(addr);
+        let (late, next) = state.queue.pop_for(now, fits);
+        let refused = limit::Refused { retry_after: state.queue.retry_after() };
+        woken.extend(late.into_iter().map(|late| (late.sender, Grant::Refused(refused))));
+        let found = next.is_some();
+        match next {
+            Some(next) => woken.push((next.sender, Grant::Go(self.permit(addr, now)))),
+            None => unreserve(state, addr),
+        }
+        found
+    }
+
     /// Makes the place at an endpoint that was reserved.
     fn permit(self: &sync::Arc<Self>, addr: net::SocketAddr, now: time::Duration) -> Permit {
         Permit { balancer: sync::Arc::clone(self), addr, end: Completion::Open, now }
@@ -412,14 +459,22 @@
     }
 }
 
-/// Takes a place at another endpoint than one that failed, or there where no other has room.
-fn reserve_beside(
-    state: &mut State,
-    now: time::Duration,
-    failed_at: Option<net::SocketAddr>,
-) -> Option<net::SocketAddr> {
-    let other = failed_at.and_then(|addr| reserve(state, now, Some(addr)));
-    other.or_else(|| reserve(state, now, None))
+/// Takes a place at another endpoint than one that is avoided, or there where the request may go there too.
+fn reserve_beside(state: &mut State, now: time::Duration, avoid: Avoid) -> Option<net::SocketAddr> {
+    let (addr, may_go_there) = match avoid {
+        Avoid::Nothing => return reserve(state, now, None),
+        Avoid::Full(addr) => (addr, true),
+        Avoid::Failed(addr) => (addr, !others_in_use(state, addr, now)),
+    };
+    let other = reserve(state, now, Some(addr));
+    if may_go_there { other.or_else(|| reserve(state, now, None)) } else { other }
+}
+
+/// Returns whether any endpoint but one is in use: neither leaving nor left.
+fn others_in_use(state: &State, addr: net::SocketAddr, now: time::Duration) -> bool {
+    let in_use =
+        |slot: &Slot| !slot.endpoint.leaving && slot.health.usable(now) == route::Use::Open;
+    state.slots.iter().any(|slot| slot.endpoint.addr != addr && in_use(slot))
 }
 
 /// Takes a place at the better of two endpoints, of which one may be left out.
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -161,14 +161,14 @@
         under_way: forward::UnderWay,
     ) -> Result<http_reply::Reply, Rejection> {
         let mut tries = outcome::Tries::default();
-        let mut failed_at = None;
+        let mut avoid = balancer::Avoid::Nothing;
         call.balancer.first_try();
         loop {
-            let permit = self.enter(call, &tries, failed_at).await?;
+            let permit = self.enter(call, &tries, avoid).await?;
             let failure = match self.attempt_with_help(call, permit, &mut tries).await {
                 Ok(answered) => return Ok(self.pass_on(call, answered, under_way)),
                 Err(failed) => {
-                    failed_at = Some(failed.addr);
+                    avoid = avoid_after(&failed);
                     failed.failure
                 }
             };
@@ -268,7 +268,7 @@
         failed_at: std::net::SocketAddr,
         mut tries: outcome::Tries,
     ) -> Result<Answered, Option<outcome::Failure>> {
-        let entered = self.enter(call, &tries, Some(failed_at)).await;
+        let entered = self.enter(call, &tries, balancer::Avoid::Failed(failed_at)).await;
         let permit = entered.map_err(|_rejection| None)?;
         match self.attempt(call, permit.addr).await {
             Ok((answer, sent)) => Ok(Answered { answer, permit, sent }),
@@ -324,12 +324,11 @@
         &self,
         call: &Call<'_>,
         tries: &outcome::Tries,
-        failed_at: Option<std::net::SocketAddr>,
+        avoid: balancer::Avoid,
     ) -> Result<balancer::Permit, Rejection> {
         let now = self.clock.now();
         let first = *tries == outcome::Tries::default();
-        let entered =
-            call.balancer.enter(call.priority, now, call.deadline, first, failed_at).await;
+        let entered = call.balancer.enter(call.priority, now, call.deadline, first, avoid).await;
         entered.map_err(|none| {
             let (why, retry_after) = match none {
                 balancer::NoPermit::NoEndpoint => (reply::GaveUp::NoEndpoint, LEAST_RETRY_AFTER),
@@ -409,6 +408,14 @@
     }
 }
 
+/// Returns what a request avoids after a try.
+fn avoid_after(failed: &Failed) -> balancer::Avoid {
+    match failed.failure {
+        outcome::Failure::Refused => balancer::Avoid::Full(failed.addr),
+        _ => balancer::Avoid::Failed(failed.addr),
+    }
+}
+
 /// Returns the key under which the name of a request is kept.
 fn duplicate_key(service: &id::ServiceId, request_id: &str) -> String {
     format!("{service}/{request_id}")
--- a/crates/wharflane/src/limit.rs
+++ b/crates/wharflane/src/limit.rs
@@ -112,17 +112,39 @@
 
     /// Takes the next request that is still in time; those that come too late are returned first.
     pub fn pop(&mut self, now: time::Duration) -> (Vec<T>, Option<T>) {
+        self.pop_for(now, |_| true)
+    }
+
+    /// Takes the next request that is still in time and fits what is free; those before it that come too late
+    /// are returned first.
+    pub fn pop_for(
+        &mut self,
+        now: time::Duration,
+        fits: impl Fn(&T) -> bool,
+    ) -> (Vec<T>, Option<T>) {
         let mut late = Vec::new();
-        while let Some((_, waiting)) = self.waiting.pop_first() {
+        let mut next = None;
+        for (place, waiting) in &self.waiting {
             if waiting.start_by <= now {
-                late.push(waiting.value);
-                continue;
+                late.push(*place);
+            } else if fits(&waiting.value) {
+                next = Some(*place);
+                break;
             }
+        }
+        let late = late.into_iter().filter_map(|place| self.take(place)).collect();
+        let next = next.and_then(|place| self.take(place));
+        if next.is_some() {
             self.note_pace(now);
-            return (late, Some(waiting.value));
+        } else if self.waiting.is_empty() {
+            self.last_taken = None;
         }
-        self.last_taken = None;
-        (late, None)
+        (late, next)
+    }
+
+    /// Takes a request out of the queue.
+    fn take(&mut self, place: Position) -> Option<T> {
+        self.waiting.remove(&place).map(|waiting| waiting.value)
     }
 
     /// Returns when a request refused now should come back.
--- a/crates/wharflane/src/route.rs
+++ b/crates/wharflane/src/route.rs
@@ -30,8 +30,10 @@
 pub struct Health {
     /// Requests of this host under way there.
     pub in_flight: u32,
-    /// The moving average of latency, in microseconds.
+    /// The moving average of latency with a penalty for each failure, in microseconds.
     latency_us: f64,
+    /// The moving average of what answers took, in microseconds.
+    answer_us: f64,
     /// Failures since the last answer.
     failures: u32,
     /// Ejections since the last answer.
@@ -49,6 +51,7 @@
         Self {
             in_flight: 0,
             latency_us: FIRST_GUESS_US,
+            answer_us: FIRST_GUESS_US,
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -74,6 +77,7 @@
     pub fn answered(&mut self, latency: time::Duration) {
         let us = latency.as_micros() as f64;
         self.latency_us = (self.latency_us * (1.0 - ALPHA) + us * ALPHA).min(MAX_US);
+        self.answer_us = (self.answer_us * (1.0 - ALPHA) + us * ALPHA).min(MAX_US);
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = None;
@@ -121,11 +125,17 @@
         f64::from(self.in_flight + 1) * self.latency_us
     }
 
-    /// Returns the moving average of latency, in microseconds.
+    /// Returns the moving average of latency with a penalty for each failure, in microseconds.
     #[must_use]
     pub fn latency_us(&self) -> f64 {
         self.latency_us
     }
+
+    /// Returns the moving average of what answers took, in microseconds.
+    #[must_use]
+    pub fn answer_us(&self) -> f64 {
+        self.answer_us
+    }
 }
 
 /// How often two endpoints are drawn before all are looked at.
--- a/crates/wharflane/tests/limit.rs
+++ b/crates/wharflane/tests/limit.rs
@@ -84,4 +84,14 @@
         let (late, next) = queue.pop(ms(50));
         assert_eq!((late, next), (vec![1], Some(2)));
     },
+    a_place_goes_to_the_first_in_time_that_fits_it => {
+        let mut queue = limit::Queue::new(8);
+        for (start_by, value) in [(100, 1), (10, 2), (100, 3), (100, 4)] {
+            assert!(matches!(queue.push(1, ms(start_by), ms(0), true, value), limit::Admission::Queued));
+        }
+        assert_eq!(queue.pop_for(ms(50), |value| *value > 2), (vec![2], Some(3)));
+        assert_eq!(queue.pop_for(ms(50), |value| *value > 4), (vec![], None));
+        assert_eq!(queue.pop(ms(50)), (vec![], Some(1)), "those passed over keep their order");
+        assert_eq!(queue.pop(ms(50)), (vec![], Some(4)));
+    },
 }
--- a/crates/wharflane/tests/route.rs
+++ b/crates/wharflane/tests/route.rs
@@ -39,6 +39,12 @@
         failing.failed(ms(0), false);
         assert!(failing.cost() > answering(ms(5)).cost());
     },
+    failures_say_nothing_of_how_long_answers_take => {
+        let mut failing = answering(ms(5));
+        let before = failing.answer_us();
+        (0..20).for_each(|_| failing.failed(ms(0), false));
+        assert_eq!(failing.answer_us().to_bits(), before.to_bits());
+    },
     a_bad_endpoint_is_left_and_probed => {
         let mut health = answering(ms(5));
         (0..5).for_each(|_| health.failed(ms(10), true));
