Callers who are sent off come back apart, by the cause and the age of the outage

Cause: every refusal said 1 s, and 3 s where no configuration was in force. All callers of a store that turns calls away or is silent came back a second later, together; and a caller that has about 3 s was told to come back when its time was over, though other hosts had a configuration.

Change: job/retry_after.rs, a pure function of the cause, how long the store has done nothing for this host, what the caller has left and a random number. 1 s where one host or one call is concerned (no configuration, a write in doubt, something not known). Silent store: 1 s, 1 to 2 s from 2 s on, 1 to 3 s from 4 s on. Busy store: 1 to 2 s at once, 1 to 3 s from 4 s on. Never beyond what the caller has left, 1 s at least. One line (caller sent off) with the inputs in place of "not tried, the store is lost"; counted by cause in wharflane_gave_up_total. What is told as not taken or not known is as before.

Left out on purpose: the length of earlier outages. It would change only the first seconds, where a cut of this host alone is as likely.

Tests: process test callers_of_a_busy_store_are_sent_off_for_different_times failed first on the code as it was (61 s, not every time told) and passes now. The process test a_write_in_doubt_stays_so_when_the_store_turns_the_next_away lacked, and passed at once on the code as it was. The stand-in counts transactions without an answer for it.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::time;
 
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use wharflane::{job, size};
 use wharflane_caller::job as caller;
 use wharflane_stand_in::cases;
@@ -25,6 +26,8 @@
     jobs_that_want_advice_run_only_where_they_may => fleet::run(advised()),
     a_count_without_a_living_writer_is_not_told => fleet::run(frozen_writer()),
     all_who_ask_for_a_count_behind_a_silent_store_are_answered => fleet::run(many_askers()),
+    callers_of_a_busy_store_are_sent_off_for_different_times => fleet::run(spread()),
+    a_write_in_doubt_stays_so_when_the_store_turns_the_next_away => fleet::run(doubt_stays()),
     a_hang_up_ends_nothing => fleet::run(hang_up()),
     the_command_line_hands_in_and_follows_jobs => fleet::run(command_line()),
 }
@@ -380,6 +383,81 @@
     }
 }
 
+/// Hands a job in with so much time, and returns the status and for how many seconds the caller is sent off.
+async fn sent_off(host: net::SocketAddr, id: u64, patience_ms: u64) -> (u16, u64) {
+    let body = serde_json::to_string(&two_steps()).expect("a body");
+    let request = format!(
+        "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\nx-deadline-ms: {patience_ms}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        server::QUEUE,
+        job::JobId(id),
+        body.len()
+    );
+    let mut stream = tokio::net::TcpStream::connect(host).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("a request sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("an answer");
+    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let after =
+        text.lines().find_map(|line| line.strip_prefix("retry-after: ")?.trim().parse().ok());
+    (status.expect("a status"), after.expect("when to come back"))
+}
+
+/// Hands jobs in while the store turns every call away, until callers are sent off for each time that there is.
+async fn spread() {
+    /// The longest time, in seconds.
+    const MOST: u64 = 3;
+    /// What a patient caller allows, and one whose time would be over by the longest.
+    const PATIENT_MS: u64 = 10_000;
+    const HURRIED_MS: u64 = 3_000;
+    let service = Service::start(1).await;
+    let host = service.hosts[0].1;
+    service.platform.lock().faults.store_busy = true;
+    let mut told = [0_u64; MOST as usize];
+    let mut id = 0;
+    fleet::until("every time told", async || {
+        id += 1;
+        let (status, after) = sent_off(host, id, PATIENT_MS).await;
+        assert_eq!(status, 503);
+        assert!((1..=MOST).contains(&after), "{after} s");
+        told[usize::try_from(after - 1).expect("small")] += 1;
+        let (status, after) = sent_off(host, id, HURRIED_MS).await;
+        assert_eq!(status, 503);
+        assert!((1..MOST).contains(&after), "{after} s of {HURRIED_MS} ms");
+        told.iter().all(|count| *count > 0)
+    })
+    .await;
+    service.platform.lock().faults.store_busy = false;
+    let state = service.jobs(0).state(server::QUEUE, job::JobId(id)).await;
+    assert!(matches!(state, Err(caller::JobError::Refused { status: 410, .. })), "{state:?}");
+    service.judge(0);
+}
+
+/// Hands a job in while the store is silent, and lets the store turn calls away once it has the write.
+async fn doubt_stays() {
+    let mut service = Service::start(1).await;
+    service.add_host(LEASE_OF_A_WATCHER_MS);
+    service.until_answers(1).await;
+    // The holder writes too, and only submissions are to be seen.
+    service.hosts[0].0.signal("-STOP");
+    tokio::time::sleep(WORK).await;
+    service.platform.lock().faults.store_silent = true;
+    let before = service.platform.lock().unanswered;
+    let jobs = service.jobs(1);
+    let submission = two_steps();
+    let submit = jobs.submit(server::QUEUE, job::JobId(1), &submission);
+    let turn_away = async {
+        fleet::until("the write", async || service.platform.lock().unanswered > before).await;
+        let mut state = service.platform.lock();
+        state.faults.store_busy = true;
+        state.faults.store_silent = false;
+    };
+    let (told, ()) = tokio::join!(submit, turn_away);
+    let unknown = matches!(told, Err(caller::JobError::Refused { status: 504, .. }));
+    assert!(unknown, "{told:?}");
+    service.hosts[0].0.signal("-CONT");
+}
+
 /// Sends hang-ups to a host while it runs jobs.
 async fn hang_up() {
     let service = Service::start(1).await;
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -35,6 +35,8 @@
     pub stopping: sync::Arc<atomic::AtomicBool>,
     /// When the store answered last, in milliseconds of the clock.
     pub store_ok_ms: sync::Arc<atomic::AtomicU64>,
+    /// Whether the last call of the store was turned away.
+    pub turned_away: sync::Arc<atomic::AtomicBool>,
     /// The metrics.
     pub metrics: metrics::Metrics,
     /// The mark of this process.
@@ -67,6 +69,8 @@
             }
         };
         self.metrics.platform_calls.with_label_values(&[call, label]).inc();
+        let turned_away = matches!(result, Err(store::StoreError::TurnedAway { .. }));
+        self.turned_away.store(turned_away, atomic::Ordering::Relaxed);
         let up = matches!(result, Ok(_) | Err(store::StoreError::Refused { .. }));
         if up {
             let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
@@ -90,6 +94,16 @@
         time::Duration::from_millis(now_ms.saturating_sub(ok_ms))
     }
 
+    /// Returns why a call can't be done whose store does nothing.
+    #[must_use]
+    pub fn store_cause(&self) -> job::retry_after::Cause {
+        if self.turned_away.load(atomic::Ordering::Relaxed) {
+            job::retry_after::Cause::StoreBusy
+        } else {
+            job::retry_after::Cause::StoreSilent
+        }
+    }
+
     /// Returns whether callers should be sent here.
     #[must_use]
     pub fn ready(&self) -> bool {
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -113,6 +113,7 @@
         queues: sync::Arc::default(),
         stopping: sync::Arc::default(),
         store_ok_ms: sync::Arc::default(),
+        turned_away: sync::Arc::default(),
         metrics: metrics::Metrics::new()?,
         nonce: rand::random(),
     })
@@ -142,7 +143,7 @@
         // Paths of the configured queues go before our own.
         let own = path.starts_with(caller_job::PREFIX) && queues.route(host, path).is_none();
         let answer = if queues.revision == 0 {
-            job::Answer::NotTaken { retry_after: PATIENCE }
+            self.service.without_configuration(path, deadline)
         } else {
             match server::read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
                 Err(err) => {
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -3,16 +3,16 @@
 //! Any host does this for any job, by the rows of the store alone.
 
 use std::collections;
+use std::fmt;
 use std::sync;
 use std::time;
 
+use wharflane::job::retry_after;
 use wharflane::{job, rows};
 use wharflane_adapter::store;
 
 use super::Shared;
 
-/// When a caller that was turned away may come back: about as long as a short outage.
-const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 /// How long the store must have been silent until submissions are not tried any more. Every host asks it
 /// three times a second, and a store 60 times slower than usual answers within 0.6 s.
 const LOST_AFTER: time::Duration = time::Duration::from_millis(1_200);
@@ -51,6 +51,17 @@
     believed: Option<bool>,
 }
 
+/// What came of writing the row of a job.
+#[derive(Debug)]
+enum Kept {
+    /// It stands, or never will.
+    Told(job::Answer),
+    /// The store turned every write away, so nothing stands and nothing will.
+    TurnedAway,
+    /// It is not known whether it stands.
+    InDoubt,
+}
+
 /// What waits in all queues.
 #[derive(Debug)]
 struct Counts {
@@ -93,22 +104,26 @@
     pub async fn answer(&self, call: job::Call, deadline: time::Duration) -> job::Answer {
         match call {
             job::Call::Submit { id, job } => self.submit(id, job, deadline).await,
-            job::Call::State { id } => self.state(id).await,
+            job::Call::State { id } => self.state(id, deadline).await,
             job::Call::Cancel { id } => self.cancel(id, deadline).await,
             job::Call::Waiting { queue } => self.waiting(&queue, deadline).await,
         }
     }
 
+    /// Sends a caller off while there is no configuration.
+    #[must_use]
+    pub fn without_configuration(&self, path: &str, deadline: time::Duration) -> job::Answer {
+        self.not_taken(retry_after::Cause::NoConfiguration, &path, deadline)
+    }
+
     /// Takes a job: it is accepted once its row stands.
     async fn submit(&self, id: job::JobId, job: job::Job, deadline: time::Duration) -> job::Answer {
         if let Err(refusal) = job.check() {
             return job::Answer::Refused(refusal);
         }
-        let silent = self.shared.store_silent();
-        if silent >= LOST_AFTER {
+        if self.shared.store_silent() >= LOST_AFTER {
             // Nothing was sent, so another host may be asked at once.
-            tracing::info!(job = %id, silent_ms = silent.as_millis(), "not tried, the store is lost");
-            return job::Answer::NotTaken { retry_after: RETRY_AFTER };
+            return self.not_taken(self.shared.store_cause(), &id, deadline);
         }
         let key = job::job_key(self.domain(id), id);
         let accepted = job::Accepted { job, cancelled: false, accepted_ms: super::wall_ms() };
@@ -130,57 +145,62 @@
         let give_up = now + deadline.saturating_sub(now) * TRY_PERCENT / 100;
         let tries = self.keep(&key, &txn, give_up);
         let left = give_up.saturating_sub(now);
-        tokio::time::timeout(left, tries)
-            .await
-            .unwrap_or(job::Answer::Unknown { retry_after: RETRY_AFTER })
+        match tokio::time::timeout(left, tries).await {
+            Ok(Kept::Told(answer)) => answer,
+            Ok(Kept::TurnedAway) => self.not_taken(retry_after::Cause::StoreBusy, &id, deadline),
+            Ok(Kept::InDoubt) | Err(_) => self.in_doubt(id, deadline),
+        }
     }
 
     /// Writes the row of a job until it is known to stand, or known not to.
-    async fn keep(&self, key: &rows::Key, txn: &rows::Txn, give_up: time::Duration) -> job::Answer {
+    async fn keep(&self, key: &rows::Key, txn: &rows::Txn, give_up: time::Duration) -> Kept {
         // Once a write had no answer it may land late, so only its row tells what is true.
         let mut doubt = false;
         loop {
             match self.transact(txn).await {
                 // The same job came before, or an earlier sending of this write has landed.
-                Ok(_) => return job::Answer::Accepted,
+                Ok(_) => return Kept::Told(job::Answer::Accepted),
                 Err(store::StoreError::Refused { .. }) => {
-                    return job::Answer::Refused(job::Refusal::NotKept);
+                    return Kept::Told(job::Answer::Refused(job::Refusal::NotKept));
                 }
                 Err(store::StoreError::TurnedAway { .. }) if !doubt => {
-                    return job::Answer::NotTaken { retry_after: RETRY_AFTER };
+                    return Kept::TurnedAway;
                 }
                 Err(err) => doubt |= !matches!(err, store::StoreError::TurnedAway { .. }),
             }
             // Reads don't queue behind the writes of a slow store, and the row tells as much.
             if doubt && matches!(self.get(key).await, Ok(Some(_))) {
-                return job::Answer::Accepted;
+                return Kept::Told(job::Answer::Accepted);
             }
             if !self.again(give_up).await {
-                return job::Answer::Unknown { retry_after: RETRY_AFTER };
+                return Kept::InDoubt;
             }
         }
     }
 
     /// Tells how far a job is.
-    async fn state(&self, id: job::JobId) -> job::Answer {
-        let unknown = job::Answer::NotTaken { retry_after: RETRY_AFTER };
-        let Ok(progress) = self.get(&job::progress_key(self.domain(id), id)).await else {
-            return unknown;
-        };
+    async fn state(&self, id: job::JobId, deadline: time::Duration) -> job::Answer {
+        match self.read_state(id).await {
+            Ok(answer) => answer,
+            Err(cause) => self.not_taken(cause, &id, deadline),
+        }
+    }
+
+    /// Reads how far a job is, or returns why that is not known.
+    async fn read_state(&self, id: job::JobId) -> Result<job::Answer, retry_after::Cause> {
+        let domain = self.domain(id);
+        let progress = self.get(&job::progress_key(domain, id)).await.map_err(|err| cause(&err))?;
         if let Some(text) = progress.and_then(|row| row.value) {
             return match job::Progress::decode(&text) {
-                Ok(progress) => job::Answer::State(progress.phase),
+                Ok(progress) => Ok(job::Answer::State(progress.phase)),
                 Err(err) => {
                     tracing::error!(job = %id, %err, "progress can't be read");
-                    unknown
+                    Err(retry_after::Cause::NotKnown)
                 }
             };
         }
-        match self.get(&job::job_key(self.domain(id), id)).await {
-            Ok(Some(row)) => job::Answer::State(accepted_phase(&row)),
-            Ok(None) => job::Answer::NoJob,
-            Err(_) => unknown,
-        }
+        let accepted = self.get(&job::job_key(domain, id)).await.map_err(|err| cause(&err))?;
+        Ok(accepted.map_or(job::Answer::NoJob, |row| job::Answer::State(accepted_phase(&row))))
     }
 
     /// Cancels a job: it is cancelled once its row says so.
@@ -197,7 +217,7 @@
                 Err(_) => {}
             }
             if !self.again(deadline).await {
-                return job::Answer::Unknown { retry_after: RETRY_AFTER };
+                return self.in_doubt(id, deadline);
             }
         }
     }
@@ -235,7 +255,7 @@
         let count = tokio::time::timeout(left, self.count(queue)).await;
         match count {
             Ok(Some(count)) => job::Answer::Waiting(count),
-            Ok(None) | Err(_) => job::Answer::NotTaken { retry_after: RETRY_AFTER },
+            Ok(None) | Err(_) => self.not_taken(self.count_cause(), &queue, deadline),
         }
     }
 
@@ -285,6 +305,48 @@
         Some(all)
     }
 
+    /// Returns why no count is told.
+    fn count_cause(&self) -> retry_after::Cause {
+        if self.shared.store_silent() >= LOST_AFTER {
+            self.shared.store_cause()
+        } else {
+            retry_after::Cause::NotKnown
+        }
+    }
+
+    /// Sends off a caller for whom nothing was done.
+    fn not_taken(
+        &self,
+        cause: retry_after::Cause,
+        about: &dyn fmt::Display,
+        deadline: time::Duration,
+    ) -> job::Answer {
+        job::Answer::NotTaken { retry_after: self.come_back(cause, about, deadline) }
+    }
+
+    /// Sends off a caller whose call may have been done.
+    fn in_doubt(&self, id: job::JobId, deadline: time::Duration) -> job::Answer {
+        let retry_after = self.come_back(retry_after::Cause::InDoubt, &id, deadline);
+        job::Answer::Unknown { retry_after }
+    }
+
+    /// Returns when a caller may come back; counts and logs why.
+    fn come_back(
+        &self,
+        cause: retry_after::Cause,
+        about: &dyn fmt::Display,
+        deadline: time::Duration,
+    ) -> time::Duration {
+        let idle = self.shared.store_silent();
+        let left = deadline.saturating_sub(self.shared.clock.now());
+        let after = retry_after::of(cause, idle, left, rand::random());
+        let (idle_ms, left_ms) = (idle.as_millis(), left.as_millis());
+        let cause = cause.label();
+        self.shared.metrics.gave_up.with_label_values(&["jobs", cause]).inc();
+        tracing::info!(%about, cause, idle_ms, left_ms, after_s = after.as_secs(), "caller sent off");
+        after
+    }
+
     /// Returns the domain of a job.
     fn domain(&self, id: job::JobId) -> u32 {
         job::domain_of(id, self.shared.domains())
@@ -317,6 +379,17 @@
     }
 }
 
+/// Returns why a call can't be done whose read of the store failed.
+fn cause(err: &store::StoreError) -> retry_after::Cause {
+    match err {
+        store::StoreError::TurnedAway { .. } => retry_after::Cause::StoreBusy,
+        store::StoreError::Silent(_) => retry_after::Cause::StoreSilent,
+        store::StoreError::Refused { .. } | store::StoreError::Strange { .. } => {
+            retry_after::Cause::NotKnown
+        }
+    }
+}
+
 /// Logs whether counts are told, when that has changed; reads that failed change nothing.
 fn log_belief(before: Option<bool>, reading: &Reading) {
     let age_ms = reading.age(reading.over).map(|age| age.as_millis());
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -66,6 +66,8 @@
     pub advice: bool,
     /// Questions that were asked.
     pub questions: u64,
+    /// Transactions that came while the store never answers.
+    pub unanswered: u64,
     /// Transactions so far.
     transactions: u64,
 }
@@ -100,6 +102,7 @@
             work,
             advice: false,
             questions: 0,
+            unanswered: 0,
             transactions: 0,
         };
         let platform = Self {
@@ -211,6 +214,7 @@
         };
         let faults = self.lock().faults;
         if faults.store_silent {
+            self.lock().unanswered += u64::from(matches!(call, serve::StoreCall::Transact(_)));
             std::future::pending::<()>().await;
         }
         if faults.store_busy {
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -33,6 +33,7 @@
 mod progress;
 mod queue;
 mod refused;
+pub mod retry_after;
 mod rows;
 mod slowness;
 mod spec;
