--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -387,10 +387,11 @@
 async fn sent_off(host: net::SocketAddr, id: u64, patience_ms: u64) -> (u16, u64) {
     let body = serde_json::to_string(&two_steps()).expect("a body");
     let request = format!(
-        "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\nx-deadline-ms: {patience_ms}\r\n\
+        "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\n{}: {patience_ms}\r\n\
          content-length: {}\r\n\r\n{body}",
         server::QUEUE,
         job::JobId(id),
+        server::DEADLINE_HEADER,
         body.len()
     );
     let mut stream = tokio::net::TcpStream::connect(host).await.expect("a connection");
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -36,6 +36,9 @@
     format!("{step} on {worker}")
 }
 
+/// Says how long a caller waits for its answer, in milliseconds.
+pub const DEADLINE_HEADER: &str = wharflane_adapter::callers::DEADLINE_HEADER;
+
 /// What is wrong at the moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
