--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -36,6 +36,9 @@
     format!("{step} on {worker}")
 }
 
+/// Says how long a caller waits for its answer, in milliseconds.
+pub const DEADLINE_HEADER: &str = wharflane_adapter::callers::DEADLINE_HEADER;
+
 /// What is wrong at the moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
@@ -66,6 +69,8 @@
     pub advice: bool,
     /// Questions that were asked.
     pub questions: u64,
+    /// Transactions that came while the store never answers.
+    pub unanswered: u64,
     /// Transactions so far.
     transactions: u64,
 }
@@ -100,6 +105,7 @@
             work,
             advice: false,
             questions: 0,
+            unanswered: 0,
             transactions: 0,
         };
         let platform = Self {
@@ -211,6 +217,7 @@
         };
         let faults = self.lock().faults;
         if faults.store_silent {
+            self.lock().unanswered += u64::from(matches!(call, serve::StoreCall::Transact(_)));
             std::future::pending::<()>().await;
         }
         if faults.store_busy {
