--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -5,6 +5,7 @@
 //! worker is told always follows a committed write.
 
 mod acks;
+mod acquire;
 mod advice;
 mod assign;
 mod call;
@@ -21,6 +22,7 @@
 mod holding;
 mod intake;
 mod learned;
+mod loading;
 mod looks;
 mod members;
 mod need;
