Parts of a worker's processors are counted in one place; modules are imported, not named by path

Cause: fill_cost still counted parts itself, and looks and refused named worker and rows by path. Nothing changes in behaviour.

--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -158,10 +158,9 @@
     harms: &[f64],
     now: time::Duration,
 ) -> Option<f64> {
-    let capacity = view.member.capacity.cpu_milli.max(1) as f64;
-    let left = left_for_filling(view) as f64;
-    let want = step.size.cpu_milli as f64;
-    if left < want * FILL_LEAST {
+    let left = left_for_filling(view);
+    let want = step.size.cpu_milli;
+    if (left as f64) < want as f64 * FILL_LEAST {
         return None;
     }
     let known = view.headroom.as_ref().map(borrow::Cow::Borrowed);
@@ -169,7 +168,7 @@
     if headroom.missed {
         return None;
     }
-    let part = want / capacity;
+    let part = view.part(want);
     let mut worst = 0.0_f64;
     for (serving, room) in &headroom.left {
         let strain = harms.get(serving.number()).copied().unwrap_or(0.0) * part * SURGE;
@@ -178,7 +177,7 @@
         }
         worst = worst.max(strain);
     }
-    Some(worst - left / capacity * IDLE_WEIGHT)
+    Some(worst - view.part(left) * IDLE_WEIGHT)
 }
 
 /// Returns the processors that a worker is thought to leave to tasks that fill.
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -8,6 +8,7 @@
 use super::order;
 use super::spec;
 use super::work;
+use super::worker;
 use crate::id;
 
 /// The wait after a look without an answer, and how often it may double.
@@ -96,14 +97,14 @@
                 let first = !view.fenced;
                 if first {
                     // Earlier holders may have granted as much as the worker allows until now.
-                    let inherited = lists.clock_ms + super::worker::millis(self.inherited);
+                    let inherited = lists.clock_ms + worker::millis(self.inherited);
                     view.granted_ms = view.granted_ms.max(inherited);
                 }
                 view.fenced = true;
                 view.look_due = if view.tasks.is_empty() {
                     now + self.settings.look_idle
                 } else {
-                    now + super::worker::LOOK_GAP
+                    now + worker::LOOK_GAP
                 };
                 self.changed |= first;
                 self.take_lists(worker, (epoch, &lists), sent.unwrap_or(now), now);
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/refused.rs
@@ -8,6 +8,7 @@
 
 use super::holding;
 use super::pending;
+use super::rows as kept;
 use super::spec;
 use super::worker;
 use crate::rows;
@@ -49,7 +50,7 @@
     /// Makes everything that a commit held due for the next one.
     fn put_back(&mut self, pending: pending::Pending) {
         for write in &pending.txn.writes {
-            if let Some((job, row)) = super::rows::progress_row(&write.key.name)
+            if let Some((job, row)) = kept::progress_row(&write.key.name)
                 && let Some(entry) = self.jobs.get_mut(&job)
             {
                 entry.dirty.insert(row);
