Processes of tests share out their ports

Cause: each process of tests tries ports from 20000 on and a host opens them a little later, so two that run beside each other (two clones, two copies) give out the same ones: a host can't start, and the other's host answers in its place. Seen beside load in 2 of 5 runs of the process tests: a_count_without_a_living_writer_is_not_told (Waiting(0) told) and a_repeated_submission_gets_the_first_answer (connection refused). Traced for the first with a log: host-0 never came up, host-1 held the domain, so the writer was not frozen at all and the count it told was true. For the second a race of its own is mended too: it asked entry-1 without waiting until that host had come up. Change: a process claims a thousand ports by a port that it holds open to its end. No check is changed.

--- a/crates/cli/tests/processes/config.rs
+++ b/crates/cli/tests/processes/config.rs
@@ -64,6 +64,7 @@
 async fn lost_answers() {
     let fleet = fleet::Fleet::start(2, 1, &["vake"]).await;
     fleet.apply("entry-0", &service(1)).await;
+    in_force(&fleet, 1).await;
     let faults = store::Faults { lose_every: 2, ..store::Faults::default() };
     assert!(fleet.put(fleet.platform, "faults", &faults).await);
     for base in 1..8 {
--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -36,8 +36,32 @@
 /// Held while a port is tried and while a process starts: a new process has, for a moment, all
 /// sockets of this one open, and a port that is just being tried would stay taken.
 static FORK: sync::Mutex<()> = sync::Mutex::new(());
-/// The next port to try.
-static NEXT_PORT: sync::atomic::AtomicU16 = sync::atomic::AtomicU16::new(20_000);
+/// The ports of one process of tests, which takes some 400 in all.
+const PORTS: u16 = 1_000;
+/// The ports that processes of tests share out, below those that the system gives to outgoing connections.
+const ALL_PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// The ports of this process.
+static OWN_PORTS: sync::LazyLock<OwnPorts> = sync::LazyLock::new(OwnPorts::claim);
+
+/// Ports that no other process of tests takes while this one runs: between the try of a port and its use by a host,
+/// another's host would open it, and answer in the place of ours.
+struct OwnPorts {
+    /// The first port, open until the process ends so that others pass the rest by.
+    _claim: net::TcpListener,
+    /// The next port to try.
+    next: sync::atomic::AtomicU16,
+}
+
+impl OwnPorts {
+    /// Claims the first ports whose claim is open to nobody else.
+    fn claim() -> Self {
+        let claim = |first| net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, first)).ok();
+        let mut firsts = ALL_PORTS.step_by(usize::from(PORTS));
+        let found = firsts.find_map(|first| Some((first, claim(first)?)));
+        let (first, claim) = found.expect("ports that no other process of tests has");
+        Self { _claim: claim, next: sync::atomic::AtomicU16::new(first + 1) }
+    }
+}
 /// How long a call may take.
 const CALL: time::Duration = time::Duration::from_secs(10);
 
@@ -327,14 +351,15 @@
     own.with_file_name(name)
 }
 
-/// Finds a port that is free now and that no other test of this process is given.
+/// Finds a port that is free now and that no other test is given, of this process or another.
 ///
 /// Ports below those that the system gives to outgoing connections are taken, so that none of
 /// them is in the way when a process opens its port a little later.
 pub fn free_port() -> net::SocketAddr {
     let _fork = FORK.lock().unwrap_or_else(sync::PoisonError::into_inner);
     loop {
-        let port = NEXT_PORT.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let port = OWN_PORTS.next.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        assert!(!port.is_multiple_of(PORTS), "no port of this process is left");
         let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
         if net::TcpListener::bind(addr).is_ok() {
             return addr;
