One weighing of all workers for a step, looks by the tick, no walk over what waits

Cause: processor time of the holder.

Change: workers are weighed once for the tasks of a step and one of them anew after each start (job/ranking.rs); looks that are due are sent by the tick, 20 ms apart, not at each event; groups of waiting tasks are found by skipping from one to the next, and none of their tasks is copied until it is tried. What differs: a look goes out up to 20 ms later.

Also: a new holder stops at once what runs on from jobs that ended before it, and stops are given again while looks are lost.

--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -5,11 +5,14 @@
 mod routes;
 mod texts;
 
+use std::time;
+
 pub use message::message;
 pub use quiet::{HTTP_BYTES, HallCost, hall};
 pub use routes::{RoutesCost, digest_bytes, routes};
 pub use texts::{ConfigCost, config, list, member_bytes};
 
+use crate::fleet;
 use crate::hall;
 use crate::table;
 
@@ -18,6 +21,7 @@
 
 /// Prints all slopes.
 pub fn print(live: Live) {
+    print_decisions();
     print_halls(live);
     print_configs(live);
     print_routes(live);
@@ -25,6 +29,41 @@
     print_messages();
 }
 
+/// Prints what one start costs the holder of a domain, and what it costs behind ten times the room waiting.
+pub fn print_decisions() {
+    let mut table = table::Table::new(&[
+        "workers",
+        "starts/s",
+        "waiting",
+        "us a start",
+        "core",
+        "looks a start",
+        "sought a start",
+        "txn/s",
+        "B a start",
+    ]);
+    for (workers, starts_per_s) in [(66, 145.0), (490, 900.0), (890, 1_350.0), (4_400, 1_500.0)] {
+        for waiting in [0, workers as u32 * 30] {
+            let time = time::Duration::from_secs(6);
+            let setup = fleet::Setup { workers, starts_per_s, waiting, time };
+            let cost = fleet::measure(setup);
+            let seconds = time.as_secs_f64();
+            table.row(vec![
+                workers.to_string(),
+                format!("{:.0}", cost.starts as f64 / seconds),
+                waiting.to_string(),
+                format!("{:.0}", cost.start_us()),
+                table::two(cost.cpu.as_secs_f64() / seconds),
+                table::two(cost.per_start(cost.looks)),
+                table::two(cost.per_start(cost.sought)),
+                format!("{:.0}", cost.txns as f64 / seconds),
+                format!("{:.0}", cost.per_start(cost.txn_bytes)),
+            ]);
+        }
+    }
+    table.print();
+}
+
 /// Prints what halls cost at rest.
 fn print_halls(live: Live) {
     let mut table = table::Table::new(&[
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -1,6 +1,7 @@
 //! Chooses a worker for a task: where it fits, near its data, and harms least.
 
 use std::borrow;
+use std::cmp;
 use std::time;
 
 use super::group;
@@ -8,6 +9,7 @@
 use super::holding;
 use super::obstacle;
 use super::spec;
+use super::work;
 use super::worker;
 use crate::id;
 
@@ -39,29 +41,88 @@
     holding.sought += 1;
     let image = holding.learned.harm.image(step.image.as_deref());
     let holding = &*holding;
-    let near = step.rack.as_deref().or_else(|| kin_rack(holding, task, step));
-    let entry = holding.jobs.get(&task.job)?;
-    let service = holding.service(&entry.job);
-    let failed_on =
-        entry.progress.tasks.get(&task.into()).filter(|state| !state.failed_runs.is_empty());
-    let avoided = failed_on.and_then(|state| state.failed_on.as_ref());
-    let harms = harms(holding, step, image);
-    let kept_off = |view: &worker::View| {
-        obstacle::plain(view, service, task, step, view.takes(now))
-            .or_else(|| holding.without_ticket(&entry.job, task, &view.member.id, now))
-    };
+    let search = Search::of(holding, task, step, image, now)?;
+    let outside = |view: &worker::View| within.is_some() && view.member.rack.as_deref() != within;
     let weigh = |view: &worker::View| {
-        let rack = view.member.rack.as_deref();
-        let outside = within.is_some() && rack != within;
-        if outside || holding.kept_for.contains(&view.member.id) || kept_off(view).is_some() {
+        if outside(view) { None } else { search.weigh(holding, view) }
+    };
+    cheapest(holding, weigh, Cost::before)
+}
+
+/// What a worker is sought by.
+pub(super) struct Search<'a> {
+    /// The task.
+    task: spec::TaskId,
+    /// Its step.
+    step: &'a spec::Step,
+    /// What it runs.
+    image: harm::Image,
+    /// Its job.
+    job: &'a spec::Job,
+    /// The service whose workers run it.
+    service: &'a id::ServiceId,
+    /// The rack that it had better run in.
+    near: Option<&'a str>,
+    /// The worker where it failed last.
+    avoided: Option<&'a id::WorkerId>,
+    /// The strain that it causes each serving image, by the image's number.
+    harms: Vec<f64>,
+    /// Whether a ticket is wanted.
+    advised: bool,
+    /// The time.
+    now: time::Duration,
+}
+
+impl<'a> Search<'a> {
+    /// Returns what a worker for a task is sought by, or nothing for a job that is not known.
+    pub fn of(
+        holding: &'a holding::Holding,
+        task: spec::TaskId,
+        step: &'a spec::Step,
+        image: harm::Image,
+        now: time::Duration,
+    ) -> Option<Self> {
+        let entry = holding.jobs.get(&task.job)?;
+        let near = step.rack.as_deref().or_else(|| kin_rack(holding, task, step));
+        Some(Self {
+            task,
+            step,
+            image,
+            job: &entry.job,
+            service: holding.service(&entry.job),
+            near,
+            avoided: failed_on(entry, task),
+            harms: harms(holding, step, image),
+            advised: holding.terms_of_advice(&entry.job).is_some(),
+            now,
+        })
+    }
+
+    /// Returns what speaks against a worker, or nothing where it does not take the task.
+    pub fn weigh(&self, holding: &holding::Holding, view: &worker::View) -> Option<Cost> {
+        let (step, now) = (self.step, self.now);
+        if obstacle::plain(view, self.service, self.task, step, view.takes(now)).is_some() {
             return None;
         }
-        let away = near.is_some() && rack != near;
-        let again = avoided == Some(&view.member.id);
-        let order = cost(holding, view, step, image, &harms, now)?;
+        if holding.kept_for.contains(&view.member.id) {
+            return None;
+        }
+        if self.advised
+            && holding.without_ticket(self.job, self.task, &view.member.id, now).is_some()
+        {
+            return None;
+        }
+        let away = self.near.is_some() && view.member.rack.as_deref() != self.near;
+        let again = self.avoided == Some(&view.member.id);
+        let order = cost(holding, view, step, self.image, &self.harms, now)?;
         Some(Cost { again, away, order })
-    };
-    cheapest(holding, weigh, Cost::before)
+    }
+}
+
+/// Returns the worker where a task failed last.
+pub(super) fn failed_on(entry: &work::Entry, task: spec::TaskId) -> Option<&id::WorkerId> {
+    let state = entry.progress.tasks.get(&task.into());
+    state.filter(|state| !state.failed_runs.is_empty())?.failed_on.as_ref()
 }
 
 /// Returns the worker of the least cost among those that have one, the first of equals.
@@ -106,7 +167,7 @@
 
 /// What speaks against a worker, the graver first.
 #[derive(Clone, Copy, Debug)]
-struct Cost {
+pub(super) struct Cost {
     /// The task failed there last.
     again: bool,
     /// Its data or its kin lie on another rack.
@@ -118,8 +179,13 @@
 impl Cost {
     /// Returns whether this cost is lower than another.
     fn before(&self, other: &Self) -> bool {
+        self.compare(other).is_lt()
+    }
+
+    /// Returns how this cost compares with another.
+    pub fn compare(&self, other: &Self) -> cmp::Ordering {
         let graver = (self.again, self.away).cmp(&(other.again, other.away));
-        graver.then(self.order.total_cmp(&other.order)).is_lt()
+        graver.then(self.order.total_cmp(&other.order))
     }
 }
 
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -212,6 +212,12 @@
         }
     }
 
+    /// Returns how often a worker was sought for a task, since the lease was taken.
+    #[must_use]
+    pub fn sought(&self) -> u64 {
+        self.sought
+    }
+
     /// Asks to give the lease up as soon as everything is written.
     pub(super) fn leave(&mut self) {
         self.leaving = true;
@@ -243,6 +249,7 @@
         if self.may_order(now) && !self.leaving {
             self.repeat_orders(now);
             self.repeat_stops(now);
+            self.look(now);
         }
         self.free_lapsed(now);
     }
@@ -251,7 +258,6 @@
     pub(super) fn pump(&mut self, now: time::Duration, number: u64) -> Vec<event::Effect> {
         if self.may_order(now) && !self.leaving {
             self.place_ready(now);
-            self.look(now);
         }
         if let Some(effect) = self.commit(now, number) {
             self.out.push(effect);
--- a/crates/wharflane/src/job/loading.rs
+++ b/crates/wharflane/src/job/loading.rs
@@ -116,6 +116,7 @@
         holding.load(jobs, progress, now);
         holding.set_members(&self.members, now);
         holding.restore_unlisted(learned, now);
+        holding.stop_unwanted(now);
         if self.leaving {
             holding.leave();
         }
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -36,6 +36,7 @@
 mod place;
 mod progress;
 mod queue;
+mod ranking;
 mod refused;
 pub mod retry_after;
 mod rows;
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -17,9 +17,6 @@
 /// The wait before a stop that was not taken is given again. With 0.6 s until a call counts as unanswered, four in a
 /// row may be lost within the 3 s that a cancel may take.
 const STOP_AGAIN: time::Duration = time::Duration::from_millis(100);
-/// The looks in a row without an answer up to which stops are given again: where seven answers in ten are lost, four
-/// looks in a row are lost one time in four, and a stop is carried out all the same.
-const STOP_MISSES: u32 = 4;
 /// What is added to the time of a stop before it is given again: the trips, and one look.
 const STOP_SLACK: time::Duration = time::Duration::from_millis(300);
 /// How long a worker that refuses for want of room, or is not well, gets nothing new.
@@ -92,10 +89,10 @@
             return;
         };
         match placed.link {
-            work::Link::Staged if !self.staged.contains(&task) => return,
-            work::Link::Staged => return self.free(task, "ended before its start was written"),
+            work::Link::Staged if !self.staged.contains(&task) => {}
+            work::Link::Staged => self.free(task, "ended before its start was written"),
             // A stop that comes before its start has no effect: the start must be there first.
-            work::Link::Ordered | work::Link::Doubtful(_) | work::Link::Lapsing => return,
+            work::Link::Ordered | work::Link::Doubtful(_) | work::Link::Lapsing => {}
             work::Link::There(_) | work::Link::Inherited => self.order_stop(task, now),
         }
     }
@@ -129,6 +126,16 @@
         }
     }
 
+    /// Orders everything to stop that runs on from jobs that ended under an earlier holder: its stops may have been
+    /// lost, and the looks that would show what runs there may be lost as well.
+    pub(super) fn stop_unwanted(&mut self, now: time::Duration) {
+        let unwanted = self.placed.keys().copied().filter(|task| !self.wanted(*task));
+        let unwanted: Vec<spec::TaskId> = unwanted.collect();
+        for task in unwanted {
+            self.stop(task, now);
+        }
+    }
+
     /// Gives stops again that were not taken, unless the run has ended.
     pub(super) fn repeat_stops(&mut self, now: time::Duration) {
         let due = self.stops_again.iter().filter(|(_, at)| now >= **at);
@@ -139,10 +146,8 @@
                 continue;
             };
             placed.stopped = None;
-            // Where many looks have no answer either, the next one that has leads to the next stop.
-            if self.views.get(&placed.worker).is_some_and(|view| view.misses <= STOP_MISSES) {
-                self.stop(task, now);
-            }
+            // Also where looks have no answer: a stop may be carried out whose answer is lost like theirs.
+            self.stop(task, now);
         }
     }
 
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -1,6 +1,7 @@
 //! Seeks workers for the tasks whose turn has come, the first in line first.
 
 use std::collections;
+use std::ops;
 use std::sync;
 use std::time;
 
@@ -13,8 +14,10 @@
 use super::obstacle;
 use super::outlook;
 use super::pass;
+use super::ranking;
 use super::spec;
 use super::work;
+use crate::id;
 
 /// How long a lasting task that was at work may be away until it goes first; the users allow 6 s, a
 /// start takes 50 ms.
@@ -86,48 +89,60 @@
     if holding.is_aside(group.first.task.job) {
         return;
     }
-    let kin = holding.ready.range(group::kin(group.first.task)).map(|(_, ready)| *ready);
-    let kin = kin.filter(|ready| returns(ready, now) == group.returning);
-    let kin: Vec<work::Ready> = kin.collect();
-    let Some(step) = step_of(holding, group.first.task) else {
-        for ready in kin {
-            holding.ready.remove(&ready.task);
-        }
-        return;
+    let Some(job) = active_job(holding, group.first.task.job) else {
+        return forget(holding, group.first.task);
     };
-    for ready in kin {
+    let Some(step) = job.step(group.first.task.step) else {
+        return forget(holding, group.first.task);
+    };
+    let mut ranking = None;
+    let mut next = Some(group.first);
+    while let Some(ready) = next {
         let placed = if step.gang {
-            gang::place(holding, &ready, &step, choose::choose, now)
+            gang::place(holding, &ready, step, choose::choose, now)
         } else if group.returning {
-            place_returning(holding, &ready, &step, now)
+            place_returning(holding, &ready, step, now)
         } else {
-            place_one(holding, pass, &ready, &step, now)
+            place_one(holding, pass, &mut ranking, &ready, (&job, step), now)
         };
         if !placed {
             holding.fills_wait |= step.fills;
-            holding.tell_wait(pass, &ready, &step, now);
+            holding.tell_wait(pass, &ready, step, now);
             need::note(holding, pass, &ready, now);
             ask_workers(holding, ready.task, now);
         }
         if !group.returning && !placed || step.gang {
             return;
         }
+        next = next_of(holding, &group, ready.task, now);
+    }
+}
+
+/// Returns the next task of a group after one of them.
+fn next_of(
+    holding: &holding::Holding,
+    group: &Group,
+    after: spec::TaskId,
+    now: time::Duration,
+) -> Option<work::Ready> {
+    let end = *group::kin(after).end();
+    let later = holding.ready.range((ops::Bound::Excluded(after), ops::Bound::Included(end)));
+    let mut later = later.map(|(_, ready)| *ready);
+    later.find(|ready| returns(ready, now) == group.returning)
+}
+
+/// Forgets tasks that nobody wants any more.
+fn forget(holding: &mut holding::Holding, task: spec::TaskId) {
+    let kin: Vec<spec::TaskId> =
+        holding.ready.range(group::kin(task)).map(|(task, _)| *task).collect();
+    for task in kin {
+        holding.ready.remove(&task);
     }
 }
 
 /// Returns the groups of tasks whose turn has come, the first in line first.
 fn in_turn(holding: &holding::Holding, now: time::Duration) -> Vec<Group> {
-    let mut groups = Vec::<Group>::new();
-    for ready in holding.ready.values() {
-        let returning = returns(ready, now);
-        let last = groups.iter().rev().take(2);
-        let known = last
-            .filter(|group| group.returning == returning)
-            .any(|group| group::group(group.first.task) == group::group(ready.task));
-        if !known {
-            groups.push(Group { first: *ready, returning });
-        }
-    }
+    let mut groups = groups(holding, now);
     let outlooks = outlooks(holding, &groups);
     let turn = |group: &Group| {
         let task = group.first.task;
@@ -144,6 +159,29 @@
     groups
 }
 
+/// Returns the groups of tasks whose turn has come, by name. Tasks that end are alike in all that counts here, so that
+/// the first of a group speaks for it; of lasting ones some may have been away for longer than others.
+fn groups(holding: &holding::Holding, now: time::Duration) -> Vec<Group> {
+    let mut groups = Vec::new();
+    let mut next = holding.ready.first_key_value();
+    while let Some((task, first)) = next {
+        let kin = group::kin(*task);
+        if first.lasting {
+            let of = |returning| {
+                let mut kin = holding.ready.range(kin.clone()).map(|(_, ready)| *ready);
+                kin.find(|ready| returns(ready, now) == returning)
+                    .map(|first| Group { first, returning })
+            };
+            groups.extend([false, true].into_iter().filter_map(of));
+        } else {
+            groups.push(Group { first: *first, returning: false });
+        }
+        let after = (ops::Bound::Excluded(*kin.end()), ops::Bound::Unbounded);
+        next = holding.ready.range(after).next();
+    }
+    groups
+}
+
 /// Returns whether a lasting task has been away for so long that it goes first.
 fn returns(ready: &work::Ready, now: time::Duration) -> bool {
     ready.returns && now.saturating_sub(ready.since) >= LONG_AWAY
@@ -202,10 +240,10 @@
     outlooks
 }
 
-/// Returns the step of a task that is still wanted.
-fn step_of(holding: &holding::Holding, task: spec::TaskId) -> Option<spec::Step> {
-    let entry = holding.jobs.get(&task.job).filter(|entry| entry.active())?;
-    entry.job.step(task.step).cloned()
+/// Returns a job that is still wanted.
+fn active_job(holding: &holding::Holding, job: spec::JobId) -> Option<sync::Arc<spec::Job>> {
+    let entry = holding.jobs.get(&job).filter(|entry| entry.active())?;
+    Some(sync::Arc::clone(&entry.job))
 }
 
 /// Places a task that comes back; what is kept for one of them is there for all.
@@ -229,23 +267,42 @@
 fn place_one(
     holding: &mut holding::Holding,
     pass: &mut pass::Pass,
+    ranking: &mut Option<ranking::Ranking>,
     ready: &work::Ready,
-    step: &spec::Step,
+    (job, step): (&spec::Job, &spec::Step),
     now: time::Duration,
 ) -> bool {
     let image = holding.learned.harm.image(step.image.as_deref());
-    let Some(entry) = holding.jobs.get(&ready.task.job) else {
-        return false;
-    };
-    let job = sync::Arc::clone(&entry.job);
-    if pass.is_hopeless(holding.service(&job), step, image) {
+    if pass.is_hopeless(holding.service(job), step, image) {
         return false;
     }
-    let Some(worker) = choose::choose(holding, ready.task, step, None, now) else {
-        let ticket = holding.terms_of_advice(&job).is_some();
-        pass.note(holding.service(&job), step, image, ticket);
+    let Some(worker) = seek(holding, ranking, ready.task, step, now) else {
+        let ticket = holding.terms_of_advice(job).is_some();
+        pass.note(holding.service(job), step, image, ticket);
         return false;
     };
     assign::take(holding, ready, step, &worker, now);
+    if let Some(ranking) = ranking {
+        ranking.placed(holding, ready.task, step, &worker, now);
+    }
     true
 }
+
+/// Seeks a worker for one task of a group: in the group's ranking, unless it differs from its kin by a worker where
+/// it failed, or draws its kin near.
+fn seek(
+    holding: &mut holding::Holding,
+    ranking: &mut Option<ranking::Ranking>,
+    task: spec::TaskId,
+    step: &spec::Step,
+    now: time::Duration,
+) -> Option<id::WorkerId> {
+    let entry = holding.jobs.get(&task.job)?;
+    if step.same_rack || choose::failed_on(entry, task).is_some() {
+        return choose::choose(holding, task, step, None, now);
+    }
+    if ranking.is_none() {
+        *ranking = ranking::Ranking::of(holding, task, step, now);
+    }
+    ranking.as_mut()?.next(holding, task, step, now)
+}
