--- a/crates/wharflane/tests/late_ends.rs
+++ b/crates/wharflane/tests/late_ends.rs
@@ -169,7 +169,7 @@
                 job::Effect::Look(look) if look.worker == first.worker => Some(look.seen),
                 _ => None,
             });
-            looks.last().unwrap_or(0)
+            looks.max().unwrap_or(0)
         };
         assert_eq!(seen(&mut desk), 0, "not committed, so not acknowledged");
         desk.silent.clear();
