A holder sends what its link carries; rows of progress take half the bytes

Cause: on hosts of 2 Mbit/s with 144 workers the holder asked its link for more than it carries.

Change: what a link carries bounds starts (job/link.rs), spreads looks at busy workers and commits; a weak host's leases last as long as workers grant. Rows of progress name tasks that are done as ranges and tasks that run as 27 bytes instead of 46: a job of 78 tasks was written some 30 times, 1.8 KB a run. While most busy workers are silent at once the silence is taken for the holder's own: their tasks are kept for one lease longer, since the next answers tell which runs are done.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -17,6 +17,8 @@
 const TICK_HOLDING: time::Duration = time::Duration::from_millis(20);
 /// How long a host may take to answer a connection; between halls it takes 2 ms.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+/// The bytes of a megabit.
+const BYTES_PER_MBIT: u64 = 125_000;
 /// How often it is asked while another host does.
 const TICK_WATCHING: time::Duration = time::Duration::from_millis(100);
 
@@ -285,11 +287,14 @@
 /// Returns how the engine is timed.
 fn engine_settings(shared: &Shared) -> job::Settings {
     let hold_max = shared.time("hold_max_ms");
-    let (handicap, poll) = if is_strong(&shared.settings) {
+    let strong = is_strong(&shared.settings);
+    let (handicap, poll) = if strong {
         (time::Duration::ZERO, "poll_ms")
     } else {
         (shared.time("weak_wait_ms"), "weak_poll_ms")
     };
+    // A weak host looks at workers less often and hears of them late, so that its leases last as long as they may.
+    let hold = if strong { hold_max.min(shared.time("hold_ms")) } else { hold_max };
     job::Settings {
         domain: 0,
         lease: shared.time("lease_ms"),
@@ -301,11 +306,12 @@
         poll: shared.time(poll),
         commit: shared.time("commit_ms"),
         renew: shared.time("renew_ms"),
-        hold: hold_max.min(shared.time("hold_ms")),
+        hold,
         hold_max,
         stop: shared.time("stop_ms"),
         look: shared.time("look_ms"),
         look_idle: shared.time("look_idle_ms"),
         keep: time::Duration::from_secs(shared.settings.number("jobs", "keep_s")),
+        link_bytes_per_s: shared.settings.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
     }
 }
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -557,5 +557,6 @@
         look: millis(1_000),
         look_idle: millis(4_000),
         keep: millis(120_000),
+        link_bytes_per_s: None,
     }
 }
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -111,7 +111,7 @@
         }
         let gap = now.saturating_sub(self.committed);
         let news = !self.dirty.is_empty() || !self.expired.is_empty() || self.leaving;
-        let wanted = gap >= self.settings.commit && (news || self.lacks_unlisted(now));
+        let wanted = gap >= self.commit_gap() && (news || self.lacks_unlisted(now));
         if !(wanted || gap >= self.settings.renew) {
             return None;
         }
@@ -190,9 +190,16 @@
         };
         self.pending = Some(pending);
         self.committed = now;
+        let values = txn.writes.iter().filter_map(|write| write.value.as_ref());
+        self.link.committed(values.map(String::len).sum());
         Ok(txn)
     }
 
+    /// Returns the least time between two commits.
+    pub(super) fn commit_gap(&self) -> time::Duration {
+        self.settings.commit.max(self.link.commit_gap())
+    }
+
     /// Takes jobs whose progress has changed, with all changed rows of each, as far as one commit may hold.
     fn take_dirty(&mut self) -> Result<Batch, serde_json::Error> {
         let domain = self.settings.domain;
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/ends.rs
@@ -10,6 +10,9 @@
 use super::work;
 use crate::id;
 
+/// The fewest silent workers that speak of the holder's own trouble: fewer than a rack may fail together.
+const MANY_SILENT: usize = 4;
+
 impl holding::Holding {
     /// Takes in one end.
     pub(super) fn ended(
@@ -177,8 +180,12 @@
 
     /// Frees the tasks of silent workers once everything granted there has lapsed.
     pub(super) fn free_lapsed(&mut self, now: time::Duration) {
+        if self.are_many_silent() {
+            self.many_silent = Some(now);
+        }
+        let since = now.saturating_sub(self.doubt_of_own(now));
         let silent = self.views.iter().filter(|(_, view)| {
-            (view.misses > 0 || !view.listed) && !view.tasks.is_empty() && view.lapsed(now)
+            (view.misses > 0 || !view.listed) && !view.tasks.is_empty() && view.lapsed(since)
         });
         let silent: Vec<id::WorkerId> = silent.map(|(worker, _)| worker.clone()).collect();
         for worker in silent {
@@ -199,6 +206,25 @@
         self.drop_inherited(now);
     }
 
+    /// Returns how much longer than their leases tasks of silent workers are kept, since the silence may be this host's.
+    ///
+    /// Where most workers are silent at once, their answers are rather late than they are gone, and the next ones tell
+    /// which runs are done. Nothing is lost by waiting: tasks that were freed could only go to the few that answer.
+    /// The doubt lasts for a lease after most were silent: they answer one after the other.
+    fn doubt_of_own(&self, now: time::Duration) -> time::Duration {
+        let hold = self.settings.hold;
+        let doubted = self.many_silent.is_some_and(|at| now.saturating_sub(at) < hold);
+        if doubted { hold } else { time::Duration::ZERO }
+    }
+
+    /// Returns whether most of the workers on which something runs don't answer.
+    fn are_many_silent(&self) -> bool {
+        let busy = self.views.values().filter(|view| view.listed && !view.tasks.is_empty());
+        let (silent, all) = busy
+            .fold((0, 0), |(silent, all), view| (silent + usize::from(view.misses > 0), all + 1));
+        silent >= MANY_SILENT && silent * 2 >= all
+    }
+
     /// Frees tasks inherited on workers that nobody lists, once earlier grants are over.
     fn drop_inherited(&mut self, now: time::Duration) {
         if now < self.inherited_until() {
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -48,6 +48,8 @@
     pub look_idle: time::Duration,
     /// How long an ended job can be asked for.
     pub keep: time::Duration,
+    /// What this host's link carries in a second, in bytes; nothing where it is not known.
+    pub link_bytes_per_s: Option<u64>,
 }
 
 /// What the host of a holder answers to a connection.
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -7,6 +7,7 @@
 use super::event;
 use super::group;
 use super::learned;
+use super::link;
 use super::pending;
 use super::progress;
 use super::queue;
@@ -101,6 +102,10 @@
     pub(super) stops_again: collections::BTreeMap<spec::TaskId, time::Duration>,
     /// The workers that are not listed, as they were written last.
     pub(super) unlisted: Vec<kept::Unlisted>,
+    /// What this host's link carries.
+    pub(super) link: link::Link,
+    /// When most of the workers on which something runs were last silent at once.
+    pub(super) many_silent: Option<time::Duration>,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
@@ -187,6 +192,8 @@
             unsettled: collections::BTreeSet::new(),
             stops_again: collections::BTreeMap::new(),
             unlisted: Vec::new(),
+            link: link::Link::new(settings.link_bytes_per_s, taken),
+            many_silent: None,
             fenced: false,
             leaving: false,
             hurries: false,
@@ -244,6 +251,8 @@
             self.future.pop_first();
             self.open_round(job, round);
         }
+        let busy = self.views.values().filter(|view| !view.tasks.is_empty()).count();
+        self.link.pass(busy, self.settings.hold, now);
         self.expire(now);
         self.take_up_again(now);
         if self.may_order(now) && !self.leaving {
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -104,7 +104,7 @@
                 view.look_due = if view.tasks.is_empty() {
                     now + self.settings.look_idle
                 } else {
-                    now + worker::LOOK_GAP
+                    now + self.link.gap()
                 };
                 self.changed |= first;
                 self.take_lists(worker, (epoch, &lists), sent.unwrap_or(now), now);
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -22,6 +22,7 @@
 mod holding;
 mod intake;
 mod learned;
+mod link;
 mod loading;
 mod looks;
 mod members;
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -7,7 +7,6 @@
 use super::order;
 use super::spec;
 use super::work;
-use super::worker;
 
 /// The wait before an order without an answer is given again.
 const ORDER_AGAIN: time::Duration = time::Duration::from_millis(400);
@@ -59,8 +58,9 @@
             placed.link = work::Link::Doubtful(now + ORDER_AGAIN);
             return;
         };
+        self.link.sent();
         // A worker that was idle would be looked at much later.
-        view.look_due = view.look_due.min(now + worker::LOOK_GAP);
+        view.look_due = view.look_due.min(now + self.link.gap());
         placed.link = work::Link::Ordered;
         placed.lease_until_ms = placed.lease_until_ms.max(lease_until_ms);
         placed.doubt.fence = fence;
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -35,7 +35,7 @@
         if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
             return;
         }
-        if now.saturating_sub(self.committed) < self.settings.commit {
+        if now.saturating_sub(self.committed) < self.commit_gap() {
             return;
         }
         self.changed = false;
@@ -73,6 +73,11 @@
     }
     let mut pass = pass::Pass::default();
     for group in in_turn(holding, now) {
+        if holding.link.starts(holding.staged.len()) == 0 {
+            // What could start next follows as soon as the link takes it.
+            holding.changed = true;
+            break;
+        }
         place_group(holding, &mut pass, group, now);
     }
     need::relieve(holding, &pass, now);
@@ -111,7 +116,8 @@
             need::note(holding, pass, &ready, now);
             ask_workers(holding, ready.task, now);
         }
-        if !group.returning && !placed || step.gang {
+        let full = holding.link.starts(holding.staged.len()) == 0;
+        if !group.returning && !placed || step.gang || full {
             return;
         }
         next = next_of(holding, &group, ready.task, now);
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -135,12 +135,21 @@
 /// The longest checkpoint that is kept, in bytes; workers' own are texts of 16.
 const MAX_CHECKPOINT_BYTES: usize = 160;
 
-/// One row of a job's progress.
-#[derive(Serialize, Deserialize)]
+/// One row of a job's progress. Rows are written at each start and end of their tasks, so most tasks take few bytes:
+/// none beside their neighbours once they are done, 27 while they run. A job of 78 tasks was written some 30 times
+/// with 46 bytes a task, 1.8 KB for each of its runs.
+#[derive(Default, Serialize, Deserialize)]
 struct Kept {
     /// What is told of the job; counts in the first row.
     phase: Phase,
-    /// The tasks, the rarer fields left out where they are empty.
+    /// Tasks that are done and run nowhere: round, step, the first index and the last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    done: Vec<(u32, u32, u32, u32)>,
+    /// Tasks of which no more is known than their last start: round, step, index, run and worker.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    on: Vec<(u32, u32, u32, u32, id::WorkerId)>,
+    /// The other tasks, the rarer fields left out where they are empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     tasks: Vec<KeptTask>,
 }
 
@@ -165,6 +174,63 @@
     saved: String,
 }
 
+impl Kept {
+    /// Adds a task in the shortest form that says all that counts of it.
+    fn add(&mut self, place: Place, task: &Task) {
+        let Place { round, step, index } = place;
+        match (&task.worker, task.done) {
+            // Nothing starts it again, so that neither its runs nor what it saved count any more.
+            (None, true) => self.add_done(place),
+            (Some(worker), false) if task.failed_runs.is_empty() && task.checkpoint.is_empty() => {
+                self.on.push((round, step, index, task.run, worker.clone()));
+            }
+            _ => self.tasks.push(KeptTask {
+                at: (round, step, index),
+                run: task.run,
+                bad_runs: task.failed_runs.clone(),
+                on: task.worker.clone(),
+                done: task.done,
+                saved: task.checkpoint.clone(),
+            }),
+        }
+    }
+
+    /// Adds a task that is done, to the range that ends before it if there is one.
+    fn add_done(&mut self, Place { round, step, index }: Place) {
+        match self.done.last_mut() {
+            Some(last) if (last.0, last.1, last.3 + 1) == (round, step, index) => last.3 = index,
+            _ => self.done.push((round, step, index, index)),
+        }
+    }
+
+    /// Returns all tasks of the row.
+    fn into_tasks(self) -> impl Iterator<Item = (Place, Task)> {
+        let done = self.done.into_iter().flat_map(|(round, step, first, last)| {
+            let indices = first..=last.min(first.saturating_add(ROW_TASKS as u32));
+            indices.map(move |index| {
+                (Place { round, step, index }, Task { done: true, ..Task::default() })
+            })
+        });
+        let on = self.on.into_iter().map(|(round, step, index, run, worker)| {
+            let task = Task { run, worker: Some(worker), ..Task::default() };
+            (Place { round, step, index }, task)
+        });
+        let tasks = self.tasks.into_iter().map(|task| {
+            let (round, step, index) = task.at;
+            let state = Task {
+                run: task.run,
+                failed_runs: task.bad_runs,
+                worker: task.on,
+                done: task.done,
+                checkpoint: task.saved,
+                ..Task::default()
+            };
+            (Place { round, step, index }, state)
+        });
+        done.chain(on).chain(tasks)
+    }
+}
+
 impl Progress {
     /// Returns the number of the row that holds a task.
     #[must_use]
@@ -189,23 +255,13 @@
             let open = !self.phase.ended() || task.worker.is_some();
             open && Self::row_of(job, **place) == row
         };
-        let tasks: Vec<KeptTask> = self
-            .tasks
-            .iter()
-            .filter(kept)
-            .map(|(place, task)| KeptTask {
-                at: (place.round, place.step, place.index),
-                run: task.run,
-                bad_runs: task.failed_runs.clone(),
-                on: task.worker.clone(),
-                done: task.done,
-                saved: task.checkpoint.clone(),
-            })
-            .collect();
-        if row > 0 && tasks.is_empty() {
+        let mut row_kept = Kept { phase: self.phase, ..Kept::default() };
+        let mut tasks = self.tasks.iter().filter(kept).peekable();
+        if row > 0 && tasks.peek().is_none() {
             return Ok(None);
         }
-        serde_json::to_string(&Kept { phase: self.phase, tasks }).map(Some)
+        tasks.for_each(|(place, task)| row_kept.add(*place, task));
+        serde_json::to_string(&row_kept).map(Some)
     }
 
     /// Adds what another row of the same job says of its tasks.
@@ -222,20 +278,8 @@
     /// Returns the parser's error for a text that is no such row.
     pub fn decode(text: &str) -> Result<Self, serde_json::Error> {
         let kept: Kept = serde_json::from_str(text)?;
-        let tasks = kept.tasks.into_iter().map(|task| {
-            let (round, step, index) = task.at;
-            let state = Task {
-                run: task.run,
-                failed_runs: task.bad_runs,
-                worker: task.on,
-                done: task.done,
-                checkpoint: task.saved,
-                saved_run: 0,
-                failed_on: None,
-            };
-            (Place { round, step, index }, state)
-        });
-        Ok(Self { phase: kept.phase, tasks: tasks.collect() })
+        let phase = kept.phase;
+        Ok(Self { phase, tasks: kept.into_tasks().collect() })
     }
 
     /// Returns whether all tasks of a step are done in a round.
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -56,6 +56,10 @@
     pub answers: collections::VecDeque<job::StartAnswer>,
     /// Stops that were ordered while time passed.
     pub stops: Vec<job::Order>,
+    /// When looks were asked for, by worker.
+    pub looked: Vec<(time::Duration, id::WorkerId)>,
+    /// When commits were made.
+    pub commits: Vec<time::Duration>,
     /// Shares that were ordered while time passed, with the time of the order.
     pub paces: Vec<(time::Duration, job::Pace)>,
     /// Returns the tail of a serving task, by the processors that are filled beside it, in thousandths.
@@ -82,7 +86,17 @@
         (jobs, progress): (Vec<rows::Row>, Vec<rows::Row>),
         learned: Vec<rows::Row>,
     ) -> Self {
-        let engine = job::Engine::new("host".into(), world::settings(), 1);
+        Self::with(world::settings(), workers, (jobs, progress), learned)
+    }
+
+    /// Makes an engine that is timed so and takes over jobs and their progress, with so many workers.
+    pub fn with(
+        settings: job::Settings,
+        workers: usize,
+        (jobs, progress): (Vec<rows::Row>, Vec<rows::Row>),
+        learned: Vec<rows::Row>,
+    ) -> Self {
+        let engine = job::Engine::new("host".into(), settings, 1);
         let mut desk = Self {
             engine,
             now: time::Duration::from_secs(1),
@@ -100,6 +114,8 @@
             refusals: 0,
             answers: collections::VecDeque::new(),
             stops: Vec::new(),
+            looked: Vec::new(),
+            commits: Vec::new(),
             paces: Vec::new(),
             tail_ms: None,
             tails: Vec::new(),
@@ -139,6 +155,7 @@
                 effects.extend(self.engine.step(self.now, event));
                 continue;
             }
+            self.commits.push(self.now);
             for write in txn.writes {
                 let at = (write.key.table, write.key.name);
                 match write.value {
@@ -220,6 +237,7 @@
                         self.take(job::Event::Looked { worker, epoch, answer });
                     }
                     job::Effect::Look(look) => {
+                        self.looked.push((self.now, look.worker.clone()));
                         let clock_ms = u64::try_from(self.now.as_millis()).expect("a small number");
                         let here = |start: &&job::Start| {
                             start.order.worker == look.worker && !self.is_over(&start.order)
--- a/crates/wharflane/tests/late_ends.rs
+++ b/crates/wharflane/tests/late_ends.rs
@@ -46,8 +46,9 @@
 
 /// Returns whether a transaction writes a second run.
 fn stages_again(txn: &rows::Txn) -> bool {
-    let values = txn.writes.iter().filter_map(|write| write.value.as_deref());
-    values.into_iter().any(|value| value.contains(r#""run":2"#))
+    let rows = txn.writes.iter().filter(|write| write.key.table == job::PROGRESS);
+    let mut rows = rows.filter_map(|row| job::Progress::decode(row.value.as_deref()?).ok());
+    rows.any(|progress| progress.tasks.values().any(|task| task.run == 2))
 }
 
 /// Lets a worker be heard again that tells how a run ended.
