Passes look at what serving tasks bear only where work that fills waits, and at no task twice

Cause: of what remained of a pass behind 30 waiting tasks a worker, a fifth made a set of all groups that wait to forget lines that were told, 4 % walked over all that waits at the end of each job, and 6 % asked what serving tasks bear although only tasks that fill are weighed against it.

Change: told lines are looked up among what waits; what waits of an ended job is found by its name; headroom is refreshed before the first group that fills. Choices are the same.

--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -21,7 +21,7 @@
 
 /// Prints all slopes.
 pub fn print(live: Live) {
-    print_decisions();
+    print_decisions(None);
     print_halls(live);
     print_configs(live);
     print_routes(live);
@@ -29,8 +29,14 @@
     print_messages();
 }
 
-/// Prints what one start costs the holder of a domain, and what it costs behind ten times the room waiting.
-pub fn print_decisions() {
+/// Sizes of domains, in workers and starts a second: the smallest deployment, a grown one, the largest, and the size to
+/// design for.
+const DOMAINS: [(usize, f64); 4] = [(66, 145.0), (490, 900.0), (890, 1_350.0), (4_400, 1_500.0)];
+/// Tasks that wait for each worker: more than ten times what it has room for.
+const WAITING: usize = 30;
+
+/// Prints what one start costs the holder of a domain, alone and behind many tasks that wait, at all sizes or at one.
+pub fn print_decisions(only: Option<usize>) {
     let mut table = table::Table::new(&[
         "workers",
         "starts/s",
@@ -42,8 +48,10 @@
         "txn/s",
         "B a start",
     ]);
-    for (workers, starts_per_s) in [(66, 145.0), (490, 900.0), (890, 1_350.0), (4_400, 1_500.0)] {
-        for waiting in [0, workers as u32 * 30] {
+    let domains = DOMAINS.into_iter().filter(|(workers, _)| only.is_none_or(|o| o == *workers));
+    for (workers, starts_per_s) in domains {
+        for waiting in [0, workers * WAITING] {
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
             let time = time::Duration::from_secs(6);
             let setup = fleet::Setup { workers, starts_per_s, waiting, time };
             let cost = fleet::measure(setup);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -18,7 +18,12 @@
         clap::Command::new("harm").about("Decision 4: batch work beside services"),
         clap::Command::new("placement").about("Decision 5: placement and recovery of a hall"),
         clap::Command::new("capacity").about("The slopes behind docs/CAPACITY.md"),
-        clap::Command::new("decisions").about("What one start costs the holder of a domain"),
+        clap::Command::new("decisions").about("What one start costs the holder of a domain").arg(
+            clap::Arg::new("workers")
+                .long("workers")
+                .help("Only the size with so many workers")
+                .value_parser(clap::value_parser!(usize)),
+        ),
         clap::Command::new("journal").about("Scores of the users' bench by commit"),
         clap::Command::new("forwarder").about("A host's cost against a bare forwarder"),
         compare_command(),
@@ -34,7 +39,9 @@
         Some(("harm", _)) => harm::print(),
         Some(("placement", _)) => recovery::print(),
         Some(("capacity", _)) => capacity::print(live),
-        Some(("decisions", _)) => capacity::print_decisions(),
+        Some(("decisions", args)) => {
+            capacity::print_decisions(args.get_one("workers").copied());
+        }
         Some(("journal", _)) => journal::print()?,
         Some(("compare", args)) => compare_trees(args)?,
         _ => forwarder::print(),
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -244,10 +244,14 @@
         };
         entry.progress.phase = phase;
         entry.ended = Some(now);
-        self.ready.retain(|task, _| task.job != job);
+        let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
+        let waiting = self.ready.range(first..).take_while(|(task, _)| task.job == job);
+        let waiting: Vec<spec::TaskId> = waiting.map(|(task, _)| *task).collect();
+        for task in waiting {
+            self.ready.remove(&task);
+        }
         self.tickets.forget(job);
         self.mark(job);
-        let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
         let tasks = self.placed.range(first..).take_while(|(task, _)| task.job == job);
         let tasks: Vec<spec::TaskId> = tasks.map(|(task, _)| *task).collect();
         for task in tasks {
--- a/crates/wharflane/src/job/pass.rs
+++ b/crates/wharflane/src/job/pass.rs
@@ -28,6 +28,8 @@
 pub(super) struct Pass {
     /// Kinds that found no worker, with the sizes that were tried.
     hopeless: Vec<(Kind, size::Size)>,
+    /// Whether it was found out what serving tasks bear, which only tasks that fill ask for.
+    pub weighed: bool,
     /// How many lines were written about tasks that wait.
     pub told: usize,
     /// The tasks that found no worker and are in need, the first of each group.
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -68,9 +68,6 @@
 fn run(holding: &mut holding::Holding, now: time::Duration) {
     holding.kept_for.clear();
     holding.fills_wait = false;
-    if holding.ready.values().any(|ready| !ready.lasting) {
-        holding.refresh_headroom(now);
-    }
     let mut pass = pass::Pass::default();
     for group in in_turn(holding, now) {
         if holding.link.starts(holding.staged.len()) == 0 {
@@ -100,6 +97,9 @@
     let Some(step) = job.step(group.first.task.step) else {
         return forget(holding, group.first.task);
     };
+    if step.fills && !std::mem::replace(&mut pass.weighed, true) {
+        holding.refresh_headroom(now);
+    }
     let mut ranking = None;
     let mut next = Some(group.first);
     while let Some(ready) = next {
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -93,8 +93,10 @@
 
     /// Forgets what was told of steps that don't wait any more.
     pub(super) fn forget_told(&mut self) {
-        let waiting: collections::BTreeSet<group::Group> =
-            self.ready.keys().map(|task| group::group(*task)).collect();
-        self.told.retain(|group, _| waiting.contains(group));
+        let ready = &self.ready;
+        self.told.retain(|(job, round, step), _| {
+            let first = spec::TaskId { job: *job, round: *round, step: *step, index: 0 };
+            ready.range(group::kin(first)).next().is_some()
+        });
     }
 }
