--- a/crates/bench/tests/decisions.rs
+++ b/crates/bench/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use wharflane_bench::{harm, queueing};
+use wharflane_bench::{fleet, harm, queueing};
 use wharflane_stand_in::cases;
 
 /// Returns a small part of the endpoints under a share of their capacity.
@@ -43,7 +43,28 @@
     queueing::run(&queueing::Setup { waiting, ..setup(6, load) }, 3)
 }
 
+/// Runs the job engine at so many workers for a moment, behind so many tasks that wait.
+fn fleet(workers: usize, starts_per_s: f64, waiting: u32) -> fleet::Cost {
+    let time = time::Duration::from_millis(500);
+    fleet::measure(fleet::Setup { workers, starts_per_s, waiting, time })
+}
+
 cases! {
+    a_start_weighs_few_workers_at_any_size => {
+        for (workers, starts_per_s) in [(66, 145.0), (300, 550.0)] {
+            let cost = fleet(workers, starts_per_s, 0);
+            assert!(cost.starts > 50, "{cost:?}");
+            // Steps have 9 to 39 tasks, and each step weighs all workers once.
+            assert!(cost.per_start(cost.sought) < 0.15, "{cost:?}");
+            assert!(cost.per_start(cost.looks) < 1.6, "{cost:?}");
+            assert!(cost.per_start(cost.txn_bytes) < 120.0, "{cost:?}");
+        }
+    },
+    what_waits_costs_few_searches => {
+        let (few, many) = (fleet(66, 145.0, 600), fleet(66, 145.0, 6_000));
+        assert!(many.starts * 10 > few.starts * 9, "{few:?} {many:?}");
+        assert!(many.sought < 2 * few.sought + 50, "{few:?} {many:?}");
+    },
     windows_lose_nothing_when_one_host_takes_half => {
         let fixed = shared(queueing::Sharing::Fixed, 9, 0.5);
         let window = shared(queueing::Sharing::Window, 9, 0.5);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -82,13 +82,15 @@
     pub connections: usize,
     /// How long each.
     pub time: time::Duration,
+    /// How long a call waits for one of them where all are in use, before it opens another.
+    pub wait: time::Duration,
 }
 
 impl Default for Keep {
     /// The most calls made to a store at once are the eight reads of accepted jobs; the longest pause between
     /// calls of a peer that stays in use is the 4 s between looks at a worker on which nothing runs.
     fn default() -> Self {
-        Self { connections: 8, time: time::Duration::from_secs(10) }
+        Self { connections: 8, time: time::Duration::from_secs(10), wait: time::Duration::ZERO }
     }
 }
 
@@ -173,7 +175,10 @@
         let call = self.pool.begin(peer);
         let mut conn = match idle(&call, deadline).await {
             Some(conn) => conn,
-            None => connect(&call, deadline).await?,
+            None => match given_back(&call, deadline).await {
+                Some(conn) => conn,
+                None => connect(&call, deadline).await?,
+            },
         };
         loop {
             let waiting = call.waits(&conn, self.timeout / GIVEN_UP_PART);
@@ -241,6 +246,18 @@
     None
 }
 
+/// Waits for a connection that another call gives back, where as many are in use as are kept.
+async fn given_back(call: &pool::Call<'_>, deadline: tokio::time::Instant) -> Option<pool::Conn> {
+    let (freed, wait) = call.crowded()?;
+    let end = deadline.min(tokio::time::Instant::now() + wait);
+    while tokio::time::timeout_at(end, freed.notified()).await.is_ok() {
+        if let Some(conn) = idle(call, deadline).await {
+            return Some(conn);
+        }
+    }
+    None
+}
+
 /// Opens a connection for a call; one that does not stand in time says nothing of those that do.
 async fn connect(
     call: &pool::Call<'_>,
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -68,6 +68,8 @@
     era: u64,
     /// How many calls are under way.
     under_way: usize,
+    /// Tells calls that wait that a connection was given back.
+    freed: sync::Arc<tokio::sync::Notify>,
 }
 
 /// How many lines were written lately.
@@ -124,6 +126,17 @@
         self.pool.lock().peers.get_mut(&self.peer)?.take(self.began, self.pool.keep)
     }
 
+    /// Returns what tells that a connection was given back, and how long that is waited for; nothing where fewer calls
+    /// are under way than connections are kept.
+    #[must_use]
+    pub fn crowded(&self) -> Option<(sync::Arc<tokio::sync::Notify>, time::Duration)> {
+        let keep = self.pool.keep;
+        let state = self.pool.lock();
+        let peer = state.peers.get(&self.peer)?;
+        let crowded = !keep.wait.is_zero() && peer.under_way > keep.connections;
+        crowded.then(|| (sync::Arc::clone(&peer.freed), keep.wait))
+    }
+
     /// Opens a connection to the peer.
     ///
     /// # Errors
@@ -148,6 +161,7 @@
         let mut state = self.pool.lock();
         if let Some(peer) = state.peers.get_mut(&self.peer) {
             peer.put(conn, self.pool.keep);
+            peer.freed.notify_one();
         }
     }
 
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -19,6 +19,8 @@
     a_peer_that_was_slow_once_costs_one_connection => run(slow_once()),
     calls_under_way_run_on_beside_one_without_answer => run(under_way()),
     few_connections_stay_idle => run(few_idle()),
+    calls_of_one_moment_wait_for_the_connections_that_are_kept => run(shared()),
+    a_call_that_waited_in_vain_opens_a_connection => run(in_vain()),
     a_connection_that_was_idle_for_long_is_not_used => run(long_idle()),
     a_connection_that_its_peer_closed_costs_no_call => run(closed()),
     a_connection_that_does_not_stand_ends_its_call_early => run(no_connection()),
@@ -169,6 +171,31 @@
     assert_eq!(peer.proxy.opened(), opened);
 }
 
+/// Makes more calls at once than connections are kept, which wait for one of them.
+async fn shared() {
+    let peer = Peer::start().await;
+    let keep = client::Keep { connections: IDLE, wait: LIMIT * 2, ..client::Keep::default() };
+    let client = client::Client::keeping(LIMIT * 4, keep);
+    peer.at_once(&client, 9).await;
+    assert_eq!(peer.proxy.opened(), IDLE);
+}
+
+/// Makes calls beside as many that last longer than is waited for a connection.
+async fn in_vain() {
+    let peer = Peer::start().await;
+    let keep = client::Keep { connections: IDLE, wait: LIMIT / 40, ..client::Keep::default() };
+    let client = client::Client::keeping(LIMIT * 4, keep);
+    let long = (0..IDLE).map(|_| peer.answers(&client, LONG));
+    let short = async {
+        // All connections are in use by now.
+        tokio::time::sleep(LIMIT / 8).await;
+        assert!(peer.answers(&client, "/").await);
+        assert_eq!(peer.proxy.opened(), IDLE + 1);
+    };
+    let (long, ()) = future::join(future::join_all(long), short).await;
+    assert!(long.into_iter().all(|answered| answered));
+}
+
 /// Silences an idle connection and lets a while pass.
 async fn long_idle() {
     let peer = Peer::start().await;
--- a/crates/wharflane/tests/bounds.rs
+++ b/crates/wharflane/tests/bounds.rs
@@ -57,7 +57,41 @@
     desk
 }
 
+/// Returns the bytes of a row of 100 tasks that all are so.
+fn row_bytes(state: &job::Task) -> usize {
+    let step = small(100);
+    let place = |index| job::Place { round: 0, step: 0, index };
+    let tasks = (0..100).map(|index| (place(index), state.clone())).collect();
+    let progress = job::Progress { phase: job::Phase::Running, tasks };
+    let job = job::Job {
+        queue: "first".to_owned(),
+        service: "service".into(),
+        spec: String::new(),
+        steps: vec![step],
+        repeats: None,
+    };
+    let row = progress.encode(&job, 0).expect("a row").expect("a value");
+    let read = job::Progress::decode(&row).expect("progress");
+    assert!(
+        read.tasks.values().all(|task| (task.done, &task.worker) == (state.done, &state.worker))
+    );
+    assert_eq!(read.tasks.len(), 100);
+    row.len()
+}
+
 cases! {
+    // Rows are written at each start and end of their tasks: on hosts of 2 Mbit/s with 46 bytes a task they took
+    // as much as starts and looks together.
+    a_task_that_runs_takes_few_bytes_of_its_row => {
+        let worker: id::WorkerId = "i-0123456789".into();
+        let running = job::Task { run: 1, worker: Some(worker), ..job::Task::default() };
+        let bytes = row_bytes(&running);
+        assert!(bytes < 2_800, "{bytes} bytes for 100 tasks");
+    },
+    tasks_that_are_done_take_no_bytes_each => {
+        let bytes = row_bytes(&job::Task { run: 1, done: true, ..job::Task::default() });
+        assert!(bytes < 60, "{bytes} bytes for 100 tasks");
+    },
     what_was_learned_of_many_images_fits_its_rows => {
         let mut desk = many_images(40, 200, 300);
         assert_eq!(desk.refusals, 0);
