--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -315,6 +315,8 @@
             commits = self.commits,
             sought = self.sought,
             relieved = self.relieved,
+            look_gap_ms = worker::millis(self.link.gap()),
+            link_bytes_per_s = self.settings.link_bytes_per_s,
             "domain"
         );
     }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -135,6 +135,8 @@
     pub sought: u64,
     /// How many tasks were started in need, since the lease was taken.
     pub relieved: u64,
+    /// The pause between two looks at a busy worker, in milliseconds; more than 50 where the host's link is thin.
+    pub look_gap_ms: u64,
     /// How long a task that its caller guesses at one second is likely to take, in milliseconds, by
     /// queue.
     pub times_ms: collections::BTreeMap<String, f64>,
@@ -214,6 +216,7 @@
             workers: self.views.len(),
             sought: self.sought,
             relieved: self.relieved,
+            look_gap_ms: worker::millis(self.link.gap()),
             times_ms: self.learned.times.dump(),
             harm: self.learned.harm.dump(),
         }
