--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -5,12 +5,13 @@
 //! 5.3 cores, 14.9 of 2 steps of 39 that take 2.7 s on 1.8 cores that others leave, and lasting tasks, one for each
 //! worker, at 890 workers; other sizes in proportion.
 
+mod mix;
+
 use std::collections;
-use std::sync;
 use std::time;
 
 use cpu_time::ThreadTime;
-use wharflane::{id, job, rows, size};
+use wharflane::{id, job, rows};
 use wharflane_stand_in::jobs::world;
 
 /// Starts in a second of the deployment that the rates are those of.
@@ -21,8 +22,6 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 /// How long the fleet runs until it is measured: the longest job takes 6 s.
 const WARM: time::Duration = time::Duration::from_secs(8);
-/// The target of serving tasks.
-const TARGET_MS: u64 = 50;
 /// What a serving task tells beside nothing.
 const QUIET_MS: f64 = 13.0;
 
@@ -60,19 +59,6 @@
     pub sought: u64,
 }
 
-/// A kind of job.
-#[derive(Clone, Copy, Debug)]
-enum Kind {
-    /// Short work on room of its own.
-    Short,
-    /// Longer work on what others leave.
-    Fills,
-    /// Tasks that serve until the end.
-    Serves,
-    /// Tasks that find no room.
-    Large,
-}
-
 /// What arrives at a time.
 #[derive(Debug)]
 enum Arrival {
@@ -87,7 +73,7 @@
     /// A task comes to its end.
     End(usize, job::TaskId, u32),
     /// A job is handed in.
-    Submit(Kind, time::Duration),
+    Submit(mix::Kind, time::Duration),
 }
 
 /// A worker.
@@ -133,11 +119,11 @@
     let share = setup.starts_per_s / OWN_STARTS_PER_S;
     fleet.send(TICK, Arrival::Tick);
     let serving = (setup.workers as f64 / 24.0).ceil() as u64;
-    (0..serving).for_each(|_| fleet.submit(Kind::Serves));
-    (0..setup.waiting / 39).for_each(|_| fleet.submit(Kind::Large));
+    (0..serving).for_each(|_| fleet.submit(mix::Kind::Serves));
+    (0..setup.waiting / 39).for_each(|_| fleet.submit(mix::Kind::Large));
     let every = |rate: f64| time::Duration::from_secs_f64(1.0 / (rate * share));
-    fleet.send(every(13.0), Arrival::Submit(Kind::Short, every(13.0)));
-    fleet.send(every(14.9), Arrival::Submit(Kind::Fills, every(14.9)));
+    fleet.send(every(13.0), Arrival::Submit(mix::Kind::Short, every(13.0)));
+    fleet.send(every(14.9), Arrival::Submit(mix::Kind::Fills, every(14.9)));
     fleet.run(WARM);
     let (before, sought) = (fleet.cost, fleet.sought());
     fleet.run(WARM + setup.time);
@@ -172,7 +158,7 @@
     /// Makes a fleet whose engine holds its domain.
     fn new(workers: usize) -> Self {
         let engine = job::Engine::new("host".into(), world::settings(), 1);
-        let members: Vec<job::Member> = (0..workers).map(member).collect();
+        let members: Vec<job::Member> = (0..workers).map(mix::member).collect();
         let names = members.iter().enumerate().map(|(at, member)| (member.id.clone(), at));
         let mut fleet = Self {
             engine,
@@ -185,7 +171,7 @@
             jobs: 0,
             cost: Cost::default(),
         };
-        fleet.take(job::Event::Queues(queues()));
+        fleet.take(job::Event::Queues(mix::queues()));
         fleet.take(job::Event::Listed(members));
         fleet.take(job::Event::LeaseRead(None));
         fleet.run(time::Duration::from_millis(1_100));
@@ -336,13 +322,13 @@
     }
 
     /// Hands in a job.
-    fn submit(&mut self, kind: Kind) {
+    fn submit(&mut self, kind: mix::Kind) {
         self.jobs += 1;
         // Names of jobs are spread as hashes are.
         let name = job::JobId(self.jobs.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let steps = steps(kind, self.jobs);
+        let steps = mix::steps(kind, self.jobs);
         self.steps.insert(name, steps.clone());
-        let queue = if matches!(kind, Kind::Short) { "first" } else { "last" };
+        let queue = if matches!(kind, mix::Kind::Short) { "first" } else { "last" };
         let job = job::Job {
             queue: queue.to_owned(),
             service: "service".into(),
@@ -358,61 +344,3 @@
         self.take(job::Event::Jobs(vec![row]));
     }
 }
-
-/// Returns the steps of a job; images repeat after some jobs.
-fn steps(kind: Kind, number: u64) -> Vec<job::Step> {
-    let step = |count, cpu_milli, estimate_ms| job::Step {
-        count,
-        size: size::Size { cpu_milli, mem_mb: 2_000, accelerators: 0 },
-        estimate_ms,
-        ..job::Step::default()
-    };
-    let image = |name: &str| Some(format!("{name}-{}", number % 6));
-    let fills = job::Step { fills: true, image: image("filling"), ..step(39, 1_800, 2_700) };
-    let second = |first: &job::Step| job::Step { after: vec![0], ..first.clone() };
-    match kind {
-        Kind::Short if number % 5 < 3 => vec![step(9, 5_300, 800), second(&step(9, 5_300, 800))],
-        Kind::Short => vec![step(9, 5_300, 800)],
-        Kind::Fills => vec![fills.clone(), second(&fills)],
-        Kind::Serves => vec![job::Step {
-            lasting: true,
-            target_ms: Some(TARGET_MS),
-            image: image("serving"),
-            ..step(24, 3_000, 1_000)
-        }],
-        Kind::Large => vec![step(39, 16_500 + number % 400, 2_700)],
-    }
-}
-
-/// Returns the queues.
-fn queues() -> sync::Arc<job::Queues> {
-    let queue = |name: &str, priority| job::Queue {
-        name: name.to_owned(),
-        host: String::new(),
-        prefix: String::new(),
-        service: "service".into(),
-        priority,
-        max_attempts: 3,
-        advice: None,
-        stretch_percent: 200,
-        objective_ms: 1_000,
-    };
-    let queues = [("first", 0), ("last", 1)].map(|(name, at)| (name.to_owned(), queue(name, at)));
-    sync::Arc::new(job::Queues { revision: 1, queues: queues.into_iter().collect() })
-}
-
-/// Returns a worker, 20 to a rack.
-fn member(at: usize) -> job::Member {
-    job::Member {
-        id: format!("i-{:010x}", (at as u64).wrapping_mul(0x9e37_79b9_7f4a) & 0xff_ffff_ffff)
-            .as_str()
-            .into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        hall: "hall".into(),
-        service: "service".into(),
-        leaving: false,
-        capacity: size::Size { cpu_milli: 16_000, mem_mb: 62_500, accelerators: 0 },
-        labels: vec!["kind".to_owned()],
-        rack: Some(format!("rack-{}", at / 20)),
-    }
-}
--- a/crates/wharflane/tests/late_ends.rs
+++ b/crates/wharflane/tests/late_ends.rs
@@ -67,6 +67,17 @@
     seen.map(|(_, seen)| *seen).max().unwrap_or(0)
 }
 
+/// Returns a desk that takes over the job from another.
+fn next_holder(before: &mut desk::Desk) -> desk::Desk {
+    let job::Event::Jobs(jobs) = before.accepted(JOB, "first", desk::step("plain", 1_000)) else {
+        panic!("no rows");
+    };
+    let rows = before.table(job::PROGRESS);
+    let mut desk = desk::Desk::after(3, (jobs, rows), Vec::new());
+    desk.now = before.now;
+    desk
+}
+
 /// Returns what the job's row says.
 fn progress(desk: &desk::Desk) -> job::Progress {
     let key = job::progress_key(0, job::JobId(JOB));
@@ -212,14 +223,7 @@
     },
     done_is_heard_by_the_next_holder => {
         let (mut before, first) = running_again();
-        let job::Event::Jobs(jobs) =
-            before.accepted(JOB, "first", desk::step("plain", 1_000))
-        else {
-            panic!("no rows");
-        };
-        let rows = before.table(job::PROGRESS);
-        let mut desk = desk::Desk::after(3, (jobs, rows), Vec::new());
-        desk.now = before.now;
+        let mut desk = next_holder(&mut before);
         told(&mut desk, &first, job::EndKind::Done, "");
         let second = before.order_of(task(0));
         let row = job::Running { task: task(0), run: second.run, percent: 10, load: 1_000 };
@@ -235,14 +239,7 @@
         told(&mut before, &first, job::EndKind::Failed, "");
         before.pass(1_000, false);
         assert_eq!(kept(&before).failures(), 1);
-        let job::Event::Jobs(jobs) =
-            before.accepted(JOB, "first", desk::step("plain", 1_000))
-        else {
-            panic!("no rows");
-        };
-        let rows = before.table(job::PROGRESS);
-        let mut desk = desk::Desk::after(3, (jobs, rows), Vec::new());
-        desk.now = before.now;
+        let mut desk = next_holder(&mut before);
         told(&mut desk, &first, job::EndKind::Failed, "");
         desk.pass(1_000, false);
         assert_eq!(desk.engine.holding().expect("a holder").dump().ready, 0);
