Logs tell how long a task was at work where its worker was lost

Cause looked for: tasks that crash workers start again without bound; the logs couldn't tell a task that had just started from one that had worked for seconds when its worker went, nor whether its start had an answer. Change: 'task freed' after the loss of a worker tells at_work_ms (until the worker's last answer) and unanswered; 'worker's life is over' tells silent_ms, listed and leaving.

--- /dev/null
+++ b/crates/wharflane/src/job/lost.rs
@@ -0,0 +1,120 @@
+//! Workers whose life is over, or whose leases have lapsed, and the tasks that were on them.
+
+use std::time;
+
+use super::holding;
+use super::spec;
+use super::work;
+use super::worker;
+use crate::id;
+
+/// The fewest silent workers that speak of the holder's own trouble: fewer than a rack may fail together.
+const MANY_SILENT: usize = 4;
+
+impl holding::Holding {
+    /// Frees everything on a worker whose life is known to be over.
+    pub(super) fn worker_gone(&mut self, worker: &id::WorkerId) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let tasks: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+        tracing::warn!(
+            %worker, tasks = tasks.len(), listed = view.listed, leaving = view.member.leaving,
+            silent_ms = view.silence(self.now).map(worker::millis), "worker's life is over"
+        );
+        view.listed = false;
+        for task in tasks {
+            self.free_lost(task, "worker gone");
+        }
+        self.views.remove(worker);
+    }
+
+    /// Frees a task whose worker is lost, and tells how long it was at work there as far as that is known.
+    fn free_lost(&mut self, task: spec::TaskId, why: &'static str) {
+        if let Some(placed) = self.placed.get(&task) {
+            let at_work_ms = self.at_work(placed).map(worker::millis);
+            tracing::info!(
+                %task, run = placed.run, worker = %placed.worker, why, at_work_ms,
+                unanswered = placed.doubt.unanswered, "task freed"
+            );
+        }
+        self.give_back(task);
+    }
+
+    /// Returns how long a task was at work when its worker answered last; nothing where no answer told of it.
+    fn at_work(&self, placed: &work::Placed) -> Option<time::Duration> {
+        let work::Link::There(since) = placed.link else {
+            return None;
+        };
+        let (_, answered) = self.views.get(&placed.worker)?.sample?;
+        Some(answered.saturating_sub(since))
+    }
+
+    /// Frees the tasks of silent workers once everything granted there has lapsed.
+    pub(super) fn free_lapsed(&mut self, now: time::Duration) {
+        if self.are_many_silent() {
+            self.many_silent = Some(now);
+        }
+        let since = now.saturating_sub(self.doubt_of_own(now));
+        let silent = self.views.iter().filter(|(_, view)| {
+            (view.misses > 0 || !view.listed) && !view.tasks.is_empty() && view.lapsed(since)
+        });
+        let silent: Vec<id::WorkerId> = silent.map(|(worker, _)| worker.clone()).collect();
+        for worker in silent {
+            let Some(view) = self.views.get(&worker) else {
+                continue;
+            };
+            let tasks: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+            tracing::warn!(
+                %worker, tasks = tasks.len(), granted_ms = view.granted_ms,
+                clock_ms = view.clock_ms(now), "leases of a silent worker have lapsed"
+            );
+            for task in tasks {
+                self.free_lost(task, "lease lapsed");
+            }
+        }
+        self.views
+            .retain(|_, view| view.listed || !view.tasks.is_empty() || !view.unrecorded.is_empty());
+        self.drop_inherited(now);
+    }
+
+    /// Returns how much longer than their leases tasks of silent workers are kept, since the silence may be this host's.
+    ///
+    /// Where most workers are silent at once, their answers are rather late than they are gone, and the next ones tell
+    /// which runs are done. Nothing is lost by waiting: tasks that were freed could only go to the few that answer.
+    /// The doubt lasts for a lease after most were silent: they answer one after the other.
+    fn doubt_of_own(&self, now: time::Duration) -> time::Duration {
+        let hold = self.settings.hold;
+        let doubted = self.many_silent.is_some_and(|at| now.saturating_sub(at) < hold);
+        if doubted { hold } else { time::Duration::ZERO }
+    }
+
+    /// Returns whether most of the workers on which something runs don't answer.
+    fn are_many_silent(&self) -> bool {
+        let busy = self.views.values().filter(|view| view.listed && !view.tasks.is_empty());
+        let (silent, all) = busy
+            .fold((0, 0), |(silent, all), view| (silent + usize::from(view.misses > 0), all + 1));
+        silent >= MANY_SILENT && silent * 2 >= all
+    }
+
+    /// Frees tasks inherited on workers that nobody lists, once earlier grants are over.
+    fn drop_inherited(&mut self, now: time::Duration) {
+        if now < self.inherited_until() {
+            return;
+        }
+        let lost = self.placed.iter().filter(|(_, placed)| {
+            placed.link == work::Link::Inherited && !self.views.contains_key(&placed.worker)
+        });
+        let lost: Vec<spec::TaskId> = lost.map(|(task, _)| *task).collect();
+        for task in lost {
+            self.free_lost(task, "lease lapsed, worker unknown");
+        }
+    }
+
+    /// Returns when everything that earlier holders granted is over.
+    pub(super) fn inherited_until(&self) -> time::Duration {
+        /// For a clock that is 2 % slow, and one more for rounding and trips.
+        const SLOW_MILLI: u32 = 1_040;
+        self.taken + self.inherited * SLOW_MILLI / 1_000
+    }
+}
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -25,6 +25,7 @@
 mod link;
 mod loading;
 mod looks;
+mod lost;
 mod members;
 mod need;
 mod obstacle;
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -183,6 +183,11 @@
         Some(clock_ms + millis(passed.saturating_sub(slow)))
     }
 
+    /// Returns how long ago the worker answered last; nothing where it never did.
+    pub fn silence(&self, now: time::Duration) -> Option<time::Duration> {
+        self.sample.map(|(_, answered)| now.saturating_sub(answered))
+    }
+
     /// Returns until when a new grant of a length lasts, by the worker's clock, and notes it.
     pub fn grant(&mut self, now: time::Duration, hold: time::Duration) -> Option<u64> {
         let lease_until_ms = self.clock_ms(now)? + millis(hold);
