--- a/crates/stand-in/src/jobs/crew.rs
+++ b/crates/stand-in/src/jobs/crew.rs
@@ -23,9 +23,12 @@
             self.reach(&start.order.worker).map(|worker| worker.start(start, behaviour, now));
         let Some((answer, began)) = done else {
             if !lost {
-                let answer = job::StartAnswer::Silent;
+                let gone = self.is_replaced(&start.order.worker);
+                let (answer, after) = match gone {
+                    true => (job::StartAnswer::Gone, self.way()),
+                    false => (job::StartAnswer::Silent, time::Duration::from_millis(600)),
+                };
                 let event = job::Event::Started { order: start.order.clone(), answer };
-                let after = time::Duration::from_millis(600);
                 self.send(after, world::Message::Back(host, life, Box::new(event)));
             }
             return;
@@ -34,6 +37,9 @@
             let cancelled = self.cancelled.get(&task.job);
             let late = cancelled.is_some_and(|at| ordered > *at + world::CANCEL);
             self.judge.started(task, world::ATTEMPTS, late, &self.workers);
+            if self.is_culprit(task) {
+                self.doom(&start.order.worker);
+            }
         }
         if !lost {
             let way = self.way();
@@ -53,7 +59,9 @@
     ) {
         let now = self.now;
         let (worker, epoch) = (look.worker.clone(), look.epoch);
+        let gone = self.is_replaced(&look.worker);
         let answer = match self.reach(&look.worker) {
+            None if gone => job::LookAnswer::Gone,
             None => job::LookAnswer::Silent,
             Some(found) => {
                 let ended = found.ended().to_vec();
--- /dev/null
+++ b/crates/stand-in/src/jobs/culprit.rs
@@ -0,0 +1,79 @@
+//! Tasks that crash each worker that starts them.
+
+use std::time;
+
+use rand::RngExt as _;
+use wharflane::{id, job};
+
+use super::world;
+
+/// How long after the start the worker is down.
+const CRASH_AFTER: time::Duration = time::Duration::from_millis(10);
+/// How long a crashed worker is away, in milliseconds, until another life answers at its address.
+const AWAY_MS: std::ops::Range<u64> = 1_000..3_000;
+/// What jobs are dealt by, so that the share of those with such a task can be set in thousandths.
+const THOUSAND: u64 = 1_000;
+
+impl world::World {
+    /// Returns whether a job has a task that crashes workers, always the same way.
+    #[must_use]
+    pub fn has_culprit(&self, job: job::JobId) -> bool {
+        job.0 / 8 % THOUSAND < u64::from(self.faults.culprits)
+    }
+
+    /// Returns whether a task crashes each worker that starts it: the first of one of its job's steps.
+    pub(super) fn is_culprit(&self, task: job::TaskId) -> bool {
+        let steps = self.judge.jobs.get(&task.job).map_or(1, |job| job.steps.len() as u64);
+        let step = task.job.0 / 8 / THOUSAND % steps;
+        self.has_culprit(task.job) && task.index == 0 && u64::from(task.step) == step
+    }
+
+    /// Lets a worker go down soon because of what it has just started.
+    pub(super) fn doom(&mut self, worker: &id::WorkerId) {
+        if let Some(at) = self.workers.iter().position(|found| found.id == *worker) {
+            self.send(CRASH_AFTER, world::Message::Crash(at));
+        }
+    }
+
+    /// Lets a worker crash with all that runs there.
+    pub(super) fn crash(&mut self, at: usize) {
+        if !self.workers[at].alive {
+            return;
+        }
+        self.workers[at].alive = false;
+        let now = self.now;
+        let here: Vec<_> = self.workers[at].since().collect();
+        for (task, began) in here {
+            let culprit = self.is_culprit(task);
+            self.judge.crashed(task, culprit, now.saturating_sub(began));
+        }
+        let away = time::Duration::from_millis(self.rng.random_range(AWAY_MS));
+        self.send(away, world::Message::Replace(at));
+    }
+
+    /// Lets another life of a crashed worker come, at the same address.
+    pub(super) fn replace(&mut self, at: usize) {
+        self.workers[at].listed = false;
+        self.workers[at].replaced = true;
+        self.add_worker();
+        self.tell_member(at);
+        self.tell_member(self.workers.len() - 1);
+    }
+
+    /// Returns whether another life answers where a worker was.
+    pub(super) fn is_replaced(&self, worker: &id::WorkerId) -> bool {
+        self.workers.iter().any(|found| found.id == *worker && found.replaced)
+    }
+
+    /// Returns the jobs that were given up though all of their tasks could be done.
+    #[must_use]
+    pub fn wronged(&self) -> Vec<job::JobId> {
+        let jobs = self.judge.jobs.iter();
+        let sound = jobs.filter(|(id, job)| {
+            let lasting = job.steps.iter().any(|step| step.lasting);
+            !self.has_culprit(**id) && (lasting || id.0 % 8 != 7)
+        });
+        let failed = sound.filter(|(id, _)| self.phase(**id) == job::Phase::Failed);
+        failed.map(|(id, _)| *id).collect()
+    }
+}
--- a/crates/stand-in/src/jobs/judge.rs
+++ b/crates/stand-in/src/jobs/judge.rs
@@ -1,6 +1,7 @@
 //! Judges what workers and callers see, from outside the state of any engine.
 
 use std::collections;
+use std::time;
 
 use wharflane::job;
 
@@ -59,8 +60,19 @@
         /// The task.
         task: job::TaskId,
     },
+    /// A task that crashes workers was started too often after so many had crashed under it.
+    #[error("{task} started {MORE_STARTS} times more after {CRASHES} workers had crashed under it")]
+    Budget {
+        /// The task.
+        task: job::TaskId,
+    },
 }
 
+/// The crashes of workers under a task after which its starts are counted.
+const CRASHES: u32 = 3;
+/// The start after so many crashes that must not come.
+const MORE_STARTS: u32 = 3;
+
 /// What the judge has seen.
 #[derive(Debug, Default)]
 pub struct Judge {
@@ -78,6 +90,10 @@
     kept: collections::BTreeSet<job::TaskId>,
     /// Acknowledged failures by task.
     failures: collections::BTreeMap<job::TaskId, u32>,
+    /// The workers that crashed under each task that crashes them, and its starts after the third.
+    crashes: collections::BTreeMap<job::TaskId, (u32, u32)>,
+    /// The work of other tasks that was lost with the workers that such tasks crashed.
+    pub lost_beside: time::Duration,
     /// What was broken.
     pub breaches: Vec<Breach>,
     /// Starts that were carried out.
@@ -122,6 +138,21 @@
         }
     }
 
+    /// Notes a task under which a worker has crashed, and how long it was at work there.
+    pub fn crashed(&mut self, task: job::TaskId, culprit: bool, at_work: time::Duration) {
+        if culprit {
+            self.crashes.entry(task).or_default().0 += 1;
+        } else {
+            self.lost_beside += at_work;
+        }
+    }
+
+    /// Returns how many workers crashed because of what they had started.
+    #[must_use]
+    pub fn crashed_workers(&self) -> u32 {
+        self.crashes.values().map(|(crashes, _)| crashes).sum()
+    }
+
     /// Judges a start that was carried out.
     pub fn started(
         &mut self,
@@ -146,6 +177,12 @@
         if self.failures.get(&task).is_some_and(|failures| *failures >= attempts) {
             self.breaches.push(Breach::Attempts { task });
         }
+        if let Some((_, more)) = self.crashes.get_mut(&task).filter(|(all, _)| *all >= CRASHES) {
+            *more += 1;
+            if *more == MORE_STARTS {
+                self.breaches.push(Breach::Budget { task });
+            }
+        }
         let Some(job) = self.jobs.get(&task.job) else {
             return self.breaches.push(Breach::Unasked { task });
         };
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -2,6 +2,8 @@
 
 mod callers;
 mod crew;
+mod culprit;
+mod fault;
 pub mod judge;
 pub mod rows;
 pub mod server;
--- a/crates/stand-in/src/jobs/strike.rs
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -5,86 +5,86 @@
 use rand::RngExt as _;
 use wharflane::job;
 
-use super::world;
+use super::{fault, world};
 
 impl world::World {
     /// Lets a fault begin.
-    pub(super) fn strike(&mut self, fault: world::Fault) {
+    pub(super) fn strike(&mut self, fault: fault::Fault) {
         let holder = self
             .hosts
             .iter()
             .position(|host| host.engine.as_ref().is_some_and(|engine| engine.holding().is_some()));
         let worker = self.rng.random_range(0..self.workers.len());
         let (at, secs) = match fault {
-            world::Fault::Kill | world::Fault::Freeze | world::Fault::Remove => {
+            fault::Fault::Kill | fault::Fault::Freeze | fault::Fault::Remove => {
                 let Some(holder) = holder else {
                     return;
                 };
                 (holder, 4)
             }
-            world::Fault::Outage => (0, 4),
-            world::Fault::Crash => (worker, 4),
-            world::Fault::Unlist => (worker, 8),
-            world::Fault::Cut => (worker, 7),
-            world::Fault::Sick => (worker, 5),
+            fault::Fault::Outage => (0, 4),
+            fault::Fault::Crash => (worker, 4),
+            fault::Fault::Unlist => (worker, 8),
+            fault::Fault::Cut => (worker, 7),
+            fault::Fault::Sick => (worker, 5),
         };
         match fault {
-            world::Fault::Kill | world::Fault::Remove => {
+            fault::Fault::Kill | fault::Fault::Remove => {
                 self.hosts[at].engine = None;
                 self.hosts[at].life += 1;
             }
-            world::Fault::Freeze => self.hosts[at].frozen = true,
-            world::Fault::Outage => self.down = true,
-            world::Fault::Crash => {
+            fault::Fault::Freeze => self.hosts[at].frozen = true,
+            fault::Fault::Outage => self.down = true,
+            fault::Fault::Crash => {
                 if !self.workers[at].alive {
                     return;
                 }
                 self.workers[at].alive = false;
             }
-            world::Fault::Unlist => {
+            fault::Fault::Unlist => {
                 if !self.workers[at].alive || !self.workers[at].listed {
                     return;
                 }
                 self.workers[at].listed = false;
                 self.tell_member(at);
             }
-            world::Fault::Cut => self.workers[at].reachable = false,
-            world::Fault::Sick => self.workers[at].fails_all = true,
+            fault::Fault::Cut => self.workers[at].reachable = false,
+            fault::Fault::Sick => self.workers[at].fails_all = true,
         }
         self.send(time::Duration::from_secs(secs), world::Message::Mend(fault, at));
     }
 
     /// Lets a fault end.
-    pub(super) fn mend(&mut self, fault: world::Fault, at: usize) {
+    pub(super) fn mend(&mut self, fault: fault::Fault, at: usize) {
         match fault {
-            world::Fault::Kill => {
+            fault::Fault::Kill => {
                 if self.hosts[at].engine.is_none() {
                     self.boot(at);
                 }
             }
-            world::Fault::Remove => {
+            fault::Fault::Remove => {
                 self.hosts.push(world::Host::default());
                 self.boot(self.hosts.len() - 1);
             }
-            world::Fault::Freeze => {
+            fault::Fault::Freeze => {
                 self.hosts[at].frozen = false;
                 let inbox = std::mem::take(&mut self.hosts[at].inbox);
                 inbox.into_iter().for_each(|event| self.step(at, event));
             }
-            world::Fault::Outage => self.down = false,
-            world::Fault::Crash => {
+            fault::Fault::Outage => self.down = false,
+            fault::Fault::Crash => {
                 self.workers[at].listed = false;
                 self.add_worker();
                 self.tell_member(at);
                 self.tell_member(self.workers.len() - 1);
             }
-            world::Fault::Unlist => {
+            fault::Fault::Unlist => {
                 self.workers[at].alive = false;
                 self.add_worker();
                 self.tell_member(self.workers.len() - 1);
             }
-            world::Fault::Cut => self.workers[at].reachable = true,
-            world::Fault::Sick => self.workers[at].fails_all = false,
+            fault::Fault::Cut => self.workers[at].reachable = true,
+            fault::Fault::Sick => self.workers[at].fails_all = false,
         }
     }
 
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -38,6 +38,8 @@
     pub reachable: bool,
     /// Whether the store lists it.
     pub listed: bool,
+    /// Whether another life answers at its address.
+    pub replaced: bool,
     /// When it was out of reach last.
     pub cut: time::Duration,
     /// Whether everything it starts fails at once.
@@ -85,6 +87,7 @@
             alive: true,
             reachable: true,
             listed: true,
+            replaced: false,
             cut: time::Duration::ZERO,
             fails_all: false,
             clock_milli,
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -7,7 +7,9 @@
 use rand::{RngExt as _, SeedableRng as _};
 use wharflane::{id, job, rows as table, size};
 
-use super::{judge, rows, worker};
+use super::{fault, judge, rows, worker};
+
+pub use super::fault::Faults;
 
 /// How finely time passes.
 pub(super) const STEP: time::Duration = time::Duration::from_millis(10);
@@ -32,39 +34,6 @@
 /// The time that a start carried out late may go unnoticed.
 pub const CONTACT: time::Duration = time::Duration::from_secs(3);
 
-/// How much goes wrong, as chances in thousandths or counts over the time of faults.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Faults {
-    /// Starts without an answer that are carried out 2 to 12 s later.
-    pub late_starts: u32,
-    /// Looks and starts that are carried out and not answered.
-    pub lost_answers: u32,
-    /// Stops without an answer, half of which are never carried out and half 2 to 12 s later.
-    pub lost_stops: u32,
-    /// Transactions that are made and not answered.
-    pub lost_txns: u32,
-    /// Transactions that are made 1 to 6 s later and not answered.
-    pub late_txns: u32,
-    /// Kills of the holder.
-    pub kills: u32,
-    /// Holders that are removed for good; another host joins 4 s later.
-    pub removals: u32,
-    /// Freezes of the holder for 4 s.
-    pub freezes: u32,
-    /// Probes of a living holder that are refused or lost on the way.
-    pub refused_probes: u32,
-    /// Outages of the store for 4 s.
-    pub outages: u32,
-    /// Workers that die in silence; a new life comes 4 s later.
-    pub crashes: u32,
-    /// Workers whose entry goes while they serve on for 8 s; a new life comes then.
-    pub unlisted: u32,
-    /// Workers that can't be reached for 7 s and run on.
-    pub cuts: u32,
-    /// Workers that fail all that they start for 5 s.
-    pub sick: u32,
-}
-
 /// A message on its way.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -81,9 +50,13 @@
     /// Back to a life of a host.
     Back(usize, u64, Box<job::Event>),
     /// A fault begins.
-    Fault(Fault),
+    Fault(fault::Fault),
     /// A fault ends.
-    Mend(Fault, usize),
+    Mend(fault::Fault, usize),
+    /// A worker crashes under a task that it has just started.
+    Crash(usize),
+    /// Another life of a crashed worker takes its place.
+    Replace(usize),
     /// The feed of accepted jobs answers the hosts that follow it.
     Feed,
     /// A caller hands in a job.
@@ -92,27 +65,6 @@
     Cancel(job::JobId),
 }
 
-/// A kind of fault that strikes one thing for a time.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Fault {
-    /// The holder is killed.
-    Kill,
-    /// The holder is removed for good.
-    Remove,
-    /// The holder stands still.
-    Freeze,
-    /// The store is down.
-    Outage,
-    /// A worker dies.
-    Crash,
-    /// A worker's entry goes.
-    Unlist,
-    /// A worker can't be reached.
-    Cut,
-    /// A worker fails everything.
-    Sick,
-}
-
 /// A host of the world.
 #[derive(Debug, Default)]
 pub(super) struct Host {
@@ -134,7 +86,7 @@
     /// Chance.
     pub(super) rng: rand::rngs::StdRng,
     /// How much goes wrong.
-    faults: Faults,
+    pub(super) faults: Faults,
     /// The hosts.
     pub(super) hosts: Vec<Host>,
     /// The store.
@@ -181,14 +133,14 @@
         (0..jobs).for_each(|_| world.plan(Message::Submit));
         world.send(FEED, Message::Feed);
         let kinds = [
-            (faults.kills, Fault::Kill),
-            (faults.freezes, Fault::Freeze),
-            (faults.removals, Fault::Remove),
-            (faults.unlisted, Fault::Unlist),
-            (faults.outages, Fault::Outage),
-            (faults.crashes, Fault::Crash),
-            (faults.cuts, Fault::Cut),
-            (faults.sick, Fault::Sick),
+            (faults.kills, fault::Fault::Kill),
+            (faults.freezes, fault::Fault::Freeze),
+            (faults.removals, fault::Fault::Remove),
+            (faults.unlisted, fault::Fault::Unlist),
+            (faults.outages, fault::Fault::Outage),
+            (faults.crashes, fault::Fault::Crash),
+            (faults.cuts, fault::Fault::Cut),
+            (faults.sick, fault::Fault::Sick),
         ];
         for (count, fault) in kinds {
             (0..count).for_each(|_| world.plan(Message::Fault(fault)));
@@ -219,13 +171,11 @@
     pub fn unfinished(&self) -> Vec<String> {
         let mut left = Vec::new();
         for (id, job) in &self.judge.jobs {
-            let key = job::progress_key(0, *id);
-            let row = self.rows.get(&key).and_then(|row| row.value);
-            let progress = row.and_then(|text| job::Progress::decode(&text).ok());
-            let phase = progress.map_or(job::Phase::Queued, |progress| progress.phase);
+            let phase = self.phase(*id);
             let running = self.running(*id);
             let lasting = job.steps.iter().any(|step| step.lasting);
-            let well = match (self.cancelled.contains_key(id), lasting) {
+            let culprit = self.has_culprit(*id);
+            let well = match (self.cancelled.contains_key(id), lasting && !culprit) {
                 (true, _) => phase.ended() && running == 0,
                 (false, true) => running as u64 == job.task_count(),
                 (false, false) => phase.ended() && running == 0,
@@ -237,6 +187,13 @@
         left
     }
 
+    /// Returns what a caller would be told of a job.
+    pub(super) fn phase(&self, id: job::JobId) -> job::Phase {
+        let row = self.rows.get(&job::progress_key(0, id)).and_then(|row| row.value);
+        let progress = row.and_then(|text| job::Progress::decode(&text).ok());
+        progress.map_or(job::Phase::Queued, |progress| progress.phase)
+    }
+
     /// Returns how many ends no holder has acknowledged.
     #[must_use]
     pub fn open_ends(&self) -> usize {
@@ -474,6 +431,8 @@
             }
             Message::Fault(fault) => self.strike(fault),
             Message::Mend(fault, at) => self.mend(fault, at),
+            Message::Crash(at) => self.crash(at),
+            Message::Replace(at) => self.replace(at),
             Message::Feed => self.feed(),
             Message::Submit => self.submit(),
             Message::Cancel(job) => self.cancel(job),
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -83,5 +83,6 @@
         lost_stops: 50,
         removals: 2,
         unlisted: 2,
+        culprits: 0,
     }),
 }
