Tasks under which workers crash are counted, started alone and given up

Cause: a worker that crashes tells no end, and the holder freed and started again whatever was there; only ends told as failed were attempts. Class: an effect of a task that comes back as the loss of its worker had no bound. Change: each loss of a worker counts under the tasks that may have caused it (not seen at work there for 1 s; the worker neither leaving nor listed as alive), in the job's row, so that the next holder goes on. Suspects start on a worker with little else which takes nothing new until they are cleared; a task is given up after three losses as a suspect of which two were its alone, or after five without that. Ruled out: counting alone.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod ablate;
 pub mod capacity;
 pub mod compare;
+pub mod crashes;
 pub mod fleet;
 pub mod forwarder;
 pub mod hall;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::alloc;
 use std::path;
 use wharflane_bench::{
-    capacity, compare, forwarder, harm, journal, limits, plays, recovery, routing, sharing,
+    capacity, compare, crashes, forwarder, harm, journal, limits, plays, recovery, routing, sharing,
 };
 
 /// Counts what is allocated.
@@ -24,6 +24,13 @@
                 .help("Only the size with so many workers")
                 .value_parser(clap::value_parser!(usize)),
         ),
+        clap::Command::new("crashes").about("Tasks under which workers crash").arg(
+            clap::Arg::new("seeds")
+                .long("seeds")
+                .help("How many worlds for each row")
+                .default_value("100")
+                .value_parser(clap::value_parser!(u64)),
+        ),
         clap::Command::new("journal").about("Scores of the users' bench by commit"),
         clap::Command::new("forwarder").about("A host's cost against a bare forwarder"),
         compare_command(),
@@ -42,6 +49,7 @@
         Some(("decisions", args)) => {
             capacity::print_decisions(args.get_one("workers").copied());
         }
+        Some(("crashes", args)) => crashes::print(args.get_one("seeds").copied().unwrap_or(100)),
         Some(("journal", _)) => journal::print()?,
         Some(("compare", args)) => compare_trees(args)?,
         _ => forwarder::print(),
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -165,11 +165,11 @@
         if held && self.engine.left() {
             self.generation.fetch_add(1, atomic::Ordering::Relaxed);
         }
-        self.shared
-            .metrics
-            .hall_held
-            .with_label_values(&["jobs"])
-            .set(i64::from(self.engine.holding().is_some()));
+        let metrics = &self.shared.metrics;
+        let holding = self.engine.holding();
+        metrics.hall_held.with_label_values(&["jobs"]).set(i64::from(holding.is_some()));
+        let given_up = holding.map_or(0, job::Holding::given_up);
+        metrics.jobs_given_up.set(i64::try_from(given_up).unwrap_or(i64::MAX));
     }
 
     /// Carries out one effect beside the actor and brings the result back as an event.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -48,6 +48,8 @@
     pub hall_held: prometheus::IntGaugeVec,
     /// How much later than due the holder of the job service took its last tick, in milliseconds.
     pub holder_lag_ms: prometheus::IntGauge,
+    /// Jobs given up since workers crashed under a task of theirs, while this host has held the job service.
+    pub jobs_given_up: prometheus::IntGauge,
     /// Commits by hall.
     pub commits: prometheus::IntGaugeVec,
     /// Records in commits, by hall.
@@ -111,6 +113,10 @@
                 "wharflane_holder_lag_ms",
                 "Lag of the job service's holder.",
             )?)?,
+            jobs_given_up: builder.keep(prometheus::IntGauge::new(
+                "wharflane_jobs_given_up",
+                "Jobs given up since workers crashed under a task, since the lease was taken.",
+            )?)?,
             commits: builder.gauge("hall_commits", "Commits since taken.", &["hall"])?,
             commit_records: builder.gauge("hall_commit_records", "Records in them.", &["hall"])?,
             commit_bytes: builder.gauge("hall_commit_bytes", "Bytes in them.", &["hall"])?,
--- a/crates/stand-in/src/jobs/culprit.rs
+++ b/crates/stand-in/src/jobs/culprit.rs
@@ -45,7 +45,9 @@
         let here: Vec<_> = self.workers[at].since().collect();
         for (task, began) in here {
             let culprit = self.is_culprit(task);
-            self.judge.crashed(task, culprit, now.saturating_sub(began));
+            let ends = self.behaviour(task).work.is_some();
+            let at_work = if ends { now.saturating_sub(began) } else { time::Duration::ZERO };
+            self.judge.crashed(task, culprit, at_work);
         }
         let away = time::Duration::from_millis(self.rng.random_range(AWAY_MS));
         self.send(away, world::Message::Replace(at));
--- a/crates/stand-in/src/jobs/judge.rs
+++ b/crates/stand-in/src/jobs/judge.rs
@@ -92,7 +92,7 @@
     failures: collections::BTreeMap<job::TaskId, u32>,
     /// The workers that crashed under each task that crashes them, and its starts after the third.
     crashes: collections::BTreeMap<job::TaskId, (u32, u32)>,
-    /// The work of other tasks that was lost with the workers that such tasks crashed.
+    /// The work of other tasks that end which was lost with the workers that such tasks crashed.
     pub lost_beside: time::Duration,
     /// What was broken.
     pub breaches: Vec<Breach>,
@@ -138,12 +138,12 @@
         }
     }
 
-    /// Notes a task under which a worker has crashed, and how long it was at work there.
-    pub fn crashed(&mut self, task: job::TaskId, culprit: bool, at_work: time::Duration) {
+    /// Notes a task under which a worker has crashed, and the work that it lost.
+    pub fn crashed(&mut self, task: job::TaskId, culprit: bool, work: time::Duration) {
         if culprit {
             self.crashes.entry(task).or_default().0 += 1;
         } else {
-            self.lost_beside += at_work;
+            self.lost_beside += work;
         }
     }
 
--- a/crates/stand-in/tests/crashing_tasks.rs
+++ b/crates/stand-in/tests/crashing_tasks.rs
@@ -32,4 +32,42 @@
 
 cases! {
     workers_crash_under_tasks => judge(world::Faults::default()),
+    workers_crash_under_tasks_and_for_other_causes => judge(world::Faults {
+        crashes: 6,
+        cuts: 3,
+        unlisted: 2,
+        ..world::Faults::default()
+    }),
+    workers_crash_under_tasks_while_holders_change => judge(world::Faults {
+        kills: 4,
+        freezes: 1,
+        removals: 2,
+        ..world::Faults::default()
+    }),
+    workers_crash_under_tasks_whose_starts_are_late => judge(world::Faults {
+        late_starts: 100,
+        lost_answers: 100,
+        ..world::Faults::default()
+    }),
+    workers_crash_under_tasks_while_the_store_is_away => judge(world::Faults {
+        outages: 3,
+        lost_txns: 40,
+        late_txns: 40,
+        ..world::Faults::default()
+    }),
+    workers_crash_under_tasks_beside_everything => judge(world::Faults {
+        late_starts: 50,
+        lost_answers: 50,
+        lost_txns: 20,
+        late_txns: 20,
+        lost_stops: 50,
+        kills: 2,
+        freezes: 1,
+        removals: 1,
+        outages: 1,
+        crashes: 2,
+        cuts: 2,
+        unlisted: 1,
+        ..world::Faults::default()
+    }),
 }
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -49,6 +49,9 @@
     if let Some(view) = holding.views.get_mut(worker) {
         view.add(task, step, image);
     }
+    if !step.gang && holding.is_suspect(task) {
+        holding.set_alone(task, worker);
+    }
     let link = work::Link::Staged;
     let placed = work::Placed {
         worker: worker.clone(),
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -4,6 +4,7 @@
 use std::cmp;
 use std::time;
 
+use super::crash;
 use super::group;
 use super::harm;
 use super::holding;
@@ -43,10 +44,16 @@
     let holding = &*holding;
     let search = Search::of(holding, task, step, image, now)?;
     let outside = |view: &worker::View| within.is_some() && view.member.rack.as_deref() != within;
+    let lost_with = holding.was_lost_with(task);
     let weigh = |view: &worker::View| {
-        if outside(view) { None } else { search.weigh(holding, view) }
+        let cost = if outside(view) { None } else { search.weigh(holding, view) };
+        let stake = || crash::Stake::of(holding, view, now);
+        cost.map(|cost| (if lost_with { stake() } else { crash::Stake::default() }, cost))
     };
-    cheapest(holding, weigh, Cost::before)
+    let before = |a: &(crash::Stake, Cost), b: &(crash::Stake, Cost)| {
+        a.0.cmp(&b.0).then_with(|| a.1.compare(&b.1)).is_lt()
+    };
+    cheapest(holding, weigh, before)
 }
 
 /// What a worker is sought by.
@@ -177,11 +184,6 @@
 }
 
 impl Cost {
-    /// Returns whether this cost is lower than another.
-    fn before(&self, other: &Self) -> bool {
-        self.compare(other).is_lt()
-    }
-
     /// Returns how this cost compares with another.
     pub fn compare(&self, other: &Self) -> cmp::Ordering {
         let graver = (self.again, self.away).cmp(&(other.again, other.away));
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -315,6 +315,9 @@
             commits = self.commits,
             sought = self.sought,
             relieved = self.relieved,
+            given_up = self.given_up,
+            suspects = self.lost_under.len(),
+            kept_alone = self.views.values().filter(|view| view.alone.is_some()).count(),
             look_gap_ms = worker::millis(self.link.gap()),
             link_bytes_per_s = self.settings.link_bytes_per_s,
             "domain"
--- /dev/null
+++ b/crates/wharflane/src/job/crash.rs
@@ -0,0 +1,204 @@
+//! Tasks under which workers end: which of them may have crashed their worker, and when one is given up.
+//!
+//! A worker that crashes tells nothing, so the holder goes by what it knew of each task there. One that was seen at
+//! work for a while did not crash the worker by starting; the others are suspects. Each suspect is started
+//! again on a worker with little else, which takes nothing new until the suspect is cleared. Whoever crashed
+//! the worker crashes the next ones alone, and those who stood beside it are cleared by their next start.
+
+use std::time;
+
+use super::holding;
+use super::progress;
+use super::spec;
+use super::work;
+use super::worker;
+use crate::id;
+
+/// How long a task must be at work, by its worker's own answers, until it is no suspect any more. Workers were seen to
+/// go down 10 ms after the start that crashed them; a look takes up to a second to tell that they live.
+const CLEARED: time::Duration = time::Duration::from_millis(1_000);
+/// How long a task must be at work until no loss of a worker before counts against it.
+const SETTLED: time::Duration = time::Duration::from_secs(30);
+/// The workers lost while a task was a suspect after which it is given up. The users allow it after two, and forbid the
+/// third start after three: one more than two, since a loss may have had another cause.
+const MOST_SUSPECTED: u32 = 3;
+/// How many of these must have been lost while it was the only suspect: what stood beside the task that
+/// crashed them is lost with the first, and not with those on which it is alone.
+const LEAST_ALONE: u32 = 2;
+/// The workers lost under a task, with other suspects or with none at all, after which it is given up: the most starts
+/// that the users allow. It ends tasks that never were alone, and those that crash their worker only after a while.
+const MOST_LOST: u32 = 5;
+/// One worker in so many may be kept for a suspect alone; other work has the rest.
+const ALONE_PART: usize = 4;
+/// The same for a suspect of more than one loss, which the next ones may end: its innocence is to be found out first.
+const ALONE_PART_AGAIN: usize = 2;
+/// How long a suspect waits until it is started without being alone; the users allow no wait of 3 s.
+const ALONE_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// How long a worker is known until its life counts as steady. Workers that go down and up by turns were seen to do
+/// so every 2 to 6 s; a suspect that is lost with one of them would be blamed for it.
+const STEADY: time::Duration = time::Duration::from_secs(10);
+
+impl holding::Holding {
+    /// Notes that a worker is lost, under each task that may have crashed it. The tasks must have their worker still.
+    pub(super) fn note_loss(&mut self, tasks: &[spec::TaskId]) {
+        let mut under = Vec::new();
+        for task in tasks {
+            let placed = self.placed.get(task).filter(|placed| self.may_have_crashed(placed));
+            if let Some(placed) = placed {
+                let at_work = self.at_work(placed);
+                under.push((*task, at_work, at_work.is_none_or(|at_work| at_work < CLEARED)));
+            }
+        }
+        let suspects = under.iter().filter(|(_, _, suspected)| *suspected).count();
+        for (task, at_work, suspected) in under {
+            let Some(entry) = self.jobs.get_mut(&task.job).filter(|entry| entry.active()) else {
+                continue;
+            };
+            let state = entry.progress.tasks.entry(task.into()).or_default();
+            if state.done || !suspected && suspects > 0 {
+                continue;
+            }
+            state.losses.unexplained += u32::from(suspects == 0);
+            state.losses.suspected += u32::from(suspected);
+            let sole = suspected && suspects == 1 && at_work.is_some();
+            state.losses.alone += u32::from(sole);
+            tracing::warn!(
+                %task, run = state.run, worker = state.worker.as_ref().map(tracing::field::display),
+                suspected, suspects, at_work_ms = at_work.map(worker::millis),
+                times_suspected = state.losses.suspected, times_alone = state.losses.alone,
+                times_unexplained = state.losses.unexplained, "worker lost under a task"
+            );
+            self.lost_under.insert(task);
+            self.mark_task(task);
+        }
+    }
+
+    /// Returns whether a loss of the worker may be the task's doing: the worker was not about to leave, is not listed
+    /// as one that lives on out of reach, and an order for the task may have reached it.
+    fn may_have_crashed(&self, placed: &work::Placed) -> bool {
+        let view = self.views.get(&placed.worker);
+        let other_cause = view.is_some_and(|view| view.member.leaving || view.listed);
+        let ordered = match placed.link {
+            work::Link::Staged => false,
+            work::Link::Ordered | work::Link::There(_) | work::Link::Inherited => true,
+            work::Link::Doubtful(_) | work::Link::Lapsing => placed.doubt.fence > 0,
+        };
+        ordered && !other_cause
+    }
+
+    /// Returns how long a task was at work when its worker answered last; nothing where no answer told of it.
+    pub(super) fn at_work(&self, placed: &work::Placed) -> Option<time::Duration> {
+        let work::Link::There(since) = placed.link else {
+            return None;
+        };
+        let (_, answered) = self.views.get(&placed.worker)?.sample?;
+        Some(answered.saturating_sub(since))
+    }
+
+    /// Ends the job of a task under which too many workers were lost.
+    pub(super) fn give_up_if_lost(&mut self, task: spec::TaskId, now: time::Duration) {
+        let losses = self.losses(task);
+        if !self.wanted(task) || !losses.are_too_many() {
+            return;
+        }
+        self.given_up += 1;
+        tracing::warn!(
+            job = %task.job, %task, times_suspected = losses.suspected,
+            times_alone = losses.alone, times_unexplained = losses.unexplained, "job failed: workers crashed under its task"
+        );
+        self.end_job(task.job, progress::Phase::Failed, now);
+    }
+
+    /// Clears a task that is seen at work, and frees its worker for others.
+    pub(super) fn clear_suspect(&mut self, task: spec::TaskId) {
+        let at_work = self.placed.get(&task).and_then(|placed| self.at_work(placed));
+        let Some(at_work) = at_work.filter(|at_work| *at_work >= CLEARED) else {
+            return;
+        };
+        let worker = self.placed.get(&task).map(|placed| placed.worker.clone());
+        if let Some(view) = worker.and_then(|worker| self.views.get_mut(&worker)) {
+            self.changed |= view.alone.take_if(|alone| *alone == task).is_some();
+        }
+        let before = self.losses(task);
+        let settled = at_work >= SETTLED;
+        let unexplained = if settled { 0 } else { before.unexplained };
+        let after = progress::Losses { unexplained, ..progress::Losses::default() };
+        if settled {
+            self.lost_under.remove(&task);
+        }
+        let entry = self.jobs.get_mut(&task.job).filter(|_| after != before);
+        if let Some(state) = entry.and_then(|entry| entry.progress.tasks.get_mut(&task.into())) {
+            state.losses = after;
+            tracing::info!(%task, times_unexplained = unexplained, "no suspect any more");
+            self.mark_task(task);
+        }
+    }
+
+    /// Returns whether a worker was lost under a task, and that still counts.
+    pub(super) fn was_lost_with(&self, task: spec::TaskId) -> bool {
+        self.lost_under.contains(&task)
+    }
+
+    /// Returns whether a task may have crashed the worker that was lost under it by its start.
+    pub(super) fn is_suspect(&self, task: spec::TaskId) -> bool {
+        self.lost_under.contains(&task) && self.losses(task).suspected > 0
+    }
+
+    /// Returns the workers that were lost under a task.
+    fn losses(&self, task: spec::TaskId) -> progress::Losses {
+        let entry = self.jobs.get(&task.job);
+        let state = entry.and_then(|entry| entry.progress.tasks.get(&task.into()));
+        state.map(|state| state.losses).unwrap_or_default()
+    }
+
+    /// Keeps others off the worker of a suspect, as long as few workers are kept so.
+    pub(super) fn set_alone(&mut self, task: spec::TaskId, worker: &id::WorkerId) {
+        let more = self.may_keep_alone(task);
+        if let Some(view) = self.views.get_mut(worker).filter(|_| more) {
+            view.alone = Some(task);
+        }
+    }
+
+    /// Returns whether a suspect is to wait until a worker may be kept for it alone.
+    pub(super) fn waits_to_be_alone(&self, ready: &work::Ready, now: time::Duration) -> bool {
+        let waited = now.saturating_sub(ready.since);
+        self.is_suspect(ready.task) && waited < ALONE_WAIT && !self.may_keep_alone(ready.task)
+    }
+
+    /// Returns whether one more worker may be kept for a suspect alone; one that fell silent is no loss for others.
+    fn may_keep_alone(&self, task: spec::TaskId) -> bool {
+        let again = self.losses(task).suspected > 1;
+        let most = self.views.len() / if again { ALONE_PART_AGAIN } else { ALONE_PART };
+        let most = most.max(1);
+        let alone = self.views.values().filter(|view| view.alone.is_some() && view.misses == 0);
+        alone.count() < most
+    }
+}
+
+/// What speaks against a worker for a task under which one was lost, before all else.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Stake {
+    /// Its life is young, so that it may go for another reason.
+    young: bool,
+    /// The tasks there under which a worker was lost too: together none of them could be told from the others.
+    lost_under: usize,
+    /// The tasks whose work would be lost.
+    tasks: usize,
+}
+
+impl Stake {
+    /// Returns what is at stake on a worker.
+    pub fn of(holding: &holding::Holding, view: &worker::View, now: time::Duration) -> Self {
+        let young = now.saturating_sub(view.known_since) < STEADY;
+        let lost_under = view.tasks.iter().filter(|task| holding.was_lost_with(**task)).count();
+        Self { young, lost_under, tasks: view.tasks.len() }
+    }
+}
+
+impl progress::Losses {
+    /// Returns whether a task under which workers were lost so often is to be given up.
+    fn are_too_many(self) -> bool {
+        let alone = self.suspected >= MOST_SUSPECTED && self.alone >= LEAST_ALONE;
+        alone || self.suspected + self.unexplained >= MOST_LOST
+    }
+}
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -106,6 +106,10 @@
     pub(super) link: link::Link,
     /// When most of the workers on which something runs were last silent at once.
     pub(super) many_silent: Option<time::Duration>,
+    /// The tasks under which a worker was lost, as far as that still counts.
+    pub(super) lost_under: collections::BTreeSet<spec::TaskId>,
+    /// The jobs that were given up since workers crashed under a task.
+    pub(super) given_up: u64,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be given up.
@@ -135,6 +139,8 @@
     pub sought: u64,
     /// How many tasks were started in need, since the lease was taken.
     pub relieved: u64,
+    /// How many jobs were given up since workers crashed under a task, since the lease was taken.
+    pub given_up: u64,
     /// The pause between two looks at a busy worker, in milliseconds; more than 50 where the host's link is thin.
     pub look_gap_ms: u64,
     /// How long a task that its caller guesses at one second is likely to take, in milliseconds, by
@@ -196,6 +202,8 @@
             unlisted: Vec::new(),
             link: link::Link::new(settings.link_bytes_per_s, taken),
             many_silent: None,
+            lost_under: collections::BTreeSet::new(),
+            given_up: 0,
             fenced: false,
             leaving: false,
             hurries: false,
@@ -216,6 +224,7 @@
             workers: self.views.len(),
             sought: self.sought,
             relieved: self.relieved,
+            given_up: self.given_up,
             look_gap_ms: worker::millis(self.link.gap()),
             times_ms: self.learned.times.dump(),
             harm: self.learned.harm.dump(),
@@ -228,6 +237,12 @@
         self.sought
     }
 
+    /// Returns how many jobs were given up since workers crashed under a task, since the lease was taken.
+    #[must_use]
+    pub fn given_up(&self) -> u64 {
+        self.given_up
+    }
+
     /// Asks to give the lease up as soon as everything is written.
     pub(super) fn leave(&mut self) {
         self.leaving = true;
@@ -303,6 +318,9 @@
             view.remove(task, step);
         }
         self.strains.remove(&task);
+        if self.lost_under.contains(&task) && !self.wanted(task) {
+            self.lost_under.remove(&task);
+        }
         self.staged.retain(|staged| *staged != task);
         self.mark_task(task);
         self.open_step(task.job, task.round, task.step);
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -171,6 +171,9 @@
             let known = self.placed.get(&row.task);
             let ours = known.is_some_and(|p| p.run == row.run && p.worker == *worker);
             self.note_begun(row.task.job);
+            if ours && self.lost_under.contains(&row.task) {
+                self.clear_suspect(row.task);
+            }
             if !ours {
                 self.stop_stray(worker, row);
             } else if !self.wanted(row.task) || leaving && self.leaves(row.task, row.percent) {
--- a/crates/wharflane/src/job/lost.rs
+++ b/crates/wharflane/src/job/lost.rs
@@ -1,5 +1,6 @@
 //! Workers whose life is over, or whose leases have lapsed, and the tasks that were on them.
 
+use std::collections;
 use std::time;
 
 use super::holding;
@@ -23,31 +24,25 @@
             silent_ms = view.silence(self.now).map(worker::millis), "worker's life is over"
         );
         view.listed = false;
-        for task in tasks {
-            self.free_lost(task, "worker gone");
-        }
+        self.free_lost(&tasks, "worker gone");
         self.views.remove(worker);
     }
 
-    /// Frees a task whose worker is lost, and tells how long it was at work there as far as that is known.
-    fn free_lost(&mut self, task: spec::TaskId, why: &'static str) {
-        if let Some(placed) = self.placed.get(&task) {
-            let at_work_ms = self.at_work(placed).map(worker::millis);
-            tracing::info!(
-                %task, run = placed.run, worker = %placed.worker, why, at_work_ms,
-                unanswered = placed.doubt.unanswered, "task freed"
-            );
+    /// Frees tasks whose worker is lost, tells how long they were at work there as far as that is known, and gives up
+    /// those under which too many were lost.
+    fn free_lost(&mut self, tasks: &[spec::TaskId], why: &'static str) {
+        self.note_loss(tasks);
+        for task in tasks {
+            if let Some(placed) = self.placed.get(task) {
+                tracing::info!(
+                    %task, run = placed.run, worker = %placed.worker, why,
+                    at_work_ms = self.at_work(placed).map(worker::millis),
+                    unanswered = placed.doubt.unanswered, "task freed"
+                );
+            }
+            self.give_back(*task);
+            self.give_up_if_lost(*task, self.now);
         }
-        self.give_back(task);
-    }
-
-    /// Returns how long a task was at work when its worker answered last; nothing where no answer told of it.
-    fn at_work(&self, placed: &work::Placed) -> Option<time::Duration> {
-        let work::Link::There(since) = placed.link else {
-            return None;
-        };
-        let (_, answered) = self.views.get(&placed.worker)?.sample?;
-        Some(answered.saturating_sub(since))
     }
 
     /// Frees the tasks of silent workers once everything granted there has lapsed.
@@ -69,9 +64,7 @@
                 %worker, tasks = tasks.len(), granted_ms = view.granted_ms,
                 clock_ms = view.clock_ms(now), "leases of a silent worker have lapsed"
             );
-            for task in tasks {
-                self.free_lost(task, "lease lapsed");
-            }
+            self.free_lost(&tasks, "lease lapsed");
         }
         self.views
             .retain(|_, view| view.listed || !view.tasks.is_empty() || !view.unrecorded.is_empty());
@@ -105,9 +98,12 @@
         let lost = self.placed.iter().filter(|(_, placed)| {
             placed.link == work::Link::Inherited && !self.views.contains_key(&placed.worker)
         });
-        let lost: Vec<spec::TaskId> = lost.map(|(task, _)| *task).collect();
-        for task in lost {
-            self.free_lost(task, "lease lapsed, worker unknown");
+        let mut by_worker = collections::BTreeMap::<_, Vec<spec::TaskId>>::new();
+        for (task, placed) in lost {
+            by_worker.entry(placed.worker.clone()).or_default().push(*task);
+        }
+        for tasks in by_worker.values() {
+            self.free_lost(tasks, "lease lapsed, worker unknown");
         }
     }
 
--- a/crates/wharflane/src/job/members.rs
+++ b/crates/wharflane/src/job/members.rs
@@ -32,7 +32,7 @@
         &mut self,
         worker: &id::WorkerId,
         member: Option<order::Member>,
-        _now: time::Duration,
+        now: time::Duration,
     ) {
         self.changed = true;
         let Some(member) = member else {
@@ -51,7 +51,7 @@
             return;
         }
         tracing::debug!(%worker, addr = %member.addr, labels = ?member.labels, "worker listed first");
-        let mut view = worker::View::new(member, self.inherited_until());
+        let mut view = worker::View::new(member, self.inherited_until(), now);
         for (task, placed) in self.placed.iter().filter(|(_, placed)| placed.worker == *worker) {
             let entry = self.jobs.get(&task.job);
             if let Some(step) = entry.and_then(|entry| entry.job.step(task.step)) {
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -11,6 +11,7 @@
 mod call;
 mod choose;
 mod commit;
+mod crash;
 mod ends;
 mod engine;
 mod event;
@@ -59,7 +60,7 @@
     EndKind, Ended, Lists, Look, LookAnswer, Member, Order, Pace, Running, Start, StartAnswer,
     StartRefusal,
 };
-pub use progress::{Phase, Place, Progress, Task};
+pub use progress::{Losses, Phase, Place, Progress, Task};
 pub use queue::{Queue, Queues};
 pub use rows::{
     Accepted, JOBS, LEARNED, LEASES, Lease, PROGRESS, WAITING, Waiting, domain_of, job_key,
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -269,7 +269,14 @@
                 }
                 self.start_refused(order.task);
             }
-            order::StartAnswer::Gone => self.worker_gone(&order.worker),
+            order::StartAnswer::Gone => {
+                let unanswered = self.placed.get(&order.task).map_or(0, |p| p.doubt.unanswered);
+                if unanswered == 0 {
+                    // The life that was meant never had the order, so its end is not this task's doing.
+                    self.free(order.task, "its worker is another by now");
+                }
+                self.worker_gone(&order.worker);
+            }
             order::StartAnswer::Silent => {
                 self.set_link(order.task, work::Link::Doubtful(now + ORDER_AGAIN));
                 if let Some(placed) = self.placed.get_mut(&order.task) {
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -103,6 +103,10 @@
     let mut ranking = None;
     let mut next = Some(group.first);
     while let Some(ready) = next {
+        if !step.gang && holding.waits_to_be_alone(&ready, now) {
+            next = next_of(holding, &group, ready.task, now);
+            continue;
+        }
         let placed = if step.gang {
             gang::place(holding, &ready, step, choose::choose, now)
         } else if group.returning {
@@ -295,7 +299,7 @@
 }
 
 /// Seeks a worker for one task of a group: in the group's ranking, unless it differs from its kin by a worker where
-/// it failed, or draws its kin near.
+/// it failed or that was lost under it, or draws its kin near.
 fn seek(
     holding: &mut holding::Holding,
     ranking: &mut Option<ranking::Ranking>,
@@ -304,7 +308,8 @@
     now: time::Duration,
 ) -> Option<id::WorkerId> {
     let entry = holding.jobs.get(&task.job)?;
-    if step.same_rack || choose::failed_on(entry, task).is_some() {
+    let differs = choose::failed_on(entry, task).is_some() || holding.was_lost_with(task);
+    if step.same_rack || differs {
         return choose::choose(holding, task, step, None, now);
     }
     if ranking.is_none() {
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -58,6 +58,24 @@
     }
 }
 
+/// The workers that were lost under a task, since it was last at work for long.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Losses {
+    /// Those that it may have crashed by its start, since it was not seen at work there for a while.
+    pub suspected: u32,
+    /// Those of them where nothing else there may have done it.
+    pub alone: u32,
+    /// Those where it was at work for a while, and so was everything else.
+    pub unexplained: u32,
+}
+
+impl Losses {
+    /// Returns whether none counts.
+    fn is_none(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// One task that was started at least once.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Task {
@@ -73,6 +91,8 @@
     pub checkpoint: String,
     /// The run that saved it; zero where another holder heard of it.
     pub saved_run: u32,
+    /// The workers that were lost under it.
+    pub losses: Losses,
     /// Where it failed last; lost with the holder.
     pub failed_on: Option<id::WorkerId>,
 }
@@ -89,6 +109,11 @@
         self.done || !self.failed_runs.is_empty() || !self.checkpoint.is_empty()
     }
 
+    /// Returns whether nothing is known of it but its last start.
+    fn has_only_started(&self) -> bool {
+        self.failed_runs.is_empty() && self.checkpoint.is_empty() && self.losses.is_none()
+    }
+
     /// Notes what a run saved, unless a later run saved something; returns whether that is news. Nothing, and a
     /// text too long to be kept, leave it as it was.
     pub(super) fn save(&mut self, run: u32, checkpoint: &str) -> bool {
@@ -172,6 +197,9 @@
     /// The checkpoint.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     saved: String,
+    /// The workers that were lost under it.
+    #[serde(default, skip_serializing_if = "Losses::is_none")]
+    lost: Losses,
 }
 
 impl Kept {
@@ -181,7 +209,7 @@
         match (&task.worker, task.done) {
             // Nothing starts it again, so that neither its runs nor what it saved count any more.
             (None, true) => self.add_done(place),
-            (Some(worker), false) if task.failed_runs.is_empty() && task.checkpoint.is_empty() => {
+            (Some(worker), false) if task.has_only_started() => {
                 self.on.push((round, step, index, task.run, worker.clone()));
             }
             _ => self.tasks.push(KeptTask {
@@ -191,6 +219,7 @@
                 on: task.worker.clone(),
                 done: task.done,
                 saved: task.checkpoint.clone(),
+                lost: task.losses,
             }),
         }
     }
@@ -223,6 +252,7 @@
                 worker: task.on,
                 done: task.done,
                 checkpoint: task.saved,
+                losses: task.lost,
                 ..Task::default()
             };
             (Place { round, step, index }, state)
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -102,6 +102,8 @@
 pub(super) struct View {
     /// The worker as it was listed last.
     pub member: order::Member,
+    /// When this holder first knew of it.
+    pub known_since: time::Duration,
     /// Whether the store lists it.
     pub listed: bool,
     /// Whether it has answered a look of this epoch, so that no earlier holder's order counts.
@@ -136,6 +138,8 @@
     pub unsound_until: time::Duration,
     /// Failed runs in a row.
     pub failures: u32,
+    /// The suspect that it is kept for alone, since it may have crashed its last worker.
+    pub alone: Option<spec::TaskId>,
     /// The tasks that serve.
     pub serving: collections::BTreeMap<spec::TaskId, Serving>,
     /// The tasks that fill.
@@ -148,9 +152,14 @@
 
 impl View {
     /// Makes the view of a worker that was not looked at yet.
-    pub fn new(member: order::Member, inherited_until: time::Duration) -> Self {
+    pub fn new(
+        member: order::Member,
+        inherited_until: time::Duration,
+        now: time::Duration,
+    ) -> Self {
         Self {
             member,
+            known_since: now,
             listed: true,
             fenced: false,
             sample: None,
@@ -168,6 +177,7 @@
             rests_until: time::Duration::ZERO,
             unsound_until: time::Duration::ZERO,
             failures: 0,
+            alone: None,
             serving: collections::BTreeMap::new(),
             filling: collections::BTreeMap::new(),
             paced: time::Duration::ZERO,
@@ -221,6 +231,7 @@
         self.listed
             && self.fenced
             && !self.member.leaving
+            && self.alone.is_none()
             && self.misses == 0
             && now >= self.rests_until
     }
@@ -304,6 +315,7 @@
     /// Gives the room of a task back.
     pub fn remove(&mut self, task: spec::TaskId, step: &spec::Step) {
         if self.tasks.remove(&task) {
+            self.alone.take_if(|alone| *alone == task);
             self.headroom = None;
             self.serving.remove(&task);
             self.filling.remove(&task);
--- a/crates/wharflane/tests/bounds.rs
+++ b/crates/wharflane/tests/bounds.rs
@@ -92,6 +92,19 @@
         let bytes = row_bytes(&job::Task { run: 1, done: true, ..job::Task::default() });
         assert!(bytes < 60, "{bytes} bytes for 100 tasks");
     },
+    tasks_of_which_much_is_known_fit_a_row => {
+        let worker: id::WorkerId = "w".repeat(200).as_str().into();
+        let state = job::Task {
+            run: 1_000_000,
+            failed_runs: [999_998, 999_999].into(),
+            worker: Some(worker),
+            checkpoint: "x".repeat(160),
+            losses: job::Losses { suspected: 4, alone: 2, unexplained: 4 },
+            ..job::Task::default()
+        };
+        let bytes = row_bytes(&state);
+        assert!(bytes <= MAX_ROW_BYTES, "{bytes} bytes for 100 tasks");
+    },
     what_was_learned_of_many_images_fits_its_rows => {
         let mut desk = many_images(40, 200, 300);
         assert_eq!(desk.refusals, 0);
--- a/crates/wharflane/tests/crashing_tasks.rs
+++ b/crates/wharflane/tests/crashing_tasks.rs
@@ -7,7 +7,10 @@
 
 mod desk;
 
-use wharflane::job;
+use std::collections;
+
+use wharflane::{id, job};
+use wharflane_stand_in::cases;
 
 /// The job whose task crashes workers.
 const JOB: u64 = 10;
@@ -16,28 +19,225 @@
 /// The most starts of a task that crashes each worker: three, and two more.
 const MOST_STARTS: usize = 5;
 
-/// Lets the worker of a task's newest start crash, and another life come.
-fn crash(desk: &mut desk::Desk) {
-    let task = job::TaskId { job: job::JobId(JOB), round: 0, step: 0, index: 0 };
-    let order = desk.order_of(task);
-    desk.silent.insert(order.worker.clone());
+/// How long a task must be at work to be no suspect any more, and a look to tell so, in milliseconds.
+const CLEARED_MS: u64 = 2_200;
+/// How long a silent worker's leases last at the most, in milliseconds.
+const LAPSED_MS: u64 = 7_000;
+
+/// Returns the first task of a job.
+fn task(job: u64) -> job::TaskId {
+    job::TaskId { job: job::JobId(job), round: 0, step: 0, index: 0 }
+}
+
+/// Lets the worker of a task's newest start crash, and another life come; returns the worker.
+fn crash(desk: &mut desk::Desk, job: u64) -> id::WorkerId {
+    let worker = desk.order_of(task(job)).worker;
+    desk.silent.insert(worker.clone());
     desk.pass(AWAY_MS, false);
+    gone(desk, &worker);
+    worker
+}
+
+/// Lets another life answer at a worker's address, and its entry go.
+fn gone(desk: &mut desk::Desk, worker: &id::WorkerId) {
     let epoch = desk.engine.holding().expect("a holder").dump().epoch;
     let answer = job::LookAnswer::Gone;
-    desk.take(job::Event::Looked { worker: order.worker.clone(), epoch, answer });
-    desk.take(job::Event::Member(order.worker, None));
+    desk.take(job::Event::Looked { worker: worker.clone(), epoch, answer });
+    desk.take(job::Event::Member(worker.clone(), None));
+}
+
+/// Returns what a job is said to be.
+fn phase(desk: &desk::Desk, job: u64) -> job::Phase {
+    let dump = desk.engine.holding().expect("a holder").dump();
+    dump.jobs[&job::JobId(job).to_string()]
+}
+
+/// Returns the workers that are counted as lost under a job's first task, as its row says.
+fn losses(desk: &desk::Desk, job: u64) -> job::Losses {
+    let key = job::progress_key(0, job::JobId(job));
+    let text = desk.rows.get(&(job::PROGRESS, key.name)).expect("a row");
+    let progress = job::Progress::decode(text).expect("progress");
+    progress.tasks[&task(job).into()].losses
 }
 
-#[test]
-fn a_task_under_which_workers_crash_is_given_up() {
+/// Returns a desk on which a task of a step has started.
+fn started(step: job::Step) -> desk::Desk {
     let mut desk = desk::Desk::new(10, Vec::new());
-    desk.submit(JOB, "first", desk::step("plain", 1_000));
+    desk.submit(JOB, "first", step);
+    desk.pass(100, false);
+    desk
+}
+
+/// Returns a task that serves until its job is cancelled.
+fn lasting() -> job::Step {
+    job::Step { lasting: true, ..desk::step("plain", 1_000) }
+}
+
+/// Lets each start of a task crash its worker after a time, and bounds the starts.
+fn bounds_starts(mut desk: desk::Desk, after_ms: u64) {
     for _ in 0..8 {
-        desk.pass(100, false);
-        crash(&mut desk);
+        desk.pass(after_ms, false);
+        if phase(&desk, JOB) != job::Phase::Failed {
+            crash(&mut desk, JOB);
+        }
     }
     desk.pass(100, false);
     assert!(desk.starts(JOB).len() <= MOST_STARTS, "{} starts", desk.starts(JOB).len());
-    let dump = desk.engine.holding().expect("a holder").dump();
-    assert_eq!(dump.jobs.values().collect::<Vec<_>>(), [&job::Phase::Failed]);
+    assert_eq!(phase(&desk, JOB), job::Phase::Failed);
+}
+
+cases! {
+    a_task_under_which_workers_crash_is_given_up => {
+        bounds_starts(started(desk::step("plain", 1_000)), 100);
+    },
+    a_lasting_task_under_which_workers_crash_is_given_up => bounds_starts(started(lasting()), 100),
+    a_filling_task_under_which_workers_crash_is_given_up => {
+        bounds_starts(started(desk::step("filling", 1_000)), 100);
+    },
+    a_task_that_crashes_workers_after_a_while_is_given_up => {
+        bounds_starts(started(lasting()), CLEARED_MS);
+    },
+    a_task_whose_starts_are_never_answered_is_given_up => {
+        let mut desk = desk::Desk::new(10, Vec::new());
+        desk.answers.extend([job::StartAnswer::Silent; 100]);
+        desk.submit(JOB, "first", desk::step("plain", 1_000));
+        for _ in 0..8 {
+            desk.pass(100, false);
+            if let Some(order) = desk.not_taken.last().map(|start| start.order.clone()) {
+                desk.silent.insert(order.worker.clone());
+                desk.pass(300, false);
+                gone(&mut desk, &order.worker);
+            }
+        }
+        let runs: collections::BTreeSet<u32> =
+            desk.not_taken.iter().map(|start| start.order.run).collect();
+        assert!(runs.len() <= MOST_STARTS, "{runs:?}");
+        assert_eq!(phase(&desk, JOB), job::Phase::Failed);
+    },
+    the_count_goes_on_under_the_next_holder => {
+        let mut before = started(desk::step("plain", 1_000));
+        crash(&mut before, JOB);
+        before.pass(100, false);
+        let second = before.order_of(task(JOB)).worker;
+        let event = before.accepted(JOB, "first", desk::step("plain", 1_000));
+        let job::Event::Jobs(jobs) = event else {
+            panic!("no rows");
+        };
+        let mut desk = desk::Desk::after(10, (jobs, before.table(job::PROGRESS)), Vec::new());
+        desk.silent.insert(second.clone());
+        desk.pass(AWAY_MS, false);
+        gone(&mut desk, &second);
+        desk.pass(100, false);
+        assert_eq!(losses(&desk, JOB).suspected, 2);
+        crash(&mut desk, JOB);
+        desk.pass(100, false);
+        assert_eq!(phase(&desk, JOB), job::Phase::Failed);
+        assert_eq!(desk.starts(JOB), [(0, 3)]);
+    },
+    a_worker_that_went_while_nobody_held_the_domain_counts => {
+        let (jobs, rows) = desk::started_rows();
+        let mut desk = desk::Desk::after(0, (jobs, rows), Vec::new());
+        desk.take(job::Event::Listed((1..5).map(desk::member).collect()));
+        desk.pass(LAPSED_MS, false);
+        assert_eq!(losses(&desk, 1), job::Losses { suspected: 1, alone: 0, unexplained: 0 });
+    },
+    a_worker_that_leaves_is_no_crash => {
+        let mut desk = started(desk::step("plain", 1_000));
+        let worker = desk.order_of(task(JOB)).worker;
+        let at = (0..10).find(|at| desk::member(*at).id == worker).expect("a worker");
+        let leaving = job::Member { leaving: true, ..desk::member(at) };
+        desk.take(job::Event::Member(worker, Some(leaving)));
+        crash(&mut desk, JOB);
+        desk.pass(100, false);
+        assert_eq!(desk.starts(JOB).len(), 2, "it goes on elsewhere");
+        assert_eq!(losses(&desk, JOB), job::Losses::default());
+    },
+    a_worker_out_of_reach_that_is_listed_is_no_crash => {
+        let mut desk = started(desk::step("plain", 1_000));
+        let worker = desk.order_of(task(JOB)).worker;
+        desk.silent.insert(worker);
+        desk.pass(LAPSED_MS, false);
+        assert_eq!(desk.starts(JOB).len(), 2, "its lease is over");
+        assert_eq!(losses(&desk, JOB), job::Losses::default());
+    },
+    a_start_that_another_life_turned_away_is_no_crash => {
+        let mut desk = desk::Desk::new(10, Vec::new());
+        desk.answers.push_back(job::StartAnswer::Gone);
+        desk.submit(JOB, "first", desk::step("plain", 1_000));
+        desk.pass(200, false);
+        assert_eq!(desk.starts(JOB).len(), 1, "started on another worker");
+        assert_eq!(losses(&desk, JOB), job::Losses::default());
+    },
+    what_stood_beside_the_culprit_is_cleared_by_its_next_start => {
+        let mut desk = started(desk::step("plain", 1_000));
+        // The room of one worker holds both; the second is as fresh as the first.
+        desk.submit(JOB + 1, "first", desk::step("plain", 1_000));
+        desk.pass(40, false);
+        assert_eq!(desk.order_of(task(JOB)).worker, desk.order_of(task(JOB + 1)).worker);
+        crash(&mut desk, JOB);
+        desk.pass(100, false);
+        assert_eq!(losses(&desk, JOB + 1).suspected, 1);
+        assert_ne!(desk.order_of(task(JOB)).worker, desk.order_of(task(JOB + 1)).worker);
+        for _ in 0..2 {
+            crash(&mut desk, JOB);
+            desk.pass(100, false);
+        }
+        assert_eq!(phase(&desk, JOB), job::Phase::Failed);
+        assert_eq!(phase(&desk, JOB + 1), job::Phase::Running);
+        assert_eq!(losses(&desk, JOB + 1), job::Losses::default());
+        assert_eq!(desk.starts(JOB + 1).len(), 2);
+    },
+    what_stood_beside_a_culprit_that_takes_its_time_is_kept_apart_from_it => {
+        let mut desk = started(lasting());
+        desk.submit(JOB + 1, "first", lasting());
+        for _ in 0..5 {
+            desk.pass(CLEARED_MS, false);
+            crash(&mut desk, JOB);
+            desk.pass(40, false);
+        }
+        assert_eq!(phase(&desk, JOB), job::Phase::Failed);
+        assert_eq!(phase(&desk, JOB + 1), job::Phase::Running);
+        assert_eq!(losses(&desk, JOB + 1).unexplained, 1);
+    },
+    what_worked_beside_the_culprit_is_no_suspect => {
+        let mut desk = started(desk::step("plain", 1_000));
+        desk.pass(CLEARED_MS, false);
+        desk.submit(JOB + 1, "first", desk::step("plain", 1_000));
+        desk.pass(40, false);
+        assert_eq!(desk.order_of(task(JOB)).worker, desk.order_of(task(JOB + 1)).worker);
+        crash(&mut desk, JOB + 1);
+        desk.pass(100, false);
+        assert_eq!(losses(&desk, JOB), job::Losses::default());
+        assert_eq!(losses(&desk, JOB + 1).suspected, 1);
+    },
+    a_worker_that_a_suspect_is_on_takes_nothing_else_until_it_is_cleared => {
+        let mut desk = started(desk::step("plain", 1_000));
+        crash(&mut desk, JOB);
+        desk.pass(100, false);
+        let alone = desk.order_of(task(JOB)).worker;
+        for job in 1..=30 {
+            desk.submit(JOB + job, "first", desk::step("plain", 1_000));
+        }
+        desk.pass(300, false);
+        let beside = (1..=30).filter(|job| desk.order_of(task(JOB + job)).worker == alone);
+        assert_eq!(beside.count(), 0, "while it is a suspect");
+        desk.pass(CLEARED_MS, false);
+        for job in 31..=300 {
+            desk.submit(JOB + job, "first", desk::step("plain", 500));
+        }
+        desk.pass(500, false);
+        let beside = (31..=300).filter(|job| {
+            desk.starts(JOB + job).len() == 1 && desk.order_of(task(JOB + job)).worker == alone
+        });
+        assert!(beside.count() > 0, "once it is cleared");
+    },
+    a_lasting_task_whose_workers_go_from_time_to_time_is_kept => {
+        let mut desk = started(lasting());
+        for _ in 0..8 {
+            desk.pass(32_000, false);
+            crash(&mut desk, JOB);
+        }
+        desk.pass(100, false);
+        assert_eq!(phase(&desk, JOB), job::Phase::Running);
+    },
 }
