Entries and rows that others wrote or spoilt cost nothing but themselves

Cause, by reading and by tests that failed: a worker whose entry turned bad stayed in use; an unknown state counted as one that leaves; an entry without labels, version or seq was good; a row of another part of the table was an entry; a key with odd signs at the end of a page made every reading of the list fail; a job whose progress couldn't be read started anew, and the progress of a job whose own row couldn't be read was removed. Ruled out: reading pages row by row (the store writes the pages itself; only values and keys are others').

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -9,6 +9,7 @@
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::entries;
 use super::lag;
 use super::watch;
 use crate::settings;
@@ -49,6 +50,8 @@
     shared: Shared,
     /// The engine.
     engine: job::Engine,
+    /// Reads the entries of workers.
+    entries: sync::Arc<entries::Entries>,
     /// Numbers the holdings of this process; those who follow for one end with it.
     generation: sync::Arc<atomic::AtomicU64>,
     /// How late ticks are taken.
@@ -80,6 +83,7 @@
         Ok(State {
             shared: args,
             engine,
+            entries: sync::Arc::default(),
             generation: sync::Arc::default(),
             lag: lag::Lag::default(),
             slowness: job::Slowness::default(),
@@ -189,7 +193,8 @@
             job::Effect::Load => {
                 let on = self.generation.load(atomic::Ordering::Relaxed);
                 let generation = (on, sync::Arc::clone(&self.generation));
-                let follower = watch::Follower { shared, holder: myself, generation };
+                let entries = sync::Arc::clone(&self.entries);
+                let follower = watch::Follower { shared, holder: myself, entries, generation };
                 drop(tokio::spawn(follower.load(domain)));
             }
             job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -6,9 +6,10 @@
 
 use futures::{StreamExt as _, TryStreamExt as _, stream};
 use wharflane::{job, rows};
-use wharflane_adapter::{config, store};
+use wharflane_adapter::{config, entry, store};
 
 use super::Shared;
+use super::entries;
 use super::holder;
 
 /// How long the store may hold a feed open. Each call has its price, and silence goes unseen until this
@@ -76,7 +77,8 @@
 
 /// Puts a configuration in force if it is newer.
 fn take_config(shared: &Shared, holder: &ractor::ActorRef<holder::Msg>, rows: &[rows::Row]) {
-    let rows = rows.iter().filter(|row| row.name == config::CONFIG_KEY);
+    let ours = |row: &&rows::Row| row.name == config::CONFIG_KEY && row.part == config::THEIR_PART;
+    let rows = rows.iter().filter(ours);
     for text in rows.filter_map(|row| row.value.as_deref()) {
         match config::queues(text) {
             Ok(queues) if queues.revision > shared.queues.load().revision => {
@@ -99,6 +101,8 @@
     pub shared: Shared,
     /// The holder.
     pub holder: ractor::ActorRef<holder::Msg>,
+    /// Reads the entries of workers.
+    pub entries: sync::Arc<entries::Entries>,
     /// Which holding this belongs to, and the one that is on.
     pub generation: (u64, sync::Arc<atomic::AtomicU64>),
 }
@@ -109,7 +113,7 @@
         let part = job::part(domain);
         let reads = async {
             tokio::join!(
-                self.all(config::WORKERS_TABLE, config::THEIR_PART),
+                self.all(entry::WORKERS_TABLE, config::THEIR_PART),
                 self.accepted(domain),
                 self.all(job::PROGRESS, &part),
                 self.all(job::LEARNED, &part),
@@ -147,17 +151,12 @@
     /// Follows the list of workers.
     async fn follow_workers(self, mut after: u64) {
         while self.wanted() {
-            while let Some(page) = self.next(config::WORKERS_TABLE, &mut after, FEED_WAIT).await {
-                for row in &page.rows {
-                    match config::member(row) {
-                        Ok((worker, member)) => {
-                            holder::tell(&self.holder, job::Event::Member(worker, member));
-                        }
-                        Err(err) => tracing::error!(%err, "a worker's entry is passed over"),
-                    }
+            while let Some(page) = self.next(entry::WORKERS_TABLE, &mut after, FEED_WAIT).await {
+                for (worker, member) in page.rows.iter().filter_map(|row| self.entries.read(row)) {
+                    holder::tell(&self.holder, job::Event::Member(worker, member));
                 }
             }
-            match self.all(config::WORKERS_TABLE, config::THEIR_PART).await {
+            match self.all(entry::WORKERS_TABLE, config::THEIR_PART).await {
                 Ok(page) => {
                     after = page.version;
                     self.tell_list(&page);
@@ -203,14 +202,7 @@
 
     /// Tells the whole list of workers.
     fn tell_list(&self, page: &rows::Page) {
-        let members = page.rows.iter().filter_map(|row| match config::member(row) {
-            Ok((_, member)) => member,
-            Err(err) => {
-                tracing::error!(%err, "a worker's entry is passed over");
-                None
-            }
-        });
-        holder::tell(&self.holder, job::Event::Listed(members.collect()));
+        holder::tell(&self.holder, job::Event::Listed(self.entries.list(&page.rows)));
     }
 
     /// Returns the next changes while they are wanted, or nothing where the table must be read anew.
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,34 @@
+//! What tests of the job service's parts share.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use wharflane::clock;
+use wharflane_adapter::{advice, store, workers};
+use wharflane_daemon::{jobs, metrics, settings};
+
+/// How long a call may take.
+const LIMIT: time::Duration = time::Duration::from_millis(800);
+
+/// Makes what the parts of the job service share.
+pub fn shared(store: net::SocketAddr) -> jobs::Shared {
+    let text = format!(
+        "host = \"host\"\nhall = \"hall\"\n[listen]\ncaller = \"127.0.0.1:1\"\n\
+         operator = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n[jobs]\nstore = \"{store}\"\n"
+    );
+    let settings = settings::parse(&text).unwrap_or_else(|faults| panic!("{faults:?}"));
+    jobs::Shared {
+        settings: sync::Arc::new(settings),
+        clock: sync::Arc::new(clock::SystemClock::new()),
+        store: store::Store::new(store, LIMIT),
+        workers: workers::Workers::new(LIMIT),
+        advisor: advice::Advisor::new(None),
+        queues: sync::Arc::default(),
+        stopping: sync::Arc::default(),
+        store_ok_ms: sync::Arc::default(),
+        turned_away: sync::Arc::default(),
+        metrics: metrics::Metrics::new().expect("metrics"),
+        nonce: 7,
+    }
+}
--- a/crates/daemon/tests/stale_load.rs
+++ b/crates/daemon/tests/stale_load.rs
@@ -1,20 +1,16 @@
 //! A read of the state for a holding that is over is not told to the next one.
 
-use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use ractor::Actor;
-use wharflane::{clock, job};
-use wharflane_adapter::{advice, store, workers};
-use wharflane_daemon::jobs::{self, holder, watch};
-use wharflane_daemon::{metrics, settings};
+use wharflane::job;
+use wharflane_daemon::jobs::{holder, watch};
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 
-/// How long a call may take.
-const LIMIT: time::Duration = time::Duration::from_millis(800);
+mod common;
 
 /// Notes whether it was told of a state that was read.
 struct Listener(sync::Arc<atomic::AtomicUsize>);
@@ -47,28 +43,6 @@
     }
 }
 
-/// Makes what the parts of the job service share.
-fn shared(store: net::SocketAddr) -> jobs::Shared {
-    let text = format!(
-        "host = \"host\"\nhall = \"hall\"\n[listen]\ncaller = \"127.0.0.1:1\"\n\
-         operator = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n[jobs]\nstore = \"{store}\"\n"
-    );
-    let settings = settings::parse(&text).unwrap_or_else(|faults| panic!("{faults:?}"));
-    jobs::Shared {
-        settings: sync::Arc::new(settings),
-        clock: sync::Arc::new(clock::SystemClock::new()),
-        store: store::Store::new(store, LIMIT),
-        workers: workers::Workers::new(LIMIT),
-        advisor: advice::Advisor::new(None),
-        queues: sync::Arc::default(),
-        stopping: sync::Arc::default(),
-        store_ok_ms: sync::Arc::default(),
-        turned_away: sync::Arc::default(),
-        metrics: metrics::Metrics::new().expect("metrics"),
-        nonce: 7,
-    }
-}
-
 /// Reads the state for a holding, which is over or not, and returns how often the holder is told.
 async fn told(over: u64) -> usize {
     let platform = server::Platform::start(1, time::Duration::ZERO).await.expect("a platform");
@@ -76,8 +50,12 @@
     let (actor, ended) =
         Actor::spawn(None, Listener(sync::Arc::clone(&told)), ()).await.expect("an actor");
     let generation = (0, sync::Arc::new(atomic::AtomicU64::new(over)));
-    let follower =
-        watch::Follower { shared: shared(platform.store), holder: actor.clone(), generation };
+    let follower = watch::Follower {
+        shared: common::shared(platform.store),
+        holder: actor.clone(),
+        entries: sync::Arc::default(),
+        generation,
+    };
     follower.load(0).await;
     actor.drain().expect("all messages taken");
     ended.await.expect("ended");
--- a/crates/http/tests/silence.rs
+++ b/crates/http/tests/silence.rs
@@ -5,7 +5,7 @@
 
 use futures::future;
 use wharflane::{id, job, rows};
-use wharflane_adapter::{advice, config, store, workers};
+use wharflane_adapter::{advice, config, entry, store, workers};
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 use wharflane_stand_in::proxy;
@@ -121,9 +121,10 @@
     async fn start() -> Self {
         let platform = platform(1).await;
         let store = store::Store::new(platform.store, LIMIT);
-        let listed = store.all(config::WORKERS_TABLE, config::THEIR_PART).await.expect("a list");
-        let (id, member) = config::member(&listed.rows[0]).expect("a worker");
-        let proxy = before(member.expect("one that is listed").addr).await;
+        let listed = store.all(entry::WORKERS_TABLE, config::THEIR_PART).await.expect("a list");
+        let member = entry::member(&listed.rows[0]).expect("a worker");
+        let member = member.expect("one that is listed");
+        let (id, proxy) = (member.id, before(member.addr).await);
         let client = workers::Workers::new(LIMIT);
         let worker = Self { _platform: platform, proxy, client, id };
         let looks = future::join_all((0..AT_ONCE).map(|_| worker.look(WAIT))).await;
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use hyper::body;
 use wharflane::{clock, clock::Clock as _, id, job, rows as table, size};
-use wharflane_adapter::{config, serve};
+use wharflane_adapter::{config, entry, serve};
 use wharflane_http::{reply, server};
 
 use super::{judge, rows, worker};
@@ -178,7 +178,7 @@
             labels: Vec::new(),
             rack: None,
         };
-        self.write(config::WORKERS_TABLE, member.id.as_str(), serve::member(&member));
+        self.write(entry::WORKERS_TABLE, member.id.as_str(), serve::member(&member));
         let own = self.clone();
         let handle = move |request| own.clone().serve_worker(at, request);
         tokio::spawn(server::serve(listener, server::Bounds::default(), server::never(), handle));
@@ -187,8 +187,13 @@
 
     /// Writes a row of the platform's own.
     fn write(&self, table: &'static str, name: &str, value: String) {
-        let key = table::Key { table, part: String::new(), name: name.to_owned() };
-        let writes = vec![table::Write { key, value: Some(value) }];
+        let part = config::THEIR_PART.to_owned();
+        self.write_row(table::Key { table, part, name: name.to_owned() }, Some(value));
+    }
+
+    /// Writes or removes a row, as the platform or another writer may.
+    pub fn write_row(&self, key: table::Key, value: Option<String>) {
+        let writes = vec![table::Write { key, value }];
         self.lock().rows.transact(&table::Txn { expects: Vec::new(), writes });
     }
 
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -174,7 +174,7 @@
             event::Event::Queues(queues) => {
                 self.queues = sync::Arc::clone(&queues);
                 if let Role::Holding(holding) = &mut self.role {
-                    holding.queues = queues;
+                    holding.set_queues(queues);
                 }
             }
             event::Event::Jobs(rows) => {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -39,6 +39,10 @@
     pub(super) wall_ms: u64,
     /// The queues in force.
     pub(super) queues: sync::Arc<queue::Queues>,
+    /// The services whose workers jobs have been sent to; others are none of ours to call.
+    pub(super) services: collections::BTreeSet<id::ServiceId>,
+    /// The jobs whose progress can't be read: nothing of them is started, since it may have been done.
+    pub(super) unreadable: collections::BTreeSet<spec::JobId>,
     /// The jobs.
     pub(super) jobs: collections::BTreeMap<spec::JobId, work::Entry>,
     /// The workers.
@@ -159,7 +163,7 @@
         (taken, inherited): (time::Duration, time::Duration),
         queues: sync::Arc<queue::Queues>,
     ) -> Self {
-        Self {
+        let mut holding = Self {
             settings,
             lease,
             version,
@@ -168,7 +172,9 @@
             inherited,
             now: taken,
             wall_ms: 0,
-            queues,
+            queues: sync::Arc::default(),
+            services: collections::BTreeSet::new(),
+            unreadable: collections::BTreeSet::new(),
             jobs: collections::BTreeMap::new(),
             views: collections::BTreeMap::new(),
             placed: collections::BTreeMap::new(),
@@ -208,7 +214,15 @@
             leaving: false,
             hurries: false,
             out: Vec::new(),
-        }
+        };
+        holding.set_queues(queues);
+        holding
+    }
+
+    /// Puts queues in force.
+    pub(super) fn set_queues(&mut self, queues: sync::Arc<queue::Queues>) {
+        self.services.extend(queues.queues.values().map(|queue| queue.service.clone()));
+        self.queues = queues;
     }
 
     /// Returns the state for operators.
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -37,13 +37,25 @@
             *rows = (*rows).max(at + 1);
             match progress::Progress::decode(text) {
                 Ok(read) => progress.add_row(at, read),
-                Err(err) => tracing::error!(%job, %err, "progress can't be read"),
+                Err(err) => {
+                    tracing::error!(%job, %err, "progress can't be read, the job is left alone");
+                    self.unreadable.insert(job);
+                }
             }
         }
+        known.retain(|job, _| !self.unreadable.contains(job));
         for row in jobs {
             let Some((job, accepted)) = read_job(row) else {
+                // What is known of its tasks stays, for the day on which the row can be read.
+                if let Some(job) = job_of(row) {
+                    known.remove(&job);
+                    self.unreadable.insert(job);
+                }
                 continue;
             };
+            if self.unreadable.contains(&job) {
+                continue;
+            }
             let (progress, _) = known.remove(&job).unwrap_or_default();
             self.add_job(job, accepted, row.version, progress, now);
         }
@@ -55,7 +67,8 @@
     pub(super) fn jobs_read(&mut self, rows: &[rows::Row], now: time::Duration) {
         let parts: Vec<String> = kept::job_parts(self.settings.domain).collect();
         for row in rows.iter().filter(|row| parts.contains(&row.part)) {
-            let Some((job, accepted)) = read_job(row) else {
+            let read = read_job(row).filter(|(job, _)| !self.unreadable.contains(job));
+            let Some((job, accepted)) = read else {
                 continue;
             };
             let cancelled = accepted.cancelled;
@@ -80,6 +93,7 @@
         now: time::Duration,
     ) {
         let kept::Accepted { job: spec, cancelled, accepted_ms } = accepted;
+        self.services.insert(spec.service.clone());
         let accepted_ms = if accepted_ms == 0 { self.wall_ms } else { accepted_ms };
         for (place, task) in &progress.tasks {
             let Some(worker) = &task.worker else {
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -30,7 +30,9 @@
         let due = self.views.iter().filter(|(_, view)| {
             // Ends that are not committed yet would only be told again, but what runs is renewed.
             let held_back = !view.unrecorded.is_empty() && now < view.look_due + HELD_BACK;
-            view.look.is_none() && now >= view.look_due && !held_back
+            // The entry of a service that no queue names may be anybody's.
+            let ours = !view.tasks.is_empty() || self.services.contains(&view.member.service);
+            ours && view.look.is_none() && now >= view.look_due && !held_back
         });
         let due: Vec<id::WorkerId> = due.map(|(worker, _)| worker.clone()).collect();
         for worker in due {
