The clock goes on while a host is suspended, and what was decided before is not sent after

Cause, by reading: durations were reckoned by a clock that stands still while a host is suspended, so that a holder that wakes thought its lease good; and a call whose task was first run after the wake was sent on old grounds. Worlds gain suspended holders.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -9,6 +9,7 @@
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::decided;
 use super::entries;
 use super::lag;
 use super::watch;
@@ -181,6 +182,7 @@
         let myself = myself.clone();
         let shared = self.shared.clone();
         let domain = self.engine.domain();
+        let decided = decided::Decided::now(&shared.clock);
         match effect {
             job::Effect::ReadLease => drop(tokio::spawn(async move {
                 let event = read_lease(&shared, domain).await;
@@ -209,16 +211,21 @@
                 tell(&myself, job::Event::Dropped { job, done });
             })),
             job::Effect::Start(start) => drop(tokio::spawn(async move {
-                let answer = shared.workers.start(&start).await;
+                let answer = match decided.may_be_sent("start") {
+                    true => shared.workers.start(&start).await,
+                    false => job::StartAnswer::Silent,
+                };
                 tell(&myself, job::Event::Started { order: start.order, answer });
             })),
             job::Effect::Stop(order) => drop(tokio::spawn(async move {
-                if !shared.workers.stop(&order).await {
+                if !decided.may_be_sent("stop") || !shared.workers.stop(&order).await {
                     tell(&myself, job::Event::StopNotTaken(order));
                 }
             })),
             job::Effect::Pace(pace) => drop(tokio::spawn(async move {
-                shared.workers.pace(&pace).await;
+                if decided.may_be_sent("pace") {
+                    shared.workers.pace(&pace).await;
+                }
             })),
             job::Effect::Ask(question) => drop(tokio::spawn(async move {
                 let answer = shared.advisor.ask(&question).await;
@@ -228,7 +235,10 @@
                 tell(&myself, job::Event::Advised { question, answer: answer.ok() });
             })),
             job::Effect::Look(look) => drop(tokio::spawn(async move {
-                let answer = shared.workers.look(&look).await;
+                let answer = match decided.may_be_sent("look") {
+                    true => shared.workers.look(&look).await,
+                    false => job::LookAnswer::Silent,
+                };
                 let (worker, epoch) = (look.worker, look.epoch);
                 tell(&myself, job::Event::Looked { worker, epoch, answer });
             })),
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! The job service of a host: takes callers' jobs, and runs them where this host is the holder.
 
+pub mod decided;
 mod entries;
 pub mod holder;
 pub mod lag;
--- a/crates/stand-in/src/jobs/fault.rs
+++ b/crates/stand-in/src/jobs/fault.rs
@@ -31,6 +31,8 @@
     pub cuts: u32,
     /// Workers that fail all that they start for 5 s.
     pub sick: u32,
+    /// Suspensions of the holder for 4 s.
+    pub suspends: u32,
     /// Jobs with a task that crashes each worker that starts it, in thousandths of all jobs.
     pub culprits: u32,
 }
@@ -44,6 +46,8 @@
     Remove,
     /// The holder stands still.
     Freeze,
+    /// The holder is suspended.
+    Suspend,
     /// The store is down.
     Outage,
     /// A worker dies.
--- a/crates/stand-in/src/jobs/strike.rs
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -16,7 +16,10 @@
             .position(|host| host.engine.as_ref().is_some_and(|engine| engine.holding().is_some()));
         let worker = self.rng.random_range(0..self.workers.len());
         let (at, secs) = match fault {
-            fault::Fault::Kill | fault::Fault::Freeze | fault::Fault::Remove => {
+            fault::Fault::Kill
+            | fault::Fault::Freeze
+            | fault::Fault::Suspend
+            | fault::Fault::Remove => {
                 let Some(holder) = holder else {
                     return;
                 };
@@ -33,7 +36,7 @@
                 self.hosts[at].engine = None;
                 self.hosts[at].life += 1;
             }
-            fault::Fault::Freeze => self.hosts[at].frozen = true,
+            fault::Fault::Freeze | fault::Fault::Suspend => self.hosts[at].frozen = true,
             fault::Fault::Outage => self.down = true,
             fault::Fault::Crash => {
                 if !self.workers[at].alive {
@@ -66,7 +69,7 @@
                 self.hosts.push(world::Host::default());
                 self.boot(self.hosts.len() - 1);
             }
-            fault::Fault::Freeze => {
+            fault::Fault::Freeze | fault::Fault::Suspend => {
                 self.hosts[at].frozen = false;
                 let inbox = std::mem::take(&mut self.hosts[at].inbox);
                 inbox.into_iter().for_each(|event| self.step(at, event));
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -127,7 +127,7 @@
         };
         (0..workers).for_each(|_| world.add_worker());
         for _ in 0..hosts {
-            world.hosts.push(Host { engine: None, life: 0, frozen: false, inbox: Vec::new() });
+            world.hosts.push(Host::default());
         }
         (0..hosts).for_each(|host| world.boot(host));
         (0..jobs).for_each(|_| world.plan(Message::Submit));
@@ -135,6 +135,7 @@
         let kinds = [
             (faults.kills, fault::Fault::Kill),
             (faults.freezes, fault::Fault::Freeze),
+            (faults.suspends, fault::Fault::Suspend),
             (faults.removals, fault::Fault::Remove),
             (faults.unlisted, fault::Fault::Unlist),
             (faults.outages, fault::Fault::Outage),
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -49,6 +49,14 @@
         lost_answers: 50,
         ..world::Faults::default()
     }),
+    holders_suspended => judge(world::Faults { suspends: 3, ..world::Faults::default() }),
+    holders_suspended_beside_cuts_and_late_starts => judge(world::Faults {
+        suspends: 3,
+        cuts: 3,
+        late_starts: 100,
+        lost_answers: 50,
+        ..world::Faults::default()
+    }),
     store_down => judge(world::Faults { outages: 2, ..world::Faults::default() }),
     lost_stops => judge(world::Faults { lost_stops: 200, ..world::Faults::default() }),
     holders_removed => judge(world::Faults { removals: 3, ..world::Faults::default() }),
@@ -83,6 +91,7 @@
         lost_stops: 50,
         removals: 2,
         unlisted: 2,
+        suspends: 0,
         culprits: 0,
     }),
 }
--- a/crates/wharflane/src/clock.rs
+++ b/crates/wharflane/src/clock.rs
@@ -1,27 +1,33 @@
 //! The clock as an interface, so that every decision can be tested in virtual time.
+//!
+//! Time goes on while a host is suspended, since others reckon with it: leases of workers and holders, ages of what was
+//! read, callers' deadlines. The steady clock of the system stands still meanwhile, so it is not used here; a host that
+//! wakes finds its leases over by its own clock, as the others do.
 
 use std::fmt;
 use std::sync;
 use std::time;
 
+use nix::time as nix_time;
+
 /// A monotonic clock.
 pub trait Clock: fmt::Debug + Send + Sync {
     /// Returns the time since the clock's own origin.
     fn now(&self) -> time::Duration;
 }
 
-/// The clock of the operating system, counted from the moment it was made.
+/// The clock of the operating system that counts suspended time too, from the moment it was made.
 #[derive(Debug)]
 pub struct SystemClock {
-    /// The moment that counts as zero.
-    origin: time::Instant,
+    /// What it showed then.
+    origin: time::Duration,
 }
 
 impl SystemClock {
     /// Makes a clock whose origin is the present moment.
     #[must_use]
     pub fn new() -> Self {
-        Self { origin: time::Instant::now() }
+        Self { origin: boot_time() }
     }
 }
 
@@ -33,10 +39,17 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> time::Duration {
-        self.origin.elapsed()
+        boot_time().saturating_sub(self.origin)
     }
 }
 
+/// Returns the time since the system was booted, suspended or not.
+fn boot_time() -> time::Duration {
+    let shown = nix_time::clock_gettime(nix_time::ClockId::CLOCK_BOOTTIME);
+    // The kernels that we run on have this clock since 2011; without it nothing that is reckoned here would hold.
+    shown.expect("a system with CLOCK_BOOTTIME").into()
+}
+
 /// A clock that moves only when it is told to.
 #[derive(Debug, Default)]
 pub struct ManualClock {
