--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -9,6 +9,8 @@
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::decided;
+use super::entries;
 use super::lag;
 use super::watch;
 use crate::settings;
@@ -49,6 +51,8 @@
     shared: Shared,
     /// The engine.
     engine: job::Engine,
+    /// Reads the entries of workers.
+    entries: sync::Arc<entries::Entries>,
     /// Numbers the holdings of this process; those who follow for one end with it.
     generation: sync::Arc<atomic::AtomicU64>,
     /// How late ticks are taken.
@@ -80,6 +84,7 @@
         Ok(State {
             shared: args,
             engine,
+            entries: sync::Arc::default(),
             generation: sync::Arc::default(),
             lag: lag::Lag::default(),
             slowness: job::Slowness::default(),
@@ -177,6 +182,7 @@
         let myself = myself.clone();
         let shared = self.shared.clone();
         let domain = self.engine.domain();
+        let decided = decided::Decided::now(&shared.clock);
         match effect {
             job::Effect::ReadLease => drop(tokio::spawn(async move {
                 let event = read_lease(&shared, domain).await;
@@ -189,7 +195,8 @@
             job::Effect::Load => {
                 let on = self.generation.load(atomic::Ordering::Relaxed);
                 let generation = (on, sync::Arc::clone(&self.generation));
-                let follower = watch::Follower { shared, holder: myself, generation };
+                let entries = sync::Arc::clone(&self.entries);
+                let follower = watch::Follower { shared, holder: myself, entries, generation };
                 drop(tokio::spawn(follower.load(domain)));
             }
             job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
@@ -204,16 +211,21 @@
                 tell(&myself, job::Event::Dropped { job, done });
             })),
             job::Effect::Start(start) => drop(tokio::spawn(async move {
-                let answer = shared.workers.start(&start).await;
+                let answer = match decided.may_be_sent("start") {
+                    true => shared.workers.start(&start).await,
+                    false => job::StartAnswer::Silent,
+                };
                 tell(&myself, job::Event::Started { order: start.order, answer });
             })),
             job::Effect::Stop(order) => drop(tokio::spawn(async move {
-                if !shared.workers.stop(&order).await {
+                if !decided.may_be_sent("stop") || !shared.workers.stop(&order).await {
                     tell(&myself, job::Event::StopNotTaken(order));
                 }
             })),
             job::Effect::Pace(pace) => drop(tokio::spawn(async move {
-                shared.workers.pace(&pace).await;
+                if decided.may_be_sent("pace") {
+                    shared.workers.pace(&pace).await;
+                }
             })),
             job::Effect::Ask(question) => drop(tokio::spawn(async move {
                 let answer = shared.advisor.ask(&question).await;
@@ -223,7 +235,10 @@
                 tell(&myself, job::Event::Advised { question, answer: answer.ok() });
             })),
             job::Effect::Look(look) => drop(tokio::spawn(async move {
-                let answer = shared.workers.look(&look).await;
+                let answer = match decided.may_be_sent("look") {
+                    true => shared.workers.look(&look).await,
+                    false => job::LookAnswer::Silent,
+                };
                 let (worker, epoch) = (look.worker, look.epoch);
                 tell(&myself, job::Event::Looked { worker, epoch, answer });
             })),
