Room that shrinks: nothing is ordered that does not fit, and unknown runs have their room

Cause, by tests that failed without the change: a start that was written before the room shrank was ordered all the same, one in doubt was given again, and runs that are none of the holder's counted for nothing while they were being stopped; a worker that doesn't guard its room was brought over it. Change: room is looked at once more when a start goes out; where it has shrunk the task is freed, or given up by a higher fence where an order may still come; strays count with their size, or with all of the room where it is unknown. What stands over a room that has shrunk is left: stopping it would throw work away and no rule asks for it. Worlds gain workers that guard nothing and whose room shrinks to a third, judged from the worker's side. Members of a gang are left to the worker's own guard.

--- a/crates/daemon/tests/decided.rs
+++ b/crates/daemon/tests/decided.rs
@@ -10,7 +10,7 @@
 /// Returns whether an order may be sent so long after it was decided, in milliseconds by the clock.
 fn sent_after(age_ms: u64) -> bool {
     let manual = sync::Arc::new(clock::ManualClock::default());
-    let clock: sync::Arc<dyn clock::Clock> = manual.clone();
+    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::<clock::ManualClock>::clone(&manual);
     let decided = decided::Decided::now(&clock);
     manual.advance(time::Duration::from_millis(age_ms));
     decided.may_be_sent("start")
--- a/crates/stand-in/src/jobs/fault.rs
+++ b/crates/stand-in/src/jobs/fault.rs
@@ -33,6 +33,8 @@
     pub sick: u32,
     /// Suspensions of the holder for 4 s.
     pub suspends: u32,
+    /// Workers whose room shrinks to a third for 6 s; none of the world guards its room then.
+    pub shrinks: u32,
     /// Jobs with a task that crashes each worker that starts it, in thousandths of all jobs.
     pub culprits: u32,
 }
@@ -48,6 +50,8 @@
     Freeze,
     /// The holder is suspended.
     Suspend,
+    /// A worker's room shrinks.
+    Shrink,
     /// The store is down.
     Outage,
     /// A worker dies.
--- a/crates/stand-in/src/jobs/strike.rs
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -3,10 +3,15 @@
 use std::time;
 
 use rand::RngExt as _;
-use wharflane::job;
+use wharflane::{job, size};
 
 use super::{fault, world};
 
+/// The time between two beats of a worker, in milliseconds.
+const BEAT_MS: u64 = 1_100;
+/// What each worker of the world has.
+pub(super) const ROOM: size::Size = size::Size { cpu_milli: 4_000, mem_mb: 4_000, accelerators: 0 };
+
 impl world::World {
     /// Lets a fault begin.
     pub(super) fn strike(&mut self, fault: fault::Fault) {
@@ -26,6 +31,7 @@
                 (holder, 4)
             }
             fault::Fault::Outage => (0, 4),
+            fault::Fault::Shrink => (worker, 6),
             fault::Fault::Crash => (worker, 4),
             fault::Fault::Unlist => (worker, 8),
             fault::Fault::Cut => (worker, 7),
@@ -38,6 +44,13 @@
             }
             fault::Fault::Freeze | fault::Fault::Suspend => self.hosts[at].frozen = true,
             fault::Fault::Outage => self.down = true,
+            fault::Fault::Shrink => {
+                let now = self.now;
+                let worker = &mut self.workers[at];
+                worker.shrunk = Some(now);
+                worker.capacity.cpu_milli = ROOM.cpu_milli / 3;
+                self.beat(at);
+            }
             fault::Fault::Crash => {
                 if !self.workers[at].alive {
                     return;
@@ -75,6 +88,10 @@
                 inbox.into_iter().for_each(|event| self.step(at, event));
             }
             fault::Fault::Outage => self.down = false,
+            fault::Fault::Shrink => {
+                self.workers[at].capacity = ROOM;
+                self.beat(at);
+            }
             fault::Fault::Crash => {
                 self.workers[at].listed = false;
                 self.add_worker();
@@ -91,10 +108,16 @@
         }
     }
 
+    /// Lets a worker's next beat tell of its room.
+    fn beat(&mut self, at: usize) {
+        let after = time::Duration::from_millis(self.rng.random_range(0..BEAT_MS));
+        self.send(after, world::Message::Beat(at));
+    }
+
     /// Tells all hosts how a worker is listed.
     pub(super) fn tell_member(&mut self, at: usize) {
         let worker = &self.workers[at];
-        let entry = worker.listed.then(|| world::member(&worker.id));
+        let entry = worker.listed.then(|| world::member(worker));
         let event = job::Event::Member(worker.id.clone(), entry);
         for host in 0..self.hosts.len() {
             let life = self.hosts[host].life;
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -10,6 +10,9 @@
 /// How long a stop takes.
 pub const STOP: time::Duration = time::Duration::from_millis(300);
 
+/// How long after it shrank a room may be overfilled: the time in which a host counts as in touch, and a beat.
+const ROOM_KNOWN: time::Duration = time::Duration::from_millis(3_000 + 1_100);
+
 /// A run on a worker.
 #[derive(Clone, Debug)]
 struct Run {
@@ -49,7 +52,13 @@
     /// What its clock showed at the beginning, in milliseconds.
     pub clock_from_ms: u64,
     /// What it has.
-    capacity: size::Size,
+    pub capacity: size::Size,
+    /// Whether it refuses what does not fit.
+    pub guards: bool,
+    /// When its room shrank last.
+    pub shrunk: Option<time::Duration>,
+    /// Starts that brought it over its room, though that was known for long enough.
+    pub overfilled: Vec<job::TaskId>,
     /// The highest epoch seen.
     epoch: u64,
     /// Until when its tasks may run, by its clock.
@@ -93,6 +102,9 @@
             clock_milli,
             clock_from_ms: 100_000,
             capacity,
+            guards: true,
+            shrunk: None,
+            overfilled: Vec::new(),
             epoch: 0,
             lease_until_ms: 0,
             runs: collections::BTreeMap::new(),
@@ -160,9 +172,13 @@
             return refuse(job::StartRefusal::Old);
         }
         let used = self.runs.values().fold(behaviour.size, |sum, run| sum.plus(&run.size));
-        if !used.fits(&self.capacity) {
+        if !used.fits(&self.capacity) && self.guards {
             return refuse(job::StartRefusal::Room);
         }
+        let known = self.shrunk.is_none_or(|at| now >= at + ROOM_KNOWN);
+        if !used.fits(&self.capacity) && known {
+            self.overfilled.push(task);
+        }
         let work = if self.fails_all { Some(time::Duration::ZERO) } else { behaviour.work };
         let run = Run {
             run: number,
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -5,9 +5,9 @@
 use std::time;
 
 use rand::{RngExt as _, SeedableRng as _};
-use wharflane::{id, job, rows as table, size};
+use wharflane::{id, job, rows as table};
 
-use super::{fault, judge, rows, worker};
+use super::{fault, judge, rows, strike, worker};
 
 pub use super::fault::Faults;
 
@@ -57,6 +57,8 @@
     Crash(usize),
     /// Another life of a crashed worker takes its place.
     Replace(usize),
+    /// A worker tells of its room.
+    Beat(usize),
     /// The feed of accepted jobs answers the hosts that follow it.
     Feed,
     /// A caller hands in a job.
@@ -139,6 +141,7 @@
             (faults.removals, fault::Fault::Remove),
             (faults.unlisted, fault::Fault::Unlist),
             (faults.outages, fault::Fault::Outage),
+            (faults.shrinks, fault::Fault::Shrink),
             (faults.crashes, fault::Fault::Crash),
             (faults.cuts, fault::Fault::Cut),
             (faults.sick, fault::Fault::Sick),
@@ -195,6 +198,12 @@
         progress.map_or(job::Phase::Queued, |progress| progress.phase)
     }
 
+    /// Returns the starts that brought a worker over its room.
+    #[must_use]
+    pub fn overfilled(&self) -> Vec<job::TaskId> {
+        self.workers.iter().flat_map(|worker| worker.overfilled.clone()).collect()
+    }
+
     /// Returns how many ends no holder has acknowledged.
     #[must_use]
     pub fn open_ends(&self) -> usize {
@@ -234,9 +243,10 @@
     /// Adds a new life of a worker.
     pub(super) fn add_worker(&mut self) {
         let id = id::WorkerId::from(format!("w{}", self.workers.len()).as_str());
-        let capacity = size::Size { cpu_milli: 4_000, mem_mb: 4_000, accelerators: 0 };
         let clock_milli = self.rng.random_range(980..=1_000);
-        self.workers.push(worker::Worker::new(id, capacity, clock_milli));
+        let mut worker = worker::Worker::new(id, strike::ROOM, clock_milli);
+        worker.guards = self.faults.shrinks == 0;
+        self.workers.push(worker);
     }
 
     /// Starts a host.
@@ -383,11 +393,7 @@
 
     /// Returns the list of workers.
     fn listed(&self) -> Vec<job::Member> {
-        self.workers
-            .iter()
-            .filter(|worker| worker.listed)
-            .map(|worker| member(&worker.id))
-            .collect()
+        self.workers.iter().filter(|worker| worker.listed).map(member).collect()
     }
 
     /// Lets a message arrive.
@@ -434,6 +440,7 @@
             Message::Mend(fault, at) => self.mend(fault, at),
             Message::Crash(at) => self.crash(at),
             Message::Replace(at) => self.replace(at),
+            Message::Beat(at) => self.tell_member(at),
             Message::Feed => self.feed(),
             Message::Submit => self.submit(),
             Message::Cancel(job) => self.cancel(job),
@@ -483,14 +490,14 @@
 }
 
 /// Returns how a worker is listed.
-pub(super) fn member(id: &id::WorkerId) -> job::Member {
+pub(super) fn member(worker: &worker::Worker) -> job::Member {
     job::Member {
-        id: id.clone(),
+        id: worker.id.clone(),
         addr: ([127, 0, 0, 1], 1).into(),
         hall: "hall".into(),
         service: "service".into(),
         leaving: false,
-        capacity: size::Size { cpu_milli: 4_000, mem_mb: 4_000, accelerators: 0 },
+        capacity: worker.capacity,
         labels: Vec::new(),
         rack: None,
     }
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -8,13 +8,24 @@
 
 /// Runs worlds of many seeds and judges each.
 fn judge(faults: world::Faults) {
+    judge_sized(faults, 6, 30);
+}
+
+/// Does the same with so few workers that their room is full.
+fn judge_full(faults: world::Faults) {
+    judge_sized(faults, 3, 60);
+}
+
+/// Runs worlds with so many workers and jobs and judges each.
+fn judge_sized(faults: world::Faults, workers: usize, jobs: usize) {
     for seed in 0..SEEDS {
-        let mut world = world::World::new(seed, faults, 3, 6, 30);
+        let mut world = world::World::new(seed, faults, 3, workers, jobs);
         world.run();
         let breaches: Vec<String> = world.judge.breaches.iter().map(ToString::to_string).collect();
         assert!(breaches.is_empty(), "seed {seed}: {breaches:?}");
         let left = world.unfinished();
         assert!(left.is_empty(), "seed {seed}: {left:?}");
+        assert!(world.overfilled().is_empty(), "seed {seed}: {:?}", world.overfilled());
         assert_eq!(world.open_ends(), 0, "seed {seed}: ends that nobody acknowledged");
         assert!(world.judge.counts > 1_000, "seed {seed}: too few counts may be told");
         assert!(world.judge.starts > 30, "seed {seed}: too little happened");
@@ -57,6 +68,17 @@
         lost_answers: 50,
         ..world::Faults::default()
     }),
+    // Workers that start whatever they are told: their room is this side's to keep.
+    rooms_shrink => judge_full(world::Faults { shrinks: 8, ..world::Faults::default() }),
+    rooms_shrink_while_holders_change_and_starts_are_late => judge_full(world::Faults {
+        shrinks: 8,
+        kills: 3,
+        freezes: 1,
+        late_starts: 100,
+        lost_answers: 100,
+        cuts: 2,
+        ..world::Faults::default()
+    }),
     store_down => judge(world::Faults { outages: 2, ..world::Faults::default() }),
     lost_stops => judge(world::Faults { lost_stops: 200, ..world::Faults::default() }),
     holders_removed => judge(world::Faults { removals: 3, ..world::Faults::default() }),
@@ -92,6 +114,7 @@
         removals: 2,
         unlisted: 2,
         suspends: 0,
+        shrinks: 0,
         culprits: 0,
     }),
 }
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -10,6 +10,7 @@
 use super::work;
 use super::worker;
 use crate::id;
+use crate::size;
 
 /// The wait after a look without an answer, and how often it may double.
 const LOOK_AGAIN: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
@@ -182,6 +183,7 @@
                 self.stop(row.task, now);
             }
         }
+        self.note_strays(worker, lists);
         self.adopt_shares(worker, lists, &adopted, now);
         self.weigh(worker, lists, now);
         self.stop_stalled(worker, lists, now);
@@ -215,6 +217,27 @@
         }
     }
 
+    /// Counts the room of runs that are none of this holder's: it is free only once their ends are listed. A run of
+    /// which the size is not known may have all of it.
+    fn note_strays(&mut self, worker: &id::WorkerId, lists: &order::Lists) {
+        let mut taken = size::Size::default();
+        for row in &lists.running {
+            let known = self.placed.get(&row.task);
+            if known.is_some_and(|p| p.run == row.run && p.worker == *worker) {
+                continue;
+            }
+            let entry = self.jobs.get(&row.task.job);
+            let step = entry.and_then(|entry| entry.job.step(row.task.step));
+            let capacity = self.views.get(worker).map(|view| view.member.capacity);
+            let room = step.map(spec::Step::reserved).or(capacity).unwrap_or_default();
+            taken = taken.plus(&room);
+        }
+        if let Some(view) = self.views.get_mut(worker) {
+            self.changed |= view.strays != taken;
+            view.strays = taken;
+        }
+    }
+
     /// Stops a run that nobody knows of.
     fn stop_stray(&mut self, worker: &id::WorkerId, row: &order::Running) {
         let Some(view) = self.views.get(worker) else {
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -7,6 +7,7 @@
 use super::order;
 use super::spec;
 use super::work;
+use super::worker;
 
 /// The wait before an order without an answer is given again.
 const ORDER_AGAIN: time::Duration = time::Duration::from_millis(400);
@@ -31,7 +32,9 @@
             if !staged {
                 continue;
             }
-            if wanted && self.may_order(now) && !self.leaving {
+            if wanted && !self.has_room(*task) {
+                self.free(*task, "its worker's room shrank before its start was ordered");
+            } else if wanted && self.may_order(now) && !self.leaving {
                 self.send_start(*task, now);
             } else if wanted {
                 // Not ordered, so it may be ordered later by whoever holds the domain then.
@@ -42,6 +45,16 @@
         }
     }
 
+    /// Returns whether the worker of a task still has room for all that is set aside there. A gang's members start
+    /// together or not at all, so that they are left to the worker's own guard.
+    fn has_room(&self, task: spec::TaskId) -> bool {
+        let placed = self.placed.get(&task);
+        let view = placed.and_then(|placed| self.views.get(&placed.worker));
+        let entry = self.jobs.get(&task.job);
+        let gang = entry.and_then(|entry| entry.job.step(task.step)).is_some_and(|step| step.gang);
+        gang || view.is_none_or(worker::View::fits)
+    }
+
     /// Orders the start of a placed task.
     fn send_start(&mut self, task: spec::TaskId, now: time::Duration) {
         let Some(placed) = self.placed.get(&task) else {
@@ -173,11 +186,14 @@
         if self.gives_up(task) {
             return self.settle(task, now);
         }
+        let has_room = self.has_room(task);
         let Some(view) = self.views.get_mut(&worker) else {
             return;
         };
-        if doubt.unanswered >= MOST_UNANSWERED {
-            tracing::warn!(%task, %worker, doubt.unanswered, "starts without an answer, given up");
+        if doubt.unanswered >= MOST_UNANSWERED || !has_room {
+            tracing::warn!(
+                %task, %worker, doubt.unanswered, has_room, "starts without an answer, given up"
+            );
             view.rest(now);
             self.set_link(task, work::Link::Lapsing);
             return self.settle(task, now);
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -126,6 +126,8 @@
     pub misses: u32,
     /// The room that is set aside.
     pub used: size::Size,
+    /// The room of runs there that are none of this holder's, as the last look told; they are being stopped.
+    pub strays: size::Size,
     /// Processors wanted by tasks that fill, in thousandths of a core.
     pub filling_milli: u64,
     /// Processors set aside for lasting tasks, in thousandths of a core.
@@ -171,6 +173,7 @@
             look_due: time::Duration::ZERO,
             misses: 0,
             used: size::Size::default(),
+            strays: size::Size::default(),
             filling_milli: 0,
             serving_milli: 0,
             tasks: collections::BTreeSet::new(),
@@ -241,9 +244,14 @@
         self.unrecorded.first().map_or(self.heard, |first| first - 1)
     }
 
-    /// Returns the room that is not set aside.
+    /// Returns the room that nothing has, by our word or without it.
     pub fn free(&self) -> size::Size {
-        self.member.capacity.minus(&self.used)
+        self.member.capacity.minus(&self.used).minus(&self.strays)
+    }
+
+    /// Returns whether everything that is set aside fits the room that the worker told last.
+    pub fn fits(&self) -> bool {
+        self.used.plus(&self.strays).fits(&self.member.capacity)
     }
 
     /// Returns so many of its processors as a part of all.
