--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -41,36 +41,45 @@
 impl holding::Holding {
     /// Notes that a worker is lost, under each task that may have crashed it. The tasks must have their worker still.
     pub(super) fn note_loss(&mut self, tasks: &[spec::TaskId]) {
-        let mut under = Vec::new();
-        for task in tasks {
-            let placed = self.placed.get(task).filter(|placed| self.may_have_crashed(placed));
-            if let Some(placed) = placed {
-                let at_work = self.at_work(placed);
-                under.push((*task, at_work, at_work.is_none_or(|at_work| at_work < CLEARED)));
+        let present = tasks.iter().filter_map(|task| self.presence(*task));
+        let present: Vec<Presence> = present.collect();
+        let suspects = present.iter().filter(|presence| presence.is_suspect()).count();
+        for presence in present {
+            // What was at work is no suspect beside one that had just started.
+            if presence.is_suspect() || suspects == 0 {
+                self.count_loss(presence, suspects);
             }
         }
-        let suspects = under.iter().filter(|(_, _, suspected)| *suspected).count();
-        for (task, at_work, suspected) in under {
-            let Some(entry) = self.jobs.get_mut(&task.job).filter(|entry| entry.active()) else {
-                continue;
-            };
-            let state = entry.progress.tasks.entry(task.into()).or_default();
-            if state.done || !suspected && suspects > 0 {
-                continue;
-            }
-            state.losses.unexplained += u32::from(suspects == 0);
-            state.losses.suspected += u32::from(suspected);
-            let sole = suspected && suspects == 1 && at_work.is_some();
-            state.losses.alone += u32::from(sole);
-            tracing::warn!(
-                %task, run = state.run, worker = state.worker.as_ref().map(tracing::field::display),
-                suspected, suspects, at_work_ms = at_work.map(worker::millis),
-                times_suspected = state.losses.suspected, times_alone = state.losses.alone,
-                times_unexplained = state.losses.unexplained, "worker lost under a task"
-            );
-            self.lost_under.insert(task);
-            self.mark_task(task);
-        }
+    }
+
+    /// Returns how a task was there when its worker was lost, unless the loss can't be its doing.
+    fn presence(&self, task: spec::TaskId) -> Option<Presence> {
+        let placed = self.placed.get(&task).filter(|placed| self.may_have_crashed(placed))?;
+        Some(Presence { task, at_work: self.at_work(placed) })
+    }
+
+    /// Counts a loss under one task that is still wanted, beside so many suspects.
+    fn count_loss(&mut self, presence: Presence, suspects: usize) {
+        let Presence { task, at_work } = presence;
+        let suspected = presence.is_suspect();
+        let wanted = self.wanted(task);
+        let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| wanted) else {
+            return;
+        };
+        let state = entry.progress.tasks.entry(task.into()).or_default();
+        let losses = &mut state.losses;
+        losses.suspected += u32::from(suspected);
+        losses.unexplained += u32::from(!suspected);
+        // A start without an answer may never have come: its worker may have been down before.
+        losses.alone += u32::from(suspected && suspects == 1 && at_work.is_some());
+        tracing::warn!(
+            %task, run = state.run, worker = state.worker.as_ref().map(tracing::field::display),
+            suspected, suspects, at_work_ms = at_work.map(worker::millis),
+            times_suspected = losses.suspected, times_alone = losses.alone,
+            times_unexplained = losses.unexplained, "worker lost under a task"
+        );
+        self.lost_under.insert(task);
+        self.mark_task(task);
     }
 
     /// Returns whether a loss of the worker may be the task's doing: the worker was not about to leave, is not listed
@@ -104,7 +113,8 @@
         self.given_up += 1;
         tracing::warn!(
             job = %task.job, %task, times_suspected = losses.suspected,
-            times_alone = losses.alone, times_unexplained = losses.unexplained, "job failed: workers crashed under its task"
+            times_alone = losses.alone, times_unexplained = losses.unexplained,
+            "job failed: workers crashed under its task"
         );
         self.end_job(task.job, progress::Phase::Failed, now);
     }
@@ -175,6 +185,22 @@
     }
 }
 
+/// How a task was on a worker when that was lost.
+#[derive(Clone, Copy, Debug)]
+struct Presence {
+    /// The task.
+    task: spec::TaskId,
+    /// How long it was at work by the worker's last answer; nothing where no answer told of it.
+    at_work: Option<time::Duration>,
+}
+
+impl Presence {
+    /// Returns whether its start may have crashed the worker.
+    fn is_suspect(self) -> bool {
+        self.at_work.is_none_or(|at_work| at_work < CLEARED)
+    }
+}
+
 /// What speaks against a worker for a task under which one was lost, before all else.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Stake {
