Closed halls: the event, and tests that fail: nothing knows that a hall is closed

Ruled out: that workers of a closed hall say so themselves; their entries stay as they are. The engine takes the event and passes it over.

--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -176,6 +176,7 @@
         fleet.take(job::Event::LeaseRead(None));
         fleet.run(time::Duration::from_millis(1_100));
         let (jobs, progress, learned) = (Vec::new(), Vec::new(), Vec::new());
+        fleet.take(job::Event::Closed(job::ClosedHalls::default()));
         fleet.take(job::Event::Loaded { jobs, progress, learned });
         fleet
     }
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -327,6 +327,7 @@
         look: shared.time("look_ms"),
         look_idle: shared.time("look_idle_ms"),
         keep: time::Duration::from_secs(shared.settings.number("jobs", "keep_s")),
+        closed_wait: shared.time("closed_wait_ms"),
         link_bytes_per_s: shared.settings.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -81,6 +81,13 @@
     number("jobs", "look_ms", 1_000, 10..=2_000, "How long a look waits for an end."),
     number("jobs", "look_idle_ms", 4_000, 100..=60_000, "Time between looks where nothing runs."),
     number("jobs", "keep_s", 120, 1..=86_400, "How long an ended job can be asked for."),
+    number(
+        "jobs",
+        "closed_wait_ms",
+        5_000,
+        0..=600_000,
+        "How long a new holder that can't hear which halls are closed starts nothing.",
+    ),
     number("jobs", "row_bytes", 65_536, 1_024..=16_777_216, "Longest row of the store, as base64."),
     number("jobs", "unready_ms", 2_500, 100..=60_000, "Silence of the store before unready."),
     number("jobs", "store_timeout_ms", 800, 10..=60_000, "How long a call of the store may take."),
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -408,6 +408,7 @@
                 if self.hosts[host].life == life {
                     let event = if self.down { job::Event::LoadFailed } else { self.loaded() };
                     self.step(host, job::Event::Listed(self.listed()));
+                    self.step(host, job::Event::Closed(job::ClosedHalls::default()));
                     self.step(host, event);
                 }
             }
@@ -524,6 +525,7 @@
         look: millis(1_000),
         look_idle: millis(4_000),
         keep: millis(120_000),
+        closed_wait: millis(5_000),
         link_bytes_per_s: None,
     }
 }
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -187,6 +187,7 @@
                     holding.heard_ms = Some(up_to_ms);
                 }
             }
+            event::Event::Closed(_) => {}
             event::Event::Started { order, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.started(&order, answer, now);
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use super::closed;
 use super::order;
 use super::queue;
 use super::rows as kept;
@@ -48,6 +49,8 @@
     pub look_idle: time::Duration,
     /// How long an ended job can be asked for.
     pub keep: time::Duration,
+    /// How long a new holder that can't hear which halls are closed starts nothing.
+    pub closed_wait: time::Duration,
     /// What this host's link carries in a second, in bytes; nothing where it is not known.
     pub link_bytes_per_s: Option<u64>,
 }
@@ -120,6 +123,8 @@
     Member(id::WorkerId, Option<order::Member>),
     /// The queues changed.
     Queues(sync::Arc<queue::Queues>),
+    /// It was heard which halls are closed, changed or not.
+    Closed(closed::ClosedHalls),
     /// A worker answered an order to start, or did not.
     Started {
         /// The order.
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -10,6 +10,7 @@
 mod assign;
 mod call;
 mod choose;
+mod closed;
 mod commit;
 mod crash;
 mod ends;
@@ -53,6 +54,7 @@
 mod worker;
 
 pub use call::{Answer, Call};
+pub use closed::ClosedHalls;
 pub use engine::Engine;
 pub use event::{Effect, Event, Settings, Sign};
 pub use holding::{Dump, Holding};
--- a/crates/wharflane/tests/cancel.rs
+++ b/crates/wharflane/tests/cancel.rs
@@ -319,6 +319,7 @@
         self.desk.take(job::Event::Probed { version, sign: job::Sign::Refused });
         let progress = self.desk.table(job::PROGRESS);
         let learned = self.desk.table(job::LEARNED);
+        self.desk.take(job::Event::Closed(job::ClosedHalls::default()));
         self.desk.take(job::Event::Loaded { jobs, progress, learned });
         assert!(self.desk.engine.holding().is_some(), "nobody holds the domain");
         removed
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -129,6 +129,7 @@
         desk.take(job::Event::Queues(queues()));
         desk.take(job::Event::Listed((0..workers).map(member).collect()));
         desk.take(job::Event::LeaseRead(None));
+        desk.take(job::Event::Closed(job::ClosedHalls::default()));
         desk.take(job::Event::Loaded { jobs, progress, learned });
         desk
     }
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -97,6 +97,7 @@
     }
     let taken = desk.now;
     let (jobs, progress) = desk::started_rows();
+    desk.take(job::Event::Closed(job::ClosedHalls::default()));
     desk.take(job::Event::Loaded { jobs, progress, learned: Vec::new() });
     while desk.starts(1).is_empty() {
         desk.pass(100, false);
