Nothing is started in a hall that is closed

Cause: the rows by which the operator closes a hall were read by nobody. Ruled out: a second list of workers, or entries read as leaving, since those are emptied too.

--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -340,8 +340,13 @@
         let accepted_ms = u64::try_from(self.now.as_millis()).unwrap_or(0);
         let value = serde_json::to_string(&job::Accepted { job, cancelled: false, accepted_ms });
         let part = job::job_key(0, name).part;
-        let row =
-            rows::Row { name: name.to_string(), part, version: self.number, value: value.ok() };
+        let row = rows::Row {
+            name: name.to_string(),
+            part,
+            version: self.number,
+            value: value.ok(),
+            gone: false,
+        };
         self.take(job::Event::Jobs(vec![row]));
     }
 }
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod decided;
 mod entries;
+pub mod halls;
 pub mod holder;
 pub mod lag;
 pub mod run;
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -1,4 +1,4 @@
-//! Follows what others write to the store: the configuration, the list of workers, accepted jobs.
+//! Follows what others write to the store: the configuration, closed halls, the list of workers, accepted jobs.
 
 use std::sync;
 use std::sync::atomic;
@@ -6,10 +6,11 @@
 
 use futures::{StreamExt as _, TryStreamExt as _, stream};
 use wharflane::{job, rows};
-use wharflane_adapter::{config, entry, store};
+use wharflane_adapter::{config, entry, halls as closed, store};
 
 use super::Shared;
 use super::entries;
+use super::halls;
 use super::holder;
 
 /// How long the store may hold a feed open. Each call has its price, and silence goes unseen until this
@@ -43,13 +44,14 @@
     Anew,
 }
 
-/// Follows the configuration for the life of the process.
+/// Follows the configuration and closed halls for the life of the process.
 pub async fn config(shared: Shared, holder: ractor::ActorRef<holder::Msg>) {
     let key = rows::Key {
         table: config::OPERATOR_TABLE,
         part: config::THEIR_PART.to_owned(),
         name: config::CONFIG_KEY.to_owned(),
     };
+    let mut teller = halls::Teller::new(shared.clone(), holder.clone());
     loop {
         let page = shared.store.all(key.table, &key.part).await;
         shared.count_call("config", &page);
@@ -60,11 +62,13 @@
                 continue;
             }
         };
+        teller.read(&page);
         take_config(&shared, &holder, &page.rows);
         let mut after = page.version;
         loop {
             match next(&shared, key.table, after, FEED_WAIT).await {
                 Next::Rows(page) => {
+                    teller.follow(&page);
                     take_config(&shared, &holder, &page.rows);
                     after = page.version;
                 }
@@ -117,6 +121,7 @@
                 self.accepted(domain),
                 self.all(job::PROGRESS, &part),
                 self.all(job::LEARNED, &part),
+                self.closed(),
             )
         };
         // A read may outlast its holding. The next one would take old rows for the state, with no one to follow on
@@ -127,7 +132,7 @@
                 return tracing::info!(domain, "state read for a holding that is over, passed over");
             }
         };
-        let (Ok(workers), Ok(jobs), Ok(progress), Ok(learned)) = read else {
+        let (Ok(workers), Ok(jobs), Ok(progress), Ok(learned), closed) = read else {
             tokio::time::sleep(AGAIN).await;
             if self.wanted() {
                 holder::tell(&self.holder, job::Event::LoadFailed);
@@ -140,6 +145,11 @@
         let versions = (workers.version, jobs.version);
         let heard_ms = jobs.now_ms;
         self.tell_list(&workers);
+        match closed {
+            Ok(page) => holder::tell(&self.holder, job::Event::Closed(halls::read(&page))),
+            // The feed of that table may tell it soon; the engine knows for how long to wait.
+            Err(err) => tracing::warn!(domain, %err, "closed halls not read, nothing starts yet"),
+        }
         let loaded =
             job::Event::Loaded { jobs: jobs.rows, progress: progress.rows, learned: learned.rows };
         holder::tell(&self.holder, loaded);
@@ -232,6 +242,15 @@
         page
     }
 
+    /// Reads the rows of closed halls and counts the call; the configuration beside them is not wanted, it is long.
+    async fn closed(&self) -> Result<rows::Page, store::StoreError> {
+        let keys = (closed::FIRST_KEY, closed::END_KEY);
+        let page =
+            self.shared.store.between(config::OPERATOR_TABLE, config::THEIR_PART, keys).await;
+        self.shared.count_call("all", &page);
+        page
+    }
+
     /// Reads the accepted jobs of a domain; the version and the time are those of the oldest answer.
     async fn accepted(&self, domain: u32) -> Result<rows::Page, store::StoreError> {
         let reads =
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -46,6 +46,8 @@
     pub gossip: prometheus::IntCounterVec,
     /// Halls held, by hall.
     pub hall_held: prometheus::IntGaugeVec,
+    /// Closed halls of the job service: when each was heard to be closed, in seconds since 1970.
+    pub hall_closed: prometheus::IntGaugeVec,
     /// How much later than due the holder of the job service took its last tick, in milliseconds.
     pub holder_lag_ms: prometheus::IntGauge,
     /// Jobs given up since workers crashed under a task of theirs, while this host has held the job service.
@@ -109,6 +111,11 @@
             )?,
             gossip: builder.counter("gossip_messages_total", "Messages to peers.", &["cause"])?,
             hall_held: builder.gauge("hall_held", "Whether the hall is held here.", &["hall"])?,
+            hall_closed: builder.gauge(
+                "hall_closed_since_seconds",
+                "When the hall was heard to be closed, since 1970.",
+                &["hall"],
+            )?,
             holder_lag_ms: builder.keep(prometheus::IntGauge::new(
                 "wharflane_holder_lag_ms",
                 "Lag of the job service's holder.",
--- a/crates/stand-in/src/jobs/rows.rs
+++ b/crates/stand-in/src/jobs/rows.rs
@@ -100,6 +100,7 @@
             part: part.clone(),
             version: *version,
             value: None,
+            gone: true,
         }));
         changed.sort_by_key(|row| row.version);
         rows::Changes::Rows(rows::Page {
@@ -141,5 +142,5 @@
 /// Makes a row as it is read.
 fn row(at: &At, version: u64, value: &str) -> rows::Row {
     let (_, part, name) = at.clone();
-    rows::Row { name, part, version, value: Some(value.to_owned()) }
+    rows::Row { name, part, version, value: Some(value.to_owned()), gone: false }
 }
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -230,10 +230,10 @@
         }
         match call {
             serve::StoreCall::Transact(txn) => self.transact(&txn).await,
-            serve::StoreCall::Get { table, part, from, limit } => {
+            serve::StoreCall::Get { table, part, from, end, limit } => {
                 let state = self.lock();
                 let mut rows = state.rows.all(table, &part);
-                rows.retain(|row| row.name >= from);
+                rows.retain(|row| row.name >= from && (end.is_empty() || row.name < end));
                 let more = rows.len() > limit;
                 rows.truncate(limit);
                 let version = state.rows.version();
--- a/crates/wharflane/src/job/closed.rs
+++ b/crates/wharflane/src/job/closed.rs
@@ -1,7 +1,16 @@
 //! Halls that operators have closed: nothing new is started on their workers until they are open again.
+//!
+//! What runs there runs on to its end. Moving it out was measured as the other way (docs/design/shifted-work.md).
 
 use std::collections;
+use std::time;
 
+use super::engine;
+use super::group;
+use super::holding;
+use super::spec;
+use super::work;
+use super::worker;
 use crate::id;
 
 /// The halls that are closed, all of them.
@@ -12,3 +21,99 @@
     /// The halls.
     pub halls: collections::BTreeSet<id::HallId>,
 }
+
+/// What a host knows of closed halls.
+#[derive(Debug, Default)]
+pub(super) struct Heard {
+    /// What it heard last.
+    pub closed: ClosedHalls,
+    /// When; nothing before the first time.
+    pub at: Option<time::Duration>,
+}
+
+impl engine::Engine {
+    /// Takes in which halls are closed; an older reading that comes late says nothing.
+    pub(super) fn closed_heard(&mut self, now: time::Duration, closed: ClosedHalls) {
+        if closed.version < self.heard.closed.version {
+            return;
+        }
+        for hall in closed.halls.difference(&self.heard.closed.halls) {
+            tracing::info!(%hall, version = closed.version, "hall closed");
+        }
+        for hall in self.heard.closed.halls.difference(&closed.halls) {
+            tracing::info!(%hall, version = closed.version, "hall open again");
+        }
+        self.heard = Heard { closed, at: Some(now) };
+        if let engine::Role::Holding(holding) = &mut self.role {
+            holding.set_closed(&self.heard);
+        }
+    }
+}
+
+impl holding::Holding {
+    /// Takes in which halls are closed, and takes back what was to be started there.
+    pub(super) fn set_closed(&mut self, heard: &Heard) {
+        self.closed_heard = heard.at;
+        if self.closed == heard.closed.halls {
+            return;
+        }
+        self.closed.clone_from(&heard.closed.halls);
+        self.changed = true;
+        for view in self.views.values_mut() {
+            view.closed = self.closed.contains(&view.member.hall);
+        }
+        let staged = self.staged.clone();
+        self.without_closed(&staged);
+    }
+
+    /// Returns whether tasks may be placed: this holder has heard which halls are closed since it took the lease, or
+    /// has waited for it long enough. The operator's rows may be away while the holder's own are not, and work that
+    /// stands still for that long costs callers more than a start in a hall that was closed meanwhile.
+    pub(super) fn knows_closed(&mut self, now: time::Duration) -> bool {
+        if self.closed_heard.is_some_and(|at| at >= self.taken) {
+            return true;
+        }
+        let waited = now.saturating_sub(self.taken);
+        if waited < self.settings.closed_wait {
+            return false;
+        }
+        if !std::mem::replace(&mut self.closed_doubted, true) {
+            tracing::warn!(
+                waited_ms = worker::millis(waited),
+                closed = self.closed.len(),
+                "it can't be heard which halls are closed, those known before count"
+            );
+        }
+        true
+    }
+
+    /// Frees the tasks among some with recorded starts that would be ordered in a closed hall, and returns the others.
+    /// A gang with one such member is freed as a whole, since the others would wait for it in vain.
+    pub(super) fn without_closed(&mut self, starts: &[spec::TaskId]) -> Vec<spec::TaskId> {
+        let closed: Vec<spec::TaskId> =
+            starts.iter().copied().filter(|task| self.is_staged_in_closed(*task)).collect();
+        let gangs: collections::BTreeSet<group::Group> = closed
+            .iter()
+            .filter(|task| self.is_in_gang(**task))
+            .map(|task| group::group(*task))
+            .collect();
+        let (kept, freed): (Vec<spec::TaskId>, Vec<spec::TaskId>) = starts
+            .iter()
+            .partition(|task| !closed.contains(task) && !gangs.contains(&group::group(**task)));
+        for task in freed {
+            self.free(task, "its worker's hall was closed before its start was ordered");
+        }
+        kept
+    }
+
+    /// Returns whether a task's start is recorded, or about to be, and not ordered, in a closed hall.
+    fn is_staged_in_closed(&self, task: spec::TaskId) -> bool {
+        let staged = self.placed.get(&task).filter(|placed| placed.link == work::Link::Staged);
+        staged.is_some_and(|placed| self.is_closed(&placed.worker))
+    }
+
+    /// Returns whether a worker stands in a closed hall.
+    pub(super) fn is_closed(&self, worker: &id::WorkerId) -> bool {
+        self.views.get(worker).is_some_and(|view| view.closed)
+    }
+}
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use super::closed;
 use super::commit;
 use super::event;
 use super::holding;
@@ -89,6 +90,8 @@
     pub(super) queues: sync::Arc<queue::Queues>,
     /// The workers that the store lists.
     pub(super) members: collections::BTreeMap<id::WorkerId, order::Member>,
+    /// What it heard of closed halls.
+    pub(super) heard: closed::Heard,
     /// The number of transactions sent.
     pub(super) numbers: u64,
     /// Whether this host is about to stop.
@@ -110,6 +113,7 @@
             polled: None,
             queues: sync::Arc::default(),
             members: collections::BTreeMap::new(),
+            heard: closed::Heard::default(),
             numbers: 0,
             leaving: false,
             yielded: None,
@@ -187,7 +191,7 @@
                     holding.heard_ms = Some(up_to_ms);
                 }
             }
-            event::Event::Closed(_) => {}
+            event::Event::Closed(closed) => self.closed_heard(now, closed),
             event::Event::Started { order, answer } => {
                 if let Role::Holding(holding) = &mut self.role {
                     holding.started(&order, answer, now);
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -47,6 +47,12 @@
     pub(super) jobs: collections::BTreeMap<spec::JobId, work::Entry>,
     /// The workers.
     pub(super) views: collections::BTreeMap<id::WorkerId, worker::View>,
+    /// The halls that are closed.
+    pub(super) closed: collections::BTreeSet<id::HallId>,
+    /// When it was last heard which halls are closed.
+    pub(super) closed_heard: Option<time::Duration>,
+    /// Whether it was told that this can't be heard.
+    pub(super) closed_doubted: bool,
     /// The tasks that have a worker.
     pub(super) placed: collections::BTreeMap<spec::TaskId, work::Placed>,
     /// The tasks whose turn has come.
@@ -177,6 +183,9 @@
             unreadable: collections::BTreeSet::new(),
             jobs: collections::BTreeMap::new(),
             views: collections::BTreeMap::new(),
+            closed: collections::BTreeSet::new(),
+            closed_heard: None,
+            closed_doubted: false,
             placed: collections::BTreeMap::new(),
             ready: collections::BTreeMap::new(),
             future: collections::BTreeSet::new(),
--- a/crates/wharflane/src/job/loading.rs
+++ b/crates/wharflane/src/job/loading.rs
@@ -115,6 +115,7 @@
         holding.restore_learned(learned);
         holding.load(jobs, progress, now);
         holding.set_members(&self.members, now);
+        holding.set_closed(&self.heard);
         holding.restore_unlisted(learned, now);
         holding.stop_unwanted(now);
         if self.leaving {
--- a/crates/wharflane/src/job/members.rs
+++ b/crates/wharflane/src/job/members.rs
@@ -46,12 +46,14 @@
             if view.member.leaving != member.leaving || !view.listed {
                 tracing::info!(%worker, leaving = member.leaving, "worker listed");
             }
+            view.closed = self.closed.contains(&member.hall);
             view.member = member;
             view.listed = true;
             return;
         }
         tracing::debug!(%worker, addr = %member.addr, labels = ?member.labels, "worker listed first");
         let mut view = worker::View::new(member, self.inherited_until(), now);
+        view.closed = self.closed.contains(&view.member.hall);
         for (task, placed) in self.placed.iter().filter(|(_, placed)| placed.worker == *worker) {
             let entry = self.jobs.get(&task.job);
             if let Some(step) = entry.and_then(|entry| entry.job.step(task.step)) {
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -12,6 +12,8 @@
     Service,
     /// It lacks the label that the step asks for.
     Label,
+    /// Its hall is closed.
+    Closed,
     /// It does not answer, is about to leave, or rests.
     Unavailable,
     /// What is free there is too small.
@@ -41,6 +43,9 @@
     if !step.label.as_deref().is_none_or(|label| view.has_label(label)) {
         return Some(Obstacle::Label);
     }
+    if view.closed {
+        return Some(Obstacle::Closed);
+    }
     if !takes {
         return Some(Obstacle::Unavailable);
     }
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -25,22 +25,22 @@
 impl holding::Holding {
     /// Sends the starts whose commit stands.
     pub(super) fn release(&mut self, starts: &[spec::TaskId], now: time::Duration) {
-        for task in starts {
-            let wanted = self.wanted(*task);
+        for task in self.without_closed(starts) {
+            let wanted = self.wanted(task);
             let staged =
-                self.placed.get(task).is_some_and(|placed| placed.link == work::Link::Staged);
+                self.placed.get(&task).is_some_and(|placed| placed.link == work::Link::Staged);
             if !staged {
                 continue;
             }
-            if wanted && !self.has_room(*task) {
-                self.free(*task, "its worker's room shrank before its start was ordered");
+            if wanted && !self.has_room(task) {
+                self.free(task, "its worker's room shrank before its start was ordered");
             } else if wanted && self.may_order(now) && !self.leaving {
-                self.send_start(*task, now);
+                self.send_start(task, now);
             } else if wanted {
                 // Not ordered, so it may be ordered later by whoever holds the domain then.
-                self.set_link(*task, work::Link::Doubtful(now));
+                self.set_link(task, work::Link::Doubtful(now));
             } else {
-                self.free(*task, "ended before its start was ordered");
+                self.free(task, "ended before its start was ordered");
             }
         }
     }
@@ -50,9 +50,13 @@
     fn has_room(&self, task: spec::TaskId) -> bool {
         let placed = self.placed.get(&task);
         let view = placed.and_then(|placed| self.views.get(&placed.worker));
+        self.is_in_gang(task) || view.is_none_or(worker::View::fits)
+    }
+
+    /// Returns whether a task works only together with the others of its step.
+    pub(super) fn is_in_gang(&self, task: spec::TaskId) -> bool {
         let entry = self.jobs.get(&task.job);
-        let gang = entry.and_then(|entry| entry.job.step(task.step)).is_some_and(|step| step.gang);
-        gang || view.is_none_or(worker::View::fits)
+        entry.and_then(|entry| entry.job.step(task.step)).is_some_and(|step| step.gang)
     }
 
     /// Orders the start of a placed task.
@@ -190,11 +194,14 @@
         let Some(view) = self.views.get_mut(&worker) else {
             return;
         };
-        if doubt.unanswered >= MOST_UNANSWERED || !has_room {
+        let closed = view.closed;
+        if doubt.unanswered >= MOST_UNANSWERED || !has_room || closed {
             tracing::warn!(
-                %task, %worker, doubt.unanswered, has_room, "starts without an answer, given up"
+                %task, %worker, doubt.unanswered, has_room, closed, "starts without an answer, given up"
             );
-            view.rest(now);
+            if !closed {
+                view.rest(now);
+            }
             self.set_link(task, work::Link::Lapsing);
             return self.settle(task, now);
         }
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -35,7 +35,7 @@
         if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
             return;
         }
-        if now.saturating_sub(self.committed) < self.commit_gap() {
+        if now.saturating_sub(self.committed) < self.commit_gap() || !self.knows_closed(now) {
             return;
         }
         self.changed = false;
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -46,6 +46,7 @@
             other_service = count(obstacle::Obstacle::Service),
             no_label = count(obstacle::Obstacle::Label),
             label = step.label.as_deref().unwrap_or_default(),
+            closed_hall = count(obstacle::Obstacle::Closed),
             unavailable = count(obstacle::Obstacle::Unavailable),
             no_room = count(obstacle::Obstacle::Room),
             spread = count(obstacle::Obstacle::Spread),
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -106,6 +106,8 @@
     pub known_since: time::Duration,
     /// Whether the store lists it.
     pub listed: bool,
+    /// Whether its hall is closed.
+    pub closed: bool,
     /// Whether it has answered a look of this epoch, so that no earlier holder's order counts.
     pub fenced: bool,
     /// Its clock when it answered last, and when that answer came.
@@ -163,6 +165,7 @@
             member,
             known_since: now,
             listed: true,
+            closed: false,
             fenced: false,
             sample: None,
             granted_ms: 0,
--- a/crates/wharflane/src/rows.rs
+++ b/crates/wharflane/src/rows.rs
@@ -22,8 +22,10 @@
     pub part: String,
     /// The version of the transaction that wrote it; zero where it is absent.
     pub version: u64,
-    /// The value, or nothing for a row that was removed.
+    /// The value, or nothing for a row that was removed or whose value is no text.
     pub value: Option<String>,
+    /// Whether it was removed.
+    pub gone: bool,
 }
 
 /// A condition on the version of a row.
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -392,6 +392,7 @@
             part: job::job_key(0, job::JobId(number)).part,
             version: self.version,
             value: value.ok(),
+            gone: false,
         }])
     }
 
@@ -403,6 +404,7 @@
             part: job::part(0),
             version: self.version,
             value: Some(value.clone()),
+            gone: false,
         };
         rows.map(row).collect()
     }
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -30,6 +30,7 @@
         part: job::part(0),
         version: 1,
         value: Some(value),
+        gone: false,
     };
     let images = r#"{"names":["serving","filling"],"rest_ms":{"0":13.0}}"#;
     let fit = format!(r#"{{"images":[1],"factors":[0.06,{harm}],"covariance":[0.0005,0.0,0.01]}}"#);
