Worlds with halls that are closed, judged from the workers' side

Cause: the tests of closed halls strike one moment each; nothing played them beside kills, late orders, a store that is away and reads that fail. Change: workers of the world stand in two halls, operators close one for 8 s, hosts hear of it by their feeds and by what a new holder reads (three reads in ten fail), and the judge tells of a start ordered a second after.

--- a/crates/stand-in/src/jobs/crew.rs
+++ b/crates/stand-in/src/jobs/crew.rs
@@ -36,6 +36,7 @@
         if began {
             let cancelled = self.cancelled.get(&task.job);
             let late = cancelled.is_some_and(|at| ordered > *at + world::CANCEL);
+            self.judge_closed(task, &start.order.worker, ordered);
             self.judge.started(task, world::ATTEMPTS, late, &self.workers);
             if self.is_culprit(task) {
                 self.doom(&start.order.worker);
--- a/crates/stand-in/src/jobs/fault.rs
+++ b/crates/stand-in/src/jobs/fault.rs
@@ -35,6 +35,8 @@
     pub suspends: u32,
     /// Workers whose room shrinks to a third for 6 s; none of the world guards its room then.
     pub shrinks: u32,
+    /// Halls that are closed for 8 s, each other time beside one that is closed already.
+    pub closings: u32,
     /// Jobs with a task that crashes each worker that starts it, in thousandths of all jobs.
     pub culprits: u32,
 }
@@ -52,6 +54,8 @@
     Suspend,
     /// A worker's room shrinks.
     Shrink,
+    /// A hall is closed.
+    Close,
     /// The store is down.
     Outage,
     /// A worker dies.
--- a/crates/stand-in/src/jobs/judge.rs
+++ b/crates/stand-in/src/jobs/judge.rs
@@ -60,6 +60,12 @@
         /// The task.
         task: job::TaskId,
     },
+    /// A task was started by an order that was given well after its worker's hall was closed.
+    #[error("{task} ordered in a hall that was closed")]
+    Closed {
+        /// The task.
+        task: job::TaskId,
+    },
     /// A task that crashes workers was started too often after so many had crashed under it.
     #[error("{task} started {MORE_STARTS} times more after {CRASHES} workers had crashed under it")]
     Budget {
@@ -130,6 +136,11 @@
         }
     }
 
+    /// Notes a start in a hall that was closed well before its order.
+    pub fn closed(&mut self, task: job::TaskId) {
+        self.breaches.push(Breach::Closed { task });
+    }
+
     /// Judges a run of a cancelled job that is there though it should be gone; told once for each task.
     pub fn runs_on(&mut self, task: job::TaskId) {
         let breach = Breach::RunsOn { task };
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! The job service in virtual time: engines on hosts, a store of rows and workers, with faults.
 
 mod callers;
+mod closing;
 mod crew;
 mod culprit;
 mod fault;
--- a/crates/stand-in/src/jobs/strike.rs
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -30,6 +30,7 @@
                 };
                 (holder, 4)
             }
+            fault::Fault::Close => (0, 8),
             fault::Fault::Outage => (0, 4),
             fault::Fault::Shrink => (worker, 6),
             fault::Fault::Crash => (worker, 4),
@@ -37,7 +38,9 @@
             fault::Fault::Cut => (worker, 7),
             fault::Fault::Sick => (worker, 5),
         };
+        let at = if matches!(fault, fault::Fault::Close) { self.close() } else { at };
         match fault {
+            fault::Fault::Close => {}
             fault::Fault::Kill | fault::Fault::Remove => {
                 self.hosts[at].engine = None;
                 self.hosts[at].life += 1;
@@ -87,6 +90,7 @@
                 let inbox = std::mem::take(&mut self.hosts[at].inbox);
                 inbox.into_iter().for_each(|event| self.step(at, event));
             }
+            fault::Fault::Close => self.open(at),
             fault::Fault::Outage => self.down = false,
             fault::Fault::Shrink => {
                 self.workers[at].capacity = ROOM;
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -57,6 +57,8 @@
     pub guards: bool,
     /// When its room shrank last.
     pub shrunk: Option<time::Duration>,
+    /// The hall that it stands in.
+    pub hall: id::HallId,
     /// Starts that brought it over its room, though that was known for long enough.
     pub overfilled: Vec<job::TaskId>,
     /// The highest epoch seen.
@@ -104,6 +106,7 @@
             capacity,
             guards: true,
             shrunk: None,
+            hall: "hall".into(),
             overfilled: Vec::new(),
             epoch: 0,
             lease_until_ms: 0,
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use wharflane::{id, job, rows as table};
 
-use super::{fault, judge, rows, strike, worker};
+use super::{closing, fault, judge, rows, strike, worker};
 
 pub use super::fault::Faults;
 
@@ -103,6 +103,8 @@
     sent: u64,
     /// When the store was down last, or a host stood still.
     pub(super) disturbed: time::Duration,
+    /// The halls that are closed.
+    pub(super) closed: closing::Closed,
     /// When jobs were cancelled.
     pub(super) cancelled: collections::BTreeMap<job::JobId, time::Duration>,
     /// The judge.
@@ -124,6 +126,7 @@
             mail: collections::BTreeMap::new(),
             sent: 0,
             disturbed: time::Duration::ZERO,
+            closed: closing::Closed::new(),
             cancelled: collections::BTreeMap::new(),
             judge: judge::Judge::default(),
         };
@@ -141,6 +144,7 @@
             (faults.removals, fault::Fault::Remove),
             (faults.unlisted, fault::Fault::Unlist),
             (faults.outages, fault::Fault::Outage),
+            (faults.closings, fault::Fault::Close),
             (faults.shrinks, fault::Fault::Shrink),
             (faults.crashes, fault::Fault::Crash),
             (faults.cuts, fault::Fault::Cut),
@@ -246,6 +250,7 @@
         let clock_milli = self.rng.random_range(980..=1_000);
         let mut worker = worker::Worker::new(id, strike::ROOM, clock_milli);
         worker.guards = self.faults.shrinks == 0;
+        worker.hall = closing::hall_of(self.workers.len());
         self.workers.push(worker);
     }
 
@@ -408,7 +413,7 @@
                 if self.hosts[host].life == life {
                     let event = if self.down { job::Event::LoadFailed } else { self.loaded() };
                     self.step(host, job::Event::Listed(self.listed()));
-                    self.step(host, job::Event::Closed(job::ClosedHalls::default()));
+                    self.load_closed(host);
                     self.step(host, event);
                 }
             }
@@ -454,6 +459,9 @@
         if self.down {
             return;
         }
+        if self.faults.closings > 0 {
+            self.tell_closed();
+        }
         let up_to = self.now.saturating_sub(LONGEST_WAY);
         let event = job::Event::Heard { up_to_ms: millis(up_to) };
         for host in 0..self.hosts.len() {
@@ -495,7 +503,7 @@
     job::Member {
         id: worker.id.clone(),
         addr: ([127, 0, 0, 1], 1).into(),
-        hall: "hall".into(),
+        hall: worker.hall.clone(),
         service: "service".into(),
         leaving: false,
         capacity: worker.capacity,
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -79,6 +79,26 @@
         cuts: 2,
         ..world::Faults::default()
     }),
+    halls_closed => judge(world::Faults { closings: 4, ..world::Faults::default() }),
+    halls_closed_while_holders_change => judge(world::Faults {
+        closings: 5,
+        kills: 4,
+        removals: 2,
+        freezes: 1,
+        refused_probes: 200,
+        ..world::Faults::default()
+    }),
+    halls_closed_while_starts_are_late_and_the_store_fails => judge(world::Faults {
+        closings: 5,
+        late_starts: 100,
+        lost_answers: 100,
+        lost_txns: 40,
+        late_txns: 40,
+        outages: 2,
+        suspends: 2,
+        cuts: 2,
+        ..world::Faults::default()
+    }),
     store_down => judge(world::Faults { outages: 2, ..world::Faults::default() }),
     lost_stops => judge(world::Faults { lost_stops: 200, ..world::Faults::default() }),
     holders_removed => judge(world::Faults { removals: 3, ..world::Faults::default() }),
@@ -115,6 +135,7 @@
         unlisted: 2,
         suspends: 0,
         shrinks: 0,
+        closings: 0,
         culprits: 0,
     }),
 }
