Operators close a hall by the command line and see since when it is closed

Cause: only who could write to the store could close a hall, and nothing but a log line told of it. Change: wharflane evacuate HALL [--undo], an operators' call on each host that writes the same row, status and a metric with the time, tests with separate processes. Ruled out: a way past the store, since the row is what every holder reads. Left: the older hall engine on its own platform knows no closed halls.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -73,6 +73,15 @@
         .default_value("8")
         .value_parser(clap::value_parser!(u64).range(1..=60))
         .help("How long each of the two parts lasts");
+    let hall = clap::Arg::new("hall")
+        .value_name("HALL")
+        .required(true)
+        .value_parser(clap::builder::NonEmptyStringValueParser::new())
+        .help("The hall");
+    let undo = clap::Arg::new("undo")
+        .long("undo")
+        .action(clap::ArgAction::SetTrue)
+        .help("Open the hall again");
     let shell = clap::Arg::new("shell")
         .required(true)
         .value_parser(clap::value_parser!(clap_complete::Shell))
@@ -101,6 +110,11 @@
         .subcommand(
             clap::Command::new("drain").about("Stop a host without cutting a request").arg(host()),
         )
+        .subcommand(
+            clap::Command::new("evacuate")
+                .about("Let nothing new start in a hall; what runs there runs on")
+                .args([host(), hall, undo]),
+        )
         .subcommand(clap::Command::new("dump").about("Print the whole state of a host").arg(host()))
         .subcommand(
             clap::Command::new("try").about("Run a demo in one process").args([seconds, json()]),
@@ -157,6 +171,7 @@
             }
             Ok(0)
         }
+        "evacuate" => evacuate(&host, args).await,
         "drain" => {
             host.drain().await?;
             println!("stopping");
@@ -169,6 +184,23 @@
     }
 }
 
+/// Closes a hall, or opens it again.
+async fn evacuate(host: &operator::Operator, args: &clap::ArgMatches) -> anyhow::Result<u8> {
+    let hall = args.get_one::<String>("hall").context("no hall")?;
+    let undo = args.get_flag("undo");
+    let done = if undo { host.open_hall(hall).await } else { host.close_hall(hall).await };
+    match done {
+        Ok(()) => {
+            println!("{hall} {}", if undo { "open" } else { "closed" });
+            Ok(0)
+        }
+        Err(err) => {
+            eprintln!("{err}; nothing is known, the same command may be repeated");
+            Ok(UNKNOWN)
+        }
+    }
+}
+
 /// Submits a desired state.
 async fn apply(host: &operator::Operator, args: &clap::ArgMatches) -> anyhow::Result<u8> {
     let (path, text) = read(args)?;
--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -45,21 +45,23 @@
 const COUNT_AGE: time::Duration = time::Duration::from_secs(2);
 
 /// Hosts that run the job service on one platform.
-struct Service {
+pub(crate) struct Service {
     /// The platform.
-    platform: server::Platform,
+    pub(crate) platform: server::Platform,
     /// The hosts, with where callers reach each.
     hosts: Vec<(fleet::Process, net::SocketAddr)>,
+    /// Where operators reach each.
+    pub(crate) operators: Vec<net::SocketAddr>,
     /// Where settings lie.
     folder: tempfile::TempDir,
 }
 
 impl Service {
     /// Starts a platform with three workers, and hosts.
-    async fn start(hosts: usize) -> Self {
+    pub(crate) async fn start(hosts: usize) -> Self {
         let platform = server::Platform::start(3, WORK).await.expect("a platform");
         let folder = tempfile::tempdir().expect("a folder");
-        let mut service = Self { platform, hosts: Vec::new(), folder };
+        let mut service = Self { platform, hosts: Vec::new(), operators: Vec::new(), folder };
         (0..hosts).for_each(|_| service.add_host(LEASE_MS));
         for host in 0..hosts {
             service.until_answers(host).await;
@@ -76,6 +78,7 @@
     /// Starts one more host, which takes a lease that stood unchanged for so long.
     fn add_host(&mut self, lease_ms: u64) {
         let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
+        self.operators.push(operator);
         let name = format!("host-{}", self.hosts.len());
         let (store, advisor) = (self.platform.store, self.platform.advisor);
         let text = format!(
@@ -89,13 +92,18 @@
         self.hosts.push((fleet::spawn("wharflaned", &["--config", &path]), caller));
     }
 
+    /// Kills a host.
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.hosts[host].0.kill();
+    }
+
     /// Returns a client of one of the hosts.
-    fn jobs(&self, host: usize) -> caller::Jobs {
+    pub(crate) fn jobs(&self, host: usize) -> caller::Jobs {
         caller::Jobs::new(self.hosts[host].1, TIMEOUT)
     }
 
     /// Hands a job of two steps in and lets the judge know of it.
-    async fn submit(&self, host: usize, id: u64) -> job::JobId {
+    pub(crate) async fn submit(&self, host: usize, id: u64) -> job::JobId {
         let id = job::JobId(id);
         self.note(id, two_steps());
         // A caller that is told that nothing is known asks again, as it is told to.
@@ -123,7 +131,7 @@
     }
 
     /// Waits until a job is told to have come to a phase.
-    async fn until(&self, host: usize, id: job::JobId, phase: job::Phase) {
+    pub(crate) async fn until(&self, host: usize, id: job::JobId, phase: job::Phase) {
         let jobs = self.jobs(host);
         fleet::until("the phase", async || {
             let told = jobs.state(server::QUEUE, id).await;
@@ -133,7 +141,7 @@
     }
 
     /// Checks that nothing was broken and that so many tasks were started.
-    fn judge(&self, starts: u64) {
+    pub(crate) fn judge(&self, starts: u64) {
         let state = self.platform.lock();
         assert_eq!(state.judge.breaches, Vec::new());
         assert_eq!(state.judge.starts, starts);
--- a/crates/daemon/src/jobs/halls.rs
+++ b/crates/daemon/src/jobs/halls.rs
@@ -1,11 +1,22 @@
-//! Which halls are closed, as a host reads and follows the operator's table.
+//! Which halls are closed, as a host reads and follows the operator's table, and what its own operators order.
 
+use std::collections;
+use std::sync;
+
+use hyper::StatusCode;
 use wharflane::{id, job, rows};
-use wharflane_adapter::halls;
+use wharflane_adapter::{halls, store};
+use wharflane_http::reply;
 
 use super::Shared;
 use super::holder;
 
+/// The halls that are closed, with when it was heard of, in seconds since 1970.
+pub type Since = collections::BTreeMap<id::HallId, u64>;
+
+/// How often a write is tried whose condition did not hold, since others wrote meanwhile.
+const TRIES: usize = 3;
+
 /// Tells the holder which halls are closed, with each answer of the store: the holder also learns by it how new that is.
 #[derive(Debug)]
 pub struct Teller {
@@ -34,21 +45,73 @@
         self.tell(follow(&self.closed, page));
     }
 
-    /// Tells which halls are closed, and shows each with the time of day at which it was heard of.
+    /// Tells which halls are closed, and shows since when.
     fn tell(&mut self, closed: job::ClosedHalls) {
-        let gauge = &self.shared.metrics.hall_closed;
-        for hall in self.closed.halls.difference(&closed.halls) {
-            if let Err(err) = gauge.remove_label_values(&[hall.as_str()]) {
-                tracing::debug!(%hall, %err, "a hall that was not shown as closed is open");
-            }
-        }
-        for hall in closed.halls.difference(&self.closed.halls) {
-            let since_s = i64::try_from(super::wall_ms() / 1_000).unwrap_or(i64::MAX);
-            gauge.with_label_values(&[hall.as_str()]).set(since_s);
+        if closed.halls != self.closed.halls {
+            self.show(&closed);
         }
         self.closed = closed.clone();
         holder::tell(&self.holder, job::Event::Closed(closed));
     }
+
+    /// Shows operators which halls are closed, each with the time of day at which it was heard of.
+    fn show(&self, closed: &job::ClosedHalls) {
+        let before = self.shared.closed.load();
+        let now_s = super::wall_ms() / 1_000;
+        let since = |hall: &id::HallId| (hall.clone(), before.get(hall).copied().unwrap_or(now_s));
+        let after: Since = closed.halls.iter().map(since).collect();
+        let gauge = &self.shared.metrics.hall_closed;
+        gauge.reset();
+        for (hall, since_s) in &after {
+            let since_s = i64::try_from(*since_s).unwrap_or(i64::MAX);
+            gauge.with_label_values(&[hall.as_str()]).set(since_s);
+        }
+        self.shared.closed.store(sync::Arc::new(after));
+    }
+}
+
+/// Closes a hall by an operator's order, or opens it: done once its row stands, or is gone.
+pub async fn order(shared: &Shared, hall: &str, closes: bool) -> reply::Reply {
+    if hall.is_empty() {
+        return reply::problem(StatusCode::BAD_REQUEST, "no-hall", "no hall is named");
+    }
+    let key = halls::key(&hall.into());
+    for _ in 0..TRIES {
+        match write(shared, &key, closes).await {
+            Ok(true) => {
+                tracing::info!(hall, closes, "an operator's order about a hall stands");
+                return reply::json(StatusCode::OK, &serde_json::json!({ "closed": closes }));
+            }
+            Ok(false) => {}
+            Err(err) => {
+                tracing::warn!(hall, closes, %err, "an operator's order about a hall is in doubt");
+                break;
+            }
+        }
+    }
+    reply::problem(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "store",
+        "the store gave no answer: nothing is known",
+    )
+}
+
+/// Writes the row that closes a hall, or removes it; returns whether it is as wanted.
+async fn write(shared: &Shared, key: &rows::Key, closes: bool) -> Result<bool, store::StoreError> {
+    let row = shared.store.get(key).await;
+    shared.count_call("get", &row);
+    let row = row?;
+    if row.is_some() == closes {
+        return Ok(true);
+    }
+    let version = row.map_or(0, |row| row.version);
+    let txn = rows::Txn {
+        expects: vec![rows::Expect { key: key.clone(), version }],
+        writes: vec![rows::Write { key: key.clone(), value: closes.then(|| "{}".to_owned()) }],
+    };
+    let answer = shared.store.transact(&txn).await;
+    shared.count_call("close", &answer);
+    Ok(matches!(answer?, rows::Answer::Done { .. }))
 }
 
 /// Returns the halls that are closed by a reading of all rows: one without a row is open.
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -34,6 +34,8 @@
     pub advisor: advice::Advisor,
     /// The queues in force.
     pub queues: sync::Arc<arc_swap::ArcSwap<job::Queues>>,
+    /// The halls that are closed, with when this host heard of it, in seconds since 1970.
+    pub closed: sync::Arc<arc_swap::ArcSwap<halls::Since>>,
     /// Whether this host is stopping.
     pub stopping: sync::Arc<atomic::AtomicBool>,
     /// When the store answered last, in milliseconds of the clock.
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -11,9 +11,10 @@
 use wharflane_adapter::{advice, callers, store, workers};
 use wharflane_caller::job as caller_job;
 use wharflane_http::{reply, server};
+use wharflane_operator as operator;
 
 use super::Shared;
-use super::{holder, service, watch};
+use super::{halls, holder, service, watch};
 use crate::host;
 use crate::metrics;
 use crate::settings;
@@ -60,7 +61,7 @@
         operators,
         server::Bounds::default(),
         server::never(),
-        move |request| operator(api.clone(), root.clone(), request),
+        move |request| answer_operator(api.clone(), root.clone(), request),
     ));
     let host = shared.settings.host.clone();
     tracing::info!(%host, callers = %shared.settings.caller_addr, nonce = shared.nonce, "host up");
@@ -111,6 +112,7 @@
         workers: workers::Workers::new(order_timeout),
         advisor: advice::Advisor::new(advisor),
         queues: sync::Arc::default(),
+        closed: sync::Arc::default(),
         stopping: sync::Arc::default(),
         store_ok_ms: sync::Arc::default(),
         turned_away: sync::Arc::default(),
@@ -180,8 +182,22 @@
     }
 }
 
+/// Returns a summary of what this host knows.
+fn status(shared: &Shared) -> operator::Status {
+    let closed = shared.closed.load();
+    let closed = closed.iter().map(|(hall, since_s)| (hall.to_string(), *since_s));
+    operator::Status {
+        host: shared.settings.host.to_string(),
+        revision: shared.queues.load().revision,
+        platform_up: shared.metrics.platform_up.get() == 1,
+        stopping: shared.stopping.load(atomic::Ordering::Relaxed),
+        closed_since_s: closed.collect(),
+        ..operator::Status::default()
+    }
+}
+
 /// Answers operators and the balancer.
-async fn operator(
+async fn answer_operator(
     shared: Shared,
     holder: ractor::ActorRef<holder::Msg>,
     request: hyper::Request<body::Incoming>,
@@ -197,6 +213,11 @@
         ),
         (&Method::GET, "/live") => reply::text(StatusCode::OK, "live\n".to_owned()),
         (&Method::GET, "/metrics") => reply::text(StatusCode::OK, shared.metrics.text()),
+        (&Method::GET, "/status") => reply::json(StatusCode::OK, &status(&shared)),
+        (&Method::PUT | &Method::DELETE, path) if path.starts_with(operator::CLOSED_HALLS) => {
+            let closes = request.method() == Method::PUT;
+            halls::order(&shared, &path[operator::CLOSED_HALLS.len()..], closes).await
+        }
         (&Method::GET, "/dump") => {
             let asked = holder.call(holder::Msg::Dump, Some(OPERATOR_TIMEOUT)).await;
             match asked {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -9,6 +9,9 @@
 use wharflane::toml_read;
 use wharflane_http::client;
 
+/// The start of the paths of closed halls, each followed by the hall's name.
+pub const CLOSED_HALLS: &str = "/closed-halls/";
+
 /// A whole desired state to be put in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Apply {
@@ -58,6 +61,9 @@
     pub services: collections::BTreeMap<String, ServiceStatus>,
     /// Halls by name.
     pub halls: collections::BTreeMap<String, HallStatus>,
+    /// Halls that are closed, with when the host heard of it, in seconds since 1970.
+    #[serde(default)]
+    pub closed_since_s: collections::BTreeMap<String, u64>,
 }
 
 /// A summary of a service.
@@ -122,6 +128,30 @@
         self.client.get(&format!("{}/dump", self.root)).await
     }
 
+    /// Closes a hall: nothing new is started there, and what runs there runs on. Closing a closed one changes nothing.
+    ///
+    /// # Errors
+    /// Returns `CallError` where the host gave no answer, or could not reach its store: the hall may be closed all the
+    /// same, and the call may be made again.
+    pub async fn close_hall(&self, hall: &str) -> Result<(), client::CallError> {
+        self.send_for(hyper::Method::PUT, hall).await
+    }
+
+    /// Opens a hall again; opening an open one changes nothing.
+    ///
+    /// # Errors
+    /// Returns `CallError` as `close_hall` does.
+    pub async fn open_hall(&self, hall: &str) -> Result<(), client::CallError> {
+        self.send_for(hyper::Method::DELETE, hall).await
+    }
+
+    /// Makes a call about a closed hall.
+    async fn send_for(&self, method: hyper::Method, hall: &str) -> Result<(), client::CallError> {
+        let url = format!("{}{CLOSED_HALLS}{hall}", self.root);
+        self.client.send(method, &url, Bytes::new()).await?;
+        Ok(())
+    }
+
     /// Asks the host to finish its requests and stop.
     ///
     /// # Errors
