--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -25,6 +25,7 @@
         workers: workers::Workers::new(LIMIT),
         advisor: advice::Advisor::new(None),
         queues: sync::Arc::default(),
+        closed: sync::Arc::default(),
         stopping: sync::Arc::default(),
         store_ok_ms: sync::Arc::default(),
         turned_away: sync::Arc::default(),
