--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -129,6 +129,7 @@
         desk.take(job::Event::Queues(queues()));
         desk.take(job::Event::Listed((0..workers).map(member).collect()));
         desk.take(job::Event::LeaseRead(None));
+        desk.take(job::Event::Closed(job::ClosedHalls::default()));
         desk.take(job::Event::Loaded { jobs, progress, learned });
         desk
     }
@@ -391,6 +392,7 @@
             part: job::job_key(0, job::JobId(number)).part,
             version: self.version,
             value: value.ok(),
+            gone: false,
         }])
     }
 
@@ -402,6 +404,7 @@
             part: job::part(0),
             version: self.version,
             value: Some(value.clone()),
+            gone: false,
         };
         rows.map(row).collect()
     }
