--- a/crates/wharflane/tests/crashing_tasks.rs
+++ b/crates/wharflane/tests/crashing_tasks.rs
@@ -73,6 +73,29 @@
     job::Step { lasting: true, ..desk::step("plain", 1_000) }
 }
 
+/// Returns a gang of two, each of whose tasks has a worker nearly for itself.
+fn gang() -> job::Step {
+    job::Step { count: 2, gang: true, ..desk::step("plain", 9_000) }
+}
+
+/// Lets each start of a gang crash the worker of its first member, once it was at work for a time and a second, and bounds
+/// the starts; a neighbour works on.
+fn bounds_starts_of_a_gang(after_ms: u64) {
+    let mut desk = started(gang());
+    desk.submit(JOB + 1, "first", desk::step("plain", 1_000));
+    desk.pass(40, false);
+    let partner = job::TaskId { index: 1, ..task(JOB) };
+    while phase(&desk, JOB) != job::Phase::Failed && desk.starts(JOB).len() < 40 {
+        crash(&mut desk, JOB);
+        desk.end(partner, job::EndKind::Broken);
+        desk.pass(after_ms, false);
+    }
+    let first = desk.starts(JOB).iter().filter(|(index, _)| *index == 0).count();
+    assert!(first <= MOST_STARTS, "{first} starts");
+    assert_eq!(phase(&desk, JOB), job::Phase::Failed);
+    assert_eq!(phase(&desk, JOB + 1), job::Phase::Running);
+}
+
 /// Lets each start of a task crash its worker after a time, and bounds the starts.
 fn bounds_starts(mut desk: desk::Desk, after_ms: u64) {
     for _ in 0..8 {
@@ -97,6 +120,32 @@
     a_task_that_crashes_workers_after_a_while_is_given_up => {
         bounds_starts(started(lasting()), CLEARED_MS);
     },
+    a_gang_with_a_member_that_crashes_workers_is_given_up_and_its_neighbour_is_not => {
+        bounds_starts_of_a_gang(300);
+    },
+    a_gang_that_works_for_a_while_before_the_later_crashes_is_given_up_as_soon => {
+        bounds_starts_of_a_gang(1_500);
+    },
+    a_task_that_crashes_at_once_and_later_after_a_while_is_given_up => {
+        let mut desk = started(lasting());
+        crash(&mut desk, JOB);
+        bounds_starts(desk, CLEARED_MS);
+    },
+    a_sound_gang_whose_workers_go_for_other_reasons_is_kept => {
+        let mut desk = started(gang());
+        let partner = job::TaskId { index: 1, ..task(JOB) };
+        for _ in 0..4 {
+            let worker = desk.order_of(task(JOB)).worker;
+            let at = (0..10).find(|at| desk::member(*at).id == worker).expect("a worker");
+            let leaving = job::Member { leaving: true, ..desk::member(at) };
+            desk.take(job::Event::Member(worker, Some(leaving)));
+            crash(&mut desk, JOB);
+            desk.end(partner, job::EndKind::Broken);
+            desk.pass(1_500, false);
+        }
+        assert_eq!(phase(&desk, JOB), job::Phase::Running);
+        assert_eq!(losses(&desk, JOB), job::Losses::default());
+    },
     a_task_whose_starts_are_never_answered_is_given_up => {
         let mut desk = desk::Desk::new(10, Vec::new());
         desk.answers.extend([job::StartAnswer::Silent; 100]);
