Tests of what can't leave a closed hall, and of a lease that can't be read

Cause: labels, racks of the data, gangs of one rack and room kept for tasks that come back had no test beside closed halls; nothing tested a lease row that can't be read.

--- a/crates/wharflane/tests/closed_halls.rs
+++ b/crates/wharflane/tests/closed_halls.rs
@@ -18,6 +18,12 @@
     job::Member { hall: HALLS[at % HALLS.len()].into(), ..desk::member(at) }
 }
 
+/// Returns a worker in the rack of its hall.
+fn in_rack(at: usize) -> job::Member {
+    let hall = in_hall(at);
+    job::Member { rack: Some(hall.hall.to_string()), ..hall }
+}
+
 /// Returns a desk with so many workers, dealt over the halls.
 fn desk_of(workers: usize) -> desk::Desk {
     let mut desk = desk::Desk::new(0, Vec::new());
@@ -210,6 +216,53 @@
         desk.pass(400, false);
         assert_eq!(hall_of(&desk, task(1)), "south");
     },
+    what_only_a_closed_hall_can_run_waits_and_the_rest_goes_on => {
+        let mut desk = desk_of(2);
+        let labelled = job::Member { labels: vec!["rare".to_owned()], ..in_hall(0) };
+        desk.take(job::Event::Member(labelled.id.clone(), Some(labelled)));
+        close(&mut desk, &["north"]);
+        desk.submit(1, "first", job::Step { label: Some("rare".to_owned()), ..tasks(1) });
+        desk.submit(2, "first", tasks(1));
+        desk.pass(4_000, false);
+        assert_eq!(desk.starts(1).len(), 0);
+        assert_eq!(hall_of(&desk, task(2)), "south");
+        close(&mut desk, &[]);
+        desk.pass(200, false);
+        assert_eq!(desk.starts(1).len(), 1);
+    },
+    what_has_its_data_in_a_closed_hall_goes_elsewhere => {
+        let mut desk = desk_of(0);
+        desk.take(job::Event::Listed((0..2).map(in_rack).collect()));
+        desk.pass(100, false);
+        close(&mut desk, &["north"]);
+        desk.submit(1, "first", job::Step { rack: Some(HALLS[0].to_owned()), ..tasks(1) });
+        desk.pass(400, false);
+        assert_eq!(hall_of(&desk, task(1)), "south", "slower, and not never");
+    },
+    a_gang_of_one_rack_goes_to_a_rack_of_an_open_hall => {
+        let mut desk = desk_of(0);
+        desk.take(job::Event::Listed((0..4).map(in_rack).collect()));
+        desk.pass(100, false);
+        close(&mut desk, &["north"]);
+        let gang = job::Step { gang: true, same_rack: true, ..desk::step("plain", 12_000) };
+        desk.submit(1, "first", job::Step { count: 2, ..gang });
+        desk.pass(400, false);
+        for index in 0..2 {
+            assert_eq!(hall_of(&desk, job::TaskId { index, ..task(1) }), "south");
+        }
+    },
+    lasting_tasks_that_come_back_keep_no_room_in_a_closed_hall => {
+        let mut desk = desk_of(2);
+        desk.submit(1, "first", job::Step { lasting: true, ..tasks(1) });
+        desk.pass(200, false);
+        close(&mut desk, &HALLS);
+        desk.end(task(1), job::EndKind::Failed);
+        desk.pass(5_000, false);
+        assert_eq!(desk.starts(1).len(), 1);
+        close(&mut desk, &[]);
+        desk.pass(200, false);
+        assert_eq!(desk.starts(1).len(), 2);
+    },
     each_closing_counts_for_itself => {
         let mut desk = desk_of(1);
         let from = desk.now;
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -107,6 +107,18 @@
 }
 
 cases! {
+    a_lease_that_can_not_be_read_is_taken_by_nobody_and_later_after_its_whole_time => {
+        let mut watch = Watch::new(0);
+        for _ in 0..600 {
+            let effects = watch.engine.step(watch.now, job::Event::LeaseUnread);
+            let ticked = watch.engine.step(watch.now, job::Event::Tick { wall_ms: 1 });
+            let writes = |effect: &job::Effect| matches!(effect, job::Effect::Txn(..));
+            assert!(!effects.iter().chain(&ticked).any(writes), "{effects:?} {ticked:?}");
+            watch.now += time::Duration::from_millis(100);
+        }
+        let lease_ms = u64::try_from(world::settings().lease.as_millis()).expect("a small number");
+        assert!(watch.taken_after(held()) >= lease_ms, "what was not read has not stood still");
+    },
     what_an_early_takeover_can_t_reach_may_be_renewed_for_a_lease_more => {
         let (hold, lease) = (time::Duration::from_millis(4_000), world::settings().lease);
         let (early, late) = (started_again_after(true), started_again_after(false));
