The world's messages and what engines ask for have files of their own

Change: mail.rs (messages and their arrival), effects.rs (what engines ask for); no line of logic differs.

--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -5,13 +5,13 @@
 use rand::RngExt as _;
 use wharflane::{job, rows as table, size};
 
-use super::world;
+use super::{mail, world};
 
 impl world::World {
     /// Lets a caller hand in a job; one that is turned away by an outage comes again.
     pub(super) fn submit(&mut self) {
         if self.down {
-            return self.send(time::Duration::from_secs(1), world::Message::Submit);
+            return self.send(time::Duration::from_secs(1), mail::Message::Submit);
         }
         let id = job::JobId(self.rng.random_range(0..u64::MAX));
         let lasting = self.rng.random_range(0..6) == 0;
@@ -30,7 +30,7 @@
         self.write_job(id, &accepted);
         if self.rng.random_range(0..4) == 0 {
             let after = time::Duration::from_millis(self.rng.random_range(10..6_000));
-            self.send(after, world::Message::Cancel(id));
+            self.send(after, mail::Message::Cancel(id));
         }
     }
 
@@ -49,7 +49,7 @@
     /// Lets a caller cancel a job.
     pub(super) fn cancel(&mut self, id: job::JobId) {
         if self.down {
-            return self.send(time::Duration::from_secs(1), world::Message::Cancel(id));
+            return self.send(time::Duration::from_secs(1), mail::Message::Cancel(id));
         }
         let Some(job) = self.judge.jobs.get(&id).cloned() else {
             return;
@@ -68,7 +68,7 @@
         for host in 0..self.hosts.len() {
             let life = self.hosts[host].life;
             let way = self.way();
-            self.send(way, world::Message::Back(host, life, Box::new(event.clone())));
+            self.send(way, mail::Message::Back(host, life, Box::new(event.clone())));
         }
     }
 }
--- a/crates/stand-in/src/jobs/closing.rs
+++ b/crates/stand-in/src/jobs/closing.rs
@@ -7,7 +7,7 @@
 use wharflane::{id, job, rows as table};
 use wharflane_adapter::halls;
 
-use super::world;
+use super::{mail, world};
 
 /// The halls of the world; workers join them in turn.
 const HALLS: [&str; 2] = ["h-0", "h-1"];
@@ -60,7 +60,7 @@
         for host in 0..self.hosts.len() {
             let life = self.hosts[host].life;
             let way = self.way();
-            self.send(way, world::Message::Back(host, life, Box::new(event.clone())));
+            self.send(way, mail::Message::Back(host, life, Box::new(event.clone())));
         }
     }
 
--- a/crates/stand-in/src/jobs/crew.rs
+++ b/crates/stand-in/src/jobs/crew.rs
@@ -4,7 +4,7 @@
 
 use wharflane::job;
 
-use super::{worker, world};
+use super::{mail, worker, world};
 
 impl world::World {
     /// Lets an order to start arrive.
@@ -29,7 +29,7 @@
                     false => (job::StartAnswer::Silent, time::Duration::from_millis(600)),
                 };
                 let event = job::Event::Started { order: start.order.clone(), answer };
-                self.send(after, world::Message::Back(host, life, Box::new(event)));
+                self.send(after, mail::Message::Back(host, life, Box::new(event)));
             }
             return;
         };
@@ -45,7 +45,7 @@
         if !lost {
             let way = self.way();
             let event = job::Event::Started { order: start.order.clone(), answer };
-            self.send(way, world::Message::Back(host, life, Box::new(event)));
+            self.send(way, mail::Message::Back(host, life, Box::new(event)));
         }
     }
 
@@ -74,7 +74,7 @@
                 }
                 if !news && now < latest && matches!(answer, job::LookAnswer::Lists(_)) {
                     return self
-                        .send(world::STEP, world::Message::Look(host, life, look, latest, lost));
+                        .send(world::STEP, mail::Message::Look(host, life, look, latest, lost));
                 }
                 answer
             }
@@ -83,7 +83,7 @@
         let after = if silent { time::Duration::from_millis(600) } else { self.way() };
         let answer = if silent { job::LookAnswer::Silent } else { answer };
         let event = job::Event::Looked { worker, epoch, answer };
-        self.send(after, world::Message::Back(host, life, Box::new(event)));
+        self.send(after, mail::Message::Back(host, life, Box::new(event)));
     }
 
     /// Returns how a task behaves, always the same way.
--- a/crates/stand-in/src/jobs/culprit.rs
+++ b/crates/stand-in/src/jobs/culprit.rs
@@ -5,7 +5,7 @@
 use rand::RngExt as _;
 use wharflane::{id, job};
 
-use super::world;
+use super::{mail, world};
 
 /// How long after the start the worker is down.
 const CRASH_AFTER: time::Duration = time::Duration::from_millis(10);
@@ -31,7 +31,7 @@
     /// Lets a worker go down soon because of what it has just started.
     pub(super) fn doom(&mut self, worker: &id::WorkerId) {
         if let Some(at) = self.workers.iter().position(|found| found.id == *worker) {
-            self.send(CRASH_AFTER, world::Message::Crash(at));
+            self.send(CRASH_AFTER, mail::Message::Crash(at));
         }
     }
 
@@ -50,7 +50,7 @@
             self.judge.crashed(task, culprit, at_work);
         }
         let away = time::Duration::from_millis(self.rng.random_range(AWAY_MS));
-        self.send(away, world::Message::Replace(at));
+        self.send(away, mail::Message::Replace(at));
     }
 
     /// Lets another life of a crashed worker come, at the same address.
--- /dev/null
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -0,0 +1,111 @@
+//! What the engines of the world ask for, and how it is sent on its way.
+
+use std::time;
+
+use rand::RngExt as _;
+use wharflane::{job, rows as table};
+
+use super::mail::Message;
+use super::world;
+
+impl world::World {
+    /// Sends one effect on its way.
+    pub(super) fn carry_out(&mut self, host: usize, life: u64, effect: job::Effect) {
+        let way = self.way();
+        match effect {
+            job::Effect::ReadLease => {
+                let row = self.rows.get(&job::lease_key(0)).map(|row| {
+                    let value = row.value.unwrap_or_default();
+                    (row.version, serde_json::from_str(&value).unwrap_or_default())
+                });
+                let read =
+                    if self.down { job::Event::LeaseUnread } else { job::Event::LeaseRead(row) };
+                self.send(way, Message::Back(host, life, Box::new(read)));
+            }
+            job::Effect::Probe { version, addr } => {
+                let at = usize::from(addr.port() - world::FIRST_PORT);
+                let lie = self.chance(self.faults.refused_probes);
+                let sign = match (self.hosts[at].engine.is_none() || lie, self.chance(500)) {
+                    (false, _) => job::Sign::Listens,
+                    (true, false) => job::Sign::Refused,
+                    (true, true) => job::Sign::Silent,
+                };
+                let event = Box::new(job::Event::Probed { version, sign });
+                self.send(way, Message::Back(host, life, event));
+            }
+            job::Effect::Load => {
+                self.send(way, Message::Load(host, life));
+            }
+            job::Effect::Txn(number, txn) => {
+                if self.chance(self.faults.late_txns) {
+                    let late = time::Duration::from_millis(self.rng.random_range(1_000..6_000));
+                    self.send(late, Message::Txn(host, life, number, txn, true));
+                    self.silent_txn(host, life, number);
+                } else {
+                    let lost = self.chance(self.faults.lost_txns);
+                    self.send(way, Message::Txn(host, life, number, txn, lost));
+                }
+            }
+            job::Effect::Start(start) => {
+                let late = self.chance(self.faults.late_starts);
+                let lost = late || self.chance(self.faults.lost_answers);
+                let late_ms = self.rng.random_range(2_000..12_000);
+                let way = if late { time::Duration::from_millis(late_ms) } else { way };
+                let message = Message::Start(host, life, start.clone(), lost, self.now);
+                self.send(way, message);
+                if lost {
+                    let answer = job::StartAnswer::Silent;
+                    let event = job::Event::Started { order: start.order, answer };
+                    let after = time::Duration::from_millis(600);
+                    self.send(after, Message::Back(host, life, Box::new(event)));
+                }
+            }
+            job::Effect::Stop(order) => {
+                let lost = self.chance(self.faults.lost_stops);
+                let late_ms = self.rng.random_range(2_000..12_000);
+                let late = lost && self.rng.random_range(0..2) == 0;
+                if late {
+                    let after = time::Duration::from_millis(late_ms);
+                    self.send(after, Message::Stop(host, life, order.clone(), true));
+                }
+                if lost {
+                    return self.stop_not_taken(host, life, order);
+                }
+                self.send(way, Message::Stop(host, life, order, false));
+            }
+            job::Effect::Look(look) => {
+                let lost = self.chance(self.faults.lost_answers);
+                let latest = self.now + way + look.wait;
+                self.send(way, Message::Look(host, life, look, latest, lost));
+            }
+            job::Effect::Pace(_) | job::Effect::Ask(_) | job::Effect::Drop(..) => {}
+        }
+    }
+
+    /// Tells a host after a while that a stop had no answer.
+    pub(super) fn stop_not_taken(&mut self, host: usize, life: u64, order: job::Order) {
+        let event = Box::new(job::Event::StopNotTaken(order));
+        self.send(time::Duration::from_millis(600), Message::Back(host, life, event));
+    }
+
+    /// Tells a host after a while that its transaction had no answer.
+    pub(super) fn silent_txn(&mut self, host: usize, life: u64, number: u64) {
+        let event = Box::new(job::Event::Txn { number, outcome: table::Outcome::Unknown });
+        self.send(time::Duration::from_millis(800), Message::Back(host, life, event));
+    }
+
+    /// Returns the rows of the domain as a new holder reads them.
+    pub(super) fn loaded(&self) -> job::Event {
+        let part = job::part(0);
+        job::Event::Loaded {
+            jobs: job::job_parts(0).flat_map(|part| self.rows.all(job::JOBS, &part)).collect(),
+            progress: self.rows.all(job::PROGRESS, &part),
+            learned: self.rows.all(job::LEARNED, &part),
+        }
+    }
+
+    /// Returns the list of workers.
+    pub(super) fn listed(&self) -> Vec<job::Member> {
+        self.workers.iter().filter(|worker| worker.listed).map(world::member).collect()
+    }
+}
--- a/crates/stand-in/src/jobs/strike.rs
+++ b/crates/stand-in/src/jobs/strike.rs
@@ -5,7 +5,7 @@
 use rand::RngExt as _;
 use wharflane::{job, size};
 
-use super::{fault, world};
+use super::{fault, mail, world};
 
 /// The time between two beats of a worker, in milliseconds.
 const BEAT_MS: u64 = 1_100;
@@ -70,7 +70,7 @@
             fault::Fault::Cut => self.workers[at].reachable = false,
             fault::Fault::Sick => self.workers[at].fails_all = true,
         }
-        self.send(time::Duration::from_secs(secs), world::Message::Mend(fault, at));
+        self.send(time::Duration::from_secs(secs), mail::Message::Mend(fault, at));
     }
 
     /// Lets a fault end.
@@ -115,7 +115,7 @@
     /// Lets a worker's next beat tell of its room.
     fn beat(&mut self, at: usize) {
         let after = time::Duration::from_millis(self.rng.random_range(0..BEAT_MS));
-        self.send(after, world::Message::Beat(at));
+        self.send(after, mail::Message::Beat(at));
     }
 
     /// Tells all hosts how a worker is listed.
@@ -126,7 +126,7 @@
         for host in 0..self.hosts.len() {
             let life = self.hosts[host].life;
             let way = self.way();
-            self.send(way, world::Message::Back(host, life, Box::new(event.clone())));
+            self.send(way, mail::Message::Back(host, life, Box::new(event.clone())));
         }
     }
 }
