--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -208,9 +208,10 @@
 
 /// Keeps what is free on one worker for a lasting task, or shorter work would take every piece of it.
 ///
-/// Enough must become free there by tasks that end. Without that the rooms kept were the ones beside lasting tasks, just
-/// too small for good: after two racks and a quarter of 490 workers were lost, tasks that came back waited for 17 s, longer
-/// than the 6 s allowed.
+/// One where enough becomes free by tasks that end goes first. Without that the rooms kept were the ones beside lasting
+/// tasks, just too small for good: after two racks and a quarter of 490 workers were lost, tasks that came back waited for
+/// 17 s, longer than the 6 s allowed. Where lasting tasks have nearly everything there is no such worker, and the greatest
+/// room grows as they are cancelled: without any kept, one waited for 21 s on 58 workers of which they had 94 %.
 fn keep_room(
     holding: &mut holding::Holding,
     task: spec::TaskId,
@@ -227,12 +228,11 @@
         .views
         .values()
         .filter(|view| !holding.kept_for.contains(&view.member.id))
-        .filter(|view| step.reserved().fits(&view.free_in_time()))
         .filter(|view| {
             obstacle::plain(view, service, task, step, view.takes(now))
                 == Some(obstacle::Obstacle::Room)
         })
-        .max_by_key(|view| view.free().cpu_milli);
+        .max_by_key(|view| (step.reserved().fits(&view.free_in_time()), view.free().cpu_milli));
     if let Some(worker) = best.map(|view| view.member.id.clone()) {
         holding.kept_for.insert(worker);
     }
