--- a/crates/wharflane/tests/room_for_lasting.rs
+++ b/crates/wharflane/tests/room_for_lasting.rs
@@ -73,4 +73,44 @@
         assert_eq!(desk.starts(returns).len(), 2, "it starts again in time");
         assert_ne!(desk.order_of(task(returns, 0)).worker, full);
     },
+    room_is_kept_too_where_only_cancels_free_it => {
+        let [stays, returns, runs, waits] = JOBS;
+        let (goes, fills_up, beside) = (1_002, 1_003, 1_004);
+        let mut desk = desk::Desk::new(3, Vec::new());
+        // One worker with two lasting tasks, one with a larger one, one with the task that returns.
+        desk.submit(stays, "first", lasting(10_000));
+        desk.pass(100, false);
+        desk.submit(beside, "first", lasting(13_000));
+        desk.pass(100, false);
+        desk.submit(goes, "first", lasting(2_200));
+        desk.pass(100, false);
+        let here = desk.order_of(task(stays, 0)).worker;
+        let there = desk.order_of(task(beside, 0)).worker;
+        assert_eq!(desk.order_of(task(goes, 0)).worker, here);
+        desk.submit(1_005, "first", lasting(12_100));
+        desk.pass(100, false);
+        desk.submit(returns, "first", lasting(RETURNS_MILLI));
+        desk.pass(100, false);
+        let third = desk.order_of(task(returns, 0)).worker;
+        assert!(third != here && third != there);
+        desk.submit(runs, "first", short(2));
+        desk.pass(100, false);
+        assert_eq!(desk.starts(runs).len(), 2, "one on each of the others");
+        desk.submit(waits, "first", short(40));
+        desk.end(task(returns, 0), job::EndKind::Failed);
+        desk.pass(600, false);
+        desk.submit(fills_up, "first", lasting(1_240));
+        desk.pass(3_400, false);
+        assert_eq!(desk.order_of(task(fills_up, 0)).worker, third, "it has too little left for good");
+        for index in 0..2 {
+            if desk.order_of(task(runs, index)).worker == here {
+                desk.end(task(runs, index), job::EndKind::Done);
+            }
+        }
+        desk.pass(600, false);
+        desk.end(task(goes, 0), job::EndKind::Failed);
+        desk.pass(600, false);
+        assert_eq!(desk.starts(returns).len(), 2, "what was kept and what became free are enough");
+        assert_eq!(desk.order_of(task(returns, 0)).worker, here);
+    },
 }
