--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -131,8 +131,9 @@
         }
         let before = self.losses(task);
         let settled = at_work >= SETTLED;
-        // A loss with no other suspect that is not its start's doing may be its work's: it counts on until the task settles. Counting
-        // those with other suspects too gave one sound job up in 100 worlds with 20 % of culprits beside other losses.
+        // A loss with no other suspect that is not its start's doing may be its work's: it counts on until the task
+        // settles. Counting those with other suspects too gave one sound job up in 100 worlds (20 % of jobs with a
+        // culprit, 8 deaths and 4 cuts of other workers beside).
         let unexplained = if settled { 0 } else { before.unexplained + before.alone };
         let after = progress::Losses { unexplained, ..progress::Losses::default() };
         if settled {
