--- a/crates/http/tests/silence.rs
+++ b/crates/http/tests/silence.rs
@@ -45,19 +45,20 @@
     proxy::Proxy::start(peer).await.expect("a proxy")
 }
 
-/// Makes calls one after another and returns which of them were answered.
-async fn one_by_one(call: impl AsyncFn() -> bool) -> Vec<bool> {
+/// Makes calls one after another and returns which of them were answered, and how long each took.
+async fn one_by_one(call: impl AsyncFn() -> bool) -> Vec<(bool, time::Duration)> {
     let mut answered = Vec::new();
     for _ in 0..=AT_ONCE {
-        answered.push(call().await);
+        let began = time::Instant::now();
+        answered.push((call().await, began.elapsed()));
     }
     answered
 }
 
 /// Checks that the first call alone was lost.
-fn only_the_first_is_lost(answered: &[bool]) {
-    let lost: Vec<usize> = (0..answered.len()).filter(|at| !answered[*at]).collect();
-    assert_eq!(lost, [0], "the calls that were lost, of {}", answered.len());
+fn only_the_first_is_lost(answered: &[(bool, time::Duration)]) {
+    let lost: Vec<usize> = (0..answered.len()).filter(|at| !answered[*at].0).collect();
+    assert_eq!(lost, [0], "the calls that were lost, of {answered:?}");
 }
 
 /// Returns a client of the store behind a proxy, with several idle connections.
