Idle connections ask the kernel for an end before they carry a request

Symptom: a request handed to an idle connection a moment after its peer had ended it was lost (a caller's request that may not be repeated: 'not known'), or got the peer's 408 as its answer. Cause: the runtime hears of a close only when it polls for events, and the task of the connection only when it is run then. hyper reads once before it writes to an idle connection, but that read was answered from what the runtime knew. Now that read asks the kernel; hyper sees the end and gives the request back unwritten. Ruled out: a look at the socket by the pool, which leaves the time until the connection's task runs (milliseconds beside load) open, and needs a second handle on the socket.

Both pools open connections by one function (crates/http/src/connection.rs) and wait for idle ones by one. Found beside it, mended: a request given back unwritten went over new connections without end, past its deadline, where the endpoint ends each at once (now: not sent, after one new connection); an idle connection whose last request is still being written was waited for without bound (now 100 ms, then the next one).

--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -6,24 +6,17 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
 use hyper::body;
 use hyper::body::Body as _;
-use hyper::client::conn::http1;
 use hyper::header;
-use hyper_util::rt;
 use wharflane::outcome;
+use wharflane_http::connection;
 
 /// The header by which an endpoint promises that it did not run a request.
 pub const REFUSED: &str = "wharflane-refused";
 /// The header by which an endpoint says that it is leaving.
 pub const LEAVING: &str = "wharflane-leaving";
 
-/// The body of a request, whole so that it can be sent again.
-type ReqBody = http_body_util::Full<Bytes>;
-/// A connection to an endpoint.
-type Sender = http1::SendRequest<ReqBody>;
-
 /// A try that ended without an answer.
 #[derive(Debug, thiserror::Error)]
 #[error("no answer from the endpoint: {}", failure.label())]
@@ -56,7 +49,7 @@
     /// The endpoint.
     addr: net::SocketAddr,
     /// The connection.
-    sender: Sender,
+    sender: connection::Sender,
 }
 
 impl ConnLease {
@@ -83,7 +76,7 @@
 #[derive(Debug)]
 struct Idle {
     /// The connection.
-    sender: Sender,
+    sender: connection::Sender,
     /// When its last answer was whole.
     since: tokio::time::Instant,
 }
@@ -125,15 +118,21 @@
     pub async fn exchange(
         self: &sync::Arc<Self>,
         addr: net::SocketAddr,
-        request: hyper::Request<ReqBody>,
+        request: hyper::Request<connection::Body>,
         timeout: time::Duration,
     ) -> Result<Answer, TryError> {
         let deadline = tokio::time::Instant::now() + timeout;
+        let idle =
+            connection::first_ready(deadline, || self.take_idle(addr), |sender| sender).await;
+        let mut reused = idle.is_some();
+        let mut sender = match idle {
+            Some(sender) => sender,
+            None => self.connect(addr).await?,
+        };
         let mut request = request;
-        let mut sender = self.take(addr).await?;
         loop {
             let sent = tokio::time::timeout_at(deadline, sender.try_send_request(request)).await;
-            let err = match sent {
+            let mut err = match sent {
                 Err(_) => {
                     let retired = self.retire(addr);
                     return Err(TryError { retired, ..failed(outcome::Failure::TimedOut, None) });
@@ -141,14 +140,17 @@
                 Ok(Ok(response)) => return self.check(addr, sender, response),
                 Ok(Err(err)) => err,
             };
-            let mut err = err;
             // hyper gives the request back only if no byte of it was written.
-            let Some(unsent) = err.take_message() else {
-                let source = io::Error::other(err.into_error());
-                return Err(failed(outcome::Failure::Lost, Some(source)));
+            let unsent = err.take_message();
+            let source = Some(io::Error::other(err.into_error()));
+            request = match unsent {
+                None => return Err(failed(outcome::Failure::Lost, source)),
+                // An endpoint that ends new connections at once would be given one after the other.
+                Some(_) if !reused => return Err(failed(outcome::Failure::NotSent, source)),
+                Some(unsent) => unsent,
             };
-            request = unsent;
             sender = self.connect(addr).await?;
+            reused = false;
         }
     }
 
@@ -178,7 +180,7 @@
     fn check(
         self: &sync::Arc<Self>,
         addr: net::SocketAddr,
-        sender: Sender,
+        sender: connection::Sender,
         response: hyper::Response<body::Incoming>,
     ) -> Result<Answer, TryError> {
         let lease = ConnLease { pool: sync::Arc::clone(self), addr, sender };
@@ -198,43 +200,24 @@
         Ok(Answer { response, lease })
     }
 
-    /// Takes an idle connection, or makes one.
-    async fn take(&self, addr: net::SocketAddr) -> Result<Sender, TryError> {
-        loop {
-            let idle = self.lock().get_mut(&addr).and_then(Vec::pop);
-            let young = idle.filter(|idle| idle.since.elapsed() < self.bounds.idle_timeout);
-            let Some(Idle { mut sender, .. }) = young else {
-                return self.connect(addr).await;
-            };
-            // A connection that was closed while idle is passed over.
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
-            }
-        }
+    /// Takes the connection that was used last, unless it was idle for too long.
+    fn take_idle(&self, addr: net::SocketAddr) -> Option<connection::Sender> {
+        let idle = self.lock().get_mut(&addr)?.pop()?;
+        (idle.since.elapsed() < self.bounds.idle_timeout).then_some(idle.sender)
     }
 
     /// Makes a connection; nothing of a request has been sent if that fails.
-    async fn connect(&self, addr: net::SocketAddr) -> Result<Sender, TryError> {
-        let dial = async {
-            let stream = tokio::net::TcpStream::connect(addr).await?;
-            stream.set_nodelay(true)?;
-            let shaken = http1::handshake(rt::TokioIo::new(stream)).await;
-            shaken.map_err(io::Error::other)
-        };
+    async fn connect(&self, addr: net::SocketAddr) -> Result<connection::Sender, TryError> {
         let not_sent = |source| failed(outcome::Failure::NotSent, Some(source));
-        let dialed = tokio::time::timeout(self.bounds.connect_timeout, dial).await;
-        let (sender, conn) = dialed
+        let opening = connection::open(addr);
+        let opened = tokio::time::timeout(self.bounds.connect_timeout, opening).await;
+        opened
             .map_err(|_elapsed| not_sent(io::ErrorKind::TimedOut.into()))?
-            .map_err(not_sent)?;
-        tokio::spawn(async move {
-            // What ends a connection is told to the exchange that runs on it.
-            drop(conn.await);
-        });
-        Ok(sender)
+            .map_err(|err| not_sent(io::Error::other(err)))
     }
 
     /// Keeps a connection for later.
-    fn put(&self, addr: net::SocketAddr, sender: Sender) {
+    fn put(&self, addr: net::SocketAddr, sender: connection::Sender) {
         if sender.is_closed() {
             return;
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,7 +3,6 @@
 //! A call without an answer in time retires all connections to its peer that were open by then: the
 //! pool of this package does so rather than hyper-util's, whose connections can't be taken out of it.
 
-use std::io;
 use std::sync;
 use std::time;
 
@@ -13,7 +12,7 @@
 use hyper::http::uri;
 use serde::de;
 
-use crate::pool;
+use crate::{connection, pool};
 
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -26,10 +25,6 @@
 /// How long a connection may take to stand: on one network it takes a few milliseconds, and a first
 /// packet that was lost is sent again only after a second. No call waits longer for it.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// How long the task of an idle connection may take until it is ready: no network is asked for it, so it takes
-/// microseconds, and beside load milliseconds. One that sends a body yet which its peer answered early takes longer.
-const READY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
-
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -40,8 +35,8 @@
     #[error("the address names no peer of plain HTTP")]
     NoPeer,
     /// No connection could be made; nothing was sent.
-    #[error("no connection: {0}")]
-    Connect(#[source] io::Error),
+    #[error(transparent)]
+    Connect(#[from] connection::OpenError),
     /// No connection stood in time; nothing was sent.
     #[error("no connection in time")]
     ConnectTimedOut,
@@ -167,7 +162,7 @@
     /// Returns `CallError` where no answer began within `timeout`, or one that began did not go on.
     pub async fn call(
         &self,
-        mut request: hyper::Request<pool::Body>,
+        mut request: hyper::Request<connection::Body>,
         timeout: time::Duration,
     ) -> Result<(hyper::StatusCode, Bytes), CallError> {
         let deadline = tokio::time::Instant::now() + timeout;
@@ -235,15 +230,9 @@
     CallError::TimedOut
 }
 
-/// Takes an idle connection once its task is through with the answer before, which its caller may hear of sooner.
+/// Takes an idle connection that is ready.
 async fn idle(call: &pool::Call<'_>, deadline: tokio::time::Instant) -> Option<pool::Conn> {
-    let end = deadline.min(tokio::time::Instant::now() + READY_TIMEOUT);
-    while let Some(mut conn) = call.idle() {
-        if matches!(tokio::time::timeout_at(end, conn.sender.ready()).await, Ok(Ok(()))) {
-            return Some(conn);
-        }
-    }
-    None
+    connection::first_ready(deadline, || call.idle(), |conn| &mut conn.sender).await
 }
 
 /// Waits for a connection that another call gives back, where as many are in use as are kept.
@@ -269,7 +258,9 @@
 }
 
 /// Takes the peer out of a request's address, and names it in the header that is for it.
-fn address_peer(request: &mut hyper::Request<pool::Body>) -> Result<uri::Authority, CallError> {
+fn address_peer(
+    request: &mut hyper::Request<connection::Body>,
+) -> Result<uri::Authority, CallError> {
     let mut parts = request.uri().clone().into_parts();
     let plain = parts.scheme.take() == Some(uri::Scheme::HTTP);
     let peer = parts.authority.take().filter(|_| plain).ok_or(CallError::NoPeer)?;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -4,6 +4,7 @@
 use std::io::Read as _;
 use std::pin;
 use std::task;
+use std::time;
 
 use bytes::Bytes;
 use hyper::client::conn::http1;
@@ -14,6 +15,10 @@
 /// How much is read at once past the runtime, in bytes: the head of a usual answer; what is longer follows as usual.
 const ASKED_BYTES: usize = 1_024;
 
+/// How long the task of an idle connection may take until it is ready: no network is asked for it, so it takes
+/// microseconds, and beside load milliseconds. One that still sends a body which its peer answered early takes longer.
+const READY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// The body of a request, whole so that it can be sent again.
 pub type Body = http_body_util::Full<Bytes>;
 /// Takes the requests of one connection.
@@ -43,6 +48,22 @@
     Ok(sender)
 }
 
+/// Takes idle connections until one is ready, once its task is through with the answer before, which its caller may hear
+/// of sooner; returns nothing where none is.
+pub async fn first_ready<C>(
+    deadline: tokio::time::Instant,
+    mut idle: impl FnMut() -> Option<C>,
+    sender: impl Fn(&mut C) -> &mut Sender,
+) -> Option<C> {
+    let end = deadline.min(tokio::time::Instant::now() + READY_TIMEOUT);
+    while let Some(mut conn) = idle() {
+        if matches!(tokio::time::timeout_at(end, sender(&mut conn).ready()).await, Ok(Ok(()))) {
+            return Some(conn);
+        }
+    }
+    None
+}
+
 /// A TCP stream that asks the kernel itself where the runtime knows of nothing to read.
 ///
 /// The runtime hears of what came only when it polls for events, which takes milliseconds beside load. A request handed to an
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -7,13 +7,9 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
-use hyper::client::conn::http1;
 use hyper::http::uri;
-use hyper_util::rt;
-use tokio::net;
 
-use crate::client;
+use crate::{client, connection};
 
 /// How often idle connections to peers that nobody calls any more are looked for: half of the time for
 /// which they are kept by default, so that they stay half as long again at most.
@@ -23,14 +19,11 @@
 /// The time in which so many are told.
 const LINES_EVERY: time::Duration = time::Duration::from_secs(1);
 
-/// The body of a request, whole so that it can be sent again.
-pub type Body = http_body_util::Full<Bytes>;
-
 /// A connection that carries one exchange at a time.
 #[derive(Debug)]
 pub struct Conn {
     /// Takes requests.
-    pub sender: http1::SendRequest<Body>,
+    pub sender: connection::Sender,
     /// Whether it carried an exchange before.
     pub reused: bool,
     /// The era of its peer in which it was opened.
@@ -145,12 +138,7 @@
         let era = self.pool.lock().peers.get(&self.peer).map_or(0, |peer| peer.era);
         let port = self.peer.port_u16().unwrap_or(80);
         let host = self.peer.host().trim_start_matches('[').trim_end_matches(']');
-        let opening = net::TcpStream::connect((host, port));
-        let stream = opening.await.map_err(client::CallError::Connect)?;
-        stream.set_nodelay(true).map_err(client::CallError::Connect)?;
-        let (sender, conn) = http1::handshake(rt::TokioIo::new(stream)).await?;
-        // It ends with its sender or its peer; what breaks it is told to the exchange on it.
-        tokio::spawn(async move { drop(conn.await) });
+        let sender = connection::open((host, port)).await?;
         Ok(Conn { sender, reused: false, era, used: self.began })
     }
 
