--- a/crates/stand-in/src/jobs/crew.rs
+++ b/crates/stand-in/src/jobs/crew.rs
@@ -39,7 +39,7 @@
             self.judge_closed(task, &start.order.worker, ordered);
             self.judge.started(task, world::ATTEMPTS, late, &self.workers);
             if self.is_culprit(task) {
-                self.doom(&start.order.worker);
+                self.doom(&start.order.worker, task, start.order.run);
             }
         }
         if !lost {
--- a/crates/stand-in/src/jobs/culprit.rs
+++ b/crates/stand-in/src/jobs/culprit.rs
@@ -9,6 +9,8 @@
 
 /// How long after the start the worker is down.
 const CRASH_AFTER: time::Duration = time::Duration::from_millis(10);
+/// The same where it goes down a while later, in milliseconds.
+const CRASH_LATE_MS: std::ops::Range<u64> = 500..5_000;
 /// How long a crashed worker is away, in milliseconds, until another life answers at its address.
 const AWAY_MS: std::ops::Range<u64> = 1_000..3_000;
 /// What jobs are dealt by, so that the share of those with such a task can be set in thousandths.
@@ -29,9 +31,23 @@
     }
 
     /// Lets a worker go down soon because of what it has just started.
-    pub(super) fn doom(&mut self, worker: &id::WorkerId) {
-        if let Some(at) = self.workers.iter().position(|found| found.id == *worker) {
-            self.send(CRASH_AFTER, mail::Message::Crash(at));
+    pub(super) fn doom(&mut self, worker: &id::WorkerId, task: job::TaskId, run: u32) {
+        let Some(at) = self.workers.iter().position(|found| found.id == *worker) else {
+            return;
+        };
+        let late = self.faults.late_culprits > 0 && self.chance(self.faults.late_culprits);
+        let after = if late {
+            time::Duration::from_millis(self.rng.random_range(CRASH_LATE_MS))
+        } else {
+            CRASH_AFTER
+        };
+        self.send(after, mail::Message::Crash(at, task, run));
+    }
+
+    /// Lets a worker crash under a run, if that is there still.
+    pub(super) fn crash_under(&mut self, at: usize, task: job::TaskId, run: u32) {
+        if self.workers[at].running().any(|here| here == (task, run)) {
+            self.crash(at);
         }
     }
 
--- a/crates/stand-in/src/jobs/fault.rs
+++ b/crates/stand-in/src/jobs/fault.rs
@@ -39,6 +39,8 @@
     pub closings: u32,
     /// Jobs with a task that crashes each worker that starts it, in thousandths of all jobs.
     pub culprits: u32,
+    /// Starts of such a task after which its worker goes down only a while later, in thousandths.
+    pub late_culprits: u32,
 }
 
 /// A kind of fault that strikes one thing for a time.
--- a/crates/stand-in/src/jobs/mail.rs
+++ b/crates/stand-in/src/jobs/mail.rs
@@ -32,7 +32,7 @@
     /// A fault ends.
     Mend(fault::Fault, usize),
     /// A worker crashes under a task that it has just started.
-    Crash(usize),
+    Crash(usize, job::TaskId, u32),
     /// Another life of a crashed worker takes its place.
     Replace(usize),
     /// A worker tells of its room.
@@ -107,7 +107,7 @@
             }
             Message::Fault(fault) => self.strike(fault),
             Message::Mend(fault, at) => self.mend(fault, at),
-            Message::Crash(at) => self.crash(at),
+            Message::Crash(at, task, run) => self.crash_under(at, task, run),
             Message::Replace(at) => self.replace(at),
             Message::Beat(at) => self.tell_member(at),
             Message::Feed => self.feed(),
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -137,5 +137,6 @@
         shrinks: 0,
         closings: 0,
         culprits: 0,
+        late_culprits: 0,
     }),
 }
