A loss with several suspects counts on until one of them is given up

Cause: clearing a suspect forgot each loss that had other suspects, since counting them on had given a sound job up that stood beside culprits (1 in 100 worlds with 20 % culprits). Now they count on, and the holder remembers who was suspected together: once one of them is given up, the others that were cleared have that loss taken back.

--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -43,13 +43,16 @@
     pub(super) fn note_loss(&mut self, tasks: &[spec::TaskId]) {
         let present = tasks.iter().filter_map(|task| self.presence(*task));
         let present: Vec<Presence> = present.collect();
-        let suspects = present.iter().filter(|presence| presence.is_suspect()).count();
+        let suspects = present.iter().filter(|presence| presence.is_suspect());
+        let suspects: Vec<spec::TaskId> = suspects.map(|suspect| suspect.task).collect();
         for presence in present {
             // What was at work is no suspect beside one that had just started.
-            if presence.is_suspect() || suspects == 0 {
-                self.count_loss(presence, suspects);
+            if presence.is_suspect() || suspects.is_empty() {
+                self.count_loss(presence, suspects.len());
             }
         }
+        let wanted: Vec<_> = suspects.into_iter().filter(|task| self.wanted(*task)).collect();
+        self.lost_under.add_together(&wanted);
     }
 
     /// Returns how a task was there when its worker was lost, unless the loss can't be its doing.
@@ -78,7 +81,7 @@
             times_suspected = losses.suspected, times_alone = losses.alone,
             times_unexplained = losses.unexplained, "worker lost under a task"
         );
-        self.lost_under.insert(task);
+        self.lost_under.add(task);
         self.mark_task(task);
     }
 
@@ -116,9 +119,30 @@
             times_alone = losses.alone, times_unexplained = losses.unexplained,
             "job failed: workers crashed under its task"
         );
+        self.take_back_losses_by(task);
         self.end_job(task.job, progress::Phase::Failed, now);
     }
 
+    /// Takes back the losses that a task is taken to have caused from those that were suspects beside it and are cleared.
+    fn take_back_losses_by(&mut self, culprit: spec::TaskId) {
+        for task in self.lost_under.explained_by(culprit) {
+            let entry = self.jobs.get_mut(&task.job);
+            let state = entry.and_then(|entry| entry.progress.tasks.get_mut(&task.into()));
+            let Some(state) = state else {
+                continue;
+            };
+            let losses = &mut state.losses;
+            losses.unexplained = losses.unexplained.saturating_sub(1);
+            tracing::info!(
+                %task, %culprit, times_unexplained = losses.unexplained, "loss of a worker explained"
+            );
+            if *losses == progress::Losses::default() {
+                self.lost_under.forget(task);
+            }
+            self.mark_task(task);
+        }
+    }
+
     /// Clears a task that is seen at work, and frees its worker for others.
     pub(super) fn clear_suspect(&mut self, task: spec::TaskId) {
         let at_work = self.placed.get(&task).and_then(|placed| self.at_work(placed));
@@ -131,14 +155,16 @@
         }
         let before = self.losses(task);
         let settled = at_work >= SETTLED;
-        // A loss with no other suspect that is not its start's doing may be its work's: it counts on until the task
-        // settles. Counting those with other suspects too gave one sound job up in 100 worlds (20 % of jobs with a
-        // culprit, 8 deaths and 4 cuts of other workers beside).
-        let unexplained = if settled { 0 } else { before.unexplained + before.alone };
+        let unexplained = if settled {
+            self.lost_under.forget(task);
+            0
+        } else {
+            // A loss that is not its start's doing may be its work's: it counts on until the task settles, or another
+            // suspect of that loss is given up.
+            let explained = self.lost_under.clear(task);
+            before.unexplained + before.suspected.saturating_sub(explained)
+        };
         let after = progress::Losses { unexplained, ..progress::Losses::default() };
-        if settled {
-            self.lost_under.remove(&task);
-        }
         let entry = self.jobs.get_mut(&task.job).filter(|_| after != before);
         if let Some(state) = entry.and_then(|entry| entry.progress.tasks.get_mut(&task.into())) {
             state.losses = after;
@@ -149,12 +175,12 @@
 
     /// Returns whether a worker was lost under a task, and that still counts.
     pub(super) fn was_lost_with(&self, task: spec::TaskId) -> bool {
-        self.lost_under.contains(&task)
+        self.lost_under.contains(task)
     }
 
     /// Returns whether a task may have crashed the worker that was lost under it by its start.
     pub(super) fn is_suspect(&self, task: spec::TaskId) -> bool {
-        self.lost_under.contains(&task) && self.losses(task).suspected > 0
+        self.lost_under.contains(task) && self.losses(task).suspected > 0
     }
 
     /// Returns the workers that were lost under a task.
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -8,6 +8,7 @@
 use super::group;
 use super::learned;
 use super::link;
+use super::lost_under;
 use super::pending;
 use super::progress;
 use super::queue;
@@ -117,7 +118,7 @@
     /// When most of the workers on which something runs were last silent at once.
     pub(super) many_silent: Option<time::Duration>,
     /// The tasks under which a worker was lost, as far as that still counts.
-    pub(super) lost_under: collections::BTreeSet<spec::TaskId>,
+    pub(super) lost_under: lost_under::LostUnder,
     /// The jobs that were given up since workers crashed under a task.
     pub(super) given_up: u64,
     /// Whether a worker has seen a higher epoch.
@@ -217,7 +218,7 @@
             unlisted: Vec::new(),
             link: link::Link::new(settings.link_bytes_per_s, taken),
             many_silent: None,
-            lost_under: collections::BTreeSet::new(),
+            lost_under: lost_under::LostUnder::default(),
             given_up: 0,
             fenced: false,
             leaving: false,
@@ -341,8 +342,8 @@
             view.remove(task, step);
         }
         self.strains.remove(&task);
-        if self.lost_under.contains(&task) && !self.wanted(task) {
-            self.lost_under.remove(&task);
+        if self.lost_under.contains(task) && !self.wanted(task) {
+            self.lost_under.forget(task);
         }
         self.staged.retain(|staged| *staged != task);
         self.mark_task(task);
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -174,7 +174,7 @@
             let known = self.placed.get(&row.task);
             let ours = known.is_some_and(|p| p.run == row.run && p.worker == *worker);
             self.note_begun(row.task.job);
-            if ours && self.lost_under.contains(&row.task) {
+            if ours && self.lost_under.contains(row.task) {
                 self.clear_suspect(row.task);
             }
             if !ours {
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -28,6 +28,7 @@
 mod loading;
 mod looks;
 mod lost;
+mod lost_under;
 mod members;
 mod need;
 mod obstacle;
