--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -13,8 +13,7 @@
 use tokio::net;
 
 /// How much is read at once past the runtime, in bytes: the head of a usual answer; what is longer follows as usual.
-const ASKED_BYTES: usize = 1_024;
-
+const EAGER_BYTES: usize = 1_024;
 /// How long the task of an idle connection may take until it is ready: no network is asked for it, so it takes
 /// microseconds, and beside load milliseconds. One that still sends a body which its peer answered early takes longer.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(100);
@@ -42,14 +41,15 @@
 pub async fn open(peer: impl net::ToSocketAddrs) -> Result<Sender, OpenError> {
     let stream = net::TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
-    let (sender, conn) = http1::handshake(rt::TokioIo::new(Asking(stream))).await?;
+    let (sender, conn) = http1::handshake(rt::TokioIo::new(EagerStream(stream))).await?;
     // What breaks a connection is told to the exchange on it.
     tokio::spawn(async move { drop(conn.await) });
     Ok(sender)
 }
 
-/// Takes idle connections until one is ready, once its task is through with the answer before, which its caller may hear
-/// of sooner; returns nothing where none is.
+/// Takes idle connections until one is ready, and drops those that are not; returns nothing where none is.
+///
+/// A connection is ready once its task is through with the answer before, which its caller may hear of sooner.
 pub async fn first_ready<C>(
     deadline: tokio::time::Instant,
     mut idle: impl FnMut() -> Option<C>,
@@ -64,21 +64,21 @@
     None
 }
 
-/// A TCP stream that asks the kernel itself where the runtime knows of nothing to read.
+/// A TCP stream that reads from the kernel also where the runtime knows of nothing to read.
 ///
 /// The runtime hears of what came only when it polls for events, which takes milliseconds beside load. A request handed to an
 /// idle connection in that time would be written after its peer's close and be lost, or take what the peer said before
 /// the close (such as a 408) for its answer. hyper reads once before it writes a request to an idle connection: by
-/// asking, that read sees the end, and hyper gives the request back unwritten. It costs a system call for each read that
+/// reading at once, that read sees the end, and hyper gives the request back unwritten. It costs a system call for each read that
 /// finds nothing, and saves a request after each close that would not be seen: 28 of 3,000 runs of three calls to a peer
 /// that closes after each answer lost one beside 12 busy loops on 5 cores. A close that is still under way is not seen.
 #[derive(Debug)]
-struct Asking(net::TcpStream);
+struct EagerStream(net::TcpStream);
 
-impl Asking {
+impl EagerStream {
     /// Reads what the kernel holds now.
-    fn ask(&self, buf: &mut ReadBuf<'_>) -> io::Result<()> {
-        let room = buf.remaining().min(ASKED_BYTES);
+    fn read_now(&self, buf: &mut ReadBuf<'_>) -> io::Result<()> {
+        let room = buf.remaining().min(EAGER_BYTES);
         let socket = socket2::SockRef::from(&self.0);
         let read = (&*socket).read(buf.initialize_unfilled_to(room))?;
         buf.advance(read);
@@ -86,7 +86,7 @@
     }
 }
 
-impl AsyncRead for Asking {
+impl AsyncRead for EagerStream {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -96,15 +96,15 @@
         if polled.is_ready() {
             return polled;
         }
-        match self.ask(buf) {
+        match self.read_now(buf) {
             // The runtime wakes the reader, as it was asked to.
             Err(err) if err.kind() == io::ErrorKind::WouldBlock => task::Poll::Pending,
-            asked => task::Poll::Ready(asked),
+            read => task::Poll::Ready(read),
         }
     }
 }
 
-impl AsyncWrite for Asking {
+impl AsyncWrite for EagerStream {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -124,6 +124,9 @@
     }
 
     /// Takes back the losses that a task is taken to have caused from those that were suspects beside it and are cleared.
+    ///
+    /// Without that one sound job was given up in 100 worlds (20 % of jobs with a culprit, 8 deaths and 4 cuts of other
+    /// workers beside), with it none. Suspects that are not cleared keep theirs, since two culprits may stand together.
     fn take_back_losses_by(&mut self, culprit: spec::TaskId) {
         for task in self.lost_under.explained_by(culprit) {
             let entry = self.jobs.get_mut(&task.job);
@@ -160,7 +163,8 @@
             0
         } else {
             // A loss that is not its start's doing may be its work's: it counts on until the task settles, or another
-            // suspect of that loss is given up.
+            // suspect of that loss is given up. Where losses with other suspects were forgotten here, a task that crashes
+            // its worker beside others first and later ones after a while had a sixth start.
             let explained = self.lost_under.clear(task);
             before.unexplained + before.suspected.saturating_sub(explained)
         };
