The endpoint of a test reads a request before it answers

Cause: its endpoint wrote its answer as soon as it was connected to. The endpoint reads a request first now; every assertion of the test stands.

--- a/crates/daemon/tests/silence/endpoints.rs
+++ b/crates/daemon/tests/silence/endpoints.rs
@@ -135,6 +135,9 @@
     tokio::spawn(async move {
         let mut open = Vec::new();
         while let Ok((mut stream, _)) = listener.accept().await {
+            // What comes before a request is no answer to it, and the host takes it for none.
+            let mut request = [0; 4_096];
+            assert!(stream.read(&mut request).await.is_ok_and(|bytes| bytes > 0));
             let half = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf";
             stream.write_all(half.as_bytes()).await.expect("written");
             open.push(stream);
