--- a/crates/endpoint/tests/closed_while_idle.rs
+++ b/crates/endpoint/tests/closed_while_idle.rs
@@ -19,12 +19,13 @@
 use wharflane_endpoint as endpoint;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::closing_peer::{ClosingPeer, End};
+use wharflane_stand_in::runtime;
 
 cases! {
-    a_request_after_a_close_is_answered => run(requests(1, End::Close)),
-    a_request_after_a_reset_is_answered => run(requests(1, End::Reset)),
-    a_request_after_an_answer_unasked_has_its_own => run(requests(1, End::GiveUp)),
-    requests_after_the_close_of_many_connections_are_answered => run(requests(8, End::Close)),
+    a_request_after_a_close_is_answered => runtime::on_one_thread(requests(1, End::Close)),
+    a_request_after_a_reset_is_answered => runtime::on_one_thread(requests(1, End::Reset)),
+    a_request_after_an_answer_unasked_has_its_own => runtime::on_one_thread(requests(1, End::GiveUp)),
+    requests_after_the_close_of_many_connections_are_answered => runtime::on_one_thread(requests(8, End::Close)),
 }
 
 /// How often a batch of requests is sent and its connections are ended.
@@ -32,15 +33,6 @@
 /// Longer than any test takes: no limit of time plays a part here.
 const PATIENCE: time::Duration = time::Duration::from_secs(60);
 
-/// Runs a case on a runtime of one thread.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// Sends batches of requests that may not be repeated; the endpoint ends all connections after each batch.
 async fn requests(batch: usize, end: End) {
     let peer = ClosingPeer::start(batch, end).expect("a peer");
--- a/crates/endpoint/tests/odd_endpoints.rs
+++ b/crates/endpoint/tests/odd_endpoints.rs
@@ -15,11 +15,11 @@
 use http_body_util::BodyExt as _;
 use wharflane::outcome;
 use wharflane_endpoint as endpoint;
-use wharflane_stand_in::cases;
+use wharflane_stand_in::{cases, runtime};
 
 cases! {
-    an_endpoint_that_ends_each_connection_at_once_gets_one_for_each_request => run(at_once()),
-    a_connection_whose_request_is_still_being_written_is_not_waited_for => run(early_answer()),
+    an_endpoint_that_ends_each_connection_at_once_gets_one_for_each_request => runtime::on_many_threads(at_once()),
+    a_connection_whose_request_is_still_being_written_is_not_waited_for => runtime::on_many_threads(early_answer()),
 }
 
 /// Far longer than any exchange takes: only what hangs reaches it.
@@ -29,15 +29,6 @@
 /// More than the buffers of two sockets hold, in bytes.
 const LARGE_BYTES: usize = 32 << 20;
 
-/// Runs a case.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// Returns a pool.
 fn pool() -> sync::Arc<endpoint::Pool> {
     let bounds = endpoint::Bounds { idle: 4, idle_timeout: PATIENCE, connect_timeout: PATIENCE };
--- a/crates/http/tests/closed_while_idle.rs
+++ b/crates/http/tests/closed_while_idle.rs
@@ -13,12 +13,13 @@
 use wharflane_http::client;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::closing_peer::{ClosingPeer, End};
+use wharflane_stand_in::runtime;
 
 cases! {
-    a_call_after_a_close_is_answered => run(calls(1, End::Close)),
-    a_call_after_a_reset_is_answered => run(calls(1, End::Reset)),
-    a_call_after_an_answer_unasked_has_its_own => run(calls(1, End::GiveUp)),
-    calls_after_the_close_of_many_connections_are_answered => run(calls(8, End::Close)),
+    a_call_after_a_close_is_answered => runtime::on_one_thread(calls(1, End::Close)),
+    a_call_after_a_reset_is_answered => runtime::on_one_thread(calls(1, End::Reset)),
+    a_call_after_an_answer_unasked_has_its_own => runtime::on_one_thread(calls(1, End::GiveUp)),
+    calls_after_the_close_of_many_connections_are_answered => runtime::on_one_thread(calls(8, End::Close)),
 }
 
 /// How often a batch of calls is made and its connections are ended.
@@ -26,15 +27,6 @@
 /// Longer than any test takes: no limit of time plays a part here.
 const PATIENCE: time::Duration = time::Duration::from_secs(60);
 
-/// Runs a case on a runtime of one thread.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// Makes batches of calls; the peer ends all connections after each batch.
 async fn calls(batch: usize, end: End) {
     let peer = ClosingPeer::start(batch, end).expect("a peer");
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod machine;
 pub mod platform;
 pub mod proxy;
+pub mod runtime;
 pub mod scenario;
 mod scenario_text;
 pub mod store;
--- a/crates/stand-in/tests/proxy.rs
+++ b/crates/stand-in/tests/proxy.rs
@@ -3,25 +3,15 @@
 use std::time;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use wharflane_stand_in::cases;
-use wharflane_stand_in::proxy;
+use wharflane_stand_in::{cases, proxy, runtime};
 
 cases! {
-    an_open_connection_goes_silent_and_a_new_one_works => run(silenced()),
+    an_open_connection_goes_silent_and_a_new_one_works => runtime::on_one_thread(silenced()),
 }
 
 /// How long silence is listened to: an answer on loopback takes less than a thousandth of it.
 const LISTEN: time::Duration = time::Duration::from_millis(300);
 
-/// Runs a case.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// Starts a server that sends back what it gets.
 async fn echo() -> std::net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
