Every loss of a worker counts under every task there, and the next starts find out which of them did it

What callers saw: a task that crashes its workers some seconds after it started was started six times and more where five are allowed, and took its neighbours' work with it each time.

Cause: each loss was ascribed at once. What was at work was not counted beside something that had just started, and what was cleared, or stood beside a task that was given up, had its losses taken back. Each of these rules frees some culprit.

Mend: losses count under all and stay until the task has settled. After the second loss a start is apart for its whole work, after the third it has a worker of its own, which is emptied for it where none is empty.

Ruled out: ascribing better.

--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -82,7 +82,7 @@
         let none = tickets::Known::default();
         let known = self.tickets.steps.get(&group::group(task)).unwrap_or(&none);
         let fits = |view: &&worker::View| {
-            let plain = obstacle::plain(view, service, task, step, view.takes(now)).is_none();
+            let plain = obstacle::plain(view, service, task, step, view.takes(task, now)).is_none();
             plain
                 && !known.bad.contains(&view.member.life)
                 && self.tickets.get(task, &view.member.life, now).is_none()
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -49,9 +49,7 @@
     if let Some(view) = holding.views.get_mut(worker) {
         view.add(task, step, image);
     }
-    if !step.gang && holding.is_suspect(task) {
-        holding.set_alone(task, worker);
-    }
+    holding.keep_apart(task, worker);
     let link = work::Link::Staged;
     let placed = work::Placed {
         worker: worker.clone(),
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -4,7 +4,7 @@
 use std::cmp;
 use std::time;
 
-use super::crash;
+use super::apart;
 use super::group;
 use super::harm;
 use super::holding;
@@ -46,10 +46,10 @@
     let lost_with = holding.was_lost_with(task);
     let weigh = |view: &worker::View| {
         let cost = if outside(view) { None } else { search.weigh(holding, view) };
-        let stake = || crash::Stake::of(holding, view, now);
-        cost.map(|cost| (if lost_with { stake() } else { crash::Stake::default() }, cost))
+        let stake = || apart::Stake::of(holding, task, view, now);
+        cost.map(|cost| (if lost_with { stake() } else { apart::Stake::default() }, cost))
     };
-    let before = |a: &(crash::Stake, Cost), b: &(crash::Stake, Cost)| {
+    let before = |a: &(apart::Stake, Cost), b: &(apart::Stake, Cost)| {
         a.0.cmp(&b.0).then_with(|| a.1.compare(&b.1)).is_lt()
     };
     cheapest(holding, weigh, before)
@@ -107,7 +107,9 @@
     /// Returns what speaks against a worker, or nothing where it does not take the task.
     pub fn weigh(&self, holding: &holding::Holding, view: &worker::View) -> Option<Cost> {
         let (step, now) = (self.step, self.now);
-        if obstacle::plain(view, self.service, self.task, step, view.takes(now)).is_some() {
+        if obstacle::plain(view, self.service, self.task, step, view.takes(self.task, now))
+            .is_some()
+        {
             return None;
         }
         if holding.kept_for.contains(&view.member.life) {
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/commit.rs
@@ -302,7 +302,7 @@
             ready_first = self.ready.values().filter(|ready| ready.priority == 0).count(),
             ready_lasting = self.ready.values().filter(|ready| ready.lasting).count(),
             largest_free_milli = self.views.values().map(|view| view.free().cpu_milli).max(),
-            resting = self.views.values().filter(|view| !view.takes(self.now)).count(),
+            resting = self.views.values().filter(|view| view.is_closed_to_all(self.now)).count(),
             placed = self.placed.len(),
             workers = self.views.len(),
             capacity_milli = sum(|view| view.member.capacity.cpu_milli),
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -113,7 +113,7 @@
         }
         let lost =
             progress.tasks.iter().filter(|(_, task)| task.losses != progress::Losses::default());
-        lost.for_each(|(place, _)| self.lost_under.add(place.of(job)));
+        lost.for_each(|(place, _)| self.lost_under.inherit(place.of(job)));
         let ended = progress.phase.ended().then_some(now);
         let begun = progress.tasks.values().any(progress::Task::shows_work);
         let spec = sync::Arc::new(spec);
@@ -269,6 +269,7 @@
         }
         self.tickets.forget(job);
         self.lost_under.forget_job(job);
+        self.keep_for_none(|task| task.job == job);
         self.mark(job);
         let tasks = self.placed.range(first..).take_while(|(task, _)| task.job == job);
         let tasks: Vec<spec::TaskId> = tasks.map(|(task, _)| *task).collect();
--- a/crates/wharflane/src/job/looks.rs
+++ b/crates/wharflane/src/job/looks.rs
@@ -205,6 +205,9 @@
                 self.stop(row.task, now);
             }
         }
+        for task in &adopted {
+            self.keep_apart(*task, worker);
+        }
         self.note_strays(worker, lists);
         self.adopt_shares(worker, lists, &adopted, now);
         self.weigh(worker, lists, now);
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -7,6 +7,7 @@
 mod acks;
 mod acquire;
 mod advice;
+mod apart;
 mod assign;
 mod call;
 mod choose;
--- a/crates/wharflane/src/job/need.rs
+++ b/crates/wharflane/src/job/need.rs
@@ -172,7 +172,7 @@
     let avoided = state.and_then(|state| state.failed_on.as_ref());
     let harms = choose::harms(holding, step, image);
     let kept_off = |view: &worker::View| {
-        obstacle::plain(view, service, task, step, view.takes_in_need(now))
+        obstacle::plain(view, service, task, step, view.takes_in_need(task, now))
             .or_else(|| holding.without_ticket(&entry.job, task, &view.member.life, now))
     };
     let weigh = |view: &worker::View| {
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -103,7 +103,7 @@
     let mut ranking = None;
     let mut next = Some(group.first);
     while let Some(ready) = next {
-        if !step.gang && holding.waits_to_be_alone(&ready, now) {
+        if holding.holds_back(&ready, step, now) {
             next = next_of(holding, &group, ready.task, now);
             continue;
         }
@@ -229,7 +229,7 @@
         .values()
         .filter(|view| !holding.kept_for.contains(&view.member.life))
         .filter(|view| {
-            obstacle::plain(view, service, task, step, view.takes(now))
+            obstacle::plain(view, service, task, step, view.takes(task, now))
                 == Some(obstacle::Obstacle::Room)
         })
         .max_by_key(|view| (step.reserved().fits(&view.free_in_time()), view.free().cpu_milli));
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -84,7 +84,7 @@
                 kept.then_some(obstacle::Obstacle::Kept)
             };
             let ticket = || self.without_ticket(&entry.job, task, &view.member.life, now);
-            let plain = obstacle::plain(view, service, task, step, view.takes(now));
+            let plain = obstacle::plain(view, service, task, step, view.takes(task, now));
             if let Some(obstacle) = plain.or_else(kept).or_else(ticket).or_else(harm) {
                 *counts.entry(obstacle).or_default() += 1;
             }
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -234,9 +234,9 @@
         }
     }
 
-    /// Returns whether new tasks may go there.
-    pub fn takes(&self, now: time::Duration) -> bool {
-        self.takes_in_need(now) && !self.rests(now)
+    /// Returns whether a new task may go there.
+    pub fn takes(&self, task: spec::TaskId, now: time::Duration) -> bool {
+        self.takes_in_need(task, now) && !self.rests(now)
     }
 
     /// Returns whether it rests, since runs failed or stood still there.
@@ -244,16 +244,25 @@
         now < self.unsound_until
     }
 
-    /// Returns whether tasks in need may go there, also while it rests.
-    pub fn takes_in_need(&self, now: time::Duration) -> bool {
+    /// Returns whether a task in need may go there, also while it rests.
+    pub fn takes_in_need(&self, task: spec::TaskId, now: time::Duration) -> bool {
+        self.alone.is_none_or(|alone| alone == task) && self.is_available(now)
+    }
+
+    /// Returns whether new tasks may go there as far as the worker is concerned.
+    fn is_available(&self, now: time::Duration) -> bool {
         self.listed
             && self.fenced
             && !self.member.leaving
-            && self.alone.is_none()
             && self.misses == 0
             && now >= self.rests_until
     }
 
+    /// Returns whether it gets nothing new for now, whatever waits.
+    pub fn is_closed_to_all(&self, now: time::Duration) -> bool {
+        !self.is_available(now) || self.rests(now) || self.alone.is_some()
+    }
+
     /// Returns the last end that the worker is to forget: all up to it are committed. None is named where the worker
     /// has forgotten them already, or may have started again since its last answer: the next life numbers its ends from one.
     pub fn seen(&self) -> u64 {
--- a/crates/wharflane/tests/desk/mod.rs
+++ b/crates/wharflane/tests/desk/mod.rs
@@ -1,6 +1,8 @@
 //! An engine with a store and workers that answer at once, event by event.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod losses;
+
 use std::collections;
 use std::sync;
 use std::time;
