A task with few starts left goes to another worker by id, in calm; sound jobs outlive storms of restarts

Mend: ends of lives are kept by id for a minute and weighed in the choice; a loss with a worker that went lately is no proof against the task alone on it; from three losses on a start waits for 5 s without a loss where nothing had just started, 20 s at the most.

--- a/crates/wharflane/src/job/apart.rs
+++ b/crates/wharflane/src/job/apart.rs
@@ -41,7 +41,7 @@
     AtFirst,
     /// Nothing new comes to its worker until it has settled.
     Throughout,
-    /// The same, on a worker that has nothing else.
+    /// The same, on a worker that has nothing else, once workers are lost no more.
     Alone,
 }
 
@@ -105,7 +105,7 @@
     ) -> bool {
         let waited = now.saturating_sub(ready.since);
         let held = match self.apart(ready.task) {
-            _ if step.gang => false,
+            _ if step.gang => self.holds_back_gang(ready, step, now),
             Apart::Not => false,
             Apart::AtFirst | Apart::Throughout => {
                 waited < ALONE_WAIT && !self.may_keep_alone(ready.task)
@@ -115,14 +115,23 @@
         if held && self.lost_under.begin_hold(ready.task) {
             tracing::info!(
                 task = %ready.task, losses = self.losses(ready.task).all(),
+                calm_in_ms = worker::millis(self.calm_from().saturating_sub(now)),
                 "start held back to be apart from others"
             );
         }
         held
     }
 
-    /// Returns whether a start that is to be alone is held back, until a worker that has nothing else can be kept
-    /// for it.
+    /// Returns whether a gang is held back until workers are lost no more, since one of its members is to be alone. All of
+    /// them start together, so that none waits for a worker of its own.
+    fn holds_back_gang(&self, ready: &work::Ready, step: &spec::Step, now: time::Duration) -> bool {
+        let mut members = (0..step.count).map(|index| spec::TaskId { index, ..ready.task });
+        let waits = now < self.calm_from().min(ready.since + CALM_WAIT);
+        waits && members.any(|member| self.apart(member) == Apart::Alone)
+    }
+
+    /// Returns whether a start that is to be alone is held back, until workers are lost no more and one that has nothing
+    /// else can be kept for it.
     fn holds_back_to_be_alone(
         &mut self,
         ready: &work::Ready,
@@ -130,6 +139,9 @@
         now: time::Duration,
     ) -> bool {
         let at_the_most = ready.since + CALM_WAIT;
+        if now < self.calm_from().min(at_the_most) {
+            return true;
+        }
         let quiet = self.quiet_from().max(ready.since);
         if now >= (quiet + ALONE_WAIT).min(at_the_most) {
             return false;
@@ -172,6 +184,11 @@
         self.lost_under.last_end().map_or(time::Duration::ZERO, |at| at + CALM_AFTER)
     }
 
+    /// Returns from when on workers are taken to be lost no more for reasons of their own.
+    fn calm_from(&self) -> time::Duration {
+        self.lost_under.last_elsewhere().map_or(time::Duration::ZERO, |at| at + CALM_AFTER)
+    }
+
     /// Returns whether a worker with nothing on it takes a task.
     fn finds_empty(&self, task: spec::TaskId, step: &spec::Step, now: time::Duration) -> bool {
         let Some(entry) = self.jobs.get(&task.job) else {
@@ -199,8 +216,12 @@
 pub(super) struct Stake {
     /// The task is to be alone, and something is there.
     occupied: bool,
+    /// The worker was lost under this task, in whichever life.
+    same: bool,
     /// The tasks there under which a worker was lost too: together none of them could be told from the others.
     lost_under: usize,
+    /// How many of its lives have ended lately, so that it may go for another reason.
+    ends: usize,
     /// Its life is young, so that it may go for another reason.
     young: bool,
     /// The tasks whose work would be lost.
@@ -215,10 +236,13 @@
         view: &worker::View,
         now: time::Duration,
     ) -> Self {
+        let worker = &view.member.life.worker;
         let young = now.saturating_sub(view.known_since) < STEADY;
         let lost_under = view.tasks.iter().filter(|task| holding.was_lost_with(**task)).count();
         Self {
             occupied: holding.apart(task) == Apart::Alone && !view.tasks.is_empty(),
+            same: holding.lost_under.contains_worker(task, worker),
+            ends: holding.lost_under.ends(worker, now),
             young,
             lost_under,
             tasks: view.tasks.len(),
--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -117,6 +117,7 @@
     fn count_loss(&mut self, worker: &id::Life, presence: Presence, suspects: usize, known: Known) {
         let Presence { task, run, at_work } = presence;
         let suspected = presence.is_suspect();
+        let steady = self.lost_under.ends(&worker.worker, self.now) == 0;
         let wanted = self.wanted(task);
         let Some(entry) = self.jobs.get_mut(&task.job).filter(|_| wanted) else {
             return;
@@ -126,9 +127,9 @@
         losses.suspected += u32::from(suspected);
         losses.unexplained += u32::from(!suspected);
         // A start without an answer may never have come: its worker may have been down before. One that was silent for
-        // longer than its leases may have gone at any time since.
+        // longer than its leases may have gone at any time since, and one that went before for a reason of its own.
         let at_its_start = at_work.is_some() && known == Known::AtOnce;
-        losses.alone += u32::from(suspected && suspects == 1 && at_its_start);
+        losses.alone += u32::from(suspected && suspects == 1 && at_its_start && steady);
         tracing::warn!(
             %task, run, %worker, suspected, suspects, at_work_ms = at_work.map(worker::millis),
             times_suspected = losses.suspected, times_alone = losses.alone,
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -113,7 +113,7 @@
         }
         let lost =
             progress.tasks.iter().filter(|(_, task)| task.losses != progress::Losses::default());
-        lost.for_each(|(place, _)| self.lost_under.inherit(place.of(job)));
+        lost.for_each(|(place, _)| self.lost_under.inherit(place.of(job), now));
         let ended = progress.phase.ended().then_some(now);
         let begun = progress.tasks.values().any(progress::Task::shows_work);
         let spec = sync::Arc::new(spec);
--- a/crates/wharflane/src/job/lost_under.rs
+++ b/crates/wharflane/src/job/lost_under.rs
@@ -29,14 +29,18 @@
     held: collections::BTreeSet<spec::TaskId>,
     /// When workers were lost where nothing had just started, the latest last.
     elsewhere: collections::VecDeque<time::Duration>,
+    /// When a worker was last lost, as far as is known, where nothing had just started.
+    last_elsewhere: Option<time::Duration>,
     /// When lives of a worker ended lately, the latest last.
     ends: collections::BTreeMap<id::WorkerId, collections::VecDeque<time::Duration>>,
 }
 
 impl LostUnder {
-    /// Adds a task under which an earlier holder saw a worker being lost.
-    pub fn inherit(&mut self, task: spec::TaskId) {
+    /// Adds a task under which an earlier holder saw a worker being lost. What else was lost then is not known, so it is
+    /// taken for a trouble that lasted until now.
+    pub fn inherit(&mut self, task: spec::TaskId, now: time::Duration) {
         self.tasks.entry(task).or_default();
+        self.last_elsewhere = Some(now);
     }
 
     /// Adds a task with the worker that was lost under it.
@@ -49,6 +53,11 @@
         self.tasks.contains_key(&task)
     }
 
+    /// Returns whether this worker was lost under a task, in whichever life.
+    pub fn contains_worker(&self, task: spec::TaskId, worker: &id::WorkerId) -> bool {
+        self.tasks.get(&task).is_some_and(|workers| workers.contains(worker))
+    }
+
     /// Returns how many tasks there are.
     pub fn len(&self) -> usize {
         self.tasks.len()
@@ -83,6 +92,7 @@
                 self.elsewhere.pop_front();
             }
             self.elsewhere.push_back(now);
+            self.last_elsewhere = Some(now);
         }
         let since = now.saturating_sub(UNSTEADY);
         self.ends.retain(|_, ends| ends.back().is_some_and(|last| *last >= since));
@@ -91,6 +101,13 @@
         ends.push_back(now);
     }
 
+    /// Returns how many lives of a worker have ended lately.
+    pub fn ends(&self, worker: &id::WorkerId, now: time::Duration) -> usize {
+        let since = now.saturating_sub(UNSTEADY);
+        let ends = self.ends.get(worker);
+        ends.map_or(0, |ends| ends.iter().rev().take_while(|end| **end >= since).count())
+    }
+
     /// Returns when a life last ended that was not planned.
     pub fn last_end(&self) -> Option<time::Duration> {
         self.ends.values().filter_map(|ends| ends.back().copied()).max()
@@ -100,4 +117,9 @@
     pub fn elsewhere(&self, since: time::Duration) -> usize {
         self.elsewhere.iter().rev().take_while(|at| **at >= since).count()
     }
+
+    /// Returns when a worker was last lost, as far as is known, where nothing had just started.
+    pub fn last_elsewhere(&self) -> Option<time::Duration> {
+        self.last_elsewhere
+    }
 }
--- a/crates/wharflane/tests/apart.rs
+++ b/crates/wharflane/tests/apart.rs
@@ -5,12 +5,14 @@
 use wharflane::job;
 use wharflane_stand_in::cases;
 
-use desk::losses::crash;
+use desk::losses::{crash, gone, task};
 
 /// The job under whose task workers are lost.
 const JOB: u64 = 10;
 /// The most starts of a task that crashes each worker.
 const MOST_STARTS: usize = 5;
+/// How long a start is held back at the most, and a pass to end it, in milliseconds.
+const MOST_HELD_MS: u64 = 20_200;
 /// How long it is where no worker is lost any more.
 const CALM_MS: u64 = 5_200;
 /// How long one waits for a worker that has nothing else.
@@ -31,6 +33,11 @@
     desk
 }
 
+/// Lets an idle worker go, of those that had nothing so far.
+fn lose_idle(desk: &mut desk::Desk, at: usize) {
+    gone(desk, &desk::member(at).life);
+}
+
 /// Lets the task lose three workers, each after it was at work for a while.
 fn lose_three(desk: &mut desk::Desk) {
     for _ in 0..3 {
@@ -79,6 +86,61 @@
         assert_eq!(desk.phase(JOB), job::Phase::Failed);
         assert!(desk.starts(JOB).len() <= MOST_STARTS, "{} starts", desk.starts(JOB).len());
     },
+    // A sound task lost its fourth and fifth worker while idle ones went, too, and was given up.
+    a_fourth_start_waits_until_idle_workers_are_lost_no_more => {
+        let mut desk = started(40, lasting());
+        lose_three(&mut desk);
+        let waited = waits(&mut desk, |desk, second| {
+            if second < 6 {
+                lose_idle(desk, 39 - usize::try_from(second).expect("small"));
+            }
+        });
+        assert!((6_000..6_000 + CALM_MS).contains(&waited), "{waited} ms");
+    },
+    // A hold without an end would keep a job from all workers for as long as some are lost.
+    a_fourth_start_is_held_back_for_a_bounded_time => {
+        let mut desk = started(60, lasting());
+        lose_three(&mut desk);
+        let waited = waits(&mut desk, |desk, second| {
+            lose_idle(desk, 59 - usize::try_from(second).expect("small"));
+        });
+        assert!(waited <= MOST_HELD_MS, "{waited} ms");
+    },
+    // A sound task went back four times to a worker that restarts again and again under its id.
+    the_next_start_goes_to_a_worker_of_another_id => {
+        let mut desk = desk::Desk::new(6, Vec::new());
+        (0..6).for_each(|at| drop(desk.restart(at)));
+        desk.submit(JOB, "first", lasting());
+        desk.pass(300, false);
+        let lost = desk.order_of(task(JOB)).worker.worker;
+        let at = (0..6).find(|at| desk::member(*at).life.worker == lost).expect("a worker");
+        for other in 0..30 {
+            desk.submit(JOB + 1 + other, "first", desk::step("plain", 500));
+        }
+        desk.pass(100, false);
+        let next = desk.restart(at);
+        desk.pass(4_000, false);
+        assert_eq!(desk.starts(JOB).len(), 2);
+        assert_ne!(desk.order_of(task(JOB)).worker.worker, next.worker);
+    },
+    // A fourth start beside others tells nothing: one worker is emptied for it.
+    a_worker_is_emptied_for_a_fourth_start => {
+        let mut desk = started(6, lasting());
+        lose_three(&mut desk);
+        for other in 0..30 {
+            desk.submit(JOB + 1 + other, "first", desk::step("plain", 900));
+        }
+        waits(&mut desk, |_, _| {});
+        let alone = desk.order_of(task(JOB)).worker;
+        for other in 100..130 {
+            desk.submit(JOB + other, "first", desk::step("plain", 900));
+        }
+        desk.pass(400, false);
+        let beside = (100..130).filter(|job| {
+            !desk.starts(JOB + job).is_empty() && desk.order_of(task(JOB + job)).worker == alone
+        });
+        assert_eq!(beside.count(), 0, "something new beside it");
+    },
     // Where every worker has a lasting task none ever becomes empty, and the fourth start must not wait for it.
     a_fourth_start_does_not_wait_for_a_worker_that_never_becomes_empty => {
         let mut desk = started(8, job::Step { lasting: true, ..desk::step("plain", 300) });
