What a run was at work, and that its loss was counted, outlasts the holder

Cause: how long a run was at work is known from the holder's own looks alone, and a run that was handed on to the next life of its worker looked to the next holder like one whose loss had not been counted.

Mend: the row of a task under which a worker was lost keeps the last run that was counted and the last that was seen at work.

Test: what_a_run_was_at_work_outlasts_the_holder failed before.

--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -105,12 +105,16 @@
     /// Returns how a task was there when its worker was lost, unless the loss can't be its doing.
     fn presence(&self, task: spec::TaskId) -> Option<Presence> {
         let placed = self.placed.get(&task).filter(|placed| self.may_have_crashed(placed))?;
-        Some(self.presence_of(task, placed))
+        // A loss counts once, also where an earlier holder noted it and handed the run on to the worker's next life.
+        let counted = placed.link == work::Link::Inherited && self.starts(task).lost == placed.run;
+        (!counted).then(|| self.presence_of(task, placed))
     }
 
     /// Returns how a placed task is on its worker.
     fn presence_of(&self, task: spec::TaskId, placed: &work::Placed) -> Presence {
-        Presence { task, run: placed.run, at_work: self.at_work(placed) }
+        let seen_before = self.starts(task).at_work == placed.run;
+        let at_work = self.at_work(placed).max(seen_before.then_some(CLEARED));
+        Presence { task, run: placed.run, at_work }
     }
 
     /// Counts a loss under one task that is still wanted, beside so many suspects.
@@ -123,6 +127,7 @@
             return;
         };
         let state = entry.progress.tasks.entry(task.into()).or_default();
+        state.starts.lost = state.starts.lost.max(run);
         let losses = &mut state.losses;
         losses.suspected += u32::from(suspected);
         losses.unexplained += u32::from(!suspected);
@@ -177,10 +182,11 @@
         let Some(placed) = self.placed.get(&task) else {
             return;
         };
+        let run = placed.run;
         let Some(at_work) = self.at_work(placed).filter(|at_work| *at_work >= CLEARED) else {
             return;
         };
-        let before = self.losses(task);
+        let (before, starts) = (self.losses(task), self.starts(task));
         // A loss that is not its start's doing may be its work's: it counts on until the task settles.
         let after = if at_work >= SETTLED {
             self.lost_under.forget(task);
@@ -188,9 +194,11 @@
         } else {
             progress::Losses { suspected: 0, alone: 0, unexplained: before.all() }
         };
-        let entry = self.jobs.get_mut(&task.job).filter(|_| after != before);
+        let news = after != before || starts.at_work != run;
+        let entry = self.jobs.get_mut(&task.job).filter(|_| news);
         if let Some(state) = entry.and_then(|entry| entry.progress.tasks.get_mut(&task.into())) {
             state.losses = after;
+            state.starts = progress::Starts { at_work: run, ..starts };
             tracing::info!(%task, times_unexplained = after.unexplained, "no suspect any more");
             self.mark_task(task);
         }
@@ -207,6 +215,11 @@
         self.state(task).map(|state| state.losses).unwrap_or_default()
     }
 
+    /// Returns what is kept of a task's starts since a worker was lost under it.
+    fn starts(&self, task: spec::TaskId) -> progress::Starts {
+        self.state(task).map(|state| state.starts).unwrap_or_default()
+    }
+
     /// Returns how far a task has come.
     fn state(&self, task: spec::TaskId) -> Option<&progress::Task> {
         self.jobs.get(&task.job)?.progress.tasks.get(&task.into())
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -76,6 +76,24 @@
     }
 }
 
+/// What is kept of a task's starts once a worker was lost under it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Starts {
+    /// The number of the last one whose worker was lost.
+    #[serde(rename = "l")]
+    pub lost: u32,
+    /// The number of the last one that was seen at work for a while.
+    #[serde(rename = "w")]
+    pub at_work: u32,
+}
+
+impl Starts {
+    /// Returns whether there is nothing to keep.
+    fn is_none(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// One task that was started at least once.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Task {
@@ -93,6 +111,8 @@
     pub saved_run: u32,
     /// The workers that were lost under it.
     pub losses: Losses,
+    /// Its starts since.
+    pub starts: Starts,
     /// Where it failed last; lost with the holder.
     pub failed_on: Option<id::Life>,
 }
@@ -200,6 +220,9 @@
     /// The workers that were lost under it.
     #[serde(default, skip_serializing_if = "Losses::is_none")]
     lost: Losses,
+    /// Its starts since.
+    #[serde(default, rename = "st", skip_serializing_if = "Starts::is_none")]
+    starts: Starts,
 }
 
 impl Kept {
@@ -220,6 +243,7 @@
                 done: task.done,
                 saved: task.checkpoint.clone(),
                 lost: task.losses,
+                starts: task.starts,
             }),
         }
     }
@@ -253,6 +277,7 @@
                 done: task.done,
                 checkpoint: task.saved,
                 losses: task.lost,
+                starts: task.starts,
                 ..Task::default()
             };
             (Place { round, step, index }, state)
--- a/crates/wharflane/tests/apart.rs
+++ b/crates/wharflane/tests/apart.rs
@@ -1,11 +1,11 @@
-//! Starts of tasks under which workers were lost: how far apart, and how long held back.
+//! Starts of tasks under which workers were lost: how far apart, how long held back, and what outlasts a holder.
 
 mod desk;
 
 use wharflane::job;
 use wharflane_stand_in::cases;
 
-use desk::losses::{crash, gone, task};
+use desk::losses::{AWAY_MS, crash, gone, losses, task};
 
 /// The job under whose task workers are lost.
 const JOB: u64 = 10;
@@ -152,4 +152,20 @@
         let waited = waits(&mut desk, |_, _| {});
         assert!(waited <= CALM_MS + EMPTY_MS, "{waited} ms");
     },
+    // A run that an earlier holder saw at work counted as one that had just started.
+    what_a_run_was_at_work_outlasts_the_holder => {
+        let mut before = started(10, lasting());
+        crash(&mut before, JOB);
+        before.pass(CLEARED_MS + 1_000, false);
+        let second = before.order_of(task(JOB)).worker;
+        let job::Event::Jobs(jobs) = before.accepted(JOB, "first", lasting()) else {
+            panic!("no rows");
+        };
+        let mut desk = desk::Desk::after(10, (jobs, before.table(job::PROGRESS)), Vec::new());
+        desk.silent.insert(second.clone());
+        desk.pass(AWAY_MS, false);
+        gone(&mut desk, &second);
+        desk.pass(100, false);
+        assert_eq!(losses(&desk, JOB), job::Losses { suspected: 0, alone: 0, unexplained: 2 });
+    },
 }
