Starts that fail after the third loss count, too

Cause: the bound counted losses alone; the rule counts starts after the third.

Mend: the job's row counts such starts; with the losses they make five at the most. Stops, workers that leave and leases that have lapsed count nothing, so that a sound task is not blamed for what is done to it.

Tests: starts_that_fail_after_the_third_loss_count_too failed before.

--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -164,18 +164,45 @@
     /// Ends the job of a task under which too many workers were lost.
     pub(super) fn give_up_if_lost(&mut self, task: spec::TaskId, now: time::Duration) {
         let losses = self.losses(task);
-        if !self.wanted(task) || !losses.are_too_many(self.are_lost_by_chance()) {
+        let others = self.starts(task).others;
+        if !self.wanted(task) || !losses.are_too_many(others, self.are_lost_by_chance()) {
             return;
         }
         self.given_up += 1;
         tracing::warn!(
             job = %task.job, %task, times_suspected = losses.suspected,
-            times_alone = losses.alone, times_unexplained = losses.unexplained,
+            times_alone = losses.alone, times_unexplained = losses.unexplained, others,
             "job failed: workers crashed under its task"
         );
         self.end_job(task.job, progress::Phase::Failed, now);
     }
 
+    /// Notes that a run has ended under which no worker was lost. After three losses such a start counts as well: the task
+    /// has few left, however they end.
+    pub(super) fn note_other_end(&mut self, task: spec::TaskId, placed: &work::Placed) {
+        let view = self.views.get(&placed.worker);
+        let planned = placed.stopped.is_some() || view.is_some_and(|view| view.member.leaving);
+        // Whether its worker is lost is not known yet where leases have lapsed.
+        let open = view.is_some_and(|view| {
+            view.lapsed.iter().any(|lapsed| (lapsed.task, lapsed.run) == (task, placed.run))
+        });
+        let began = matches!(placed.link, work::Link::There(_));
+        if planned || open || !began || self.losses(task).all() < MOST_SUSPECTED {
+            return;
+        }
+        let entry = self.jobs.get_mut(&task.job);
+        let state = entry.and_then(|entry| entry.progress.tasks.get_mut(&task.into()));
+        let Some(state) = state.filter(|state| !state.done && state.starts.lost != placed.run)
+        else {
+            return;
+        };
+        state.starts.others += 1;
+        tracing::info!(
+            %task, run = placed.run, others = state.starts.others,
+            "start counted that ended without a loss"
+        );
+    }
+
     /// Clears a task that is seen at work of what its start may have done, and frees its worker for others where it need
     /// not be apart for longer.
     pub(super) fn clear_suspect(&mut self, task: spec::TaskId) {
@@ -188,17 +215,17 @@
         };
         let (before, starts) = (self.losses(task), self.starts(task));
         // A loss that is not its start's doing may be its work's: it counts on until the task settles.
-        let after = if at_work >= SETTLED {
+        let (after, others) = if at_work >= SETTLED {
             self.lost_under.forget(task);
-            progress::Losses::default()
+            (progress::Losses::default(), 0)
         } else {
-            progress::Losses { suspected: 0, alone: 0, unexplained: before.all() }
+            (progress::Losses { suspected: 0, alone: 0, unexplained: before.all() }, starts.others)
         };
         let news = after != before || starts.at_work != run;
         let entry = self.jobs.get_mut(&task.job).filter(|_| news);
         if let Some(state) = entry.and_then(|entry| entry.progress.tasks.get_mut(&task.into())) {
             state.losses = after;
-            state.starts = progress::Starts { at_work: run, ..starts };
+            state.starts = progress::Starts { at_work: run, others, ..starts };
             tracing::info!(%task, times_unexplained = after.unexplained, "no suspect any more");
             self.mark_task(task);
         }
@@ -271,8 +298,8 @@
 
     /// Returns whether a task under which workers were lost so often is to be given up. Where workers are lost for other
     /// causes as well, it has all the starts that it may have.
-    fn are_too_many(self, by_chance: bool) -> bool {
+    fn are_too_many(self, others: u32, by_chance: bool) -> bool {
         let alone = self.suspected >= MOST_SUSPECTED && self.alone >= LEAST_ALONE;
-        alone && !by_chance || self.all() >= MOST_LOST
+        alone && !by_chance || self.all() + others >= MOST_LOST
     }
 }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -342,6 +342,7 @@
             return;
         };
         self.changed = true;
+        self.note_other_end(task, &placed);
         let Some(entry) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -360,5 +361,6 @@
         self.staged.retain(|staged| *staged != task);
         self.mark_task(task);
         self.open_step(task.job, task.round, task.step);
+        self.give_up_if_lost(task, self.now);
     }
 }
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -85,6 +85,9 @@
     /// The number of the last one that was seen at work for a while.
     #[serde(rename = "w")]
     pub at_work: u32,
+    /// How many since the third loss ended neither as done nor with their worker.
+    #[serde(rename = "o")]
+    pub others: u32,
 }
 
 impl Starts {
--- a/crates/wharflane/tests/apart.rs
+++ b/crates/wharflane/tests/apart.rs
@@ -168,4 +168,16 @@
         desk.pass(100, false);
         assert_eq!(losses(&desk, JOB), job::Losses { suspected: 0, alone: 0, unexplained: 2 });
     },
+    // A task that fails between the workers that it crashes had a sixth start, since only losses counted.
+    starts_that_fail_after_the_third_loss_count_too => {
+        let mut desk = started(20, desk::step("plain", 1_000));
+        lose_three(&mut desk);
+        for _ in 0..3 {
+            desk.pass(CALM_MS + EMPTY_MS, false);
+            desk.end(task(JOB), job::EndKind::Failed);
+            desk.pass(100, false);
+        }
+        assert_eq!(desk.phase(JOB), job::Phase::Failed);
+        assert!(desk.starts(JOB).len() <= MOST_STARTS, "{} starts", desk.starts(JOB).len());
+    },
 }
