Starts apart take less from others: a second after two losses, 5 s alone after three

Mend: a second after two losses, 5 s alone after three; a task that lost one worker at work is placed as usual where many such tasks are.

--- a/crates/wharflane/src/job/apart.rs
+++ b/crates/wharflane/src/job/apart.rs
@@ -12,11 +12,14 @@
 use super::worker;
 use crate::id;
 
-/// The losses from which on a task is apart for as long as it is at work, and not only at its start.
-const APART_THROUGHOUT: u32 = 2;
+/// The losses from which on a start is apart whatever the task was at when its workers were lost.
+const APART: u32 = 2;
 /// The losses from which on the task's next worker is to have nothing else: the starts that are left are few, and each is
 /// to tell for certain.
 const ALL_ALONE: u32 = 3;
+/// How long a task that is to be alone keeps its worker for itself: for as long as it is a suspect it would take too much
+/// from others where many workers are lost.
+const ALONE_FOR: time::Duration = time::Duration::from_secs(5);
 /// One worker in so many may be kept for a suspect alone; other work has the rest.
 const ALONE_PART: usize = 4;
 /// The same for a suspect of more than one loss, which the next ones may end: its innocence is to be found out first.
@@ -39,9 +42,7 @@
     Not,
     /// Nothing new comes to its worker until it was at work for a while.
     AtFirst,
-    /// Nothing new comes to its worker until it has settled.
-    Throughout,
-    /// The same, on a worker that has nothing else, once workers are lost no more.
+    /// The same for longer, on a worker that has nothing else, once workers are lost no more.
     Alone,
 }
 
@@ -54,12 +55,19 @@
         let losses = self.losses(task);
         match losses.all() {
             ALL_ALONE.. => Apart::Alone,
-            APART_THROUGHOUT.. => Apart::Throughout,
+            APART.. => Apart::AtFirst,
             _ if losses.suspected > 0 => Apart::AtFirst,
             _ => Apart::Not,
         }
     }
 
+    /// Returns whether a task is kept off others under which a worker was lost, before its place's cost is weighed: where its
+    /// start is to be apart, or where such tasks are few. Among many it would only cost the sound ones good places.
+    pub(super) fn is_kept_off_others(&self, task: spec::TaskId) -> bool {
+        let few = self.lost_under.len() * ALONE_PART <= self.views.len();
+        self.apart(task) > Apart::Not || few && self.was_lost_with(task)
+    }
+
     /// Keeps others off the worker of a task where its start is to be apart, as long as few workers are kept so.
     pub(super) fn keep_apart(&mut self, task: spec::TaskId, worker: &id::Life) {
         if self.apart(task) == Apart::Not {
@@ -85,9 +93,9 @@
         }
     }
 
-    /// Frees the worker of a task for others that was at work for a while, unless it is to be apart throughout.
-    pub(super) fn end_apart(&mut self, task: spec::TaskId) {
-        if self.apart(task) >= Apart::Throughout {
+    /// Frees the worker of a task for others that was at work there for long enough.
+    pub(super) fn end_apart(&mut self, task: spec::TaskId, at_work: time::Duration) {
+        if self.apart(task) == Apart::Alone && at_work < ALONE_FOR {
             return;
         }
         let worker = self.placed.get(&task).map(|placed| placed.worker.clone());
@@ -107,9 +115,7 @@
         let held = match self.apart(ready.task) {
             _ if step.gang => self.holds_back_gang(ready, step, now),
             Apart::Not => false,
-            Apart::AtFirst | Apart::Throughout => {
-                waited < ALONE_WAIT && !self.may_keep_alone(ready.task)
-            }
+            Apart::AtFirst => waited < ALONE_WAIT && !self.may_keep_alone(ready.task),
             Apart::Alone => self.holds_back_to_be_alone(ready, step, now),
         };
         if held && self.lost_under.begin_hold(ready.task) {
@@ -239,8 +245,12 @@
         let worker = &view.member.life.worker;
         let young = now.saturating_sub(view.known_since) < STEADY;
         let lost_under = view.tasks.iter().filter(|task| holding.was_lost_with(**task)).count();
+        let apart = holding.apart(task);
+        if apart == Apart::Not {
+            return Self { lost_under: lost_under.min(1), ..Self::default() };
+        }
         Self {
-            occupied: holding.apart(task) == Apart::Alone && !view.tasks.is_empty(),
+            occupied: apart == Apart::Alone && !view.tasks.is_empty(),
             same: holding.lost_under.contains_worker(task, worker),
             ends: holding.lost_under.ends(worker, now),
             young,
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -43,11 +43,11 @@
     let holding = &*holding;
     let search = Search::of(holding, task, step, image, now)?;
     let outside = |view: &worker::View| within.is_some() && view.member.rack.as_deref() != within;
-    let lost_with = holding.was_lost_with(task);
+    let kept_off = holding.is_kept_off_others(task);
     let weigh = |view: &worker::View| {
         let cost = if outside(view) { None } else { search.weigh(holding, view) };
         let stake = || apart::Stake::of(holding, task, view, now);
-        cost.map(|cost| (if lost_with { stake() } else { apart::Stake::default() }, cost))
+        cost.map(|cost| (if kept_off { stake() } else { apart::Stake::default() }, cost))
     };
     let before = |a: &(apart::Stake, Cost), b: &(apart::Stake, Cost)| {
         a.0.cmp(&b.0).then_with(|| a.1.compare(&b.1)).is_lt()
--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -229,7 +229,7 @@
             tracing::info!(%task, times_unexplained = after.unexplained, "no suspect any more");
             self.mark_task(task);
         }
-        self.end_apart(task);
+        self.end_apart(task, at_work);
     }
 
     /// Returns whether a worker was lost under a task, and that still counts.
--- a/crates/wharflane/src/job/place.rs
+++ b/crates/wharflane/src/job/place.rs
@@ -313,7 +313,7 @@
     now: time::Duration,
 ) -> Option<id::Life> {
     let entry = holding.jobs.get(&task.job)?;
-    let differs = choose::failed_on(entry, task).is_some() || holding.was_lost_with(task);
+    let differs = choose::failed_on(entry, task).is_some() || holding.is_kept_off_others(task);
     if step.same_rack || differs {
         return choose::choose(holding, task, step, None, now);
     }
