A task with few starts left waits until the fate of its last one is known

Cause: a worker that crashed stays listed for seconds. Leases lapse first, the task is started anew, and the loss counts only when the entry goes, one start late each time.

Mend: from three losses on, a start waits until the worker of the last one answers or is known to be lost, 5 s at the most.

Tests: a_fifth_start_waits_until_the_fate_of_the_fourth_is_known fails without the wait; a_fate_that_stays_open_is_not_waited_for_without_bound holds its bound.

--- a/crates/wharflane/src/job/apart.rs
+++ b/crates/wharflane/src/job/apart.rs
@@ -31,6 +31,9 @@
 const CALM_AFTER: time::Duration = time::Duration::from_secs(5);
 /// How long a task waits for calm at the most.
 const CALM_WAIT: time::Duration = time::Duration::from_secs(20);
+/// How long a start waits until it is known whether the worker of the last one is lost: that loss may be the last that the
+/// task has, and a worker that crashed stays listed for some seconds.
+const FATE_WAIT: time::Duration = time::Duration::from_secs(5);
 /// How long a worker is known until its life counts as steady; a suspect that is lost with one that goes down and up
 /// by turns would be blamed for it.
 const STEADY: time::Duration = time::Duration::from_secs(10);
@@ -144,6 +147,9 @@
         step: &spec::Step,
         now: time::Duration,
     ) -> bool {
+        if now < ready.since + FATE_WAIT && self.is_fate_open(ready.task) {
+            return true;
+        }
         let at_the_most = ready.since + CALM_WAIT;
         if now < self.calm_from().min(at_the_most) {
             return true;
@@ -162,6 +168,11 @@
         none_empty
     }
 
+    /// Returns whether leases of a task have lapsed on a worker of which it is not known yet whether it is lost.
+    fn is_fate_open(&self, task: spec::TaskId) -> bool {
+        self.views.values().any(|view| view.lapsed.iter().any(|lapsed| lapsed.is_of(task)))
+    }
+
     /// Keeps a worker for a task until nothing else is there any more: the one where least is at stake.
     fn empty_one(&mut self, task: spec::TaskId, step: &spec::Step, now: time::Duration) {
         let Some(entry) = self.jobs.get(&task.job) else {
--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -284,6 +284,11 @@
 }
 
 impl Presence {
+    /// Returns whether it is this task's.
+    pub(super) fn is_of(self, task: spec::TaskId) -> bool {
+        self.task == task
+    }
+
     /// Returns whether its start may have crashed the worker.
     fn is_suspect(self) -> bool {
         self.at_work.is_none_or(|at_work| at_work < CLEARED)
--- a/crates/wharflane/tests/apart.rs
+++ b/crates/wharflane/tests/apart.rs
@@ -152,6 +152,36 @@
         let waited = waits(&mut desk, |_, _| {});
         assert!(waited <= CALM_MS + EMPTY_MS, "{waited} ms");
     },
+    // A culprit had a sixth start, since the loss of its fourth worker was known only after the fifth start.
+    a_fifth_start_waits_until_the_fate_of_the_fourth_is_known => {
+        let mut desk = started(20, lasting());
+        lose_three(&mut desk);
+        waits(&mut desk, |_, _| {});
+        let worker = desk.order_of(task(JOB)).worker;
+        desk.silent.insert(worker.clone());
+        let mut lapsed_ms = 0;
+        while desk.engine.holding().expect("a holder").dump().placed > 0 {
+            desk.pass(100, false);
+            lapsed_ms += 100;
+            assert!(lapsed_ms < 10_000, "leases that never lapse");
+        }
+        desk.pass(2_000, false);
+        assert_eq!(desk.starts(JOB).len(), 4, "it may be lost");
+        gone(&mut desk, &worker);
+        desk.pass(CALM_MS + EMPTY_MS, false);
+        assert_eq!(desk.starts(JOB).len(), 5, "it is");
+        assert_eq!(losses(&desk, JOB).unexplained + losses(&desk, JOB).suspected, 4);
+    },
+    // A worker that stays out of reach and listed must not keep a task from all others.
+    a_fate_that_stays_open_is_not_waited_for_without_bound => {
+        let mut desk = started(20, lasting());
+        lose_three(&mut desk);
+        waits(&mut desk, |_, _| {});
+        let worker = desk.order_of(task(JOB)).worker;
+        desk.silent.insert(worker);
+        let waited = waits(&mut desk, |_, _| {});
+        assert!(waited <= 12_000, "{waited} ms");
+    },
     // A run that an earlier holder saw at work counted as one that had just started.
     what_a_run_was_at_work_outlasts_the_holder => {
         let mut before = started(10, lasting());
