A worker that leaves gets no start any more, not even one given again

Cause: an order without an answer was given again, and a start whose commit took long was ordered, where only room and closed halls were asked for.

Mend: the condition for closed halls holds for workers that leave as well, in one place, for both ways.

--- a/crates/wharflane/src/job/closed.rs
+++ b/crates/wharflane/src/job/closed.rs
@@ -63,7 +63,7 @@
             view.closed = self.closed.contains(&view.member.hall);
         }
         let staged = self.staged.clone();
-        self.without_closed(&staged);
+        self.without_barred(&staged);
     }
 
     /// Returns whether tasks may be placed: this holder has heard which halls are closed since it took the lease, or
@@ -87,11 +87,12 @@
         true
     }
 
-    /// Frees the tasks among some with recorded starts that would be ordered in a closed hall, and returns the others.
+    /// Frees the tasks among some with recorded starts that would be ordered in a closed hall or on a worker that leaves, and
+    /// returns the others.
     /// A gang with one such member is freed as a whole, since the others would wait for it in vain.
-    pub(super) fn without_closed(&mut self, starts: &[spec::TaskId]) -> Vec<spec::TaskId> {
+    pub(super) fn without_barred(&mut self, starts: &[spec::TaskId]) -> Vec<spec::TaskId> {
         let closed: Vec<spec::TaskId> =
-            starts.iter().copied().filter(|task| self.is_staged_in_closed(*task)).collect();
+            starts.iter().copied().filter(|task| self.is_staged_where_barred(*task)).collect();
         let gangs: collections::BTreeSet<group::Group> = closed
             .iter()
             .filter(|task| self.is_in_gang(**task))
@@ -101,19 +102,19 @@
             .iter()
             .partition(|task| !closed.contains(task) && !gangs.contains(&group::group(**task)));
         for task in freed {
-            self.free(task, "its worker's hall was closed before its start was ordered");
+            self.free(
+                task,
+                "its worker leaves or its hall was closed before its start was ordered",
+            );
         }
         kept
     }
 
-    /// Returns whether a task's start is recorded, or about to be, and not ordered, in a closed hall.
-    fn is_staged_in_closed(&self, task: spec::TaskId) -> bool {
+    /// Returns whether a task's start is recorded, or about to be, and not ordered, where nothing may start any more.
+    fn is_staged_where_barred(&self, task: spec::TaskId) -> bool {
         let staged = self.placed.get(&task).filter(|placed| placed.link == work::Link::Staged);
-        staged.is_some_and(|placed| self.is_closed(&placed.worker))
-    }
-
-    /// Returns whether a worker stands in a closed hall.
-    pub(super) fn is_closed(&self, worker: &id::Life) -> bool {
-        self.views.get(worker).is_some_and(|view| view.closed)
+        staged.is_some_and(|placed| {
+            self.views.get(&placed.worker).is_some_and(worker::View::is_barred)
+        })
     }
 }
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -25,7 +25,7 @@
 impl holding::Holding {
     /// Sends the starts whose commit stands.
     pub(super) fn release(&mut self, starts: &[spec::TaskId], now: time::Duration) {
-        for task in self.without_closed(starts) {
+        for task in self.without_barred(starts) {
             let wanted = self.wanted(task);
             let staged =
                 self.placed.get(&task).is_some_and(|placed| placed.link == work::Link::Staged);
@@ -196,12 +196,12 @@
         let Some(view) = self.views.get_mut(&worker) else {
             return;
         };
-        let closed = view.closed;
-        if doubt.unanswered >= MOST_UNANSWERED || !has_room || closed {
+        let barred = view.is_barred();
+        if doubt.unanswered >= MOST_UNANSWERED || !has_room || barred {
             tracing::warn!(
-                %task, %worker, doubt.unanswered, has_room, closed, "starts without an answer, given up"
+                %task, %worker, doubt.unanswered, has_room, barred, "starts without an answer, given up"
             );
-            if !closed {
+            if !barred {
                 view.rest(now);
             }
             self.set_link(task, work::Link::Lapsing);
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -258,6 +258,11 @@
             && now >= self.rests_until
     }
 
+    /// Returns whether no start may be ordered there any more, not even again: it leaves, or its hall is closed.
+    pub fn is_barred(&self) -> bool {
+        self.member.leaving || self.closed
+    }
+
     /// Returns whether it gets nothing new for now, whatever waits.
     pub fn is_closed_to_all(&self, now: time::Duration) -> bool {
         !self.is_available(now) || self.rests(now) || self.alone.is_some()
