Logs tell which bound keeps a task waiting, and by which account its service is in use

'unavailable' was five states, a deferred start had no reason, nothing said whether relief was tried for a starving task or why not, and an order that was never sent looked as one without an answer.

'wharflane why' has a column for isolation (test first: no such column).

--- a/crates/cli/src/why/summary.rs
+++ b/crates/cli/src/why/summary.rs
@@ -26,17 +26,21 @@
     /// A cause that is not logged: retries of failed runs, waits too short to be logged, late
     /// heartbeats.
     Other,
+    /// The start was deferred until it can be isolated, or workers were reserved for other such
+    /// starts.
+    Isolation,
 }
 
 impl Cause {
     /// All causes, in the order of the table's columns.
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Takeover,
         Self::Store,
         Self::Capacity,
         Self::Interference,
         Self::Unavailable,
         Self::Other,
+        Self::Isolation,
     ];
 
     /// Returns the column heading.
@@ -48,6 +52,7 @@
             Self::Interference => "harm",
             Self::Unavailable => "unavailable",
             Self::Other => "other",
+            Self::Isolation => "isolation",
         }
     }
 }
@@ -192,6 +197,7 @@
             }
             "end taken in" => self.record_end(record, task),
             "no worker for a task" => self.blocked_by = main_obstacle(record),
+            "start deferred until it can be isolated" => self.blocked_by = Some(Cause::Isolation),
             "job completed" | "job failed" | "cancelled" => {
                 self.ended = self.ended.take().or(Some((record.at, record.message.clone())));
             }
@@ -215,16 +221,18 @@
     }
 }
 
-/// Returns the obstacle to the placement of a task on most workers: interference, capacity or
-/// availability.
+/// Returns the obstacle to the placement of a task on most workers: interference, capacity,
+/// availability or the isolation of suspects.
 fn main_obstacle(record: &read::Record) -> Option<Cause> {
+    let count = |field| record.number(field).unwrap_or(0);
     let counts = [
-        (record.number("harm"), Cause::Interference),
-        (record.number("no_room"), Cause::Capacity),
-        (record.number("unavailable"), Cause::Unavailable),
+        (count("harm"), Cause::Interference),
+        (count("no_room"), Cause::Capacity),
+        (count("unavailable") + count("quarantined"), Cause::Unavailable),
+        (count("isolated"), Cause::Isolation),
     ];
-    let most = counts.into_iter().max_by_key(|(count, _)| count.unwrap_or(0))?;
-    most.0.filter(|count| *count > 0).map(|_| most.1)
+    let most = counts.into_iter().max_by_key(|(count, _)| *count)?;
+    (most.0 > 0).then_some(most.1)
 }
 
 /// Builds the history of each job, by job id.
--- a/crates/cli/tests/why.rs
+++ b/crates/cli/tests/why.rs
@@ -24,6 +24,16 @@
 {\"timestamp\":\"2026-01-01T00:00:10.000000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000bb.0.0.0\",\"run\":1,\"how\":\"done\"}}
 {\"timestamp\":\"2026-01-01T00:00:10.000000Z\",\"fields\":{\"message\":\"job completed\",\"job\":\"00000000000000bb\"}}
 {\"timestamp\":\"2026-01-01T00:00:11.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/last/00000000000000cc\",\"answer\":\"NotTaken { retry_after: 1s }\"}}
+{\"timestamp\":\"2026-01-01T00:00:12.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/held/00000000000000ee\",\"answer\":\"Accepted\"}}
+{\"timestamp\":\"2026-01-01T00:00:12.100000Z\",\"fields\":{\"message\":\"start deferred until it can be isolated\",\"task\":\"00000000000000ee.0.0.0\",\"reason\":\"NotCalm\"}}
+{\"timestamp\":\"2026-01-01T00:00:14.000000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"00000000000000ee.0.0.0\",\"run\":4}}
+{\"timestamp\":\"2026-01-01T00:00:15.000000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000ee.0.0.0\",\"run\":4,\"how\":\"done\"}}
+{\"timestamp\":\"2026-01-01T00:00:15.000000Z\",\"fields\":{\"message\":\"job completed\",\"job\":\"00000000000000ee\"}}
+{\"timestamp\":\"2026-01-01T00:00:16.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/beside/00000000000000ff\",\"answer\":\"Accepted\"}}
+{\"timestamp\":\"2026-01-01T00:00:18.000000Z\",\"fields\":{\"message\":\"no worker for a task\",\"task\":\"00000000000000ff.0.0.0\",\"harm\":0,\"no_room\":2,\"unavailable\":1,\"quarantined\":1,\"isolated\":3}}
+{\"timestamp\":\"2026-01-01T00:00:19.000000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"00000000000000ff.0.0.0\",\"run\":1}}
+{\"timestamp\":\"2026-01-01T00:00:20.000000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000ff.0.0.0\",\"run\":1,\"how\":\"done\"}}
+{\"timestamp\":\"2026-01-01T00:00:20.000000Z\",\"fields\":{\"message\":\"job completed\",\"job\":\"00000000000000ff\"}}
 ",
 ];
 
@@ -72,6 +82,11 @@
         let cells = cells("/last");
         assert_eq!(cells[11..17], ["0.00", "0.00", "0.00", "3.00", "0.00", "0.00"], "{cells:?}");
     },
+    // An operator could not tell that a deferred start, or a worker reserved for one, kept a task.
+    waiting_because_of_isolation_is_counted_as_isolation => {
+        assert_eq!(cells("/held")[17], "2.00", "a start that is deferred");
+        assert_eq!(cells("/beside")[17], "3.00", "workers reserved for other suspects");
+    },
     refused_submissions_are_counted => {
         let (_, table) = why(&[]);
         assert!(table.contains("submissions turned away: 1"), "{table}");
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -67,6 +67,12 @@
     pub fn timed_out(&self) -> bool {
         matches!(self, Self::ConnectTimedOut | Self::TimedOut)
     }
+
+    /// Returns whether the request was certainly not sent, so that the peer can't have run it.
+    #[must_use]
+    pub fn was_not_sent(&self) -> bool {
+        matches!(self, Self::Build(_) | Self::NoPeer | Self::Connect(_) | Self::ConnectTimedOut)
+    }
 }
 
 /// Limits of the connection pool, applied to each peer.
--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -97,8 +97,7 @@
         let none = tickets::StepTickets::default();
         let step_tickets = self.tickets.steps.get(&group::group(task)).unwrap_or(&none);
         let is_candidate = |view: &&worker::View| {
-            let available =
-                obstacle::plain(view, service, task, step, view.accepts(task, now)).is_none();
+            let available = obstacle::plain(view, service, task, step, now).is_none();
             available
                 && !step_tickets.denied.contains(&view.member.incarnation)
                 && self.tickets.get(task, &view.member.incarnation, now).is_none()
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/choose.rs
@@ -112,9 +112,7 @@
     /// Returns the cost of a worker, or `None` if it can't take the task.
     pub fn evaluate(&self, holding: &holding::Holding, view: &worker::View) -> Option<Cost> {
         let (step, now) = (self.step, self.now);
-        if obstacle::plain(view, self.service, self.task, step, view.accepts(self.task, now))
-            .is_some()
-        {
+        if obstacle::plain(view, self.service, self.task, step, now).is_some() {
             return None;
         }
         if holding.reserved_workers.contains(&view.member.incarnation) {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -14,6 +14,7 @@
 use super::queue;
 use super::rows as job_rows;
 use super::spec;
+use super::starvation;
 use super::tickets;
 use super::work;
 use super::worker;
@@ -91,6 +92,8 @@
     pub(super) worker_searches: u64,
     /// The number of starving tasks that were started since the lease was acquired.
     pub(super) starvation_starts: u64,
+    /// What the last placement pass did for its starving tasks.
+    pub(super) relief: starvation::Relief,
     /// The starving task for which a worker was last searched; the next search begins after it, so
     /// that starving tasks are served in round-robin order.
     pub(super) last_starving: Option<spec::TaskId>,
@@ -218,6 +221,7 @@
             placed_at: time::Duration::ZERO,
             worker_searches: 0,
             starvation_starts: 0,
+            relief: starvation::Relief::default(),
             last_starving: None,
             best_effort_waits: false,
             reserved_workers: collections::BTreeSet::new(),
--- a/crates/wharflane/src/job/isolation.rs
+++ b/crates/wharflane/src/job/isolation.rs
@@ -42,6 +42,19 @@
 /// blamed for the loss of a worker that keeps restarting.
 const STEADY_AFTER: time::Duration = time::Duration::from_secs(10);
 
+/// Why a start is deferred until it can be isolated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Deferral {
+    /// Enough workers are reserved for other suspects.
+    ManyReserved,
+    /// Workers are still lost for other causes.
+    NotCalm,
+    /// The worker of the task's last run may still turn out to be lost.
+    LossUndecided,
+    /// No worker that runs nothing else accepts the task.
+    NoEmptyWorker,
+}
+
 /// The degree to which a start is isolated from other tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Isolation {
@@ -123,20 +136,24 @@
         now: time::Duration,
     ) -> bool {
         let waited = now.saturating_sub(ready.since);
-        let deferred = match self.required_isolation(ready.task) {
-            _ if step.gang => self.defers_gang(ready, step, now),
-            Isolation::None => false,
-            Isolation::Initial => waited < ISOLATION_WAIT && !self.may_reserve_worker(ready.task),
+        let deferral = match self.required_isolation(ready.task) {
+            _ if step.gang => self.defers_gang(ready, step, now).then_some(Deferral::NotCalm),
+            Isolation::None => None,
+            Isolation::Initial => (waited < ISOLATION_WAIT && !self.may_reserve_worker(ready.task))
+                .then_some(Deferral::ManyReserved),
             Isolation::Full => self.defers_full_isolation(ready, step, now),
         };
-        if deferred && self.loss_record.mark_deferred(ready.task) {
+        if let Some(reason) = deferral
+            && self.loss_record.mark_deferred(ready.task, now)
+        {
             tracing::info!(
-                task = %ready.task, losses = self.losses(ready.task).all(),
+                task = %ready.task, losses = self.losses(ready.task).all(), ?reason,
+                waited_ms = worker::millis(waited),
                 calm_in_ms = worker::millis(self.calm_from().saturating_sub(now)),
                 "start deferred until it can be isolated"
             );
         }
-        deferred
+        deferral.is_some()
     }
 
     /// Returns whether a gang is deferred until losses stop, since one of its members requires full
@@ -147,33 +164,33 @@
         waits && members.any(|member| self.required_isolation(member) == Isolation::Full)
     }
 
-    /// Returns whether a start that requires full isolation is deferred, until losses stop and an
-    /// empty worker can be reserved for it.
+    /// Returns why a start that requires full isolation is deferred, until losses stop and an empty
+    /// worker can be reserved for it.
     fn defers_full_isolation(
         &mut self,
         ready: &work::Ready,
         step: &spec::Step,
         now: time::Duration,
-    ) -> bool {
+    ) -> Option<Deferral> {
         if now < ready.since + LOSS_OUTCOME_WAIT && self.is_loss_undecided(ready.task) {
-            return true;
+            return Some(Deferral::LossUndecided);
         }
         let deadline = ready.since + CALM_WAIT;
         if now < self.calm_from().min(deadline) {
-            return true;
+            return Some(Deferral::NotCalm);
         }
         let quiet = self.no_losses_from().max(ready.since);
         if now >= (quiet + ISOLATION_WAIT).min(deadline) {
-            return false;
+            return None;
         }
         if !self.may_reserve_worker(ready.task) {
-            return true;
+            return Some(Deferral::ManyReserved);
         }
-        let none_empty = !self.has_empty_worker(ready.task, step, now);
-        if none_empty {
-            self.reserve_to_empty(ready.task, step, now);
+        if self.has_empty_worker(ready.task, step, now) {
+            return None;
         }
-        none_empty
+        self.reserve_to_empty(ready.task, step, now);
+        Some(Deferral::NoEmptyWorker)
     }
 
     /// Returns whether leases of a task have expired on a worker that may still turn out to be
@@ -192,8 +209,9 @@
         };
         let service = self.service(&entry.job);
         let would_accept = |view: &worker::View| {
-            let obstacle = obstacle::plain(view, service, task, step, view.accepts(task, now));
+            let obstacle = obstacle::hard(view, service, task, step, now);
             obstacle.is_none_or(|obstacle| obstacle == obstacle::Obstacle::Room)
+                && obstacle::preference(view, task, now).is_none()
         };
         let is_reserved = |view: &worker::View| view.reserved_for == Some(task);
         if self.views.values().any(is_reserved) {
@@ -225,9 +243,7 @@
         };
         let service = self.service(&entry.job);
         let mut empty = self.views.values().filter(|view| view.tasks.is_empty());
-        empty.any(|view| {
-            obstacle::plain(view, service, task, step, view.accepts(task, now)).is_none()
-        })
+        empty.any(|view| obstacle::plain(view, service, task, step, now).is_none())
     }
 
     /// Returns whether one more worker may be reserved for a suspect. Silent workers don't count,
--- a/crates/wharflane/src/job/loss_record.rs
+++ b/crates/wharflane/src/job/loss_record.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::spec;
+use super::waits;
 use crate::id;
 
 /// Maximum number of losses without a suspect that are recorded; more would not change any
@@ -27,8 +28,8 @@
 pub(super) struct LossRecord {
     /// The tasks, each with the workers that this holder saw being lost under it.
     tasks: collections::BTreeMap<spec::TaskId, collections::BTreeSet<id::WorkerId>>,
-    /// The tasks whose next start is deferred.
-    deferred: collections::BTreeSet<spec::TaskId>,
+    /// The tasks whose next start is deferred, each with the time at which that was last logged.
+    deferred: collections::BTreeMap<spec::TaskId, time::Duration>,
     /// When workers were lost without a suspect, latest last.
     without_suspect: collections::VecDeque<time::Duration>,
     /// When a worker was last lost without a suspect, or may have been.
@@ -65,9 +66,14 @@
         self.tasks.len()
     }
 
-    /// Marks the next start of a task as deferred; returns false if it was already.
-    pub fn mark_deferred(&mut self, task: spec::TaskId) -> bool {
-        self.deferred.insert(task)
+    /// Marks the next start of a task as deferred; returns whether that is due to be logged.
+    pub fn mark_deferred(&mut self, task: spec::TaskId, now: time::Duration) -> bool {
+        let logged = self.deferred.get(&task);
+        let due = logged.is_none_or(|at| now.saturating_sub(*at) >= waits::LOG_INTERVAL);
+        if due {
+            self.deferred.insert(task, now);
+        }
+        due
     }
 
     /// Clears the mark of a deferred start once the task is started.
@@ -84,7 +90,7 @@
     /// Removes all tasks of an ended job.
     pub fn forget_job(&mut self, job: spec::JobId) {
         self.tasks.retain(|task, _| task.job != job);
-        self.deferred.retain(|task| task.job != job);
+        self.deferred.retain(|task, _| task.job != job);
     }
 
     /// Records the unplanned end of a worker's incarnation.
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/obstacle.rs
@@ -1,4 +1,6 @@
-//! Reasons why a worker can't take a task.
+//! Reasons why a worker can't take a task, or why another one is preferred.
+
+use std::time;
 
 use super::group;
 use super::spec;
@@ -14,29 +16,44 @@
     Label,
     /// The worker's hall is closed.
     Closed,
-    /// The worker is silent, leaving or in quarantine.
+    /// The worker is silent or leaving, or it refused a start just now.
     Unavailable,
     /// The worker's free capacity is too small.
     Room,
     /// The worker holds the maximum number of tasks of the step.
     Spread,
-    /// The worker's capacity is reserved for a returning long-running task.
-    Reserved,
     /// No valid ticket for the worker is known.
     Ticket,
+    /// The worker is reserved for the isolated start of a suspect.
+    Isolation,
+    /// The worker is in quarantine after runs failed or stalled there.
+    Quarantine,
+    /// The worker's capacity is reserved for a returning long-running task.
+    Reserved,
     /// A serving task there would miss its target, or too little CPU is left for a best-effort
     /// task.
     Interference,
 }
 
-/// Returns the first obstacle other than reserved capacity, tickets and interference. `accepts`
-/// tells whether the worker's state permits the task.
+/// Returns the first obstacle other than reserved capacity, tickets and interference.
 pub(super) fn plain(
     view: &worker::View,
     service: &id::ServiceId,
     task: spec::TaskId,
     step: &spec::Step,
-    accepts: bool,
+    now: time::Duration,
+) -> Option<Obstacle> {
+    hard(view, service, task, step, now).or_else(|| preference(view, task, now))
+}
+
+/// Returns the first obstacle, other than a ticket, with which the worker can't run the task at
+/// all.
+pub(super) fn hard(
+    view: &worker::View,
+    service: &id::ServiceId,
+    task: spec::TaskId,
+    step: &spec::Step,
+    now: time::Duration,
 ) -> Option<Obstacle> {
     if view.member.service != *service {
         return Some(Obstacle::Service);
@@ -47,7 +64,7 @@
     if view.closed {
         return Some(Obstacle::Closed);
     }
-    if !accepts {
+    if !view.is_available(now) {
         return Some(Obstacle::Unavailable);
     }
     if !step.reserved().fits(&view.free()) {
@@ -56,6 +73,19 @@
     (!has_place_left(view, task, step)).then_some(Obstacle::Spread)
 }
 
+/// Returns why the state of a worker makes another one preferable for a task, though it could run
+/// there.
+pub(super) fn preference(
+    view: &worker::View,
+    task: spec::TaskId,
+    now: time::Duration,
+) -> Option<Obstacle> {
+    if view.reserved_for.is_some_and(|reserved| reserved != task) {
+        return Some(Obstacle::Isolation);
+    }
+    view.is_quarantined(now).then_some(Obstacle::Quarantine)
+}
+
 /// Returns whether a worker may hold one more task of the step.
 fn has_place_left(view: &worker::View, task: spec::TaskId, step: &spec::Step) -> bool {
     let Some(max) = step.max_per_worker else {
--- a/crates/wharflane/src/job/order.rs
+++ b/crates/wharflane/src/job/order.rs
@@ -78,6 +78,8 @@
     Gone,
     /// The worker reports itself unhealthy and did nothing.
     Unwell,
+    /// No connection to the worker could be opened, so the order was not sent.
+    NotSent,
     /// No answer came: the order may have been carried out, or may be later.
     Silent,
 }
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -316,7 +316,7 @@
                 }
                 self.remove_worker(&order.worker);
             }
-            order::StartAnswer::Silent => {
+            order::StartAnswer::NotSent | order::StartAnswer::Silent => {
                 self.set_start_state(
                     order.task,
                     work::StartState::Unanswered(now + START_RETRY_DELAY),
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -45,16 +45,41 @@
     ready: &work::Ready,
     now: time::Duration,
 ) {
-    let waited = now.saturating_sub(ready.since);
-    if waited >= STARVATION_DELAY && (ready.lasting || !has_active_task(holding, ready.task.job)) {
+    if is_starving(holding, ready, now) {
         pass.starving.insert(ready.task, *ready);
     }
 }
 
+/// Returns whether a task has waited for so long that its job counts as starving.
+pub(super) fn is_starving(
+    holding: &holding::Holding,
+    ready: &work::Ready,
+    now: time::Duration,
+) -> bool {
+    let waited = now.saturating_sub(ready.since);
+    waited >= STARVATION_DELAY && (ready.lasting || !has_active_task(holding, ready.task.job))
+}
+
+/// What one placement pass did for its starving tasks, for operators. Tasks that are passed over
+/// since enough workers were searched or one task was started are in none of the counts but
+/// `starving`.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Relief {
+    /// The starving tasks, at most the first of each group.
+    pub starving: usize,
+    /// Those in a service that is not mostly idle.
+    pub busy: usize,
+    /// Those not started since enough tasks were started throttled.
+    pub limited: usize,
+    /// Those for which no worker was found.
+    pub unplaced: usize,
+}
+
 /// Starts at most one of the starving tasks, in round-robin order.
 pub(super) fn start_one(holding: &mut holding::Holding, pass: &pass::Pass, now: time::Duration) {
     let mut idle = collections::BTreeMap::<id::ServiceId, bool>::new();
     let mut searches = 0;
+    holding.relief = Relief { starving: pass.starving.len(), ..Relief::default() };
     let last = holding.last_starving;
     let later = pass.starving.iter().filter(|(task, _)| Some(**task) > last);
     let earlier = pass.starving.iter().filter(|(task, _)| Some(**task) <= last);
@@ -67,7 +92,12 @@
             Some(idle) => *idle,
             None => *idle.entry(service.clone()).or_insert(is_mostly_idle(holding, service)),
         };
-        if !idle || step.fills && !may_throttle(holding, &step) {
+        if !idle {
+            holding.relief.busy += 1;
+            continue;
+        }
+        if step.fills && !may_throttle(holding, &step) {
+            holding.relief.limited += 1;
             continue;
         }
         if searches >= MAX_SEARCHES_PER_PASS {
@@ -78,6 +108,7 @@
         if start(holding, ready, &step, now) {
             return;
         }
+        holding.relief.unplaced += 1;
     }
 }
 
@@ -107,12 +138,27 @@
 
 /// Returns whether the CPU in use on a service's workers is below `BUSY_PERCENT`.
 fn is_mostly_idle(holding: &holding::Holding, service: &id::ServiceId) -> bool {
+    let (used, whole) = in_use_milli(holding, service);
+    used * 100 < whole * BUSY_PERCENT
+}
+
+/// Returns the CPU in use on a service's workers and their whole CPU, in thousandths of a core.
+fn in_use_milli(holding: &holding::Holding, service: &id::ServiceId) -> (u64, u64) {
     let views =
         holding.views.values().filter(|view| view.listed && view.member.service == *service);
-    let (used, whole) = views.fold((0, 0), |(used, whole), view| {
+    views.fold((0, 0), |(used, whole), view| {
         (used + view.at_work_milli(), whole + view.member.capacity.cpu_milli)
-    });
-    used * 100 < whole * BUSY_PERCENT
+    })
+}
+
+impl holding::Holding {
+    /// Returns the CPU in use on the workers of a task's service, in percent, by the account that
+    /// decides whether starving tasks are started.
+    pub(super) fn in_use_percent(&self, task: spec::TaskId) -> Option<u64> {
+        let entry = self.jobs.get(&task.job)?;
+        let (used, whole) = in_use_milli(self, self.service(&entry.job));
+        (used * 100).checked_div(whole)
+    }
 }
 
 /// Returns whether one more task or gang of a step may be started throttled.
@@ -180,7 +226,9 @@
     let failed_worker = state.and_then(|state| state.failed_on.as_ref());
     let strains = choose::best_effort_strains(holding, step, image);
     let obstacle_at = |view: &worker::View| {
-        obstacle::plain(view, service, task, step, view.accepts_starving(task, now))
+        let isolated = view.reserved_for.is_some_and(|reserved| reserved != task);
+        obstacle::hard(view, service, task, step, now)
+            .or_else(|| isolated.then_some(obstacle::Obstacle::Isolation))
             .or_else(|| holding.ticket_obstacle(&entry.job, task, &view.member.incarnation, now))
     };
     let evaluate = |view: &worker::View| {
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/waits.rs
@@ -9,6 +9,7 @@
 use super::obstacle;
 use super::pass;
 use super::spec;
+use super::starvation;
 use super::work;
 use super::worker;
 
@@ -18,7 +19,7 @@
 const MAX_LINES_PER_PASS: usize = 2;
 /// Interval between lines about one group, which bounds their number by the number of waiting
 /// groups.
-const LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
+pub(super) const LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
 impl holding::Holding {
     /// Logs why a task that has waited for long gets no worker, at a limited rate per group.
@@ -43,6 +44,8 @@
         tracing::info!(
             task = %ready.task,
             waited_ms = worker::millis(waited),
+            starving = starvation::is_starving(self, ready, now),
+            in_use_percent = self.in_use_percent(ready.task),
             workers = self.views.len(),
             other_service = count(obstacle::Obstacle::Service),
             no_label = count(obstacle::Obstacle::Label),
@@ -51,6 +54,8 @@
             unavailable = count(obstacle::Obstacle::Unavailable),
             no_room = count(obstacle::Obstacle::Room),
             spread = count(obstacle::Obstacle::Spread),
+            isolated = count(obstacle::Obstacle::Isolation),
+            quarantined = count(obstacle::Obstacle::Quarantine),
             kept = count(obstacle::Obstacle::Reserved),
             no_ticket = count(obstacle::Obstacle::Ticket),
             harm = count(obstacle::Obstacle::Interference),
@@ -85,8 +90,9 @@
                 reserved.then_some(obstacle::Obstacle::Reserved)
             };
             let ticket = || self.ticket_obstacle(&entry.job, task, &view.member.incarnation, now);
-            let plain = obstacle::plain(view, service, task, step, view.accepts(task, now));
-            if let Some(obstacle) = plain.or_else(reserved).or_else(ticket).or_else(interference) {
+            let preference = || obstacle::preference(view, task, now).or_else(reserved);
+            let hard = obstacle::hard(view, service, task, step, now).or_else(ticket);
+            if let Some(obstacle) = hard.or_else(preference).or_else(interference) {
                 *counts.entry(obstacle).or_default() += 1;
             }
         }
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/worker.rs
@@ -241,24 +241,13 @@
         }
     }
 
-    /// Returns whether a new task may be placed there, which a reservation, a quarantine or the
-    /// state of the worker may forbid.
-    pub fn accepts(&self, task: spec::TaskId, now: time::Duration) -> bool {
-        self.accepts_starving(task, now) && !self.is_quarantined(now)
-    }
-
     /// Returns whether it is quarantined because runs failed or stalled there.
     pub fn is_quarantined(&self, now: time::Duration) -> bool {
         now < self.quarantined_until
     }
 
-    /// Returns whether a starving task may be placed there, even in quarantine.
-    pub fn accepts_starving(&self, task: spec::TaskId, now: time::Duration) -> bool {
-        self.reserved_for.is_none_or(|reserved| reserved == task) && self.is_available(now)
-    }
-
     /// Returns whether the state of the worker itself permits new tasks.
-    fn is_available(&self, now: time::Duration) -> bool {
+    pub fn is_available(&self, now: time::Duration) -> bool {
         self.listed
             && self.fenced
             && !self.member.leaving
