An order that was not sent is no start: its task goes to another worker at once

Cause: a start order for which no connection could be opened (NotSent) was taken for one that may have been carried out. The task waited 1.5 s until its worker's entry went, and the loss was counted against it as a suspect, so the next start was isolated and deferred as well. After the third it waited for calm (NotCalm) until the end. Class: an action that certainly did not happen, handled as one whose outcome is unknown.

Change: with NotSent and no earlier unanswered order of the run, the task is freed, its worker gets nothing new for 0.4 s and a heartbeat at once, and the order's fence is forgotten, so that nothing counts as a start or loss. With an earlier unanswered order all stays as it was. A member of a gang is ordered from its worker again up to three times in all (its run may be missed by 3 s), unless that is silent, too; it has no loss either. The same fault elsewhere: a decision too old to be sent (a host that was suspended) was answered Silent; it is NotSent now. Why it works: nothing was written to the worker, so no later order, lease or heartbeat can bring the run about.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -219,7 +219,7 @@
             job::Effect::Start(start) => drop(tokio::spawn(async move {
                 let answer = match decided.allows_sending("start") {
                     true => shared.workers.start(&start).await,
-                    false => job::StartAnswer::Silent,
+                    false => job::StartAnswer::NotSent,
                 };
                 send_event(&myself, job::Event::Started { order: start.order, answer });
             })),
--- a/crates/wharflane/src/job/order.rs
+++ b/crates/wharflane/src/job/order.rs
@@ -78,7 +78,8 @@
     Gone,
     /// The worker reports itself unhealthy and did nothing.
     Unwell,
-    /// No connection to the worker could be opened, so the order was not sent.
+    /// The order was not sent, so it is not carried out: no connection to the worker could be
+    /// opened, or the decision was too old by then.
     NotSent,
     /// No answer came: the order may have been carried out, or may be later.
     Silent,
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -20,7 +20,8 @@
 /// The slack beyond the longest time of a stop before it is sent again, for round trips and one
 /// heartbeat.
 const STOP_SLACK: time::Duration = time::Duration::from_millis(300);
-/// How long a worker that lacks room or reports itself unhealthy gets nothing new.
+/// How long a worker gets nothing new that lacks room, reports itself unhealthy or accepts no
+/// connection.
 const REFUSED_BACKOFF: time::Duration = time::Duration::from_millis(400);
 
 impl holding::Holding {
@@ -221,6 +222,8 @@
         }
         if view.missed_heartbeats == 0 {
             self.send_start(task, now);
+        } else if start_orders.not_sent > 0 && start_orders.fence == 0 {
+            self.free(task, "its start was not sent");
         }
     }
 
@@ -316,15 +319,41 @@
                 }
                 self.remove_worker(&order.worker);
             }
-            order::StartAnswer::NotSent | order::StartAnswer::Silent => {
-                self.set_start_state(
-                    order.task,
-                    work::StartState::Unanswered(now + START_RETRY_DELAY),
-                );
-                if let Some(placed) = self.placed.get_mut(&order.task) {
-                    placed.start_orders.unanswered += 1;
-                }
-            }
+            order::StartAnswer::NotSent => self.handle_unsent_start(order.task, now),
+            order::StartAnswer::Silent => self.handle_unanswered_start(order.task, now),
+        }
+    }
+
+    /// Handles a start whose order was not sent: it takes the task to another worker at once,
+    /// unless an earlier order may still be carried out. A member of a gang stays for some
+    /// attempts, since the others may run already and would wait for it in vain.
+    fn handle_unsent_start(&mut self, task: spec::TaskId, now: time::Duration) {
+        let is_in_gang = self.is_in_gang(task);
+        let Some(placed) = self.placed.get_mut(&task) else {
+            return;
+        };
+        if placed.start_orders.unanswered > 0 {
+            return self.handle_unanswered_start(task, now);
+        }
+        placed.start_orders.fence = 0;
+        placed.start_orders.not_sent += 1;
+        let stays = is_in_gang && placed.start_orders.not_sent < MAX_UNANSWERED;
+        if let Some(view) = self.views.get_mut(&placed.worker) {
+            view.backoff_until = view.backoff_until.max(now + REFUSED_BACKOFF);
+            view.heartbeat_due = view.heartbeat_due.min(now);
+        }
+        if stays {
+            placed.start_state = work::StartState::Unanswered(now + START_RETRY_DELAY);
+        } else {
+            self.free(task, "its start was not sent");
+        }
+    }
+
+    /// Schedules another order for a start whose order had no answer.
+    fn handle_unanswered_start(&mut self, task: spec::TaskId, now: time::Duration) {
+        if let Some(placed) = self.placed.get_mut(&task) {
+            placed.start_state = work::StartState::Unanswered(now + START_RETRY_DELAY);
+            placed.start_orders.unanswered += 1;
         }
     }
 
--- a/crates/wharflane/src/job/work.rs
+++ b/crates/wharflane/src/job/work.rs
@@ -89,7 +89,11 @@
             run: before.run,
             start_state: StartState::Orphaned,
             lease_until_ms: 0,
-            start_orders: StartOrders { unanswered: 0, fence: before.start_orders.fence },
+            start_orders: StartOrders {
+                unanswered: 0,
+                not_sent: 0,
+                fence: before.start_orders.fence,
+            },
             began: None,
             stopped: None,
             progress: (0, now),
@@ -102,6 +106,8 @@
 pub(super) struct StartOrders {
     /// The number of these orders that had no answer.
     pub unanswered: u32,
+    /// The number of orders that were not sent although they were due.
+    pub not_sent: u32,
     /// The highest fence that one of them carried; zero if this holder sent none.
     pub fence: u64,
 }
