Worlds that judge waits: backlogs of best effort, crashes that go on, suspects (red)

`jobs::waits` judges the users' rule by what workers ran and what the checker saw: a batch job that runs nothing for 3 s though a task of it could, from 14 s after the last submission on; a long-running task for the 3 s from 6 s after its last run on, in calm times; a serving task over its target for 4 s beside best-effort work. It is lenient in one place: 7 s after a change of the holder. `jobs::plan` adds, only where a test asks for it: the judge, refused connections of dead workers, waves of crashes, tail latencies by the best-effort CPU at work, and given jobs. Shares that are ordered take effect after 100 ms.

--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -24,16 +24,25 @@
             steps,
             repeats: None,
         };
-        let accepted = job::Accepted { job: job.clone(), cancelled: false, accepted_ms: 0 };
-        self.checker.jobs.insert(id, job);
-        self.checker.accepted_ms.insert(id, world::millis(self.now));
-        self.write_job(id, &accepted);
+        self.accept(id, job);
         if self.rng.random_range(0..4) == 0 {
             let after = time::Duration::from_millis(self.rng.random_range(10..6_000));
             self.send(after, message::Message::Cancel(id));
         }
     }
 
+    /// Accepts a job; retries every second while the store is down.
+    pub(super) fn accept(&mut self, id: job::JobId, job: job::Job) {
+        if self.down {
+            let again = message::Message::SubmitJob(id, Box::new(job));
+            return self.send(time::Duration::from_secs(1), again);
+        }
+        let accepted = job::Accepted { job: job.clone(), cancelled: false, accepted_ms: 0 };
+        self.checker.jobs.insert(id, job);
+        self.checker.accepted_ms.insert(id, world::millis(self.now));
+        self.write_job(id, &accepted);
+    }
+
     /// Draws a step that depends on all steps before it.
     pub(super) fn draw_step(&mut self, at: u32, lasting: bool) -> job::Step {
         job::Step {
--- a/crates/stand-in/src/jobs/checker.rs
+++ b/crates/stand-in/src/jobs/checker.rs
@@ -174,6 +174,18 @@
         }
     }
 
+    /// Returns whether the end of a task as done was acknowledged.
+    #[must_use]
+    pub fn is_acknowledged_done(&self, task: job::TaskId) -> bool {
+        self.acknowledged_done.contains(&task)
+    }
+
+    /// Returns how many failures of a task were acknowledged.
+    #[must_use]
+    pub fn failures(&self, task: job::TaskId) -> u32 {
+        self.failures.get(&task).copied().unwrap_or(0)
+    }
+
     /// Returns how many workers crashed because of a task.
     #[must_use]
     pub fn crashed_workers(&self) -> u32 {
--- a/crates/stand-in/src/jobs/crashing_task.rs
+++ b/crates/stand-in/src/jobs/crashing_task.rs
@@ -62,6 +62,7 @@
         }
         self.workers[at].alive = false;
         let now = self.now;
+        self.waits.note_disturbance(now);
         let runs: Vec<_> = self.workers[at].run_starts().collect();
         for (task, began) in runs {
             let crashing = self.is_crashing_task(task);
@@ -73,12 +74,14 @@
         if self.draws_same_id() {
             return self.schedule_restart(at);
         }
-        let away = time::Duration::from_millis(self.rng.random_range(AWAY_MS));
+        let away_ms = self.plan.away_ms.clone().unwrap_or(AWAY_MS);
+        let away = time::Duration::from_millis(self.rng.random_range(away_ms));
         self.send(away, message::Message::Replace(at));
     }
 
     /// Adds another incarnation at the address of a crashed worker, under a new id.
     pub(super) fn replace(&mut self, at: usize) {
+        self.waits.note_disturbance(self.now);
         self.workers[at].listed = false;
         self.workers[at].address_reused = true;
         self.add_worker();
--- a/crates/stand-in/src/jobs/effects.rs
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -9,6 +9,9 @@
 use super::message::Message;
 use super::world;
 
+/// How long a share takes to take effect after the order.
+const SHARE_DELAY: time::Duration = time::Duration::from_millis(100);
+
 impl world::World {
     /// Performs one effect of a host's engine.
     pub(super) fn perform(&mut self, host: usize, incarnation: u64, effect: job::Effect) {
@@ -80,7 +83,10 @@
                 let deadline = self.now + delay + heartbeat.wait;
                 self.send(delay, Message::Heartbeat(host, incarnation, heartbeat, deadline, lost));
             }
-            job::Effect::SetShare(_) | job::Effect::RequestAdvice(_) | job::Effect::Drop(..) => {}
+            job::Effect::SetShare(change) => {
+                self.send(delay + SHARE_DELAY, Message::Share(change));
+            }
+            job::Effect::RequestAdvice(_) | job::Effect::Drop(..) => {}
         }
     }
 
--- a/crates/stand-in/src/jobs/injection.rs
+++ b/crates/stand-in/src/jobs/injection.rs
@@ -16,6 +16,7 @@
 impl world::World {
     /// Begins a fault and schedules its end.
     pub(super) fn inject(&mut self, fault: fault::Kind) {
+        self.waits.note_disturbance(self.now);
         let holder = self
             .hosts
             .iter()
@@ -73,11 +74,14 @@
             fault::Kind::FailTasks => self.workers[at].fails_every_task = true,
             fault::Kind::Restart => {}
         }
+        self.waits.open_faults += 1;
         self.send(time::Duration::from_secs(secs), message::Message::EndFault(fault, at));
     }
 
     /// Ends a fault.
     pub(super) fn end_fault(&mut self, fault: fault::Kind, at: usize) {
+        self.waits.open_faults -= 1;
+        self.waits.note_disturbance(self.now);
         match fault {
             fault::Kind::Kill => {
                 if self.hosts[at].engine.is_none() {
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -42,8 +42,16 @@
     Report(usize),
     /// The feed of accepted jobs answers the hosts that follow it.
     Feed,
-    /// A caller submits a job.
+    /// A share takes effect at a worker.
+    Share(job::SetShare),
+    /// A wave crashes a share of the workers.
+    Wave,
+    /// A long-running task fails.
+    FailLasting,
+    /// A caller submits a random job.
     Submit,
+    /// A caller submits this job.
+    SubmitJob(job::JobId, Box<job::Job>),
     /// A caller cancels a job.
     Cancel(job::JobId),
 }
@@ -89,6 +97,7 @@
                 }
                 let answer = self.rows.send(&txn);
                 if lost {
+                    self.waits.note_disturbance(self.now);
                     return self.fail_txn(host, incarnation, number);
                 }
                 let event = Box::new(job::Event::Txn { number, outcome: answer });
@@ -100,6 +109,9 @@
             }
             Message::Stop(host, incarnation, order, lost) => {
                 let now = self.now;
+                if lost {
+                    self.waits.note_disturbance(now);
+                }
                 let accepted = self.reach(&order.worker).map(|worker| worker.stop(&order, now));
                 if accepted != Some(true) && !lost {
                     self.fail_stop(host, incarnation, order);
@@ -115,7 +127,11 @@
             Message::Restart(at) => self.add_next_incarnation(at),
             Message::Report(at) => self.announce_member(at),
             Message::Feed => self.answer_feed(),
+            Message::Share(change) => self.share(&change),
+            Message::Wave => self.crash_wave(),
+            Message::FailLasting => self.fail_lasting(),
             Message::Submit => self.submit(),
+            Message::SubmitJob(id, job) => self.accept(id, *job),
             Message::Cancel(job) => self.cancel(job),
         }
     }
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Simulates the job service in virtual time: engines on hosts, a store of rows and workers, with
 //! injected faults.
 
+mod beside;
 mod callers;
 pub mod checker;
 mod closed_halls;
@@ -9,9 +10,12 @@
 mod fault;
 mod injection;
 mod message;
+pub mod plan;
 mod restart;
 pub mod rows;
 pub mod server;
+pub mod waits;
+mod waves;
 pub mod worker;
 mod workers;
 pub mod world;
--- a/crates/stand-in/src/jobs/restart.rs
+++ b/crates/stand-in/src/jobs/restart.rs
@@ -39,6 +39,7 @@
     /// Adds the next incarnation of a worker under the same id and at the same address, unless one
     /// is running.
     pub(super) fn add_next_incarnation(&mut self, at: usize) {
+        self.waits.note_disturbance(self.now);
         self.workers[at].listed = false;
         let (incarnation, hall) =
             (self.workers[at].incarnation.clone(), self.workers[at].hall.clone());
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -5,6 +5,8 @@
 
 use wharflane::{id, job, size};
 
+use super::beside;
+
 /// The longest lease that a worker grants.
 pub const MAX_LEASE: time::Duration = time::Duration::from_secs(6);
 /// How long a run takes to stop after the order.
@@ -29,6 +31,25 @@
     stops_at: Option<time::Duration>,
     /// The capacity that it uses.
     size: size::Size,
+    /// What the task is to the others on the worker.
+    role: Role,
+    /// The share of full speed at which it works, in percent.
+    share_percent: u8,
+    /// When the share last changed, and the work that was left then, at full speed.
+    work_left: (time::Duration, time::Duration),
+}
+
+/// What a task is to the others on its worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// It neither disturbs others nor is disturbed.
+    #[default]
+    Plain,
+    /// It serves users, with a target for its tail latency, in milliseconds.
+    Serving(u64),
+    /// It is a best-effort task, which reserves no CPU and disturbs those that serve; it would use
+    /// this much, in thousandths of a core.
+    BestEffort(u64),
 }
 
 /// One incarnation of a worker.
@@ -58,6 +79,10 @@
     pub checks_capacity: bool,
     /// When its capacity last shrank.
     pub shrunk_at: Option<time::Duration>,
+    /// Whether it reports progress that changes, instead of a constant one.
+    pub reports_progress: bool,
+    /// How much a serving task is disturbed if best-effort tasks use the whole CPU of the worker.
+    pub interference: f64,
     /// The hall of the worker.
     pub hall: id::HallId,
     /// Tasks whose start overcommitted it although the holder had known its capacity for long
@@ -109,6 +134,8 @@
             capacity,
             checks_capacity: true,
             shrunk_at: None,
+            reports_progress: false,
+            interference: 0.0,
             hall: "hall".into(),
             overcommitted: Vec::new(),
             epoch: 0,
@@ -145,6 +172,52 @@
         self.runs.iter().map(|(task, run)| (*task, run.began))
     }
 
+    /// Returns the tasks that run here, with role and share in percent.
+    pub fn roles(&self) -> impl Iterator<Item = (job::TaskId, Role, u8)> + '_ {
+        self.runs.iter().map(|(task, run)| (*task, run.role, run.share_percent))
+    }
+
+    /// Sets the role of a run that has just begun.
+    pub fn set_role(&mut self, task: job::TaskId, role: Role) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.role = role;
+        }
+    }
+
+    /// Changes the share of a run in progress.
+    pub fn set_share(&mut self, change: &job::SetShare, now: time::Duration) {
+        let order = &change.order;
+        if !self.has_same_id(&order.worker) || order.epoch < self.epoch {
+            return;
+        }
+        let run = self.runs.get_mut(&order.task).filter(|run| run.run == order.run);
+        let Some(run) = run else {
+            return;
+        };
+        let (since, left) = run.work_left;
+        let left = beside::work_left(left, now.saturating_sub(since), run.share_percent);
+        run.work_left = (now, left);
+        run.share_percent = change.percent;
+        if run.ends_at.is_some() {
+            let rest = (left * 100).checked_div(u32::from(change.percent));
+            run.ends_at = Some(rest.map_or(time::Duration::MAX, |rest| now + rest));
+        }
+    }
+
+    /// Makes a run fail at the next tick.
+    pub fn fail_run(&mut self, task: job::TaskId, now: time::Duration) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.ends_at = Some(now);
+            run.fails = true;
+        }
+    }
+
+    /// Returns the capacity that its runs reserve; best-effort tasks reserve no CPU.
+    #[must_use]
+    pub fn reserved(&self) -> size::Size {
+        self.runs.values().fold(size::Size::default(), |sum, run| sum.plus(&run.size))
+    }
+
     /// Returns the ended runs that were not acknowledged.
     #[must_use]
     pub fn ended(&self) -> &[job::Ended] {
@@ -185,7 +258,7 @@
         if newest.is_some_and(|newest| newest >= number) {
             return refuse(job::StartRefusal::Old);
         }
-        let used = self.runs.values().fold(behaviour.size, |sum, run| sum.plus(&run.size));
+        let used = behaviour.size.plus(&self.reserved());
         if !used.fits(&self.capacity) && self.checks_capacity {
             return refuse(job::StartRefusal::Room);
         }
@@ -201,6 +274,9 @@
             fails: behaviour.fails || self.fails_every_task,
             stops_at: None,
             size: behaviour.size,
+            role: Role::Plain,
+            share_percent: 100,
+            work_left: (now, work.unwrap_or_default()),
         };
         self.runs.insert(task, run);
         (job::StartAnswer::Taken, true)
@@ -236,8 +312,8 @@
         let running = self.runs.iter().map(|(task, run)| job::Running {
             task: *task,
             run: run.run,
-            percent: 50,
-            load: 0,
+            percent: if self.reports_progress { beside::percent(run.role, now) } else { 50 },
+            load: self.load(run.role, run.share_percent),
         });
         job::HeartbeatAnswer::Lists(job::Lists {
             born_ms: self.incarnation.born_ms,
--- a/crates/stand-in/src/jobs/workers.rs
+++ b/crates/stand-in/src/jobs/workers.rs
@@ -18,7 +18,11 @@
     ) {
         let task = start.order.task;
         let behaviour = self.behaviour(task);
+        let role = self.role(task);
         let now = self.now;
+        if lost {
+            self.waits.note_disturbance(now);
+        }
         let answered =
             self.reach(&start.order.worker).map(|worker| worker.start(start, behaviour, now));
         let Some((answer, began)) = answered else {
@@ -26,6 +30,9 @@
                 let gone = self.is_address_reused(&start.order.worker);
                 let (answer, after) = match gone {
                     true => (job::StartAnswer::Gone, self.draw_delay()),
+                    false if self.refuses_connections(&start.order.worker) => {
+                        (job::StartAnswer::NotSent, self.draw_delay())
+                    }
                     false => (job::StartAnswer::Silent, time::Duration::from_millis(600)),
                 };
                 let event = job::Event::Started { order: start.order.clone(), answer };
@@ -34,6 +41,9 @@
             return;
         };
         if began {
+            if let Some(worker) = self.reach(&start.order.worker) {
+                worker.set_role(task, role);
+            }
             let cancelled = self.cancelled.get(&task.job);
             let ordered_late = cancelled.is_some_and(|at| ordered > *at + world::CANCEL_GRACE);
             self.check_closed_hall(task, &start.order.worker, ordered);
@@ -87,8 +97,12 @@
             }
         };
         let silent = answer == job::HeartbeatAnswer::Silent || lost;
-        let after =
-            if silent { time::Duration::from_millis(600) } else { self.draw_answer_delay() };
+        let fails_at_once = !lost && silent && self.refuses_connections(&worker);
+        let after = if silent && !fails_at_once {
+            time::Duration::from_millis(600)
+        } else {
+            self.draw_answer_delay()
+        };
         let answer = if silent { job::HeartbeatAnswer::Silent } else { answer };
         let event = job::Event::HeartbeatAnswered { worker, epoch, answer };
         self.send(after, message::Message::Back(host, incarnation, Box::new(event)));
@@ -100,7 +114,10 @@
         let lasting = step.is_some_and(|step| step.lasting);
         let estimate = step.map_or(500, |step| step.estimate_ms);
         let work = (!lasting).then(|| time::Duration::from_millis(estimate));
-        let size = step.map(|step| step.size).unwrap_or_default();
+        let mut size = step.map(|step| step.size).unwrap_or_default();
+        if step.is_some_and(|step| step.fills) {
+            size.cpu_milli = 0;
+        }
         // In one job of eight, every task fails unless it is a long-running one.
         worker::Behaviour { work, fails: task.job.0 % 8 == 7 && !lasting, size }
     }
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -9,7 +9,7 @@
 use wharflane::{id, job};
 
 use super::message::Message;
-use super::{checker, closed_halls, fault, injection, message, rows, worker};
+use super::{checker, closed_halls, fault, injection, message, plan, rows, waits, worker};
 
 pub use super::fault::Faults;
 
@@ -17,8 +17,6 @@
 pub(super) const STEP: time::Duration = time::Duration::from_millis(10);
 /// When faults and submissions end.
 pub(super) const FAULTS_UNTIL: time::Duration = time::Duration::from_secs(25);
-/// When the simulation ends; every job must have ended by then.
-const END: time::Duration = time::Duration::from_secs(75);
 /// How many attempts each task has.
 pub(super) const ATTEMPTS: u32 = 3;
 /// The name of the only queue.
@@ -58,6 +56,8 @@
     pub(super) rng: rand::rngs::StdRng,
     /// How often each fault occurs.
     pub(super) faults: Faults,
+    /// What happens beyond the faults that the seed draws.
+    pub(super) plan: plan::Plan,
     /// The hosts, by index; a removed host keeps its index.
     pub(super) hosts: Vec<Host>,
     /// The rows of the store.
@@ -78,16 +78,31 @@
     pub(super) cancelled: collections::BTreeMap<job::JobId, time::Duration>,
     /// Checks the guarantees of the service.
     pub checker: checker::Checker,
+    /// Judges waits and missed targets; records disturbances even if it judges nothing.
+    pub waits: waits::Judge,
 }
 
 impl World {
     /// Creates a simulation; the same arguments give the same simulation.
     #[must_use]
     pub fn new(seed: u64, faults: Faults, hosts: usize, workers: usize, jobs: usize) -> Self {
+        Self::planned(seed, faults, plan::Plan::default(), (hosts, workers, jobs))
+    }
+
+    /// Creates a simulation with a plan beyond its faults, and with the given numbers of hosts,
+    /// workers and jobs. The default plan makes no draws.
+    #[must_use]
+    pub fn planned(
+        seed: u64,
+        faults: Faults,
+        plan: plan::Plan,
+        (hosts, workers, jobs): (usize, usize, usize),
+    ) -> Self {
         let mut world = Self {
             now: time::Duration::ZERO,
             rng: rand::rngs::StdRng::seed_from_u64(seed),
             faults,
+            plan,
             hosts: Vec::new(),
             rows: rows::Rows::default(),
             down: false,
@@ -98,6 +113,7 @@
             closed: closed_halls::ClosedSince::new(),
             cancelled: collections::BTreeMap::new(),
             checker: checker::Checker::default(),
+            waits: waits::Judge::default(),
         };
         (0..workers).for_each(|_| world.add_worker());
         for _ in 0..hosts {
@@ -123,12 +139,13 @@
         for (count, fault) in kinds {
             (0..count).for_each(|_| world.send_at_random(Message::Fault(fault)));
         }
+        world.schedule_waves();
         world
     }
 
     /// Runs the simulation to its end.
     pub fn run(&mut self) {
-        while self.now < END {
+        while self.now < self.plan.end {
             self.now += STEP;
             self.tick_workers();
             self.check_cancelled_jobs();
@@ -141,6 +158,7 @@
                 self.step(host, job::Event::Tick { wall_ms });
             }
             self.check_waiting_counts();
+            self.judge_waits();
         }
     }
 
@@ -150,6 +168,7 @@
     pub fn findings(&self) -> Vec<String> {
         let mut found: Vec<String> =
             self.checker.violations.iter().map(ToString::to_string).collect();
+        found.extend(self.waits.broken.iter().map(ToString::to_string));
         found.extend(self.unfinished());
         found.extend(
             self.wrongly_failed()
@@ -211,7 +230,11 @@
     /// Draws whether a fault with a probability in thousandths occurs now; none does after
     /// `FAULTS_UNTIL`.
     pub(super) fn chance(&mut self, milli: u32) -> bool {
-        self.now < FAULTS_UNTIL && self.rng.random_range(0..1_000) < milli
+        let occurs = self.now < FAULTS_UNTIL && self.rng.random_range(0..1_000) < milli;
+        if occurs {
+            self.waits.note_disturbance(self.now);
+        }
+        occurs
     }
 
     /// Adds a worker under a new id.
@@ -227,6 +250,8 @@
         let mut worker = worker::Worker::new(incarnation, injection::CAPACITY, clock_milli);
         worker.checks_capacity = self.faults.shrinks == 0;
         worker.hall = closed_halls::hall_of(self.workers.len());
+        worker.interference = self.plan.interference;
+        worker.reports_progress = self.plan.judged_from.is_some();
         self.workers.push(worker);
     }
 
