A deferral of a batch task ends before its job starves

Cause: isolation defers a start by reasons of its own (ManyReserved 1.5 s, LossUndecided 5 s, NotCalm up to 20 s, NoEmptyWorker), and nothing compared that with the 3 s for which a job may run nothing. A deferred task is passed over before anything notes that it starves, and its wait counted from when the loss became known, some 1.5 s after it. Class: waits without a common bound.

Change: starvation::ends_deferral decides that the wait of a batch task has reached the bound: its job runs nothing, most of its service is idle, and 2 s have passed since a worker last answered that it runs a task of the job (Entry::last_ran; the remaining second is for a commit, a start and one more attempt). The start is then as isolated as it can be. Long-running tasks wait as before: their bound applies after calm alone. Exception: the last start that a task has waits as before, and a worker that may still turn out to be lost counts as lost. Otherwise a sound job would be given up for good by chance, and a culprit could have a sixth start. That wait can still break the bound.

The tests of long-running tasks are unchanged. Ruled out: counting from Ready::since, which is the detection, and which long-running tasks and logs read as well.

--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -188,6 +188,36 @@
         Some(answered.saturating_sub(since))
     }
 
+    /// Notes when a task that leaves its worker last ran there, by the worker's own answers.
+    pub(super) fn note_last_ran(&mut self, task: spec::TaskId) {
+        let Some(placed) = self.placed.get(&task) else {
+            return;
+        };
+        let work::StartState::Confirmed(since) = placed.start_state else {
+            return;
+        };
+        let answered = self.views.get(&placed.worker).and_then(|view| view.last_answer);
+        let last_ran = answered.map_or(since, |(_, answered)| answered.max(since));
+        if let Some(entry) = self.jobs.get_mut(&task.job) {
+            entry.last_ran = entry.last_ran.max(last_ran);
+        }
+    }
+
+    /// Returns whether the next loss of a worker under a task would fail its job; a worker that may
+    /// still turn out to be lost counts as lost.
+    pub(super) fn has_last_start(&self, task: spec::TaskId) -> bool {
+        let decided = self.losses(task).all() + self.starts(task).others;
+        decided + self.undecided_losses(task) + 1 >= MAX_LOSSES
+    }
+
+    /// Returns the number of workers on which leases of a task have expired and that may still turn
+    /// out to be lost.
+    pub(super) fn undecided_losses(&self, task: spec::TaskId) -> u32 {
+        let presences = self.views.values().flat_map(|view| &view.expired_tasks);
+        let undecided = presences.filter(|presence| presence.task == task).count();
+        u32::try_from(undecided).unwrap_or(u32::MAX)
+    }
+
     /// Fails the job of a task under which too many workers were lost.
     pub(super) fn fail_job_after_losses(&mut self, task: spec::TaskId, now: time::Duration) {
         let losses = self.losses(task);
@@ -323,11 +353,6 @@
 }
 
 impl Presence {
-    /// Returns whether this is the presence of a task.
-    pub(super) fn is_of(self, task: spec::TaskId) -> bool {
-        self.task == task
-    }
-
     /// Returns whether the start of the task may have crashed the worker.
     fn is_suspect(self) -> bool {
         self.at_work.is_none_or(|at_work| at_work < CLEARED_AFTER)
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -360,6 +360,7 @@
     /// Releases a task from its worker and queues it again if it should still run. Logs nothing,
     /// for callers that have logged why the run ended.
     pub(super) fn release(&mut self, task: spec::TaskId) {
+        self.note_last_ran(task);
         let Some(placed) = self.placed.remove(&task) else {
             return;
         };
--- a/crates/wharflane/src/job/incarnations.rs
+++ b/crates/wharflane/src/job/incarnations.rs
@@ -102,6 +102,7 @@
         if self.is_own(self.fence(past) + 1) {
             *self.fence_offsets.entry(past.worker.clone()).or_insert(0) += 1;
         }
+        here.iter().for_each(|task| self.note_last_ran(*task));
         self.views.remove(past);
         self.unsettled.remove(past);
         let (ordered, others): (Vec<_>, Vec<_>) =
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -131,6 +131,7 @@
             dirty: collections::BTreeSet::new(),
             set_aside: None,
             begun,
+            last_ran: now,
             ended,
             run_times: collections::BTreeMap::new(),
         };
--- a/crates/wharflane/src/job/isolation.rs
+++ b/crates/wharflane/src/job/isolation.rs
@@ -9,6 +9,7 @@
 use super::holding;
 use super::obstacle;
 use super::spec;
+use super::starvation;
 use super::work;
 use super::worker;
 use crate::id;
@@ -128,7 +129,7 @@
     }
 
     /// Returns whether a start is deferred until it can be isolated as required; deferral is
-    /// bounded.
+    /// bounded, and ends before the job of a batch task starves.
     pub(super) fn defers_start(
         &mut self,
         ready: &work::Ready,
@@ -143,6 +144,9 @@
                 .then_some(Deferral::ManyReserved),
             Isolation::Full => self.defers_full_isolation(ready, step, now),
         };
+        let deferral = deferral.filter(|_| {
+            self.waits_for_last_start(ready, step) || !starvation::ends_deferral(self, ready, now)
+        });
         if let Some(reason) = deferral
             && self.loss_record.mark_deferred(ready.task, now)
         {
@@ -156,6 +160,17 @@
         deferral.is_some()
     }
 
+    /// Returns whether a start is the last that its task has, or that a member of its gang has. It
+    /// is deferred even beyond the bound for starving jobs: if its worker is lost by chance, a sound
+    /// job fails for good.
+    fn waits_for_last_start(&self, ready: &work::Ready, step: &spec::Step) -> bool {
+        let mut members = (0..step.count).map(|index| spec::TaskId { index, ..ready.task });
+        match step.gang {
+            true => members.any(|member| self.has_last_start(member)),
+            false => self.has_last_start(ready.task),
+        }
+    }
+
     /// Returns whether a gang is deferred until losses stop, since one of its members requires full
     /// isolation. All members start together, so none waits for an empty worker.
     fn defers_gang(&self, ready: &work::Ready, step: &spec::Step, now: time::Duration) -> bool {
@@ -172,7 +187,7 @@
         step: &spec::Step,
         now: time::Duration,
     ) -> Option<Deferral> {
-        if now < ready.since + LOSS_OUTCOME_WAIT && self.is_loss_undecided(ready.task) {
+        if now < ready.since + LOSS_OUTCOME_WAIT && self.undecided_losses(ready.task) > 0 {
             return Some(Deferral::LossUndecided);
         }
         let deadline = ready.since + CALM_WAIT;
@@ -193,14 +208,6 @@
         Some(Deferral::NoEmptyWorker)
     }
 
-    /// Returns whether leases of a task have expired on a worker that may still turn out to be
-    /// lost.
-    fn is_loss_undecided(&self, task: spec::TaskId) -> bool {
-        self.views
-            .values()
-            .any(|view| view.expired_tasks.iter().any(|presence| presence.is_of(task)))
-    }
-
     /// Reserves the worker with the lowest isolation cost for a task, so that it empties as its
     /// other tasks end.
     fn reserve_to_empty(&mut self, task: spec::TaskId, step: &spec::Step, now: time::Duration) {
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -30,6 +30,9 @@
 /// however full its service is. The requirement allows 6 s from its last run, and the loss of a
 /// worker is known up to 2 s late.
 const MAX_ABSENCE: time::Duration = time::Duration::from_millis(3_000);
+/// How long a job may run nothing until starts of its batch tasks are deferred no longer. The
+/// requirement allows 3 s; the rest covers a commit, a start and one more attempt.
+const DEFERRAL_LIMIT: time::Duration = time::Duration::from_millis(2_000);
 /// Reserved CPU of a service, in percent, from which on other tasks don't count as starving; given
 /// by the requirement.
 const BUSY_PERCENT: u64 = 50;
@@ -65,6 +68,22 @@
     waited >= STARVATION_DELAY && (ready.lasting || !has_active_task(holding, ready.task.job))
 }
 
+/// Returns whether a batch task must no longer be deferred for its isolation, since its job has run
+/// nothing for long although most of its service is idle. The time counts from the last answer that
+/// showed a task of the job running: a loss becomes known only later.
+pub(super) fn ends_deferral(
+    holding: &holding::Holding,
+    ready: &work::Ready,
+    now: time::Duration,
+) -> bool {
+    let Some(entry) = holding.jobs.get(&ready.task.job).filter(|_| !ready.lasting) else {
+        return false;
+    };
+    now.saturating_sub(entry.last_ran) >= DEFERRAL_LIMIT
+        && !has_active_task(holding, ready.task.job)
+        && is_mostly_idle(holding, holding.service(&entry.job))
+}
+
 /// What one placement pass did for its starving tasks, for operators. Those that were not tried,
 /// since enough others were, are in none of the counts but `starving`.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/wharflane/src/job/work.rs
+++ b/crates/wharflane/src/job/work.rs
@@ -32,6 +32,9 @@
     /// Whether any of its tasks has begun, as far as this holder knows. Not stored: a committed
     /// start may never have reached its worker, and only workers report what began.
     pub begun: bool,
+    /// When a worker last answered that it runs one of its tasks, or, before that, when this holder
+    /// learned of it.
+    pub last_ran: time::Duration,
     /// When this holder first saw that it has ended.
     pub ended: Option<time::Duration>,
     /// The measured run times of its tasks, by step.
--- a/crates/wharflane/tests/isolation.rs
+++ b/crates/wharflane/tests/isolation.rs
@@ -38,6 +38,14 @@
     sim
 }
 
+/// The longest time for which a job may run nothing in an idle service, in milliseconds.
+const STARVING_MS: u64 = 3_000;
+
+/// Returns a step of one batch task.
+fn batch() -> job::Step {
+    sim::step("plain", 1_000)
+}
+
 /// Loses a worker that has run nothing so far.
 fn lose_idle_worker(sim: &mut sim::Sim, at: usize) {
     replace_worker(sim, &sim::member(at).incarnation);
@@ -84,7 +92,85 @@
     }
 }
 
+/// Loses workers of the task, and idle ones all the while, and returns how long the task waits for
+/// its start after the last loss, in milliseconds. A worker is silent from its loss on.
+fn waits_after_losses_ms(sim: &mut sim::Sim, lost: usize) -> u64 {
+    for _ in 1..lost {
+        sim.advance(CLEARED_MS, false);
+        let before = sim.starts(JOB).len();
+        crash(sim, JOB);
+        for _ in 0..100 {
+            if sim.starts(JOB).len() > before {
+                break;
+            }
+            sim.advance(100, false);
+        }
+    }
+    sim.advance(CLEARED_MS, false);
+    let (before, at) = (sim.starts(JOB).len(), sim.now);
+    crash(sim, JOB);
+    for tick in 0..1_500 {
+        if sim.starts(JOB).len() > before {
+            return u64::try_from((sim.now - at).as_millis()).expect("fits into u64");
+        }
+        if tick % 25 == 0 && tick < 500 {
+            lose_idle_worker(sim, 39 - tick / 25);
+        }
+        sim.advance(20, false);
+    }
+    panic!("the task never started again");
+}
+
 cases! {
+    // The start of a batch task waited up to 20 s for calm in an idle service, where its job may run
+    // nothing for 3 s.
+    a_fourth_start_of_a_batch_task_waits_no_longer_than_its_job_may_run_nothing => {
+        let waited = waits_after_losses_ms(&mut started(40, batch()), 3);
+        assert!(waited <= STARVING_MS, "{waited} ms");
+    },
+    the_fourth_start_of_a_gang_waits_no_longer_either => {
+        let mut sim = started(40, job::Step { count: 2, gang: true, ..sim::step("plain", 9_000) });
+        let partner = job::TaskId { index: 1, ..task(JOB) };
+        for lost in 1..=3 {
+            sim.advance(CLEARED_MS, false);
+            let before = sim.starts(JOB).len();
+            crash(&mut sim, JOB);
+            // The other member runs up to here.
+            let at = sim.now;
+            sim.end_task(partner, job::EndKind::Broken);
+            lose_idle_worker(&mut sim, 40 - lost);
+            for _ in 0..500 {
+                if sim.starts(JOB).len() > before {
+                    break;
+                }
+                sim.advance(20, false);
+            }
+            let waited = u64::try_from((sim.now - at).as_millis()).expect("fits into u64");
+            assert!(waited <= STARVING_MS, "{waited} ms");
+        }
+    },
+    // The next loss fails the job for good, so it must not be by chance.
+    the_last_start_of_a_batch_task_waits_while_idle_workers_are_lost => {
+        let waited = waits_after_losses_ms(&mut started(40, batch()), 4);
+        assert!(waited > 10_000, "{waited} ms");
+    },
+    a_fourth_start_waits_while_another_task_of_its_job_runs => {
+        let step = job::Step { count: 2, max_per_worker: Some(1), ..batch() };
+        let waited = waits_after_losses_ms(&mut started(40, step), 3);
+        assert!(waited > 2 * STARVING_MS, "{waited} ms");
+    },
+    a_fourth_start_waits_in_a_service_that_is_mostly_in_use => {
+        let mut sim = started(40, batch());
+        for at in 40..100 {
+            let member = job::Member { labels: vec!["busy".to_owned()], ..sim::member(at) };
+            sim.handle(job::Event::Member(member.incarnation.worker.clone(), Some(member)));
+        }
+        let step = job::Step { count: 60, max_per_worker: Some(1), ..long_running() };
+        let size = sim::step("plain", 14_000).size;
+        sim.submit(JOB + 1, "first", job::Step { label: Some("busy".to_owned()), size, ..step });
+        let waited = waits_after_losses_ms(&mut sim, 3);
+        assert!(waited > 2 * STARVING_MS, "{waited} ms");
+    },
     // A task that crashes its worker only after a while had unlimited starts, since each loss was
     // attributed to a freshly started task beside it.
     a_culprit_at_work_beside_fresh_starts_is_given_up_after_five => {
