The wait of a task whose worker was lost counts from the loss

What callers saw: up to 3.4 s without a run, where 3 s are allowed: the loss of a worker is known 1.5 to 2 s after it, and relief counted its 1.5 s from then. Cause: Ready::since begins anew when a task comes back. Change: a batch task that has run before and whose job has run nothing for 2 s by its workers' own answers (Entry::last_ran, with the deferral) is starving. Test, failed before (1 start of 2): a_task_whose_worker_is_lost_runs_within_the_bound_from_the_loss. Ruled out: Ready::has_run, which tells of long-running tasks alone. A new holder doesn't know when a job last ran and counts from when it learned of it.

--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -30,9 +30,10 @@
 /// however full its service is. The requirement allows 6 s from its last run, and the loss of a
 /// worker is known up to 2 s late.
 const MAX_ABSENCE: time::Duration = time::Duration::from_millis(3_000);
-/// How long a job may run nothing until starts of its batch tasks are deferred no longer. The
-/// requirement allows 3 s; the rest covers a commit, a start and one more attempt.
-const DEFERRAL_LIMIT: time::Duration = time::Duration::from_millis(2_000);
+/// How long a job may run nothing until preferences give way to its batch tasks that come back from
+/// a lost worker. The requirement allows 3 s; the rest covers a commit, a start and one more
+/// attempt.
+const MAX_IDLE: time::Duration = time::Duration::from_millis(2_000);
 /// Reserved CPU of a service, in percent, from which on other tasks don't count as starving; given
 /// by the requirement.
 const BUSY_PERCENT: u64 = 50;
@@ -64,13 +65,24 @@
     ready: &work::Ready,
     now: time::Duration,
 ) -> bool {
-    let waited = now.saturating_sub(ready.since);
-    waited >= STARVATION_DELAY && (ready.lasting || !has_active_task(holding, ready.task.job))
+    let has_waited = now.saturating_sub(ready.since) >= STARVATION_DELAY;
+    if ready.lasting {
+        return has_waited;
+    }
+    let came_back =
+        assign::last_run(holding, ready.task) > 0 && is_idle(holding, ready.task.job, now);
+    (has_waited || came_back) && !has_active_task(holding, ready.task.job)
+}
+
+/// Returns whether a job has run nothing for `MAX_IDLE`, counted from the last answer that showed a
+/// task of it running: the loss of a worker becomes known only later.
+fn is_idle(holding: &holding::Holding, job: spec::JobId, now: time::Duration) -> bool {
+    let entry = holding.jobs.get(&job);
+    entry.is_some_and(|entry| now.saturating_sub(entry.last_ran) >= MAX_IDLE)
 }
 
 /// Returns whether a batch task must no longer be deferred for its isolation, since its job has run
-/// nothing for long although most of its service is idle. The time counts from the last answer that
-/// showed a task of the job running: a loss becomes known only later.
+/// nothing for long although most of its service is idle.
 pub(super) fn ends_deferral(
     holding: &holding::Holding,
     ready: &work::Ready,
@@ -79,7 +91,7 @@
     let Some(entry) = holding.jobs.get(&ready.task.job).filter(|_| !ready.lasting) else {
         return false;
     };
-    now.saturating_sub(entry.last_ran) >= DEFERRAL_LIMIT
+    is_idle(holding, ready.task.job, now)
         && !has_active_task(holding, ready.task.job)
         && is_mostly_idle(holding, holding.service(&entry.job))
 }
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -346,6 +346,18 @@
         sim.advance(BOUND_MS, false);
         assert_eq!(started(&sim, 1), 1);
     },
+    // Guards against this failure: the wait of a task whose worker was lost counted from when the
+    // loss was known, 1.5 s and more after it.
+    a_task_whose_worker_is_lost_runs_within_the_bound_from_the_loss => {
+        let mut sim = serving_workers(4, STRONG_INTERFERENCE);
+        sim.tail_ms = Some(disturbed_tail_ms);
+        submit_best_effort(&mut sim, 1);
+        sim.advance(2 * BOUND_MS, false);
+        assert_eq!(sim.starts(WAITING).len(), 1);
+        losses::crash(&mut sim, WAITING);
+        sim.advance(BOUND_MS - losses::AWAY_MS, false);
+        assert_eq!(sim.starts(WAITING).len(), 2);
+    },
     // Guards against this failure: a long-running task stayed away for 13 s in a full service, while
     // the only workers with room for it were reserved for suspects.
     a_long_running_task_returns_to_a_worker_that_is_reserved_for_a_suspect => {
