Relief starts no suspect on a worker that is reserved for another

What callers would see: one crash fails two sound jobs for good. Cause: let reserved workers give way to every starving task, suspects included, and relief weighed no isolation. Change: for a task under which a worker was lost, a worker that is reserved for another stays closed, and the cost of isolation is weighed. Why it works: two suspects never share a worker by relief, so each loss counts under one task of few starts. Test, failed before: two_suspects_that_may_lose_one_more_worker_are_not_started_on_one_worker_at_once.

--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -15,6 +15,7 @@
 use super::gang;
 use super::holding;
 use super::interference;
+use super::isolation;
 use super::obstacle;
 use super::pass;
 use super::spec;
@@ -245,6 +246,8 @@
     target_missed: bool,
     /// Whether the worker is in quarantine after failures.
     quarantined: bool,
+    /// The cost of isolating the task, if it must be.
+    isolation: isolation::IsolationCost,
     /// Whether the worker is reserved for the isolated start of a suspect, which may crash it.
     isolated: bool,
     /// Whether its capacity is reserved for another task.
@@ -277,8 +280,15 @@
         obstacle::hard(view, service, task, step, now)
             .or_else(|| holding.ticket_obstacle(&entry.job, task, &view.member.incarnation, now))
     };
+    // Two suspects on one worker would both count its loss, and it might fail both jobs.
+    let is_suspect = holding.has_losses(task);
     let evaluate = |view: &worker::View| {
         let worker = &view.member.incarnation;
+        if is_suspect
+            && obstacle::preference(view, task, now) == Some(obstacle::Obstacle::Isolation)
+        {
+            return None;
+        }
         let outside = within.is_some() && view.member.rack.as_deref() != within;
         let failed_here = view.is_quarantined(now) && failed_worker == Some(worker);
         if outside || failed_here || obstacle_at(view).is_some() {
@@ -309,6 +319,11 @@
     Cost {
         target_missed: step.fills && headroom.missed,
         quarantined: view.is_quarantined(now),
+        isolation: if holding.avoids_suspects(task) {
+            isolation::IsolationCost::of(holding, task, view, now)
+        } else {
+            isolation::IsolationCost::default()
+        },
         isolated: view.reserved_for.is_some_and(|reserved| reserved != task),
         reserved: holding.reserved_workers.contains(&view.member.incarnation),
         throttled: view.filling.values().filter(|filling| filling.started_throttled).count(),
