A start that was refused or not sent does not set its task's wait back

What callers saw: a wait of 3 s and more for each such start: a long-running task was away for over 6 s with room on three other workers. Cause: a task that comes back from a worker is ready anew, and every bound counts from then. Class: a clock that begins anew with each reason to wait. Evidence: the test, with NotSent and with a refusal for want of room. Change: a placed task keeps since when it was ready, and goes on waiting from there if its start failed before it ran. What ran and was lost counts from its loss as before. Test, failed before: a_long_running_task_whose_start_fails_returns_within_its_bound. Ruled out: keeping it over unanswered starts, which would shorten the wait for calm of tasks that crash their workers at their start.

--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/assign.rs
@@ -54,6 +54,7 @@
     let placed = work::Placed {
         worker: worker.clone(),
         run,
+        ready_since: ready.since,
         start_state,
         lease_until_ms: 0,
         start_orders: work::StartOrders::default(),
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -104,6 +104,7 @@
             let placed = work::Placed {
                 worker: worker.clone(),
                 run: task.run,
+                ready_since: now,
                 start_state: work::StartState::Inherited,
                 lease_until_ms: 0,
                 start_orders: work::StartOrders::default(),
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/orders.rs
@@ -223,7 +223,7 @@
         if view.missed_heartbeats == 0 {
             self.send_start(task, now);
         } else if start_orders.not_sent > 0 && start_orders.fence == 0 {
-            self.free(task, "its start was not sent");
+            self.free_unstarted(task, "its start was not sent");
         }
     }
 
@@ -345,7 +345,7 @@
         if stays {
             placed.start_state = work::StartState::Unanswered(now + START_RETRY_DELAY);
         } else {
-            self.free(task, "its start was not sent");
+            self.free_unstarted(task, "its start was not sent");
         }
     }
 
@@ -357,6 +357,15 @@
         }
     }
 
+    /// Frees a task whose start failed before the task ran, so that its wait goes on.
+    fn free_unstarted(&mut self, task: spec::TaskId, why: &'static str) {
+        let since = self.placed.get(&task).map(|placed| placed.ready_since);
+        self.free(task, why);
+        if let (Some(ready), Some(since)) = (self.ready.get_mut(&task), since) {
+            ready.since = since;
+        }
+    }
+
     /// Frees a task whose start was refused, unless an earlier order may still be carried out.
     fn handle_refused_start(&mut self, task: spec::TaskId) {
         let unanswered = self.placed.get(&task).is_some_and(|p| p.start_orders.unanswered > 0);
@@ -366,7 +375,7 @@
             );
             self.set_start_state(task, work::StartState::Expiring);
         } else {
-            self.free(task, "refused");
+            self.free_unstarted(task, "refused");
         }
     }
 }
--- a/crates/wharflane/src/job/work.rs
+++ b/crates/wharflane/src/job/work.rs
@@ -69,6 +69,8 @@
     pub worker: id::Incarnation,
     /// The number of its run.
     pub run: u32,
+    /// Since when it was ready before it was placed.
+    pub ready_since: time::Duration,
     /// What is known of the start of the run.
     pub start_state: StartState,
     /// Until when an order for it may still be carried out, by the worker's clock, in milliseconds.
@@ -90,6 +92,7 @@
         Self {
             worker: incarnation,
             run: before.run,
+            ready_since: before.ready_since,
             start_state: StartState::Orphaned,
             lease_until_ms: 0,
             start_orders: StartOrders {
