A gang that does not fit holds up no starving task of its size

Cause: relief took the failed search for a gang as a finding that no single task of that size fits, and passed the others over. Change: gangs leave no finding. Why it works: a finding now says of one task what a search for one task has shown. Test: a_starving_task_is_not_held_up_by_gangs_that_do_not_fit_as_a_whole, failed before.

--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -94,6 +94,8 @@
     pub(super) starvation_starts: u64,
     /// What the last placement pass did for its starving tasks.
     pub(super) relief: starvation::Relief,
+    /// The searches for starving tasks that recently found no worker.
+    pub(super) failed_searches: starvation::FailedSearches,
     /// The starving task for which a worker was last searched; the next search begins after it, so
     /// that starving tasks are served in round-robin order.
     pub(super) last_starving: Option<spec::TaskId>,
@@ -222,6 +224,7 @@
             worker_searches: 0,
             starvation_starts: 0,
             relief: starvation::Relief::default(),
+            failed_searches: starvation::FailedSearches::default(),
             last_starving: None,
             best_effort_waits: false,
             reserved_workers: collections::BTreeSet::new(),
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -45,8 +45,10 @@
 const MIN_SHARE_EACH_PERCENT: f64 = 2.0;
 /// Maximum number of starving tasks that are started per pass; each search evaluates all workers.
 const MAX_STARTS_PER_PASS: usize = 8;
-/// Maximum number of searches per pass that find no worker.
-const MAX_FAILED_SEARCHES_PER_PASS: usize = 2;
+/// Maximum number of searches within `FAILED_SEARCHES_WINDOW` that find no worker.
+const MAX_FAILED_SEARCHES: usize = 8;
+/// The time over which these are counted, so that their cost does not grow with the rate of passes.
+const FAILED_SEARCHES_WINDOW: time::Duration = time::Duration::from_millis(100);
 
 /// Records a task that found no worker if it is starving.
 pub(super) fn note_if_starving(
@@ -111,6 +113,25 @@
     pub unplaced: usize,
 }
 
+/// The searches for starving tasks that recently found no worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FailedSearches {
+    /// When the current window began.
+    since: time::Duration,
+    /// The number of these searches in that window.
+    count: usize,
+}
+
+impl FailedSearches {
+    /// Returns whether one more search may fail now; begins a new window if the last one is over.
+    fn allows_another(&mut self, now: time::Duration) -> bool {
+        if now.saturating_sub(self.since) >= FAILED_SEARCHES_WINDOW {
+            *self = Self { since: now, count: 0 };
+        }
+        self.count < MAX_FAILED_SEARCHES
+    }
+}
+
 /// Starts starving tasks in round-robin order, a bounded number per pass.
 pub(super) fn relieve(holding: &mut holding::Holding, pass: &mut pass::Pass, now: time::Duration) {
     let mut relief = Relief { starving: pass.starving.len(), ..Relief::default() };
@@ -121,7 +142,7 @@
             holding.changed = true;
             break;
         }
-        if relief.unplaced >= MAX_FAILED_SEARCHES_PER_PASS {
+        if !holding.failed_searches.allows_another(now) {
             break;
         }
         let Some((job, step)) = waiting_step(holding, ready.task) else {
@@ -145,8 +166,12 @@
             continue;
         }
         relief.unplaced += 1;
-        let ticket = holding.advice_timing(&job).is_some();
-        pass.note_no_worker_left(&service, &step, image, ticket);
+        holding.failed_searches.count += 1;
+        // A gang that does not fit as a whole says nothing about single tasks.
+        if !step.gang {
+            let ticket = holding.advice_timing(&job).is_some();
+            pass.note_no_worker_left(&service, &step, image, ticket);
+        }
     }
     holding.relief = relief;
 }
