Tickets are requested for workers that are only not preferred, after all others

What callers would see: 4.0 s without a run where 3 s are allowed, while all workers are in quarantine; longer while they are reserved for suspects. Cause: the candidates for advice left out what only a preference keeps a task from, so relief had no ticket to use. Change: candidates are all workers without a hard obstacle, those that are avoided last. Advice is asked for as many workers as before.

--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/advice.rs
@@ -81,7 +81,8 @@
     }
 
     /// Returns workers to name in a request: those already granted first, then those in the
-    /// preferred rack, then those with the most free CPU.
+    /// preferred rack, then those with the most free CPU; workers that only a preference keeps it
+    /// from come last.
     fn candidates(
         &self,
         task: spec::TaskId,
@@ -97,7 +98,7 @@
         let none = tickets::StepTickets::default();
         let step_tickets = self.tickets.steps.get(&group::group(task)).unwrap_or(&none);
         let is_candidate = |view: &&worker::View| {
-            let available = obstacle::plain(view, service, task, step, now).is_none();
+            let available = obstacle::hard(view, service, task, step, now).is_none();
             available
                 && !step_tickets.denied.contains(&view.member.incarnation)
                 && self.tickets.get(task, &view.member.incarnation, now).is_none()
@@ -107,7 +108,8 @@
             let rack = view.member.rack.as_deref();
             let in_preferred_rack = step.rack.is_none() || rack == step.rack.as_deref();
             let accepted = step_tickets.accepted.contains_key(&view.member.incarnation);
-            (!accepted, !in_preferred_rack, std::cmp::Reverse(view.free().cpu_milli))
+            let avoided = obstacle::preference(view, task, now).is_some();
+            (avoided, !accepted, !in_preferred_rack, std::cmp::Reverse(view.free().cpu_milli))
         });
         views.into_iter().take(max_count).map(|view| view.member.incarnation.clone()).collect()
     }
