Relief may go back to the worker where a task failed, if it is the only one

What callers would see: 4.1 s without a run where 3 s are allowed, for a task with one worker that it can use. Cause: relief left out a quarantined worker where the task last failed, however many others there were. Class: a preference that acts as a bound. Change: it is the first of the costs, read as the usual choice reads it (choose::failed_on), so that any other worker comes before it.

--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -267,6 +267,8 @@
 /// The cost of a worker for a starving task, compared field by field in this order.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Cost {
+    /// Whether the task last failed there.
+    failed_here: bool,
     /// Whether a best-effort task would run beside a task that misses its target.
     target_missed: bool,
     /// Whether the worker is in quarantine after failures.
@@ -298,8 +300,7 @@
     let holding = &*holding;
     let entry = holding.jobs.get(&task.job)?;
     let service = holding.service(&entry.job);
-    let state = entry.progress.tasks.get(&task.into());
-    let failed_worker = state.and_then(|state| state.failed_on.as_ref());
+    let failed_worker = choose::failed_on(entry, task);
     let strains = choose::best_effort_strains(holding, step, image);
     let obstacle_at = |view: &worker::View| {
         obstacle::hard(view, service, task, step, now)
@@ -315,14 +316,14 @@
             return None;
         }
         let outside = within.is_some() && view.member.rack.as_deref() != within;
-        let failed_here = view.is_quarantined(now) && failed_worker == Some(worker);
-        if outside || failed_here || obstacle_at(view).is_some() {
+        if outside || obstacle_at(view).is_some() {
             return None;
         }
         if step.fills && holding.misses_too_long(worker, now) {
             return None;
         }
-        Some(cost(holding, view, (task, step), &strains, now))
+        let failed_here = failed_worker == Some(worker);
+        Some(Cost { failed_here, ..cost(holding, view, (task, step), &strains, now) })
     };
     let is_cheaper = |a: &Cost, b: &Cost| a.partial_cmp(b) == Some(cmp::Ordering::Less);
     choose::cheapest(holding, evaluate, is_cheaper)
@@ -342,6 +343,7 @@
         |image: interference::Image| strains.get(image.number()).copied().unwrap_or(0.0) * part;
     let left = headroom.left.iter().map(|(image, left)| (*left, strain(*image)));
     Cost {
+        failed_here: false,
         target_missed: step.fills && headroom.missed,
         quarantined: view.is_quarantined(now),
         isolation: if holding.avoids_suspects(task) {
