Relief goes on with the next pass as soon as its starts are committed

What callers would see: 100 long-running tasks of one new step take 7.4 s to start where relief alone can start them. Cause: a pass knows one starving task of a group, and the next pass came 100 ms later unless eight were started. Change: the next one follows the commit. Test, failed before: every_long_running_task_of_one_wide_step_runs_within_the_bound. The users' rule bounds tasks that have run; this one is ours.

--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -138,8 +138,6 @@
     let mut idle = collections::BTreeMap::<id::ServiceId, bool>::new();
     for ready in in_turn(holding, pass) {
         if relief.started >= MAX_STARTS_PER_PASS {
-            // The next pass goes on as soon as these starts are committed.
-            holding.changed = true;
             break;
         }
         if !holding.failed_searches.allows_another(now) {
@@ -173,6 +171,9 @@
             pass.note_no_worker_left(&service, &step, image, ticket);
         }
     }
+    // The next pass goes on as soon as these starts are committed. Each group has only one task
+    // among the starving ones of a pass.
+    holding.changed |= relief.started > 0;
     holding.relief = relief;
 }
 
