Suspects share a worker by relief unless one loss could fail a job

Change: only where one more loss would fail the task's own job or, for a task with losses, that of the other. Why it works: a shared loss then fails at most the one job that has one loss left, and its task stays alone.

--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -210,6 +210,11 @@
         decided + self.undecided_losses(task) + 1 >= MAX_LOSSES
     }
 
+    /// Returns whether one more loss of a worker would fail the job of a task.
+    pub(super) fn has_one_loss_left(&self, task: spec::TaskId) -> bool {
+        self.losses(task).all() + self.starts(task).others + 1 >= MAX_LOSSES
+    }
+
     /// Returns the number of workers on which leases of a task have expired and that may still turn
     /// out to be lost.
     pub(super) fn undecided_losses(&self, task: spec::TaskId) -> u32 {
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -307,17 +307,18 @@
         obstacle::hard(view, service, task, step, now)
             .or_else(|| holding.ticket_obstacle(&entry.job, task, &view.member.incarnation, now))
     };
-    // Two suspects on one worker would both count its loss, and it might fail both jobs.
-    let is_suspect = holding.has_losses(task);
+    // Both tasks would count a loss of the worker, and it might fail both jobs.
+    let is_isolated_from = |view: &worker::View| {
+        let other = view.reserved_for.filter(|reserved| *reserved != task);
+        other.is_some_and(|other| {
+            holding.has_one_loss_left(task)
+                || holding.has_losses(task) && holding.has_one_loss_left(other)
+        })
+    };
     let evaluate = |view: &worker::View| {
         let worker = &view.member.incarnation;
-        if is_suspect
-            && obstacle::preference(view, task, now) == Some(obstacle::Obstacle::Isolation)
-        {
-            return None;
-        }
         let outside = within.is_some() && view.member.rack.as_deref() != within;
-        if outside || obstacle_at(view).is_some() {
+        if outside || is_isolated_from(view) || obstacle_at(view).is_some() {
             return None;
         }
         if step.fills && holding.misses_too_long(worker, now) {
