Calm counts from when a worker was lost, not from when that was known

What callers would see: a long-running task that lost three workers comes back 8.5 s after its last loss, where the users allow 7 s of calm. Cause: isolation waits 5 s from the last loss and 1.5 s for an empty worker, and counted from when the list dropped the worker, up to 2 s later. Change: the time of a loss is the worker's last answer, or 2 s before it was known where that is later (idle workers answer each 4 s). Why it works: 5 s and 1.5 s of waiting end 6.5 s after the loss itself.

--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/crash.rs
@@ -32,6 +32,9 @@
 const MAX_LOSSES: u32 = 5;
 /// How long a loss without a suspect counts as evidence that workers fail for other causes.
 const OTHER_CAUSE_WINDOW: time::Duration = time::Duration::from_secs(10);
+/// How long after its last answer a worker is lost at the latest: the store's list drops it after
+/// that time. Workers that run nothing answer less often.
+const MAX_DETECTION: time::Duration = time::Duration::from_millis(2_000);
 /// A loss within a task's first second may be chance if at least one in this many starts would meet
 /// an unrelated loss.
 const CHANCE_DIVISOR: usize = 100;
@@ -43,10 +46,14 @@
         worker: &id::Incarnation,
         tasks: &[spec::TaskId],
     ) {
-        let planned = self.views.get(worker).is_some_and(|view| view.member.leaving);
+        let view = self.views.get(worker);
+        let planned = view.is_some_and(|view| view.member.leaving);
+        let last_answer = view.and_then(|view| view.last_answer).map(|(_, at)| at);
+        let earliest = self.now.saturating_sub(MAX_DETECTION);
+        let lost_at = last_answer.map_or(self.now, |at| at.max(earliest));
         let cause = self.count_loss_after_expiry(worker).max(self.count_worker_loss(tasks));
         if !planned {
-            self.loss_record.note_end(&worker.worker, cause, self.now);
+            self.loss_record.note_end(&worker.worker, cause, lost_at, self.now);
         }
     }
 
--- a/crates/wharflane/src/job/loss_record.rs
+++ b/crates/wharflane/src/job/loss_record.rs
@@ -34,6 +34,8 @@
     without_suspect: collections::VecDeque<time::Duration>,
     /// When a worker was last lost without a suspect, or may have been.
     last_without_suspect: Option<time::Duration>,
+    /// When any worker was last lost, whatever the cause.
+    last_end: Option<time::Duration>,
     /// When incarnations of each worker recently ended, latest last.
     ends: collections::BTreeMap<id::WorkerId, collections::VecDeque<time::Duration>>,
 }
@@ -93,14 +95,22 @@
         self.deferred.retain(|task, _| task.job != job);
     }
 
-    /// Records the unplanned end of a worker's incarnation.
-    pub fn note_end(&mut self, worker: &id::WorkerId, cause: Cause, now: time::Duration) {
+    /// Records the unplanned end of a worker's incarnation, which is known now, with the time since
+    /// which the worker may have been lost.
+    pub fn note_end(
+        &mut self,
+        worker: &id::WorkerId,
+        cause: Cause,
+        lost_at: time::Duration,
+        now: time::Duration,
+    ) {
+        self.last_end = self.last_end.max(Some(lost_at));
         if cause == Cause::NoSuspect {
             if self.without_suspect.len() >= MAX_RECORDED {
                 self.without_suspect.pop_front();
             }
             self.without_suspect.push_back(now);
-            self.last_without_suspect = Some(now);
+            self.last_without_suspect = self.last_without_suspect.max(Some(lost_at));
         }
         let since = now.saturating_sub(UNSTEADY_FOR);
         self.ends.retain(|_, ends| ends.back().is_some_and(|last| *last >= since));
@@ -116,9 +126,9 @@
         ends.map_or(0, |ends| ends.iter().rev().take_while(|end| **end >= since).count())
     }
 
-    /// Returns when an incarnation of any worker last ended unplanned.
+    /// Returns when any worker was last lost unplanned.
     pub fn last_end(&self) -> Option<time::Duration> {
-        self.ends.values().filter_map(|ends| ends.back().copied()).max()
+        self.last_end
     }
 
     /// Returns how many workers were lost without a suspect since a time.
