--- a/crates/stand-in/src/jobs/waits.rs
+++ b/crates/stand-in/src/jobs/waits.rs
@@ -171,7 +171,7 @@
         self.waits.looked = now;
         let look = self.look();
         for task in &look.running {
-            if self.is_long_running(*task) {
+            if self.is_lasting(*task) {
                 self.waits.last_runs.insert(*task, now);
             }
         }
@@ -295,7 +295,7 @@
     }
 
     /// Returns whether a task is long-running.
-    fn is_long_running(&self, task: job::TaskId) -> bool {
+    fn is_lasting(&self, task: job::TaskId) -> bool {
         let step = self.checker.jobs.get(&task.job).and_then(|job| job.step(task.step));
         step.is_some_and(|step| step.lasting)
     }
