--- a/crates/daemon/src/jobs/decided.rs
+++ b/crates/daemon/src/jobs/decided.rs
@@ -2,7 +2,7 @@
 //!
 //! A host may be suspended or frozen between a decision and the call that carries it out, and the
 //! state that the decision was based on may have changed since. Such a call is not made; the engine
-//! treats it like a call without an answer.
+//! treats a start as not sent and the rest like a call without an answer.
 
 use std::sync;
 use std::time;
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -416,8 +416,12 @@
     the_share_of_an_unanswered_start_is_ordered_once_the_task_runs => {
         let mut sim = serving_workers(4, 3.0 * STRONG_INTERFERENCE);
         submit_best_effort(&mut sim, 1);
-        sim.start_answers = [job::StartAnswer::Silent].into();
+        // The simulation answers the starts of the serving tasks once more, before that of the waiting
+        // one.
+        sim.start_answers.extend([job::StartAnswer::Taken; 4]);
+        sim.start_answers.push_back(job::StartAnswer::Silent);
         sim.advance(BOUND_MS, false);
+        assert!(sim.not_taken.iter().any(|start| start.order.task.job.0 == WAITING));
         let first = sim.pending.iter().find_map(|effect| match effect {
             job::Effect::Start(start) if start.order.task.job.0 == WAITING => Some(start),
             _ => None,
