One place tells when a long-running task is overdue, and relief logs what gave way

Cause: the same test of absence stood in placement (precedence) and in relief, with a constant each; the line of a relieved task did not tell that its worker was reserved for a suspect, nor the task's own losses. Change: Ready::is_overdue serves both; the line has isolated and losses. No decision changes.

--- a/crates/wharflane/src/job/placement.rs
+++ b/crates/wharflane/src/job/placement.rs
@@ -19,9 +19,6 @@
 use super::work;
 use crate::id;
 
-/// How long a long-running task may be without a worker until it takes precedence. The requirement
-/// allows 6 s, and a start takes 50 ms.
-const MAX_ABSENCE: time::Duration = time::Duration::from_millis(3_000);
 /// One worker in this many may be reserved for returning long-running tasks; the others stay
 /// available to batch tasks.
 const WORKERS_PER_RESERVED: usize = 12;
@@ -140,7 +137,7 @@
     let end = *group::siblings(after).end();
     let later = holding.ready.range((ops::Bound::Excluded(after), ops::Bound::Included(end)));
     let mut later = later.map(|(_, ready)| *ready);
-    later.find(|ready| takes_precedence(ready, now) == group.returning)
+    later.find(|ready| ready.is_overdue(now) == group.returning)
 }
 
 /// Removes the waiting tasks of a group whose job has ended.
@@ -183,7 +180,7 @@
             let of = |returning| {
                 let mut siblings = holding.ready.range(siblings.clone()).map(|(_, ready)| *ready);
                 siblings
-                    .find(|ready| takes_precedence(ready, now) == returning)
+                    .find(|ready| ready.is_overdue(now) == returning)
                     .map(|first| Group { first, returning })
             };
             groups.extend([false, true].into_iter().filter_map(of));
@@ -196,12 +193,6 @@
     groups
 }
 
-/// Returns whether a long-running task has been without a worker for so long that it takes
-/// precedence.
-fn takes_precedence(ready: &work::Ready, now: time::Duration) -> bool {
-    ready.has_run && now.saturating_sub(ready.since) >= MAX_ABSENCE
-}
-
 /// Requests tickets for the waiting tasks of a step if its queue needs them.
 fn request_tickets(holding: &mut holding::Holding, task: spec::TaskId, now: time::Duration) {
     let entry = holding.jobs.get(&task.job);
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -27,10 +27,6 @@
 /// the other half covers a commit, a start and some attempts on workers that turn out not to accept
 /// the task.
 const STARVATION_DELAY: time::Duration = time::Duration::from_millis(1_500);
-/// How long a long-running task that has run may be without a worker until it counts as starving
-/// however full its service is. The requirement allows 6 s from its last run, and the loss of a
-/// worker is known up to 2 s late.
-const MAX_ABSENCE: time::Duration = time::Duration::from_millis(3_000);
 /// How long a job may run nothing until preferences give way to its batch tasks that come back from
 /// a lost worker. The requirement allows 3 s; the rest covers a commit, a start and one more
 /// attempt.
@@ -137,10 +133,7 @@
     let mut relief = Relief { starving: pass.starving.len(), ..Relief::default() };
     let mut idle = collections::BTreeMap::<id::ServiceId, bool>::new();
     for ready in in_turn(holding, pass) {
-        if relief.started >= MAX_STARTS_PER_PASS {
-            break;
-        }
-        if !holding.failed_searches.allows_another(now) {
+        if relief.started >= MAX_STARTS_PER_PASS || !holding.failed_searches.allows_another(now) {
             break;
         }
         let Some((job, step)) = waiting_step(holding, ready.task) else {
@@ -150,7 +143,7 @@
         let is_idle = *idle
             .entry(service.clone())
             .or_insert_with_key(|service| is_mostly_idle(holding, service));
-        if !is_idle && !is_overdue(&ready, now) {
+        if !is_idle && !ready.is_overdue(now) {
             relief.busy += 1;
             continue;
         }
@@ -186,12 +179,6 @@
     later.chain(earlier).map(|(_, ready)| *ready).collect()
 }
 
-/// Returns whether a long-running task has been away for so long that it starves however full its
-/// service is.
-fn is_overdue(ready: &work::Ready, now: time::Duration) -> bool {
-    ready.lasting && ready.has_run && now.saturating_sub(ready.since) >= MAX_ABSENCE
-}
-
 /// Returns whether any task of a job runs or is about to.
 fn has_active_task(holding: &holding::Holding, job: spec::JobId) -> bool {
     let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
@@ -396,7 +383,9 @@
         strain,
         room,
         rests = view.is_quarantined(now),
+        isolated = view.reserved_for.is_some_and(|reserved| reserved != ready.task),
         kept = holding.reserved_workers.contains(&worker),
+        losses = holding.losses(ready.task).all(),
         fills = step.fills,
         relieved = holding.starvation_starts,
         "started a starving task"
--- a/crates/wharflane/src/job/work.rs
+++ b/crates/wharflane/src/job/work.rs
@@ -10,6 +10,10 @@
 use super::spec;
 use crate::id;
 
+/// How long a long-running task may be without a worker until it is overdue. The requirement allows
+/// 6 s from its last run; the loss of its worker is known up to 2 s late, and a start takes 50 ms.
+const MAX_ABSENCE: time::Duration = time::Duration::from_millis(3_000);
+
 /// A job with its progress.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -148,7 +152,7 @@
     pub priority: u32,
     /// Whether it is long-running: it runs until its job is cancelled.
     pub lasting: bool,
-    /// Whether it has run before.
+    /// Whether it is long-running and has run before.
     pub has_run: bool,
     /// The version of the job's row at its acceptance; lower for earlier jobs.
     pub accepted_version: u64,
@@ -156,6 +160,14 @@
     pub since: time::Duration,
 }
 
+impl Ready {
+    /// Returns whether it is a long-running task that has been without a worker for so long that it
+    /// takes precedence, and that preferences give way to it however full its service is.
+    pub fn is_overdue(&self, now: time::Duration) -> bool {
+        self.has_run && now.saturating_sub(self.since) >= MAX_ABSENCE
+    }
+}
+
 /// Returns the order that addresses a placed task.
 pub(super) fn order_for(
     placed: &Placed,
