Findings of a pass are one type, and tests of serving workers share their setup

Cause: the same two functions stood twice in pass.rs, for tasks and for starving ones, and the setup of relief.rs was a copy of that of starvation.rs. Change: Findings has rule_out and note; tests/sim/serving.rs builds the workers.

--- a/crates/wharflane/src/job/pass.rs
+++ b/crates/wharflane/src/job/pass.rs
@@ -28,10 +28,10 @@
 /// The findings of a placement pass.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
-    /// Kinds of tasks that found no worker, with their sizes.
-    unplaceable: Vec<(Kind, size::Size)>,
+    /// Which tasks can find no worker any more.
+    pub unplaceable: Findings,
     /// The same for starving tasks, to which more workers are open.
-    no_worker_left: Vec<(Kind, size::Size)>,
+    pub no_worker_left: Findings,
     /// Whether the headroom of all workers was refreshed, which only best-effort tasks need.
     pub headroom_refreshed: bool,
     /// The number of lines logged about waiting tasks.
@@ -40,82 +40,45 @@
     pub starving: collections::BTreeMap<spec::TaskId, work::Ready>,
 }
 
-impl Pass {
-    /// Returns whether a task can no longer find a worker in this pass.
-    pub fn is_unplaceable(
-        &self,
-        service: &id::ServiceId,
-        step: &spec::Step,
-        image: interference::Image,
-    ) -> bool {
-        holds(&self.unplaceable, service, step, image)
-    }
-
-    /// Records that a task found no worker.
-    pub fn note_unplaceable(
-        &mut self,
-        service: &id::ServiceId,
-        step: &spec::Step,
-        image: interference::Image,
-        ticket: bool,
-    ) {
-        self.unplaceable.extend(finding(service, step, image, ticket));
-    }
+/// Kinds of tasks that found no worker, with their sizes.
+#[derive(Debug, Default)]
+pub(super) struct Findings(Vec<(Kind, size::Size)>);
 
-    /// Returns whether a starving task can no longer find a worker in this pass.
-    pub fn has_no_worker_left(
+impl Findings {
+    /// Returns whether a task can no longer find a worker in this pass: one of the same kind, and
+    /// no larger, found none.
+    pub fn rule_out(
         &self,
         service: &id::ServiceId,
         step: &spec::Step,
         image: interference::Image,
     ) -> bool {
-        holds(&self.no_worker_left, service, step, image)
+        let image = step.fills.then_some(image);
+        self.0.iter().any(|(kind, size)| {
+            kind.service == *service
+                && kind.label == step.label
+                && kind.best_effort == image
+                && size.fits(&step.size)
+        })
     }
 
-    /// Records that a starving task found no worker.
-    pub fn note_no_worker_left(
+    /// Records that a single task found no worker. Steps with a limit per worker or with tickets
+    /// have obstacles of their own, from which nothing follows for other steps.
+    pub fn note(
         &mut self,
         service: &id::ServiceId,
         step: &spec::Step,
         image: interference::Image,
         ticket: bool,
     ) {
-        self.no_worker_left.extend(finding(service, step, image, ticket));
-    }
-}
-
-/// Returns whether findings say that a task finds no worker: one of the same kind, and no larger,
-/// found none.
-fn holds(
-    findings: &[(Kind, size::Size)],
-    service: &id::ServiceId,
-    step: &spec::Step,
-    image: interference::Image,
-) -> bool {
-    let image = step.fills.then_some(image);
-    findings.iter().any(|(kind, size)| {
-        kind.service == *service
-            && kind.label == step.label
-            && kind.best_effort == image
-            && size.fits(&step.size)
-    })
-}
-
-/// Returns the finding that a task found no worker, if anything follows from it for other tasks:
-/// steps with a limit per worker or with tickets have obstacles of their own.
-fn finding(
-    service: &id::ServiceId,
-    step: &spec::Step,
-    image: interference::Image,
-    ticket: bool,
-) -> Option<(Kind, size::Size)> {
-    if step.max_per_worker.is_some() || ticket {
-        return None;
+        if step.max_per_worker.is_some() || ticket {
+            return;
+        }
+        let kind = Kind {
+            service: service.clone(),
+            label: step.label.clone(),
+            best_effort: step.fills.then_some(image),
+        };
+        self.0.push((kind, step.size));
     }
-    let kind = Kind {
-        service: service.clone(),
-        label: step.label.clone(),
-        best_effort: step.fills.then_some(image),
-    };
-    Some((kind, step.size))
 }
--- a/crates/wharflane/src/job/placement.rs
+++ b/crates/wharflane/src/job/placement.rs
@@ -290,12 +290,12 @@
     now: time::Duration,
 ) -> bool {
     let image = holding.learned.interference.image(step.image.as_deref());
-    if pass.is_unplaceable(holding.service(job), step, image) {
+    if pass.unplaceable.rule_out(holding.service(job), step, image) {
         return false;
     }
     let Some(worker) = choose_worker(holding, ranking, ready.task, step, now) else {
         let ticket = holding.advice_timing(job).is_some();
-        pass.note_unplaceable(holding.service(job), step, image, ticket);
+        pass.unplaceable.note(holding.service(job), step, image, ticket);
         return false;
     };
     assign::assign(holding, ready, step, &worker, now);
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/starvation.rs
@@ -148,7 +148,7 @@
             continue;
         }
         let image = holding.learned.interference.image(step.image.as_deref());
-        if pass.has_no_worker_left(&service, &step, image) {
+        if pass.no_worker_left.rule_out(&service, &step, image) {
             continue;
         }
         holding.last_starving = Some(ready.task);
@@ -161,7 +161,7 @@
         // A gang that does not fit as a whole says nothing about single tasks.
         if !step.gang {
             let ticket = holding.advice_timing(&job).is_some();
-            pass.note_no_worker_left(&service, &step, image, ticket);
+            pass.no_worker_left.note(&service, &step, image, ticket);
         }
     }
     // The next pass goes on as soon as these starts are committed. Each group has only one task
--- a/crates/wharflane/tests/relief.rs
+++ b/crates/wharflane/tests/relief.rs
@@ -7,6 +7,8 @@
 use wharflane::{job, rows};
 use wharflane_stand_in::cases;
 
+use sim::serving;
+
 /// How long a task may wait, in milliseconds.
 const BOUND_MS: u64 = 3_000;
 /// How long a long-running task may be without a worker, in milliseconds, however full its service
@@ -14,40 +16,11 @@
 const AWAY_MS: u64 = 6_000;
 /// How long all must have been calm until a long-running task must run, in milliseconds.
 const CALM_MS: u64 = 7_000;
-/// The job of the serving tasks.
-const SERVING: u64 = 1;
 /// The first job that waits.
 const WAITING: u64 = 10;
 /// The processors of a best-effort task, in thousandths of a core.
 const FILLING_MILLI: u64 = 4_000;
 
-/// Returns rows of an interference model by which `filling` strains `serving` by `harm`.
-fn learned_rows(harm: f64) -> Vec<rows::Row> {
-    let row = |name: &str, value: String| rows::Row {
-        name: name.to_owned(),
-        part: job::part(0),
-        version: 1,
-        value: Some(value),
-        gone: false,
-    };
-    let images = r#"{"names":["serving","filling"],"rest_ms":{"0":13.0}}"#;
-    let fit = format!(r#"{{"images":[1],"factors":[0.06,{harm}],"covariance":[0.0005,0.0,0.01]}}"#);
-    vec![row("images", images.to_owned()), row("fit-0", fit)]
-}
-
-/// Returns a simulation in which each worker runs one serving task beside which no best-effort task
-/// is placed.
-fn serving_workers(workers: usize, harm: f64) -> sim::Sim {
-    let mut sim = sim::Sim::new(workers, learned_rows(harm));
-    sim.tail_ms = Some(|_| 14);
-    let count = u32::try_from(workers).expect("fits into u32");
-    let spread = job::Step { count, max_per_worker: Some(1), ..sim::step("serving", 4_000) };
-    sim.submit(SERVING, "first", spread);
-    sim.advance(1_000, false);
-    assert_eq!(sim.starts(SERVING).len(), workers);
-    sim
-}
-
 /// Returns the id of a task.
 fn task(job: u64, index: u32) -> job::TaskId {
     job::TaskId { job: job::JobId(job), round: 0, step: 0, index }
@@ -66,7 +39,7 @@
     // refused or not sent, so two of them take longer than the bound.
     a_starving_task_whose_starts_fail_does_not_wait_all_over_again => {
         for answer in [job::StartAnswer::NotSent, job::StartAnswer::Refused(job::StartRefusal::Room)] {
-            let mut sim = serving_workers(4, 2.5);
+            let mut sim = serving::workers(4, 2.5);
             // The simulation answers the four starts in `pending` once more.
             sim.start_answers.extend([job::StartAnswer::Taken; 4]);
             sim.start_answers.push_back(answer);
@@ -79,7 +52,7 @@
     // that was refused or not sent.
     a_long_running_task_whose_start_fails_returns_within_its_bound => {
         for answer in [job::StartAnswer::NotSent, job::StartAnswer::Refused(job::StartRefusal::Room)] {
-            let mut sim = serving_workers(4, 2.5);
+            let mut sim = serving::workers(4, 2.5);
             sim.submit(WAITING, "last", job::Step { lasting: true, ..sim::step("filling", FILLING_MILLI) });
             sim.advance(2_000, false);
             assert_eq!(sim.starts(WAITING).len(), 1);
@@ -140,7 +113,7 @@
     a_long_running_suspect_returns_once_all_is_calm_though_no_worker_is_empty => {
         let mut sim = sim::Sim::new(8, Vec::new());
         let spread = job::Step { count: 8, max_per_worker: Some(1), ..sim::step("serving", 4_000) };
-        sim.submit(SERVING, "first", spread);
+        sim.submit(serving::JOB, "first", spread);
         sim.advance(500, false);
         sim.submit(WAITING, "first", job::Step { lasting: true, ..sim::step("plain", 500) });
         for loss in 1..=3 {
@@ -186,7 +159,7 @@
     // Guards against this failure: relief knows the first task of a group alone, so a wide step of
     // tasks that last starts one a pass.
     every_long_running_task_of_one_wide_step_runs_within_the_bound => {
-        let mut sim = serving_workers(16, 2.5);
+        let mut sim = serving::workers(16, 2.5);
         let wide = job::Step { lasting: true, count: 100, ..sim::step("filling", FILLING_MILLI) };
         sim.submit(WAITING, "last", wide);
         let after = starts_after_ms(&mut sim, WAITING, 100);
@@ -194,7 +167,7 @@
     },
     // Guards against this failure: two searches a pass go to tasks that fit nowhere.
     a_starving_task_is_not_held_up_by_others_that_fit_no_worker => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         let large = job::Step { max_per_worker: Some(1), ..sim::step("plain", 13_000) };
         for at in 0..100 {
             sim.submit(100 + at, "first", large.clone());
@@ -206,7 +179,7 @@
     // Guards against this failure: a gang that does not fit as a whole counts as a finding that no
     // single task of its size fits.
     a_starving_task_is_not_held_up_by_gangs_that_do_not_fit_as_a_whole => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         let gang = job::Step { gang: true, count: 70, ..sim::step("filling", FILLING_MILLI) };
         let gang = job::Step { size: wharflane::size::Size { mem_mb: 20_000, ..gang.size }, ..gang };
         for at in 0..60 {
--- a/crates/wharflane/tests/sim/mod.rs
+++ b/crates/wharflane/tests/sim/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod losses;
+pub mod serving;
 
 use std::collections;
 use std::sync;
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -7,10 +7,10 @@
 
 use std::{collections, time};
 
-use wharflane::{job, rows};
+use wharflane::job;
 use wharflane_stand_in::cases;
 
-use sim::losses;
+use sim::{losses, serving};
 
 /// How long a task may wait, in milliseconds; this includes a heartbeat and a commit.
 const BOUND_MS: u64 = 3_000;
@@ -21,46 +21,11 @@
 const TARGET_MS: u64 = 50;
 /// How long best-effort tasks may make a serving task miss its target.
 const MAX_MISS: time::Duration = time::Duration::from_secs(4);
-/// The job of the serving tasks.
-const SERVING: u64 = 1;
 /// The first job that waits.
 const WAITING: u64 = 10;
 /// The processors of a best-effort task, in thousandths of a core.
 const FILLING_MILLI: u64 = 4_000;
 
-/// Returns rows of an interference model by which the image `filling` strains the image `serving`
-/// by `harm`, with little uncertainty.
-fn learned_rows(harm: f64) -> Vec<rows::Row> {
-    let row = |name: &str, value: String| rows::Row {
-        name: name.to_owned(),
-        part: job::part(0),
-        version: 1,
-        value: Some(value),
-        gone: false,
-    };
-    let images = r#"{"names":["serving","filling"],"rest_ms":{"0":13.0}}"#;
-    let fit = format!(r#"{{"images":[1],"factors":[0.06,{harm}],"covariance":[0.0005,0.0,0.01]}}"#);
-    vec![row("images", images.to_owned()), row("fit-0", fit)]
-}
-
-/// Returns the tail latency without interference, in milliseconds.
-fn undisturbed_tail_ms(_filled_milli: u64) -> u64 {
-    14
-}
-
-/// Returns a simulation in which each worker runs one serving task, with an interference of `harm`
-/// learned.
-fn serving_workers(workers: usize, harm: f64) -> sim::Sim {
-    let mut sim = sim::Sim::new(workers, learned_rows(harm));
-    sim.tail_ms = Some(undisturbed_tail_ms);
-    let count = u32::try_from(workers).expect("fits into u32");
-    let spread = job::Step { count, max_per_worker: Some(1), ..sim::step("serving", 4_000) };
-    sim.submit(SERVING, "first", spread);
-    sim.advance(1_000, false);
-    assert_eq!(sim.starts(SERVING).len(), workers);
-    sim
-}
-
 /// Returns the id of a task.
 fn task(job: u64, index: u32) -> job::TaskId {
     job::TaskId { job: job::JobId(job), round: 0, step: 0, index }
@@ -154,7 +119,7 @@
     // of starving tasks, nothing starts. The learned values at the time of the failure were not
     // logged.
     a_task_whose_learned_interference_fits_no_worker_runs_within_the_bound => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         sim.submit(WAITING, "last", sim::step("filling", FILLING_MILLI));
         sim.advance(BOUND_MS, false);
         assert_eq!(sim.starts(WAITING).len(), 1);
@@ -181,14 +146,14 @@
         assert_eq!(sim.starts(WAITING).len(), 2);
     },
     a_throttled_task_gets_full_speed_once_no_serving_task_is_beside_it => {
-        let mut sim = serving_workers(1, 0.0);
+        let mut sim = serving::workers(1, 0.0);
         sim.submit(WAITING, "last", sim::step("filling", FILLING_MILLI));
         sim.advance(1_000, false);
         sim.tail_ms = Some(|_| 200);
         sim.advance(6_000, false);
         assert_eq!(sim.share_orders.last().map(|(_, change)| change.percent), Some(0));
         let job::Event::Jobs(mut rows) =
-            sim.accepted(SERVING, "first", sim::step("serving", 4_000))
+            sim.accepted(serving::JOB, "first", sim::step("serving", 4_000))
         else {
             panic!("no rows");
         };
@@ -197,25 +162,25 @@
         accepted.cancelled = true;
         rows[0].value = serde_json::to_string(&accepted).ok();
         sim.handle(job::Event::Jobs(rows));
-        sim.end_task(task(SERVING, 0), job::EndKind::Stopped);
+        sim.end_task(task(serving::JOB, 0), job::EndKind::Stopped);
         sim.advance(BOUND_MS, false);
         assert_eq!(sim.share_orders.last().map(|(_, change)| change.percent), Some(100));
     },
     a_best_effort_task_larger_than_the_free_room_of_any_worker_runs_within_the_bound => {
-        let mut sim = serving_workers(4, 0.0);
+        let mut sim = serving::workers(4, 0.0);
         sim.submit(WAITING, "last", sim::step("filling", 20_000));
         sim.advance(BOUND_MS, false);
         assert_eq!(sim.starts(WAITING).len(), 1);
     },
     long_running_best_effort_tasks_run_within_the_bound => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         let long_running = job::Step { lasting: true, count: 2, ..sim::step("filling", FILLING_MILLI) };
         sim.submit(WAITING, "last", long_running);
         sim.advance(2 * BOUND_MS, false);
         assert_eq!(sim.starts(WAITING).len(), 2, "every task of the job starts, not only the first");
     },
     a_best_effort_gang_runs_within_the_bound => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         let gang = job::Step { gang: true, count: 2, ..sim::step("filling", FILLING_MILLI) };
         sim.submit(WAITING, "last", gang);
         sim.advance(BOUND_MS, false);
@@ -243,7 +208,7 @@
     },
     room_reserved_for_a_larger_task_is_not_withheld_from_a_small_one_for_ever => {
         let mut sim = sim::Sim::new(1, Vec::new());
-        sim.submit(SERVING, "first", sim::step("serving", 7_000));
+        sim.submit(serving::JOB, "first", sim::step("serving", 7_000));
         sim.advance(500, false);
         sim.handle(job::Event::Member("worker-1".into(), Some(sim::member(1))));
         sim.advance(500, false);
@@ -272,7 +237,7 @@
         assert_eq!(sim.starts(WAITING).len(), 1);
     },
     a_throttled_task_gets_full_speed_while_the_serving_task_is_idle => {
-        let mut sim = serving_workers(1, 0.0);
+        let mut sim = serving::workers(1, 0.0);
         submit_best_effort(&mut sim, 1);
         sim.advance(1_000, false);
         sim.tail_ms = Some(|_| 200);
@@ -283,7 +248,7 @@
         assert_eq!(shares(&sim, WAITING).last(), Some(&100));
     },
     a_missed_target_that_is_no_longer_reported_keeps_no_task_away => {
-        let mut sim = serving_workers(4, 0.0);
+        let mut sim = serving::workers(4, 0.0);
         sim.tail_ms = Some(|_| 80);
         sim.advance(3_000, false);
         sim.tail_ms = Some(|_| 0);
@@ -293,7 +258,7 @@
         assert_eq!(started(&sim, 1), 1);
     },
     a_starving_task_starts_throttled_and_is_released_if_the_learned_value_was_wrong => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         submit_best_effort(&mut sim, 1);
         sim.advance(BOUND_MS, false);
         let first = shares(&sim, WAITING)[0];
@@ -306,7 +271,7 @@
         assert_eq!(sim.starts(20).len(), 1, "the image is placed as any other");
     },
     targets_are_kept_beside_starving_tasks_if_the_learned_value_is_right => {
-        let mut sim = serving_workers(4, STRONG_INTERFERENCE);
+        let mut sim = serving::workers(4, STRONG_INTERFERENCE);
         sim.tail_ms = Some(disturbed_tail_ms);
         submit_best_effort(&mut sim, 4);
         sim.advance(60_000, false);
@@ -314,7 +279,7 @@
         assert!(longest_missed_target(&sim) < MAX_MISS, "the target was missed for {:?}", longest_missed_target(&sim));
     },
     targets_are_kept_if_the_learned_value_is_far_too_low => {
-        let mut sim = serving_workers(4, 0.0);
+        let mut sim = serving::workers(4, 0.0);
         sim.tail_ms = Some(disturbed_tail_ms);
         submit_best_effort(&mut sim, 4);
         sim.advance(60_000, false);
@@ -324,7 +289,7 @@
     // others waited for more than a minute, since few workers might hold such tasks and one was
     // started a pass.
     every_job_of_a_backlog_runs_within_the_bound_and_targets_are_kept => {
-        let mut sim = serving_workers(16, STRONG_INTERFERENCE);
+        let mut sim = serving::workers(16, STRONG_INTERFERENCE);
         sim.tail_ms = Some(disturbed_tail_ms);
         submit_best_effort(&mut sim, 20);
         sim.advance(BOUND_MS, false);
@@ -338,7 +303,7 @@
     // Guards against this failure: 180 jobs waited for a minute in a service of which 49 % were
     // reserved, since the CPU that other best-effort tasks used counted as in use.
     best_effort_tasks_at_work_do_not_make_their_service_busy => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         sim.submit(2, "last", job::Step { count: 8, fills: true, ..sim::step("calm", 6_000) });
         sim.advance(500, false);
         assert_eq!(sim.starts(2).len(), 8, "they and the serving tasks use all cores");
@@ -349,7 +314,7 @@
     // Guards against this failure: the wait of a task whose worker was lost counted from when the
     // loss was known, 1.5 s and more after it.
     a_task_whose_worker_is_lost_runs_within_the_bound_from_the_loss => {
-        let mut sim = serving_workers(4, STRONG_INTERFERENCE);
+        let mut sim = serving::workers(4, STRONG_INTERFERENCE);
         sim.tail_ms = Some(disturbed_tail_ms);
         submit_best_effort(&mut sim, 1);
         sim.advance(2 * BOUND_MS, false);
@@ -372,7 +337,7 @@
         assert_eq!(sim.starts(RETURNS).len(), 2, "away since the worker was lost");
     },
     a_job_with_one_running_task_is_not_starved => {
-        let mut sim = serving_workers(16, STRONG_INTERFERENCE);
+        let mut sim = serving::workers(16, STRONG_INTERFERENCE);
         sim.tail_ms = Some(disturbed_tail_ms);
         let many = job::Step { count: 5, ..sim::step("filling", FILLING_MILLI) };
         sim.submit(WAITING, "last", many);
@@ -380,7 +345,7 @@
         assert_eq!(sim.starts(WAITING).len(), 1);
     },
     no_starving_task_is_started_while_half_of_the_service_is_in_use => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         for job in 100..104 {
             sim.submit(job, "first", sim::step("plain", 4_000));
         }
@@ -390,7 +355,7 @@
         assert_eq!(started(&sim, 1), 0);
     },
     no_starving_task_is_started_beside_a_target_missed_for_long => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         sim.tail_ms = Some(|_| 80);
         sim.advance(3_000, false);
         submit_best_effort(&mut sim, 1);
@@ -398,7 +363,7 @@
         assert_eq!(started(&sim, 1), 0);
     },
     the_share_is_ordered_as_soon_as_the_start_is_taken => {
-        let mut sim = serving_workers(4, 2.5);
+        let mut sim = serving::workers(4, 2.5);
         submit_best_effort(&mut sim, 1);
         sim.advance(1_400, false);
         // No heartbeat is answered from here on.
@@ -414,7 +379,7 @@
         assert!(sim.pending.iter().any(is_throttled));
     },
     the_share_of_an_unanswered_start_is_ordered_once_the_task_runs => {
-        let mut sim = serving_workers(4, 3.0 * STRONG_INTERFERENCE);
+        let mut sim = serving::workers(4, 3.0 * STRONG_INTERFERENCE);
         submit_best_effort(&mut sim, 1);
         // The simulation answers the starts of the serving tasks once more, before that of the waiting
         // one.
