A host counts the store's silence only while calls wait, and its feed of the configuration waits as long as its bound allows

And a host that asked rarely would have taken the store for lost, since its silence was the time since the last answer.

Change: `jobs.config_ms` tells the bound, the feed waits for it less the silence of a dead connection and half a second; silence is the time in which the store leaves a call without an answer (`jobs/contact.rs`), refusals come after 0.9 s of it (1.2 s since the last answer before) and a host is unready after 2 s (2.5 s). A holder that can't read the closed halls retries, since that feed may now answer after seconds.

Ruled out: the feed of accepted jobs, which only the holder follows, is no part of it.

--- a/crates/daemon/src/jobs/halls.rs
+++ b/crates/daemon/src/jobs/halls.rs
@@ -107,9 +107,7 @@
     key: &rows::Key,
     closes: bool,
 ) -> Result<bool, store::StoreError> {
-    let row = shared.store.get(key).await;
-    shared.count_call("get", &row);
-    let row = row?;
+    let row = shared.call("get", shared.store.get(key)).await?;
     if row.is_some() == closes {
         return Ok(true);
     }
@@ -118,9 +116,8 @@
         expects: vec![rows::Expect { key: key.clone(), version }],
         writes: vec![rows::Write { key: key.clone(), value: closes.then(|| "{}".to_owned()) }],
     };
-    let answer = shared.store.transact(&txn).await;
-    shared.count_call("close", &answer);
-    Ok(matches!(answer?, rows::Answer::Done { .. }))
+    let answer = shared.call("close", shared.store.transact(&txn)).await?;
+    Ok(matches!(answer, rows::Answer::Done { .. }))
 }
 
 /// Returns the closed halls of a complete read of the table; a hall without a row is open.
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -206,13 +206,11 @@
                 drop(tokio::spawn(follower.load(domain)));
             }
             job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
-                let answer = shared.store.transact(&txn).await;
-                shared.count_call("commit", &answer);
+                let answer = shared.call("commit", shared.store.transact(&txn)).await;
                 send_event(&myself, job::Event::Txn { number, outcome: outcome(answer) });
             })),
             job::Effect::Drop(job, txn) => drop(tokio::spawn(async move {
-                let answer = shared.store.transact(&txn).await;
-                shared.count_call("drop", &answer);
+                let answer = shared.call("drop", shared.store.transact(&txn)).await;
                 let done = matches!(answer, Ok(rows::Answer::Done { .. }));
                 send_event(&myself, job::Event::Dropped { job, done });
             })),
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! The job service of a host: answers callers' calls about jobs, and schedules the jobs while this
 //! host holds their domain.
 
+pub mod contact;
 pub mod decided;
 mod entries;
 pub mod halls;
@@ -40,8 +41,8 @@
     pub closed: sync::Arc<arc_swap::ArcSwap<halls::ClosedSince>>,
     /// Whether this host is stopping.
     pub stopping: sync::Arc<atomic::AtomicBool>,
-    /// Clock reading of the store's last answer, in milliseconds.
-    pub store_ok_ms: sync::Arc<atomic::AtomicU64>,
+    /// Contact of this host with the store.
+    pub contact: sync::Arc<contact::Contact>,
     /// Whether the store rejected the last call because it was overloaded.
     pub turned_away: sync::Arc<atomic::AtomicBool>,
     /// Metrics of this host.
@@ -63,8 +64,40 @@
         u32::try_from(self.settings.number("jobs", "domains")).unwrap_or(1)
     }
 
+    /// Makes a call that the store answers at once, and counts it.
+    ///
+    /// # Errors
+    /// Returns the error of the call.
+    pub async fn call<T>(
+        &self,
+        name: &str,
+        call: impl Future<Output = Result<T, store::StoreError>>,
+    ) -> Result<T, store::StoreError> {
+        self.contact.note_call(self.clock.now());
+        let result = call.await;
+        self.count_call(name, &result);
+        result
+    }
+
+    /// Makes a call whose answer the store may hold back until there is a change, and counts it.
+    ///
+    /// # Errors
+    /// Returns the error of the call.
+    pub async fn poll<T>(
+        &self,
+        name: &str,
+        call: impl Future<Output = Result<T, store::StoreError>>,
+    ) -> Result<T, store::StoreError> {
+        let result = call.await;
+        if result.is_err() {
+            self.contact.note_call(self.clock.now());
+        }
+        self.count_call(name, &result);
+        result
+    }
+
     /// Counts a call to the store and logs when the store is lost or answers again.
-    pub fn count_call<T>(&self, call: &str, result: &Result<T, store::StoreError>) {
+    fn count_call<T>(&self, call: &str, result: &Result<T, store::StoreError>) {
         let label = match result {
             Ok(_) => "ok",
             Err(store::StoreError::TurnedAway { .. }) => "turned-away",
@@ -80,8 +113,7 @@
         self.turned_away.store(turned_away, atomic::Ordering::Relaxed);
         let up = matches!(result, Ok(_) | Err(store::StoreError::Refused { .. }));
         if up {
-            let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
-            self.store_ok_ms.store(now_ms, atomic::Ordering::Relaxed);
+            self.contact.note_answer();
         }
         let before = self.metrics.platform_up.get() == 1;
         if before != up {
@@ -93,12 +125,10 @@
         }
     }
 
-    /// Returns the time since the store's last answer to this host.
+    /// Returns for how long the store has left calls of this host unanswered.
     #[must_use]
     pub fn store_silence(&self) -> time::Duration {
-        let now_ms = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
-        let ok_ms = self.store_ok_ms.load(atomic::Ordering::Relaxed);
-        time::Duration::from_millis(now_ms.saturating_sub(ok_ms))
+        self.contact.silence(self.clock.now())
     }
 
     /// Returns the cause to report for a call that failed because of the store.
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -118,7 +118,7 @@
         queues: sync::Arc::default(),
         closed: sync::Arc::default(),
         stopping: sync::Arc::default(),
-        store_ok_ms: sync::Arc::default(),
+        contact: sync::Arc::default(),
         turned_away: sync::Arc::default(),
         metrics: metrics::Metrics::new()?,
         nonce: rand::random(),
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -13,8 +13,9 @@
 
 use super::Shared;
 
-/// Silence of the store after which submissions are rejected without a call to it.
-const LOST_AFTER: time::Duration = time::Duration::from_millis(1_200);
+/// Silence of the store after which submissions are rejected without a call to it. A store 60 times
+/// slower than usual answers within 0.6 s.
+const LOST_AFTER: time::Duration = time::Duration::from_millis(900);
 /// Share of a caller's time in which this host tries to store a submitted job, in percent; as much
 /// is left for an attempt by another host.
 const LOCAL_TIME_PERCENT: u32 = 45;
@@ -299,8 +300,8 @@
         let mut all =
             Counts { age: Some(time::Duration::ZERO), queues: collections::BTreeMap::new() };
         for domain in 0..self.shared.domains() {
-            let read = self.shared.store.get_stamped(&job::waiting_key(domain)).await;
-            self.shared.count_call("get", &read);
+            let key = job::waiting_key(domain);
+            let read = self.shared.call("get", self.shared.store.get_stamped(&key)).await;
             let (row, now_ms) = read.ok()?;
             let text = row.and_then(|row| row.value);
             let waiting =
@@ -385,16 +386,12 @@
 
     /// Runs a transaction and counts the call.
     async fn transact(&self, txn: &rows::Txn) -> Result<rows::Answer, store::StoreError> {
-        let answer = self.shared.store.transact(txn).await;
-        self.shared.count_call("submit", &answer);
-        answer
+        self.shared.call("submit", self.shared.store.transact(txn)).await
     }
 
     /// Reads a row and counts the call.
     async fn get(&self, key: &rows::Key) -> Result<Option<rows::Row>, store::StoreError> {
-        let row = self.shared.store.get(key).await;
-        self.shared.count_call("get", &row);
-        row
+        self.shared.call("get", self.shared.store.get(key)).await
     }
 }
 
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -17,16 +17,18 @@
 use super::halls;
 use super::holder;
 
-/// Longest time that the store may hold a feed's call open. Each call has a cost, and a silent
-/// connection is only detected after this time plus `FEED_SLACK`, so it uses what
-/// `MAX_FEED_SILENCE` allows.
-const FEED_WAIT: time::Duration = time::Duration::from_millis(850);
+/// Longest time that the store may hold a call for entries of workers open. A silent connection is
+/// only detected after this time plus `FEED_SLACK`, and new workers and those that leave must be
+/// known within seconds.
+const WORKERS_FEED_WAIT: time::Duration = time::Duration::from_millis(850);
 /// The same for accepted jobs, where every answer extends the time up to which the holder knows all
 /// of them. Counts are only written every 0.7 s, and may be 2 s old when they are reported.
 const JOBS_FEED_WAIT: time::Duration = time::Duration::from_millis(700);
-/// Longest time that a feed may wait on a silent connection: a configuration must be in force 2 s
-/// after its acknowledgement, and half a second is left for the next call and the processing.
-const MAX_FEED_SILENCE: time::Duration = time::Duration::from_millis(1_500);
+/// Part of the time until a configuration must be in force that is left for the call after one
+/// over a silent connection, and for the processing.
+const CONFIG_RESERVE: time::Duration = time::Duration::from_millis(500);
+/// Shortest time that the store is asked to hold a call for the configuration open.
+const MIN_CONFIG_FEED_WAIT: time::Duration = time::Duration::from_millis(100);
 /// Delay before a call is retried that was answered with an error or found no connection.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(200);
 
@@ -37,9 +39,6 @@
 /// concurrent read takes an equal share of it.
 const MAX_CONCURRENT_READS: usize = 2;
 
-const _: () =
-    assert!(FEED_WAIT.as_millis() + store::FEED_SLACK.as_millis() <= MAX_FEED_SILENCE.as_millis());
-
 /// Result of one call of a feed.
 #[derive(Debug)]
 enum FeedResult {
@@ -59,10 +58,10 @@
         name: config::CONFIG_KEY.to_owned(),
     };
     let mut closed_halls = halls::ClosedHallsFeed::new(shared.clone(), holder.clone());
+    let wait = config_feed_wait(shared.time("config_ms"));
     loop {
-        let page = shared.store.read_part(key.table, &key.part).await;
-        shared.count_call("config", &page);
-        let page = match page {
+        let read = shared.store.read_part(key.table, &key.part);
+        let page = match shared.call("config", read).await {
             Ok(page) => page,
             Err(err) => {
                 pause_after_error(&err).await;
@@ -73,7 +72,7 @@
         apply_config(&shared, &holder, &page.rows);
         let mut after = page.version;
         loop {
-            match poll_feed(&shared, key.table, after, FEED_WAIT).await {
+            match poll_feed(&shared, key.table, after, wait).await {
                 FeedResult::Rows(page) => {
                     closed_halls.publish_changes(&page);
                     apply_config(&shared, &holder, &page.rows);
@@ -86,6 +85,14 @@
     }
 }
 
+/// Returns the longest time that the store may hold a call for the configuration open, where a
+/// configuration must be in force within `in_force`. Each call has a cost on every host, and a
+/// silent connection is only detected after this time plus `FEED_SLACK`.
+#[must_use]
+pub fn config_feed_wait(in_force: time::Duration) -> time::Duration {
+    in_force.saturating_sub(CONFIG_RESERVE + store::FEED_SLACK).max(MIN_CONFIG_FEED_WAIT)
+}
+
 /// Puts a configuration in force if it is newer.
 fn apply_config(shared: &Shared, holder: &ractor::ActorRef<holder::Msg>, rows: &[rows::Row]) {
     let ours =
@@ -157,9 +164,11 @@
             Ok(page) => {
                 holder::send_event(&self.holder, job::Event::Closed(halls::read_all(&page)))
             }
-            // The feed of the operator's table may deliver the closed halls soon; the engine bounds
-            // the wait for them.
-            Err(err) => tracing::warn!(domain, %err, "closed halls unknown; nothing starts yet"),
+            // The engine bounds the wait for the closed halls.
+            Err(err) => {
+                tracing::warn!(domain, %err, "closed halls unknown; nothing starts yet");
+                tokio::spawn(self.clone().read_closed_halls_later());
+            }
         }
         let loaded =
             job::Event::Loaded { jobs: jobs.rows, progress: progress.rows, learned: learned.rows };
@@ -172,8 +181,8 @@
     /// Follows the entries of workers.
     async fn follow_workers(self, mut after: u64) {
         while self.is_current() {
-            while let Some(page) = self.next_page(entry::WORKERS_TABLE, &mut after, FEED_WAIT).await
-            {
+            let wait = WORKERS_FEED_WAIT;
+            while let Some(page) = self.next_page(entry::WORKERS_TABLE, &mut after, wait).await {
                 for (worker, member) in page.rows.iter().filter_map(|row| self.entries.read(row)) {
                     holder::send_event(&self.holder, job::Event::Member(worker, member));
                 }
@@ -251,19 +260,26 @@
 
     /// Reads a whole part of a table and counts the call.
     async fn read_part(&self, table: &str, part: &str) -> Result<rows::Page, store::StoreError> {
-        let page = self.shared.store.read_part(table, part).await;
-        self.shared.count_call("all", &page);
-        page
+        self.shared.call("all", self.shared.store.read_part(table, part)).await
     }
 
     /// Reads the rows of closed halls and counts the call; the key range leaves out the
     /// configuration, which is large.
     async fn read_closed_halls(&self) -> Result<rows::Page, store::StoreError> {
         let keys = (closed::FIRST_KEY, closed::END_KEY);
-        let page =
-            self.shared.store.read_range(config::OPERATOR_TABLE, config::EXTERNAL_PART, keys).await;
-        self.shared.count_call("all", &page);
-        page
+        let (table, part) = (config::OPERATOR_TABLE, config::EXTERNAL_PART);
+        self.shared.call("all", self.shared.store.read_range(table, part, keys)).await
+    }
+
+    /// Reads the closed halls until the store answers.
+    async fn read_closed_halls_later(self) {
+        while self.is_current() {
+            tokio::time::sleep(RETRY_DELAY).await;
+            if let Ok(page) = self.read_closed_halls().await {
+                let event = job::Event::Closed(halls::read_all(&page));
+                return holder::send_event(&self.holder, event);
+            }
+        }
     }
 
     /// Reads the accepted jobs of a domain; the version and the time are those of the oldest
@@ -298,9 +314,7 @@
 
 /// Makes one call of a feed; after a failure it waits, unless the call itself timed out.
 async fn poll_feed(shared: &Shared, table: &str, after: u64, wait: time::Duration) -> FeedResult {
-    let changes = shared.store.changes(table, after, wait).await;
-    shared.count_call("feed", &changes);
-    match changes {
+    match shared.poll("feed", shared.store.changes(table, after, wait)).await {
         Ok(rows::Changes::Rows(page)) => FeedResult::Rows(page),
         Ok(rows::Changes::Forgotten) => {
             tracing::info!(table, after, "the store's history is gone, reading the table again");
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -70,6 +70,13 @@
         10..=60_000,
         "The same on a weak host, which takes it later.",
     ),
+    number(
+        "jobs",
+        "config_ms",
+        2_000,
+        1_000..=600_000,
+        "Time from the acknowledgement of a configuration until it is in force.",
+    ),
     number("jobs", "commit_ms", 20, 1..=10_000, "Least time between two commits."),
     number("jobs", "renew_ms", 700, 10..=60_000, "Longest time between two commits."),
     number(
@@ -92,7 +99,7 @@
         "How long a new holder that can't hear which halls are closed starts nothing.",
     ),
     number("jobs", "row_bytes", 65_536, 1_024..=16_777_216, "Longest row of the store, as base64."),
-    number("jobs", "unready_ms", 2_500, 100..=60_000, "Silence of the store before unready."),
+    number("jobs", "unready_ms", 2_000, 100..=60_000, "Silence of the store before unready."),
     number("jobs", "store_timeout_ms", 800, 10..=60_000, "How long a call of the store may take."),
     number("jobs", "order_timeout_ms", 600, 10..=60_000, "How long a worker may take to answer."),
     number("traffic", "threads", 4, 1..=256, "Threads that carry requests."),
