A weak host's delay counts only while the lease can be read

On the fleet 512 weak hosts would race 75: what grows is the number of weak hosts for each strong one.

Change: the delay counts from the first read that succeeds.

Failed before: two cases of lease.rs (0 ms where 1,200 are due) and `weak_hosts_leave_the_lease_to_strong_ones_once_the_store_is_back` (72 of 72 weak hosts).

--- a/crates/wharflane/src/job/acquire.rs
+++ b/crates/wharflane/src/job/acquire.rs
@@ -41,6 +41,7 @@
         let unchanged_for = now.saturating_sub(since);
         let idle_for = now.saturating_sub(written);
         self.renewed_when_read = lease.holder.is_some() && idle_for < self.settings.probe;
+        self.read_since.get_or_insert(now);
         // An earlier process of this host has certainly ended, since this one replaced it.
         let own = lease.holder.as_ref() == Some(&self.own) && lease.nonce != self.nonce;
         let free = lease.holder.is_none() || own;
@@ -48,12 +49,10 @@
         if self.leaving {
             return Vec::new();
         }
-        let delay = self.takeover_delay(now);
-        if unchanged_for < wait + delay {
+        if !self.may_take_after(unchanged_for, wait, now) {
             // Until a probe can lead to a takeover, it would only burden the holder.
-            let may_take = !free && idle_for >= self.settings.probe + delay;
-            let may_take = may_take && now >= self.claimed_until;
-            let addr = lease.addr.filter(|_| may_take);
+            let may_take = !free && self.may_take_after(idle_for, self.settings.probe, now);
+            let addr = lease.addr.filter(|_| may_take && now >= self.claimed_until);
             return addr.map(|addr| event::Effect::Probe { version, addr }).into_iter().collect();
         }
         self.acquire_lease(now, version, &lease, time::Duration::ZERO)
@@ -86,7 +85,7 @@
             return Vec::new();
         };
         let idle_for = now.saturating_sub(seen.written);
-        if idle_for < wait + self.takeover_delay(now) {
+        if !self.may_take_after(idle_for, wait, now) {
             return Vec::new();
         }
         let unchanged_ms = worker::millis(idle_for);
@@ -197,6 +196,22 @@
         event::LeaseClaim::Vacated
     }
 
+    /// Returns whether this host may take a lease that has stood still for a time, where a host
+    /// without a delay may take it after `wait`.
+    ///
+    /// Time in which the row could not be read doesn't count towards the delay: while the store is
+    /// away, leases stand still for all hosts, and those without a delay can't take them either.
+    fn may_take_after(
+        &self,
+        stood_still: time::Duration,
+        wait: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let delay = self.takeover_delay(now);
+        let read_for = self.read_since.map_or(time::Duration::ZERO, |at| now.saturating_sub(at));
+        stood_still >= wait + delay && read_for >= delay
+    }
+
     /// Returns how much longer than other hosts this host waits before it acquires a lease.
     fn takeover_delay(&self, now: time::Duration) -> time::Duration {
         let yield_time = self.settings.lease * YIELD_LEASES;
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -94,6 +94,8 @@
     pub(super) polled: Option<time::Duration>,
     /// Whether the last read of the lease row succeeded and showed that its holder renews it.
     pub(super) renewed_when_read: bool,
+    /// Since when every read of the lease row has succeeded; absent after a failed one.
+    pub(super) read_since: Option<time::Duration>,
     /// Until when the holder that was probed last will not vacate its lease, so that asking again
     /// would only burden it.
     pub(super) claimed_until: time::Duration,
@@ -126,6 +128,7 @@
             seen: None,
             polled: None,
             renewed_when_read: false,
+            read_since: None,
             claimed_until: time::Duration::ZERO,
             store_clock: None,
             queues: sync::Arc::default(),
@@ -147,7 +150,10 @@
             event::Event::LeaseRead { row, store_ms } => {
                 return self.handle_lease_read(now, row, store_ms);
             }
-            event::Event::LeaseUnread => self.renewed_when_read = false,
+            event::Event::LeaseUnread => {
+                self.renewed_when_read = false;
+                self.read_since = None;
+            }
             event::Event::Probed { version, result } => {
                 return self.handle_probe(now, version, result);
             }
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -227,6 +227,34 @@
         }
         assert_eq!(probed_at, [500, 1_000]);
     },
+    // Guards against weak hosts that take a lease before strong ones since it stood still while
+    // nobody could read it.
+    a_weak_host_takes_a_lease_after_its_delay_from_when_the_store_answers_again => {
+        let after_outage_ms = |delay_ms| {
+            let mut watcher = LeaseWatcher::new(delay_ms);
+            let event = job::Event::LeaseRead { row: held(), store_ms: None };
+            watcher.engine.step(watcher.now, event);
+            for _ in 0..50 {
+                watcher.now += time::Duration::from_millis(100);
+                watcher.engine.step(watcher.now, job::Event::LeaseUnread);
+            }
+            watcher.takeover_time_ms(held())
+        };
+        assert_eq!(after_outage_ms(0), 0);
+        assert_eq!(after_outage_ms(HANDICAP_MS), HANDICAP_MS);
+    },
+    // The same where the holder can be probed.
+    a_weak_host_takes_a_dead_holders_lease_after_its_delay_from_when_the_store_answers_again => {
+        let mut watcher = LeaseWatcher::new(HANDICAP_MS);
+        let addr = Some(([127, 0, 0, 1], 9).into());
+        let row = held().map(|(version, lease)| (version, job::Lease { addr, ..lease }));
+        watcher.engine.step(watcher.now, job::Event::LeaseRead { row, store_ms: None });
+        for _ in 0..19 {
+            watcher.now += time::Duration::from_millis(100);
+            watcher.engine.step(watcher.now, job::Event::LeaseUnread);
+        }
+        assert_eq!(watcher.takeover_time_from_dead_holder_ms(job::ProbeResult::Refused), HANDICAP_MS);
+    },
     // Guards against hosts that must read a lease often to see soon that it stands still.
     a_lease_that_was_written_long_ago_is_probed_at_its_first_read => {
         assert_eq!(probed_after_ms(500, 0), 0);
--- a/crates/wharflane/tests/lease_polls.rs
+++ b/crates/wharflane/tests/lease_polls.rs
@@ -90,6 +90,28 @@
     counts
 }
 
+/// Lets a fleet watch the lease of a holder that died in an outage of the store, which no host could
+/// read for 6 s, and returns how many weak hosts try to take it before the first strong host can.
+fn weak_attempts_after_an_outage(strong: usize) -> usize {
+    let start = time::Duration::from_secs(1);
+    let back = start + time::Duration::from_secs(6);
+    let mut attempts = 0;
+    for at in 0..strong * 7 {
+        let mut engine = job::Engine::new("host".into(), settings(at < strong), at as u64);
+        let row = Some((1, lease(0)));
+        engine.step(start, job::Event::LeaseRead { row: row.clone(), store_ms: Some(0) });
+        engine.step(back, job::Event::LeaseUnread);
+        // A strong host reads the lease within 0.3 s of the return of the store.
+        let first_read = back + time::Duration::from_millis(at as u64 % 300);
+        let read = job::Event::LeaseRead { row, store_ms: Some(6_000) };
+        let takes = engine.step(first_read, read);
+        let takes = takes.iter().any(|effect| matches!(effect, job::Effect::Txn(..)));
+        assert!(takes || at >= strong, "a strong host waits");
+        attempts += usize::from(takes && at >= strong);
+    }
+    attempts
+}
+
 /// Returns the lease of a holder that wrote it at a time of the store's clock.
 fn lease(written_ms: u64) -> job::Lease {
     job::Lease {
@@ -121,6 +143,11 @@
             assert!(noticed(strong) <= limit, "{strong}: {:?}", noticed(strong));
         }
     },
+    weak_hosts_leave_the_lease_to_strong_ones_once_the_store_is_back => {
+        for strong in [STRONG, 2 * STRONG] {
+            assert_eq!(weak_attempts_after_an_outage(strong), 0);
+        }
+    },
     hosts_that_may_not_take_a_lease_yet_do_not_probe_its_holder => {
         for strong in [STRONG, 2 * STRONG] {
             assert_eq!(watch(strong).weak_probes, 0);
