Worlds in which the store is silent for the holder alone; all others keep their draws

Hosts that read the lease at other times draw other numbers, so that every seed of every world became another one.

--- a/crates/stand-in/src/jobs/closed_halls.rs
+++ b/crates/stand-in/src/jobs/closed_halls.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns the closed halls.
-    fn closed_halls(&self) -> job::ClosedHalls {
+    pub(super) fn closed_halls(&self) -> job::ClosedHalls {
         let halls = self.closed.keys().cloned().collect();
         job::ClosedHalls { version: self.rows.version(), halls }
     }
--- a/crates/stand-in/src/jobs/effects.rs
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -22,7 +22,7 @@
                     let value = row.value.unwrap_or_default();
                     (row.version, serde_json::from_str(&value).unwrap_or_default())
                 });
-                let store_ms = Some(world::millis(self.now));
+                let store_ms = self.plan.lease_claims.then(|| world::millis(self.now));
                 let event = match self.is_store_silent(host) {
                     true => job::Event::LeaseUnread,
                     false => job::Event::LeaseRead { row, store_ms },
@@ -98,7 +98,8 @@
         let now = self.now;
         let host = &mut self.hosts[at];
         let silence = host.cut_since.map_or(time::Duration::ZERO, |since| now - since);
-        let engine = host.engine.as_mut().filter(|_| !host.frozen);
+        let answers = self.plan.lease_claims && !host.frozen;
+        let engine = host.engine.as_mut().filter(|_| answers);
         let claim = engine.map(|engine| engine.answer_claim(now, version, silence));
         match claim {
             Some(job::LeaseClaim::Vacated) => job::ProbeResult::Vacated,
--- a/crates/stand-in/src/jobs/injection.rs
+++ b/crates/stand-in/src/jobs/injection.rs
@@ -101,7 +101,10 @@
             }
             fault::Kind::Close => self.open_hall(at),
             fault::Kind::Outage => self.down = false,
-            fault::Kind::StoreCut => self.hosts[at].cut_since = None,
+            fault::Kind::StoreCut => {
+                self.hosts[at].cut_since = None;
+                self.catch_up_feeds(at);
+            }
             fault::Kind::Shrink => {
                 self.workers[at].capacity = CAPACITY;
                 self.schedule_report(at);
@@ -128,6 +131,21 @@
         }
     }
 
+    /// Sends a host what its feeds would have told it while the store was silent for it.
+    fn catch_up_feeds(&mut self, host: usize) {
+        let jobs = job::job_parts(0).flat_map(|part| self.rows.all(job::JOBS, &part)).collect();
+        let events = [
+            job::Event::Jobs(jobs),
+            job::Event::Listed(self.listed_members()),
+            job::Event::Closed(self.closed_halls()),
+        ];
+        let incarnation = self.hosts[host].incarnation;
+        let delay = self.draw_delay();
+        for event in events {
+            self.send(delay, message::Message::Back(host, incarnation, Box::new(event)));
+        }
+    }
+
     /// Schedules the next report of a worker's capacity.
     fn schedule_report(&mut self, at: usize) {
         let after = time::Duration::from_millis(self.rng.random_range(0..REPORT_INTERVAL_MS));
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -12,6 +12,9 @@
     /// From when waits of batch tasks are judged, whether or not the last seconds are calm; absent
     /// if no waits and no targets are judged.
     pub judged_from: Option<time::Duration>,
+    /// Whether the store states its time and holders answer claims to their lease, so that hosts
+    /// read a renewed lease rarely. Otherwise they watch it by its standstill alone.
+    pub lease_claims: bool,
     /// Whether a connection to a worker that has crashed is refused at once, instead of staying
     /// without an answer.
     pub dead_workers_refuse: bool,
@@ -42,6 +45,7 @@
         Self {
             end: time::Duration::from_secs(75),
             judged_from: None,
+            lease_claims: false,
             dead_workers_refuse: false,
             interference: 0.0,
             waves: None,
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -26,6 +26,8 @@
 const START_WALL_MS: u64 = 1_700_000_000_000;
 /// The port of the first host; the others follow it.
 pub(super) const FIRST_PORT: u16 = 7_000;
+/// The mean time between two reads of a renewed lease where the store states its time.
+const POLL_WITH_CLAIMS: time::Duration = time::Duration::from_millis(600);
 /// The maximum age of a count of waiting jobs that hosts report to callers.
 const MAX_COUNT_AGE: time::Duration = time::Duration::from_secs(2);
 /// The time after a cancel in which a start may still be ordered without a violation.
@@ -271,7 +273,9 @@
         let own = id::HostId::from(format!("h{host}").as_str());
         let nonce = self.rng.random_range(1..u64::MAX);
         let port = FIRST_PORT + u16::try_from(host).unwrap_or(0);
-        let settings = job::Settings { addr: Some(([127, 0, 0, 1], port).into()), ..settings() };
+        let poll = if self.plan.lease_claims { POLL_WITH_CLAIMS } else { settings().poll };
+        let addr = Some(([127, 0, 0, 1], port).into());
+        let settings = job::Settings { addr, poll, ..settings() };
         let mut engine = job::Engine::new(own, settings, nonce);
         let queue = job::Queue {
             name: QUEUE.to_owned(),
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -1,7 +1,7 @@
 //! Simulates the job service under faults: no task runs twice, no job is lost, and every job ends.
 
 use wharflane_stand_in::cases;
-use wharflane_stand_in::jobs::world;
+use wharflane_stand_in::jobs::{plan, world};
 
 /// The number of simulated worlds for each combination of faults.
 const SEEDS: u64 = 40;
@@ -18,8 +18,20 @@
 
 /// Runs worlds with the given numbers of workers and jobs, and checks each of them.
 fn check_sized(faults: world::Faults, workers: usize, jobs: usize) {
+    check_planned(faults, &plan::Plan::default(), workers, jobs);
+}
+
+/// Runs worlds with 6 workers and 30 jobs, in which the store states its time and holders answer
+/// claims to their lease, and checks each of them.
+fn check_claims(faults: world::Faults) {
+    let plan = plan::Plan { lease_claims: true, ..plan::Plan::default() };
+    check_planned(faults, &plan, 6, 30);
+}
+
+/// Runs worlds with a plan and the given numbers of workers and jobs, and checks each of them.
+fn check_planned(faults: world::Faults, plan: &plan::Plan, workers: usize, jobs: usize) {
     for seed in 0..SEEDS {
-        let mut world = world::World::new(seed, faults, 3, workers, jobs);
+        let mut world = world::World::planned(seed, faults, plan.clone(), (3, workers, jobs));
         world.run();
         let violations: Vec<String> =
             world.checker.violations.iter().map(ToString::to_string).collect();
@@ -107,8 +119,8 @@
     }),
     store_down => check(world::Faults { outages: 2, ..world::Faults::default() }),
     // The holder's process goes on and reaches the workers, while other hosts reach the store.
-    holders_cut_from_the_store => check(world::Faults { store_cuts: 3, ..world::Faults::default() }),
-    holders_cut_from_the_store_while_writes_are_late_and_workers_unreachable => check(world::Faults {
+    holders_cut_from_the_store => check_claims(world::Faults { store_cuts: 3, ..world::Faults::default() }),
+    holders_cut_from_the_store_while_writes_are_late_and_workers_unreachable => check_claims(world::Faults {
         store_cuts: 4,
         late_txns: 40,
         lost_txns: 40,
@@ -118,6 +130,21 @@
         suspends: 1,
         ..world::Faults::default()
     }),
+    holders_killed_and_cut_from_the_store => check_claims(world::Faults {
+        kills: 4,
+        store_cuts: 2,
+        refused_probes: 200,
+        lost_answers: 50,
+        ..world::Faults::default()
+    }),
+    holders_suspended_and_cut_from_a_store_that_fails => check_claims(world::Faults {
+        suspends: 2,
+        store_cuts: 2,
+        outages: 2,
+        late_txns: 40,
+        late_starts: 50,
+        ..world::Faults::default()
+    }),
     lost_stops => check(world::Faults { lost_stops: 200, ..world::Faults::default() }),
     holders_removed => check(world::Faults { removals: 3, ..world::Faults::default() }),
     holders_removed_while_starts_are_late => check(world::Faults {
