--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -32,7 +32,14 @@
 
 /// Sizes of domains, in workers and starts per second: the smallest deployment, a grown one, the
 /// largest, and the size to design for.
-const DOMAINS: [(usize, f64); 4] = [(66, 145.0), (490, 900.0), (890, 1_350.0), (4_400, 1_500.0)];
+const DOMAINS: [(usize, f64); 6] = [
+    (66, 145.0),
+    (490, 900.0),
+    (890, 1_350.0),
+    (4_400, 1_500.0),
+    (6_002, 1_360.0),
+    (12_004, 2_720.0),
+];
 /// Waiting tasks per worker, more than ten times the tasks that fit on a worker.
 const WAITING_PER_WORKER: usize = 30;
 
