A holder vacates its lease for a weak host only after that host's delay

Cause, by its log: the holder is cut off at 9.0 s and tells strong hosts to wait, since a call of its was answered up to 9.9 s. At 10.74 s it may vacate, its row stands still for 1.75 s, and a weak host, which may take a lease from 1.7 s on, asks first: of the eleven hosts that write, ten are weak. One of them holds 6,002 workers for 3.6 s, 1.9 s of them to read the state.

Change: a host tells its delay with its question, and the holder vacates for it later by that.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -40,9 +40,15 @@
     Event(Box<job::Event>),
     /// Request for a dump of the holder's state; null while this host is not the holder.
     Dump(ractor::RpcReplyPort<serde_json::Value>),
-    /// Request by another host for whether this one still acts under the lease, whose row stands
-    /// still at a version.
-    ClaimLease(u64, ractor::RpcReplyPort<job::LeaseClaim>),
+    /// Request by another host for whether this one still acts under the lease.
+    ClaimLease {
+        /// Version at which the row of the lease stands still.
+        version: u64,
+        /// How much longer than others the other host waits for a lease.
+        delay: time::Duration,
+        /// Port for the answer.
+        port: ractor::RpcReplyPort<job::LeaseClaim>,
+    },
     /// Request for whether the domain is fully released.
     IsReleased(ractor::RpcReplyPort<bool>),
 }
@@ -125,8 +131,8 @@
                     tracing::debug!("the caller of the dump is gone");
                 }
             }
-            Msg::ClaimLease(version, port) => {
-                if port.send(state.answer_claim(version)).is_err() {
+            Msg::ClaimLease { version, delay, port } => {
+                if port.send(state.answer_claim(version, delay)).is_err() {
                     tracing::debug!("the host that asked for the lease is gone");
                 }
             }
@@ -184,10 +190,11 @@
     }
 
     /// Answers another host that found the lease of this one standing still.
-    fn answer_claim(&mut self, version: u64) -> job::LeaseClaim {
+    fn answer_claim(&mut self, version: u64, delay: time::Duration) -> job::LeaseClaim {
         let held = !self.engine.is_watching();
         let now = self.shared.clock.now();
-        let answer = self.engine.answer_claim(now, version, self.shared.store_silence());
+        let silence = self.shared.store_silence();
+        let answer = self.engine.answer_claim(now, version, delay, silence);
         self.note_role(held);
         answer
     }
@@ -218,8 +225,8 @@
                 let event = read_lease(&shared, domain).await;
                 send_event(&myself, event);
             })),
-            job::Effect::Probe { version, addr } => drop(tokio::spawn(async move {
-                let result = probe(addr, version).await;
+            job::Effect::Probe { version, addr, delay } => drop(tokio::spawn(async move {
+                let result = probe(addr, version, delay).await;
                 send_event(&myself, job::Event::Probed { version, result });
             })),
             job::Effect::Load => {
@@ -278,10 +285,14 @@
 }
 
 /// Probes the port of a lease holder's host, and asks for the lease if its process listens.
-async fn probe(addr: std::net::SocketAddr, version: u64) -> job::ProbeResult {
+async fn probe(
+    addr: std::net::SocketAddr,
+    version: u64,
+    delay: time::Duration,
+) -> job::ProbeResult {
     let connecting = tokio::net::TcpStream::connect(addr);
     match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => claim_lease(addr, version).await,
+        Ok(Ok(_)) => claim_lease(addr, version, delay).await,
         Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
             job::ProbeResult::Refused
         }
@@ -296,8 +307,12 @@
 }
 
 /// Asks a process that listens whether it still acts under a lease.
-async fn claim_lease(addr: std::net::SocketAddr, version: u64) -> job::ProbeResult {
-    match operator::Operator::new(addr, PROBE_TIMEOUT).claim_lease(version).await {
+async fn claim_lease(
+    addr: std::net::SocketAddr,
+    version: u64,
+    delay: time::Duration,
+) -> job::ProbeResult {
+    match operator::Operator::new(addr, PROBE_TIMEOUT).claim_lease(version, delay).await {
         Ok(operator::LeaseClaim::Vacated) => job::ProbeResult::Vacated,
         Ok(operator::LeaseClaim::Claimed { at_least_ms }) => {
             job::ProbeResult::Listens { claimed_for: time::Duration::from_millis(at_least_ms) }
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -200,12 +200,16 @@
     }
 }
 
-/// Answers a host that found the lease of this one standing still at a version.
-async fn answer_claim(holder: &ractor::ActorRef<holder::Msg>, version: &str) -> reply::Reply {
-    let Ok(version) = version.parse() else {
-        return reply::problem(StatusCode::BAD_REQUEST, "no-version", "no version is named");
+/// Answers a host that found the lease of this one standing still; `path` names its claim.
+async fn answer_claim(holder: &ractor::ActorRef<holder::Msg>, path: &str) -> reply::Reply {
+    let claim = path.split_once('/').and_then(|(version, delay_ms)| {
+        let delay = time::Duration::from_millis(delay_ms.parse().ok()?);
+        Some((version.parse().ok()?, delay))
+    });
+    let Some((version, delay)) = claim else {
+        return reply::problem(StatusCode::BAD_REQUEST, "no-claim", "no version and delay named");
     };
-    let ask = |port| holder::Msg::ClaimLease(version, port);
+    let ask = |port| holder::Msg::ClaimLease { version, delay, port };
     let answer = match holder.call(ask, Some(OPERATOR_TIMEOUT)).await {
         Ok(ractor::rpc::CallResult::Success(answer)) => answer,
         _ => return reply::problem(StatusCode::SERVICE_UNAVAILABLE, "busy", "no answer in time"),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -12,7 +12,8 @@
 /// Path prefix of closed halls, followed by the hall's name.
 pub const CLOSED_HALLS: &str = "/closed-halls/";
 
-/// Path prefix of the claim to a lease, followed by the version of its row.
+/// Path prefix of the claim to a lease, followed by the version of its row, a slash, and how much
+/// longer than others the asking host waits for a lease, in milliseconds.
 pub const LEASE_CLAIM: &str = "/lease-claim/";
 
 /// What a host answers to another host that found its lease standing still.
@@ -175,12 +176,18 @@
     }
 
     /// Asks the holder of a lease whether it still acts under it; `version` is that of the row,
-    /// which stands still.
+    /// which stands still, and `delay` how much longer than others the asking host waits for a
+    /// lease.
     ///
     /// # Errors
     /// Returns `CallError` if the host did not answer; it may have vacated the lease nevertheless.
-    pub async fn claim_lease(&self, version: u64) -> Result<LeaseClaim, client::CallError> {
-        self.client.get(&format!("{}{LEASE_CLAIM}{version}", self.root)).await
+    pub async fn claim_lease(
+        &self,
+        version: u64,
+        delay: time::Duration,
+    ) -> Result<LeaseClaim, client::CallError> {
+        let delay_ms = delay.as_millis();
+        self.client.get(&format!("{}{LEASE_CLAIM}{version}/{delay_ms}", self.root)).await
     }
 
     /// Makes the host drain its requests and stop.
--- a/crates/stand-in/src/jobs/effects.rs
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -29,12 +29,12 @@
                 };
                 self.send(delay, Message::Back(host, incarnation, Box::new(event)));
             }
-            job::Effect::Probe { version, addr } => {
+            job::Effect::Probe { version, addr, delay: claim_delay } => {
                 let at = usize::from(addr.port() - world::FIRST_PORT);
                 let refused_anyway = self.chance(self.faults.refused_probes);
                 let result =
                     match (self.hosts[at].engine.is_none() || refused_anyway, self.chance(500)) {
-                        (false, _) => self.claim_lease(at, version),
+                        (false, _) => self.claim_lease(at, version, claim_delay),
                         (true, false) => job::ProbeResult::Refused,
                         (true, true) => job::ProbeResult::Silent,
                     };
@@ -94,13 +94,13 @@
     }
 
     /// Asks a host for its lease, as another host does that finds the lease standing still.
-    fn claim_lease(&mut self, at: usize, version: u64) -> job::ProbeResult {
+    fn claim_lease(&mut self, at: usize, version: u64, delay: time::Duration) -> job::ProbeResult {
         let now = self.now;
         let host = &mut self.hosts[at];
         let silence = host.cut_since.map_or(time::Duration::ZERO, |since| now - since);
         let answers = self.plan.lease_claims && !host.frozen;
         let engine = host.engine.as_mut().filter(|_| answers);
-        let claim = engine.map(|engine| engine.answer_claim(now, version, silence));
+        let claim = engine.map(|engine| engine.answer_claim(now, version, delay, silence));
         match claim {
             Some(job::LeaseClaim::Vacated) => job::ProbeResult::Vacated,
             Some(job::LeaseClaim::Claimed { claimed_for }) => {
--- a/crates/wharflane/src/job/acquire.rs
+++ b/crates/wharflane/src/job/acquire.rs
@@ -53,7 +53,9 @@
             // Until a probe can lead to a takeover, it would only burden the holder.
             let may_take = !free && self.may_take_after(idle_for, self.settings.probe, now);
             let addr = lease.addr.filter(|_| may_take && now >= self.claimed_until);
-            return addr.map(|addr| event::Effect::Probe { version, addr }).into_iter().collect();
+            let delay = self.takeover_delay(now);
+            let probe = addr.map(|addr| event::Effect::Probe { version, addr, delay });
+            return probe.into_iter().collect();
         }
         self.acquire_lease(now, version, &lease, time::Duration::ZERO)
     }
@@ -165,7 +167,8 @@
         vec![event::Effect::Load]
     }
 
-    /// Answers another host that found the lease of this process standing still at a version.
+    /// Answers another host that found the lease of this process standing still at a version, and
+    /// that waits longer than other hosts by `delay`.
     ///
     /// A holder that the store does not answer can neither commit nor start anything, so it steps
     /// down for a host that has just read the store. While nobody can read it, nobody asks, and the
@@ -174,6 +177,7 @@
         &mut self,
         now: time::Duration,
         version: u64,
+        delay: time::Duration,
         store_silence: time::Duration,
     ) -> event::LeaseClaim {
         let (own_version, renewed) = match &self.role {
@@ -186,7 +190,9 @@
             engine::Role::Holding(holding) => (holding.version, holding.renewed),
         };
         let unrenewed = now.saturating_sub(renewed);
-        let claimed_for = self.settings.silence.saturating_sub(unrenewed.min(store_silence));
+        // Other hosts could have had the lease for as long as the delay.
+        let vacates_after = self.settings.silence + delay;
+        let claimed_for = vacates_after.saturating_sub(unrenewed.min(store_silence));
         if version < own_version || !claimed_for.is_zero() {
             return event::LeaseClaim::Claimed { claimed_for };
         }
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -194,6 +194,8 @@
         version: u64,
         /// The address on which it listened.
         addr: net::SocketAddr,
+        /// How much longer than other hosts this host waits before it acquires a lease.
+        delay: time::Duration,
     },
     /// Read all rows of the domain.
     Load,
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -109,7 +109,18 @@
 /// Returns what an engine answers to a host that found the lease standing still at `version`, where
 /// the store has left this host's calls without answers for `silence_ms`.
 fn claim(sim: &mut sim::Sim, version: u64, silence_ms: u64) -> job::LeaseClaim {
-    sim.engine.answer_claim(sim.now, version, time::Duration::from_millis(silence_ms))
+    claim_after_delay(sim, version, silence_ms, 0)
+}
+
+/// Returns what an engine answers to such a host if that one waits `delay_ms` longer for a lease.
+fn claim_after_delay(
+    sim: &mut sim::Sim,
+    version: u64,
+    silence_ms: u64,
+    delay_ms: u64,
+) -> job::LeaseClaim {
+    let millis = time::Duration::from_millis;
+    sim.engine.answer_claim(sim.now, version, millis(delay_ms), millis(silence_ms))
 }
 
 /// Returns after how many milliseconds a host probes the holder of a lease that it reads for the
@@ -198,6 +209,18 @@
             assert!(!sim.engine.is_watching());
         }
     },
+    // Guards against weak hosts that get a lease from a holder which strong hosts asked too early.
+    a_holder_vacates_its_lease_for_a_weak_host_only_after_its_delay => {
+        let mut sim = cut_off(1_300);
+        let version = sim.version;
+        let silence_ms = u64::try_from(world::settings().silence.as_millis()).expect("fits");
+        let answer = claim_after_delay(&mut sim, version, silence_ms + 100, HANDICAP_MS);
+        assert_ne!(answer, job::LeaseClaim::Vacated);
+        let mut sim = cut_off(silence_ms + HANDICAP_MS);
+        let version = sim.version;
+        let answer = claim_after_delay(&mut sim, version, silence_ms + HANDICAP_MS, HANDICAP_MS);
+        assert_eq!(answer, job::LeaseClaim::Vacated);
+    },
     a_host_that_read_an_older_version_does_not_get_the_lease => {
         let mut sim = cut_off(1_300);
         assert_ne!(claim(&mut sim, 0, 1_300), job::LeaseClaim::Vacated);
