--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -193,9 +193,7 @@
     fn answer_claim(&mut self, version: u64, delay: time::Duration) -> job::LeaseClaim {
         let held = !self.engine.is_watching();
         let now = self.shared.clock.now();
-        let lag_ms = u64::try_from(self.shared.metrics.holder_lag_ms.get()).unwrap_or(0);
-        let lag = time::Duration::from_millis(lag_ms);
-        let silence = lag::silence_without_lag(self.shared.store_silence(), lag);
+        let silence = self.shared.store_silence();
         let answer = self.engine.answer_claim(now, version, delay, silence);
         self.note_role(held);
         answer
--- a/crates/daemon/src/jobs/lag.rs
+++ b/crates/daemon/src/jobs/lag.rs
@@ -6,9 +6,6 @@
 
 use std::time;
 
-/// Lag from which on an answer of the store may wait for this process, longer than any tick of an
-/// idle one is late.
-const BUSY_LAG: time::Duration = time::Duration::from_millis(100);
 /// Lag from which a warning is logged: a quarter of the age that a count may have, and of the
 /// lease.
 pub const WARN_THRESHOLD: time::Duration = time::Duration::from_millis(500);
@@ -38,10 +35,3 @@
         Some(std::mem::take(&mut self.longest))
     }
 }
-
-/// Returns the silence of the store for which the store answers, where this process handles its
-/// events late by `lag`: answers that wait to be handled here are not missing.
-#[must_use]
-pub fn silence_without_lag(silence: time::Duration, lag: time::Duration) -> time::Duration {
-    if lag >= BUSY_LAG { time::Duration::ZERO } else { silence }
-}
--- a/crates/daemon/tests/lag.rs
+++ b/crates/daemon/tests/lag.rs
@@ -9,12 +9,6 @@
 cases! {
     a_short_lag_is_not_logged => short_lag(),
     a_long_lag_is_logged_at_intervals_with_the_longest => long_lag(),
-    // Guards against holders that are too busy to handle the store's answers, and vacate their lease
-    // for its silence.
-    the_store_is_not_silent_for_a_process_that_is_late_itself => {
-        assert_eq!(lag::silence_without_lag(millis(2_000), millis(400)), millis(0));
-        assert_eq!(lag::silence_without_lag(millis(2_000), millis(20)), millis(2_000));
-    },
 }
 
 /// Returns a duration in milliseconds.
