--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -10,19 +10,17 @@
 use ractor::Actor;
 use wharflane::{job, rows};
 use wharflane_adapter::store;
-use wharflane_operator as operator;
 
 use super::Shared;
 use super::decided;
 use super::entries;
 use super::lag;
+use super::probe;
 use super::watch;
 use crate::settings;
 
 /// Tick interval of the engine while this host holds the domain.
 const TICK_HOLDING: time::Duration = time::Duration::from_millis(20);
-/// Time within which a probed host must accept a connection; between halls this takes 2 ms.
-const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// Bytes per second of a megabit per second.
 const BYTES_PER_MBIT: u64 = 125_000;
 /// Tick interval of the engine while another host holds the domain.
@@ -226,7 +224,7 @@
                 send_event(&myself, event);
             })),
             job::Effect::Probe { version, addr, delay } => drop(tokio::spawn(async move {
-                let result = probe(addr, version, delay).await;
+                let result = probe::probe(addr, version, delay).await;
                 send_event(&myself, job::Event::Probed { version, result });
             })),
             job::Effect::Load => {
@@ -284,47 +282,6 @@
     }
 }
 
-/// Probes the port of a lease holder's host, and asks for the lease if its process listens.
-async fn probe(
-    addr: std::net::SocketAddr,
-    version: u64,
-    delay: time::Duration,
-) -> job::ProbeResult {
-    let connecting = tokio::net::TcpStream::connect(addr);
-    match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => claim_lease(addr, version, delay).await,
-        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
-            job::ProbeResult::Refused
-        }
-        // Other errors are local, such as too few file descriptors, and say nothing about the
-        // holder.
-        Ok(Err(err)) => {
-            tracing::warn!(%addr, %err, "the holder can't be probed");
-            job::ProbeResult::Listens { claimed_for: time::Duration::ZERO }
-        }
-        Err(_) => job::ProbeResult::Silent,
-    }
-}
-
-/// Asks a process that listens whether it still acts under a lease.
-async fn claim_lease(
-    addr: std::net::SocketAddr,
-    version: u64,
-    delay: time::Duration,
-) -> job::ProbeResult {
-    match operator::Operator::new(addr, PROBE_TIMEOUT).claim_lease(version, delay).await {
-        Ok(operator::LeaseClaim::Vacated) => job::ProbeResult::Vacated,
-        Ok(operator::LeaseClaim::Claimed { at_least_ms }) => {
-            job::ProbeResult::Listens { claimed_for: time::Duration::from_millis(at_least_ms) }
-        }
-        // A process that is late with its answer, or has another version, may act nevertheless.
-        Err(err) => {
-            tracing::info!(%addr, version, %err, "the holder does not tell whether it still acts");
-            job::ProbeResult::Listens { claimed_for: time::Duration::ZERO }
-        }
-    }
-}
-
 /// Returns the outcome of a transaction as far as it is known.
 fn outcome(answer: Result<rows::Answer, store::StoreError>) -> rows::Outcome {
     match answer {
@@ -380,6 +337,7 @@
         addr: Some(shared.settings.operator_addr),
         probe: shared.time("probe_ms"),
         silence: shared.time("silence_ms"),
+        vacate: shared.time("vacate_ms"),
         takeover_delay,
         poll: shared.time(poll),
         poll_standstill: shared.time(poll_standstill),
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 pub mod halls;
 pub mod holder;
 pub mod lag;
+pub mod probe;
 pub mod run;
 pub mod service;
 pub mod watch;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -58,10 +58,17 @@
     number(
         "jobs",
         "silence_ms",
-        800,
+        900,
         0..=60_000,
         "Standstill before a silent host's lease is taken.",
     ),
+    number(
+        "jobs",
+        "vacate_ms",
+        800,
+        0..=60_000,
+        "Silence of the store before a holder vacates its lease for a host that asks.",
+    ),
     number("jobs", "poll_ms", 600, 10..=60_000, "Time between reads of a lease that is renewed."),
     number(
         "jobs",
--- a/crates/stand-in/src/jobs/effects.rs
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -104,9 +104,10 @@
         match claim {
             Some(job::LeaseClaim::Vacated) => job::ProbeResult::Vacated,
             Some(job::LeaseClaim::Claimed { claimed_for }) => {
-                job::ProbeResult::Listens { claimed_for }
+                job::ProbeResult::Listens { claimed_for: Some(claimed_for) }
             }
-            None => job::ProbeResult::Listens { claimed_for: time::Duration::ZERO },
+            // A holder of a plan without claims listens and tells nothing.
+            None => job::ProbeResult::Listens { claimed_for: Some(time::Duration::ZERO) },
         }
     }
 
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -382,6 +382,7 @@
         addr: None,
         probe: millis(500),
         silence: millis(1_200),
+        vacate: millis(1_200),
         takeover_delay: millis(0),
         poll: millis(300),
         poll_standstill: millis(300),
--- a/crates/wharflane/src/job/acquire.rs
+++ b/crates/wharflane/src/job/acquire.rs
@@ -34,7 +34,8 @@
         let known = self.seen.as_ref().is_some_and(|seen| seen.version == version);
         if !known {
             let written = now.saturating_sub(lease.age(store_ms));
-            let seen = engine::Seen { version, lease: lease.clone(), since: now, written };
+            let lease = lease.clone();
+            let seen = engine::Seen { version, lease, since: now, written, listened: false };
             self.seen = Some(seen);
         }
         let (since, written) = self.seen.as_ref().map_or((now, now), |s| (s.since, s.written));
@@ -72,11 +73,20 @@
         version: u64,
         result: event::ProbeResult,
     ) -> Vec<event::Effect> {
+        let seen = self.seen.as_mut().filter(|seen| seen.version == version);
+        let listened = seen.as_ref().is_some_and(|seen| seen.listened);
         let wait = match result {
             event::ProbeResult::Listens { claimed_for } => {
-                self.claimed_until = now + claimed_for;
+                // A process that did not answer is busy, and would be the busier for being asked again.
+                self.claimed_until = now + claimed_for.unwrap_or(self.settings.lease);
+                if let Some(seen) = seen {
+                    seen.listened = true;
+                }
                 return Vec::new();
             }
+            // A busy process drops connections. It was alive after its last write, so that only the
+            // end of its lease tells that it is gone.
+            event::ProbeResult::Silent if listened => return Vec::new(),
             event::ProbeResult::Vacated | event::ProbeResult::Refused => self.settings.probe,
             event::ProbeResult::Silent => self.settings.silence,
         };
@@ -191,7 +201,7 @@
         };
         let unrenewed = now.saturating_sub(renewed);
         // Other hosts could have had the lease for as long as the delay.
-        let vacates_after = self.settings.silence + delay;
+        let vacates_after = self.settings.vacate + delay;
         let claimed_for = vacates_after.saturating_sub(unrenewed.min(store_silence));
         if version < own_version || !claimed_for.is_zero() {
             return event::LeaseClaim::Claimed { claimed_for };
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -74,6 +74,8 @@
     /// When the row was written, by this host's clock, as far as the row tells; never after
     /// `since`.
     pub written: time::Duration,
+    /// Whether the holder's process listened when it was probed at this version.
+    pub listened: bool,
 }
 
 /// The state machine of one domain on one host.
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -30,6 +30,9 @@
     /// How long a lease row must be unchanged before it is taken from a holder whose host is
     /// silent.
     pub silence: time::Duration,
+    /// How long the store must leave a holder without answers before it vacates its lease for a
+    /// host that asks.
+    pub vacate: time::Duration,
     /// How much longer than other hosts this host waits before it acquires a lease, so that
     /// stronger hosts get the domain first.
     pub takeover_delay: time::Duration,
@@ -64,8 +67,8 @@
 pub enum ProbeResult {
     /// The process listens, or its host accepts connections for it.
     Listens {
-        /// How long it will not vacate the lease; zero if it did not tell.
-        claimed_for: time::Duration,
+        /// How long it will not vacate the lease; absent if it did not answer in time.
+        claimed_for: Option<time::Duration>,
     },
     /// The process has stopped acting under the lease and will not act under it again.
     Vacated,
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -213,7 +213,7 @@
     a_holder_vacates_its_lease_for_a_weak_host_only_after_its_delay => {
         let mut sim = cut_off(1_300);
         let version = sim.version;
-        let silence_ms = u64::try_from(world::settings().silence.as_millis()).expect("fits");
+        let silence_ms = u64::try_from(world::settings().vacate.as_millis()).expect("fits");
         let answer = claim_after_delay(&mut sim, version, silence_ms + 100, HANDICAP_MS);
         assert_ne!(answer, job::LeaseClaim::Vacated);
         let mut sim = cut_off(silence_ms + HANDICAP_MS);
@@ -230,6 +230,30 @@
         sim.engine = job::Engine::new("host".into(), world::settings(), 2);
         assert_eq!(claim(&mut sim, 1, 0), job::LeaseClaim::Vacated);
     },
+    // Guards against takeovers from a holder that is too busy to take connections: it listened after
+    // the last write of its row, so it was alive, and later connections are dropped.
+    a_holder_that_listened_since_its_last_write_is_not_presumed_dead_for_its_silence => {
+        let mut watcher = LeaseWatcher::new(0);
+        let addr = Some(([127, 0, 0, 1], 9).into());
+        let row = held().map(|(version, lease)| (version, job::Lease { addr, ..lease }));
+        let mut results = [job::ProbeResult::Listens { claimed_for: Some(time::Duration::ZERO) }]
+            .into_iter()
+            .chain(std::iter::repeat(job::ProbeResult::Silent));
+        let lease_ms = u64::try_from(world::settings().lease.as_millis()).expect("fits into u64");
+        for waited_ms in (0..lease_ms).step_by(100) {
+            let event = job::Event::LeaseRead { row: row.clone(), store_ms: None };
+            for effect in watcher.engine.step(watcher.now, event) {
+                let job::Effect::Probe { version, .. } = effect else {
+                    panic!("taken after {waited_ms} ms: {effect:?}");
+                };
+                let result = results.next().expect("endless");
+                let effects = watcher.engine.step(watcher.now, job::Event::Probed { version, result });
+                assert!(effects.is_empty(), "taken after {waited_ms} ms: {effects:?}");
+            }
+            watcher.now += time::Duration::from_millis(100);
+        }
+        assert_eq!(watcher.takeover_time_ms(row), 0);
+    },
     // Guards against a storm of probes while a slow store delays all commits of a holder.
     a_holder_is_not_asked_again_before_it_may_vacate_its_lease => {
         let mut watcher = LeaseWatcher::new(0);
@@ -243,7 +267,7 @@
                     continue;
                 };
                 probed_at.push(at_ms);
-                let result = job::ProbeResult::Listens { claimed_for: time::Duration::from_millis(450) };
+                let result = job::ProbeResult::Listens { claimed_for: Some(time::Duration::from_millis(450)) };
                 watcher.engine.step(watcher.now, job::Event::Probed { version, result });
             }
             watcher.now += time::Duration::from_millis(100);
@@ -278,6 +302,25 @@
         }
         assert_eq!(watcher.takeover_time_from_dead_holder_ms(job::ProbeResult::Refused), HANDICAP_MS);
     },
+    // Guards against questions of many hosts that keep a busy holder busy.
+    a_holder_that_did_not_answer_is_not_asked_again_at_that_version => {
+        let mut watcher = LeaseWatcher::new(0);
+        let addr = Some(([127, 0, 0, 1], 9).into());
+        let row = held().map(|(version, lease)| (version, job::Lease { addr, ..lease }));
+        let mut probes = 0;
+        for _ in 0..21 {
+            let event = job::Event::LeaseRead { row: row.clone(), store_ms: None };
+            for effect in watcher.engine.step(watcher.now, event) {
+                if let job::Effect::Probe { version, .. } = effect {
+                    probes += 1;
+                    let result = job::ProbeResult::Listens { claimed_for: None };
+                    watcher.engine.step(watcher.now, job::Event::Probed { version, result });
+                }
+            }
+            watcher.now += time::Duration::from_millis(100);
+        }
+        assert_eq!(probes, 1);
+    },
     // Guards against hosts that must read a lease often to see soon that it stands still.
     a_lease_that_was_written_long_ago_is_probed_at_its_first_read => {
         assert_eq!(probed_after_ms(500, 0), 0);
@@ -329,7 +372,7 @@
         watcher.now += time::Duration::from_millis(900);
         let effects = watcher.engine.step(watcher.now, job::Event::Probed { version: 6, result: job::ProbeResult::Refused });
         assert_eq!(effects, []);
-        let effects = watcher.engine.step(watcher.now, job::Event::Probed { version: 7, result: job::ProbeResult::Listens { claimed_for: time::Duration::ZERO } });
+        let effects = watcher.engine.step(watcher.now, job::Event::Probed { version: 7, result: job::ProbeResult::Listens { claimed_for: None } });
         assert_eq!(effects, []);
     },
     a_lease_is_given_up_if_the_state_cannot_be_read => {
