--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -5,14 +5,14 @@
 use std::sync;
 use std::time;
 
-use super::closed;
-use super::commit;
 use super::event;
 use super::holding;
-use super::members;
+use super::lease::store_clock;
 use super::queue;
 use super::rows as job_rows;
-use super::store_clock;
+use super::store::commit;
+use super::workers::closed;
+use super::workers::members;
 use crate::id;
 use crate::rows;
 
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -4,12 +4,12 @@
 use std::sync;
 use std::time;
 
-use super::closed;
-use super::order;
+use super::place::tickets;
 use super::queue;
 use super::rows as job_rows;
+use super::runs::order;
 use super::spec;
-use super::tickets;
+use super::workers::closed;
 use crate::id;
 use crate::rows;
 
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -5,20 +5,20 @@
 use std::time;
 
 use super::event;
-use super::group;
-use super::learned;
-use super::link;
-use super::loss_record;
-use super::pending;
+use super::learn::learned;
+use super::lease::store_clock;
+use super::loss::loss_record;
+use super::place::group;
+use super::place::starvation;
+use super::place::tickets;
 use super::progress;
 use super::queue;
 use super::rows as job_rows;
+use super::runs::work;
 use super::spec;
-use super::starvation;
-use super::store_clock;
-use super::tickets;
-use super::work;
-use super::worker;
+use super::store::pending;
+use super::workers::link;
+use super::workers::worker;
 use crate::id;
 
 /// A domain, as its holder sees it.
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -7,11 +7,11 @@
 
 use super::event;
 use super::holding;
-use super::learned;
+use super::learn::learned;
 use super::progress;
 use super::rows as job_rows;
+use super::runs::work;
 use super::spec;
-use super::work;
 use crate::id;
 use crate::rows;
 
--- a/crates/wharflane/src/job/interference.rs
+++ b/crates/wharflane/src/job/learn/interference.rs
@@ -44,7 +44,7 @@
 
 /// An image, by the number that this holder or an earlier one assigned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub(super) struct Image(usize);
+pub(in crate::job) struct Image(usize);
 
 impl Image {
     /// Returns the number of the image.
@@ -55,7 +55,7 @@
 
 /// CPU used by the tasks of one image on a worker.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct CpuUse {
+pub(in crate::job) struct CpuUse {
     /// The image.
     pub image: Image,
     /// The fraction of the worker's CPU, from zero to one.
@@ -225,7 +225,7 @@
 /// The interference model, written to the store from time to time so that the next holder resumes
 /// from it.
 #[derive(Debug, Default)]
-pub(super) struct Model {
+pub(in crate::job) struct Model {
     /// The stored image names, by number.
     names: Vec<String>,
     /// The lowest observed tail latency of each serving image, in milliseconds.
--- a/crates/wharflane/src/job/learned.rs
+++ b/crates/wharflane/src/job/learn/learned.rs
@@ -2,15 +2,15 @@
 //!
 //! It is split into several rows, each of bounded size, since the store accepts 64 KB per row.
 
-use super::interference;
-use super::times;
+use crate::job::learn::interference;
+use crate::job::learn::times;
 use crate::rows;
 
 /// The row with the image names.
 const IMAGES_ROW: &str = "images";
 /// The row of workers missing from the store's list. It is stored with the learned state, but the
 /// module `unlisted` reads it.
-pub(super) const UNLISTED: &str = "unlisted";
+pub(in crate::job) const UNLISTED: &str = "unlisted";
 /// The row with the run times.
 const TIMES_ROW: &str = "times";
 /// Prefix of the rows with the fit of one serving image.
@@ -21,7 +21,7 @@
 
 /// The learned state of a domain.
 #[derive(Debug, Default)]
-pub(super) struct Learned {
+pub(in crate::job) struct Learned {
     /// The interference between images.
     pub interference: interference::Model,
     /// The run times of tasks by queue.
--- a/crates/wharflane/src/job/times.rs
+++ b/crates/wharflane/src/job/learn/times.rs
@@ -40,7 +40,7 @@
 
 /// The learned run times by queue, stored with the other learned state.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(super) struct Times {
+pub(in crate::job) struct Times {
     /// The sums of each queue.
     queues: collections::BTreeMap<String, Sums>,
 }
--- a/crates/wharflane/src/job/acquire.rs
+++ b/crates/wharflane/src/job/lease/acquire.rs
@@ -5,13 +5,13 @@
 
 use std::time;
 
-use super::commit;
-use super::engine;
-use super::event;
-use super::rows as job_rows;
-use super::store_clock;
-use super::worker;
 use crate::id;
+use crate::job::engine;
+use crate::job::event;
+use crate::job::lease::store_clock;
+use crate::job::rows as job_rows;
+use crate::job::store::commit;
+use crate::job::workers::worker;
 use crate::rows;
 
 /// The number of lease times for which a host that gave its domain up for slowness waits longer
@@ -20,7 +20,7 @@
 
 impl engine::Engine {
     /// Acquires the lease if it is free or has expired; probes the holder if it may be gone.
-    pub(super) fn handle_lease_read(
+    pub(in crate::job) fn handle_lease_read(
         &mut self,
         now: time::Duration,
         row: Option<(u64, job_rows::Lease)>,
@@ -67,7 +67,7 @@
     /// The probe is no proof: the network may refuse connections or lose packets while the holder
     /// continues until its next commit or the expiry of its lease. So the task leases that it may
     /// have granted are assumed to last longer by the time of its own lease.
-    pub(super) fn handle_probe(
+    pub(in crate::job) fn handle_probe(
         &mut self,
         now: time::Duration,
         version: u64,
@@ -151,7 +151,7 @@
     }
 
     /// Starts loading the state once the lease is acquired.
-    pub(super) fn handle_acquire_outcome(
+    pub(in crate::job) fn handle_acquire_outcome(
         &mut self,
         now: time::Duration,
         outcome: &rows::Outcome,
--- a/crates/wharflane/src/job/loading.rs
+++ b/crates/wharflane/src/job/lease/loading.rs
@@ -3,12 +3,12 @@
 use std::sync;
 use std::time;
 
-use super::commit;
-use super::engine;
-use super::event;
-use super::holding;
-use super::rows as job_rows;
-use super::worker;
+use crate::job::engine;
+use crate::job::event;
+use crate::job::holding;
+use crate::job::rows as job_rows;
+use crate::job::store::commit;
+use crate::job::workers::worker;
 use crate::rows;
 
 /// How many lease periods loading may take, each renewed in time. A host that needs longer would
@@ -17,7 +17,7 @@
 
 impl engine::Engine {
     /// Renews the lease while loading, or steps down if loading takes too long.
-    pub(super) fn continue_loading(&mut self, now: time::Duration) -> Vec<event::Effect> {
+    pub(in crate::job) fn continue_loading(&mut self, now: time::Duration) -> Vec<event::Effect> {
         let engine::Role::Loading { lease, version, acquired, renewed, renewal, .. } =
             &mut self.role
         else {
@@ -60,7 +60,7 @@
     }
 
     /// Applies the result of a lease renewal that was made while loading.
-    pub(super) fn handle_renewal_outcome(
+    pub(in crate::job) fn handle_renewal_outcome(
         &mut self,
         now: time::Duration,
         number: u64,
@@ -96,7 +96,7 @@
     }
 
     /// Starts to hold the domain with the loaded state.
-    pub(super) fn finish_loading(
+    pub(in crate::job) fn finish_loading(
         &mut self,
         now: time::Duration,
         jobs: &[rows::Row],
--- /dev/null
+++ b/crates/wharflane/src/job/lease/mod.rs
@@ -0,0 +1,5 @@
+//! How a host acquires a domain's lease and loads the domain's state.
+
+pub(super) mod acquire;
+pub(super) mod loading;
+pub(super) mod store_clock;
--- a/crates/wharflane/src/job/store_clock.rs
+++ b/crates/wharflane/src/job/lease/store_clock.rs
@@ -5,11 +5,11 @@
 
 use std::time;
 
-use super::worker;
+use crate::job::workers::worker;
 
 /// The store's clock, as of its latest answer with the time.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StoreClock {
+pub(in crate::job) struct StoreClock {
     /// The time that the store stated, in milliseconds.
     stated_ms: u64,
     /// When the answer arrived.
--- a/crates/wharflane/src/job/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -7,19 +7,19 @@
 
 use std::time;
 
-use super::holding;
-use super::loss_record;
-use super::progress;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::loss::loss_record;
+use crate::job::progress;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// How long a task must have run, by its worker's own answers, until its start is ruled out as the
 /// cause of a loss; the answer to a heartbeat may be delayed as long.
-pub(super) const CLEARED_AFTER: time::Duration = time::Duration::from_millis(1_000);
+pub(in crate::job) const CLEARED_AFTER: time::Duration = time::Duration::from_millis(1_000);
 /// How long a task must have run until earlier losses no longer count against it.
-pub(super) const FORGIVEN_AFTER: time::Duration = time::Duration::from_secs(30);
+pub(in crate::job) const FORGIVEN_AFTER: time::Duration = time::Duration::from_secs(30);
 /// The number of workers lost while a task was a suspect after which its job fails. Users allow
 /// failing it after two and forbid a third start after three losses; this is one more than two,
 /// since a loss may have had another cause.
@@ -41,7 +41,7 @@
 
 impl holding::Holding {
     /// Handles the end of a worker's incarnation.
-    pub(super) fn handle_incarnation_end(
+    pub(in crate::job) fn handle_incarnation_end(
         &mut self,
         worker: &id::Incarnation,
         tasks: &[spec::TaskId],
@@ -59,7 +59,10 @@
 
     /// Counts the loss of a worker against each task that was there and returns its possible cause.
     /// The tasks must still be placed.
-    pub(super) fn count_worker_loss(&mut self, tasks: &[spec::TaskId]) -> loss_record::Cause {
+    pub(in crate::job) fn count_worker_loss(
+        &mut self,
+        tasks: &[spec::TaskId],
+    ) -> loss_record::Cause {
         let worker = tasks.first().and_then(|task| self.placed.get(task));
         let Some(worker) = worker.map(|placed| placed.worker.clone()) else {
             return loss_record::Cause::NoSuspect;
@@ -72,7 +75,7 @@
     /// Records the tasks of a listed worker whose leases have expired. The worker may only be
     /// unreachable, or its list entry may be stale; the loss counts once its incarnation is known
     /// to be over.
-    pub(super) fn record_expired_tasks(
+    pub(in crate::job) fn record_expired_tasks(
         &mut self,
         worker: &id::Incarnation,
         tasks: &[spec::TaskId],
@@ -88,7 +91,7 @@
 
     /// Counts the loss of a worker whose leases expired before its end was known, and returns its
     /// possible cause.
-    pub(super) fn count_loss_after_expiry(
+    pub(in crate::job) fn count_loss_after_expiry(
         &mut self,
         worker: &id::Incarnation,
     ) -> loss_record::Cause {
@@ -187,7 +190,7 @@
 
     /// Returns how long a task had run when its worker last answered, or nothing if no answer
     /// confirmed it.
-    pub(super) fn at_work(&self, placed: &work::Placed) -> Option<time::Duration> {
+    pub(in crate::job) fn at_work(&self, placed: &work::Placed) -> Option<time::Duration> {
         let work::StartState::Confirmed(since) = placed.start_state else {
             return None;
         };
@@ -196,7 +199,7 @@
     }
 
     /// Notes when a task that leaves its worker last ran there, by the worker's own answers.
-    pub(super) fn note_last_ran(&mut self, task: spec::TaskId) {
+    pub(in crate::job) fn note_last_ran(&mut self, task: spec::TaskId) {
         let Some(placed) = self.placed.get(&task) else {
             return;
         };
@@ -212,26 +215,30 @@
 
     /// Returns whether the next loss of a worker under a task would fail its job; a worker that may
     /// still turn out to be lost counts as lost.
-    pub(super) fn has_last_start(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn has_last_start(&self, task: spec::TaskId) -> bool {
         let decided = self.losses(task).all() + self.starts(task).others;
         decided + self.undecided_losses(task) + 1 >= MAX_LOSSES
     }
 
     /// Returns whether one more loss of a worker would fail the job of a task.
-    pub(super) fn has_one_loss_left(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn has_one_loss_left(&self, task: spec::TaskId) -> bool {
         self.losses(task).all() + self.starts(task).others + 1 >= MAX_LOSSES
     }
 
     /// Returns the number of workers on which leases of a task have expired and that may still turn
     /// out to be lost.
-    pub(super) fn undecided_losses(&self, task: spec::TaskId) -> u32 {
+    pub(in crate::job) fn undecided_losses(&self, task: spec::TaskId) -> u32 {
         let presences = self.views.values().flat_map(|view| &view.expired_tasks);
         let undecided = presences.filter(|presence| presence.task == task).count();
         u32::try_from(undecided).unwrap_or(u32::MAX)
     }
 
     /// Fails the job of a task under which too many workers were lost.
-    pub(super) fn fail_job_after_losses(&mut self, task: spec::TaskId, now: time::Duration) {
+    pub(in crate::job) fn fail_job_after_losses(
+        &mut self,
+        task: spec::TaskId,
+        now: time::Duration,
+    ) {
         let losses = self.losses(task);
         let others = self.starts(task).others;
         if !self.should_run(task) || !losses.must_fail(others, self.may_losses_be_chance()) {
@@ -248,7 +255,7 @@
 
     /// Counts the end of a run without a loss if three workers were lost under its task before,
     /// since the task then has few starts left, however they end.
-    pub(super) fn note_other_end(&mut self, task: spec::TaskId, placed: &work::Placed) {
+    pub(in crate::job) fn note_other_end(&mut self, task: spec::TaskId, placed: &work::Placed) {
         let view = self.views.get(&placed.worker);
         let planned = placed.stopped.is_some() || view.is_some_and(|view| view.member.leaving);
         // Whether the worker is lost is still unknown where leases have expired.
@@ -276,7 +283,7 @@
 
     /// Clears a running task of the suspicion that its start crashes workers, and releases its
     /// worker once isolation may end.
-    pub(super) fn clear_suspect(&mut self, task: spec::TaskId) {
+    pub(in crate::job) fn clear_suspect(&mut self, task: spec::TaskId) {
         let Some(placed) = self.placed.get(&task) else {
             return;
         };
@@ -310,12 +317,12 @@
     }
 
     /// Returns whether a worker was lost under a task and that loss still counts.
-    pub(super) fn has_losses(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn has_losses(&self, task: spec::TaskId) -> bool {
         self.loss_record.contains(task)
     }
 
     /// Returns the losses of workers that count against a task.
-    pub(super) fn losses(&self, task: spec::TaskId) -> progress::Losses {
+    pub(in crate::job) fn losses(&self, task: spec::TaskId) -> progress::Losses {
         self.state(task).map(|state| state.losses).unwrap_or_default()
     }
 
@@ -331,7 +338,7 @@
 }
 
 /// Returns whether the incarnation that a task is placed on may have received an order for it.
-pub(super) fn may_have_received_order(placed: &work::Placed) -> bool {
+pub(in crate::job) fn may_have_received_order(placed: &work::Placed) -> bool {
     match placed.start_state {
         // A loss counts once: for an orphaned start it counted when the previous incarnation ended.
         work::StartState::Staged | work::StartState::Orphaned => false,
@@ -355,7 +362,7 @@
 
 /// A task as it was present on a lost worker.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Presence {
+pub(in crate::job) struct Presence {
     /// The task that was placed there.
     task: spec::TaskId,
     /// The number of its run there.
@@ -373,7 +380,7 @@
 
 impl progress::Losses {
     /// Returns the number of workers lost under the task.
-    pub(super) fn all(self) -> u32 {
+    pub(in crate::job) fn all(self) -> u32 {
         self.suspected + self.unexplained
     }
 
--- a/crates/wharflane/src/job/isolation.rs
+++ b/crates/wharflane/src/job/loss/isolation.rs
@@ -6,13 +6,13 @@
 
 use std::time;
 
-use super::holding;
-use super::obstacle;
-use super::spec;
-use super::starvation;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::place::obstacle;
+use crate::job::place::starvation;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// From this many losses on, a start is isolated regardless of how long the task had run when its
 /// workers were lost.
@@ -86,14 +86,14 @@
     /// Returns whether a task avoids other tasks under which a worker was lost, before placement
     /// cost is compared: if its start must be isolated, or if such tasks are few. With many of
     /// them, avoiding them would only worsen the placement of sound tasks.
-    pub(super) fn avoids_suspects(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn avoids_suspects(&self, task: spec::TaskId) -> bool {
         let few = self.loss_record.len() * RESERVED_DIVISOR <= self.views.len();
         self.required_isolation(task) > Isolation::None || few && self.has_losses(task)
     }
 
     /// Reserves the worker of a task for it if its start must be isolated, as long as few workers
     /// are reserved.
-    pub(super) fn isolate_start(&mut self, task: spec::TaskId, worker: &id::Incarnation) {
+    pub(in crate::job) fn isolate_start(&mut self, task: spec::TaskId, worker: &id::Incarnation) {
         if self.required_isolation(task) == Isolation::None {
             return;
         }
@@ -111,14 +111,14 @@
     }
 
     /// Releases the reservations of workers whose tasks match a condition.
-    pub(super) fn release_reservations(&mut self, matches: impl Fn(spec::TaskId) -> bool) {
+    pub(in crate::job) fn release_reservations(&mut self, matches: impl Fn(spec::TaskId) -> bool) {
         for view in self.views.values_mut() {
             self.changed |= view.reserved_for.take_if(|reserved| matches(*reserved)).is_some();
         }
     }
 
     /// Releases the reservation of a task's worker once the task has run there for long enough.
-    pub(super) fn end_isolation(&mut self, task: spec::TaskId, at_work: time::Duration) {
+    pub(in crate::job) fn end_isolation(&mut self, task: spec::TaskId, at_work: time::Duration) {
         if self.required_isolation(task) == Isolation::Full && at_work < FULL_ISOLATION_TIME {
             return;
         }
@@ -130,7 +130,7 @@
 
     /// Returns whether a start is deferred until it can be isolated as required; deferral is
     /// bounded, and ends before the job of a batch task starves.
-    pub(super) fn defers_start(
+    pub(in crate::job) fn defers_start(
         &mut self,
         ready: &work::Ready,
         step: &spec::Step,
@@ -271,7 +271,7 @@
 /// The cost of starting a suspect on a worker, compared in the order of the fields before other
 /// placement criteria.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct IsolationCost {
+pub(in crate::job) struct IsolationCost {
     /// Full isolation is required and the worker runs something.
     occupied: bool,
     /// The worker was lost under this task in an earlier incarnation.
--- a/crates/wharflane/src/job/loss_record.rs
+++ b/crates/wharflane/src/job/loss/loss_record.rs
@@ -4,9 +4,9 @@
 use std::collections;
 use std::time;
 
-use super::spec;
-use super::waits;
 use crate::id;
+use crate::job::place::waits;
+use crate::job::spec;
 
 /// Maximum number of losses without a suspect that are recorded; more would not change any
 /// decision.
@@ -16,7 +16,7 @@
 
 /// The possible cause of a worker's loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Cause {
+pub(in crate::job) enum Cause {
     /// No task had just started there, so no start caused the loss.
     NoSuspect,
     /// A task had just started there and may have crashed it.
@@ -25,7 +25,7 @@
 
 /// The tasks against which losses of workers still count, and the recent losses of workers.
 #[derive(Debug, Default)]
-pub(super) struct LossRecord {
+pub(in crate::job) struct LossRecord {
     /// The tasks, each with the workers that this holder saw being lost under it.
     tasks: collections::BTreeMap<spec::TaskId, collections::BTreeSet<id::WorkerId>>,
     /// The tasks whose next start is deferred, each with the time at which that was last logged.
--- a/crates/wharflane/src/job/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -3,11 +3,11 @@
 use std::collections;
 use std::time;
 
-use super::holding;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// Minimum number of silent workers that suggests a fault of this host; fewer may fail together
 /// with their rack.
@@ -15,7 +15,7 @@
 
 impl holding::Holding {
     /// Frees all tasks of a worker incarnation that is known to be over.
-    pub(super) fn remove_worker(&mut self, worker: &id::Incarnation) {
+    pub(in crate::job) fn remove_worker(&mut self, worker: &id::Incarnation) {
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -53,7 +53,7 @@
     }
 
     /// Frees the tasks of silent workers once all leases granted there have expired.
-    pub(super) fn free_expired(&mut self, now: time::Duration) {
+    pub(in crate::job) fn free_expired(&mut self, now: time::Duration) {
         if self.are_most_silent() {
             self.mass_silence_at = Some(now);
         }
@@ -124,7 +124,7 @@
     }
 
     /// Returns when all leases that earlier holders granted have expired.
-    pub(super) fn inherited_until(&self) -> time::Duration {
+    pub(in crate::job) fn inherited_until(&self) -> time::Duration {
         self.acquired + worker::longest_by_holder_clock(self.inherited)
     }
 }
--- a/crates/wharflane/src/job/advice.rs
+++ b/crates/wharflane/src/job/place/advice.rs
@@ -6,15 +6,15 @@
 
 use std::time;
 
-use super::event;
-use super::group;
-use super::holding;
-use super::obstacle;
-use super::order;
-use super::spec;
-use super::tickets;
-use super::worker;
 use crate::id;
+use crate::job::event;
+use crate::job::holding;
+use crate::job::place::group;
+use crate::job::place::obstacle;
+use crate::job::place::tickets;
+use crate::job::runs::order;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// Maximum number of workers in one request; the service accepts 100, and callers allow one call
 /// per 30 workers.
@@ -37,12 +37,12 @@
 
 impl holding::Holding {
     /// Returns the advice timing of a job's queue, or `None` if the queue needs no tickets.
-    pub(super) fn advice_timing(&self, job: &spec::Job) -> Option<tickets::AdviceTiming> {
+    pub(in crate::job) fn advice_timing(&self, job: &spec::Job) -> Option<tickets::AdviceTiming> {
         self.queues.queues.get(&job.queue)?.advice
     }
 
     /// Requests tickets for a step unless a request for it is open or the retry delay is running.
-    pub(super) fn request_tickets(
+    pub(in crate::job) fn request_tickets(
         &mut self,
         task: spec::TaskId,
         wanted: usize,
@@ -115,7 +115,7 @@
     }
 
     /// Records the answer to a request, or schedules a retry if there was none.
-    pub(super) fn handle_advice(
+    pub(in crate::job) fn handle_advice(
         &mut self,
         request: &tickets::AdviceRequest,
         answer: Option<&tickets::Advice>,
@@ -158,7 +158,7 @@
     }
 
     /// Returns `Obstacle::Ticket` if the queue needs tickets and none is valid for this worker.
-    pub(super) fn ticket_obstacle(
+    pub(in crate::job) fn ticket_obstacle(
         &self,
         job: &spec::Job,
         task: spec::TaskId,
@@ -172,7 +172,11 @@
 
     /// Returns the ticket for a start order: empty if the queue needs none, `None` if one is
     /// missing.
-    pub(super) fn ticket_for(&self, order: &order::Order, now: time::Duration) -> Option<String> {
+    pub(in crate::job) fn ticket_for(
+        &self,
+        order: &order::Order,
+        now: time::Duration,
+    ) -> Option<String> {
         let entry = self.jobs.get(&order.task.job)?;
         match self.advice_timing(&entry.job) {
             None => Some(String::new()),
--- a/crates/wharflane/src/job/assign.rs
+++ b/crates/wharflane/src/job/place/assign.rs
@@ -2,14 +2,14 @@
 
 use std::time;
 
-use super::holding;
-use super::progress;
-use super::spec;
-use super::work;
 use crate::id;
+use crate::job::holding;
+use crate::job::progress;
+use crate::job::runs::work;
+use crate::job::spec;
 
 /// Assigns a task's next run to a worker and refreshes the worker's headroom.
-pub(super) fn assign(
+pub(in crate::job) fn assign(
     holding: &mut holding::Holding,
     ready: &work::Ready,
     step: &spec::Step,
@@ -22,13 +22,13 @@
 }
 
 /// Returns the number of a task's last run; zero if it was never started.
-pub(super) fn last_run(holding: &holding::Holding, task: spec::TaskId) -> u32 {
+pub(in crate::job) fn last_run(holding: &holding::Holding, task: spec::TaskId) -> u32 {
     let entry = holding.jobs.get(&task.job);
     entry.and_then(|entry| entry.progress.tasks.get(&task.into())).map_or(0, |task| task.run)
 }
 
 /// Assigns a run of a task to a worker and stages its start for the next commit.
-pub(super) fn stage_start(
+pub(in crate::job) fn stage_start(
     holding: &mut holding::Holding,
     ready: &work::Ready,
     step: &spec::Step,
--- a/crates/wharflane/src/job/choose.rs
+++ b/crates/wharflane/src/job/place/choose.rs
@@ -3,15 +3,15 @@
 use std::cmp;
 use std::time;
 
-use super::group;
-use super::holding;
-use super::interference;
-use super::isolation;
-use super::obstacle;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::learn::interference;
+use crate::job::loss::isolation;
+use crate::job::place::group;
+use crate::job::place::obstacle;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// CPU that a long-running task is assumed to use, in percent of its reservation.
 const ASSUMED_SERVING_USE_PERCENT: u64 = 50;
@@ -25,13 +25,13 @@
 const NEGLIGIBLE_STRAIN: f64 = 0.015;
 /// Factor by which the interference of a task may exceed its average for some seconds, since tasks
 /// work in phases.
-pub(super) const PEAK_FACTOR: f64 = 2.0;
+pub(in crate::job) const PEAK_FACTOR: f64 = 2.0;
 /// Weight of a worker's idle CPU against the strain on its serving tasks.
 const IDLE_WEIGHT: f64 = 0.1;
 
 /// Returns the best worker for a task, or `None`; with `within`, only workers of that rack count.
 /// Workers reserved for returning tasks are excluded.
-pub(super) fn choose(
+pub(in crate::job) fn choose(
     holding: &mut holding::Holding,
     task: spec::TaskId,
     step: &spec::Step,
@@ -59,7 +59,7 @@
 }
 
 /// The criteria of a search for a worker.
-pub(super) struct Search<'a> {
+pub(in crate::job) struct Search<'a> {
     /// The task to place.
     task: spec::TaskId,
     /// The step of the task.
@@ -131,13 +131,16 @@
 }
 
 /// Returns the worker where a task last failed.
-pub(super) fn failed_on(entry: &work::Entry, task: spec::TaskId) -> Option<&id::Incarnation> {
+pub(in crate::job) fn failed_on(
+    entry: &work::Entry,
+    task: spec::TaskId,
+) -> Option<&id::Incarnation> {
     let state = entry.progress.tasks.get(&task.into());
     state.filter(|state| !state.failed_runs.is_empty())?.failed_on.as_ref()
 }
 
 /// Returns the worker of the lowest cost, the first among equals; `None` excludes a worker.
-pub(super) fn cheapest<C>(
+pub(in crate::job) fn cheapest<C>(
     holding: &holding::Holding,
     evaluate: impl Fn(&worker::View) -> Option<C>,
     is_cheaper: impl Fn(&C, &C) -> bool,
@@ -156,7 +159,7 @@
 
 /// Returns the average strain that a task would cause each serving image, indexed by the number of
 /// the image. The list is empty for tasks that are not best-effort.
-pub(super) fn best_effort_strains(
+pub(in crate::job) fn best_effort_strains(
     holding: &holding::Holding,
     step: &spec::Step,
     image: interference::Image,
@@ -182,7 +185,7 @@
 
 /// The cost of a worker for a task, compared field by field in this order.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Cost {
+pub(in crate::job) struct Cost {
     /// Whether the task last failed there.
     failed_here: bool,
     /// Whether the worker is outside the preferred rack.
@@ -201,7 +204,7 @@
 }
 
 /// Returns the score of a worker by kind of task, or `None` if interference forbids the task there.
-pub(super) fn cost(
+pub(in crate::job) fn cost(
     holding: &holding::Holding,
     view: &worker::View,
     step: &spec::Step,
--- a/crates/wharflane/src/job/gang.rs
+++ b/crates/wharflane/src/job/place/gang.rs
@@ -3,13 +3,13 @@
 use std::collections;
 use std::time;
 
-use super::assign;
-use super::holding;
-use super::order;
-use super::progress;
-use super::spec;
-use super::work;
 use crate::id;
+use crate::job::holding;
+use crate::job::place::assign;
+use crate::job::progress;
+use crate::job::runs::order;
+use crate::job::runs::work;
+use crate::job::spec;
 use crate::size;
 
 /// Chooses a worker for a task, within one rack if given.
@@ -22,7 +22,7 @@
 ) -> Option<id::Incarnation>;
 
 /// Places all tasks of a gang or none; returns whether they were placed.
-pub(super) fn place(
+pub(in crate::job) fn place(
     holding: &mut holding::Holding,
     ready: &work::Ready,
     step: &spec::Step,
@@ -131,7 +131,7 @@
 
 /// Records the end of one member's run for all members, since a gang completes or fails as a unit;
 /// returns whether anything changed.
-pub(super) fn note_end(
+pub(in crate::job) fn note_end(
     progress: &mut progress::Progress,
     task: spec::TaskId,
     count: u32,
--- a/crates/wharflane/src/job/group.rs
+++ b/crates/wharflane/src/job/place/group.rs
@@ -2,17 +2,17 @@
 
 use std::ops;
 
-use super::spec;
+use crate::job::spec;
 
 /// Identifies a group by job, round and step.
-pub(super) type Group = (spec::JobId, u32, u32);
+pub(in crate::job) type Group = (spec::JobId, u32, u32);
 
 /// Returns the group of a task.
-pub(super) fn group(task: spec::TaskId) -> Group {
+pub(in crate::job) fn group(task: spec::TaskId) -> Group {
     (task.job, task.round, task.step)
 }
 
 /// Returns the range of all task ids in a task's group.
-pub(super) fn siblings(task: spec::TaskId) -> ops::RangeInclusive<spec::TaskId> {
+pub(in crate::job) fn siblings(task: spec::TaskId) -> ops::RangeInclusive<spec::TaskId> {
     spec::TaskId { index: 0, ..task }..=spec::TaskId { index: u32::MAX, ..task }
 }
--- a/crates/wharflane/src/job/headroom.rs
+++ b/crates/wharflane/src/job/place/headroom.rs
@@ -4,11 +4,11 @@
 use std::borrow;
 use std::time;
 
-use super::holding;
-use super::interference;
-use super::throttle;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::learn::interference;
+use crate::job::runs::throttle;
+use crate::job::workers::worker;
 
 /// How long a worker's headroom stays valid while nothing is placed there. Loads change over
 /// seconds, and their figures are updated every half second.
@@ -16,7 +16,7 @@
 
 impl holding::Holding {
     /// Recomputes the headroom of all workers where it is missing or stale.
-    pub(super) fn refresh_headroom(&mut self, now: time::Duration) {
+    pub(in crate::job) fn refresh_headroom(&mut self, now: time::Duration) {
         let stale = self.views.iter().filter(|(_, view)| {
             view.headroom.as_ref().is_none_or(|known| now.saturating_sub(known.at) >= MAX_AGE)
         });
@@ -27,7 +27,11 @@
     }
 
     /// Recomputes the headroom of one worker.
-    pub(super) fn refresh_headroom_of(&mut self, worker: &id::Incarnation, now: time::Duration) {
+    pub(in crate::job) fn refresh_headroom_of(
+        &mut self,
+        worker: &id::Incarnation,
+        now: time::Duration,
+    ) {
         let headroom = self.views.get(worker).map(|view| self.headroom(view, now));
         if let Some(view) = self.views.get_mut(worker) {
             view.headroom = headroom;
@@ -35,7 +39,7 @@
     }
 
     /// Returns the headroom of a worker as last computed, or else the current one.
-    pub(super) fn known_headroom<'a>(
+    pub(in crate::job) fn known_headroom<'a>(
         &self,
         view: &'a worker::View,
         now: time::Duration,
@@ -45,7 +49,11 @@
     }
 
     /// Computes the current headroom of a worker.
-    pub(super) fn headroom(&self, view: &worker::View, now: time::Duration) -> worker::Headroom {
+    pub(in crate::job) fn headroom(
+        &self,
+        view: &worker::View,
+        now: time::Duration,
+    ) -> worker::Headroom {
         let uses: Vec<interference::CpuUse> = view
             .filling
             .values()
--- a/crates/wharflane/src/job/obstacle.rs
+++ b/crates/wharflane/src/job/place/obstacle.rs
@@ -2,14 +2,14 @@
 
 use std::time;
 
-use super::group;
-use super::spec;
-use super::worker;
 use crate::id;
+use crate::job::place::group;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// A reason that keeps a task from a worker, in the order of the checks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Obstacle {
+pub(in crate::job) enum Obstacle {
     /// The worker runs another service.
     Service,
     /// The worker lacks the label that the step requires.
@@ -36,7 +36,7 @@
 }
 
 /// Returns the first obstacle other than reserved capacity, tickets and interference.
-pub(super) fn plain(
+pub(in crate::job) fn plain(
     view: &worker::View,
     service: &id::ServiceId,
     task: spec::TaskId,
@@ -48,7 +48,7 @@
 
 /// Returns the first obstacle, other than a ticket, with which the worker can't run the task at
 /// all.
-pub(super) fn hard(
+pub(in crate::job) fn hard(
     view: &worker::View,
     service: &id::ServiceId,
     task: spec::TaskId,
@@ -75,7 +75,7 @@
 
 /// Returns why the state of a worker makes another one preferable for a task, though it could run
 /// there.
-pub(super) fn preference(
+pub(in crate::job) fn preference(
     view: &worker::View,
     task: spec::TaskId,
     now: time::Duration,
--- a/crates/wharflane/src/job/outlook.rs
+++ b/crates/wharflane/src/job/place/outlook.rs
@@ -1,16 +1,16 @@
 //! Estimates whether a round of a job can still end within the time that its queue promises.
 
-use super::holding;
-use super::spec;
-use super::times;
-use super::work;
+use crate::job::holding;
+use crate::job::learn::times;
+use crate::job::runs::work;
+use crate::job::spec;
 
 /// Factor of the allowed time within which a round counts as late; a slower one counts as missed.
 const MAX_LATE_FACTOR: f64 = 3.0;
 
 /// How the expected end of a round compares with the time that its queue allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Outlook {
+pub(in crate::job) enum Outlook {
     /// The round can end in time.
     InTime,
     /// The round can end late, within `MAX_LATE_FACTOR` times its allowed time.
@@ -20,7 +20,11 @@
 }
 
 /// Returns the outlook of a round at the current wall clock time.
-pub(super) fn outlook(holding: &holding::Holding, entry: &work::Entry, round: u32) -> Outlook {
+pub(in crate::job) fn outlook(
+    holding: &holding::Holding,
+    entry: &work::Entry,
+    round: u32,
+) -> Outlook {
     let Some(queue) = holding.queues.queues.get(&entry.job.queue) else {
         return Outlook::Missed;
     };
--- a/crates/wharflane/src/job/pass.rs
+++ b/crates/wharflane/src/job/place/pass.rs
@@ -7,10 +7,10 @@
 
 use std::collections;
 
-use super::interference;
-use super::spec;
-use super::work;
 use crate::id;
+use crate::job::learn::interference;
+use crate::job::runs::work;
+use crate::job::spec;
 use crate::size;
 
 /// The properties of a task, other than its size, that determine which workers can run it.
@@ -27,7 +27,7 @@
 
 /// The findings of a placement pass.
 #[derive(Debug, Default)]
-pub(super) struct Pass {
+pub(in crate::job) struct Pass {
     /// Which tasks can find no worker any more.
     pub unplaceable: Findings,
     /// The same for starving tasks, to which more workers are open.
@@ -42,7 +42,7 @@
 
 /// Kinds of tasks that found no worker, with their sizes.
 #[derive(Debug, Default)]
-pub(super) struct Findings(Vec<(Kind, size::Size)>);
+pub(in crate::job) struct Findings(Vec<(Kind, size::Size)>);
 
 impl Findings {
     /// Returns whether a task can no longer find a worker in this pass: one of the same kind, and
--- a/crates/wharflane/src/job/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -5,19 +5,19 @@
 use std::sync;
 use std::time;
 
-use super::assign;
-use super::choose;
-use super::gang;
-use super::group;
-use super::holding;
-use super::obstacle;
-use super::outlook;
-use super::pass;
-use super::ranking;
-use super::spec;
-use super::starvation;
-use super::work;
 use crate::id;
+use crate::job::holding;
+use crate::job::place::assign;
+use crate::job::place::choose;
+use crate::job::place::gang;
+use crate::job::place::group;
+use crate::job::place::obstacle;
+use crate::job::place::outlook;
+use crate::job::place::pass;
+use crate::job::place::ranking;
+use crate::job::place::starvation;
+use crate::job::runs::work;
+use crate::job::spec;
 
 /// One worker in this many may be reserved for returning long-running tasks; the others stay
 /// available to batch tasks.
@@ -27,7 +27,7 @@
 
 impl holding::Holding {
     /// Runs a placement pass if one is due.
-    pub(super) fn place_ready(&mut self, now: time::Duration) {
+    pub(in crate::job) fn place_ready(&mut self, now: time::Duration) {
         let again = now.saturating_sub(self.placed_at) >= PASS_INTERVAL;
         self.best_effort_waits &= !self.ready.is_empty();
         if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
--- a/crates/wharflane/src/job/ranking.rs
+++ b/crates/wharflane/src/job/place/ranking.rs
@@ -9,11 +9,11 @@
 use std::collections;
 use std::time;
 
-use super::choose;
-use super::holding;
-use super::interference;
-use super::spec;
 use crate::id;
+use crate::job::holding;
+use crate::job::learn::interference;
+use crate::job::place::choose;
+use crate::job::spec;
 
 /// A worker with its cost.
 #[derive(Debug)]
@@ -47,7 +47,7 @@
 
 /// The ranked workers for the tasks of a group.
 #[derive(Debug)]
-pub(super) struct Ranking {
+pub(in crate::job) struct Ranking {
     /// The workers. One that was given a task is added again with its new cost.
     heap: collections::BinaryHeap<Candidate>,
     /// The image that the tasks run.
--- a/crates/wharflane/src/job/starvation.rs
+++ b/crates/wharflane/src/job/place/starvation.rs
@@ -10,18 +10,18 @@
 use std::sync;
 use std::time;
 
-use super::assign;
-use super::choose;
-use super::gang;
-use super::holding;
-use super::interference;
-use super::isolation;
-use super::obstacle;
-use super::pass;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::learn::interference;
+use crate::job::loss::isolation;
+use crate::job::place::assign;
+use crate::job::place::choose;
+use crate::job::place::gang;
+use crate::job::place::obstacle;
+use crate::job::place::pass;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// How long a task waits without a worker until it counts as starving. The requirement allows 3 s;
 /// the other half covers a commit, a start and some attempts on workers that turn out not to accept
@@ -47,7 +47,7 @@
 const FAILED_SEARCHES_WINDOW: time::Duration = time::Duration::from_millis(100);
 
 /// Records a task that found no worker if it is starving.
-pub(super) fn note_if_starving(
+pub(in crate::job) fn note_if_starving(
     holding: &holding::Holding,
     pass: &mut pass::Pass,
     ready: &work::Ready,
@@ -59,7 +59,7 @@
 }
 
 /// Returns whether a task has waited for so long that its job counts as starving.
-pub(super) fn is_starving(
+pub(in crate::job) fn is_starving(
     holding: &holding::Holding,
     ready: &work::Ready,
     now: time::Duration,
@@ -82,7 +82,7 @@
 
 /// Returns whether a batch task must no longer be deferred for its isolation, since its job has run
 /// nothing for long although most of its service is idle.
-pub(super) fn ends_deferral(
+pub(in crate::job) fn ends_deferral(
     holding: &holding::Holding,
     ready: &work::Ready,
     now: time::Duration,
@@ -98,7 +98,7 @@
 /// What one placement pass did for its starving tasks, for operators. Those that were not tried,
 /// since enough others were, are in none of the counts but `starving`.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Relief {
+pub(in crate::job) struct Relief {
     /// The starving tasks, at most the first of each group.
     pub starving: usize,
     /// Those in a service that is not mostly idle.
@@ -111,7 +111,7 @@
 
 /// The searches for starving tasks that recently found no worker.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct FailedSearches {
+pub(in crate::job) struct FailedSearches {
     /// When the current window began.
     since: time::Duration,
     /// The number of these searches in that window.
@@ -129,7 +129,11 @@
 }
 
 /// Starts starving tasks in round-robin order, a bounded number per pass.
-pub(super) fn relieve(holding: &mut holding::Holding, pass: &mut pass::Pass, now: time::Duration) {
+pub(in crate::job) fn relieve(
+    holding: &mut holding::Holding,
+    pass: &mut pass::Pass,
+    now: time::Duration,
+) {
     let mut relief = Relief { starving: pass.starving.len(), ..Relief::default() };
     let mut idle = collections::BTreeMap::<id::ServiceId, bool>::new();
     for ready in in_turn(holding, pass) {
@@ -222,7 +226,7 @@
 impl holding::Holding {
     /// Returns the CPU reserved on the workers of a task's service, in percent, by the account that
     /// decides whether starving tasks are started.
-    pub(super) fn in_use_percent(&self, task: spec::TaskId) -> Option<u64> {
+    pub(in crate::job) fn in_use_percent(&self, task: spec::TaskId) -> Option<u64> {
         let entry = self.jobs.get(&task.job)?;
         let (reserved, whole) = reserved_milli(self, self.service(&entry.job));
         (reserved * 100).checked_div(whole)
--- a/crates/wharflane/src/job/tickets.rs
+++ b/crates/wharflane/src/job/place/tickets.rs
@@ -4,9 +4,9 @@
 use std::collections;
 use std::time;
 
-use super::group;
-use super::spec;
 use crate::id;
+use crate::job::place::group;
+use crate::job::spec;
 
 /// Accepted share that is assumed before the first answer.
 const INITIAL_ACCEPTED_SHARE: f64 = 0.5;
@@ -48,7 +48,7 @@
 
 /// A ticket for all tasks of a step on one worker.
 #[derive(Clone, Debug)]
-pub(super) struct Ticket {
+pub(in crate::job) struct Ticket {
     /// The text to present to the worker.
     pub text: String,
     /// When it is no longer used, which is shortly before it expires.
@@ -57,7 +57,7 @@
 
 /// The known answers for one step.
 #[derive(Clone, Debug, Default)]
-pub(super) struct StepTickets {
+pub(in crate::job) struct StepTickets {
     /// The accepted workers with their tickets.
     pub accepted: collections::BTreeMap<id::Incarnation, Ticket>,
     /// The denied workers; a denial is final.
@@ -70,7 +70,7 @@
 
 /// All tickets of a domain.
 #[derive(Debug)]
-pub(super) struct Tickets {
+pub(in crate::job) struct Tickets {
     /// The known answers, by step and round.
     pub steps: collections::BTreeMap<group::Group, StepTickets>,
     /// The number of open requests.
--- a/crates/wharflane/src/job/waits.rs
+++ b/crates/wharflane/src/job/place/waits.rs
@@ -3,15 +3,15 @@
 use std::collections;
 use std::time;
 
-use super::choose;
-use super::group;
-use super::holding;
-use super::obstacle;
-use super::pass;
-use super::spec;
-use super::starvation;
-use super::work;
-use super::worker;
+use crate::job::holding;
+use crate::job::place::choose;
+use crate::job::place::group;
+use crate::job::place::obstacle;
+use crate::job::place::pass;
+use crate::job::place::starvation;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// How long a task waits before the reason is logged; most find a worker in a tenth of this.
 const LOG_AFTER: time::Duration = time::Duration::from_secs(2);
@@ -19,11 +19,11 @@
 const MAX_LINES_PER_PASS: usize = 2;
 /// Interval between lines about one group, which bounds their number by the number of waiting
 /// groups.
-pub(super) const LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
+pub(in crate::job) const LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
 impl holding::Holding {
     /// Logs why a task that has waited for long gets no worker, at a limited rate per group.
-    pub(super) fn log_wait(
+    pub(in crate::job) fn log_wait(
         &mut self,
         pass: &mut pass::Pass,
         ready: &work::Ready,
@@ -100,7 +100,7 @@
     }
 
     /// Forgets when the reasons were logged for groups that no longer wait.
-    pub(super) fn forget_logged_waits(&mut self) {
+    pub(in crate::job) fn forget_logged_waits(&mut self) {
         let ready = &self.ready;
         self.wait_logged_at.retain(|(job, round, step), _| {
             let first = spec::TaskId { job: *job, round: *round, step: *step, index: 0 };
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::order;
+use super::runs::order;
 use super::spec;
 use crate::id;
 
--- a/crates/wharflane/src/job/queue.rs
+++ b/crates/wharflane/src/job/queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use super::tickets;
+use super::place::tickets;
 use crate::id;
 
 /// The configuration of one queue.
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -10,8 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::order;
 use super::progress;
+use super::runs::order;
 use super::spec;
 use crate::id;
 use crate::rows;
--- a/crates/wharflane/src/job/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -3,16 +3,16 @@
 
 use std::time;
 
-use super::gang;
-use super::holding;
-use super::order;
-use super::progress;
-use super::spec;
 use crate::id;
+use crate::job::holding;
+use crate::job::place::gang;
+use crate::job::progress;
+use crate::job::runs::order;
+use crate::job::spec;
 
 impl holding::Holding {
     /// Handles one reported end; ends up to the last handled number are repetitions.
-    pub(super) fn handle_end(
+    pub(in crate::job) fn handle_end(
         &mut self,
         worker: &id::Incarnation,
         ended: &order::Ended,
--- a/crates/wharflane/src/job/order.rs
+++ b/crates/wharflane/src/job/runs/order.rs
@@ -3,8 +3,8 @@
 use std::net;
 use std::time;
 
-use super::spec;
 use crate::id;
+use crate::job::spec;
 use crate::size;
 
 /// A worker as listed in the store.
--- a/crates/wharflane/src/job/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -2,12 +2,12 @@
 
 use std::time;
 
-use super::event;
-use super::holding;
-use super::order;
-use super::spec;
-use super::work;
-use super::worker;
+use crate::job::event;
+use crate::job::holding;
+use crate::job::runs::order;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// The delay before an order without an answer is sent again.
 const START_RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
@@ -26,7 +26,11 @@
 
 impl holding::Holding {
     /// Sends the starts that are now committed.
-    pub(super) fn send_committed_starts(&mut self, starts: &[spec::TaskId], now: time::Duration) {
+    pub(in crate::job) fn send_committed_starts(
+        &mut self,
+        starts: &[spec::TaskId],
+        now: time::Duration,
+    ) {
         for task in self.release_barred(starts) {
             let should_run = self.should_run(task);
             let staged = self
@@ -58,7 +62,7 @@
     }
 
     /// Returns whether a task belongs to a step whose tasks run only all together.
-    pub(super) fn is_in_gang(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn is_in_gang(&self, task: spec::TaskId) -> bool {
         let entry = self.jobs.get(&task.job);
         entry.and_then(|entry| entry.job.step(task.step)).is_some_and(|step| step.gang)
     }
@@ -105,7 +109,7 @@
     }
 
     /// Stops a placed task, unless its start is still in flight.
-    pub(super) fn stop(&mut self, task: spec::TaskId, now: time::Duration) {
+    pub(in crate::job) fn stop(&mut self, task: spec::TaskId, now: time::Duration) {
         let Some(placed) = self.placed.get_mut(&task) else {
             return;
         };
@@ -144,7 +148,7 @@
     }
 
     /// Handles an order to stop that failed by scheduling another.
-    pub(super) fn handle_failed_stop(&mut self, order: &order::Order, now: time::Duration) {
+    pub(in crate::job) fn handle_failed_stop(&mut self, order: &order::Order, now: time::Duration) {
         let current = self.placed.get(&order.task).is_some_and(|placed| {
             placed.run == order.run && placed.worker == order.worker && self.is_own(order.epoch)
         });
@@ -158,7 +162,7 @@
 
     /// Stops all runs of jobs that ended under an earlier holder: its orders to stop may have been
     /// lost, and so may the heartbeats that would show these runs.
-    pub(super) fn stop_unwanted(&mut self, now: time::Duration) {
+    pub(in crate::job) fn stop_unwanted(&mut self, now: time::Duration) {
         let unwanted = self.placed.keys().copied().filter(|task| !self.should_run(*task));
         let unwanted: Vec<spec::TaskId> = unwanted.collect();
         for task in unwanted {
@@ -167,7 +171,7 @@
     }
 
     /// Sends failed orders to stop again if they are due, unless the run has ended.
-    pub(super) fn resend_stops(&mut self, now: time::Duration) {
+    pub(in crate::job) fn resend_stops(&mut self, now: time::Duration) {
         let due = self.stop_retries.iter().filter(|(_, at)| now >= **at);
         let due: Vec<spec::TaskId> = due.map(|(task, _)| *task).collect();
         for task in due {
@@ -183,7 +187,7 @@
     }
 
     /// Sends unanswered orders to start again if they are due.
-    pub(super) fn resend_starts(&mut self, now: time::Duration) {
+    pub(in crate::job) fn resend_starts(&mut self, now: time::Duration) {
         let due = self.placed.iter().filter(|(_, placed)| match placed.start_state {
             work::StartState::Unanswered(at) => now >= at,
             work::StartState::Expiring => true,
@@ -254,7 +258,7 @@
     }
 
     /// Handles the answer to an order to start.
-    pub(super) fn handle_start_answer(
+    pub(in crate::job) fn handle_start_answer(
         &mut self,
         order: &order::Order,
         answer: order::StartAnswer,
--- a/crates/wharflane/src/job/throttle.rs
+++ b/crates/wharflane/src/job/runs/throttle.rs
@@ -4,21 +4,21 @@
 use std::collections;
 use std::time;
 
-use super::event;
-use super::holding;
-use super::interference;
-use super::order;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::event;
+use crate::job::holding;
+use crate::job::learn::interference;
+use crate::job::runs::order;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// Strain that is left free below a target, since figures are imprecise and loads may rise
 /// meanwhile. While best-effort tasks wait for workers it applies to placement only, and running
 /// tasks are throttled only for a missed target.
-pub(super) const STRAIN_MARGIN: f64 = 0.05;
+pub(in crate::job) const STRAIN_MARGIN: f64 = 0.05;
 /// Strain that must be free beyond the margin before throttled tasks get a larger share.
-pub(super) const RAISE_SLACK: f64 = 0.04;
+pub(in crate::job) const RAISE_SLACK: f64 = 0.04;
 /// How long a changed share takes to show: it applies after 100 ms, and figures cover half a
 /// second.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(650);
@@ -49,7 +49,7 @@
 
 impl holding::Holding {
     /// Returns the strain that a job's own load causes its tasks: the lowest recently reported one.
-    pub(super) fn own_load(&self, job: spec::JobId, now: time::Duration) -> Option<f64> {
+    pub(in crate::job) fn own_load(&self, job: spec::JobId, now: time::Duration) -> Option<f64> {
         let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
         let strains = self.strains.range(first..).take_while(|(task, _)| task.job == job);
         let fresh = strains.filter(|(_, strain)| now.saturating_sub(strain.at) <= MAX_TAIL_AGE);
@@ -57,7 +57,7 @@
     }
 
     /// Learns from a worker's reported tail latencies and sets the shares of its best-effort tasks.
-    pub(super) fn update_shares(
+    pub(in crate::job) fn update_shares(
         &mut self,
         worker: &id::Incarnation,
         lists: &order::Lists,
@@ -106,7 +106,7 @@
 
     /// Sets the shares of tasks that an earlier holder started, based on their CPU use: what it
     /// throttled stays throttled, regardless of which of its orders arrived.
-    pub(super) fn adopt_shares(
+    pub(in crate::job) fn adopt_shares(
         &mut self,
         worker: &id::Incarnation,
         lists: &order::Lists,
@@ -197,7 +197,11 @@
     }
 
     /// Returns whether a serving task of a worker has missed its target for too long.
-    pub(super) fn misses_too_long(&self, worker: &id::Incarnation, now: time::Duration) -> bool {
+    pub(in crate::job) fn misses_too_long(
+        &self,
+        worker: &id::Incarnation,
+        now: time::Duration,
+    ) -> bool {
         let Some(view) = self.views.get(worker) else {
             return false;
         };
@@ -206,7 +210,7 @@
     }
 
     /// Returns the current misses of a worker's serving tasks, without those not reported recently.
-    pub(super) fn misses<'a>(
+    pub(in crate::job) fn misses<'a>(
         &'a self,
         view: &'a worker::View,
         now: time::Duration,
@@ -305,7 +309,7 @@
 
     /// Orders all unsent shares of tasks that run. An order for a task whose start is not confirmed
     /// would be refused.
-    pub(super) fn send_shares(&mut self, worker: &id::Incarnation, now: time::Duration) {
+    pub(in crate::job) fn send_shares(&mut self, worker: &id::Incarnation, now: time::Duration) {
         let epoch = self.fence(worker);
         let Some(view) = self.views.get_mut(worker) else {
             return;
--- a/crates/wharflane/src/job/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -5,10 +5,10 @@
 use std::sync;
 use std::time;
 
-use super::order;
-use super::progress;
-use super::spec;
 use crate::id;
+use crate::job::progress;
+use crate::job::runs::order;
+use crate::job::spec;
 
 /// How long a long-running task may be without a worker until it is overdue. The requirement allows
 /// 6 s from its last run; the loss of its worker is known up to 2 s late, and a start takes 50 ms.
@@ -16,7 +16,7 @@
 
 /// A job with its progress.
 #[derive(Debug)]
-pub(super) struct Entry {
+pub(in crate::job) struct Entry {
     /// The job as it was submitted.
     pub job: sync::Arc<spec::Job>,
     /// The version of the job's row at its acceptance; lower for earlier jobs.
@@ -47,7 +47,7 @@
 
 /// The measured run times of a step's tasks.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct RunTimes {
+pub(in crate::job) struct RunTimes {
     /// The number of runs at full speed from start to end.
     pub runs: u32,
     /// The sum of the durations of these runs.
@@ -68,7 +68,7 @@
 
 /// A task that is placed on a worker.
 #[derive(Clone, Debug)]
-pub(super) struct Placed {
+pub(in crate::job) struct Placed {
     /// The worker incarnation that it is placed on.
     pub worker: id::Incarnation,
     /// The number of its run.
@@ -113,7 +113,7 @@
 
 /// The orders that this holder sent for one start.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct StartOrders {
+pub(in crate::job) struct StartOrders {
     /// The number of these orders that had no answer.
     pub unanswered: u32,
     /// The number of orders that were not sent although they were due.
@@ -124,7 +124,7 @@
 
 /// What the holder knows of the start of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum StartState {
+pub(in crate::job) enum StartState {
     /// It is not committed yet.
     Staged,
     /// The order is in flight.
@@ -145,7 +145,7 @@
 
 /// A task that is ready to be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Ready {
+pub(in crate::job) struct Ready {
     /// The task to place.
     pub task: spec::TaskId,
     /// The priority of the job's queue; a lower number goes first.
@@ -169,7 +169,7 @@
 }
 
 /// Returns the order that addresses a placed task.
-pub(super) fn order_for(
+pub(in crate::job) fn order_for(
     placed: &Placed,
     addr: net::SocketAddr,
     task: spec::TaskId,
--- a/crates/wharflane/src/job/acks.rs
+++ b/crates/wharflane/src/job/store/acks.rs
@@ -1,14 +1,14 @@
 //! Tracks which ends of runs are committed, per worker, since a worker keeps an end until the
 //! holder acknowledges it. An end is acknowledged only once its result is committed.
 
-use super::holding;
-use super::spec;
 use crate::id;
+use crate::job::holding;
+use crate::job::spec;
 
 impl holding::Holding {
     /// Notes an end whose result is not committed yet, so that it is not acknowledged to its
     /// worker.
-    pub(super) fn note_unrecorded(
+    pub(in crate::job) fn note_unrecorded(
         &mut self,
         job: spec::JobId,
         worker: &id::Incarnation,
@@ -21,7 +21,7 @@
     }
 
     /// Removes and returns the uncommitted ends of jobs, for the commit that writes their progress.
-    pub(super) fn take_unrecorded(
+    pub(in crate::job) fn take_unrecorded(
         &mut self,
         jobs: &[spec::JobId],
     ) -> Vec<(spec::JobId, id::Incarnation, u64)> {
@@ -34,7 +34,7 @@
     }
 
     /// Marks ends as committed, so that their workers may drop them.
-    pub(super) fn mark_recorded(&mut self, ends: &[(spec::JobId, id::Incarnation, u64)]) {
+    pub(in crate::job) fn mark_recorded(&mut self, ends: &[(spec::JobId, id::Incarnation, u64)]) {
         for (_, worker, number) in ends {
             if let Some(view) = self.views.get_mut(worker) {
                 view.unrecorded.remove(number);
--- a/crates/wharflane/src/job/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -7,13 +7,13 @@
 use std::collections;
 use std::time;
 
-use super::event;
-use super::holding;
-use super::pending;
-use super::rows as job_rows;
-use super::spec;
-use super::work;
-use super::worker;
+use crate::job::event;
+use crate::job::holding;
+use crate::job::rows as job_rows;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::store::pending;
+use crate::job::workers::worker;
 use crate::rows;
 
 /// The most progress rows in one transaction. The store accepts 100 entries: the lease uses two,
@@ -34,7 +34,7 @@
 
 /// The outcome of a transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CommitOutcome {
+pub(in crate::job) enum CommitOutcome {
     /// It is committed.
     Committed,
     /// Its outcome is not known yet, or it is to be replaced by another.
@@ -46,7 +46,7 @@
 }
 
 /// Returns the transaction that writes only the lease.
-pub(super) fn lease_txn(
+pub(in crate::job) fn lease_txn(
     domain: u32,
     version: u64,
     lease: &job_rows::Lease,
@@ -60,7 +60,10 @@
 }
 
 /// Returns the version of the lease row if the transaction that wrote it is committed.
-pub(super) fn committed_version(outcome: &rows::Outcome, lease: &job_rows::Lease) -> Option<u64> {
+pub(in crate::job) fn committed_version(
+    outcome: &rows::Outcome,
+    lease: &job_rows::Lease,
+) -> Option<u64> {
     match outcome {
         rows::Outcome::Answered(rows::Answer::Done { version }) => Some(*version),
         // The conflict may come from an earlier attempt of the same transaction that was applied.
@@ -101,7 +104,11 @@
 
 impl holding::Holding {
     /// Returns the next transaction if one is due and none is in flight.
-    pub(super) fn commit(&mut self, now: time::Duration, number: u64) -> Option<event::Effect> {
+    pub(in crate::job) fn commit(
+        &mut self,
+        now: time::Duration,
+        number: u64,
+    ) -> Option<event::Effect> {
         if let Some(pending) = &mut self.pending {
             if pending.resend_at.is_none_or(|at| now < at) {
                 return None;
@@ -127,7 +134,7 @@
 
     /// Takes over a renewal of the lease that was sent while the state was loaded; the first commit
     /// follows it.
-    pub(super) fn adopt_renewal(
+    pub(in crate::job) fn adopt_renewal(
         &mut self,
         number: Option<u64>,
         lease: &job_rows::Lease,
@@ -203,7 +210,7 @@
     }
 
     /// Returns the minimum time between two commits.
-    pub(super) fn commit_gap(&self) -> time::Duration {
+    pub(in crate::job) fn commit_gap(&self) -> time::Duration {
         self.settings.commit.max(self.link.commit_gap())
     }
 
@@ -347,7 +354,7 @@
     }
 
     /// Handles the outcome of the transaction in flight.
-    pub(super) fn handle_txn(
+    pub(in crate::job) fn handle_txn(
         &mut self,
         number: u64,
         outcome: &rows::Outcome,
--- a/crates/wharflane/src/job/pending.rs
+++ b/crates/wharflane/src/job/store/pending.rs
@@ -2,17 +2,17 @@
 
 use std::time;
 
-use super::rows as job_rows;
-use super::spec;
 use crate::id;
+use crate::job::rows as job_rows;
+use crate::job::spec;
 use crate::rows;
 
 /// Maximum number of jobs in one commit; the limits on rows and bytes are reached earlier.
-pub(super) const MAX_COMMIT_JOBS: usize = 100;
+pub(in crate::job) const MAX_COMMIT_JOBS: usize = 100;
 
 /// A transaction whose outcome is unknown.
 #[derive(Debug)]
-pub(super) struct Pending {
+pub(in crate::job) struct Pending {
     /// The number of its last transmission.
     pub number: u64,
     /// The transaction; it may only be sent again unchanged.
@@ -37,7 +37,7 @@
 
 /// Limits on commits, tightened after one was refused.
 #[derive(Debug)]
-pub(super) struct CommitLimits {
+pub(in crate::job) struct CommitLimits {
     /// Maximum number of jobs in one commit.
     pub jobs: usize,
     /// When commits may contain optional writes again.
--- a/crates/wharflane/src/job/refused.rs
+++ b/crates/wharflane/src/job/store/refused.rs
@@ -8,11 +8,11 @@
 
 use std::time;
 
-use super::holding;
-use super::pending;
-use super::rows as job_rows;
-use super::spec;
-use super::worker;
+use crate::job::holding;
+use crate::job::rows as job_rows;
+use crate::job::spec;
+use crate::job::store::pending;
+use crate::job::workers::worker;
 use crate::rows;
 
 /// How long optional rows are left out after a refusal.
@@ -22,7 +22,11 @@
 
 impl holding::Holding {
     /// Reverts a commit that the store refused for good, and tightens the limits of the next one.
-    pub(super) fn handle_refused_commit(&mut self, pending: pending::Pending, now: time::Duration) {
+    pub(in crate::job) fn handle_refused_commit(
+        &mut self,
+        pending: pending::Pending,
+        now: time::Duration,
+    ) {
         let longest = pending.txn.writes.iter().max_by_key(|write| length(write));
         let longest_bytes = longest.map_or(0, length);
         tracing::error!(
@@ -92,7 +96,7 @@
     }
 
     /// Resumes jobs that were set aside for `JOB_RETRY`.
-    pub(super) fn retry_set_aside_jobs(&mut self, now: time::Duration) {
+    pub(in crate::job) fn retry_set_aside_jobs(&mut self, now: time::Duration) {
         let due = self.jobs.iter_mut().filter(|(_, entry)| {
             entry.set_aside.is_some_and(|since| now.saturating_sub(since) >= JOB_RETRY)
         });
@@ -108,7 +112,7 @@
     }
 
     /// Returns whether a job is set aside, so that none of its tasks may start.
-    pub(super) fn is_set_aside(&self, job: spec::JobId) -> bool {
+    pub(in crate::job) fn is_set_aside(&self, job: spec::JobId) -> bool {
         self.jobs.get(&job).is_some_and(|entry| entry.set_aside.is_some())
     }
 }
--- a/crates/wharflane/src/job/closed.rs
+++ b/crates/wharflane/src/job/workers/closed.rs
@@ -6,13 +6,13 @@
 use std::collections;
 use std::time;
 
-use super::engine;
-use super::group;
-use super::holding;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::engine;
+use crate::job::holding;
+use crate::job::place::group;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// The complete set of closed halls.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -25,7 +25,7 @@
 
 /// The last reading of the closed halls on this host.
 #[derive(Debug, Default)]
-pub(super) struct ClosedHallsReading {
+pub(in crate::job) struct ClosedHallsReading {
     /// The closed halls as read last.
     pub closed: ClosedHalls,
     /// When they were read; `None` before the first reading.
@@ -34,7 +34,7 @@
 
 impl engine::Engine {
     /// Applies a reading of the closed halls; one older than the last is ignored.
-    pub(super) fn apply_closed_halls(&mut self, now: time::Duration, closed: ClosedHalls) {
+    pub(in crate::job) fn apply_closed_halls(&mut self, now: time::Duration, closed: ClosedHalls) {
         if closed.version < self.closed_halls.closed.version {
             return;
         }
@@ -53,7 +53,7 @@
 
 impl holding::Holding {
     /// Applies a reading of the closed halls and releases staged starts on workers of closed halls.
-    pub(super) fn set_closed_halls(&mut self, reading: &ClosedHallsReading) {
+    pub(in crate::job) fn set_closed_halls(&mut self, reading: &ClosedHallsReading) {
         self.closed_read_at = reading.at;
         if self.closed == reading.closed.halls {
             return;
@@ -73,7 +73,7 @@
     /// `closed_wait` has passed. The operator's rows may be unavailable while the holder's own are
     /// not, and starting nothing for longer costs callers more than a start in a hall that was
     /// closed meanwhile.
-    pub(super) fn closed_halls_known(&mut self, now: time::Duration) -> bool {
+    pub(in crate::job) fn closed_halls_known(&mut self, now: time::Duration) -> bool {
         if self.closed_read_at.is_some_and(|at| at >= self.acquired) {
             return true;
         }
@@ -94,7 +94,7 @@
     /// Releases the tasks among `starts` that must not be ordered any more, because their hall was
     /// closed or their worker leaves, and returns the others. A gang with one such member is
     /// released as a whole, since the others can't work without it.
-    pub(super) fn release_barred(&mut self, starts: &[spec::TaskId]) -> Vec<spec::TaskId> {
+    pub(in crate::job) fn release_barred(&mut self, starts: &[spec::TaskId]) -> Vec<spec::TaskId> {
         let barred: Vec<spec::TaskId> =
             starts.iter().copied().filter(|task| self.is_staged_on_barred(*task)).collect();
         let gangs: collections::BTreeSet<group::Group> = barred
--- a/crates/wharflane/src/job/fence.rs
+++ b/crates/wharflane/src/job/workers/fence.rs
@@ -6,27 +6,27 @@
 //! whether the run is there, and if not, that it can't begin any more. Without a heartbeat the
 //! start is ruled out only once the lease that it carries has expired by the worker's clock.
 
-use super::holding;
-use super::order;
-use super::rows;
-use super::spec;
-use super::work;
 use crate::id;
+use crate::job::holding;
+use crate::job::rows;
+use crate::job::runs::order;
+use crate::job::runs::work;
+use crate::job::spec;
 
 impl holding::Holding {
     /// Returns the fencing token that orders to a worker carry.
-    pub(super) fn fence(&self, worker: &id::Incarnation) -> u64 {
+    pub(in crate::job) fn fence(&self, worker: &id::Incarnation) -> u64 {
         self.lease.epoch + self.fence_offsets.get(&worker.worker).copied().unwrap_or(0)
     }
 
     /// Returns whether a fencing token was issued by this holder.
-    pub(super) fn is_own(&self, fence: u64) -> bool {
+    pub(in crate::job) fn is_own(&self, fence: u64) -> bool {
         rows::same_holder(fence, self.lease.epoch)
     }
 
     /// Raises the token of a worker above those of all orders to start a task there that are being
     /// abandoned.
-    pub(super) fn raise_fence(&mut self, worker: &id::Incarnation) {
+    pub(in crate::job) fn raise_fence(&mut self, worker: &id::Incarnation) {
         let fence = self.fence(worker);
         let Some(view) = self.views.get(worker) else {
             return;
@@ -42,7 +42,7 @@
     }
 
     /// Returns whether the start of a task had no answer and is being abandoned.
-    pub(super) fn is_start_abandoned(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn is_start_abandoned(&self, task: spec::TaskId) -> bool {
         self.placed.get(&task).is_some_and(|placed| match placed.start_state {
             work::StartState::Expiring => true,
             work::StartState::Unanswered(_) => !self.should_run(task),
@@ -51,7 +51,7 @@
     }
 
     /// Returns whether a task should run: its job is active and no run of it is done.
-    pub(super) fn should_run(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn should_run(&self, task: spec::TaskId) -> bool {
         self.jobs.get(&task.job).filter(|entry| entry.is_active()).is_some_and(|entry| {
             entry.progress.tasks.get(&task.into()).is_none_or(|state| !state.done)
         })
@@ -59,7 +59,7 @@
 
     /// Returns whether the answer to a heartbeat proves that a start of a task missing from it
     /// can't be carried out any more.
-    pub(super) fn is_start_ruled_out(
+    pub(in crate::job) fn is_start_ruled_out(
         &self,
         task: spec::TaskId,
         fence: u64,
--- a/crates/wharflane/src/job/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -5,13 +5,13 @@
 use std::collections;
 use std::time;
 
-use super::event;
-use super::holding;
-use super::order;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::event;
+use crate::job::holding;
+use crate::job::runs::order;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 use crate::size;
 
 /// The delay after a heartbeat without an answer, and how often it may double.
@@ -29,7 +29,7 @@
 
 impl holding::Holding {
     /// Sends heartbeats to the workers whose next one is due.
-    pub(super) fn send_due_heartbeats(&mut self, now: time::Duration) {
+    pub(in crate::job) fn send_due_heartbeats(&mut self, now: time::Duration) {
         let due = self.views.iter().filter(|(_, view)| {
             // Uncommitted ends would only be reported again; the delay is bounded so that leases
             // are renewed.
@@ -77,7 +77,7 @@
     }
 
     /// Handles the answer to a heartbeat.
-    pub(super) fn handle_heartbeat_answer(
+    pub(in crate::job) fn handle_heartbeat_answer(
         &mut self,
         worker: &id::Incarnation,
         epoch: u64,
--- a/crates/wharflane/src/job/incarnations.rs
+++ b/crates/wharflane/src/job/workers/incarnations.rs
@@ -9,20 +9,20 @@
 use std::collections;
 use std::time;
 
-use super::crash;
-use super::holding;
-use super::order;
-use super::spec;
-use super::work;
-use super::worker;
 use crate::id;
+use crate::job::holding;
+use crate::job::loss::crash;
+use crate::job::runs::order;
+use crate::job::runs::work;
+use crate::job::spec;
+use crate::job::workers::worker;
 
 /// How long after it was sent an order without an answer may still be carried out.
 const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
 
 impl holding::Holding {
     /// Begins the view of an incarnation and ends those of the worker's earlier ones.
-    pub(super) fn begin_incarnation(
+    pub(in crate::job) fn begin_incarnation(
         &mut self,
         member: order::Member,
         listed: bool,
@@ -64,7 +64,7 @@
     }
 
     /// Handles an answer from a later incarnation than the one addressed.
-    pub(super) fn handle_next_incarnation(
+    pub(in crate::job) fn handle_next_incarnation(
         &mut self,
         meant: &id::Incarnation,
         incarnation: id::Incarnation,
--- a/crates/wharflane/src/job/link.rs
+++ b/crates/wharflane/src/job/workers/link.rs
@@ -8,7 +8,7 @@
 
 use std::time;
 
-use super::worker;
+use crate::job::workers::worker;
 
 /// The bytes on the wire of a heartbeat and its answer.
 const HEARTBEAT_BYTES: f64 = 1_000.0;
@@ -34,7 +34,7 @@
 
 /// The send budget of a holder's network link.
 #[derive(Debug)]
-pub(super) struct Link {
+pub(in crate::job) struct Link {
     /// The bandwidth in bytes per second; absent if unknown, which lifts all limits.
     bandwidth: Option<f64>,
     /// The starts that may be sent at once; negative after more were sent.
--- a/crates/wharflane/src/job/members.rs
+++ b/crates/wharflane/src/job/workers/members.rs
@@ -3,14 +3,14 @@
 use std::collections;
 use std::time;
 
-use super::holding;
-use super::order;
-use super::spec;
 use crate::id;
+use crate::job::holding;
+use crate::job::runs::order;
+use crate::job::spec;
 
 /// The workers that the store lists, each with the entry of its latest incarnation.
 #[derive(Debug, Default)]
-pub(super) struct Members(collections::BTreeMap<id::WorkerId, order::Member>);
+pub(in crate::job) struct Members(collections::BTreeMap<id::WorkerId, order::Member>);
 
 impl Members {
     /// Replaces all entries with a complete list, except for entries of later incarnations.
@@ -66,7 +66,7 @@
 
 impl holding::Holding {
     /// Applies the whole list of workers to the views.
-    pub(super) fn set_members(&mut self, members: &Members, now: time::Duration) {
+    pub(in crate::job) fn set_members(&mut self, members: &Members, now: time::Duration) {
         let known = self.views.keys().map(|incarnation| &incarnation.worker);
         let gone = known.filter(|worker| members.get(worker).is_none());
         let gone: Vec<id::WorkerId> = gone.cloned().collect();
@@ -80,7 +80,7 @@
 
     /// Marks a worker that the store no longer lists, and counts its loss if its leases have
     /// expired.
-    pub(super) fn unlist(&mut self, worker: &id::WorkerId) {
+    pub(in crate::job) fn unlist(&mut self, worker: &id::WorkerId) {
         self.changed = true;
         let listed = self
             .views
@@ -101,7 +101,7 @@
     }
 
     /// Applies the list entry of one worker to its view, or begins one.
-    pub(super) fn set_member(&mut self, member: order::Member, now: time::Duration) {
+    pub(in crate::job) fn set_member(&mut self, member: order::Member, now: time::Duration) {
         self.changed = true;
         let Some(view) = self.views.get_mut(&member.incarnation) else {
             let next = self.views.range(member.incarnation.clone()..).next();
@@ -128,7 +128,7 @@
     ///
     /// A long-running task, or one with checkpoints that is not nearly done, loses less by moving
     /// at once.
-    pub(super) fn should_evict(&self, task: spec::TaskId, percent: u64) -> bool {
+    pub(in crate::job) fn should_evict(&self, task: spec::TaskId, percent: u64) -> bool {
         /// The completed part, in percent, from which a task is left to finish.
         const NEARLY_DONE: u64 = 80;
         let entry = self.jobs.get(&task.job);
--- /dev/null
+++ b/crates/wharflane/src/job/workers/mod.rs
@@ -0,0 +1,11 @@
+//! The holder's view of workers and how it stays current.
+
+pub(super) mod closed;
+pub(super) mod fence;
+pub(super) mod heartbeats;
+pub(super) mod incarnations;
+pub(super) mod link;
+pub(super) mod members;
+pub(super) mod slowness;
+pub(super) mod unlisted;
+pub(super) mod worker;
--- a/crates/wharflane/src/job/unlisted.rs
+++ b/crates/wharflane/src/job/workers/unlisted.rs
@@ -8,9 +8,9 @@
 
 use std::time;
 
-use super::holding;
-use super::learned;
-use super::rows as job_rows;
+use crate::job::holding;
+use crate::job::learn::learned;
+use crate::job::rows as job_rows;
 use crate::rows;
 
 /// The most workers in the row; with names of 200 bytes, the store's limit, they take 18 KB.
@@ -25,13 +25,16 @@
     }
 
     /// Returns whether the row lacks a worker and may be written now.
-    pub(super) fn lacks_unlisted(&self, now: time::Duration) -> bool {
+    pub(in crate::job) fn lacks_unlisted(&self, now: time::Duration) -> bool {
         now >= self.commit_limits.extras_from
             && self.soon_unlisted().iter().any(|unlisted| !self.unlisted.contains(unlisted))
     }
 
     /// Adds the row to a transaction if it has changed.
-    pub(super) fn add_unlisted(&mut self, txn: &mut rows::Txn) -> Result<(), serde_json::Error> {
+    pub(in crate::job) fn add_unlisted(
+        &mut self,
+        txn: &mut rows::Txn,
+    ) -> Result<(), serde_json::Error> {
         let unlisted = self.soon_unlisted();
         if unlisted == self.unlisted {
             return Ok(());
@@ -44,7 +47,7 @@
     }
 
     /// Restores workers from the row that are not listed.
-    pub(super) fn restore_unlisted(&mut self, learned: &[rows::Row], now: time::Duration) {
+    pub(in crate::job) fn restore_unlisted(&mut self, learned: &[rows::Row], now: time::Duration) {
         let row = learned.iter().find(|row| row.name == learned::UNLISTED);
         let Some(text) = row.and_then(|row| row.value.as_deref()) else {
             return;
--- a/crates/wharflane/src/job/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -4,10 +4,10 @@
 use std::collections;
 use std::time;
 
-use super::crash;
-use super::interference;
-use super::order;
-use super::spec;
+use crate::job::learn::interference;
+use crate::job::loss::crash;
+use crate::job::runs::order;
+use crate::job::spec;
 use crate::size;
 
 /// How much slower than real time a worker's clock may run, in thousandths; the platform guarantees
@@ -23,11 +23,11 @@
 const QUARANTINE_TIME: time::Duration = time::Duration::from_secs(4);
 
 /// The minimum time between two heartbeats to a worker that runs something.
-pub(super) const HEARTBEAT_GAP: time::Duration = time::Duration::from_millis(50);
+pub(in crate::job) const HEARTBEAT_GAP: time::Duration = time::Duration::from_millis(50);
 
 /// A serving task, with the latency target that its neighbours on the worker must not violate.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Serving {
+pub(in crate::job) struct Serving {
     /// The image that it runs.
     pub image: interference::Image,
     /// The target for its tail latency, in milliseconds.
@@ -36,7 +36,7 @@
 
 /// A best-effort task on a worker, with its throttling.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Filling {
+pub(in crate::job) struct Filling {
     /// The image that it runs.
     pub image: interference::Image,
     /// The CPU that it requests, in thousandths of a core.
@@ -55,7 +55,7 @@
 
 /// The strain of a serving task as last reported.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Strain {
+pub(in crate::job) struct Strain {
     /// When it was reported.
     pub at: time::Duration,
     /// The interference that its tail latency shows, as the interference model defines strain.
@@ -66,7 +66,7 @@
 
 /// A period of missed targets, including recoveries too short to end it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Missed {
+pub(in crate::job) struct Missed {
     /// When it began.
     pub since: time::Duration,
     /// When the latest miss was reported.
@@ -91,7 +91,7 @@
 
 /// How much interference from one more neighbour the serving tasks of a worker tolerate.
 #[derive(Clone, Debug)]
-pub(super) struct Headroom {
+pub(in crate::job) struct Headroom {
     /// When it was computed.
     pub at: time::Duration,
     /// Whether one of the serving tasks misses its target.
@@ -102,7 +102,7 @@
 
 /// Leases and orders from before this holder knew the worker.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Inherited {
+pub(in crate::job) struct Inherited {
     /// The longest lease that may have been granted.
     pub lease: time::Duration,
     /// When all of these have expired at the latest, by this holder's clock.
@@ -111,7 +111,7 @@
 
 /// The holder's view of a worker incarnation.
 #[derive(Debug)]
-pub(super) struct View {
+pub(in crate::job) struct View {
     /// The list entry of the worker as last read.
     pub member: order::Member,
     /// When this holder first learned of it.
@@ -382,11 +382,11 @@
 
 /// Returns the longest time that a lease may last by the holder's clock: the worker's clock may be
 /// 2 % slow, and as much again allows for rounding and round trips.
-pub(super) fn longest_by_holder_clock(lease: time::Duration) -> time::Duration {
+pub(in crate::job) fn longest_by_holder_clock(lease: time::Duration) -> time::Duration {
     lease + lease * (2 * SLOW_CLOCK_MILLI) / 1_000
 }
 
 /// Returns a duration in whole milliseconds.
-pub(super) fn millis(duration: time::Duration) -> u64 {
+pub(in crate::job) fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
