Learned distribution of run times by queue

Per queue a decaying histogram of run time over expected run time, in 64 logarithmic bins. It tells the expected time of a fresh run, the expected remaining time of a run of an age, whether a fresh one is expected to end sooner, and quantiles. It is stored with the learned rows for queues whose decisions need it, which is none yet; it then takes the place of one of the eight fits of a write, since a transaction has room for ten rows of learned data.

--- a/crates/wharflane/src/job/learn/learned.rs
+++ b/crates/wharflane/src/job/learn/learned.rs
@@ -3,6 +3,7 @@
 //! It is split into several rows, each of bounded size, since the store accepts 64 KB per row.
 
 use crate::job::learn::interference;
+use crate::job::learn::run_times;
 use crate::job::learn::times;
 use crate::rows;
 
@@ -13,10 +14,12 @@
 pub(in crate::job) const UNLISTED: &str = "unlisted";
 /// The row with the run times.
 const TIMES_ROW: &str = "times";
+/// The row with the distributions of run times; absent while no decision needs them.
+const RUN_TIMES_ROW: &str = "run-times";
 /// Prefix of the rows with the fit of one serving image.
 const FIT_ROW_PREFIX: &str = "fit-";
-/// Maximum number of fit rows in one write; if there are more, successive writes rotate through
-/// them.
+/// Maximum number of fit rows in one write, less one if the distributions of run times are written
+/// too; if there are more, successive writes rotate through them.
 const MAX_FITS_PER_WRITE: usize = 8;
 
 /// The learned state of a domain.
@@ -26,6 +29,8 @@
     pub interference: interference::Model,
     /// The run times of tasks by queue.
     pub times: times::Times,
+    /// The distributions of run times by queue.
+    pub run_times: run_times::RunTimes,
     /// The fit with which the next write begins.
     next_fit: usize,
 }
@@ -40,8 +45,11 @@
             (IMAGES_ROW.to_owned(), self.interference.encode_images()?),
             (TIMES_ROW.to_owned(), serde_json::to_string(&self.times)?),
         ];
+        let run_times = self.run_times.encode()?;
+        let max_fits = MAX_FITS_PER_WRITE - usize::from(run_times.is_some());
+        rows.extend(run_times.map(|text| (RUN_TIMES_ROW.to_owned(), text)));
         let fits = self.interference.serving();
-        let count = fits.len().min(MAX_FITS_PER_WRITE);
+        let count = fits.len().min(max_fits);
         for at in 0..count {
             let image = fits[(self.next_fit + at) % fits.len()];
             if let Some(fit) = self.interference.encode_fit(image)? {
@@ -63,6 +71,9 @@
                 UNLISTED => Ok(()),
                 IMAGES_ROW => learned.interference.decode_images(text),
                 TIMES_ROW => serde_json::from_str(text).map(|times| learned.times = times),
+                RUN_TIMES_ROW => {
+                    run_times::RunTimes::decode(text).map(|read| learned.run_times = read)
+                }
                 name => {
                     match name.strip_prefix(FIT_ROW_PREFIX).and_then(|number| number.parse().ok()) {
                         Some(number) => learned.interference.decode_fit(number, text),
--- a/crates/wharflane/src/job/learn/mod.rs
+++ b/crates/wharflane/src/job/learn/mod.rs
@@ -2,4 +2,5 @@
 
 pub(super) mod interference;
 pub(super) mod learned;
+pub(super) mod run_times;
 pub(super) mod times;
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -27,6 +27,7 @@
 pub use engine::Engine;
 pub use event::{Effect, Event, LeaseClaim, ProbeResult, Settings};
 pub use holding::{Dump, Holding};
+pub use learn::run_times::{RunTimes, Spread, ratio};
 pub use place::tickets::{Advice, AdviceRequest, AdviceTiming};
 pub use progress::{Losses, Phase, Progress, Task, TaskPosition};
 pub use queue::{Queue, Queues};
--- a/crates/wharflane/src/job/place/outlook.rs
+++ b/crates/wharflane/src/job/place/outlook.rs
@@ -60,7 +60,12 @@
 
 /// Returns the expected run time of a step's tasks, in milliseconds: the average of its finished
 /// runs, or else what is learned of its queue.
-fn expected_ms(entry: &work::Entry, at: u32, step: &spec::Step, times: &times::Times) -> f64 {
+pub(in crate::job) fn expected_ms(
+    entry: &work::Entry,
+    at: u32,
+    step: &spec::Step,
+    times: &times::Times,
+) -> f64 {
     match entry.run_times.get(&at) {
         Some(taken) if taken.runs > 0 => taken.total.as_secs_f64() * 1e3 / f64::from(taken.runs),
         _ => times.expect_ms(&entry.job.queue, step.estimate_ms),
--- a/crates/wharflane/src/job/runs/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -6,6 +6,7 @@
 use crate::id;
 use crate::job::holding;
 use crate::job::place::gang;
+use crate::job::place::outlook;
 use crate::job::progress;
 use crate::job::runs::order;
 use crate::job::spec;
@@ -136,6 +137,9 @@
             return;
         }
         let time = now.saturating_sub(began);
+        let expected_ms = outlook::expected_ms(entry, task.step, step, &self.learned.times);
+        let expected = time::Duration::from_secs_f64(expected_ms / 1e3);
+        self.learned.run_times.learn(&entry.job.queue, expected, time);
         self.learned.times.learn(&entry.job.queue, step.estimate_ms, time);
         let run_times = entry.run_times.entry(task.step).or_default();
         run_times.runs += 1;
