Order of batch tasks under more load than room; jobs that would be missed are refused at once

Cause: in order of acceptance, once there is more work than room, every job begins when the time that it has to spare is used up, turns late while it runs and then stands behind all that can still be in time. Beside that, long-running tasks that returned kept first-priority batch tasks from all room that a drain had left.

--- a/crates/caller/src/job.rs
+++ b/crates/caller/src/job.rs
@@ -124,6 +124,10 @@
             let title = "nothing was done; come back later";
             (StatusCode::SERVICE_UNAVAILABLE, title, Some(*retry_after))
         }
+        job::Answer::Overloaded { retry_after } => {
+            let title = "too much waits; nothing was done, come back later";
+            (StatusCode::TOO_MANY_REQUESTS, title, Some(*retry_after))
+        }
         _ => {
             let after = match answer {
                 job::Answer::Unknown { retry_after } => Some(*retry_after),
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -203,6 +203,7 @@
         if held && self.engine.is_watching() {
             self.generation.fetch_add(1, atomic::Ordering::Relaxed);
         }
+        self.publish_backlogs();
         let metrics = &self.shared.metrics;
         let holding = self.engine.holding();
         metrics.hall_held.with_label_values(&["jobs"]).set(i64::from(holding.is_some()));
@@ -212,6 +213,18 @@
         metrics.workers_restarted.set(i64::try_from(restarted).unwrap_or(i64::MAX));
     }
 
+    /// Shows the callers' side of this host what the holder last told of its queues.
+    fn publish_backlogs(&self) {
+        let told = self.engine.backlogs(self.shared.clock.now());
+        let before = self.shared.backlogs.load();
+        if told.queues.is_empty() && before.queues.is_empty() {
+            return;
+        }
+        if **before != told {
+            self.shared.backlogs.store(sync::Arc::new(told));
+        }
+    }
+
     /// Executes one effect in a task of its own and feeds the result back as an event.
     fn run_effect(&self, myself: &ractor::ActorRef<Msg>, effect: job::Effect) {
         let myself = myself.clone();
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -40,6 +40,8 @@
     /// Closed halls, each with the time at which this host learned of its closure, in seconds since
     /// 1970.
     pub closed: sync::Arc<arc_swap::ArcSwap<halls::ClosedSince>>,
+    /// What the holder last told of queues with more work than room.
+    pub backlogs: sync::Arc<arc_swap::ArcSwap<job::Backlogs>>,
     /// Whether this host is stopping.
     pub stopping: sync::Arc<atomic::AtomicBool>,
     /// Contact of this host with the store.
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -117,6 +117,7 @@
         advisor: advice::Advisor::new(advisor),
         queues: sync::Arc::default(),
         closed: sync::Arc::default(),
+        backlogs: sync::Arc::default(),
         stopping: sync::Arc::default(),
         contact: sync::Arc::default(),
         turned_away: sync::Arc::default(),
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -129,6 +129,9 @@
             // Nothing was sent, so the caller may try another host at once.
             return self.not_taken(self.shared.store_failure_cause(), &id, deadline);
         }
+        if let Some(answer) = self.refuse_for_load(id, &job).await {
+            return answer;
+        }
         let key = job::job_key(self.domain(id), id);
         let accepted = job::Accepted { job, cancelled: false, accepted_ms: super::wall_ms() };
         let Ok(value) = serde_json::to_string(&accepted) else {
@@ -158,6 +161,30 @@
         }
     }
 
+    /// Returns the answer to a job that would be missed for the load of its queue; `None` if it is
+    /// to be accepted. A job that is stored already stays accepted, whatever the load.
+    async fn refuse_for_load(&self, id: job::JobId, job: &job::Job) -> Option<job::Answer> {
+        let queues = self.shared.queues.load();
+        let queue = queues.queues.get(&job.queue)?;
+        let backlogs = self.shared.backlogs.load_full();
+        let now = self.shared.clock.now();
+        let admission = job::decide_admission(&backlogs, queue, job, now, rand::random());
+        let job::Admission::Refused { retry_after, wait_ms } = admission else {
+            return None;
+        };
+        let key = job::job_key(self.domain(id), id);
+        if !matches!(self.get(&key).await, Ok(None)) {
+            return None;
+        }
+        let age_ms = now.saturating_sub(backlogs.written).as_millis();
+        self.shared.metrics.refused_for_load.with_label_values(&[&job.queue]).inc();
+        tracing::info!(
+            job = %id, queue = job.queue, wait_ms, age_ms, epoch = backlogs.epoch,
+            retry_after_ms = retry_after.as_millis(), "job refused for load"
+        );
+        Some(job::Answer::Overloaded { retry_after })
+    }
+
     /// Writes the row of a job until it is known to be written, or known not to be.
     async fn write_job_row(
         &self,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,6 +20,8 @@
     pub requests: prometheus::IntCounterVec,
     /// Requests given up, by service and reason.
     pub gave_up: prometheus::IntCounterVec,
+    /// Jobs refused since they would be missed for the load of their queue, by queue.
+    pub refused_for_load: prometheus::IntCounterVec,
     /// Failed attempts by service and kind of failure.
     pub failures: prometheus::IntCounterVec,
     /// Retries by service.
@@ -83,6 +85,11 @@
         Ok(Self {
             requests: builder.counter("requests_total", "Requests.", &["service", "outcome"])?,
             gave_up: builder.counter("gave_up_total", "Given up.", &["service", "reason"])?,
+            refused_for_load: builder.counter(
+                "refused_for_load_total",
+                "Jobs refused for load.",
+                &["queue"],
+            )?,
             failures: builder.counter(
                 "failures_total",
                 "Failed tries.",
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -26,6 +26,7 @@
         advisor: advice::Advisor::new(None),
         queues: sync::Arc::default(),
         closed: sync::Arc::default(),
+        backlogs: sync::Arc::default(),
         stopping: sync::Arc::default(),
         contact: sync::Arc::default(),
         turned_away: sync::Arc::default(),
--- a/crates/wharflane/src/job/call.rs
+++ b/crates/wharflane/src/job/call.rs
@@ -56,6 +56,12 @@
         /// The time after which to retry.
         retry_after: time::Duration,
     },
+    /// The job was not accepted and never runs: it would wait for so long that its end would be of
+    /// no use. The caller may submit it again later.
+    Overloaded {
+        /// The time after which its turn would come.
+        retry_after: time::Duration,
+    },
     /// Whether the call took effect is unknown; the caller may repeat it later.
     Unknown {
         /// The time after which to repeat the call.
@@ -77,6 +83,7 @@
             Self::NoQueue => "no-queue",
             Self::NoJob => "no-job",
             Self::NotTaken { .. } => "not-taken",
+            Self::Overloaded { .. } => "overloaded",
             Self::Unknown { .. } => "unknown",
         }
     }
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -8,6 +8,7 @@
 use super::event;
 use super::holding;
 use super::lease::store_clock;
+use super::load::admission;
 use super::queue;
 use super::rows as job_rows;
 use super::store::commit;
@@ -257,6 +258,21 @@
         }
     }
 
+    /// Returns what the holder last told of its queues; nothing if that isn't known.
+    #[must_use]
+    pub fn backlogs(&self, now: time::Duration) -> admission::Backlogs {
+        if let Role::Holding(holding) = &self.role {
+            let (epoch, queues) = (holding.lease.epoch, holding.backlogs.clone());
+            return admission::Backlogs { epoch, written: now, queues };
+        }
+        let told = self.seen.as_ref().map(|seen| admission::Backlogs {
+            epoch: seen.lease.epoch,
+            written: seen.written,
+            queues: seen.lease.backlogs.clone(),
+        });
+        told.unwrap_or_default()
+    }
+
     /// Returns whether this host neither holds the domain nor is acquiring it, so that it may stop.
     #[must_use]
     pub fn is_watching(&self) -> bool {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -7,6 +7,7 @@
 use super::event;
 use super::learn::learned;
 use super::lease::store_clock;
+use super::load::admission;
 use super::loss::loss_record;
 use super::place::group;
 use super::place::starvation;
@@ -17,6 +18,7 @@
 use super::runs::work;
 use super::spec;
 use super::store::pending;
+use super::workers::calm;
 use super::workers::link;
 use super::workers::worker;
 use crate::id;
@@ -102,6 +104,12 @@
     /// The starving task for which a worker was last searched; the next search begins after it, so
     /// that starving tasks are served in round-robin order.
     pub(super) last_starving: Option<spec::TaskId>,
+    /// The queues with more work than room, by the last pass.
+    pub(super) backlogs: Vec<admission::Backlog>,
+    /// When these were last updated.
+    pub(super) backlogs_told_at: time::Duration,
+    /// Whether room was lost just now.
+    pub(super) calm: calm::Calm,
     /// Whether a best-effort task found no worker in the last pass.
     pub(super) best_effort_waits: bool,
     /// Workers whose free capacity is reserved for returning long-running tasks until the next
@@ -230,6 +238,9 @@
             relief: starvation::Relief::default(),
             failed_searches: starvation::FailedSearches::default(),
             last_starving: None,
+            backlogs: Vec::new(),
+            backlogs_told_at: time::Duration::ZERO,
+            calm: calm::Calm::default(),
             best_effort_waits: false,
             reserved_workers: collections::BTreeSet::new(),
             tickets: tickets::Tickets::default(),
--- a/crates/wharflane/src/job/lease/acquire.rs
+++ b/crates/wharflane/src/job/lease/acquire.rs
@@ -128,6 +128,7 @@
             hold_ms: worker::millis(self.settings.task_lease),
             addr: self.settings.addr,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
+            backlogs: Vec::new(),
         };
         let inherited = match lease.hold_ms {
             0 => self.settings.task_lease_max,
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod learn;
 mod lease;
+mod load;
 mod loss;
 mod place;
 mod progress;
@@ -28,6 +29,12 @@
 pub use event::{Effect, Event, LeaseClaim, ProbeResult, Settings};
 pub use holding::{Dump, Holding};
 pub use learn::run_times::{RunTimes, Spread, ratio};
+pub use load::admission::{Admission, Backlog, Backlogs, decide as decide_admission};
+pub use load::need::{Need, Outlook};
+pub use load::picture::{Picture, QueueLoad, Round};
+pub use place::precedence::{
+    Precedence, Turn, batch as batch_precedence, long_running as long_running_precedence,
+};
 pub use place::tickets::{Advice, AdviceRequest, AdviceTiming};
 pub use progress::{Losses, Phase, Progress, Task, TaskPosition};
 pub use queue::{Queue, Queues};
--- a/crates/wharflane/src/job/place/mod.rs
+++ b/crates/wharflane/src/job/place/mod.rs
@@ -2,6 +2,7 @@
 
 pub(super) mod advice;
 pub(super) mod assign;
+pub(super) mod backlogs;
 pub(super) mod choose;
 pub(super) mod gang;
 pub(super) mod group;
@@ -10,6 +11,7 @@
 pub(super) mod outlook;
 pub(super) mod pass;
 pub(super) mod placement;
+pub(super) mod precedence;
 pub(super) mod ranking;
 pub(super) mod starvation;
 pub(super) mod tickets;
--- a/crates/wharflane/src/job/place/outlook.rs
+++ b/crates/wharflane/src/job/place/outlook.rs
@@ -1,61 +1,90 @@
-//! Estimates whether a round of a job can still end within the time that its queue promises.
+//! Estimates what a round of a job still needs, from its progress and the learned run times.
 
 use crate::job::holding;
+use crate::job::learn::run_times;
 use crate::job::learn::times;
+use crate::job::load::need;
+use crate::job::progress;
+use crate::job::queue;
 use crate::job::runs::work;
 use crate::job::spec;
 
-/// Factor of the allowed time within which a round counts as late; a slower one counts as missed.
-const MAX_LATE_FACTOR: f64 = 3.0;
-
-/// How the expected end of a round compares with the time that its queue allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(in crate::job) enum Outlook {
-    /// The round can end in time.
-    InTime,
-    /// The round can end late, within `MAX_LATE_FACTOR` times its allowed time.
-    Late,
-    /// The round would end so late that it no longer has precedence.
-    Missed,
-}
-
-/// Returns the outlook of a round at the current wall clock time.
-pub(in crate::job) fn outlook(
+/// Returns what a round needs at the current wall clock time, or `None` if its queue is no longer
+/// configured.
+pub(in crate::job) fn need(
     holding: &holding::Holding,
     entry: &work::Entry,
     round: u32,
-) -> Outlook {
-    let Some(queue) = holding.queues.queues.get(&entry.job.queue) else {
-        return Outlook::Missed;
-    };
-    if queue.objective_ms == 0 {
-        return Outlook::InTime;
-    }
-    let (whole_ms, left_ms) = critical_path(entry, round, &holding.learned.times);
-    let allowed_ms = whole_ms * queue.stretch_percent as f64 / 1e2 + queue.objective_ms as f64;
+) -> Option<need::Need> {
+    let queue = holding.queues.queues.get(&entry.job.queue)?;
+    let path = path(entry, round, &holding.learned.times, &holding.learned.run_times);
     let since_ms = entry.job.due_ms(round).max(entry.accepted_ms);
-    let needed_ms = holding.wall_ms.saturating_sub(since_ms) as f64 + left_ms;
-    if needed_ms <= allowed_ms {
-        Outlook::InTime
-    } else if needed_ms <= allowed_ms * MAX_LATE_FACTOR {
-        Outlook::Late
-    } else {
-        Outlook::Missed
-    }
+    Some(need::Need {
+        waited_ms: holding.wall_ms.saturating_sub(since_ms) as f64,
+        allowed_ms: (queue.objective_ms > 0).then(|| allowed_ms(queue, path.whole_ms)),
+        left_ms: path.left_ms,
+        left_core_ms: path.left_core_ms,
+        begun: has_begun(entry, round),
+    })
+}
+
+/// Returns the time that a queue allows for a critical path, both in milliseconds.
+fn allowed_ms(queue: &queue::Queue, whole_ms: f64) -> f64 {
+    whole_ms * queue.stretch_percent as f64 / 1e2 + queue.objective_ms as f64
+}
+
+/// Returns whether any task of a round was started.
+fn has_begun(entry: &work::Entry, round: u32) -> bool {
+    let first = progress::TaskPosition { round, step: 0, index: 0 };
+    let next = entry.progress.tasks.range(first..).next();
+    next.is_some_and(|(position, _)| position.round == round)
 }
 
-/// Returns the length of a round's critical path and what remains of it, in milliseconds.
-fn critical_path(entry: &work::Entry, round: u32, times: &times::Times) -> (f64, f64) {
+/// The critical path of a round.
+#[derive(Clone, Copy, Debug, Default)]
+struct Path {
+    /// Its length, in milliseconds.
+    whole_ms: f64,
+    /// What remains of it, in milliseconds.
+    left_ms: f64,
+    /// CPU work of the steps that are not done, in core-milliseconds.
+    left_core_ms: f64,
+}
+
+/// Returns the critical path of a round.
+fn path(
+    entry: &work::Entry,
+    round: u32,
+    times: &times::Times,
+    run_times: &run_times::RunTimes,
+) -> Path {
+    let spread = run_times.of(&entry.job.queue);
     let mut ends: Vec<(f64, f64)> = Vec::new();
+    let mut path = Path::default();
     for (at, step) in (0u32..).zip(&entry.job.steps) {
         let before = step.after.iter().filter_map(|after| ends.get(*after as usize));
         let (whole, left) =
             before.fold((0.0_f64, 0.0_f64), |most, end| (most.0.max(end.0), most.1.max(end.1)));
-        let own = expected_ms(entry, at, step, times);
+        let each_ms = expected_ms(entry, at, step, times);
+        let longest_ms = each_ms * longest_of(step.count, spread);
         let done = entry.progress.step_done(&entry.job, round, at);
-        ends.push((whole + own, if done { 0.0 } else { left + own }));
+        ends.push((whole + longest_ms, if done { 0.0 } else { left + longest_ms }));
+        if !done {
+            path.left_core_ms += each_ms * f64::from(step.count) * step.size.cpu_milli as f64 / 1e3;
+        }
+    }
+    for (whole_ms, left_ms) in ends {
+        path.whole_ms = path.whole_ms.max(whole_ms);
+        path.left_ms = path.left_ms.max(left_ms);
     }
-    ends.into_iter().fold((0.0, 0.0), |most, end| (most.0.max(end.0), most.1.max(end.1)))
+    path
+}
+
+/// Returns how many times the expected run time the longest of a step's tasks takes, since the step
+/// ends with it; one before enough runs of the queue have ended.
+fn longest_of(count: u32, spread: Option<&run_times::Spread>) -> f64 {
+    let count = f64::from(count);
+    spread.map_or(1.0, |spread| spread.quantile(count / (count + 1.0)).max(1.0))
 }
 
 /// Returns the expected run time of a step's tasks, in milliseconds: the average of its finished
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -1,12 +1,12 @@
 //! The placement pass: searches workers for waiting tasks in order of precedence.
 
-use std::collections;
 use std::ops;
 use std::sync;
 use std::time;
 
 use crate::id;
 use crate::job::holding;
+use crate::job::load::picture;
 use crate::job::place::assign;
 use crate::job::place::choose;
 use crate::job::place::gang;
@@ -14,10 +14,12 @@
 use crate::job::place::obstacle;
 use crate::job::place::outlook;
 use crate::job::place::pass;
+use crate::job::place::precedence;
 use crate::job::place::ranking;
 use crate::job::place::starvation;
 use crate::job::runs::work;
 use crate::job::spec;
+use crate::job::workers::calm;
 
 /// One worker in this many may be reserved for returning long-running tasks; the others stay
 /// available to batch tasks.
@@ -30,6 +32,9 @@
     pub(in crate::job) fn place_ready(&mut self, now: time::Duration) {
         let again = now.saturating_sub(self.placed_at) >= PASS_INTERVAL;
         self.best_effort_waits &= !self.ready.is_empty();
+        if self.ready.is_empty() {
+            self.backlogs.clear();
+        }
         if self.pending.is_some() || self.ready.is_empty() || !(self.changed || again) {
             return;
         }
@@ -42,17 +47,6 @@
     }
 }
 
-/// Precedence among tasks of one priority, highest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Precedence {
-    /// A long-running task that has run before and has been without a worker for some time.
-    Returning,
-    /// A batch task: its caller waits for its end, and its capacity soon becomes free again.
-    Batch(outlook::Outlook),
-    /// A long-running task that is new or has been without a worker only briefly.
-    LongRunning,
-}
-
 /// Waiting tasks of one step and round.
 #[derive(Clone, Copy, Debug)]
 struct Group {
@@ -67,8 +61,12 @@
 fn run_pass(holding: &mut holding::Holding, now: time::Duration) {
     holding.reserved_workers.clear();
     holding.best_effort_waits = false;
+    let unusable = holding.views.values().filter(|view| calm::is_unusable(view)).count();
+    holding.calm.note(unusable, holding.views.len(), now);
     let mut pass = pass::Pass::default();
-    for group in ordered_groups(holding, now) {
+    let (groups, picture) = ordered_groups(holding, now);
+    holding.tell_backlogs(&picture, now);
+    for group in groups {
         if holding.link.starts(holding.staged.len()) == 0 {
             // The remaining tasks can start once the link has capacity again.
             holding.changed = true;
@@ -149,23 +147,27 @@
     }
 }
 
-/// Returns the groups of waiting tasks in order of precedence.
-fn ordered_groups(holding: &holding::Holding, now: time::Duration) -> Vec<Group> {
+/// Returns the groups of waiting tasks in order of precedence, and the picture that it follows.
+fn ordered_groups(
+    holding: &holding::Holding,
+    now: time::Duration,
+) -> (Vec<Group>, picture::Picture) {
     let mut groups = groups(holding, now);
-    let outlooks = outlooks(holding, &groups);
+    let picture = picture(holding, &groups);
+    let is_calm = holding.calm.is_calm(now);
     let precedence = |group: &Group| {
         let task = group.first.task;
-        let outlook = outlooks.get(&(task.job, task.round)).copied();
-        match outlook.filter(|_| !group.first.lasting) {
-            Some(outlook) => Precedence::Batch(outlook),
-            None if group.returning => Precedence::Returning,
-            None => Precedence::LongRunning,
-        }
+        let entry = holding.jobs.get(&task.job).filter(|_| !group.first.lasting);
+        let Some(entry) = entry else {
+            return precedence::long_running(group.returning, is_calm);
+        };
+        let need = picture.round((task.job, task.round));
+        precedence::batch(need, &picture.queue(&entry.job.queue), group.first.accepted_version)
     };
     groups.sort_by_cached_key(|group| {
         (group.first.priority, precedence(group), group.first.accepted_version, group.first.task)
     });
-    groups
+    (groups, picture)
 }
 
 /// Returns the groups of waiting tasks, by id. Batch tasks of a group are alike in all that matters
@@ -239,21 +241,21 @@
     }
 }
 
-/// Returns the outlooks of all rounds with waiting batch tasks.
-fn outlooks(
-    holding: &holding::Holding,
-    groups: &[Group],
-) -> collections::BTreeMap<(spec::JobId, u32), outlook::Outlook> {
-    let mut outlooks = collections::BTreeMap::new();
+/// Returns the picture of all rounds with waiting batch tasks.
+fn picture(holding: &holding::Holding, groups: &[Group]) -> picture::Picture {
+    let mut picture = picture::Picture::default();
     let batch = groups.iter().map(|group| group.first).filter(|ready| !ready.lasting);
-    for task in batch.map(|ready| ready.task) {
-        if let Some(entry) = holding.jobs.get(&task.job) {
-            outlooks
-                .entry((task.job, task.round))
-                .or_insert_with(|| outlook::outlook(holding, entry, task.round));
+    for round in batch.map(|ready| (ready.task.job, ready.task.round)) {
+        let Some(entry) = holding.jobs.get(&round.0) else {
+            continue;
+        };
+        if picture.round(round).is_none()
+            && let Some(need) = outlook::need(holding, entry, round.1)
+        {
+            picture.add(&entry.job.queue, round, need);
         }
     }
-    outlooks
+    picture
 }
 
 /// Returns a job if it is active.
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::load::admission;
 use super::progress;
 use super::runs::order;
 use super::spec;
@@ -159,6 +160,9 @@
     /// stands still, but never that the lease has expired.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub written_ms: Option<u64>,
+    /// The queues with more work than room.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub backlogs: Vec<admission::Backlog>,
 }
 
 impl Lease {
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -171,6 +171,7 @@
             holder: if release { None } else { self.lease.holder.clone() },
             seq: self.lease.seq + 1,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
+            backlogs: self.backlogs.clone(),
             ..self.lease.clone()
         };
         let mut txn = lease_txn(domain, self.version, &lease)?;
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -89,6 +89,7 @@
             hold_ms: 4_000,
             addr: None,
             written_ms: None,
+            backlogs: Vec::new(),
         },
     ))
 }
--- a/crates/wharflane/tests/lease_polls.rs
+++ b/crates/wharflane/tests/lease_polls.rs
@@ -122,6 +122,7 @@
         hold_ms: 4_000,
         addr: Some(([127, 0, 0, 1], 9).into()),
         written_ms: Some(written_ms),
+        backlogs: Vec::new(),
     }
 }
 
