What serving tasks leave idle is read from their load instead of assumed to be half

Cause: placement of best-effort tasks assumed that a long-running task uses half of its reservation, at the crest of its load (two thirds) as in the trough (a quarter).

--- a/crates/wharflane/src/job/place/choose.rs
+++ b/crates/wharflane/src/job/place/choose.rs
@@ -13,8 +13,6 @@
 use crate::job::spec;
 use crate::job::workers::worker;
 
-/// CPU that a long-running task is assumed to use, in percent of its reservation.
-const ASSUMED_SERVING_USE_PERCENT: u64 = 50;
 /// Minimum CPU that must be left for a best-effort task, as a fraction of what it requests.
 const MIN_BEST_EFFORT_FRACTION: f64 = 0.8;
 /// Fraction of a worker's CPU below which a remainder is too small for most batch tasks.
@@ -241,12 +239,12 @@
     strains: &[f64],
     now: time::Duration,
 ) -> Option<f64> {
-    let left = cpu_left_for_best_effort(view);
+    let headroom = holding.known_headroom(view, now);
+    let left = (view.free().cpu_milli + headroom.idle_milli).saturating_sub(view.filling_milli);
     let wanted = step.size.cpu_milli;
     if (left as f64) < wanted as f64 * MIN_BEST_EFFORT_FRACTION {
         return None;
     }
-    let headroom = holding.known_headroom(view, now);
     if headroom.missed {
         return None;
     }
@@ -261,9 +259,3 @@
     }
     Some(worst - view.part(left) * IDLE_WEIGHT)
 }
-
-/// Returns the CPU that a worker is expected to leave to best-effort tasks.
-fn cpu_left_for_best_effort(view: &worker::View) -> u64 {
-    let idle = view.lasting.cpu_milli * (100 - ASSUMED_SERVING_USE_PERCENT) / 100;
-    (view.free().cpu_milli + idle).saturating_sub(view.filling_milli)
-}
--- a/crates/wharflane/src/job/place/headroom.rs
+++ b/crates/wharflane/src/job/place/headroom.rs
@@ -1,5 +1,5 @@
-//! Headroom: how much more strain the serving tasks of a worker can tolerate. It is cached per
-//! worker.
+//! Headroom: how much more strain the serving tasks of a worker can tolerate, and how much of their
+//! CPU they leave idle. It is cached per worker.
 
 use std::borrow;
 use std::time;
@@ -13,6 +13,8 @@
 /// How long a worker's headroom stays valid while nothing is placed there. Loads change over
 /// seconds, and their figures are updated every half second.
 const MAX_AGE: time::Duration = time::Duration::from_millis(100);
+/// Fraction of its reservation that a long-running task is assumed to use if its load is unknown.
+const ASSUMED_USE: f64 = 0.5;
 
 impl holding::Holding {
     /// Recomputes the headroom of all workers where it is missing or stale.
@@ -63,18 +65,24 @@
             })
             .collect();
         let margin = throttle::STRAIN_MARGIN + throttle::RAISE_SLACK;
-        let left = view.serving.iter().map(|(task, serving)| {
-            let own = self.own_load(task.job, now).unwrap_or(0.0);
+        let mut left = Vec::with_capacity(view.serving.len());
+        let mut unknown_milli = view.lasting.cpu_milli;
+        let mut idle_milli = 0.0;
+        for (task, serving) in &view.serving {
+            let own = self.own_load(task.job, now);
             let limit = self.learned.interference.limit(serving.image, serving.target_ms) - margin;
-            (
-                serving.image,
-                limit - own - self.learned.interference.total_strain(serving.image, &uses),
-            )
-        });
+            let strain = self.learned.interference.total_strain(serving.image, &uses);
+            left.push((serving.image, limit - own.unwrap_or(0.0) - strain));
+            // The strain of its own load is the part of its CPU that a task uses.
+            idle_milli += serving.cpu_milli as f64 * (1.0 - own.unwrap_or(ASSUMED_USE));
+            unknown_milli = unknown_milli.saturating_sub(serving.cpu_milli);
+        }
+        idle_milli += unknown_milli as f64 * (1.0 - ASSUMED_USE);
         worker::Headroom {
             at: now,
             missed: self.misses(view, now).next().is_some(),
-            left: left.collect(),
+            left,
+            idle_milli: idle_milli as u64,
         }
     }
 }
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -32,6 +32,8 @@
     pub image: interference::Image,
     /// The target for its tail latency, in milliseconds.
     pub target_ms: u64,
+    /// The CPU that it reserves, in thousandths of a core.
+    pub cpu_milli: u64,
 }
 
 /// A best-effort task on a worker, with its throttling.
@@ -89,7 +91,7 @@
     }
 }
 
-/// How much interference from one more neighbour the serving tasks of a worker tolerate.
+/// What a worker can offer to one more best-effort task, by the load of its serving tasks.
 #[derive(Clone, Debug)]
 pub(in crate::job) struct Headroom {
     /// When it was computed.
@@ -98,6 +100,9 @@
     pub missed: bool,
     /// The remaining tolerance of each serving task, with its image.
     pub left: Vec<(interference::Image, f64)>,
+    /// The reserved CPU that its long-running tasks are expected to leave idle, in thousandths of a
+    /// core.
+    pub idle_milli: u64,
 }
 
 /// Leases and orders from before this holder knew the worker.
@@ -335,7 +340,8 @@
         if self.tasks.insert(task) {
             self.headroom = None;
             if let Some(target_ms) = step.target_ms {
-                self.serving.insert(task, Serving { image, target_ms });
+                let cpu_milli = step.reserved().cpu_milli;
+                self.serving.insert(task, Serving { image, target_ms, cpu_milli });
             }
             if step.fills {
                 let cpu_milli = step.size.cpu_milli;
--- a/crates/wharflane/tests/sim/serving.rs
+++ b/crates/wharflane/tests/sim/serving.rs
@@ -30,10 +30,17 @@
 /// Returns a simulation in which each worker runs one serving task, with an interference of `harm`
 /// learned.
 pub fn workers(workers: usize, harm: f64) -> Sim {
+    loaded_workers(workers, harm, 4_000, undisturbed_tail_ms)
+}
+
+/// Returns a simulation in which each worker runs one serving task that reserves `cpu_milli`
+/// thousandths of a core and reports the tail latency `tail_ms`, with an interference of `harm`
+/// learned.
+pub fn loaded_workers(workers: usize, harm: f64, cpu_milli: u64, tail_ms: fn(u64) -> u64) -> Sim {
     let mut sim = Sim::new(workers, learned_rows(harm));
-    sim.tail_ms = Some(undisturbed_tail_ms);
+    sim.tail_ms = Some(tail_ms);
     let count = u32::try_from(workers).expect("fits into u32");
-    let spread = job::Step { count, max_per_worker: Some(1), ..super::step("serving", 4_000) };
+    let spread = job::Step { count, max_per_worker: Some(1), ..super::step("serving", cpu_milli) };
     sim.submit(JOB, "first", spread);
     sim.advance(1_000, false);
     assert_eq!(sim.starts(JOB).len(), workers);
