--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -312,6 +312,7 @@
     /// Logs the backlog of the domain and the use of its workers.
     fn log_state(&self) {
         let sum = |pick: fn(&worker::View) -> u64| self.views.values().map(pick).sum::<u64>();
+        let over_target = |view| self.misses(view, self.now).count();
         tracing::info!(
             jobs = self.jobs.values().filter(|entry| entry.is_active()).count(),
             ready = self.ready.len(),
@@ -324,6 +325,9 @@
             capacity_milli = sum(|view| view.member.capacity.cpu_milli),
             reserved_milli = sum(|view| view.used.cpu_milli),
             serving_milli = sum(|view| view.lasting.cpu_milli),
+            serving_idle_milli =
+                sum(|view| view.headroom.as_ref().map_or(0, |headroom| headroom.idle_milli)),
+            over_target = self.views.values().map(over_target).sum::<usize>(),
             filling_milli = sum(|view| view.filling_milli),
             filling_at_work_milli = sum(worker::View::filling_at_work_milli),
             capacity_mb = sum(|view| view.member.capacity.mem_mb),
