--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -210,6 +210,15 @@
         metrics.jobs_given_up.set(i64::try_from(given_up).unwrap_or(i64::MAX));
         let restarted = holding.map_or(0, job::Holding::restarted);
         metrics.workers_restarted.set(i64::try_from(restarted).unwrap_or(i64::MAX));
+        let stalls = holding.map(job::Holding::stalls).unwrap_or_default();
+        for (event, count) in [
+            ("worker", stalls.workers),
+            ("moved", stalls.moved),
+            ("false_alarm", stalls.false_alarms),
+        ] {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            metrics.stalls.with_label_values(&[event]).set(count);
+        }
     }
 
     /// Executes one effect in a task of its own and feeds the result back as an event.
@@ -350,6 +359,8 @@
         idle_heartbeat_gap: shared.time("look_idle_ms"),
         keep: time::Duration::from_secs(shared.settings.number("jobs", "keep_s")),
         closed_wait: shared.time("closed_wait_ms"),
+        stalled_moves: u32::try_from(shared.settings.number("jobs", "stalled_moves"))
+            .unwrap_or(u32::MAX),
         link_bytes_per_s: shared.settings.limits.link_mbps.map(|mbps| mbps * BYTES_PER_MBIT),
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -54,6 +54,9 @@
     pub jobs_given_up: prometheus::IntGauge,
     /// Workers found to have restarted under the same id, since this host acquired the lease.
     pub workers_restarted: prometheus::IntGauge,
+    /// Stalled workers found, runs moved from them, and moved runs that ended before their stop,
+    /// since this host acquired the lease.
+    pub stalls: prometheus::IntGaugeVec,
     /// Commits by hall, since this host acquired its lease.
     pub commits: prometheus::IntGaugeVec,
     /// Records in those commits, by hall.
@@ -130,6 +133,11 @@
                 "wharflane_workers_restarted",
                 "Workers found to have started again under their id, since the lease was taken.",
             )?)?,
+            stalls: builder.gauge(
+                "stalls",
+                "Stalled workers, runs moved from them and false alarms, since the lease was taken.",
+                &["event"],
+            )?,
             commits: builder.gauge("hall_commits", "Commits since taken.", &["hall"])?,
             commit_records: builder.gauge("hall_commit_records", "Records in them.", &["hall"])?,
             commit_bytes: builder.gauge("hall_commit_bytes", "Bytes in them.", &["hall"])?,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -113,6 +113,13 @@
         0..=600_000,
         "How long a new holder that can't hear which halls are closed starts nothing.",
     ),
+    number(
+        "jobs",
+        "stalled_moves",
+        1,
+        0..=1_000,
+        "Long-running tasks of a step that leave stalled workers at once; 0 leaves them there.",
+    ),
     number("jobs", "row_bytes", 65_536, 1_024..=16_777_216, "Longest row of the store, as base64."),
     number("jobs", "unready_ms", 2_000, 100..=60_000, "Silence of the store before unready."),
     number("jobs", "store_timeout_ms", 800, 10..=60_000, "How long a call of the store may take."),
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -395,6 +395,7 @@
         idle_heartbeat_gap: millis(4_000),
         keep: millis(120_000),
         closed_wait: millis(5_000),
+        stalled_moves: 1,
         link_bytes_per_s: None,
     }
 }
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -58,6 +58,8 @@
     pub keep: time::Duration,
     /// How long a new holder starts nothing while it can't read which halls are closed.
     pub closed_wait: time::Duration,
+    /// How many long-running tasks of one step may be on their way from stalled workers at once.
+    pub stalled_moves: u32,
     /// The bandwidth of this host's link in bytes per second; absent if unknown.
     pub link_bytes_per_s: Option<u64>,
 }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -18,6 +18,7 @@
 use super::spec;
 use super::store::pending;
 use super::workers::link;
+use super::workers::moves;
 use super::workers::worker;
 use crate::id;
 
@@ -137,6 +138,8 @@
     pub(super) given_up: u64,
     /// The number of times that a worker turned out to have restarted under its id.
     pub(super) restarted: u64,
+    /// What was done about workers that stood still since the lease was acquired.
+    pub(super) stalls: moves::StallCounts,
     /// Whether a worker has seen a higher epoch.
     pub(super) fenced: bool,
     /// Whether the lease is to be released.
@@ -246,6 +249,7 @@
             loss_record: loss_record::LossRecord::default(),
             given_up: 0,
             restarted: 0,
+            stalls: moves::StallCounts::default(),
             fenced: false,
             leaving: false,
             release_now: false,
@@ -302,6 +306,12 @@
         self.restarted
     }
 
+    /// Returns what was done about workers that stood still since the lease was acquired.
+    #[must_use]
+    pub fn stalls(&self) -> moves::StallCounts {
+        self.stalls
+    }
+
     /// Requests that the lease be released once everything is written.
     pub(super) fn leave(&mut self) {
         self.leaving = true;
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -110,6 +110,7 @@
                 start_orders: work::StartOrders::default(),
                 began: None,
                 stopped: None,
+                moved: false,
                 progress: (0, now),
             };
             self.placed.insert(position.of(job), placed);
--- a/crates/wharflane/src/job/learn/interference.rs
+++ b/crates/wharflane/src/job/learn/interference.rs
@@ -256,6 +256,12 @@
         }))
     }
 
+    /// Returns the image of a name, if it was seen before.
+    pub fn known_image(&self, name: Option<&str>) -> Option<Image> {
+        let name = stored_name(name.unwrap_or_default());
+        self.names.iter().position(|known| *known == *name).map(Image)
+    }
+
     /// Returns the serving images that have a fit.
     pub fn serving(&self) -> Vec<Image> {
         self.fits.keys().copied().collect()
--- a/crates/wharflane/src/job/loss/isolation.rs
+++ b/crates/wharflane/src/job/loss/isolation.rs
@@ -218,7 +218,7 @@
         let would_accept = |view: &worker::View| {
             let obstacle = obstacle::hard(view, service, task, step, now);
             obstacle.is_none_or(|obstacle| obstacle == obstacle::Obstacle::Room)
-                && obstacle::preference(view, task, now).is_none()
+                && obstacle::preference(view, task, step, now).is_none()
         };
         let is_reserved = |view: &worker::View| view.reserved_for == Some(task);
         if self.views.values().any(is_reserved) {
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -43,4 +43,6 @@
     TaskId,
 };
 pub use workers::closed::ClosedHalls;
+pub use workers::moves::StallCounts;
 pub use workers::slowness::SlownessDetector;
+pub use workers::stalled::{Observation, Sign, StallDetector, State as StallState};
--- a/crates/wharflane/src/job/place/advice.rs
+++ b/crates/wharflane/src/job/place/advice.rs
@@ -108,7 +108,7 @@
             let rack = view.member.rack.as_deref();
             let in_preferred_rack = step.rack.is_none() || rack == step.rack.as_deref();
             let accepted = step_tickets.accepted.contains_key(&view.member.incarnation);
-            let avoided = obstacle::preference(view, task, now).is_some();
+            let avoided = obstacle::preference(view, task, step, now).is_some();
             (avoided, !accepted, !in_preferred_rack, std::cmp::Reverse(view.free().cpu_milli))
         });
         views.into_iter().take(max_count).map(|view| view.member.incarnation.clone()).collect()
--- a/crates/wharflane/src/job/place/assign.rs
+++ b/crates/wharflane/src/job/place/assign.rs
@@ -60,6 +60,7 @@
         start_orders: work::StartOrders::default(),
         began: None,
         stopped: None,
+        moved: false,
         progress: (0, holding.now),
     };
     holding.placed.insert(task, placed);
--- a/crates/wharflane/src/job/place/obstacle.rs
+++ b/crates/wharflane/src/job/place/obstacle.rs
@@ -43,7 +43,7 @@
     step: &spec::Step,
     now: time::Duration,
 ) -> Option<Obstacle> {
-    hard(view, service, task, step, now).or_else(|| preference(view, task, now))
+    hard(view, service, task, step, now).or_else(|| preference(view, task, step, now))
 }
 
 /// Returns the first obstacle, other than a ticket, with which the worker can't run the task at
@@ -78,12 +78,13 @@
 pub(in crate::job) fn preference(
     view: &worker::View,
     task: spec::TaskId,
+    step: &spec::Step,
     now: time::Duration,
 ) -> Option<Obstacle> {
     if view.reserved_for.is_some_and(|reserved| reserved != task) {
         return Some(Obstacle::Isolation);
     }
-    view.is_quarantined(now).then_some(Obstacle::Quarantine)
+    (view.is_quarantined(now) || view.probes_without(step)).then_some(Obstacle::Quarantine)
 }
 
 /// Returns whether a worker may hold one more task of the step.
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -231,7 +231,7 @@
         .filter(|view| !holding.reserved_workers.contains(&view.member.incarnation))
         .filter(|view| {
             obstacle::hard(view, service, task, step, now) == Some(obstacle::Obstacle::Room)
-                && obstacle::preference(view, task, now).is_none()
+                && obstacle::preference(view, task, step, now).is_none()
         })
         .max_by_key(|view| (step.reserved().fits(&view.free_in_time()), view.free().cpu_milli));
     if let Some(worker) = best.map(|view| view.member.incarnation.clone()) {
--- a/crates/wharflane/src/job/place/waits.rs
+++ b/crates/wharflane/src/job/place/waits.rs
@@ -90,7 +90,7 @@
                 reserved.then_some(obstacle::Obstacle::Reserved)
             };
             let ticket = || self.ticket_obstacle(&entry.job, task, &view.member.incarnation, now);
-            let preference = || obstacle::preference(view, task, now).or_else(reserved);
+            let preference = || obstacle::preference(view, task, step, now).or_else(reserved);
             let hard = obstacle::hard(view, service, task, step, now).or_else(ticket);
             if let Some(obstacle) = hard.or_else(preference).or_else(interference) {
                 *counts.entry(obstacle).or_default() += 1;
--- a/crates/wharflane/src/job/runs/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -39,6 +39,7 @@
         self.note_begun(ended.task.job);
         if ours && ended.kind == order::EndKind::Done {
             self.record_run_time(ended.task, now);
+            self.note_false_alarm(ended);
         }
         let changed = self.note_end(worker, ended);
         if !ours && !changed {
--- a/crates/wharflane/src/job/runs/throttle.rs
+++ b/crates/wharflane/src/job/runs/throttle.rs
@@ -66,6 +66,10 @@
         self.send_shares(worker, now);
         let tails: Vec<(spec::TaskId, worker::Serving, f64)> =
             self.read_strains(worker, lists, now);
+        // What a stalled worker reports is not the doing of its best-effort tasks.
+        if self.views.get(worker).is_some_and(|view| view.stall.distorts()) {
+            return;
+        }
         let uses = self.read_uses(worker, lists);
         let margin = if self.best_effort_waits { 0.0 } else { STRAIN_MARGIN };
         let mut over = 0.0_f64;
--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -85,6 +85,8 @@
     pub began: Option<time::Duration>,
     /// When a stop was last ordered.
     pub stopped: Option<time::Duration>,
+    /// Whether it is stopped because its worker stands still.
+    pub moved: bool,
     /// Its reported progress in percent, and since when it is unchanged.
     pub progress: (u64, time::Duration),
 }
@@ -106,6 +108,7 @@
             },
             began: None,
             stopped: None,
+            moved: false,
             progress: (0, now),
         }
     }
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -22,10 +22,6 @@
 /// How long a worker may delay its answer where both serving and best-effort tasks run; latencies
 /// are reported this often.
 const MIXED_HEARTBEAT_WAIT: time::Duration = time::Duration::from_millis(500);
-/// How long a task may show no progress until it counts as stalled.
-const STALLED_AFTER: time::Duration = time::Duration::from_millis(2_000);
-/// The CPU share, in percent, from which a throttled task must show progress.
-const PROGRESS_SHARE: u8 = 40;
 
 impl holding::Holding {
     /// Sends heartbeats to the workers whose next one is due.
@@ -229,42 +225,9 @@
         }
         self.count_unknown_runs(worker, lists);
         self.adopt_shares(worker, lists, &adopted, now);
+        self.detect_stall(worker, lists, now);
         self.update_shares(worker, lists, now);
-        self.stop_stalled(worker, lists, now);
-    }
-
-    /// Stops stalled tasks so that they continue on another worker, and quarantines this one.
-    fn stop_stalled(
-        &mut self,
-        worker: &id::Incarnation,
-        lists: &order::Lists,
-        now: time::Duration,
-    ) {
-        let mut stalled = Vec::new();
-        let view = self.views.get(worker);
-        for row in &lists.running {
-            let entry = self.jobs.get(&row.task.job);
-            let step = entry.and_then(|entry| entry.job.step(row.task.step));
-            let share = view.and_then(|view| view.filling.get(&row.task)).map(|f| f.percent);
-            let Some(placed) = self.placed.get_mut(&row.task) else {
-                continue;
-            };
-            let progressed =
-                placed.progress.0 != row.percent || share.is_some_and(|s| s < PROGRESS_SHARE);
-            if progressed || step.is_none_or(|step| step.lasting || step.gang) {
-                placed.progress = (row.percent, now);
-            } else if now.saturating_sub(placed.progress.1) >= STALLED_AFTER {
-                stalled.push(row.task);
-            }
-        }
-        let Some(view) = self.views.get_mut(worker).filter(|_| !stalled.is_empty()) else {
-            return;
-        };
-        tracing::warn!(%worker, tasks = stalled.len(), "tasks stalled; worker quarantined");
-        view.quarantine(now);
-        for task in stalled {
-            self.stop(task, now);
-        }
+        self.move_stalled(worker, lists, now);
     }
 
     /// Counts the capacity of runs that this holder didn't place; it is free only once their ends
--- a/crates/wharflane/src/job/workers/mod.rs
+++ b/crates/wharflane/src/job/workers/mod.rs
@@ -6,6 +6,8 @@
 pub(super) mod incarnations;
 pub(super) mod link;
 pub(super) mod members;
+pub(super) mod moves;
 pub(super) mod slowness;
+pub(super) mod stalled;
 pub(super) mod unlisted;
 pub(super) mod worker;
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -8,6 +8,7 @@
 use crate::job::loss::crash;
 use crate::job::runs::order;
 use crate::job::spec;
+use crate::job::workers::stalled;
 use crate::size;
 
 /// How much slower than real time a worker's clock may run, in thousandths; the platform guarantees
@@ -155,9 +156,11 @@
     pub tasks: collections::BTreeSet<spec::TaskId>,
     /// Until when it gets no new tasks after it refused a start.
     pub backoff_until: time::Duration,
-    /// The end of its quarantine after runs failed or stalled there; only starving tasks are placed
-    /// on it meanwhile.
+    /// The end of its quarantine after runs failed there; only starving tasks are placed on it
+    /// meanwhile.
     pub quarantined_until: time::Duration,
+    /// Whether it stands still, as its runs show it.
+    pub stall: stalled::StallDetector,
     /// The number of consecutive failed runs.
     pub failures: u32,
     /// The tasks that were there when its leases expired, until it answers or is known to be gone.
@@ -199,6 +202,7 @@
             tasks: collections::BTreeSet::new(),
             backoff_until: time::Duration::ZERO,
             quarantined_until: time::Duration::ZERO,
+            stall: stalled::StallDetector::default(),
             failures: 0,
             expired_tasks: Vec::new(),
             reserved_for: None,
@@ -243,7 +247,14 @@
 
     /// Returns whether it is quarantined because runs failed or stalled there.
     pub fn is_quarantined(&self, now: time::Duration) -> bool {
-        now < self.quarantined_until
+        now < self.quarantined_until || self.stall.is_stalled()
+    }
+
+    /// Returns whether a task would not be a probe on a worker that stood still and now gets only
+    /// one of them: a single batch task.
+    pub fn probes_without(&self, step: &spec::Step) -> bool {
+        let probing = self.stall.state() == stalled::State::Probing;
+        probing && (step.lasting || step.gang || !self.tasks.is_empty())
     }
 
     /// Returns whether the state of the worker itself permits new tasks.
@@ -314,7 +325,10 @@
     /// Records how a run ended, and quarantines a worker after repeated failures.
     pub fn note_end(&mut self, kind: order::EndKind, now: time::Duration) {
         match kind {
-            order::EndKind::Done => self.failures = 0,
+            order::EndKind::Done => {
+                self.failures = 0;
+                self.stall.note_done(now);
+            }
             order::EndKind::Failed => {
                 self.failures += 1;
                 if self.failures >= FAILURES_BEFORE_QUARANTINE {
