--- a/crates/wharflane/src/job/workers/stalled.rs
+++ b/crates/wharflane/src/job/workers/stalled.rs
@@ -161,7 +161,7 @@
             State::Stalled { since, .. } if standing > 0 => State::Stalled { since, shown: now },
             State::Stalled { shown, .. } if now.saturating_sub(shown) >= REST => State::Probing,
             State::Stalled { .. } => self.state,
-            State::Well | State::Probing | State::Recovering { .. } if confirmed => stalled(),
+            _ if confirmed => stalled(),
             State::Probing if moving > 0 => State::Recovering { since: now },
             State::Recovering { since } if now.saturating_sub(since) >= RECOVERY => State::Well,
             State::Well | State::Probing | State::Recovering { .. } => self.state,
@@ -242,9 +242,10 @@
 ) -> Track {
     let stood = known.motion == Motion::Stands;
     // The latency falls as soon as requests are answered again, though it stays high for some time.
-    let falls = tail_ms < known.value / 2;
-    if silent && falls {
-        return Track { since: now, moved: true, motion: Motion::Moves, ..*known };
+    let falls = known.value >= NO_ANSWER_MS && tail_ms < known.value / 2;
+    if falls {
+        let value = if silent { known.value } else { tail_ms };
+        return Track { value, since: now, moved: true, motion: Motion::Moves, ..*known };
     }
     if silent {
         let since = if stood { known.since } else { now };
@@ -269,11 +270,14 @@
         return Track { value: percent, since: now, moved: true, motion, ..*known };
     }
     let stood = now.saturating_sub(known.since);
-    let motion = match known.moved {
-        false => Motion::Unknown,
-        true if stood >= NO_PROGRESS.max(expected * SLOW_FACTOR) => Motion::Stands,
-        // It counts as moving until the next percent is overdue, unless it was seen to stand.
-        true => known.motion,
+    let motion = if !known.moved {
+        Motion::Unknown
+    } else if stood >= NO_PROGRESS.max(expected * SLOW_FACTOR) {
+        Motion::Stands
+    } else if stood < NO_PROGRESS {
+        known.motion
+    } else {
+        Motion::Unknown
     };
     Track { motion, ..*known }
 }
--- a/crates/wharflane/tests/sim/mod.rs
+++ b/crates/wharflane/tests/sim/mod.rs
@@ -18,6 +18,8 @@
 const UNDISTURBED_TAIL_MS: u64 = 13;
 /// The tail latency of a serving task beside a task that interferes with it, in milliseconds.
 const DISTURBED_TAIL_MS: u64 = 40;
+/// The tail latency of a serving task on a worker where nothing moves, in milliseconds.
+const STALLED_TAIL_MS: u64 = 30_000;
 
 /// The numbers of jobs whose tasks are serving tasks, in addition to job 1.
 pub const SERVING_JOBS: std::ops::Range<u64> = 1_000..2_000;
@@ -78,6 +80,9 @@
     pub reported_tails: Vec<(time::Duration, id::Incarnation, u64)>,
     /// How far the wall clock lags behind `now`, in milliseconds.
     pub wall_clock_lag_ms: u64,
+    /// Workers on which nothing moves, with the time at which they stopped: their batch tasks make
+    /// no progress and their serving tasks answer nobody.
+    pub stalled_workers: collections::BTreeMap<id::Incarnation, time::Duration>,
     /// Workers that answer no heartbeat.
     pub silent_workers: collections::BTreeSet<id::Incarnation>,
     /// Returns whether the store leaves a transaction unanswered; such a transaction stays in
@@ -134,6 +139,7 @@
             tail_ms: None,
             reported_tails: Vec::new(),
             wall_clock_lag_ms: 0,
+            stalled_workers: collections::BTreeMap::new(),
             silent_workers: collections::BTreeSet::new(),
             leaves_txn_open: |_| false,
         };
@@ -270,8 +276,7 @@
                         let row = |start: &&job::Start| row(start, interferes && beside);
                         let mut running: Vec<job::Running> = here.iter().map(row).collect();
                         self.apply_interference(&heartbeat.worker, &mut running);
-                        // Every run reports progress, so that none counts as stalled.
-                        running.iter_mut().for_each(|row| row.percent = clock_ms / 100 % 100);
+                        self.apply_progress(&heartbeat.worker, &mut running);
                         let ended = self.unacknowledged_ends(&heartbeat);
                         let born_ms = heartbeat.worker.born_ms;
                         let lists = job::Lists { born_ms, clock_ms, running, ended };
@@ -291,6 +296,21 @@
         self.pending.extend(started.into_iter().map(job::Effect::Start));
     }
 
+    /// Lets every batch run of a worker report progress, so that none counts as stalled, unless
+    /// nothing moves there.
+    fn apply_progress(&self, worker: &id::Incarnation, running: &mut [job::Running]) {
+        let stalled = self.stalled_workers.get(worker);
+        let moved_until = stalled.map_or(self.now, |since| self.now.min(*since));
+        let percent = u64::try_from(moved_until.as_millis()).expect("fits into u64") / 100 % 100;
+        for row in running {
+            if !serves(row.task.job.0) {
+                row.percent = percent;
+            } else if stalled.is_some() {
+                row.load = STALLED_TAIL_MS;
+            }
+        }
+    }
+
     /// Computes the tail latency of serving tasks from the best-effort load beside them, if
     /// `tail_ms` is set. Best-effort tasks run at the share that was ordered for them.
     fn apply_interference(&mut self, worker: &id::Incarnation, running: &mut [job::Running]) {
