--- a/crates/wharflane/tests/stalled_workers.rs
+++ b/crates/wharflane/tests/stalled_workers.rs
@@ -50,6 +50,15 @@
     sim.stalled_workers.insert(worker.clone(), sim.now);
 }
 
+/// Returns the same simulation after one of the two workers has stood still for some time.
+fn stalled_serving(on_each: u32, may_miss: u32, stood_ms: u64) -> sim::Sim {
+    let mut sim = serving(on_each, may_miss);
+    let worker = sim.worker_of(serving_task(0));
+    stall(&mut sim, &worker);
+    sim.advance(stood_ms, false);
+    sim
+}
+
 /// Returns the tasks that were ordered to stop.
 fn stopped(sim: &sim::Sim) -> collections::BTreeSet<job::TaskId> {
     sim.stops.iter().map(|order| order.task).collect()
@@ -119,10 +128,7 @@
         assert_eq!(sim.engine.holding().expect("a holder").stalls().workers, 1);
     },
     lasting_tasks_leave_a_stalled_worker_one_at_a_time => {
-        let mut sim = serving(3, 2);
-        let worker = sim.worker_of(serving_task(0));
-        stall(&mut sim, &worker);
-        sim.advance(1_500, false);
+        let mut sim = stalled_serving(3, 2, 1_500);
         assert_eq!(stopped(&sim).len(), 1, "the next one waits for it to be back");
         carry_out_stops(&mut sim, "");
         sim.advance(1_000, false);
@@ -133,17 +139,11 @@
         assert_eq!(sim.starts(SERVING).len(), 6 + 2);
     },
     no_lasting_task_is_moved_beyond_what_its_step_may_miss => {
-        let mut sim = serving(3, 0);
-        let worker = sim.worker_of(serving_task(0));
-        stall(&mut sim, &worker);
-        sim.advance(6_000, false);
+        let sim = stalled_serving(3, 0, 6_000);
         assert_eq!(stopped(&sim).len(), 0);
     },
     tasks_that_stood_for_long_count_as_away => {
-        let mut sim = serving(3, 1);
-        let worker = sim.worker_of(serving_task(0));
-        stall(&mut sim, &worker);
-        sim.advance(1_500, false);
+        let mut sim = stalled_serving(3, 1, 1_500);
         assert_eq!(stopped(&sim).len(), 1);
         sim.advance(2_000, false);
         carry_out_stops(&mut sim, "");
