--- a/crates/wharflane/src/job/workers/moves.rs
+++ b/crates/wharflane/src/job/workers/moves.rs
@@ -156,8 +156,10 @@
         let Some(stood) = without_progress else {
             return;
         };
-        if let Some(view) = self.views.get_mut(worker).filter(|view| !view.stall.is_stalled()) {
-            view.stall.note_stalled(now.saturating_sub(stood), now);
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        if view.stall.note_stalled(now.saturating_sub(stood), now) {
             self.stalls.workers += 1;
             let stood_ms = worker::millis(stood);
             tracing::warn!(%worker, stood_ms, runs = 1, "worker stands still");
--- a/crates/wharflane/src/job/workers/stalled.rs
+++ b/crates/wharflane/src/job/workers/stalled.rs
@@ -168,11 +168,15 @@
         }
     }
 
-    /// Records that a run that was alone to show anything made no progress for long.
-    pub fn note_stalled(&mut self, since: time::Duration, now: time::Duration) {
-        if !self.is_stalled() {
-            self.state = State::Stalled { since, shown: now };
+    /// Records that a run made no progress for long; returns whether the worker stands still by
+    /// that alone, which others that move disprove.
+    pub fn note_stalled(&mut self, since: time::Duration, now: time::Duration) -> bool {
+        let moves = self.tracks.values().any(|track| track.motion == Motion::Moves);
+        if self.is_stalled() || moves {
+            return false;
         }
+        self.state = State::Stalled { since, shown: now };
+        true
     }
 
     /// Records that a run ended there by itself; a probe has then succeeded.
--- a/crates/wharflane/tests/stall_detector.rs
+++ b/crates/wharflane/tests/stall_detector.rs
@@ -147,6 +147,14 @@
         let late = job::Sign::Tail { tail_ms: 30_000, target_ms: TARGET_MS, others_serve: false };
         assert!(!finds([late, late]), "its own load may be the cause");
     },
+    a_run_without_progress_beside_one_that_moves_says_nothing_of_the_worker => {
+        let mut detector = job::StallDetector::default();
+        let moving = [Run::Batch(10), Run::Batch(10)];
+        assert_eq!(found_at(&mut detector, &moving, (0, 3_000), u64::MAX), None);
+        let now = time::Duration::from_millis(3_000);
+        assert!(!detector.note_stalled(time::Duration::ZERO, now));
+        assert!(!detector.is_stalled());
+    },
     a_run_that_has_not_moved_yet_shows_nothing => {
         let mut detector = job::StallDetector::default();
         let run = Run::Batch(10);
