--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -51,4 +51,6 @@
     TaskId,
 };
 pub use workers::closed::ClosedHalls;
+pub use workers::moves::StallCounts;
 pub use workers::slowness::SlownessDetector;
+pub use workers::stalled::{Observation, Sign, StallDetector, State as StallState};
