--- a/crates/wharflane/src/job/workers/stalled.rs
+++ b/crates/wharflane/src/job/workers/stalled.rs
@@ -120,6 +120,8 @@
     state: State,
     /// The runs in the last answer.
     tracks: collections::BTreeMap<spec::TaskId, Track>,
+    /// Since when it waits for a probe, if it does.
+    probing_since: Option<time::Duration>,
     /// Since when all runs that show anything stand together.
     together_since: Option<time::Duration>,
 }
@@ -144,6 +146,10 @@
         let state = self.next(standing, moving, confirmed, now);
         let changed = std::mem::discriminant(&state) != std::mem::discriminant(&self.state);
         self.state = state;
+        self.probing_since = match state {
+            State::Probing => self.probing_since.or(Some(now)),
+            _ => None,
+        };
         changed.then_some(state)
     }
 
@@ -162,12 +168,20 @@
             State::Stalled { shown, .. } if now.saturating_sub(shown) >= REST => State::Probing,
             State::Stalled { .. } => self.state,
             _ if confirmed => stalled(),
-            State::Probing if moving > 0 => State::Recovering { since: now },
+            State::Probing if moving > 0 || self.probe_is_over(now) => {
+                State::Recovering { since: now }
+            }
             State::Recovering { since } if now.saturating_sub(since) >= RECOVERY => State::Well,
             State::Well | State::Probing | State::Recovering { .. } => self.state,
         }
     }
 
+    /// Returns whether a worker has waited so long for the verdict of a probe that its room must not
+    /// be withheld any longer.
+    fn probe_is_over(&self, now: time::Duration) -> bool {
+        self.probing_since.is_some_and(|since| now.saturating_sub(since) >= REST)
+    }
+
     /// Records that a run made no progress for long; returns whether the worker stands still by
     /// that alone, which others that move disprove.
     pub fn note_stalled(&mut self, since: time::Duration, now: time::Duration) -> bool {
