--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -33,7 +33,7 @@
 pub use load::need::{Need, Outlook};
 pub use load::picture::{Picture, QueueLoad, Round};
 pub use place::precedence::{
-    Precedence, Turn, batch as batch_precedence, long_running as long_running_precedence,
+    Precedence, Turn, batch as batch_precedence, lasting as lasting_precedence,
 };
 pub use place::tickets::{Advice, AdviceRequest, AdviceTiming};
 pub use progress::{Losses, Phase, Progress, Task, TaskPosition};
--- a/crates/wharflane/src/job/place/outlook.rs
+++ b/crates/wharflane/src/job/place/outlook.rs
@@ -65,12 +65,12 @@
         let before = step.after.iter().filter_map(|after| ends.get(*after as usize));
         let (whole, left) =
             before.fold((0.0_f64, 0.0_f64), |most, end| (most.0.max(end.0), most.1.max(end.1)));
-        let each_ms = expected_ms(entry, at, step, times);
-        let longest_ms = each_ms * longest_of(step.count, spread);
+        let run_ms = expected_ms(entry, at, step, times);
+        let longest_ms = run_ms * longest_of(step.count, spread);
         let done = entry.progress.step_done(&entry.job, round, at);
         ends.push((whole + longest_ms, if done { 0.0 } else { left + longest_ms }));
         if !done {
-            path.left_core_ms += each_ms * f64::from(step.count) * step.size.cpu_milli as f64 / 1e3;
+            path.left_core_ms += run_ms * f64::from(step.count) * step.size.cpu_milli as f64 / 1e3;
         }
     }
     for (whole_ms, left_ms) in ends {
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -159,7 +159,7 @@
         let task = group.first.task;
         let entry = holding.jobs.get(&task.job).filter(|_| !group.first.lasting);
         let Some(entry) = entry else {
-            return precedence::long_running(group.returning, is_calm);
+            return precedence::lasting(group.returning, is_calm);
         };
         let need = picture.round((task.job, task.round));
         precedence::batch(need, &picture.queue(&entry.job.queue), group.first.accepted_version)
--- a/crates/wharflane/src/job/place/precedence.rs
+++ b/crates/wharflane/src/job/place/precedence.rs
@@ -62,7 +62,7 @@
 /// Returns the precedence of long-running tasks, by whether they have been without a worker for some
 /// time and whether the room was calm.
 #[must_use]
-pub fn long_running(returning: bool, is_calm: bool) -> Precedence {
+pub fn lasting(returning: bool, is_calm: bool) -> Precedence {
     match (returning, is_calm) {
         (false, _) => Precedence::LongRunning,
         (true, true) => Precedence::Returning,
--- a/crates/wharflane/tests/precedence.rs
+++ b/crates/wharflane/tests/precedence.rs
@@ -91,10 +91,10 @@
     returning_tasks_go_first_in_calm_times_alone => {
         let in_time = job::batch_precedence(Some(&need(0, true)), &job::QueueLoad::default(), 1);
         let late = job::batch_precedence(Some(&need(2_500, true)), &job::QueueLoad::default(), 1);
-        assert!(job::long_running_precedence(true, true) < in_time);
-        assert!(job::long_running_precedence(true, false) > in_time);
-        assert!(job::long_running_precedence(true, false) < late);
-        assert!(job::long_running_precedence(false, false) > late);
+        assert!(job::lasting_precedence(true, true) < in_time);
+        assert!(job::lasting_precedence(true, false) > in_time);
+        assert!(job::lasting_precedence(true, false) < late);
+        assert!(job::lasting_precedence(false, false) > late);
     },
     twice_the_load_of_the_room_leaves_most_of_the_room_to_jobs_in_time => {
         // In order of acceptance every job begins when its time is used up.
