Submissions: a write is sent only if it can be waited for, and waited for once sent

Cause: while the store was 60 times slower, hosts gave up after 45 % of what a caller had left, just before the store's rejection arrived, also where it answered them the whole time; callers who came back with less time than any answer takes were sent a write and told 504; a write without an answer was sent again after 0.8 s; a connection that could not be opened counted as a write without an answer. Ruled out: hosts that stop (11 of 199 answers).

Now job/submission.rs decides (send, read, wait, answer) as a function of what is sent and of what the host knows of its store; jobs/storing.rs carries it out. 503 also where the store is too slow for the time left (store-slow) or the host closes its connections sooner (stopping).

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -235,7 +235,7 @@
                 drop(tokio::spawn(follower.load(domain)));
             }
             job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
-                let answer = shared.call("commit", shared.store.transact(&txn)).await;
+                let answer = shared.timed_call("commit", shared.store.transact(&txn)).await;
                 send_event(&myself, job::Event::Txn { number, outcome: outcome(answer) });
             })),
             job::Effect::Drop(job, txn) => drop(tokio::spawn(async move {
@@ -293,7 +293,7 @@
 
 /// Reads the lease row of a domain.
 async fn read_lease(shared: &Shared, domain: u32) -> job::Event {
-    let read = shared.call("lease", shared.store.get_stamped(&job::lease_key(domain))).await;
+    let read = shared.timed_call("lease", shared.store.get_stamped(&job::lease_key(domain))).await;
     let Ok((row, store_ms)) = read else {
         return job::Event::LeaseUnread;
     };
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -10,6 +10,7 @@
 pub mod probe;
 pub mod run;
 pub mod service;
+pub mod storing;
 pub mod watch;
 
 use std::sync;
@@ -42,6 +43,8 @@
     pub closed: sync::Arc<arc_swap::ArcSwap<halls::ClosedSince>>,
     /// Whether this host is stopping.
     pub stopping: sync::Arc<atomic::AtomicBool>,
+    /// Clock reading when this host closes its connections; unset unless it is stopping.
+    pub closes_at: sync::Arc<sync::OnceLock<time::Duration>>,
     /// Contact of this host with the store.
     pub contact: sync::Arc<contact::Contact>,
     /// Whether the store rejected the last call because it was overloaded.
@@ -80,6 +83,23 @@
         result
     }
 
+    /// Makes a call about a few rows, whose time tells how slow the store is at present.
+    ///
+    /// # Errors
+    /// Returns the error of the call.
+    pub async fn timed_call<T>(
+        &self,
+        name: &str,
+        call: impl Future<Output = Result<T, store::StoreError>>,
+    ) -> Result<T, store::StoreError> {
+        let sent_at = self.clock.now();
+        let result = self.call(name, call).await;
+        if !matches!(result, Err(store::StoreError::Silent(_))) {
+            self.contact.note_row_call(sent_at, self.clock.now());
+        }
+        result
+    }
+
     /// Makes a call whose answer the store may hold back until there is a change, and counts it.
     ///
     /// # Errors
@@ -132,6 +152,18 @@
         self.contact.silence(self.clock.now())
     }
 
+    /// Returns what this host knows when it decides about a submission.
+    #[must_use]
+    pub fn submission_view(&self) -> job::submission::View {
+        job::submission::View {
+            silence: self.store_silence(),
+            answer_time: self.contact.answer_time(self.clock.now()),
+            latest_answered_sent_at: self.contact.latest_answered_sent_at(),
+            failure: self.store_failure_cause(),
+            closes_at: self.closes_at.get().copied(),
+        }
+    }
+
     /// Returns the cause to report for a call that failed because of the store.
     #[must_use]
     pub fn store_failure_cause(&self) -> job::retry_after::Cause {
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -71,13 +71,16 @@
     tracing::info!(%host, callers = %shared.settings.caller_addr, nonce = shared.nonce, "host up");
     stop.await;
     tracing::info!(%host, "host stopping");
+    let notice = shared.settings.time("traffic", "stop_notice_ms");
+    let grace = shared.settings.time("traffic", "stop_grace_ms");
+    let closes_at = shared.clock.now() + notice + grace.saturating_sub(RESPONSE_MARGIN);
+    shared.closes_at.get_or_init(|| closes_at);
     shared.stopping.store(true, atomic::Ordering::Relaxed);
     release_lease(&holder).await;
-    tokio::time::sleep(shared.settings.time("traffic", "stop_notice_ms")).await;
+    tokio::time::sleep(notice).await;
     if end.send(()).is_err() {
         tracing::warn!("the callers' port was already closed");
     }
-    let grace = shared.settings.time("traffic", "stop_grace_ms");
     if tokio::time::timeout(grace, serving).await.is_err() {
         tracing::warn!("calls cut at the end of the grace period");
     }
@@ -118,6 +121,7 @@
         queues: sync::Arc::default(),
         closed: sync::Arc::default(),
         stopping: sync::Arc::default(),
+        closes_at: sync::Arc::default(),
         contact: sync::Arc::default(),
         turned_away: sync::Arc::default(),
         metrics: metrics::Metrics::new()?,
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -7,18 +7,13 @@
 use std::sync;
 use std::time;
 
-use wharflane::job::retry_after;
+use wharflane::job::{retry_after, submission};
 use wharflane::{job, rows};
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::storing;
 
-/// Silence of the store after which submissions are rejected without a call to it. A store 60 times
-/// slower than usual answers within 0.6 s.
-const LOST_AFTER: time::Duration = time::Duration::from_millis(900);
-/// Share of a caller's time in which this host tries to store a submitted job, in percent; as much
-/// is left for an attempt by another host.
-const LOCAL_TIME_PERCENT: u32 = 45;
 /// Delay before a call to the store is retried.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Largest age of a count that a caller may be given, from the time up to which it includes all
@@ -53,17 +48,6 @@
     fresh: Option<bool>,
 }
 
-/// Result of writing the row of a job.
-#[derive(Debug)]
-enum WriteOutcome {
-    /// The row is written or never will be; holds the answer to the caller.
-    Known(job::Answer),
-    /// The store rejected every write, so nothing was written and nothing will be.
-    TurnedAway,
-    /// It is not known whether the row is written.
-    Unknown,
-}
-
 /// Counts of waiting jobs in all queues.
 #[derive(Debug)]
 struct Counts {
@@ -125,10 +109,6 @@
         if let Err(refusal) = job.check() {
             return job::Answer::Refused(refusal);
         }
-        if self.shared.store_silence() >= LOST_AFTER {
-            // Nothing was sent, so the caller may try another host at once.
-            return self.not_taken(self.shared.store_failure_cause(), &id, deadline);
-        }
         let key = job::job_key(self.domain(id), id);
         let accepted = job::Accepted { job, cancelled: false, accepted_ms: super::wall_ms() };
         let Ok(value) = serde_json::to_string(&accepted) else {
@@ -143,52 +123,11 @@
             expects: vec![rows::Expect { key: key.clone(), version: 0 }],
             writes: vec![rows::Write { key: key.clone(), value: Some(value) }],
         };
-        // Another host may reach the store although this one does not, so the caller gets its
-        // answer early enough to try there.
-        let now = self.shared.clock.now();
-        let give_up_at = now + deadline.saturating_sub(now) * LOCAL_TIME_PERCENT / 100;
-        let write = self.write_job_row(&key, &txn, give_up_at);
-        let left = give_up_at.saturating_sub(now);
-        match tokio::time::timeout(left, write).await {
-            Ok(WriteOutcome::Known(answer)) => answer,
-            Ok(WriteOutcome::TurnedAway) => {
-                self.not_taken(retry_after::Cause::StoreBusy, &id, deadline)
-            }
-            Ok(WriteOutcome::Unknown) | Err(_) => self.unknown_outcome(id, deadline),
-        }
-    }
-
-    /// Writes the row of a job until it is known to be written, or known not to be.
-    async fn write_job_row(
-        &self,
-        key: &rows::Key,
-        txn: &rows::Txn,
-        give_up_at: time::Duration,
-    ) -> WriteOutcome {
-        // A write without an answer may take effect late, so from then on only the row shows the
-        // outcome.
-        let mut outcome_unknown = false;
-        loop {
-            match self.transact(txn).await {
-                // Either the same job was submitted before or an earlier attempt of this write took
-                // effect.
-                Ok(_) => return WriteOutcome::Known(job::Answer::Accepted),
-                Err(store::StoreError::Refused { .. }) => {
-                    return WriteOutcome::Known(job::Answer::Refused(job::Refusal::NotKept));
-                }
-                Err(store::StoreError::TurnedAway { .. }) if !outcome_unknown => {
-                    return WriteOutcome::TurnedAway;
-                }
-                Err(err) => outcome_unknown |= !matches!(err, store::StoreError::TurnedAway { .. }),
-            }
-            // Reads don't queue behind the writes of a slow store, and finding the row is
-            // sufficient.
-            if outcome_unknown && matches!(self.get(key).await, Ok(Some(_))) {
-                return WriteOutcome::Known(job::Answer::Accepted);
-            }
-            if !self.wait_to_retry(give_up_at).await {
-                return WriteOutcome::Unknown;
-            }
+        match storing::store_job_row(&self.shared, &key, &txn, deadline).await {
+            submission::End::Stored => job::Answer::Accepted,
+            submission::End::Refused => job::Answer::Refused(job::Refusal::NotKept),
+            submission::End::NotTaken(cause) => self.not_taken(cause, &id, deadline),
+            submission::End::Unknown => self.unknown_outcome(id, deadline),
         }
     }
 
@@ -324,7 +263,7 @@
 
     /// Returns the cause to report when there is no recent count.
     fn count_cause(&self) -> retry_after::Cause {
-        if self.shared.store_silence() >= LOST_AFTER {
+        if self.shared.store_silence() >= submission::LOST_AFTER {
             self.shared.store_failure_cause()
         } else {
             retry_after::Cause::NotKnown
@@ -356,12 +295,16 @@
     ) -> time::Duration {
         let idle = self.shared.store_silence();
         let left = deadline.saturating_sub(self.shared.clock.now());
-        let after = retry_after::of(cause, idle, left, rand::random());
+        let answer_time = self.shared.contact.answer_time(self.shared.clock.now());
+        // The caller has to return early enough for the store to answer once more.
+        let usable = left.saturating_sub(answer_time);
+        let after = retry_after::of(cause, idle, usable, rand::random());
         let (idle_ms, left_ms) = (idle.as_millis(), left.as_millis());
         let cause = cause.label();
         self.shared.metrics.gave_up.with_label_values(&["jobs", cause]).inc();
         tracing::info!(
-            %about, cause, idle_ms, left_ms, after_s = after.as_secs(),
+            %about, cause, idle_ms, answer_ms = answer_time.as_millis(), left_ms,
+            after_s = after.as_secs(),
             "call answered with a retry delay"
         );
         after
@@ -386,12 +329,12 @@
 
     /// Runs a transaction and counts the call.
     async fn transact(&self, txn: &rows::Txn) -> Result<rows::Answer, store::StoreError> {
-        self.shared.call("submit", self.shared.store.transact(txn)).await
+        self.shared.timed_call("submit", self.shared.store.transact(txn)).await
     }
 
     /// Reads a row and counts the call.
     async fn get(&self, key: &rows::Key) -> Result<Option<rows::Row>, store::StoreError> {
-        self.shared.call("get", self.shared.store.get(key)).await
+        self.shared.timed_call("get", self.shared.store.get(key)).await
     }
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -27,6 +27,7 @@
         queues: sync::Arc::default(),
         closed: sync::Arc::default(),
         stopping: sync::Arc::default(),
+        closes_at: sync::Arc::default(),
         contact: sync::Arc::default(),
         turned_away: sync::Arc::default(),
         metrics: metrics::Metrics::new().expect("metrics"),
--- a/crates/daemon/tests/contact.rs
+++ b/crates/daemon/tests/contact.rs
@@ -39,6 +39,23 @@
         contact.note_call(millis(3_000));
         assert_eq!(contact.silence(millis(3_100)), millis(100));
     },
+    the_store_is_as_slow_as_the_slowest_recent_answer => {
+        let contact = answered();
+        assert_eq!(contact.answer_time(millis(1_000)), time::Duration::ZERO);
+        contact.note_row_call(millis(700), millis(1_000));
+        contact.note_row_call(millis(1_480), millis(1_500));
+        assert_eq!(contact.answer_time(millis(2_900)), millis(300));
+        contact.note_row_call(millis(2_980), millis(3_000));
+        assert_eq!(contact.answer_time(millis(3_100)), millis(20));
+        assert_eq!(contact.answer_time(millis(60_000)), time::Duration::ZERO);
+    },
+    answers_that_pass_each_other_show_the_latest_call => {
+        let contact = contact::Contact::default();
+        assert_eq!(contact.latest_answered_sent_at(), None);
+        contact.note_row_call(millis(500), millis(700));
+        contact.note_row_call(millis(400), millis(800));
+        assert_eq!(contact.latest_answered_sent_at(), Some(millis(500)));
+    },
     a_silent_feed_delays_no_configuration_beyond_its_bound => {
         for in_force in [millis(2_000), millis(3_000), millis(5_000), millis(20_000)] {
             let silent = watch::config_feed_wait(in_force) + store::FEED_SLACK;
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -51,6 +51,8 @@
     pub store_silent: bool,
     /// Every n-th transaction is committed without an answer; zero for none.
     pub lose_every: u64,
+    /// How long a transaction waits for its turn before it is committed, in milliseconds.
+    pub turn_ms: u64,
 }
 
 /// The state shared by all fakes.
@@ -75,7 +77,7 @@
     /// The number of transactions received while `store_silent` is on.
     pub unanswered_txns: u64,
     /// The number of transactions so far.
-    transactions: u64,
+    pub transactions: u64,
 }
 
 /// A handle to the fakes; clones share the same state.
@@ -278,6 +280,10 @@
         if !rows::is_within_limits(txn) {
             return reply::problem(StatusCode::BAD_REQUEST, "size", "too many or too long rows");
         }
+        let turn_ms = self.lock().faults.turn_ms;
+        if turn_ms > 0 {
+            tokio::time::sleep(time::Duration::from_millis(turn_ms)).await;
+        }
         let (answer, lost) = {
             let mut state = self.lock();
             state.transactions += 1;
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -21,6 +21,7 @@
 mod runs;
 mod spec;
 mod store;
+pub mod submission;
 mod workers;
 
 pub use call::{Answer, Call};
--- a/crates/wharflane/src/job/retry_after.rs
+++ b/crates/wharflane/src/job/retry_after.rs
@@ -10,13 +10,17 @@
 //!   bound that grows with the outage.
 //! - Store rejected the call (503): the call had no effect, as the store reports. The delay is 1 or
 //!   2 s at first, then as above.
+//! - Store too slow for the time that the caller has left (503): nothing was sent. The delay is 1 s,
+//!   since the caller has hardly more.
+//! - This host closes its connections before the store would answer (503): nothing was sent. The
+//!   delay is 1 s, since other hosts serve on.
 //! - No answer to a write (504): it may take effect, now or later. The delay is 1 s, since the same
 //!   call then reads its row and reports the result.
 //! - Row or count unknown (503): nothing was to be changed. The delay is 1 s, since counts are
 //!   written every 0.7 s.
 //!
-//! Stopping is not a cause: a stopping host answers calls until its ports close, and callers then
-//! use other hosts.
+//! A stop is a cause only for calls that the host can't finish: it answers all others until its
+//! ports close, and callers then use other hosts.
 //!
 //! A host can't know whether a silent store is silent to all hosts or whether its own network is
 //! cut. At first 1 s is best in both cases, as another host may carry out the call and short
@@ -52,6 +56,10 @@
     StoreSilent,
     /// The store answered and rejected the call.
     StoreBusy,
+    /// The store answers, but too slowly for the time that the caller has left.
+    StoreSlow,
+    /// This host is stopping and closes its connections before the store would answer.
+    Stopping,
     /// A write got no answer and may have taken effect.
     InDoubt,
     /// The requested state is unknown at the moment, though the store answers.
@@ -66,6 +74,8 @@
             Self::NoConfiguration => "no-configuration",
             Self::StoreSilent => "store-silent",
             Self::StoreBusy => "store-busy",
+            Self::StoreSlow => "store-slow",
+            Self::Stopping => "stopping",
             Self::InDoubt => "in-doubt",
             Self::NotKnown => "not-known",
         }
@@ -75,7 +85,11 @@
     fn max_secs(self, lasted: time::Duration) -> u64 {
         let grown = MIN_DELAY.as_secs() + lasted.as_secs() / GROWTH_INTERVAL.as_secs();
         match self {
-            Self::NoConfiguration | Self::InDoubt | Self::NotKnown => MIN_DELAY.as_secs(),
+            Self::NoConfiguration
+            | Self::StoreSlow
+            | Self::Stopping
+            | Self::InDoubt
+            | Self::NotKnown => MIN_DELAY.as_secs(),
             Self::StoreSilent => grown.min(MAX_DELAY.as_secs()),
             Self::StoreBusy => grown.clamp(MIN_BUSY_BOUND_SECS, MAX_DELAY.as_secs()),
         }
