--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -22,6 +22,7 @@
 mod runs;
 mod spec;
 mod store;
+pub mod submission;
 mod workers;
 
 pub use call::{Answer, Call};
