Long-running tasks that return go first again, whether or not room was lost

Cause, by reading: workers that leave stay listed for seconds after their tasks are gone, so that room counted as lost while the rule's calm had begun, and the task stood behind batch work in time.

--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -18,7 +18,6 @@
 use super::runs::work;
 use super::spec;
 use super::store::pending;
-use super::workers::calm;
 use super::workers::link;
 use super::workers::moves;
 use super::workers::worker;
@@ -109,8 +108,6 @@
     pub(super) backlogs: Vec<admission::Backlog>,
     /// When these were last updated.
     pub(super) backlogs_told_at: time::Duration,
-    /// Whether room was lost just now.
-    pub(super) calm: calm::Calm,
     /// Whether a best-effort task found no worker in the last pass.
     pub(super) best_effort_waits: bool,
     /// Workers whose free capacity is reserved for returning long-running tasks until the next
@@ -243,7 +240,6 @@
             last_starving: None,
             backlogs: Vec::new(),
             backlogs_told_at: time::Duration::ZERO,
-            calm: calm::Calm::default(),
             best_effort_waits: false,
             reserved_workers: collections::BTreeSet::new(),
             tickets: tickets::Tickets::default(),
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -51,7 +51,6 @@
     BadJobId, BadTaskId, Job, JobId, MAX_SPEC_BYTES, MAX_STEPS, MAX_TASKS, Refusal, Repeats, Step,
     TaskId,
 };
-pub use workers::calm::Calm;
 pub use workers::closed::ClosedHalls;
 pub use workers::moves::StallCounts;
 pub use workers::slowness::SlownessDetector;
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -19,7 +19,6 @@
 use crate::job::place::starvation;
 use crate::job::runs::work;
 use crate::job::spec;
-use crate::job::workers::calm;
 
 /// One worker in this many may be reserved for returning long-running tasks; the others stay
 /// available to batch tasks.
@@ -61,8 +60,6 @@
 fn run_pass(holding: &mut holding::Holding, now: time::Duration) {
     holding.reserved_workers.clear();
     holding.best_effort_waits = false;
-    let unusable = holding.views.values().filter(|view| calm::is_unusable(view)).count();
-    holding.calm.note(unusable, holding.views.len(), now);
     let mut pass = pass::Pass::default();
     let (groups, picture) = ordered_groups(holding, now);
     holding.tell_backlogs(&picture, now);
@@ -154,12 +151,11 @@
 ) -> (Vec<Group>, picture::Picture) {
     let mut groups = groups(holding, now);
     let picture = picture(holding, &groups);
-    let is_calm = holding.calm.is_calm(now);
     let precedence = |group: &Group| {
         let task = group.first.task;
         let entry = holding.jobs.get(&task.job).filter(|_| !group.first.lasting);
         let Some(entry) = entry else {
-            return precedence::lasting(group.returning, is_calm);
+            return precedence::lasting(group.returning);
         };
         let need = picture.round((task.job, task.round));
         precedence::batch(need, &picture.queue(&entry.job.queue), group.first.accepted_version)
--- a/crates/wharflane/src/job/place/precedence.rs
+++ b/crates/wharflane/src/job/place/precedence.rs
@@ -15,9 +15,6 @@
     Returning,
     /// A batch task of a round that can end in time.
     InTime(Turn),
-    /// Like `Returning`, while room was lost just now. Its return is promised for calm times only,
-    /// and with less room than before it would keep all batch tasks waiting.
-    ReturningAfterLoss,
     /// A batch task of a round that can end late.
     Late(Turn),
     /// A batch task of a round that would end too late to be of use.
@@ -60,12 +57,8 @@
 }
 
 /// Returns the precedence of long-running tasks, by whether they have been without a worker for some
-/// time and whether the room was calm.
+/// time.
 #[must_use]
-pub fn lasting(returning: bool, is_calm: bool) -> Precedence {
-    match (returning, is_calm) {
-        (false, _) => Precedence::LongRunning,
-        (true, true) => Precedence::Returning,
-        (true, false) => Precedence::ReturningAfterLoss,
-    }
+pub fn lasting(returning: bool) -> Precedence {
+    if returning { Precedence::Returning } else { Precedence::LongRunning }
 }
--- a/crates/wharflane/src/job/workers/mod.rs
+++ b/crates/wharflane/src/job/workers/mod.rs
@@ -1,6 +1,5 @@
 //! The holder's view of workers and how it stays current.
 
-pub(super) mod calm;
 pub(super) mod closed;
 pub(super) mod fence;
 pub(super) mod heartbeats;
