--- a/crates/wharflane/src/job/loss/correlated.rs
+++ b/crates/wharflane/src/job/loss/correlated.rs
@@ -237,6 +237,9 @@
 
     /// Decides for each open loss whether it was correlated, as soon as that is known.
     pub(in crate::job) fn decide_open_losses(&mut self, now: time::Duration) {
+        if self.correlated.open.is_empty() {
+            return;
+        }
         let idle = self.views.values().filter(|view| view.tasks.is_empty()).count();
         let observed = self.views.len() - idle + idle.min(MAX_ASKED);
         for Decided { loss, others, correlated } in self.correlated.take_decided(observed, now) {
