--- a/crates/wharflane/src/job/loss/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -30,8 +30,8 @@
 /// The number of workers lost under a task, regardless of what else they ran, after which its job
 /// fails; users allow no more starts than this.
 const MAX_LOSSES: u32 = 5;
-/// The number of these losses that were not part of a larger one; the others say nothing of the
-/// task. Users allow failing it after two.
+/// The number of these workers that must have been lost by themselves; those lost together with
+/// many others say nothing of the task. Users allow failing it after two.
 const MIN_SINGLE_LOSSES: u32 = 2;
 /// How long a loss without a suspect counts as evidence that workers fail for other causes.
 const OTHER_CAUSE_WINDOW: time::Duration = time::Duration::from_secs(10);
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -72,7 +72,7 @@
     /// Workers on which the task had been running for long enough, so that its start didn't cause
     /// the crash.
     pub unexplained: u32,
-    /// Those of all these that were lost together with many others, and so for another reason.
+    /// Those of `suspected` and `unexplained` that were lost together with many others.
     #[serde(default, rename = "shared", skip_serializing_if = "is_zero")]
     pub correlated: u32,
 }
