Runs whose ends are not listed yet stay placed

Cause: a worker lists at most 500 ends at once, the others follow once these are acknowledged. The holder took every placed task in neither list for one that was lost without an end: inherited ones, its own confirmed ones, starts abandoned without an answer, and those ordered from a previous incarnation.

Evidence: the record, task 501: done at 7.779 s, begun again at 9.013 s, its first end taken note of at 9.099 s, with the next answer. The tasks whose ends were among the first 500 were not started again, and no lease had expired, which rules out lapsed leases; the frozen host's fence is lower once it wakes, which rules out its acknowledgements.

While it may be cut, a run in neither list stays placed, so it keeps its room and its place in its gang, and its end and checkpoint are read with the next list, which follows the commit of the first one. A complete list frees it as before. Where the worker is lost before, the loss doesn't count against a run that had ended.

The simulated worker cuts its lists too.

The handling of a worker's lists moved from heartbeats.rs to lists.rs; records of placed tasks are built in one place, where three spelled out all fields.

--- a/crates/bench/src/job_engine/mod.rs
+++ b/crates/bench/src/job_engine/mod.rs
@@ -324,8 +324,8 @@
         let ended = worker.ended.clone();
         self.cost.ends += ended.len() as u64;
         let clock_ms = u64::try_from(self.now.as_millis()).unwrap_or(0);
-        let answer =
-            job::HeartbeatAnswer::Lists(job::Lists { born_ms: None, clock_ms, running, ended });
+        let lists = job::Lists { clock_ms, running, ended, ..job::Lists::default() };
+        let answer = job::HeartbeatAnswer::Lists(lists);
         self.step(job::Event::HeartbeatAnswered {
             worker: heartbeat.worker,
             epoch: heartbeat.epoch,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -56,6 +56,8 @@
     pub jobs_given_up: prometheus::IntGauge,
     /// Workers found to have restarted under the same id, since this host acquired the lease.
     pub workers_restarted: prometheus::IntGauge,
+    /// Runs kept because their ends may not have been listed yet, since the lease was taken.
+    pub unlisted_ends: prometheus::IntGauge,
     /// Stalled workers found, runs moved from them, and moved runs that ended before their stop,
     /// since this host acquired the lease.
     pub stalls: prometheus::IntGaugeVec,
@@ -140,6 +142,10 @@
                 "wharflane_workers_restarted",
                 "Workers found to have started again under their id, since the lease was taken.",
             )?)?,
+            unlisted_ends: builder.register(prometheus::IntGauge::new(
+                "wharflane_unlisted_ends",
+                "Runs kept since their ends may not be listed yet, since the lease was taken.",
+            )?)?,
             stalls: builder.gauge(
                 "stalls",
                 "Stalled workers, runs moved from them and false alarms, since the lease was taken.",
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -9,6 +9,8 @@
 
 /// The longest lease that a worker grants.
 pub const MAX_LEASE: time::Duration = time::Duration::from_secs(6);
+/// The maximum number of ended runs in one list; the others follow once these are acknowledged.
+pub const MAX_LISTED_ENDS: usize = 500;
 /// How long a run takes to stop after the order.
 pub const STOP_DELAY: time::Duration = time::Duration::from_millis(300);
 
@@ -319,7 +321,8 @@
             born_ms: self.incarnation.born_ms,
             clock_ms: self.clock_ms(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            more_ended: self.ended.len() >= MAX_LISTED_ENDS,
         })
     }
 
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -146,6 +146,8 @@
     pub(super) given_up: u64,
     /// The number of times that a worker turned out to have restarted under its id.
     pub(super) restarted: u64,
+    /// The number of runs that were kept because their ends may not have been listed yet.
+    pub(super) unlisted_ends: u64,
     /// What was done about workers that stood still since the lease was acquired.
     pub(super) stalls: moves::StallCounts,
     /// Whether a worker has seen a higher epoch.
@@ -184,6 +186,9 @@
     /// The number of times that a worker turned out to have restarted under its id, since the lease
     /// was acquired.
     pub restarted: u64,
+    /// The number of runs that were kept because their ends may not have been listed yet, since the
+    /// lease was acquired.
+    pub unlisted_ends: u64,
     /// The interval between heartbeats of a busy worker, in milliseconds; more than 50 if the
     /// host's link has little bandwidth.
     pub look_gap_ms: u64,
@@ -260,6 +265,7 @@
             correlated: correlated::CorrelatedLosses::default(),
             given_up: 0,
             restarted: 0,
+            unlisted_ends: 0,
             stalls: moves::StallCounts::default(),
             fenced: false,
             leaving: false,
@@ -291,6 +297,7 @@
             relieved: self.starvation_starts,
             given_up: self.given_up,
             restarted: self.restarted,
+            unlisted_ends: self.unlisted_ends,
             look_gap_ms: worker::millis(self.link.gap()),
             times_ms: self.learned.times.dump(),
             harm: self.learned.interference.dump(),
@@ -317,6 +324,13 @@
         self.restarted
     }
 
+    /// Returns the number of runs that were kept because their ends may not have been listed yet,
+    /// since the lease was acquired.
+    #[must_use]
+    pub fn unlisted_ends(&self) -> u64 {
+        self.unlisted_ends
+    }
+
     /// Returns what was done about workers that stood still since the lease was acquired.
     #[must_use]
     pub fn stalls(&self) -> moves::StallCounts {
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -101,18 +101,8 @@
             let Some(worker) = &task.worker else {
                 continue;
             };
-            let placed = work::Placed {
-                worker: worker.clone(),
-                run: task.run,
-                ready_since: now,
-                start_state: work::StartState::Inherited,
-                lease_until_ms: 0,
-                start_orders: work::StartOrders::default(),
-                began: None,
-                stopped: None,
-                moved: false,
-                progress: (0, now),
-            };
+            let inherited = work::StartState::Inherited;
+            let placed = work::Placed::new(worker.clone(), task.run, now, inherited, now);
             self.placed.insert(position.of(job), placed);
         }
         let lost =
--- a/crates/wharflane/src/job/loss/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -85,7 +85,8 @@
         tasks: &[spec::TaskId],
     ) {
         let placed = tasks.iter().filter_map(|task| Some((*task, self.placed.get(task)?)));
-        let ordered = placed.filter(|(_, placed)| may_have_received_order(placed));
+        let ordered =
+            placed.filter(|(_, placed)| may_have_received_order(placed) && !placed.end_unlisted);
         let present = ordered.map(|(task, placed)| self.presence_of(task, placed));
         let present: Vec<Presence> = present.collect();
         if let Some(view) = self.views.get_mut(worker).filter(|view| view.listed) {
@@ -196,11 +197,11 @@
     }
 
     /// Returns whether the task may have caused the loss of its worker: the worker was not leaving,
-    /// is no longer listed, and may have received an order for the task.
+    /// is no longer listed, and may have received an order for the task, whose run had not ended.
     fn may_have_caused_loss(&self, placed: &work::Placed) -> bool {
         let view = self.views.get(&placed.worker);
         let other_cause = view.is_some_and(|view| view.member.leaving || view.listed);
-        may_have_received_order(placed) && !other_cause
+        may_have_received_order(placed) && !placed.end_unlisted && !other_cause
     }
 
     /// Returns how long a task had run when its worker last answered, or nothing if no answer
--- a/crates/wharflane/src/job/place/assign.rs
+++ b/crates/wharflane/src/job/place/assign.rs
@@ -50,19 +50,8 @@
         view.add(task, step, image);
     }
     holding.isolate_start(task, worker);
-    let start_state = work::StartState::Staged;
-    let placed = work::Placed {
-        worker: worker.clone(),
-        run,
-        ready_since: ready.since,
-        start_state,
-        lease_until_ms: 0,
-        start_orders: work::StartOrders::default(),
-        began: None,
-        stopped: None,
-        moved: false,
-        progress: (0, holding.now),
-    };
+    let staged = work::StartState::Staged;
+    let placed = work::Placed::new(worker.clone(), run, ready.since, staged, holding.now);
     holding.placed.insert(task, placed);
     holding.staged.push(task);
     holding.mark_task(task);
--- a/crates/wharflane/src/job/runs/order.rs
+++ b/crates/wharflane/src/job/runs/order.rs
@@ -157,6 +157,9 @@
     pub running: Vec<Running>,
     /// Ends that are not acknowledged yet, in order.
     pub ended: Vec<Ended>,
+    /// Whether the list of ends has its maximum length, so that later ends may be missing from it;
+    /// a run in neither list may then have ended.
+    pub more_ended: bool,
 }
 
 /// A current run.
--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -87,31 +87,45 @@
     pub stopped: Option<time::Duration>,
     /// Whether it is stopped because its worker stands still.
     pub moved: bool,
+    /// Whether its worker runs it no longer and has not listed its end yet.
+    pub end_unlisted: bool,
     /// Its reported progress in percent, and since when it is unchanged.
     pub progress: (u64, time::Duration),
 }
 
 impl Placed {
-    /// Returns the record of a task on an incarnation that may have received an order for an
-    /// earlier one.
-    pub fn orphaned(incarnation: id::Incarnation, before: &Self, now: time::Duration) -> Self {
+    /// Returns the record of a run of which nothing is ordered by this holder yet.
+    pub fn new(
+        worker: id::Incarnation,
+        run: u32,
+        ready_since: time::Duration,
+        start_state: StartState,
+        now: time::Duration,
+    ) -> Self {
         Self {
-            worker: incarnation,
-            run: before.run,
-            ready_since: before.ready_since,
-            start_state: StartState::Orphaned,
+            worker,
+            run,
+            ready_since,
+            start_state,
             lease_until_ms: 0,
-            start_orders: StartOrders {
-                unanswered: 0,
-                not_sent: 0,
-                fence: before.start_orders.fence,
-            },
+            start_orders: StartOrders::default(),
             began: None,
             stopped: None,
             moved: false,
+            end_unlisted: false,
             progress: (0, now),
         }
     }
+
+    /// Returns the record of a task on an incarnation that may have received an order for an
+    /// earlier one.
+    pub fn orphaned(incarnation: id::Incarnation, before: &Self, now: time::Duration) -> Self {
+        let fence = before.start_orders.fence;
+        Self {
+            start_orders: StartOrders { fence, ..StartOrders::default() },
+            ..Self::new(incarnation, before.run, before.ready_since, StartState::Orphaned, now)
+        }
+    }
 }
 
 /// The orders that this holder sent for one start.
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -2,17 +2,13 @@
 //! the worker's tasks, carries the fencing token, and is answered with the lists of running and
 //! ended runs, from which the holder corrects its view and finds unknown or stalled runs.
 
-use std::collections;
 use std::time;
 
 use crate::id;
 use crate::job::event;
 use crate::job::holding;
 use crate::job::runs::order;
-use crate::job::runs::work;
-use crate::job::spec;
 use crate::job::workers::worker;
-use crate::size;
 
 /// The delay after a heartbeat without an answer, and how often it may double.
 const HEARTBEAT_RETRY: (time::Duration, u32) = (time::Duration::from_millis(100), 3);
@@ -145,128 +141,4 @@
             }
         }
     }
-
-    /// Handles the lists of running and ended runs that answered a heartbeat with a fencing token.
-    fn apply_lists(
-        &mut self,
-        worker: &id::Incarnation,
-        (fence, lists): (u64, &order::Lists),
-        sent: time::Duration,
-        now: time::Duration,
-    ) {
-        for ended in &lists.ended {
-            self.handle_end(worker, ended, now);
-        }
-        let running: collections::BTreeMap<spec::TaskId, u32> =
-            lists.running.iter().map(|row| (row.task, row.run)).collect();
-        let Some(view) = self.views.get(worker) else {
-            return;
-        };
-        let leaving = view.member.leaving;
-        let placed_here: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
-        let mut adopted = collections::BTreeSet::new();
-        for task in placed_here {
-            let ruled_out =
-                self.is_start_abandoned(task) && self.is_start_ruled_out(task, fence, lists);
-            let Some(placed) = self.placed.get_mut(&task) else {
-                continue;
-            };
-            let runs = running.get(&task) == Some(&placed.run);
-            match placed.start_state {
-                work::StartState::Inherited
-                | work::StartState::Orphaned
-                | work::StartState::Unanswered(_)
-                | work::StartState::Expiring
-                    if runs =>
-                {
-                    if matches!(
-                        placed.start_state,
-                        work::StartState::Inherited | work::StartState::Orphaned
-                    ) {
-                        adopted.insert(task);
-                    }
-                    placed.start_state = work::StartState::Confirmed(now);
-                }
-                // The token of this heartbeat is above those of all orders to the previous
-                // incarnation.
-                work::StartState::Orphaned if fence > placed.start_orders.fence => {
-                    self.free(task, "lost with the previous incarnation of its worker");
-                }
-                // The worker has seen this epoch, so a start by an earlier holder can't arrive any
-                // more.
-                work::StartState::Inherited => self.free(task, "not running on its worker"),
-                work::StartState::Unanswered(_) | work::StartState::Expiring if ruled_out => {
-                    self.free(task, "its start can no longer be carried out");
-                }
-                work::StartState::Confirmed(at) if !runs && at <= sent => {
-                    self.free(task, "not running on its worker")
-                }
-                work::StartState::Confirmed(_)
-                | work::StartState::Staged
-                | work::StartState::Ordered
-                | work::StartState::Orphaned
-                | work::StartState::Unanswered(_)
-                | work::StartState::Expiring => {}
-            }
-        }
-        for row in &lists.running {
-            let known = self.placed.get(&row.task);
-            let ours = known.is_some_and(|p| p.run == row.run && p.worker == *worker);
-            self.note_begun(row.task.job);
-            if ours && self.loss_record.contains(row.task) {
-                self.clear_suspect(row.task);
-            }
-            if !ours {
-                self.stop_unknown_run(worker, row);
-            } else if !self.should_run(row.task)
-                || leaving && self.should_evict(row.task, row.percent)
-            {
-                self.stop(row.task, now);
-            }
-        }
-        for task in &adopted {
-            self.isolate_start(*task, worker);
-        }
-        self.count_unknown_runs(worker, lists);
-        self.adopt_shares(worker, lists, &adopted, now);
-        self.detect_stall(worker, lists, now);
-        self.update_shares(worker, lists, now);
-        self.move_stalled(worker, lists, now);
-    }
-
-    /// Counts the capacity of runs that this holder didn't place; it is free only once their ends
-    /// are reported. A run of unknown size counts as the worker's whole capacity.
-    fn count_unknown_runs(&mut self, worker: &id::Incarnation, lists: &order::Lists) {
-        let mut unknown = size::Size::default();
-        for row in &lists.running {
-            let known = self.placed.get(&row.task);
-            if known.is_some_and(|p| p.run == row.run && p.worker == *worker) {
-                continue;
-            }
-            let entry = self.jobs.get(&row.task.job);
-            let step = entry.and_then(|entry| entry.job.step(row.task.step));
-            let capacity = self.views.get(worker).map(|view| view.member.capacity);
-            let room = step.map(spec::Step::reserved).or(capacity).unwrap_or_default();
-            unknown = unknown.plus(&room);
-        }
-        if let Some(view) = self.views.get_mut(worker) {
-            self.changed |= view.unknown_capacity != unknown;
-            view.unknown_capacity = unknown;
-        }
-    }
-
-    /// Stops a run that this holder didn't place.
-    fn stop_unknown_run(&mut self, worker: &id::Incarnation, row: &order::Running) {
-        let Some(view) = self.views.get(worker) else {
-            return;
-        };
-        tracing::warn!(task = %row.task, run = row.run, %worker, "stopping an unknown run");
-        self.out.push(event::Effect::Stop(order::Order {
-            worker: worker.clone(),
-            addr: view.member.addr,
-            task: row.task,
-            run: row.run,
-            epoch: self.fence(worker),
-        }));
-    }
 }
--- a/crates/wharflane/src/job/workers/mod.rs
+++ b/crates/wharflane/src/job/workers/mod.rs
@@ -5,6 +5,7 @@
 pub(super) mod heartbeats;
 pub(super) mod incarnations;
 pub(super) mod link;
+pub(super) mod lists;
 pub(super) mod members;
 pub(super) mod moves;
 pub(super) mod slowness;
--- a/crates/wharflane/src/job/workers/moves.rs
+++ b/crates/wharflane/src/job/workers/moves.rs
@@ -245,6 +245,7 @@
         let placed = self.placed.get(&task).filter(|placed| {
             matches!(placed.start_state, work::StartState::Confirmed(_))
                 && placed.stopped.is_none()
+                && !placed.end_unlisted
                 && placed.progress.0 == AT_WORK
         });
         let view = placed.and_then(|placed| self.views.get(&placed.worker));
--- a/crates/wharflane/tests/restarted_workers.rs
+++ b/crates/wharflane/tests/restarted_workers.rs
@@ -69,7 +69,12 @@
         |order: &job::Order| job::Running { task: order.task, run: order.run, percent: 1, load: 0 };
     let running = run.into_iter().map(row).collect();
     let born_ms = incarnation.born_ms;
-    job::HeartbeatAnswer::Lists(job::Lists { born_ms, clock_ms: 7, running, ended: Vec::new() })
+    job::HeartbeatAnswer::Lists(job::Lists {
+        born_ms,
+        clock_ms: 7,
+        running,
+        ..job::Lists::default()
+    })
 }
 
 /// Returns how many starts of a job were ordered.
--- a/crates/wharflane/tests/sim/mod.rs
+++ b/crates/wharflane/tests/sim/mod.rs
@@ -43,6 +43,8 @@
     pub pending: Vec<job::Effect>,
     /// Runs that have ended, with the worker that reports each of them in its heartbeat answers.
     pub ended_runs: Vec<(id::Incarnation, job::Ended)>,
+    /// The maximum number of ended runs in one heartbeat answer.
+    pub max_listed_ends: usize,
     /// The tables of the rows that were removed, in order.
     pub removed: Vec<&'static str>,
     /// The workers that the advice service accepts.
@@ -122,6 +124,7 @@
             rows: collections::BTreeMap::new(),
             pending: Vec::new(),
             ended_runs: Vec::new(),
+            max_listed_ends: usize::MAX,
             removed: Vec::new(),
             allowed_workers: Vec::new(),
             advice_requests: Vec::new(),
@@ -279,7 +282,8 @@
                         self.apply_progress(&heartbeat.worker, &mut running);
                         let ended = self.unacknowledged_ends(&heartbeat);
                         let born_ms = heartbeat.worker.born_ms;
-                        let lists = job::Lists { born_ms, clock_ms, running, ended };
+                        let more_ended = ended.len() >= self.max_listed_ends;
+                        let lists = job::Lists { born_ms, clock_ms, running, ended, more_ended };
                         let answer = job::HeartbeatAnswer::Lists(lists);
                         let (worker, epoch) = (heartbeat.worker, heartbeat.epoch);
                         self.handle(job::Event::HeartbeatAnswered { worker, epoch, answer });
@@ -417,13 +421,13 @@
         self.ended_runs.iter().any(|(_, ended)| ended.task == order.task && ended.run >= order.run)
     }
 
-    /// Returns the ended runs that the answer to a heartbeat lists: those it does not acknowledge
-    /// yet.
+    /// Returns the ended runs that the answer to a heartbeat lists: the first of those that it does
+    /// not acknowledge yet.
     fn unacknowledged_ends(&self, heartbeat: &job::Heartbeat) -> Vec<job::Ended> {
         let here = self.ended_runs.iter().filter(|(worker, ended)| {
             *worker == heartbeat.worker && ended.number > heartbeat.acknowledged_end
         });
-        here.map(|(_, ended)| ended.clone()).collect()
+        here.map(|(_, ended)| ended.clone()).take(self.max_listed_ends).collect()
     }
 
     /// Returns whether an order to start a task is in `pending`.
