Losses of a wave are compared with all workers silent since its moment

Cause: whether a loss came with many others was decided 2 s after the silence, by the workers known to be lost by then. Those of one moment become known in two groups, 2.2 and 3.1 s after it, so half of a wave was missing: 40 to 81 of 136 others where 59 to 64 were needed. And tasks that start again together after a wave pass, in the next one, for tasks that crash their workers together; lost workers under them were left out of the count, living ones with the same suspects not of the number compared with.

Ruled out: silences farther apart than the moment of 150 ms (129 to 137 of 137 lie within 50 ms of each wave); losses counted where the worker lived (each was over, with a wave); queues not configured. The log of a loss now has how long the worker was silent, whether it was listed and how the loss became known.

Why this works: at the decision a worker silent since the same moment counts as lost with it, and living workers with a suspect that began when this task did are left out.

Tried, not kept: counting the work of all runs of a long-running task together until its losses are forgiven (30 s). A task that crashes its worker some 9 s after each start was then never given up, which a_task_beside_a_culprit_that_crashes_late_is_separated_from_it forbids; 60 s would gain little.

--- a/crates/stand-in/src/jobs/waves.rs
+++ b/crates/stand-in/src/jobs/waves.rs
@@ -37,6 +37,18 @@
         id
     }
 
+    /// Submits a job of one step at a time from the start, as `submit_at` does.
+    pub fn submit_step_at(&mut self, at: time::Duration, step: job::Step) -> job::JobId {
+        let job = job::Job {
+            queue: world::QUEUE.to_owned(),
+            service: "service".into(),
+            spec: "spec".to_owned(),
+            steps: vec![step],
+            repeats: None,
+        };
+        self.submit_at(at, job)
+    }
+
     /// Cancels a job at a time from the start.
     pub fn cancel_at(&mut self, at: time::Duration, job: job::JobId) {
         self.send(at, message::Message::Cancel(job));
--- a/crates/stand-in/tests/crashing_tasks.rs
+++ b/crates/stand-in/tests/crashing_tasks.rs
@@ -49,14 +49,7 @@
         let size = size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 };
         let step = job::Step { count: 2, size, estimate_ms: 2_500, ..job::Step::default() };
         for _ in 0..12 {
-            let job = job::Job {
-                queue: "queue".to_owned(),
-                service: "service".into(),
-                spec: "spec".to_owned(),
-                steps: vec![step.clone()],
-                repeats: None,
-            };
-            world.submit_at(secs(5), job);
+            world.submit_step_at(secs(5), step.clone());
         }
         world.run();
         let findings = world.findings();
--- a/crates/stand-in/tests/waits.rs
+++ b/crates/stand-in/tests/waits.rs
@@ -63,17 +63,6 @@
     check(|seed| world::World::planned(seed, faults, plan.clone(), (3, workers, jobs)), broken);
 }
 
-/// Returns a job of one step.
-fn job(step: job::Step) -> job::Job {
-    job::Job {
-        queue: "queue".to_owned(),
-        service: "service".into(),
-        spec: "spec".to_owned(),
-        steps: vec![step],
-        repeats: None,
-    }
-}
-
 /// Returns a step of equal tasks.
 fn step(count: u32, cpu_milli: u64, mem_mb: u64, estimate_ms: u64) -> job::Step {
     let size = size::Size { cpu_milli, mem_mb, accelerators: 0 };
@@ -99,7 +88,7 @@
             target_ms: Some(50),
             ..step(6, 500, 100, 1_000)
         };
-        let id = world.submit_at(secs(1), job(serving));
+        let id = world.submit_step_at(secs(1), serving);
         if number % 2 == 0 {
             world.cancel_at(secs(40), id);
         }
@@ -108,7 +97,7 @@
         let filling =
             job::Step { image: Some("filling".to_owned()), fills: true, ..step(2, 600, 20, 1_500) };
         let at = secs(3) + time::Duration::from_millis(225) * number;
-        world.submit_at(at, job(filling));
+        world.submit_step_at(at, filling);
     }
     world
 }
@@ -127,7 +116,7 @@
     let mut world = world::World::planned(seed, world::Faults::default(), plan, (3, 24, 0));
     for number in 0..250 {
         let at = secs(1) + (submitted - secs(1)) * number / 250;
-        world.submit_at(at, job(step(1 + number % 3, 300, 100, 2_500)));
+        world.submit_step_at(at, step(1 + number % 3, 300, 100, 2_500));
     }
     world
 }
@@ -146,10 +135,10 @@
     let mut world = world::World::planned(seed, world::Faults::default(), plan, (3, 24, 0));
     for _ in 0..12 {
         let lasting = job::Step { lasting: true, ..step(4, 1_500, 500, 1_000) };
-        world.submit_at(long_running_from, job(lasting));
+        world.submit_step_at(long_running_from, lasting);
     }
     for _ in 0..40 {
-        world.submit_at(secs(4), job(step(3, 200, 50, 6_000)));
+        world.submit_step_at(secs(4), step(3, 200, 50, 6_000));
     }
     for number in 0..24 {
         world.fail_lasting_at(secs(19) + time::Duration::from_millis(400) * number);
--- a/crates/wharflane/src/job/loss/correlated.rs
+++ b/crates/wharflane/src/job/loss/correlated.rs
@@ -2,8 +2,9 @@
 //!
 //! A task that crashes its worker takes that worker alone. Where many workers are lost at one
 //! moment, something else failed, and the tasks there only happened to run there. A worker falls
-//! silent at once and is known to be lost only later, so a loss stays open for a while before it
-//! counts as that of a single worker.
+//! silent at once and is known to be lost only later, the workers of one moment seconds apart. So a
+//! loss stays open for a while before it counts as that of a single worker, and by then workers
+//! that have been silent since the same moment count as lost with it.
 
 use std::collections;
 use std::time;
@@ -11,6 +12,7 @@
 use crate::id;
 use crate::job::holding;
 use crate::job::loss::crash;
+use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
 
@@ -63,11 +65,22 @@
         lost.worker != self.worker && apart <= SAME_MOMENT
     }
 
+    /// Returns whether it has been open for so long that no further worker is awaited.
+    fn is_due(&self, now: time::Duration) -> bool {
+        now >= self.silent_since + crash::MAX_DETECTION
+    }
+
     /// Returns whether a task may have crashed the other worker at the same moment as one crashed
     /// this worker: both began at the same time, and tasks that are alike crash their workers after
     /// the same time.
     fn is_suspected(&self, lost: &LostWorker) -> bool {
-        lost.suspects.iter().any(|suspect| self.began_with(*suspect))
+        self.has_begun_with_any(&lost.suspects)
+    }
+
+    /// Returns whether a task of this loss began at the same time as one of some suspects, or may
+    /// have.
+    fn has_begun_with_any(&self, suspects: &[Began]) -> bool {
+        suspects.iter().any(|suspect| self.began_with(*suspect))
     }
 
     /// Returns whether a task of this loss began at the same time as a suspect, or may have.
@@ -87,6 +100,18 @@
     unsuspected: usize,
     /// The number of the others.
     suspected: usize,
+    /// The number of workers that answer and have such a suspect, so that they would have been lost
+    /// too if that was the cause.
+    spared: usize,
+}
+
+/// The workers that are not known to be lost.
+#[derive(Debug, Default)]
+struct Remaining {
+    /// Those that don't answer.
+    silent: Vec<LostWorker>,
+    /// For each that answers, the runs there of tasks that had lost a worker before, if any.
+    suspects: Vec<Vec<Began>>,
 }
 
 /// How a loss was decided.
@@ -128,32 +153,48 @@
     }
 
     /// Returns the other workers that were lost at the same moment.
-    fn others(&self, loss: &OpenLoss) -> Others {
+    fn others(&self, loss: &OpenLoss, remaining: &Remaining) -> Others {
         let mut others = Others::default();
-        for lost in self.workers.iter().filter(|lost| loss.is_simultaneous(lost)) {
+        let lost = self.workers.iter().chain(&remaining.silent);
+        for lost in lost.filter(|lost| loss.is_simultaneous(lost)) {
             if loss.is_suspected(lost) {
                 others.suspected += 1;
             } else {
                 others.unsuspected += 1;
             }
         }
+        let spared = remaining.suspects.iter();
+        others.spared = spared.filter(|suspects| loss.has_begun_with_any(suspects)).count();
         others
     }
 
+    /// Returns whether a loss has been open for so long that it is decided by what is known.
+    fn has_due(&self, now: time::Duration) -> bool {
+        self.open.iter().any(|loss| loss.is_due(now))
+    }
+
     /// Removes and returns the open losses that are correlated, given the number of workers of
-    /// which a loss is noticed at once, and those for which no further worker is expected.
-    fn take_decided(&mut self, observed: usize, now: time::Duration) -> Vec<Decided> {
-        let due = |loss: &OpenLoss| now >= loss.silent_since + crash::MAX_DETECTION;
-        if !self.changed && !self.open.iter().any(due) {
-            return Vec::new();
-        }
+    /// which a loss is noticed at once, and those that are due. For these, the remaining workers
+    /// are compared too.
+    fn take_decided(
+        &mut self,
+        observed: usize,
+        remaining: &Remaining,
+        now: time::Duration,
+    ) -> Vec<Decided> {
         self.changed = false;
         let mut decided = Vec::new();
         for loss in std::mem::take(&mut self.open) {
-            let others = self.others(&loss);
-            let needed = observed.saturating_sub(others.suspected) / CORRELATED_DIVISOR;
+            let is_due = loss.is_due(now);
+            let others = if is_due {
+                self.others(&loss, remaining)
+            } else {
+                self.others(&loss, &Remaining::default())
+            };
+            let unsuspected = observed.saturating_sub(others.suspected + others.spared);
+            let needed = unsuspected / CORRELATED_DIVISOR;
             let correlated = others.unsuspected >= needed.max(MIN_CORRELATED);
-            if correlated || due(&loss) {
+            if correlated || is_due {
                 decided.push(Decided { loss, others, correlated });
             } else {
                 self.open.push(loss);
@@ -237,15 +278,19 @@
 
     /// Decides for each open loss whether it was correlated, as soon as that is known.
     pub(in crate::job) fn decide_open_losses(&mut self, now: time::Duration) {
-        if self.correlated.open.is_empty() {
+        let has_due = self.correlated.has_due(now);
+        if self.correlated.open.is_empty() || !self.correlated.changed && !has_due {
             return;
         }
+        let remaining = if has_due { self.remaining_workers() } else { Remaining::default() };
         let idle = self.views.values().filter(|view| view.tasks.is_empty()).count();
         let observed = self.views.len() - idle + idle.min(MAX_ASKED);
-        for Decided { loss, others, correlated } in self.correlated.take_decided(observed, now) {
+        let decided = self.correlated.take_decided(observed, &remaining, now);
+        for Decided { loss, others, correlated } in decided {
             tracing::info!(
                 worker = %loss.worker, tasks = loss.losses.len(), observed,
                 unsuspected = others.unsuspected, suspected = others.suspected,
+                spared = others.spared, silent = remaining.silent.len(),
                 silent_ms = worker::millis(now.saturating_sub(loss.silent_since)), correlated,
                 "loss of a worker compared with others at the same moment"
             );
@@ -258,6 +303,26 @@
         }
     }
 
+    /// Returns the workers that are not known to be lost, with the suspects there.
+    fn remaining_workers(&self) -> Remaining {
+        let mut remaining = Remaining::default();
+        let lost = self.correlated.workers.iter().map(|lost| &lost.worker);
+        let lost: collections::BTreeSet<&id::Incarnation> = lost.collect();
+        let views = self.views.iter().filter(|(_, view)| !view.member.leaving);
+        for (worker, view) in views.filter(|(worker, _)| !lost.contains(worker)) {
+            let suspects = view.tasks.iter().filter(|task| self.has_losses(**task));
+            let placed = suspects.filter_map(|task| self.placed.get(task));
+            let suspects: Vec<Began> = placed.map(work::Placed::confirmed_at).collect();
+            if let Some(silent_since) = view.silent_since {
+                let worker = worker.clone();
+                remaining.silent.push(LostWorker { worker, silent_since, suspects });
+            } else if !suspects.is_empty() {
+                remaining.suspects.push(suspects);
+            }
+        }
+        remaining
+    }
+
     /// Takes back that a loss counts against a task as that of a single worker.
     fn discount_loss(&mut self, counted: &crash::CountedLoss) {
         let entry = self.jobs.get_mut(&counted.task.job);
--- a/crates/wharflane/src/job/loss/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -154,11 +154,7 @@
     fn presence_of(&self, task: spec::TaskId, placed: &work::Placed) -> Presence {
         let seen_before = self.starts(task).at_work == placed.run;
         let at_work = self.at_work(placed).max(seen_before.then_some(CLEARED_AFTER));
-        let began = match placed.start_state {
-            work::StartState::Confirmed(since) => Some(since),
-            _ => None,
-        };
-        Presence { task, run: placed.run, at_work, began }
+        Presence { task, run: placed.run, at_work, began: placed.confirmed_at() }
     }
 
     /// Counts a loss against one task that should still run, and returns what was counted;
@@ -171,6 +167,10 @@
         known: LossKnown,
     ) -> Option<CountedLoss> {
         let Presence { task, run, at_work, began } = presence;
+        let view = self.views.get(worker);
+        let listed = view.map(|view| view.listed);
+        let silent_ms = view.and_then(|view| view.silent_since);
+        let silent_ms = silent_ms.map(|since| worker::millis(self.now.saturating_sub(since)));
         let suspected = presence.is_suspect();
         let steady = self.loss_record.recent_ends(&worker.worker, self.now) == 0;
         let should_run = self.should_run(task);
@@ -189,7 +189,8 @@
         tracing::warn!(
             %task, run, %worker, suspected, suspects, at_work_ms = at_work.map(worker::millis),
             times_suspected = losses.suspected, times_alone = losses.sole_suspect,
-            times_unexplained = losses.unexplained, "worker lost under a task"
+            times_unexplained = losses.unexplained, silent_ms, listed, ?known,
+            "worker lost under a task"
         );
         self.loss_record.add(task, &worker.worker);
         self.mark_task(task);
@@ -207,9 +208,7 @@
     /// Returns how long a task had run when its worker last answered, or nothing if no answer
     /// confirmed it.
     pub(in crate::job) fn at_work(&self, placed: &work::Placed) -> Option<time::Duration> {
-        let work::StartState::Confirmed(since) = placed.start_state else {
-            return None;
-        };
+        let since = placed.confirmed_at()?;
         let (_, answered) = self.views.get(&placed.worker)?.last_answer?;
         Some(answered.saturating_sub(since))
     }
@@ -219,7 +218,7 @@
         let Some(placed) = self.placed.get(&task) else {
             return;
         };
-        let work::StartState::Confirmed(since) = placed.start_state else {
+        let Some(since) = placed.confirmed_at() else {
             return;
         };
         let answered = self.views.get(&placed.worker).and_then(|view| view.last_answer);
--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Returns when the run was first confirmed, or nothing if it is not confirmed.
+    pub fn confirmed_at(&self) -> Option<time::Duration> {
+        match self.start_state {
+            StartState::Confirmed(at) => Some(at),
+            _ => None,
+        }
+    }
+
     /// Returns the record of a task on an incarnation that may have received an order for an
     /// earlier one.
     pub fn orphaned(incarnation: id::Incarnation, before: &Self, now: time::Duration) -> Self {
--- a/crates/wharflane/tests/correlated_losses.rs
+++ b/crates/wharflane/tests/correlated_losses.rs
@@ -7,10 +7,12 @@
 
 mod sim;
 
-use wharflane::job;
+use std::collections;
+
+use wharflane::{id, job};
 use wharflane_stand_in::cases;
 
-use sim::losses::{crash, losses, replace_worker, task};
+use sim::losses::{AWAY_MS, crash, losses, replace_worker, task};
 
 /// The job whose task loses workers.
 const JOB: u64 = 10;
@@ -54,6 +56,31 @@
     }
 }
 
+/// Loses the workers of all starts at one moment, after they have run for a while.
+fn lose_all_started(sim: &mut sim::Sim) {
+    sim.advance(RUN_MS, false);
+    let started = sim.pending.iter().filter_map(|effect| match effect {
+        job::Effect::Start(start) => Some(start.order.worker.clone()),
+        _ => None,
+    });
+    let lost: collections::BTreeSet<id::Incarnation> = started.collect();
+    sim.silent_workers.extend(lost.iter().cloned());
+    sim.advance(AWAY_MS, false);
+    lost.iter().for_each(|worker| replace_worker(sim, worker));
+    sim.advance(RESTART_MS, false);
+}
+
+/// Returns the workers that run nothing.
+fn idle_workers(sim: &sim::Sim, all: usize) -> Vec<id::Incarnation> {
+    let busy = sim.pending.iter().filter_map(|effect| match effect {
+        job::Effect::Start(start) => Some(&start.order.worker),
+        _ => None,
+    });
+    let busy: collections::BTreeSet<&id::Incarnation> = busy.collect();
+    let all = (0..all).map(|at| sim::member(at).incarnation);
+    all.filter(|worker| !busy.contains(worker)).collect()
+}
+
 /// Advances the time until the task has started more often than before.
 fn await_start(sim: &mut sim::Sim, before: usize) {
     for _ in 0..RESTART_MS / 20 {
@@ -126,6 +153,48 @@
         others.iter().for_each(|at| replace_worker(&mut sim, &sim::member(*at).incarnation));
         await_start(&mut sim, before);
     },
+    // Guards against a decision before the list has dropped the other workers.
+    workers_silent_since_the_same_moment_count_as_lost_with_it => {
+        let mut sim = started();
+        lose_alone(&mut sim);
+        sim.advance(RUN_MS, false);
+        silence_idle(&mut sim, 0);
+        crash(&mut sim, JOB);
+        sim.advance(RESTART_MS, false);
+        assert_eq!(losses(&sim, JOB).correlated, 1);
+    },
+    workers_that_answer_again_do_not_count_as_lost => {
+        let mut sim = started();
+        lose_alone(&mut sim);
+        sim.advance(RUN_MS, false);
+        let others = silence_idle(&mut sim, 0);
+        let own = sim.newest_order(task(JOB)).worker;
+        sim.silent_workers.insert(own.clone());
+        sim.advance(400, false);
+        for at in others {
+            sim.silent_workers.remove(&sim::member(at).incarnation);
+        }
+        sim.advance(1_500, false);
+        replace_worker(&mut sim, &own);
+        sim.advance(RESTART_MS, false);
+        assert_eq!(losses(&sim, JOB).correlated, 0);
+    },
+    // Guards against comparing a loss with workers that live on although a task there began when
+    // this one did: they would have been lost too if such tasks were the cause.
+    living_workers_of_tasks_that_began_together_are_not_compared => {
+        let all = 104;
+        let mut sim = sim::Sim::new(all, Vec::new());
+        sim.submit(JOB, "first", sim::step("plain", 9_000));
+        sim.submit(JOB + 1, "first", job::Step { count: 40, ..sim::step("plain", 9_000) });
+        sim.advance(100, false);
+        lose_all_started(&mut sim);
+        sim.advance(RUN_MS, false);
+        // Fewer than an eighth of all workers, but more than that of those that run no such task.
+        sim.silent_workers.extend(idle_workers(&sim, all).into_iter().take(4));
+        crash(&mut sim, JOB);
+        sim.advance(RESTART_MS, false);
+        assert_eq!(losses(&sim, JOB).correlated, 2);
+    },
     losses_at_the_moment_of_a_start_count_whatever_else_is_lost => {
         let mut sim = started();
         sim.advance(RUN_MS, false);
