Losses by chance are compared with workers that can be lost so

Cause: three such losses prove nothing where workers are lost for other causes often enough. Losses without a suspect stood for that, compared with all workers; but where something has just started a worker can't be lost without a suspect, and where tasks keep starting that is most of them. Some 228 workers were lost in 10 s, and still the third loss counted as proof.

Why this works: the losses are compared with the workers on which nothing has just started. A culprit is given up after five starts at the latest, as before.

Test: three_losses_do_not_give_a_task_up_while_most_workers_start_tasks_and_some_are_lost, failed before; the row of proofs is noticed.

--- a/crates/wharflane/src/job/loss/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -131,12 +131,21 @@
     }
 
     /// Returns whether workers are lost without a suspect so often that a loss soon after a start
-    /// may be chance.
+    /// may be chance. Only workers on which nothing has just started can be lost without one, and
+    /// these are few where tasks keep starting.
     fn may_losses_be_chance(&self) -> bool {
         let since = self.now.saturating_sub(OTHER_CAUSE_WINDOW);
         let lost = self.loss_record.without_suspect(since);
-        let starts = self.views.len() * OTHER_CAUSE_WINDOW.as_secs() as usize;
-        lost * CHANCE_DIVISOR >= starts
+        let settled = self.views.values().filter(|view| !self.has_suspect(view)).count();
+        let starts = settled * OTHER_CAUSE_WINDOW.as_secs() as usize;
+        lost > 0 && lost * CHANCE_DIVISOR >= starts
+    }
+
+    /// Returns whether a task has just started on a worker.
+    fn has_suspect(&self, view: &worker::View) -> bool {
+        let placed = view.tasks.iter().filter_map(|task| Some((*task, self.placed.get(task)?)));
+        let mut ordered = placed.filter(|(_, placed)| may_have_received_order(placed));
+        ordered.any(|(task, placed)| self.presence_of(task, placed).is_suspect())
     }
 
     /// Returns how a task was present when its worker was lost, or nothing if the task can't have
--- a/crates/wharflane/tests/crashing_tasks.rs
+++ b/crates/wharflane/tests/crashing_tasks.rs
@@ -309,6 +309,31 @@
         assert_eq!(sim.phase(JOB), job::Phase::Failed);
         assert_eq!(sim.starts(JOB).len(), MAX_STARTS);
     },
+    // Guards against too low an estimate of losses by chance where tasks keep starting: a loss
+    // without a suspect needs a worker on which nothing has just started.
+    three_losses_do_not_give_a_task_up_while_most_workers_start_tasks_and_some_are_lost => {
+        let mut sim = sim::Sim::new(60, Vec::new());
+        sim.submit(JOB, "first", sim::step("plain", 1_000));
+        sim.advance(100, false);
+        for round in 0..3 {
+            let on = sim.newest_order(task(JOB)).worker;
+            let idle = (0..60).map(|at| sim::member(at).incarnation);
+            let idle = idle.skip(20 * round).find(|incarnation| *incarnation != on);
+            replace_worker(&mut sim, &idle.expect("a worker"));
+            sim.silent_workers.insert(on.clone());
+            sim.advance(AWAY_MS - 500, false);
+            sim.submit(JOB + 1 + round as u64, "first", job::Step { count: 40, ..sim::step("plain", 9_000) });
+            sim.advance(500, false);
+            replace_worker(&mut sim, &on);
+            for index in 0..40 {
+                let other = job::TaskId { index, ..task(JOB + 1 + round as u64) };
+                sim.end_task(other, job::EndKind::Done);
+            }
+            sim.advance(100, false);
+        }
+        assert_eq!(losses(&sim, JOB).sole_suspect, 3);
+        assert_eq!(sim.phase(JOB), job::Phase::Running);
+    },
     a_long_running_task_that_loses_workers_from_time_to_time_is_kept => {
         let mut sim = started(long_running());
         for _ in 0..8 {
