A burst of losses in a large fleet is a common cause

Cause: a common cause had to take an eighth of the workers, 61 of 490, so that no rack and no small wave was one. What tells a wave from culprits isn't its share but that far more workers go at its moment than at others.

Why this works: eight others, as many as share a rack, are enough where they exceed by three standard deviations what the rate of the last 10 s brings together by chance. A culprit's losses meet a wave only now and then, and four of five would have to. Fleets of up to 64 workers decide as before.

--- a/crates/wharflane/src/job/loss/correlated.rs
+++ b/crates/wharflane/src/job/loss/correlated.rs
@@ -1,7 +1,8 @@
 //! Tells the loss of a single worker from one of many losses with a common cause.
 //!
 //! A task that crashes its worker takes that worker alone. Where many workers are lost at one
-//! moment, something else failed, and the tasks there only happened to run there. A worker falls
+//! moment, a share of all or far more than at other times, something else failed, and the tasks
+//! there only happened to run there. A worker falls
 //! silent at once and is known to be lost only later, the workers of one moment seconds apart. So a
 //! loss stays open for a while before it counts as that of a single worker, and by then workers
 //! that have been silent since the same moment count as lost with it.
@@ -22,6 +23,13 @@
 const SAME_START: time::Duration = time::Duration::from_millis(250);
 /// Losses are correlated if at least one other worker in this many was lost at the same moment.
 const CORRELATED_DIVISOR: usize = 8;
+/// They are so too if at least this many others were lost at that moment, as many as share a rack,
+/// and more than chance brings together at the rate of the recent losses.
+const MIN_BURST: usize = 8;
+/// The time before a loss in which others show the rate of losses.
+const RATE_WINDOW: time::Duration = time::Duration::from_secs(10);
+/// By how many standard deviations a burst exceeds the losses that the rate explains.
+const BURST_DEVIATIONS: f64 = 3.0;
 /// The minimum number of other workers of correlated losses.
 const MIN_CORRELATED: usize = 2;
 /// How many idle workers are asked at most when a worker falls silent; so many show how large a
@@ -65,6 +73,12 @@
         lost.worker != self.worker && apart <= SAME_MOMENT
     }
 
+    /// Returns whether another worker was lost so shortly before that it shows the rate of losses.
+    fn is_recent(&self, lost: &LostWorker) -> bool {
+        let since = self.silent_since.saturating_sub(RATE_WINDOW);
+        lost.worker != self.worker && (since..self.silent_since).contains(&lost.silent_since)
+    }
+
     /// Returns whether it has been open for so long that no further worker is awaited.
     fn is_due(&self, now: time::Duration) -> bool {
         now >= self.silent_since + crash::MAX_DETECTION
@@ -103,6 +117,22 @@
     /// The number of workers that answer and have such a suspect, so that they would have been lost
     /// too if that was the cause.
     spared: usize,
+    /// The number of unsuspected ones that were lost within `RATE_WINDOW` before this loss or at
+    /// its moment.
+    recent: usize,
+}
+
+impl Others {
+    /// Returns how many unsuspected ones show a common cause, given the number of workers of which
+    /// a loss is noticed at once.
+    fn needed(self, observed: usize) -> usize {
+        let compared = observed.saturating_sub(self.suspected + self.spared);
+        let share = compared / CORRELATED_DIVISOR;
+        let moment = SAME_MOMENT.as_secs_f64() * 2.0 / RATE_WINDOW.as_secs_f64();
+        let expected = self.recent as f64 * moment;
+        let burst = (expected + BURST_DEVIATIONS * expected.sqrt()).ceil() as usize;
+        share.min(burst.max(MIN_BURST)).max(MIN_CORRELATED)
+    }
 }
 
 /// The workers that are not known to be lost.
@@ -155,12 +185,16 @@
     /// Returns the other workers that were lost at the same moment.
     fn others(&self, loss: &OpenLoss, remaining: &Remaining) -> Others {
         let mut others = Others::default();
-        let lost = self.workers.iter().chain(&remaining.silent);
-        for lost in lost.filter(|lost| loss.is_simultaneous(lost)) {
+        for lost in self.workers.iter().chain(&remaining.silent) {
+            let at_once = loss.is_simultaneous(lost);
+            if !at_once && !loss.is_recent(lost) {
+                continue;
+            }
             if loss.is_suspected(lost) {
-                others.suspected += 1;
+                others.suspected += usize::from(at_once);
             } else {
-                others.unsuspected += 1;
+                others.unsuspected += usize::from(at_once);
+                others.recent += 1;
             }
         }
         let spared = remaining.suspects.iter();
@@ -191,9 +225,7 @@
             } else {
                 self.others(&loss, &Remaining::default())
             };
-            let unsuspected = observed.saturating_sub(others.suspected + others.spared);
-            let needed = unsuspected / CORRELATED_DIVISOR;
-            let correlated = others.unsuspected >= needed.max(MIN_CORRELATED);
+            let correlated = others.unsuspected >= others.needed(observed);
             if correlated || is_due {
                 decided.push(Decided { loss, others, correlated });
             } else {
@@ -290,7 +322,8 @@
             tracing::info!(
                 worker = %loss.worker, tasks = loss.losses.len(), observed,
                 unsuspected = others.unsuspected, suspected = others.suspected,
-                spared = others.spared, silent = remaining.silent.len(),
+                spared = others.spared, recent = others.recent,
+                needed = others.needed(observed), silent = remaining.silent.len(),
                 silent_ms = worker::millis(now.saturating_sub(loss.silent_since)), correlated,
                 "loss of a worker compared with others at the same moment"
             );
--- a/crates/wharflane/tests/correlated_losses.rs
+++ b/crates/wharflane/tests/correlated_losses.rs
@@ -70,6 +70,31 @@
     sim.advance(RESTART_MS, false);
 }
 
+/// Returns a simulation of 200 workers, each of which runs a task.
+fn large_fleet() -> sim::Sim {
+    let mut sim = sim::Sim::new(200, Vec::new());
+    sim.submit(JOB, "first", sim::step("plain", 9_000));
+    sim.submit(JOB + 1, "first", job::Step { count: 199, ..sim::step("plain", 9_000) });
+    sim.advance(RUN_MS, false);
+    sim
+}
+
+/// Loses the worker of the task, and others that run something, each some time after the one
+/// before; the task's is the last of `count`.
+fn lose_started(sim: &mut sim::Sim, count: usize, apart_ms: u64) {
+    let others = (0..).map(|index| job::TaskId { index, ..task(JOB + 1) });
+    let mut lost: Vec<id::Incarnation> =
+        others.take(count - 1).map(|other| sim.newest_order(other).worker).collect();
+    lost.push(sim.newest_order(task(JOB)).worker);
+    for worker in &lost {
+        sim.silent_workers.insert(worker.clone());
+        sim.advance(apart_ms, false);
+    }
+    sim.advance(AWAY_MS, false);
+    lost.iter().for_each(|worker| replace_worker(sim, worker));
+    sim.advance(RESTART_MS, false);
+}
+
 /// Returns the workers that run nothing.
 fn idle_workers(sim: &sim::Sim, all: usize) -> Vec<id::Incarnation> {
     let busy = sim.pending.iter().filter_map(|effect| match effect {
@@ -179,6 +204,18 @@
         sim.advance(RESTART_MS, false);
         assert_eq!(losses(&sim, JOB).correlated, 0);
     },
+    // Guards against a share of all workers that a rack, or a small wave, of a large fleet can't
+    // reach.
+    a_burst_of_losses_in_a_large_fleet_is_a_common_cause => {
+        let mut sim = large_fleet();
+        lose_started(&mut sim, 9, 0);
+        assert_eq!(losses(&sim, JOB).correlated, 1);
+    },
+    losses_one_after_the_other_in_a_large_fleet_stand_alone => {
+        let mut sim = large_fleet();
+        lose_started(&mut sim, 9, 200);
+        assert_eq!(losses(&sim, JOB).correlated, 0);
+    },
     // Guards against comparing a loss with workers that live on although a task there began when
     // this one did: they would have been lost too if such tasks were the cause.
     living_workers_of_tasks_that_began_together_are_not_compared => {
