--- a/crates/wharflane/src/job/loss/correlated.rs
+++ b/crates/wharflane/src/job/loss/correlated.rs
@@ -2,10 +2,11 @@
 //!
 //! A task that crashes its worker takes that worker alone. Where many workers are lost at one
 //! moment, a share of all or far more than at other times, something else failed, and the tasks
-//! there only happened to run there. A worker falls
-//! silent at once and is known to be lost only later, the workers of one moment seconds apart. So a
-//! loss stays open for a while before it counts as that of a single worker, and by then workers
-//! that have been silent since the same moment count as lost with it.
+//! there only happened to run there.
+//!
+//! A worker falls silent at once and is known to be lost only later; those of one moment become
+//! known seconds apart. So a loss stays open for a while before it counts as that of a single
+//! worker, and by then workers that have been silent since the same moment count as lost with it.
 
 use std::collections;
 use std::time;
--- a/crates/wharflane/src/job/loss/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -35,8 +35,8 @@
 const MIN_SINGLE_LOSSES: u32 = 2;
 /// How long a loss without a suspect counts as evidence that workers fail for other causes.
 const OTHER_CAUSE_WINDOW: time::Duration = time::Duration::from_secs(10);
-/// How long after its last answer a worker is lost at the latest: the store's list drops it after
-/// that time. Workers that run nothing answer less often.
+/// How long after its last answer most losses of a worker are known; the store's list may drop it
+/// later. Workers that run nothing answer less often.
 pub(in crate::job) const MAX_DETECTION: time::Duration = time::Duration::from_millis(2_000);
 /// A loss within a task's first second may be chance if at least one in this many starts would meet
 /// an unrelated loss.
--- a/crates/wharflane/tests/correlated_losses.rs
+++ b/crates/wharflane/tests/correlated_losses.rs
@@ -216,6 +216,17 @@
         lose_started(&mut sim, 9, 200);
         assert_eq!(losses(&sim, JOB).correlated, 0);
     },
+    // Guards against tasks that crash workers together and excuse each other.
+    tasks_that_began_together_do_not_excuse_each_other => {
+        let mut sim = sim::Sim::new(WORKERS, Vec::new());
+        sim.submit(JOB, "first", sim::step("plain", 9_000));
+        sim.submit(JOB + 1, "first", job::Step { count: 12, ..sim::step("plain", 9_000) });
+        sim.advance(100, false);
+        lose_all_started(&mut sim);
+        assert_eq!(losses(&sim, JOB).correlated, 1, "none of them had lost a worker before");
+        lose_all_started(&mut sim);
+        assert_eq!(losses(&sim, JOB).correlated, 1);
+    },
     // Guards against comparing a loss with workers that live on although a task there began when
     // this one did: they would have been lost too if such tasks were the cause.
     living_workers_of_tasks_that_began_together_are_not_compared => {
