A takeover logs which leases of earlier holders it reckons with

The lines of a takeover told neither how long leases of earlier holders may last nor who asked for them, so a wrong time from the row, a wrong time of the fence and a wrong time in the worker's view looked the same. "taking the lease" now has what the holder in the row asked for (before_hold_ms), what is inherited (inherited_ms) and the own lease (hold_ms); "holding the domain" how much of it is left (inherited_left_ms).

--- a/crates/wharflane/src/job/lease/acquire.rs
+++ b/crates/wharflane/src/job/lease/acquire.rs
@@ -139,6 +139,9 @@
             version,
             before = previous.as_ref().map_or("", id::HostId::as_str),
             unchanged_ms = worker::millis(unchanged_for),
+            before_hold_ms = lease.hold_ms,
+            inherited_ms = worker::millis(inherited),
+            hold_ms = next.hold_ms,
             epoch = next.epoch,
             "taking the lease"
         );
--- a/crates/wharflane/src/job/lease/loading.rs
+++ b/crates/wharflane/src/job/lease/loading.rs
@@ -131,9 +131,11 @@
         if self.leaving {
             holding.leave();
         }
+        let inherited_left = holding.inherited_until().saturating_sub(now);
         tracing::info!(
             domain = self.settings.domain,
             epoch = lease.epoch,
+            inherited_left_ms = worker::millis(inherited_left),
             jobs = jobs.len(),
             workers = self.members.len(),
             took_ms = worker::millis(now.saturating_sub(*acquired)),
