Leases of earlier holders are handed on from lease row to lease row

A weak host had granted leases of hold_max_ms (10 s), workers then could not be reached and ran on, and some 4 s after the second change of the holder their tasks were started again elsewhere.

Cause: a lease row told only what its own holder asks for (hold_ms), and a new holder overwrote it with its own. So each holder knew of the one directly before it, and the next but one believed that all leases had ended with the shorter ones of the holder between. What was added for a presumed-dead holder that may go on was kept for one change only in the same way. It is lost on each path by which a row is written: taking it (from a released row, a killed holder, an expired row, and from an earlier process of the same host, whose row is taken at once), renewing it while loading, each commit, and the release at a stop.

Change: the row also tells how much longer leases of all earlier holders may last (earlier_left_ms), worked out anew by the holder's own clock for each write. A reader counts that rest from when it first read the row, which is after it was written; so no clocks are compared, a write that takes effect late or is read late only makes it longer, and a change of the holder doesn't start it anew. A row of an older version tells no rest, so it counts as the longest lease. All that ends leases goes by the one value (job/lease/inherited.rs): tasks of workers that are not listed, workers that never answered this holder, and the first answer of a worker, which now counts what is left of the inherited leases rather than their whole length.

Times of the store's clock in the row would do as well, but no lease is granted or ended by that clock so far.

--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -7,6 +7,7 @@
 
 use super::event;
 use super::holding;
+use super::lease::inherited;
 use super::lease::store_clock;
 use super::load::admission;
 use super::queue;
@@ -30,8 +31,8 @@
         lease: job_rows::Lease,
         /// When the transaction was sent.
         sent: time::Duration,
-        /// The longest task lease that the previous holder may have requested.
-        inherited: time::Duration,
+        /// The task leases that earlier holders may have granted.
+        inherited: inherited::Inherited,
     },
     /// The lease is held and the domain's state is being loaded.
     Loading {
@@ -41,8 +42,8 @@
         version: u64,
         /// When the transaction that acquired the lease was sent.
         acquired: time::Duration,
-        /// The longest task lease that the previous holder may have requested.
-        inherited: time::Duration,
+        /// The task leases that earlier holders may have granted.
+        inherited: inherited::Inherited,
         /// When the last committed renewal of the lease was sent.
         renewed: time::Duration,
         /// The renewal in flight.
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -6,6 +6,7 @@
 
 use super::event;
 use super::learn::learned;
+use super::lease::inherited;
 use super::lease::store_clock;
 use super::load::admission;
 use super::loss::correlated;
@@ -37,8 +38,8 @@
     pub(super) renewed: time::Duration,
     /// When the lease was acquired.
     pub(super) acquired: time::Duration,
-    /// The longest task lease that the previous holder requested.
-    pub(super) inherited: time::Duration,
+    /// The task leases that earlier holders may have granted.
+    pub(super) inherited: inherited::Inherited,
     /// When the event in progress arrived.
     pub(super) now: time::Duration,
     /// The wall clock time, in milliseconds since 1970.
@@ -205,7 +206,7 @@
         settings: event::Settings,
         lease: job_rows::Lease,
         version: u64,
-        (acquired, inherited): (time::Duration, time::Duration),
+        (acquired, inherited): (time::Duration, inherited::Inherited),
         queues: sync::Arc<queue::Queues>,
     ) -> Self {
         let mut holding = Self {
--- a/crates/wharflane/src/job/lease/acquire.rs
+++ b/crates/wharflane/src/job/lease/acquire.rs
@@ -8,6 +8,7 @@
 use crate::id;
 use crate::job::engine;
 use crate::job::event;
+use crate::job::lease::inherited;
 use crate::job::lease::store_clock;
 use crate::job::rows as job_rows;
 use crate::job::store::commit;
@@ -58,7 +59,7 @@
             let probe = addr.map(|addr| event::Effect::Probe { version, addr, delay });
             return probe.into_iter().collect();
         }
-        self.acquire_lease(now, version, &lease, time::Duration::ZERO)
+        self.acquire_lease(now, time::Duration::ZERO)
     }
 
     /// Acquires the lease of a holder that has vacated it, whose process is gone or whose host is
@@ -106,41 +107,37 @@
             domain, version, sign = ?result, unchanged_ms,
             "the lease holder is presumed dead"
         );
-        self.acquire_lease(now, version, &seen.lease, self.settings.lease)
+        self.acquire_lease(now, self.settings.lease)
     }
 
-    /// Acquires a lease; `extra` is how much longer than its row says the previous holder may have
-    /// granted task leases.
-    fn acquire_lease(
-        &mut self,
-        now: time::Duration,
-        version: u64,
-        lease: &job_rows::Lease,
-        extra: time::Duration,
-    ) -> Vec<event::Effect> {
-        let unchanged_for = self.seen.as_ref().map_or(now, |seen| now.saturating_sub(seen.since));
-        let previous = lease.holder.clone();
+    /// Acquires the lease that was last read; `extra` is how much longer than its row says the
+    /// previous holder may have granted task leases.
+    fn acquire_lease(&mut self, now: time::Duration, extra: time::Duration) -> Vec<event::Effect> {
+        let Some(seen) = self.seen.clone() else {
+            return Vec::new();
+        };
+        let longest = self.settings.task_lease_max;
+        let inherited = inherited::Inherited::from_seen(&seen, now, extra, longest);
+        let engine::Seen { version, lease, since, .. } = seen;
         let next = job_rows::Lease {
             holder: Some(self.own.clone()),
             epoch: job_rows::next_epoch(lease.epoch),
             nonce: self.nonce,
             seq: 0,
             hold_ms: worker::millis(self.settings.task_lease),
+            earlier_left_ms: Some(inherited.left_ms(now)),
             addr: self.settings.addr,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
             backlogs: Vec::new(),
         };
-        let inherited = match lease.hold_ms {
-            0 => self.settings.task_lease_max,
-            hold_ms => time::Duration::from_millis(hold_ms),
-        } + extra;
         tracing::info!(
             domain = self.settings.domain,
             version,
-            before = previous.as_ref().map_or("", id::HostId::as_str),
-            unchanged_ms = worker::millis(unchanged_for),
+            before = lease.holder.as_ref().map_or("", id::HostId::as_str),
+            unchanged_ms = worker::millis(now.saturating_sub(since)),
             before_hold_ms = lease.hold_ms,
-            inherited_ms = worker::millis(inherited),
+            before_left_ms = lease.earlier_left_ms,
+            inherited_ms = inherited.left_ms(now),
             hold_ms = next.hold_ms,
             epoch = next.epoch,
             "taking the lease"
--- a/crates/wharflane/src/job/lease/loading.rs
+++ b/crates/wharflane/src/job/lease/loading.rs
@@ -18,7 +18,7 @@
 impl engine::Engine {
     /// Renews the lease while loading, or steps down if loading takes too long.
     pub(in crate::job) fn continue_loading(&mut self, now: time::Duration) -> Vec<event::Effect> {
-        let engine::Role::Loading { lease, version, acquired, renewed, renewal, .. } =
+        let engine::Role::Loading { lease, version, acquired, inherited, renewed, renewal } =
             &mut self.role
         else {
             return Vec::new();
@@ -41,9 +41,11 @@
         // A stopping host releases the lease instead of renewing it.
         let holder = lease.holder.clone().filter(|_| !self.leaving);
         let written_ms = self.store_clock.map(|clock| clock.ms(now));
+        let earlier_left_ms = Some(inherited.left_ms(now));
+        let seq = lease.seq + 1;
         let new_renewal = || engine::Renewal {
             number: None,
-            lease: job_rows::Lease { seq: lease.seq + 1, holder, written_ms, ..lease.clone() },
+            lease: job_rows::Lease { seq, holder, earlier_left_ms, written_ms, ..lease.clone() },
             sent: now,
         };
         let renewal = renewal.get_or_insert_with(new_renewal);
@@ -131,11 +133,10 @@
         if self.leaving {
             holding.leave();
         }
-        let inherited_left = holding.inherited_until().saturating_sub(now);
         tracing::info!(
             domain = self.settings.domain,
             epoch = lease.epoch,
-            inherited_left_ms = worker::millis(inherited_left),
+            inherited_left_ms = inherited.left_ms(now),
             jobs = jobs.len(),
             workers = self.members.len(),
             took_ms = worker::millis(now.saturating_sub(*acquired)),
--- a/crates/wharflane/src/job/loss/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -119,7 +119,7 @@
     /// Frees inherited tasks on workers that are not listed, once the leases from earlier holders
     /// have expired.
     fn free_inherited(&mut self, now: time::Duration) {
-        if now < self.inherited_until() {
+        if now < self.inherited.until {
             return;
         }
         let lost = self.placed.iter().filter(|(_, placed)| {
@@ -134,9 +134,4 @@
             self.free_lost(tasks, "lease expired; worker unknown");
         }
     }
-
-    /// Returns when all leases that earlier holders granted have expired.
-    pub(in crate::job) fn inherited_until(&self) -> time::Duration {
-        self.acquired + worker::longest_by_holder_clock(self.inherited)
-    }
 }
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -152,6 +152,10 @@
     /// The longest task lease that the holder requests from workers, in milliseconds.
     #[serde(default)]
     pub hold_ms: u64,
+    /// How much longer task leases of all earlier holders may last, in milliseconds from when this
+    /// write was first sent; absent in a row of an older version, which doesn't tell.
+    #[serde(default)]
+    pub earlier_left_ms: Option<u64>,
     /// The address on which the holder's process listens, so that other hosts can probe it.
     #[serde(default)]
     pub addr: Option<net::SocketAddr>,
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -170,6 +170,7 @@
         let lease = job_rows::Lease {
             holder: if release { None } else { self.lease.holder.clone() },
             seq: self.lease.seq + 1,
+            earlier_left_ms: Some(self.inherited.left_ms(now)),
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
             backlogs: self.backlogs.clone(),
             ..self.lease.clone()
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -112,10 +112,10 @@
                 view.last_answer = Some((lists.clock_ms, now));
                 let first = !view.fenced;
                 if first {
-                    // Earlier holders may have granted leases up to the longest that the worker
-                    // allows.
-                    let inherited = lists.clock_ms + worker::millis(view.inherited.lease);
-                    view.granted_until_ms = view.granted_until_ms.max(inherited);
+                    // No answer to this holder is older than its lease.
+                    let left = view.inherited.longest_left(sent.unwrap_or(self.acquired));
+                    let inherited_ms = lists.clock_ms + worker::millis(left);
+                    view.granted_until_ms = view.granted_until_ms.max(inherited_ms);
                 }
                 view.fenced = true;
                 view.heartbeat_due = if view.tasks.is_empty() {
--- a/crates/wharflane/src/job/workers/incarnations.rs
+++ b/crates/wharflane/src/job/workers/incarnations.rs
@@ -11,6 +11,7 @@
 
 use crate::id;
 use crate::job::holding;
+use crate::job::lease::inherited;
 use crate::job::loss::crash;
 use crate::job::runs::order;
 use crate::job::runs::work;
@@ -128,9 +129,9 @@
         orphans: &[spec::TaskId],
         follows: bool,
         now: time::Duration,
-    ) -> worker::Inherited {
+    ) -> inherited::Inherited {
         if !follows {
-            return worker::Inherited { lease: self.inherited, until: self.inherited_until() };
+            return self.inherited;
         }
         let open = orphans.iter().filter_map(|task| self.placed.get(task));
         let mut open = open.filter(|placed| {
@@ -140,7 +141,7 @@
         let late = if open.next().is_some() { MAX_ORDER_DELAY } else { time::Duration::ZERO };
         // The worker cuts the lease that an order for the past incarnation requested to this.
         let lease = self.settings.task_lease_max;
-        worker::Inherited { lease, until: now + late + worker::longest_by_holder_clock(lease) }
+        inherited::Inherited { lease, until: now + late + worker::longest_by_holder_clock(lease) }
     }
 
     /// Moves a task whose run was lost with the past incarnation of its worker to the next one,
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use crate::job::learn::interference;
+use crate::job::lease::inherited;
 use crate::job::loss::crash;
 use crate::job::runs::order;
 use crate::job::spec;
@@ -106,15 +107,6 @@
     pub idle_milli: u64,
 }
 
-/// Leases and orders from before this holder knew the worker.
-#[derive(Clone, Copy, Debug)]
-pub(in crate::job) struct Inherited {
-    /// The longest lease that may have been granted.
-    pub lease: time::Duration,
-    /// When all of these have expired at the latest, by this holder's clock.
-    pub until: time::Duration,
-}
-
 /// The holder's view of a worker incarnation.
 #[derive(Debug)]
 pub(in crate::job) struct View {
@@ -135,7 +127,7 @@
     /// milliseconds.
     pub granted_until_ms: u64,
     /// Leases and orders from before this holder knew the worker.
-    pub inherited: Inherited,
+    pub inherited: inherited::Inherited,
     /// The handled ends whose result is not committed yet.
     pub unrecorded: collections::BTreeSet<u64>,
     /// The number of the last end that was handled.
@@ -186,7 +178,11 @@
 
 impl View {
     /// Creates the view of a worker before its first heartbeat.
-    pub fn new(member: order::Member, inherited: Inherited, now: time::Duration) -> Self {
+    pub fn new(
+        member: order::Member,
+        inherited: inherited::Inherited,
+        now: time::Duration,
+    ) -> Self {
         Self {
             member,
             known_since: now,
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -87,6 +87,7 @@
             nonce: 9,
             seq: 1,
             hold_ms: 4_000,
+            earlier_left_ms: Some(0),
             addr: None,
             written_ms: None,
             backlogs: Vec::new(),
--- a/crates/wharflane/tests/lease_polls.rs
+++ b/crates/wharflane/tests/lease_polls.rs
@@ -120,6 +120,7 @@
         nonce: 1,
         seq: written_ms,
         hold_ms: 4_000,
+        earlier_left_ms: Some(0),
         addr: Some(([127, 0, 0, 1], 9).into()),
         written_ms: Some(written_ms),
         backlogs: Vec::new(),
