Worlds of weak and strong hosts whose holder changes several times in a row

The simulated hosts were all of one kind, so leases that last longer than those of the present holder never came up. Now the first hosts of a world may be weak (they request the longest leases), and series of changes begin as a quarter of the workers is cut off for 11 s and runs on: holders are stopped, killed, or killed and restarted at once, 0.2 to 1.3 s apart, also beside late writes, late orders and restarted workers.

Worlds with such series let tasks report progress, since batch tasks of 9 s without any are stopped as stalled.

--- a/crates/stand-in/src/jobs/injection.rs
+++ b/crates/stand-in/src/jobs/injection.rs
@@ -45,7 +45,8 @@
         let at = if matches!(fault, fault::Kind::Close) { self.close_hall() } else { at };
         match fault {
             fault::Kind::Close => {}
-            fault::Kind::Kill | fault::Kind::Remove => {
+            fault::Kind::Kill => return self.kill_host(at, time::Duration::from_secs(secs)),
+            fault::Kind::Remove => {
                 self.hosts[at].engine = None;
                 self.hosts[at].incarnation += 1;
             }
@@ -72,7 +73,9 @@
                 self.workers[at].listed = false;
                 self.announce_member(at);
             }
-            fault::Kind::Cut => self.workers[at].reachable = false,
+            fault::Kind::Cut => {
+                return self.cut_off_worker(at, time::Duration::from_secs(secs));
+            }
             fault::Kind::FailTasks => self.workers[at].fails_every_task = true,
             fault::Kind::Restart => {}
         }
@@ -80,6 +83,23 @@
         self.send(time::Duration::from_secs(secs), message::Message::EndFault(fault, at));
     }
 
+    /// Kills the process of a host, which starts again after a time.
+    pub(super) fn kill_host(&mut self, at: usize, down: time::Duration) {
+        self.waits.note_disturbance(self.now);
+        self.hosts[at].engine = None;
+        self.hosts[at].incarnation += 1;
+        self.waits.open_faults += 1;
+        self.send(down, message::Message::EndFault(fault::Kind::Kill, at));
+    }
+
+    /// Makes a worker unreachable for a time, in which it runs on.
+    pub(super) fn cut_off_worker(&mut self, at: usize, cut: time::Duration) {
+        self.waits.note_disturbance(self.now);
+        self.workers[at].reachable = false;
+        self.waits.open_faults += 1;
+        self.send(cut, message::Message::EndFault(fault::Kind::Cut, at));
+    }
+
     /// Ends a fault.
     pub(super) fn end_fault(&mut self, fault: fault::Kind, at: usize) {
         self.waits.open_faults -= 1;
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -46,6 +46,12 @@
     Share(job::SetShare),
     /// A wave crashes a share of the workers.
     Wave,
+    /// A series of changes of the holder begins.
+    BeginHandovers,
+    /// The holder changes, as the first of this many changes.
+    ChangeHolder(u32),
+    /// An incarnation of a host ends after it was stopped.
+    EndHost(usize, u64),
     /// A long-running task fails.
     FailLasting,
     /// A caller submits a random job.
@@ -132,6 +138,9 @@
             Message::Feed => self.answer_feed(),
             Message::Share(change) => self.share(&change),
             Message::Wave => self.crash_wave(),
+            Message::BeginHandovers => self.begin_handovers(),
+            Message::ChangeHolder(left) => self.change_holder(left),
+            Message::EndHost(host, incarnation) => self.end_host(host, incarnation),
             Message::FailLasting => self.fail_lasting(),
             Message::Submit => self.submit(),
             Message::SubmitJob(id, job) => self.accept(id, *job),
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 mod crashing_task;
 mod effects;
 mod fault;
+mod handovers;
 mod injection;
 mod message;
 pub mod plan;
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -4,6 +4,8 @@
 use std::ops;
 use std::time;
 
+use super::worker;
+
 /// What happens beyond the faults that the seed draws.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -22,6 +24,12 @@
     pub interference: f64,
     /// The waves that crash workers; absent for none.
     pub waves: Option<Waves>,
+    /// The number of weak hosts, the first ones; they request the longest leases that workers grant.
+    pub weak_hosts: usize,
+    /// The longest lease that workers grant.
+    pub longest_lease: time::Duration,
+    /// Series of changes of the holder; absent for none.
+    pub handovers: Option<Handovers>,
     /// The time from the crash of a worker until another incarnation answers at its address, in
     /// milliseconds; absent for the usual one.
     pub away_ms: Option<ops::Range<u64>>,
@@ -40,6 +48,39 @@
     pub count: u32,
 }
 
+/// Series of changes of the holder, each of which begins when a share of the workers can't be reached
+/// any more and runs on.
+#[derive(Clone, Debug)]
+pub struct Handovers {
+    /// The time of the first series.
+    pub first: time::Duration,
+    /// The time from one series to the next.
+    pub every: time::Duration,
+    /// The number of series.
+    pub count: u32,
+    /// The number of changes in a series.
+    pub changes: u32,
+    /// The time before each change, in milliseconds.
+    pub gap_ms: ops::Range<u64>,
+    /// How a holder may end.
+    pub ends: &'static [HolderEnd],
+    /// The share of the workers that can't be reached, in thousandths.
+    pub cut_milli: u64,
+    /// How long they can't be reached.
+    pub cut: time::Duration,
+}
+
+/// How a holder ends.
+#[derive(Clone, Copy, Debug)]
+pub enum HolderEnd {
+    /// It releases the lease and ends.
+    Stopped,
+    /// It is killed, and its host is down for a while.
+    Killed,
+    /// It is killed, and its host starts again at once.
+    Restarted,
+}
+
 impl Default for Plan {
     fn default() -> Self {
         Self {
@@ -49,6 +90,9 @@
             dead_workers_refuse: false,
             interference: 0.0,
             waves: None,
+            weak_hosts: 0,
+            longest_lease: worker::MAX_LEASE,
+            handovers: None,
             away_ms: None,
         }
     }
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -7,7 +7,7 @@
 
 use super::beside;
 
-/// The longest lease that a worker grants.
+/// The longest lease that a worker grants, unless a plan sets another.
 pub const MAX_LEASE: time::Duration = time::Duration::from_secs(6);
 /// The maximum number of ended runs in one list; the others follow once these are acknowledged.
 pub const MAX_LISTED_ENDS: usize = 500;
@@ -75,6 +75,8 @@
     pub clock_milli: u32,
     /// The reading of its clock at time zero, in milliseconds.
     pub clock_from_ms: u64,
+    /// The longest lease that it grants.
+    pub longest_lease: time::Duration,
     /// The capacity that it offers to tasks.
     pub capacity: size::Size,
     /// Whether it refuses starts that exceed its capacity.
@@ -133,6 +135,7 @@
             fails_every_task: false,
             clock_milli,
             clock_from_ms: 100_000,
+            longest_lease: MAX_LEASE,
             capacity,
             checks_capacity: true,
             shrunk_at: None,
@@ -354,9 +357,10 @@
         }
     }
 
-    /// Extends the lease to at most `MAX_LEASE` from now; never shortens it.
+    /// Extends the lease to at most the longest one from now; never shortens it.
     fn extend(&mut self, lease_until_ms: u64, now: time::Duration) {
-        let longest = self.clock_ms(now) + u64::try_from(MAX_LEASE.as_millis()).unwrap_or(0);
+        let longest =
+            self.clock_ms(now) + u64::try_from(self.longest_lease.as_millis()).unwrap_or(0);
         self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.min(longest));
     }
 }
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -88,6 +88,8 @@
     pub(super) closed: closed_halls::ClosedSince,
     /// When each cancelled job was cancelled.
     pub(super) cancelled: collections::BTreeMap<job::JobId, time::Duration>,
+    /// The number of times that a series of the plan has ended the holder.
+    pub changes: u32,
     /// Checks the guarantees of the service.
     pub checker: checker::Checker,
     /// Judges waits and missed targets; records disturbances even if it judges nothing.
@@ -124,6 +126,7 @@
             last_disturbed: time::Duration::ZERO,
             closed: closed_halls::ClosedSince::new(),
             cancelled: collections::BTreeMap::new(),
+            changes: 0,
             checker: checker::Checker::default(),
             waits: waits::Judge::default(),
         };
@@ -153,6 +156,7 @@
             (0..count).for_each(|_| world.send_at_random(Message::Fault(fault)));
         }
         world.schedule_waves();
+        world.schedule_handovers();
         world
     }
 
@@ -264,7 +268,9 @@
         worker.checks_capacity = self.faults.shrinks == 0;
         worker.hall = closed_halls::hall_of(self.workers.len());
         worker.interference = self.plan.interference;
-        worker.reports_progress = self.plan.judged_from.is_some();
+        worker.longest_lease = self.plan.longest_lease;
+        // Batch tasks that run for seconds without progress would be stopped as stalled.
+        worker.reports_progress = self.plan.judged_from.is_some() || self.plan.handovers.is_some();
         self.workers.push(worker);
     }
 
@@ -275,7 +281,10 @@
         let port = FIRST_PORT + u16::try_from(host).unwrap_or(0);
         let poll = if self.plan.lease_claims { POLL_WITH_CLAIMS } else { settings().poll };
         let addr = Some(([127, 0, 0, 1], port).into());
-        let settings = job::Settings { addr, poll, ..settings() };
+        let task_lease_max = self.plan.longest_lease;
+        let weak = host < self.plan.weak_hosts;
+        let task_lease = if weak { task_lease_max } else { settings().task_lease };
+        let settings = job::Settings { addr, poll, task_lease, task_lease_max, ..settings() };
         let mut engine = job::Engine::new(own, settings, nonce);
         let queue = job::Queue {
             name: QUEUE.to_owned(),
