Late orders to a restarted worker are counted with after a change of the holder

What callers would see: a task that runs twice. A worker restarts under its id and doesn't answer; the holder that saw the restart knows that orders for the incarnation before may be carried out by the next one for 12 s, and waits for them and for the longest lease. The next holder finds the task recorded on the new incarnation, takes it for an ordinary worker and starts the task again after the leases of its row alone: 9.3 and 9.4 s (after one and two changes) or 12 s (after six) after the restart, where 22 s are needed.

Cause: the same as of the leases that were forgotten: what a holder knows about the end of leases was not handed on.

Change: the lease row names the restarted workers that have not answered since, each with the time that is left, 64 at most; further ones make all leases count as longer. They are their own, so that tasks of other lost workers don't wait for them (a test; a single time for all would have made them wait for 22 s). An answer to the holder, which carries a higher fence, takes a worker off the list.

Whether workers that join after all older leases have expired need any allowance is left for another time.

The roles of an engine hold their data in structs of their own (Acquiring, Loading), since they have grown.

--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -24,35 +24,43 @@
     /// Another host may hold the lease.
     Watching,
     /// The transaction that acquires the lease is in flight.
-    Acquiring {
-        /// The number of that transaction.
-        number: u64,
-        /// The lease that it writes.
-        lease: job_rows::Lease,
-        /// When the transaction was sent.
-        sent: time::Duration,
-        /// The task leases that earlier holders may have granted.
-        inherited: inherited::Inherited,
-    },
+    Acquiring(Box<Acquiring>),
     /// The lease is held and the domain's state is being loaded.
-    Loading {
-        /// The lease as it was last written.
-        lease: job_rows::Lease,
-        /// The version of the lease row.
-        version: u64,
-        /// When the transaction that acquired the lease was sent.
-        acquired: time::Duration,
-        /// The task leases that earlier holders may have granted.
-        inherited: inherited::Inherited,
-        /// When the last committed renewal of the lease was sent.
-        renewed: time::Duration,
-        /// The renewal in flight.
-        renewal: Option<Renewal>,
-    },
+    Loading(Box<Loading>),
     /// This host holds the domain and schedules its jobs.
     Holding(Box<holding::Holding>),
 }
 
+/// A lease that is being acquired.
+#[derive(Clone, Debug)]
+pub(super) struct Acquiring {
+    /// The number of the transaction.
+    pub number: u64,
+    /// The lease that it writes.
+    pub lease: job_rows::Lease,
+    /// When it was sent.
+    pub sent: time::Duration,
+    /// The task leases that earlier holders may have granted.
+    pub inherited: inherited::Inherited,
+}
+
+/// A lease whose domain's state is being loaded.
+#[derive(Clone, Debug)]
+pub(super) struct Loading {
+    /// The lease as it was last written.
+    pub lease: job_rows::Lease,
+    /// The version of the lease row.
+    pub version: u64,
+    /// When the transaction that acquired the lease was sent.
+    pub acquired: time::Duration,
+    /// The task leases that earlier holders may have granted.
+    pub inherited: inherited::Inherited,
+    /// When the last committed renewal of the lease was sent.
+    pub renewed: time::Duration,
+    /// The renewal in flight.
+    pub renewal: Option<Renewal>,
+}
+
 /// A write that renews the lease while the state is being loaded.
 #[derive(Clone, Debug)]
 pub(super) struct Renewal {
@@ -165,7 +173,7 @@
                 return self.finish_loading(now, &jobs, &progress, &learned);
             }
             event::Event::LoadFailed => {
-                if matches!(self.role, Role::Loading { .. }) {
+                if matches!(self.role, Role::Loading(_)) {
                     return vec![event::Effect::Load];
                 }
             }
@@ -296,7 +304,7 @@
             holding.tick(now, wall_ms);
             return self.collect_effects(now);
         }
-        if matches!(self.role, Role::Loading { .. }) {
+        if matches!(self.role, Role::Loading(_)) {
             return self.continue_loading(now);
         }
         let due = self.polled.is_none_or(|at| now.saturating_sub(at) >= self.poll_interval(at));
@@ -346,10 +354,10 @@
         outcome: &rows::Outcome,
     ) -> Vec<event::Effect> {
         match &mut self.role {
-            Role::Acquiring { number: sent_number, .. } if *sent_number == number => {
+            Role::Acquiring(acquiring) if acquiring.number == number => {
                 self.handle_acquire_outcome(now, outcome)
             }
-            Role::Loading { .. } => {
+            Role::Loading(_) => {
                 self.handle_renewal_outcome(now, number, outcome);
                 Vec::new()
             }
--- a/crates/wharflane/src/job/lease/acquire.rs
+++ b/crates/wharflane/src/job/lease/acquire.rs
@@ -119,17 +119,17 @@
         let longest = self.settings.task_lease_max;
         let inherited = inherited::Inherited::from_seen(&seen, now, extra, longest);
         let engine::Seen { version, lease, since, .. } = seen;
-        let next = job_rows::Lease {
+        let mut next = job_rows::Lease {
             holder: Some(self.own.clone()),
             epoch: job_rows::next_epoch(lease.epoch),
             nonce: self.nonce,
             seq: 0,
             hold_ms: worker::millis(self.settings.task_lease),
-            earlier_left_ms: Some(inherited.left_ms(now)),
             addr: self.settings.addr,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
-            backlogs: Vec::new(),
+            ..job_rows::Lease::default()
         };
+        inherited.hand_on(&mut next, now);
         tracing::info!(
             domain = self.settings.domain,
             version,
@@ -146,8 +146,9 @@
         let Ok(txn) = commit::lease_txn(self.settings.domain, version, &next) else {
             return Vec::new();
         };
-        self.role =
-            engine::Role::Acquiring { number: self.numbers, lease: next, sent: now, inherited };
+        let number = self.numbers;
+        let acquiring = engine::Acquiring { number, lease: next, sent: now, inherited };
+        self.role = engine::Role::Acquiring(Box::new(acquiring));
         vec![event::Effect::Txn(self.numbers, txn)]
     }
 
@@ -157,24 +158,25 @@
         now: time::Duration,
         outcome: &rows::Outcome,
     ) -> Vec<event::Effect> {
-        let engine::Role::Acquiring { lease, sent, inherited, .. } = &self.role else {
+        let engine::Role::Acquiring(acquiring) = &self.role else {
             return Vec::new();
         };
+        let engine::Acquiring { lease, sent, inherited, .. } = acquiring.as_ref();
         let Some(version) = commit::committed_version(outcome, lease) else {
             // Going back to watching is safe: if the write is applied late, this process reads the
             // lease as its own and acquires it again.
             self.step_down(now, "the lease was not taken");
             return Vec::new();
         };
-        let (lease, acquired, inherited) = (lease.clone(), *sent, *inherited);
-        self.role = engine::Role::Loading {
-            lease,
+        let loading = engine::Loading {
+            lease: lease.clone(),
             version,
-            acquired,
-            inherited,
-            renewed: acquired,
+            acquired: *sent,
+            inherited: inherited.clone(),
+            renewed: *sent,
             renewal: None,
         };
+        self.role = engine::Role::Loading(Box::new(loading));
         vec![event::Effect::Load]
     }
 
@@ -194,10 +196,10 @@
         let (own_version, renewed) = match &self.role {
             engine::Role::Watching => return event::LeaseClaim::Vacated,
             // What this process is acquiring is not what the other host has read.
-            engine::Role::Acquiring { .. } => {
+            engine::Role::Acquiring(_) => {
                 return event::LeaseClaim::Claimed { claimed_for: time::Duration::ZERO };
             }
-            engine::Role::Loading { version, renewed, .. } => (*version, *renewed),
+            engine::Role::Loading(loading) => (loading.version, loading.renewed),
             engine::Role::Holding(holding) => (holding.version, holding.renewed),
         };
         let unrenewed = now.saturating_sub(renewed);
--- a/crates/wharflane/src/job/lease/loading.rs
+++ b/crates/wharflane/src/job/lease/loading.rs
@@ -18,11 +18,11 @@
 impl engine::Engine {
     /// Renews the lease while loading, or steps down if loading takes too long.
     pub(in crate::job) fn continue_loading(&mut self, now: time::Duration) -> Vec<event::Effect> {
-        let engine::Role::Loading { lease, version, acquired, inherited, renewed, renewal } =
-            &mut self.role
-        else {
+        let engine::Role::Loading(loading) = &mut self.role else {
             return Vec::new();
         };
+        let engine::Loading { lease, version, acquired, inherited, renewed, renewal } =
+            loading.as_mut();
         let lease_time = self.settings.lease.saturating_sub(self.settings.margin);
         let max_loading = lease_time * MAX_LOAD_LEASES;
         if now.saturating_sub(*renewed) >= lease_time
@@ -41,12 +41,11 @@
         // A stopping host releases the lease instead of renewing it.
         let holder = lease.holder.clone().filter(|_| !self.leaving);
         let written_ms = self.store_clock.map(|clock| clock.ms(now));
-        let earlier_left_ms = Some(inherited.left_ms(now));
-        let seq = lease.seq + 1;
-        let new_renewal = || engine::Renewal {
-            number: None,
-            lease: job_rows::Lease { seq, holder, earlier_left_ms, written_ms, ..lease.clone() },
-            sent: now,
+        let new_renewal = || {
+            let seq = lease.seq + 1;
+            let mut lease = job_rows::Lease { seq, holder, written_ms, ..lease.clone() };
+            inherited.hand_on(&mut lease, now);
+            engine::Renewal { number: None, lease, sent: now }
         };
         let renewal = renewal.get_or_insert_with(new_renewal);
         let txn = match commit::lease_txn(self.settings.domain, *version, &renewal.lease) {
@@ -68,9 +67,10 @@
         number: u64,
         outcome: &rows::Outcome,
     ) {
-        let engine::Role::Loading { lease, version, renewed, renewal, .. } = &mut self.role else {
+        let engine::Role::Loading(loading) = &mut self.role else {
             return;
         };
+        let engine::Loading { lease, version, renewed, renewal, .. } = loading.as_mut();
         let Some(mut in_flight) = renewal.take_if(|renewal| renewal.number == Some(number)) else {
             return;
         };
@@ -105,16 +105,16 @@
         progress: &[rows::Row],
         learned: &[rows::Row],
     ) -> Vec<event::Effect> {
-        let engine::Role::Loading { lease, version, acquired, inherited, renewed, renewal } =
-            &self.role
-        else {
+        let engine::Role::Loading(loading) = &self.role else {
             return Vec::new();
         };
+        let engine::Loading { lease, version, acquired, inherited, renewed, renewal } =
+            loading.as_ref();
         let mut holding = holding::Holding::new(
             self.settings,
             lease.clone(),
             *version,
-            (*acquired, *inherited),
+            (*acquired, inherited.clone()),
             sync::Arc::clone(&self.queues),
         );
         holding.renewed = *renewed;
--- a/crates/wharflane/src/job/loss/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -119,12 +119,13 @@
     /// Frees inherited tasks on workers that are not listed, once the leases from earlier holders
     /// have expired.
     fn free_inherited(&mut self, now: time::Duration) {
-        if now < self.inherited.until {
+        if now < self.inherited.leases.until {
             return;
         }
         let lost = self.placed.iter().filter(|(_, placed)| {
             placed.start_state == work::StartState::Inherited
                 && !self.views.contains_key(&placed.worker)
+                && now >= self.inherited.on(&placed.worker).until
         });
         let mut by_worker = collections::BTreeMap::<_, Vec<spec::TaskId>>::new();
         for (task, placed) in lost {
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -156,6 +156,10 @@
     /// write was first sent; absent in a row of an older version, which doesn't tell.
     #[serde(default)]
     pub earlier_left_ms: Option<u64>,
+    /// The workers that restarted under their id and haven't answered since, where leases may last
+    /// longer than elsewhere.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub restarted: Vec<Restarted>,
     /// The address on which the holder's process listens, so that other hosts can probe it.
     #[serde(default)]
     pub addr: Option<net::SocketAddr>,
@@ -169,6 +173,17 @@
     pub backlogs: Vec<admission::Backlog>,
 }
 
+/// A worker in the lease row that restarted under its id and hasn't answered since.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Restarted {
+    /// The incarnation of the worker.
+    #[serde(rename = "id")]
+    pub incarnation: id::Incarnation,
+    /// How much longer a run may last there that was ordered from the incarnation before, in
+    /// milliseconds from when the row was first sent.
+    pub left_ms: u64,
+}
+
 impl Lease {
     /// Returns how long ago the row was written, by a reading of the store's clock; zero if that is
     /// unknown.
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -167,14 +167,14 @@
         let domain = self.settings.domain;
         let batch = self.take_dirty()?;
         let release = self.leaving && (self.release_now || self.dirty.is_empty());
-        let lease = job_rows::Lease {
+        let mut lease = job_rows::Lease {
             holder: if release { None } else { self.lease.holder.clone() },
             seq: self.lease.seq + 1,
-            earlier_left_ms: Some(self.inherited.left_ms(now)),
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
             backlogs: self.backlogs.clone(),
             ..self.lease.clone()
         };
+        self.inherited.hand_on(&mut lease, now);
         let mut txn = lease_txn(domain, self.version, &lease)?;
         txn.writes.extend(batch.writes);
         let removed = self.remove_expired(&mut txn);
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -112,6 +112,7 @@
                 view.last_answer = Some((lists.clock_ms, now));
                 let first = !view.fenced;
                 if first {
+                    self.inherited.note_answer(worker);
                     // No answer to this holder is older than its lease.
                     let left = view.inherited.longest_left(sent.unwrap_or(self.acquired));
                     let inherited_ms = lists.clock_ms + worker::millis(left);
--- a/crates/wharflane/src/job/workers/incarnations.rs
+++ b/crates/wharflane/src/job/workers/incarnations.rs
@@ -48,7 +48,11 @@
         for (past, tasks) in by_incarnation {
             orphans.extend(self.end_incarnation(&past, &incarnation, tasks));
         }
-        let mut view = worker::View::new(member, self.inherited_by(&orphans, follows, now), now);
+        let inherited = match follows {
+            true => self.late_orders_to(&incarnation, &orphans, now),
+            false => self.inherited.on(&incarnation),
+        };
+        let mut view = worker::View::new(member, inherited, now);
         view.listed = listed;
         view.closed = self.closed.contains(&view.member.hall);
         self.views.insert(incarnation.clone(), view);
@@ -123,16 +127,14 @@
         })
     }
 
-    /// Returns what may run on an incarnation before its first answer.
-    fn inherited_by(
-        &self,
+    /// Returns the leases that orders for the incarnation before may cause on one that follows it,
+    /// and records them for the next holder, who doesn't know of the restart.
+    fn late_orders_to(
+        &mut self,
+        incarnation: &id::Incarnation,
         orphans: &[spec::TaskId],
-        follows: bool,
         now: time::Duration,
-    ) -> inherited::Inherited {
-        if !follows {
-            return self.inherited;
-        }
+    ) -> inherited::Leases {
         let open = orphans.iter().filter_map(|task| self.placed.get(task));
         let mut open = open.filter(|placed| {
             placed.start_orders.unanswered > 0
@@ -140,8 +142,12 @@
         });
         let late = if open.next().is_some() { MAX_ORDER_DELAY } else { time::Duration::ZERO };
         // The worker cuts the lease that an order for the past incarnation requested to this.
-        let lease = self.settings.task_lease_max;
-        inherited::Inherited { lease, until: now + late + worker::longest_by_holder_clock(lease) }
+        let longest = self.settings.task_lease_max;
+        let until = now + late + worker::longest_by_holder_clock(longest);
+        if !orphans.is_empty() {
+            self.inherited.note_restart(incarnation, until, now);
+        }
+        inherited::Leases { longest, older_until: time::Duration::ZERO, until }
     }
 
     /// Moves a task whose run was lost with the past incarnation of its worker to the next one,
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -127,7 +127,7 @@
     /// milliseconds.
     pub granted_until_ms: u64,
     /// Leases and orders from before this holder knew the worker.
-    pub inherited: inherited::Inherited,
+    pub inherited: inherited::Leases,
     /// The handled ends whose result is not committed yet.
     pub unrecorded: collections::BTreeSet<u64>,
     /// The number of the last end that was handled.
@@ -178,11 +178,7 @@
 
 impl View {
     /// Creates the view of a worker before its first heartbeat.
-    pub fn new(
-        member: order::Member,
-        inherited: inherited::Inherited,
-        now: time::Duration,
-    ) -> Self {
+    pub fn new(member: order::Member, inherited: inherited::Leases, now: time::Duration) -> Self {
         Self {
             member,
             known_since: now,
--- a/crates/wharflane/tests/inherited_leases.rs
+++ b/crates/wharflane/tests/inherited_leases.rs
@@ -15,10 +15,14 @@
 
 /// The job whose only task runs on a worker that can't be reached.
 const JOB: u64 = 1;
+/// The number of workers.
+const WORKERS: usize = 3;
 /// The longest task lease that a worker grants.
 const LONGEST_LEASE: time::Duration = time::Duration::from_secs(10);
 /// The time between two changes of the holder, in milliseconds.
 const HELD_MS: u64 = 1_200;
+/// How long after it was sent an order without an answer may still be carried out.
+const LATE_ORDER: time::Duration = time::Duration::from_secs(12);
 /// How long a task may stay with its worker after its leases have expired: 400 ms for slow clocks,
 /// 700 ms for the age of a row when it is first read, 100 ms for the start.
 const MAX_EXCESS: time::Duration = time::Duration::from_millis(1_200);
@@ -55,10 +59,11 @@
 }
 
 impl Chain {
-    /// Returns a domain that a weak host holds. One of two workers runs a task and can't be reached
+    /// Returns a domain that a weak host holds. One of its workers runs a task and can't be reached
     /// any more.
     fn of_a_weak_host() -> Self {
-        let mut sim = sim::Sim::with_settings(weak(), 2, (Vec::new(), Vec::new()), Vec::new());
+        let mut sim =
+            sim::Sim::with_settings(weak(), WORKERS, (Vec::new(), Vec::new()), Vec::new());
         let accepted = sim.accepted(JOB, "first", sim::step("plain", 1_000));
         let job::Event::Jobs(jobs) = accepted.clone() else {
             panic!("no rows");
@@ -133,9 +138,23 @@
         version
     }
 
+    /// Submits another job, and returns the number of the worker that runs its task.
+    fn start_another_job(&mut self) -> usize {
+        let accepted = self.sim.accepted(JOB + 1, "first", sim::step("plain", 1_000));
+        if let job::Event::Jobs(jobs) = &accepted {
+            self.jobs.extend(jobs.clone());
+        }
+        self.sim.handle(accepted);
+        self.sim.advance(100, false);
+        let task = job::TaskId { job: job::JobId(JOB + 1), ..task() };
+        let worker = self.sim.worker_of(task);
+        let at = (0..WORKERS).find(|at| sim::member(*at).incarnation == worker);
+        at.expect("a worker")
+    }
+
     /// Returns the workers that the store lists.
     fn members(&self) -> Vec<job::Member> {
-        let mut members = vec![sim::member(0), sim::member(1)];
+        let mut members: Vec<job::Member> = (0..WORKERS).map(sim::member).collect();
         members.retain(|member| member.incarnation.worker != self.worker.worker);
         if self.listed {
             let incarnation = self.worker.clone();
@@ -187,6 +206,26 @@
     chain.check();
 }
 
+/// Checks that a task of a worker that restarts and then doesn't answer is not started again, over
+/// several changes of the holder, while an order for the incarnation before may be carried out.
+fn check_late_orders(listed: bool, changes: usize) {
+    let mut chain = Chain::of_a_weak_host();
+    chain.change(End::Released);
+    let next = chain.sim.restart(0);
+    assert_eq!(next.worker, chain.worker.worker);
+    let restarted = chain.sim.now;
+    chain.sim.silent_workers.insert(next.clone());
+    chain.worker = next;
+    chain.sim.advance(HELD_MS, false);
+    chain.listed = listed;
+    for _ in 0..changes {
+        chain.change(End::Released);
+    }
+    let again = chain.renewed + chain.restarted_after() - restarted;
+    assert!(again >= LATE_ORDER + LONGEST_LEASE, "started again after {again:?}");
+    assert!(again <= LATE_ORDER + LONGEST_LEASE + MAX_EXCESS * 2, "only after {again:?}");
+}
+
 cases! {
     leases_of_a_weak_host_last_over_one_change_of_the_holder => check(&[End::Released]),
     leases_of_a_weak_host_last_over_two_released_leases => check(&[End::Released, End::Released]),
@@ -227,6 +266,27 @@
         chain.sim.silent_workers.insert(chain.worker.clone());
         chain.check();
     },
+    // An order for the incarnation before may be carried out by the next one, and only the holder
+    // that saw the worker restart knows when it can't any more.
+    late_orders_to_a_restarted_worker_count_after_a_change_of_the_holder => {
+        check_late_orders(true, 1);
+    },
+    late_orders_to_a_restarted_worker_count_after_many_changes_of_the_holder => {
+        check_late_orders(true, 6);
+    },
+    late_orders_to_a_restarted_worker_count_if_it_is_not_listed_any_more => {
+        check_late_orders(false, 2);
+    },
+    // Guards against tasks of all lost workers that wait for those of one that restarted.
+    late_orders_to_a_restarted_worker_do_not_prolong_leases_elsewhere => {
+        let mut chain = Chain::of_a_weak_host();
+        chain.change(End::Released);
+        let other = chain.start_another_job();
+        let next = chain.sim.restart(other);
+        chain.sim.silent_workers.insert(next);
+        chain.change(End::Released);
+        chain.check();
+    },
     // The time is handed on as a rest, so that changes of the holder don't renew it: each of them
     // adds only the leases that its own holder granted.
     many_changes_of_the_holder_do_not_prolong_inherited_leases => {
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -88,6 +88,7 @@
             seq: 1,
             hold_ms: 4_000,
             earlier_left_ms: Some(0),
+            restarted: Vec::new(),
             addr: None,
             written_ms: None,
             backlogs: Vec::new(),
--- a/crates/wharflane/tests/lease_polls.rs
+++ b/crates/wharflane/tests/lease_polls.rs
@@ -121,6 +121,7 @@
         seq: written_ms,
         hold_ms: 4_000,
         earlier_left_ms: Some(0),
+        restarted: Vec::new(),
         addr: Some(([127, 0, 0, 1], 9).into()),
         written_ms: Some(written_ms),
         backlogs: Vec::new(),
