The state dump tells how much longer leases of earlier holders may last

An operator who asks why tasks of a lost worker wait saw it in no dump, and in the log only at the takeover. `inherited_left_ms` is it, for now.

A row that tells a huge lease no longer overflows the worker's clock at its first answer; the time saturates.

--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -169,6 +169,8 @@
     pub epoch: u64,
     /// The number of commits since the lease was acquired.
     pub commits: u64,
+    /// How much longer leases of earlier holders may last, in milliseconds.
+    pub inherited_left_ms: u64,
     /// The phase of each job, by id.
     pub jobs: collections::BTreeMap<String, progress::Phase>,
     /// The number of tasks that wait for a worker.
@@ -290,6 +292,7 @@
         Dump {
             epoch: self.lease.epoch,
             commits: self.commits,
+            inherited_left_ms: self.inherited.left_ms(self.now),
             jobs: jobs.collect(),
             ready: self.ready.len(),
             placed: self.placed.len(),
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -115,7 +115,7 @@
                     self.inherited.note_answer(worker);
                     // No answer to this holder is older than its lease.
                     let left = view.inherited.longest_left(sent.unwrap_or(self.acquired));
-                    let inherited_ms = lists.clock_ms + worker::millis(left);
+                    let inherited_ms = lists.clock_ms.saturating_add(worker::millis(left));
                     view.granted_until_ms = view.granted_until_ms.max(inherited_ms);
                 }
                 view.fenced = true;
