Tests: one stub of the holder, one runtime, the simulation in files by concern

Two recording actors of the daemon's tests differed in their events alone, and three tests of the client each built a runtime that the stand-in has.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,16 +1,48 @@
 //! Helpers for tests of the job service's parts.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::net;
 use std::sync;
 use std::time;
 
-use wharflane::clock;
+use ractor::Actor;
+use wharflane::{clock, job};
 use wharflane_adapter::{advice, store, workers};
+use wharflane_daemon::jobs::holder;
 use wharflane_daemon::{jobs, metrics, settings};
 
 /// Longest time that a call to the store or a worker may take.
 const LIMIT: time::Duration = time::Duration::from_millis(800);
 
+/// Stands in for the holder and passes each event that it receives to a function.
+pub struct HolderStub<F>(pub F);
+
+impl<F: Fn(job::Event) + Send + Sync + 'static> Actor for HolderStub<F> {
+    type Msg = holder::Msg;
+    type State = ();
+    type Arguments = ();
+
+    async fn pre_start(
+        &self,
+        _: ractor::ActorRef<holder::Msg>,
+        (): (),
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        Ok(())
+    }
+
+    async fn handle(
+        &self,
+        _: ractor::ActorRef<holder::Msg>,
+        message: holder::Msg,
+        (): &mut (),
+    ) -> Result<(), ractor::ActorProcessingErr> {
+        if let holder::Msg::Event(event) = message {
+            (self.0)(*event);
+        }
+        Ok(())
+    }
+}
+
 /// Builds the state that the parts of the job service share.
 pub fn shared(store: net::SocketAddr) -> jobs::Shared {
     let text = format!(
--- a/crates/daemon/tests/entries.rs
+++ b/crates/daemon/tests/entries.rs
@@ -8,7 +8,7 @@
 use ractor::Actor;
 use wharflane::{job, rows};
 use wharflane_adapter::{config, entry, server_codec};
-use wharflane_daemon::jobs::{holder, watch};
+use wharflane_daemon::jobs::watch;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 
@@ -28,44 +28,19 @@
     changes: Vec<(String, bool)>,
 }
 
-/// Stands in for the holder and records the events about workers.
-struct RecordingHolder(sync::Arc<sync::Mutex<Received>>);
-
-impl Actor for RecordingHolder {
-    type Msg = holder::Msg;
-    type State = ();
-    type Arguments = ();
-
-    async fn pre_start(
-        &self,
-        _: ractor::ActorRef<holder::Msg>,
-        (): (),
-    ) -> Result<(), ractor::ActorProcessingErr> {
-        Ok(())
-    }
-
-    async fn handle(
-        &self,
-        _: ractor::ActorRef<holder::Msg>,
-        message: holder::Msg,
-        (): &mut (),
-    ) -> Result<(), ractor::ActorProcessingErr> {
-        let holder::Msg::Event(event) = message else {
-            return Ok(());
-        };
-        let mut received = self.0.lock().expect("a lock");
-        match *event {
+impl Received {
+    /// Records an event if it is about workers.
+    fn record(&mut self, event: job::Event) {
+        match event {
             job::Event::Listed(list) => {
-                received.lists.push(
-                    list.iter().map(|member| member.incarnation.worker.to_string()).collect(),
-                );
+                let names = list.iter().map(|member| member.incarnation.worker.to_string());
+                self.lists.push(names.collect());
             }
             job::Event::Member(worker, member) => {
-                received.changes.push((worker.to_string(), member.is_some()));
+                self.changes.push((worker.to_string(), member.is_some()));
             }
             _ => {}
         }
-        Ok(())
     }
 }
 
@@ -83,9 +58,10 @@
         let platform = server::Platform::start(1, time::Duration::ZERO).await.expect("a platform");
         prepare(&platform);
         let received = sync::Arc::<sync::Mutex<Received>>::default();
-        let (actor, _) = Actor::spawn(None, RecordingHolder(sync::Arc::clone(&received)), ())
-            .await
-            .expect("an actor");
+        let recorded = sync::Arc::clone(&received);
+        let record = move |event| recorded.lock().expect("a lock").record(event);
+        let (actor, _) =
+            Actor::spawn(None, common::HolderStub(record), ()).await.expect("an actor");
         let follower = watch::Follower {
             shared: common::shared(platform.store),
             holder: actor,
--- a/crates/daemon/tests/stale_load.rs
+++ b/crates/daemon/tests/stale_load.rs
@@ -7,50 +7,24 @@
 
 use ractor::Actor;
 use wharflane::job;
-use wharflane_daemon::jobs::{holder, watch};
+use wharflane_daemon::jobs::watch;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 
 mod common;
 
-/// Stands in for the holder and counts the results of reads that it receives.
-struct LoadCounter(sync::Arc<atomic::AtomicUsize>);
-
-impl Actor for LoadCounter {
-    type Msg = holder::Msg;
-    type State = ();
-    type Arguments = ();
-
-    async fn pre_start(
-        &self,
-        _: ractor::ActorRef<holder::Msg>,
-        (): (),
-    ) -> Result<(), ractor::ActorProcessingErr> {
-        Ok(())
-    }
-
-    async fn handle(
-        &self,
-        _: ractor::ActorRef<holder::Msg>,
-        message: holder::Msg,
-        (): &mut (),
-    ) -> Result<(), ractor::ActorProcessingErr> {
-        if let holder::Msg::Event(event) = message
-            && matches!(*event, job::Event::Loaded { .. } | job::Event::LoadFailed)
-        {
-            self.0.fetch_add(1, atomic::Ordering::Relaxed);
-        }
-        Ok(())
-    }
-}
-
 /// Reads the state for lease term 0 while `current` is the current one; returns how many results
 /// the holder received.
 async fn loads_sent(current: u64) -> usize {
     let platform = server::Platform::start(1, time::Duration::ZERO).await.expect("a platform");
     let sent = sync::Arc::<atomic::AtomicUsize>::default();
-    let (actor, ended) =
-        Actor::spawn(None, LoadCounter(sync::Arc::clone(&sent)), ()).await.expect("an actor");
+    let counted = sync::Arc::clone(&sent);
+    let count = move |event| {
+        if matches!(event, job::Event::Loaded { .. } | job::Event::LoadFailed) {
+            counted.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    };
+    let (actor, ended) = Actor::spawn(None, common::HolderStub(count), ()).await.expect("an actor");
     let generation = (0, sync::Arc::new(atomic::AtomicU64::new(current)));
     let follower = watch::Follower {
         shared: common::shared(platform.store),
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -13,18 +13,19 @@
 use wharflane_http::{client, reply, server};
 use wharflane_stand_in::cases;
 use wharflane_stand_in::proxy;
+use wharflane_stand_in::runtime;
 
 cases! {
-    dead_connections_fail_one_of_several_sequential_calls => run(sequential_calls()),
-    a_timeout_retires_only_connections_to_the_same_peer => run(two_peers()),
-    a_single_timeout_costs_one_connection => run(single_timeout()),
-    calls_in_flight_survive_the_timeout_of_another => run(timeout_beside_call()),
-    idle_connections_are_limited => run(idle_limit()),
-    concurrent_calls_wait_for_released_connections => run(wait_for_released()),
-    a_call_that_got_no_released_connection_opens_one => run(wait_elapsed()),
-    connections_past_the_idle_timeout_are_not_reused => run(idle_timeout()),
-    a_connection_closed_by_its_peer_fails_no_call => run(closed_by_peer()),
-    a_call_fails_early_if_connecting_times_out => run(connect_timeout()),
+    dead_connections_fail_one_of_several_sequential_calls => runtime::on_many_threads(sequential_calls()),
+    a_timeout_retires_only_connections_to_the_same_peer => runtime::on_many_threads(two_peers()),
+    a_single_timeout_costs_one_connection => runtime::on_many_threads(single_timeout()),
+    calls_in_flight_survive_the_timeout_of_another => runtime::on_many_threads(timeout_beside_call()),
+    idle_connections_are_limited => runtime::on_many_threads(idle_limit()),
+    concurrent_calls_wait_for_released_connections => runtime::on_many_threads(wait_for_released()),
+    a_call_that_got_no_released_connection_opens_one => runtime::on_many_threads(wait_elapsed()),
+    connections_past_the_idle_timeout_are_not_reused => runtime::on_many_threads(idle_timeout()),
+    a_connection_closed_by_its_peer_fails_no_call => runtime::on_many_threads(closed_by_peer()),
+    a_call_fails_early_if_connecting_times_out => runtime::on_many_threads(connect_timeout()),
 }
 
 /// Timeout of a call: an answer over loopback takes a thousandth of it.
@@ -38,15 +39,6 @@
 /// Maximum number of idle connections in tests that limit it.
 const MAX_IDLE: usize = 3;
 
-/// Runs a case on a multi-threaded runtime.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// A peer behind a proxy.
 struct Peer {
     /// Proxy that counts connections and can silence them.
--- a/crates/http/tests/silence.rs
+++ b/crates/http/tests/silence.rs
@@ -10,14 +10,15 @@
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 use wharflane_stand_in::proxy;
+use wharflane_stand_in::runtime;
 
 cases! {
-    dead_connections_fail_one_store_call => run(store_calls()),
-    dead_connections_fail_one_feed => run(store_feeds()),
-    dead_connections_fail_one_call_with_a_shorter_caller_timeout => run(impatient_calls()),
-    dead_connections_fail_one_heartbeat => run(worker_heartbeats()),
-    dead_connections_fail_one_order => run(worker_orders()),
-    dead_connections_fail_one_advice_request => run(advice_requests()),
+    dead_connections_fail_one_store_call => runtime::on_many_threads(store_calls()),
+    dead_connections_fail_one_feed => runtime::on_many_threads(store_feeds()),
+    dead_connections_fail_one_call_with_a_shorter_caller_timeout => runtime::on_many_threads(impatient_calls()),
+    dead_connections_fail_one_heartbeat => runtime::on_many_threads(worker_heartbeats()),
+    dead_connections_fail_one_order => runtime::on_many_threads(worker_orders()),
+    dead_connections_fail_one_advice_request => runtime::on_many_threads(advice_requests()),
 }
 
 /// Timeout of a call: an answer over loopback takes a thousandth of it.
@@ -27,15 +28,6 @@
 /// Number of concurrent calls, and so of idle connections afterwards.
 const CONCURRENT_CALLS: usize = 6;
 
-/// Runs a case on a multi-threaded runtime.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// Starts a stand-in of the platform with a number of workers.
 async fn start_platform(workers: usize) -> server::Platform {
     server::Platform::start(workers, time::Duration::ZERO).await.expect("a platform")
--- a/crates/http/tests/slow_answers.rs
+++ b/crates/http/tests/slow_answers.rs
@@ -13,11 +13,12 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use wharflane_http::client;
 use wharflane_stand_in::cases;
+use wharflane_stand_in::runtime;
 
 cases! {
-    an_answer_that_keeps_arriving_is_read_to_its_end => run(keeps_arriving()),
-    an_answer_that_stops_arriving_times_out => run(stops_arriving()),
-    an_answer_that_never_ends_times_out => run(never_ends()),
+    an_answer_that_keeps_arriving_is_read_to_its_end => runtime::on_many_threads(keeps_arriving()),
+    an_answer_that_stops_arriving_times_out => runtime::on_many_threads(stops_arriving()),
+    an_answer_that_never_ends_times_out => runtime::on_many_threads(never_ends()),
 }
 
 /// Timeout for the head of an answer, and for each further piece.
@@ -27,15 +28,6 @@
 /// Number of pieces of an answer that takes three times the timeout.
 const PIECES: usize = 9;
 
-/// Runs a case on a multi-threaded runtime.
-fn run(case: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime")
-        .block_on(case);
-}
-
 /// Starts a server that announces an answer of `length` bytes and sends `pieces` of one byte each.
 async fn serve(length: usize, pieces: usize) -> net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/wharflane/tests/sim/mod.rs
+++ b/crates/wharflane/tests/sim/mod.rs
@@ -1,30 +1,26 @@
 //! Runs the job engine, event by event, against a simulated store and simulated workers that answer
 //! at once. Time passes only where a test advances it.
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
+mod fixtures;
 pub mod losses;
+mod runs;
 pub mod serving;
+mod submissions;
 
 use std::collections;
-use std::sync;
 use std::time;
 
-use wharflane::{id, job, rows, size};
+use wharflane::{id, job, rows};
 use wharflane_stand_in::jobs::{rows as store, world};
 
-/// The latency target of a serving task, in milliseconds.
-const TARGET_MS: u64 = 50;
-/// The tail latency of a serving task with no best-effort task beside it, in milliseconds.
-const UNDISTURBED_TAIL_MS: u64 = 13;
-/// The tail latency of a serving task beside a task that interferes with it, in milliseconds.
-const DISTURBED_TAIL_MS: u64 = 40;
+pub use fixtures::{
+    ADVISED, SERVING_JOBS, member, queues, row, serves, started_jobs, started_rows, step,
+};
+
 /// The tail latency of a serving task on a worker where nothing moves, in milliseconds.
 const STALLED_TAIL_MS: u64 = 30_000;
 
-/// The numbers of jobs whose tasks are serving tasks, in addition to job 1.
-pub const SERVING_JOBS: std::ops::Range<u64> = 1_000..2_000;
-/// The queue whose steps need a ticket from the advice service.
-pub const ADVISED: &str = "advised";
 /// How long a ticket is valid.
 pub const TICKET: time::Duration = time::Duration::from_secs(3);
 
@@ -180,20 +176,25 @@
                 continue;
             }
             self.commit_times.push(self.now);
-            for write in txn.writes {
-                let at = (write.key.table, write.key.name);
-                match write.value {
-                    Some(value) => drop(self.rows.insert(at, value)),
-                    None if self.rows.remove(&at).is_some() => self.removed.push(at.0),
-                    None => {}
-                }
-            }
+            self.apply(txn);
             let answer = rows::Answer::Done { version: self.version };
             let event = job::Event::Txn { number, outcome: rows::Outcome::Answered(answer) };
             effects.extend(self.engine.step(self.now, event));
         }
     }
 
+    /// Applies the writes of a transaction to the store.
+    fn apply(&mut self, txn: rows::Txn) {
+        for write in txn.writes {
+            let at = (write.key.table, write.key.name);
+            match write.value {
+                Some(value) => drop(self.rows.insert(at, value)),
+                None if self.rows.remove(&at).is_some() => self.removed.push(at.0),
+                None => {}
+            }
+        }
+    }
+
     /// Commits and answers the transactions that the store left unanswered.
     pub fn store_answers(&mut self) {
         self.leaves_txn_open = |_| false;
@@ -205,13 +206,7 @@
             let job::Effect::Txn(number, txn) = effect else {
                 continue;
             };
-            for write in txn.writes {
-                let at = (write.key.table, write.key.name);
-                match write.value {
-                    Some(value) => drop(self.rows.insert(at, value)),
-                    None => drop(self.rows.remove(&at)),
-                }
-            }
+            self.apply(txn);
             self.version += 1;
             let answer = rows::Answer::Done { version: self.version };
             let outcome = rows::Outcome::Answered(answer);
@@ -230,7 +225,7 @@
         let mut open = Vec::new();
         for _ in 0..millis / 20 {
             self.now += time::Duration::from_millis(20);
-            let wall_ms = u64::try_from(self.now.as_millis()).expect("fits into u64");
+            let wall_ms = self.now_ms();
             if self.feed_reports {
                 self.handle(job::Event::JobsReadUpTo { up_to_ms: wall_ms });
             }
@@ -238,55 +233,15 @@
             for effect in std::mem::take(&mut self.pending) {
                 match effect {
                     job::Effect::Start(start) => {
-                        let order = start.order.clone();
                         let answer = self.start_answers.pop_front();
                         let answer = answer.unwrap_or(job::StartAnswer::Taken);
-                        if answer == job::StartAnswer::Taken {
-                            started.push(start);
-                        } else {
-                            refused.push(start);
-                        }
-                        self.handle(job::Event::Started { order, answer });
-                    }
-                    job::Effect::RequestAdvice(request) => {
-                        let accepted =
-                            request.workers.iter().filter(|w| self.allowed_workers.contains(w));
-                        let accepted =
-                            accepted.map(|worker| (worker.clone(), format!("for {worker}")));
-                        let advice = job::Advice { accepted: accepted.collect(), valid: TICKET };
-                        let answer = (self.unanswered_requests == 0).then_some(advice);
-                        self.unanswered_requests = self.unanswered_requests.saturating_sub(1);
-                        self.advice_requests.push(request.clone());
-                        self.handle(job::Event::AdviceAnswered { request, answer });
-                    }
-                    job::Effect::SendHeartbeat(heartbeat)
-                        if self.silent_workers.contains(&heartbeat.worker) =>
-                    {
-                        let (worker, epoch) = (heartbeat.worker, heartbeat.epoch);
-                        let answer = job::HeartbeatAnswer::Silent;
-                        self.handle(job::Event::HeartbeatAnswered { worker, epoch, answer });
+                        let taken = answer == job::StartAnswer::Taken;
+                        if taken { &mut started } else { &mut refused }.push(start.clone());
+                        self.handle(job::Event::Started { order: start.order, answer });
                     }
+                    job::Effect::RequestAdvice(request) => self.answer_advice(request),
                     job::Effect::SendHeartbeat(heartbeat) => {
-                        self.heartbeats_sent.push((self.now, heartbeat.worker.clone()));
-                        self.acknowledgements
-                            .push((heartbeat.worker.clone(), heartbeat.acknowledged_end));
-                        let clock_ms = u64::try_from(self.now.as_millis()).expect("fits into u64");
-                        let here = |start: &&job::Start| {
-                            start.order.worker == heartbeat.worker && !self.has_ended(&start.order)
-                        };
-                        let here: Vec<&job::Start> = started.iter().filter(here).collect();
-                        let beside = here.iter().any(|start| start.order.task.job.0 == 2);
-                        let row = |start: &&job::Start| row(start, interferes && beside);
-                        let mut running: Vec<job::Running> = here.iter().map(row).collect();
-                        self.apply_interference(&heartbeat.worker, &mut running);
-                        self.apply_progress(&heartbeat.worker, &mut running);
-                        let ended = self.unacknowledged_ends(&heartbeat);
-                        let born_ms = heartbeat.worker.born_ms;
-                        let more_ended = ended.len() >= self.max_listed_ends;
-                        let lists = job::Lists { born_ms, clock_ms, running, ended, more_ended };
-                        let answer = job::HeartbeatAnswer::Lists(lists);
-                        let (worker, epoch) = (heartbeat.worker, heartbeat.epoch);
-                        self.handle(job::Event::HeartbeatAnswered { worker, epoch, answer });
+                        self.answer_sent_heartbeat(&heartbeat, &started, interferes);
                     }
                     job::Effect::SetShare(order) => self.share_orders.push((self.now, order)),
                     job::Effect::Stop(order) => self.stops.push(order),
@@ -300,6 +255,63 @@
         self.pending.extend(started.into_iter().map(job::Effect::Start));
     }
 
+    /// Returns the current time in milliseconds.
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.now.as_millis()).expect("fits into u64")
+    }
+
+    /// Answers a request for advice.
+    fn answer_advice(&mut self, request: job::AdviceRequest) {
+        let accepted = request.workers.iter().filter(|w| self.allowed_workers.contains(w));
+        let accepted = accepted.map(|worker| (worker.clone(), format!("for {worker}")));
+        let advice = job::Advice { accepted: accepted.collect(), valid: TICKET };
+        let answer = (self.unanswered_requests == 0).then_some(advice);
+        self.unanswered_requests = self.unanswered_requests.saturating_sub(1);
+        self.advice_requests.push(request.clone());
+        self.handle(job::Event::AdviceAnswered { request, answer });
+    }
+
+    /// Answers a heartbeat for its worker, unless that is silent: with its ended runs, and with
+    /// those of the started ones that run there.
+    fn answer_sent_heartbeat(
+        &mut self,
+        heartbeat: &job::Heartbeat,
+        started: &[job::Start],
+        interferes: bool,
+    ) {
+        let worker = heartbeat.worker.clone();
+        let answer = if self.silent_workers.contains(&worker) {
+            job::HeartbeatAnswer::Silent
+        } else {
+            self.heartbeats_sent.push((self.now, worker.clone()));
+            self.acknowledgements.push((worker.clone(), heartbeat.acknowledged_end));
+            job::HeartbeatAnswer::Lists(self.lists(heartbeat, started, interferes))
+        };
+        self.handle(job::Event::HeartbeatAnswered { worker, epoch: heartbeat.epoch, answer });
+    }
+
+    /// Returns the lists with which a worker answers a heartbeat.
+    fn lists(
+        &mut self,
+        heartbeat: &job::Heartbeat,
+        started: &[job::Start],
+        interferes: bool,
+    ) -> job::Lists {
+        let here = |start: &&job::Start| {
+            start.order.worker == heartbeat.worker && !self.has_ended(&start.order)
+        };
+        let here: Vec<&job::Start> = started.iter().filter(here).collect();
+        let beside = here.iter().any(|start| start.order.task.job.0 == 2);
+        let mut running: Vec<job::Running> =
+            here.iter().map(|start| row(start, interferes && beside)).collect();
+        self.apply_interference(&heartbeat.worker, &mut running);
+        self.apply_progress(&heartbeat.worker, &mut running);
+        let ended = self.unacknowledged_ends(heartbeat);
+        let more_ended = ended.len() >= self.max_listed_ends;
+        let (born_ms, clock_ms) = (heartbeat.worker.born_ms, self.now_ms());
+        job::Lists { born_ms, clock_ms, running, ended, more_ended }
+    }
+
     /// Lets every batch run of a worker report progress, so that none counts as stalled, unless
     /// nothing moves there.
     fn apply_progress(&self, worker: &id::Incarnation, running: &mut [job::Running]) {
@@ -339,21 +351,6 @@
         }
     }
 
-    /// Ends the newest run of a task; heartbeat answers report it from then on.
-    pub fn end_task(&mut self, task: job::TaskId, kind: job::EndKind) {
-        let order = self.newest_order(task);
-        self.end_run(&order, kind, String::new());
-    }
-
-    /// Ends the run of an order with a checkpoint; heartbeat answers report it from then on.
-    pub fn end_run(&mut self, order: &job::Order, kind: job::EndKind, checkpoint: String) {
-        let number =
-            self.ended_runs.iter().filter(|(worker, _)| *worker == order.worker).count() + 1;
-        let number = u64::try_from(number).expect("fits into u64");
-        let ended = job::Ended { number, task: order.task, run: order.run, kind, checkpoint };
-        self.ended_runs.push((order.worker.clone(), ended));
-    }
-
     /// Restarts a worker under its id: the new incarnation reports nothing of the previous one and
     /// numbers its ended runs from one.
     pub fn restart(&mut self, at: usize) -> id::Incarnation {
@@ -393,65 +390,6 @@
         dump.jobs[&job::JobId(job).to_string()]
     }
 
-    /// Returns the newest order to start a task in `pending`, or `None` if there is none.
-    pub fn last_order(&self, task: job::TaskId) -> Option<job::Order> {
-        self.has_started(task).then(|| self.newest_order(task))
-    }
-
-    /// Returns the newest order to start a task in `pending`. Panics if there is none.
-    pub fn newest_order(&self, task: job::TaskId) -> job::Order {
-        let starts = self.pending.iter().filter_map(|effect| match effect {
-            job::Effect::Start(start) if start.order.task == task => Some(&start.order),
-            _ => None,
-        });
-        starts.max_by_key(|order| order.run).expect("a started task").clone()
-    }
-
-    /// Returns the worker of the first start of a task in `pending`. Panics if there is none.
-    pub fn worker_of(&self, task: job::TaskId) -> id::Incarnation {
-        let started = self.pending.iter().find_map(|effect| match effect {
-            job::Effect::Start(start) if start.order.task == task => Some(&start.order.worker),
-            _ => None,
-        });
-        started.expect("a started task").clone()
-    }
-
-    /// Returns whether the run of an order, or a later run of its task, has ended.
-    fn has_ended(&self, order: &job::Order) -> bool {
-        self.ended_runs.iter().any(|(_, ended)| ended.task == order.task && ended.run >= order.run)
-    }
-
-    /// Returns the ended runs that the answer to a heartbeat lists: the first of those that it does
-    /// not acknowledge yet.
-    fn unacknowledged_ends(&self, heartbeat: &job::Heartbeat) -> Vec<job::Ended> {
-        let here = self.ended_runs.iter().filter(|(worker, ended)| {
-            *worker == heartbeat.worker && ended.number > heartbeat.acknowledged_end
-        });
-        here.map(|(_, ended)| ended.clone()).take(self.max_listed_ends).collect()
-    }
-
-    /// Returns whether an order to start a task is in `pending`.
-    pub fn has_started(&self, task: job::TaskId) -> bool {
-        self.pending
-            .iter()
-            .any(|effect| matches!(effect, job::Effect::Start(start) if start.order.task == task))
-    }
-
-    /// Returns the starts of a job as pairs of task index and run number.
-    pub fn starts(&self, job: u64) -> Vec<(u32, u32)> {
-        let starts = self.pending.iter().filter_map(|effect| match effect {
-            job::Effect::Start(start) if start.order.task.job.0 == job => Some(start),
-            _ => None,
-        });
-        starts.map(|start| (start.order.task.index, start.order.run)).collect()
-    }
-
-    /// Submits a job of one step.
-    pub fn submit(&mut self, number: u64, queue: &str, step: job::Step) {
-        let event = self.accepted(number, queue, step);
-        self.handle(event);
-    }
-
     /// Answers a heartbeat to a worker with a list of running tasks.
     pub fn report_running(&mut self, worker: usize, running: Vec<job::Running>) {
         let clock_ms = u64::try_from(self.now.as_millis()).expect("fits into u64");
@@ -473,37 +411,6 @@
         self.handle(job::Event::HeartbeatAnswered { worker: worker.clone(), epoch, answer });
     }
 
-    /// Submits a job of several steps.
-    pub fn submit_steps(&mut self, number: u64, queue: &str, steps: Vec<job::Step>) {
-        let event = self.accepted_steps(number, queue, steps);
-        self.handle(event);
-    }
-
-    /// Returns the event by which the engine learns of an accepted job of one step.
-    pub fn accepted(&mut self, number: u64, queue: &str, step: job::Step) -> job::Event {
-        self.accepted_steps(number, queue, vec![step])
-    }
-
-    /// Returns the event by which the engine learns of an accepted job.
-    fn accepted_steps(&mut self, number: u64, queue: &str, steps: Vec<job::Step>) -> job::Event {
-        let job = job::Job {
-            queue: queue.to_owned(),
-            service: "service".into(),
-            spec: String::new(),
-            steps,
-            repeats: None,
-        };
-        let value = serde_json::to_string(&job::Accepted { job, cancelled: false, accepted_ms: 0 });
-        self.version += 1;
-        job::Event::Jobs(vec![rows::Row {
-            name: job::JobId(number).to_string(),
-            part: job::job_key(0, job::JobId(number)).part,
-            version: self.version,
-            value: value.ok(),
-            gone: false,
-        }])
-    }
-
     /// Returns the rows of a table as the store holds them.
     pub fn table(&self, table: &'static str) -> Vec<rows::Row> {
         let rows = self.rows.iter().filter(|((of, _), _)| *of == table);
@@ -530,86 +437,3 @@
         dump.harm.get("serving by filling").copied()
     }
 }
-
-/// Returns the queues of the simulation: `last` has a lower priority than the other two.
-pub fn queues() -> sync::Arc<job::Queues> {
-    let queue = |name: &str, priority| job::Queue {
-        name: name.to_owned(),
-        host: String::new(),
-        prefix: String::new(),
-        service: "service".into(),
-        priority,
-        max_attempts: 3,
-        advice: (name == ADVISED).then(job::AdviceTiming::default),
-        stretch_percent: 200,
-        objective_ms: 1_000,
-    };
-    let queues = ["first", "last", ADVISED].into_iter().zip([0, 2, 0]);
-    let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
-    let queues = job::Queues { revision: 1, queues: queues.collect() };
-    sync::Arc::new(queues)
-}
-
-/// Returns a worker of 16 cores as the store lists it.
-pub fn member(at: usize) -> job::Member {
-    job::Member {
-        incarnation: format!("worker-{at}").as_str().into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        hall: "hall".into(),
-        service: "service".into(),
-        leaving: false,
-        capacity: size::Size { cpu_milli: 16_000, mem_mb: 64_000, accelerators: 0 },
-        labels: Vec::new(),
-        rack: None,
-    }
-}
-
-/// Returns a step of one task: a long-running serving task for the image `serving`, a best-effort
-/// task for `filling`, otherwise a plain batch task.
-pub fn step(image: &str, cpu_milli: u64) -> job::Step {
-    let serving = image == "serving";
-    job::Step {
-        count: 1,
-        size: size::Size { cpu_milli, mem_mb: 1_000, accelerators: 0 },
-        lasting: serving,
-        target_ms: serving.then_some(TARGET_MS),
-        fills: image == "filling",
-        image: Some(image.to_owned()),
-        ..job::Step::default()
-    }
-}
-
-/// Returns whether the tasks of a job are serving tasks.
-fn serves(job: u64) -> bool {
-    job == 1 || SERVING_JOBS.contains(&job)
-}
-
-/// Returns the entry of a started task in a heartbeat answer, with the higher tail latency if it is
-/// a serving task and `interferes` is set.
-pub fn row(start: &job::Start, interferes: bool) -> job::Running {
-    let job = start.order.task.job.0;
-    let serving = serves(job);
-    let tail = if interferes { DISTURBED_TAIL_MS } else { UNDISTURBED_TAIL_MS };
-    let load = if serving { tail } else { 4_000 };
-    job::Running { task: start.order.task, run: start.order.run, percent: 100, load }
-}
-
-/// Returns the numbers of the jobs whose tasks were started, in order of the starts.
-pub fn started_jobs(sim: &Sim) -> Vec<u64> {
-    let starts = sim.pending.iter().filter_map(|effect| match effect {
-        job::Effect::Start(start) => Some(start.order.task.job.0),
-        _ => None,
-    });
-    starts.collect()
-}
-
-/// Returns the rows of a job whose only task runs on worker 0, and of its progress.
-pub fn started_rows() -> (Vec<rows::Row>, Vec<rows::Row>) {
-    let mut before = Sim::new(1, Vec::new());
-    before.submit(1, "first", step("plain", 1_000));
-    before.advance(200, false);
-    let job::Event::Jobs(jobs) = before.accepted(1, "first", step("plain", 1_000)) else {
-        panic!("no rows");
-    };
-    (jobs, before.table(job::PROGRESS))
-}
