A late order's run keeps its lease in mind after its worker has answered

What callers would see: a task that runs twice. A worker restarts under its id and carries out an order for the incarnation before, which gives the run up to the longest lease (10 s). It answers the holder once and is cut off; the holder changes twice. The answer took the worker off the list in the lease row, so the next holders counted with 4 s: started again 9.4 s after the answer in the test, where 10 s are needed (with one change more it would be sooner).

Cause: an answer rules out further orders, not the lease of the run that it reports. Found by reading once more for what ends leases; the test failed without the change (the line that keeps the entry taken out) and passes with it.

Change: if the answer reports any run, the worker stays in the row until that run's lease has expired at the latest, counted from the answer; without a run it leaves the row as before.

--- a/crates/wharflane/src/job/lease/inherited.rs
+++ b/crates/wharflane/src/job/lease/inherited.rs
@@ -42,8 +42,8 @@
 pub(in crate::job) struct Inherited {
     /// Those that any worker may have.
     pub leases: Leases,
-    /// When the leases on a worker that restarted under its id have expired, while it has not
-    /// answered since: it may still carry out an order for the incarnation before.
+    /// When the leases on a worker that restarted under its id have expired. It may carry out an
+    /// order for the incarnation before until it answers, and keeps that run's lease from then on.
     restarted: collections::BTreeMap<id::Incarnation, time::Duration>,
 }
 
@@ -101,8 +101,12 @@
     }
 
     /// Records that a worker has answered this holder, so that it accepts no earlier order any more.
-    pub fn note_answer(&mut self, worker: &id::Incarnation) {
-        self.restarted.remove(worker);
+    /// What runs there has leases until `until` at the latest.
+    pub fn note_answer(&mut self, worker: &id::Incarnation, runs: bool, until: time::Duration) {
+        match self.restarted.get_mut(worker) {
+            Some(recorded) if runs => *recorded = until.min(*recorded),
+            _ => drop(self.restarted.remove(worker)),
+        }
     }
 
     /// Writes into a lease row how much longer the leases may last.
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -156,8 +156,7 @@
     /// write was first sent; absent in a row of an older version, which doesn't tell.
     #[serde(default)]
     pub earlier_left_ms: Option<u64>,
-    /// The workers that restarted under their id and haven't answered since, where leases may last
-    /// longer than elsewhere.
+    /// The workers that restarted under their id, where leases may last longer than elsewhere.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub restarted: Vec<Restarted>,
     /// The address on which the holder's process listens, so that other hosts can probe it.
@@ -173,7 +172,7 @@
     pub backlogs: Vec<admission::Backlog>,
 }
 
-/// A worker in the lease row that restarted under its id and hasn't answered since.
+/// A worker in the lease row that restarted under its id.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Restarted {
     /// The incarnation of the worker.
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -112,7 +112,8 @@
                 view.last_answer = Some((lists.clock_ms, now));
                 let first = !view.fenced;
                 if first {
-                    self.inherited.note_answer(worker);
+                    let longest = worker::longest_by_holder_clock(self.settings.task_lease_max);
+                    self.inherited.note_answer(worker, !lists.running.is_empty(), now + longest);
                     // No answer to this holder is older than its lease.
                     let left = view.inherited.longest_left(sent.unwrap_or(self.acquired));
                     let inherited_ms = lists.clock_ms.saturating_add(worker::millis(left));
--- a/crates/wharflane/tests/inherited_leases.rs
+++ b/crates/wharflane/tests/inherited_leases.rs
@@ -138,6 +138,15 @@
         version
     }
 
+    /// Restarts the worker that can't be reached, under its id; the next incarnation can't either.
+    fn restart_worker(&mut self) -> id::Incarnation {
+        let next = self.sim.restart(0);
+        assert_eq!(next.worker, self.worker.worker);
+        self.sim.silent_workers.insert(next.clone());
+        self.worker = next.clone();
+        next
+    }
+
     /// Submits another job, and returns the number of the worker that runs its task.
     fn start_another_job(&mut self) -> usize {
         let accepted = self.sim.accepted(JOB + 1, "first", sim::step("plain", 1_000));
@@ -192,6 +201,21 @@
     job::Settings { task_lease: LONGEST_LEASE, ..strong() }
 }
 
+/// Returns the answer of an incarnation that carried out an order for the one before.
+fn running(
+    incarnation: &id::Incarnation,
+    order: &job::Order,
+    now: time::Duration,
+) -> job::HeartbeatAnswer {
+    let run = job::Running { task: order.task, run: order.run, percent: 1, load: 0 };
+    job::HeartbeatAnswer::Lists(job::Lists {
+        born_ms: incarnation.born_ms,
+        clock_ms: u64::try_from(now.as_millis()).expect("fits into u64"),
+        running: vec![run],
+        ..job::Lists::default()
+    })
+}
+
 /// Returns the only task of the job.
 fn task() -> job::TaskId {
     job::TaskId { job: job::JobId(JOB), round: 0, step: 0, index: 0 }
@@ -211,11 +235,8 @@
 fn check_late_orders(listed: bool, changes: usize) {
     let mut chain = Chain::of_a_weak_host();
     chain.change(End::Released);
-    let next = chain.sim.restart(0);
-    assert_eq!(next.worker, chain.worker.worker);
+    chain.restart_worker();
     let restarted = chain.sim.now;
-    chain.sim.silent_workers.insert(next.clone());
-    chain.worker = next;
     chain.sim.advance(HELD_MS, false);
     chain.listed = listed;
     for _ in 0..changes {
@@ -277,6 +298,21 @@
     late_orders_to_a_restarted_worker_count_if_it_is_not_listed_any_more => {
         check_late_orders(false, 2);
     },
+    // Its answer keeps out later orders; the run that it reports has the longest lease from then on.
+    a_late_order_that_a_restarted_worker_carried_out_counts_after_a_change_of_the_holder => {
+        let mut chain = Chain::of_a_weak_host();
+        chain.change(End::Released);
+        let order = chain.sim.newest_order(task());
+        let next = chain.restart_worker();
+        chain.sim.answer_heartbeat(&next, running(&next, &order, chain.sim.now));
+        let answered = chain.sim.now;
+        for _ in 0..2 {
+            chain.change(End::Released);
+        }
+        let again = chain.renewed + chain.restarted_after() - answered;
+        assert!(again >= LONGEST_LEASE, "started again after {again:?}");
+        assert!(again <= LONGEST_LEASE + MAX_EXCESS * 2, "only after {again:?}");
+    },
     // Guards against tasks of all lost workers that wait for those of one that restarted.
     late_orders_to_a_restarted_worker_do_not_prolong_leases_elsewhere => {
         let mut chain = Chain::of_a_weak_host();
