Log which active jobs lose or regain their queue, and the version a holder begins with

Each queue of active jobs whose configuration changes now gets a line with both versions and what holds from then on; a new holder names its version and the queues of loaded jobs that it lacks.

--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -282,7 +282,46 @@
     /// Puts a configuration of queues in force.
     pub(super) fn set_queues(&mut self, queues: sync::Arc<queue::Queues>) {
         self.services.extend(queues.queues.values().map(|queue| queue.service.clone()));
-        self.queues = queues;
+        let before = std::mem::replace(&mut self.queues, queues);
+        for (queue, jobs) in self.active_queues() {
+            let (was, is) = (before.queues.get(queue), self.queues.queues.get(queue));
+            if was != is {
+                self.log_queue_change(queue, jobs, before.revision);
+            }
+        }
+    }
+
+    /// Logs the queues of active jobs that the configuration in force doesn't have.
+    pub(super) fn log_unconfigured_queues(&self) {
+        let queues = self.active_queues().into_iter();
+        for (queue, jobs) in queues.filter(|(queue, _)| !self.queues.queues.contains_key(*queue)) {
+            self.log_queue_change(queue, jobs, 0);
+        }
+    }
+
+    /// Logs what the configuration in force says of a queue with active jobs.
+    fn log_queue_change(&self, queue: &str, jobs: usize, before_revision: u64) {
+        let configured = self.queues.queues.get(queue);
+        tracing::info!(
+            queue,
+            jobs,
+            before_revision,
+            revision = self.queues.revision,
+            configured = configured.is_some(),
+            priority = configured.map(|queue| queue.priority),
+            max_attempts = configured.map(|queue| queue.max_attempts),
+            advice = configured.map(|queue| queue.advice.is_some()),
+            "queue of active jobs changed"
+        );
+    }
+
+    /// Returns the queues with active jobs, and how many each has.
+    fn active_queues(&self) -> collections::BTreeMap<&str, usize> {
+        let mut queues = collections::BTreeMap::new();
+        for entry in self.jobs.values().filter(|entry| entry.is_active()) {
+            *queues.entry(entry.job.queue.as_str()).or_insert(0) += 1;
+        }
+        queues
     }
 
     /// Returns a summary of the state for operators.
--- a/crates/wharflane/src/job/lease/loading.rs
+++ b/crates/wharflane/src/job/lease/loading.rs
@@ -137,11 +137,13 @@
             domain = self.settings.domain,
             epoch = lease.epoch,
             inherited_left_ms = inherited.left_ms(now),
+            revision = self.queues.revision,
             jobs = jobs.len(),
             workers = self.members.len(),
             took_ms = worker::millis(now.saturating_sub(*acquired)),
             "holding the domain"
         );
+        holding.log_unconfigured_queues();
         self.role = engine::Role::Holding(Box::new(holding));
         self.collect_effects(now)
     }
