Jobs go by the newest known policy of their queue while no configuration has it

Cause: nothing of what a queue says was kept with its jobs. Four lookups in the configuration in force each had a fallback of its own. Evidence: 'queue of active jobs changed' with configured=false at the moment from which both jobs go wrong, then 'job failed' with attempts=3; revision=0 in 'holding the domain' of a holder that starts without tickets.

Mend: one answer, queue::Policy, beside each job; the lookups are gone. The row of a job carries what the accepting host knew, and the holder writes a row of its own for queues of which a job's row tells something else; the newest revision that has the queue counts. So fresh processes know it too. A holder without a configuration goes by the rows and fails no job. Ruled out: memory alone and a row at the removal alone (see the postmortem).

One commit holds 85 progress rows in place of 86, and 480 KB in place of 500, so that the new row fits beside the others.

--- a/crates/bench/src/job_engine/mod.rs
+++ b/crates/bench/src/job_engine/mod.rs
@@ -349,7 +349,9 @@
             repeats: None,
         };
         let accepted_ms = u64::try_from(self.now.as_millis()).unwrap_or(0);
-        let value = serde_json::to_string(&job::Accepted { job, cancelled: false, accepted_ms });
+        let policy = workload::queues().policy(queue);
+        let accepted = job::Accepted { job, cancelled: false, accepted_ms, policy };
+        let value = serde_json::to_string(&accepted);
         let part = job::job_key(0, job_id).part;
         let row = rows::Row {
             name: job_id.to_string(),
--- a/crates/bench/src/job_engine/workload.rs
+++ b/crates/bench/src/job_engine/workload.rs
@@ -51,12 +51,14 @@
         name: name.to_owned(),
         host: String::new(),
         prefix: String::new(),
-        service: "service".into(),
-        priority,
-        max_attempts: 3,
-        advice: None,
-        stretch_percent: 200,
-        objective_ms: 1_000,
+        policy: job::Policy {
+            service: "service".into(),
+            priority,
+            max_attempts: 3,
+            advice: None,
+            stretch_percent: 200,
+            objective_ms: 1_000,
+        },
     };
     let queues = [("first", 0), ("last", 1)].map(|(name, at)| (name.to_owned(), queue(name, at)));
     sync::Arc::new(job::Queues { revision: 1, queues: queues.into_iter().collect() })
--- a/crates/caller/src/job.rs
+++ b/crates/caller/src/job.rs
@@ -90,7 +90,7 @@
     let read: Submission = serde_json::from_slice(body).or(Err(job::Answer::BadBody))?;
     Ok(job::Job {
         queue: queue.name.clone(),
-        service: queue.service.clone(),
+        service: queue.policy.service.clone(),
         spec: read.spec,
         steps: read.steps,
         repeats: read.repeats,
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -213,6 +213,8 @@
         metrics.workers_restarted.set(i64::try_from(restarted).unwrap_or(i64::MAX));
         let unlisted = holding.map_or(0, job::Holding::unlisted_ends);
         metrics.unlisted_ends.set(i64::try_from(unlisted).unwrap_or(i64::MAX));
+        let unconfigured = holding.map_or(0, job::Holding::unconfigured_queues);
+        metrics.unconfigured_queues.set(i64::try_from(unconfigured).unwrap_or(i64::MAX));
         let stalls = holding.map(job::Holding::stalls).unwrap_or_default();
         for (event, count) in [
             ("worker", stalls.workers),
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -168,7 +168,7 @@
                         callers::read(&head.method, host, path, &body, &queues)
                     };
                     match call {
-                        Ok(call) => self.service.answer(call, deadline).await,
+                        Ok(call) => self.service.answer(call, &queues, deadline).await,
                         Err(answer) => answer,
                     }
                 }
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -88,10 +88,16 @@
         Self { shared, counts: sync::Arc::default() }
     }
 
-    /// Answers a call before its deadline, a reading of the clock.
-    pub async fn answer(&self, call: job::Call, deadline: time::Duration) -> job::Answer {
+    /// Answers a call that was parsed by a configuration, before its deadline, a reading of the
+    /// clock.
+    pub async fn answer(
+        &self,
+        call: job::Call,
+        queues: &job::Queues,
+        deadline: time::Duration,
+    ) -> job::Answer {
         match call {
-            job::Call::Submit { id, job } => self.submit(id, job, deadline).await,
+            job::Call::Submit { id, job } => self.submit(id, job, queues, deadline).await,
             job::Call::State { id } => self.state(id, deadline).await,
             job::Call::Cancel { id } => self.cancel(id, deadline).await,
             job::Call::Waiting { queue } => self.waiting(&queue, deadline).await,
@@ -105,15 +111,22 @@
     }
 
     /// Accepts a job; it counts as accepted once its row is written.
-    async fn submit(&self, id: job::JobId, job: job::Job, deadline: time::Duration) -> job::Answer {
+    async fn submit(
+        &self,
+        id: job::JobId,
+        job: job::Job,
+        queues: &job::Queues,
+        deadline: time::Duration,
+    ) -> job::Answer {
         if let Err(refusal) = job.check() {
             return job::Answer::Refused(refusal);
         }
-        if let Some(answer) = self.refuse_for_load(id, &job).await {
+        if let Some(answer) = self.refuse_for_load(id, &job, queues).await {
             return answer;
         }
         let key = job::job_key(self.domain(id), id);
-        let accepted = job::Accepted { job, cancelled: false, accepted_ms: super::wall_ms() };
+        let (accepted_ms, policy) = (super::wall_ms(), queues.policy(&job.queue));
+        let accepted = job::Accepted { job, cancelled: false, accepted_ms, policy };
         let Ok(value) = serde_json::to_string(&accepted) else {
             return job::Answer::BadBody;
         };
@@ -136,11 +149,15 @@
 
     /// Returns the answer to a job that would be missed for the load of its queue; `None` if it is
     /// to be accepted. A job that is stored already stays accepted, whatever the load.
-    async fn refuse_for_load(&self, id: job::JobId, job: &job::Job) -> Option<job::Answer> {
+    async fn refuse_for_load(
+        &self,
+        id: job::JobId,
+        job: &job::Job,
+        queues: &job::Queues,
+    ) -> Option<job::Answer> {
         if self.shared.store_silence() >= submission::LOST_AFTER {
             return None;
         }
-        let queues = self.shared.queues.load();
         let queue = queues.queues.get(&job.queue)?;
         let backlogs = self.shared.backlogs.load_full();
         let now = self.shared.clock.now();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -58,6 +58,8 @@
     pub workers_restarted: prometheus::IntGauge,
     /// Runs kept because their ends may not have been listed yet, since the lease was taken.
     pub unlisted_ends: prometheus::IntGauge,
+    /// Number of queues with active jobs that the configuration in force lacks.
+    pub unconfigured_queues: prometheus::IntGauge,
     /// Stalled workers found, runs moved from them, and moved runs that ended before their stop,
     /// since this host acquired the lease.
     pub stalls: prometheus::IntGaugeVec,
@@ -146,6 +148,10 @@
                 "wharflane_unlisted_ends",
                 "Runs kept since their ends may not be listed yet, since the lease was taken.",
             )?)?,
+            unconfigured_queues: builder.register(prometheus::IntGauge::new(
+                "wharflane_unconfigured_queues",
+                "Queues with jobs under way that the configuration lacks.",
+            )?)?,
             stalls: builder.gauge(
                 "stalls",
                 "Stalled workers, runs moved from them and false alarms, since the lease was taken.",
--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -37,7 +37,7 @@
             let again = message::Message::SubmitJob(id, Box::new(job));
             return self.send(time::Duration::from_secs(1), again);
         }
-        let accepted = job::Accepted { job: job.clone(), cancelled: false, accepted_ms: 0 };
+        let accepted = accepted(job.clone(), false);
         self.checker.jobs.insert(id, job);
         self.checker.accepted_ms.insert(id, world::millis(self.now));
         self.write_job(id, &accepted);
@@ -64,7 +64,7 @@
             return;
         };
         self.cancelled.insert(id, self.now);
-        self.write_job(id, &job::Accepted { job, cancelled: true, accepted_ms: 0 });
+        self.write_job(id, &accepted(job, true));
     }
 
     /// Writes the row of a job and sends it to all hosts, as the feed of the table does.
@@ -81,3 +81,9 @@
         }
     }
 }
+
+/// Returns what the row of a job says.
+fn accepted(job: job::Job, cancelled: bool) -> job::Accepted {
+    let policy = world::queues().policy(&job.queue);
+    job::Accepted { job, cancelled, accepted_ms: 0, policy }
+}
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -150,12 +150,14 @@
             name: QUEUE.to_owned(),
             host: "callers.example".to_owned(),
             prefix: "/queue/".to_owned(),
-            service: "service".into(),
-            priority: 0,
-            max_attempts: ATTEMPTS,
-            advice: self.lock().advice.then_some(ADVICE_TIMING),
-            stretch_percent: 200,
-            objective_ms: 1_000,
+            policy: job::Policy {
+                service: "service".into(),
+                priority: 0,
+                max_attempts: ATTEMPTS,
+                advice: self.lock().advice.then_some(ADVICE_TIMING),
+                stretch_percent: 200,
+                objective_ms: 1_000,
+            },
         };
         let queues = job::Queues { revision, queues: [(QUEUE.to_owned(), queue)].into() };
         self.write(config::OPERATOR_TABLE, config::CONFIG_KEY, server_codec::config(&queues));
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -286,20 +286,7 @@
         let task_lease = if weak { task_lease_max } else { settings().task_lease };
         let settings = job::Settings { addr, poll, task_lease, task_lease_max, ..settings() };
         let mut engine = job::Engine::new(own, settings, nonce);
-        let queue = job::Queue {
-            name: QUEUE.to_owned(),
-            host: String::new(),
-            prefix: String::new(),
-            service: "service".into(),
-            priority: 0,
-            max_attempts: ATTEMPTS,
-            advice: None,
-            stretch_percent: 200,
-            objective_ms: 1_000,
-        };
-        let queues = [(QUEUE.to_owned(), queue)].into();
-        let queues = job::Queues { revision: 1, queues };
-        engine.step(self.now, job::Event::Queues(sync::Arc::new(queues)));
+        engine.step(self.now, job::Event::Queues(sync::Arc::new(queues())));
         let host = &mut self.hosts[host];
         host.engine = Some(engine);
         host.incarnation += 1;
@@ -366,6 +353,21 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the configuration of the world, which has one queue.
+pub(super) fn queues() -> job::Queues {
+    let policy = job::Policy {
+        service: "service".into(),
+        priority: 0,
+        max_attempts: ATTEMPTS,
+        advice: None,
+        stretch_percent: 200,
+        objective_ms: 1_000,
+    };
+    let (name, host, prefix) = (QUEUE.to_owned(), String::new(), String::new());
+    let queue = job::Queue { name, host, prefix, policy };
+    job::Queues { revision: 1, queues: [(QUEUE.to_owned(), queue)].into() }
+}
+
 /// Returns the entry of a worker.
 pub(super) fn member(worker: &worker::Worker) -> job::Member {
     job::Member {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -14,6 +14,7 @@
 use super::place::group;
 use super::place::starvation;
 use super::place::tickets;
+use super::policies;
 use super::progress;
 use super::queue;
 use super::rows as job_rows;
@@ -44,8 +45,8 @@
     pub(super) now: time::Duration,
     /// The wall clock time, in milliseconds since 1970.
     pub(super) wall_ms: u64,
-    /// The queues in force.
-    pub(super) queues: sync::Arc<queue::Queues>,
+    /// What holds for the jobs of each queue.
+    pub(super) policies: policies::Policies,
     /// The services to whose workers jobs were ever assigned; workers of other services are not
     /// contacted.
     pub(super) services: collections::BTreeSet<id::ServiceId>,
@@ -173,6 +174,10 @@
     pub inherited_left_ms: u64,
     /// The phase of each job, by id.
     pub jobs: collections::BTreeMap<String, progress::Phase>,
+    /// The revision of the configuration in force; zero before one was read.
+    pub revision: u64,
+    /// What holds for the jobs of each queue, by the newest revision that is known to have it.
+    pub policies: collections::BTreeMap<String, queue::PolicyVersion>,
     /// The number of tasks that wait for a worker.
     pub ready: usize,
     /// The number of tasks that have a worker.
@@ -220,7 +225,7 @@
             inherited,
             now: acquired,
             wall_ms: 0,
-            queues: sync::Arc::default(),
+            policies: policies::Policies::default(),
             services: collections::BTreeSet::new(),
             unreadable: collections::BTreeSet::new(),
             jobs: collections::BTreeMap::new(),
@@ -279,51 +284,6 @@
         holding
     }
 
-    /// Puts a configuration of queues in force.
-    pub(super) fn set_queues(&mut self, queues: sync::Arc<queue::Queues>) {
-        self.services.extend(queues.queues.values().map(|queue| queue.service.clone()));
-        let before = std::mem::replace(&mut self.queues, queues);
-        for (queue, jobs) in self.active_queues() {
-            let (was, is) = (before.queues.get(queue), self.queues.queues.get(queue));
-            if was != is {
-                self.log_queue_change(queue, jobs, before.revision);
-            }
-        }
-    }
-
-    /// Logs the queues of active jobs that the configuration in force doesn't have.
-    pub(super) fn log_unconfigured_queues(&self) {
-        let queues = self.active_queues().into_iter();
-        for (queue, jobs) in queues.filter(|(queue, _)| !self.queues.queues.contains_key(*queue)) {
-            self.log_queue_change(queue, jobs, 0);
-        }
-    }
-
-    /// Logs what the configuration in force says of a queue with active jobs.
-    fn log_queue_change(&self, queue: &str, jobs: usize, before_revision: u64) {
-        let configured = self.queues.queues.get(queue);
-        tracing::info!(
-            queue,
-            jobs,
-            before_revision,
-            revision = self.queues.revision,
-            configured = configured.is_some(),
-            priority = configured.map(|queue| queue.priority),
-            max_attempts = configured.map(|queue| queue.max_attempts),
-            advice = configured.map(|queue| queue.advice.is_some()),
-            "queue of active jobs changed"
-        );
-    }
-
-    /// Returns the queues with active jobs, and how many each has.
-    fn active_queues(&self) -> collections::BTreeMap<&str, usize> {
-        let mut queues = collections::BTreeMap::new();
-        for entry in self.jobs.values().filter(|entry| entry.is_active()) {
-            *queues.entry(entry.job.queue.as_str()).or_insert(0) += 1;
-        }
-        queues
-    }
-
     /// Returns a summary of the state for operators.
     #[must_use]
     pub fn dump(&self) -> Dump {
@@ -333,6 +293,8 @@
             commits: self.commits,
             inherited_left_ms: self.inherited.left_ms(self.now),
             jobs: jobs.collect(),
+            revision: self.policies.revision(),
+            policies: self.policies.dump(),
             ready: self.ready.len(),
             placed: self.placed.len(),
             workers: self.views.len(),
@@ -470,6 +432,7 @@
         self.staged.retain(|staged| *staged != task);
         self.mark_task(task);
         self.open_step(task.job, task.round, task.step);
+        self.fail_if_exhausted(task, self.now);
         self.fail_job_after_losses(task, self.now);
     }
 }
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -9,17 +9,12 @@
 use super::holding;
 use super::learn::learned;
 use super::progress;
+use super::queue;
 use super::rows as job_rows;
 use super::runs::work;
 use super::spec;
-use crate::id;
 use crate::rows;
 
-/// Priority of jobs whose queue is no longer configured.
-const UNCONFIGURED_PRIORITY: u32 = 9;
-/// Attempts per task for jobs whose queue is no longer configured.
-const UNCONFIGURED_MAX_ATTEMPTS: u32 = 3;
-
 impl holding::Holding {
     /// Restores what earlier holders learned; whatever is missing is learned anew.
     pub(super) fn restore_learned(&mut self, learned: &[rows::Row]) {
@@ -46,6 +41,7 @@
             }
         }
         known.retain(|job, _| !self.unreadable.contains(job));
+        let mut read = Vec::new();
         for row in jobs {
             let Some((job, accepted)) = read_job(row) else {
                 // The progress rows stay in the store until the job's row can be read again.
@@ -58,8 +54,13 @@
             if self.unreadable.contains(&job) {
                 continue;
             }
+            // What holds for a job may be told by the row of another one.
+            self.take_in_policy(&accepted);
+            read.push((job, accepted, row.version));
+        }
+        for (job, accepted, version) in read {
             let (progress, _) = known.remove(&job).unwrap_or_default();
-            self.add_job(job, accepted, row.version, progress, now);
+            self.add_job(job, accepted, version, progress, now);
         }
         // An earlier holder removed the rows of these jobs, but not yet their progress.
         self.expired.extend(known.into_iter().map(|(job, (_, rows))| (job, rows)));
@@ -78,6 +79,7 @@
                 entry.version = entry.version.max(row.version);
             }
             if !self.jobs.contains_key(&job) {
+                self.take_in_policy(&accepted);
                 self.add_job(job, accepted, row.version, progress::Progress::default(), now);
             } else if cancelled {
                 self.cancel(job, now);
@@ -94,8 +96,11 @@
         progress: progress::Progress,
         now: time::Duration,
     ) {
-        let job_rows::Accepted { job: spec, cancelled, accepted_ms } = accepted;
-        self.services.insert(spec.service.clone());
+        let job_rows::Accepted { job: spec, cancelled, accepted_ms, .. } = accepted;
+        let policy = self.policies.newest(&spec.queue).cloned();
+        let policy =
+            policy.unwrap_or_else(|| sync::Arc::new(queue::Policy::assumed(&spec.service)));
+        self.services.extend([spec.service.clone(), policy.service.clone()]);
         let accepted_ms = if accepted_ms == 0 { self.wall_ms } else { accepted_ms };
         for (position, task) in &progress.tasks {
             let Some(worker) = &task.worker else {
@@ -115,6 +120,7 @@
         let due: Vec<u64> = (0..rounds).map(|round| spec.due_ms(round)).collect();
         let entry = work::Entry {
             job: spec,
+            policy,
             accepted_version: order,
             version: order,
             accepted_ms,
@@ -155,8 +161,8 @@
         }
     }
 
-    /// Queues the tasks of a step that are neither done nor placed, if all steps before it are
-    /// done.
+    /// Queues the tasks of a step that are neither done nor placed and have attempts left, if all
+    /// steps before it are done.
     pub(super) fn open_step(&mut self, job: spec::JobId, round: u32, step: u32) {
         let Some(entry) = self.jobs.get(&job) else {
             return;
@@ -172,16 +178,16 @@
         }
         let open =
             spec.after.iter().all(|after| entry.progress.step_done(&entry.job, round, *after));
-        if !open {
+        if !open || self.policies.is_unknown(&entry.job.queue) {
             return;
         }
-        let (priority, _) = self.priority_and_attempts(&entry.job);
+        let priority = entry.policy.priority;
         for index in 0..spec.count {
             let task = spec::TaskId { job, round, step, index };
             let state = entry.progress.tasks.get(&task.into());
-            let done = state.is_some_and(|state| state.done);
+            let ends = state.is_some_and(|state| state.done || entry.is_exhausted(state));
             let returns = spec.lasting && state.is_some_and(|state| state.run > 0);
-            if !done && !self.placed.contains_key(&task) {
+            if !ends && !self.placed.contains_key(&task) {
                 let (lasting, order, since) = (spec.lasting, entry.accepted_version, self.now);
                 let ready = work::Ready {
                     task,
@@ -197,19 +203,6 @@
         self.changed = true;
     }
 
-    /// Returns the priority and the attempts per task that a job's queue configures.
-    pub(super) fn priority_and_attempts(&self, job: &spec::Job) -> (u32, u32) {
-        let queue = self.queues.queues.get(&job.queue);
-        queue.map_or((UNCONFIGURED_PRIORITY, UNCONFIGURED_MAX_ATTEMPTS), |q| {
-            (q.priority, q.max_attempts)
-        })
-    }
-
-    /// Returns the service whose workers currently run a job.
-    pub(super) fn service<'a>(&'a self, job: &'a spec::Job) -> &'a id::ServiceId {
-        self.queues.queues.get(&job.queue).map_or(&job.service, |queue| &queue.service)
-    }
-
     /// Marks the progress row with the job's phase, which callers query, to be written.
     pub(super) fn mark(&mut self, job: spec::JobId) {
         self.mark_row(job, 0);
--- a/crates/wharflane/src/job/learn/learned.rs
+++ b/crates/wharflane/src/job/learn/learned.rs
@@ -12,6 +12,9 @@
 /// The row of workers missing from the store's list. It is stored with the learned state, but the
 /// module `unlisted` reads it.
 pub(in crate::job) const UNLISTED: &str = "unlisted";
+/// The row of queue policies that no configuration may tell any more. The module `policies` reads
+/// it.
+pub(in crate::job) const POLICIES: &str = "policies";
 /// The row with the run times.
 const TIMES_ROW: &str = "times";
 /// The row with the distributions of run times; absent while no decision needs them.
@@ -68,7 +71,7 @@
                 continue;
             };
             let read = match row.name.as_str() {
-                UNLISTED => Ok(()),
+                UNLISTED | POLICIES => Ok(()),
                 IMAGES_ROW => learned.interference.decode_images(text),
                 TIMES_ROW => serde_json::from_str(text).map(|times| learned.times = times),
                 RUN_TIMES_ROW => {
--- a/crates/wharflane/src/job/lease/loading.rs
+++ b/crates/wharflane/src/job/lease/loading.rs
@@ -125,6 +125,7 @@
             tracing::error!(%err, "the lease can't be encoded");
         }
         holding.restore_learned(learned);
+        holding.restore_policies(learned);
         holding.load(jobs, progress, now);
         holding.set_members(&self.members, now);
         holding.set_closed_halls(&self.closed_halls);
--- a/crates/wharflane/src/job/load/admission.rs
+++ b/crates/wharflane/src/job/load/admission.rs
@@ -74,7 +74,8 @@
         return Admission::Accepted;
     }
     let path_ms = path_ms(job) * backlog.run_percent as f64 / 1e2;
-    let allowed_ms = path_ms * queue.stretch_percent as f64 / 1e2 + queue.objective_ms as f64;
+    let allowed_ms =
+        path_ms * queue.policy.stretch_percent as f64 / 1e2 + queue.policy.objective_ms as f64;
     let limit_ms = (allowed_ms * need::MAX_LATE_FACTOR - path_ms).max(1.0);
     let over_ms = backlog.wait_ms as f64 - limit_ms;
     // Two draws from one number.
@@ -90,7 +91,9 @@
 /// Returns whether a job waits for the work before it and has a time to keep: it runs once, at once,
 /// and to an end.
 fn waits_its_turn(queue: &queue::Queue, job: &spec::Job) -> bool {
-    queue.objective_ms > 0 && job.repeats.is_none() && job.steps.iter().all(|step| !step.lasting)
+    queue.policy.objective_ms > 0
+        && job.repeats.is_none()
+        && job.steps.iter().all(|step| !step.lasting)
 }
 
 /// Returns the critical path of a job by its caller's estimates, in milliseconds.
--- a/crates/wharflane/src/job/loss/isolation.rs
+++ b/crates/wharflane/src/job/loss/isolation.rs
@@ -227,7 +227,7 @@
         let Some(entry) = self.jobs.get(&task.job) else {
             return;
         };
-        let service = self.service(&entry.job);
+        let service = &entry.policy.service;
         let would_accept = |view: &worker::View| {
             let obstacle = obstacle::hard(view, service, task, step, now);
             obstacle.is_none_or(|obstacle| obstacle == obstacle::Obstacle::Room)
@@ -261,7 +261,7 @@
         let Some(entry) = self.jobs.get(&task.job) else {
             return false;
         };
-        let service = self.service(&entry.job);
+        let service = &entry.policy.service;
         let mut empty = self.views.values().filter(|view| view.tasks.is_empty());
         empty.any(|view| obstacle::plain(view, service, task, step, now).is_none())
     }
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod load;
 mod loss;
 mod place;
+mod policies;
 mod progress;
 mod queue;
 pub mod retry_after;
@@ -38,7 +39,7 @@
 };
 pub use place::tickets::{Advice, AdviceRequest, AdviceTiming};
 pub use progress::{Losses, Phase, Progress, Task, TaskPosition};
-pub use queue::{Queue, Queues};
+pub use queue::{Policy, PolicyVersion, Queue, Queues};
 pub use rows::{
     Accepted, JOBS, LEARNED, LEASES, Lease, PROGRESS, WAITING, Waiting, domain_of, job_key,
     job_parts, lease_key, part, progress_key, waiting_key,
--- a/crates/wharflane/src/job/place/advice.rs
+++ b/crates/wharflane/src/job/place/advice.rs
@@ -13,6 +13,7 @@
 use crate::job::place::obstacle;
 use crate::job::place::tickets;
 use crate::job::runs::order;
+use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
 
@@ -36,11 +37,6 @@
 const SHARE_SMOOTHING: f64 = 0.2;
 
 impl holding::Holding {
-    /// Returns the advice timing of a job's queue, or `None` if the queue needs no tickets.
-    pub(in crate::job) fn advice_timing(&self, job: &spec::Job) -> Option<tickets::AdviceTiming> {
-        self.queues.queues.get(&job.queue)?.advice
-    }
-
     /// Requests tickets for a step unless a request for it is open or the retry delay is running.
     pub(in crate::job) fn request_tickets(
         &mut self,
@@ -58,7 +54,7 @@
             (wanted as f64 / self.tickets.accepted_share.max(MIN_ACCEPTED_SHARE)).ceil() as usize;
         let workers = self.candidates(task, count.clamp(MIN_CANDIDATES, MAX_CANDIDATES), now);
         let entry = self.jobs.get(&task.job);
-        let Some(timing) = entry.and_then(|entry| self.advice_timing(&entry.job)) else {
+        let Some(timing) = entry.and_then(|entry| entry.policy.advice) else {
             return;
         };
         if workers.is_empty() {
@@ -94,7 +90,7 @@
         let (Some(entry), Some(step)) = (entry, step) else {
             return Vec::new();
         };
-        let service = self.service(&entry.job);
+        let service = &entry.policy.service;
         let none = tickets::StepTickets::default();
         let step_tickets = self.tickets.steps.get(&group::group(task)).unwrap_or(&none);
         let is_candidate = |view: &&worker::View| {
@@ -160,12 +156,12 @@
     /// Returns `Obstacle::Ticket` if the queue needs tickets and none is valid for this worker.
     pub(in crate::job) fn ticket_obstacle(
         &self,
-        job: &spec::Job,
+        entry: &work::Entry,
         task: spec::TaskId,
         worker: &id::Incarnation,
         now: time::Duration,
     ) -> Option<obstacle::Obstacle> {
-        self.advice_timing(job)?;
+        entry.policy.advice?;
         let none = self.tickets.get(task, worker, now).is_none();
         none.then_some(obstacle::Obstacle::Ticket)
     }
@@ -178,7 +174,7 @@
         now: time::Duration,
     ) -> Option<String> {
         let entry = self.jobs.get(&order.task.job)?;
-        match self.advice_timing(&entry.job) {
+        match entry.policy.advice {
             None => Some(String::new()),
             Some(_) => self.tickets.get(order.task, &order.worker, now).map(str::to_owned),
         }
--- a/crates/wharflane/src/job/place/choose.rs
+++ b/crates/wharflane/src/job/place/choose.rs
@@ -64,8 +64,8 @@
     step: &'a spec::Step,
     /// The image that the task runs.
     image: interference::Image,
-    /// The job of the task.
-    job: &'a spec::Job,
+    /// The job of the task, with its progress.
+    entry: &'a work::Entry,
     /// The service whose workers may run the task.
     service: &'a id::ServiceId,
     /// The preferred rack: the one with the data, or the one where siblings run.
@@ -96,12 +96,12 @@
             task,
             step,
             image,
-            job: &entry.job,
-            service: holding.service(&entry.job),
+            entry,
+            service: &entry.policy.service,
             preferred_rack,
             failed_worker: failed_on(entry, task),
             strains: best_effort_strains(holding, step, image),
-            needs_ticket: holding.advice_timing(&entry.job).is_some(),
+            needs_ticket: entry.policy.advice.is_some(),
             now,
         })
     }
@@ -116,7 +116,9 @@
             return None;
         }
         if self.needs_ticket
-            && holding.ticket_obstacle(self.job, self.task, &view.member.incarnation, now).is_some()
+            && holding
+                .ticket_obstacle(self.entry, self.task, &view.member.incarnation, now)
+                .is_some()
         {
             return None;
         }
--- a/crates/wharflane/src/job/place/outlook.rs
+++ b/crates/wharflane/src/job/place/outlook.rs
@@ -9,28 +9,27 @@
 use crate::job::runs::work;
 use crate::job::spec;
 
-/// Returns what a round needs at the current wall clock time, or `None` if its queue is no longer
-/// configured.
+/// Returns what a round needs at the current wall clock time.
 pub(in crate::job) fn need(
     holding: &holding::Holding,
     entry: &work::Entry,
     round: u32,
-) -> Option<need::Need> {
-    let queue = holding.queues.queues.get(&entry.job.queue)?;
+) -> need::Need {
+    let policy = &entry.policy;
     let path = path(entry, round, &holding.learned.times, &holding.learned.run_times);
     let since_ms = entry.job.due_ms(round).max(entry.accepted_ms);
-    Some(need::Need {
+    need::Need {
         waited_ms: holding.wall_ms.saturating_sub(since_ms) as f64,
-        allowed_ms: (queue.objective_ms > 0).then(|| allowed_ms(queue, path.whole_ms)),
+        allowed_ms: (policy.objective_ms > 0).then(|| allowed_ms(policy, path.whole_ms)),
         left_ms: path.left_ms,
         left_core_ms: path.left_core_ms,
         begun: has_begun(entry, round),
-    })
+    }
 }
 
 /// Returns the time that a queue allows for a critical path, both in milliseconds.
-fn allowed_ms(queue: &queue::Queue, whole_ms: f64) -> f64 {
-    whole_ms * queue.stretch_percent as f64 / 1e2 + queue.objective_ms as f64
+fn allowed_ms(policy: &queue::Policy, whole_ms: f64) -> f64 {
+    whole_ms * policy.stretch_percent as f64 / 1e2 + policy.objective_ms as f64
 }
 
 /// Returns whether any task of a round was started.
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -17,6 +17,7 @@
 use crate::job::place::precedence;
 use crate::job::place::ranking;
 use crate::job::place::starvation;
+use crate::job::queue;
 use crate::job::runs::work;
 use crate::job::spec;
 
@@ -85,7 +86,7 @@
     if holding.is_set_aside(group.first.task.job) {
         return;
     }
-    let Some(job) = active_job(holding, group.first.task.job) else {
+    let Some((job, policy)) = active_job(holding, group.first.task.job) else {
         return remove_waiting(holding, group.first.task);
     };
     let Some(step) = job.step(group.first.task.step) else {
@@ -106,7 +107,7 @@
         } else if group.returning {
             place_returning(holding, &ready, step, now)
         } else {
-            place_one(holding, pass, &mut ranking, &ready, (&job, step), now)
+            place_one(holding, pass, &mut ranking, &ready, (&policy, step), now)
         };
         if !placed {
             holding.best_effort_waits |= step.fills;
@@ -194,7 +195,7 @@
 /// Requests tickets for the waiting tasks of a step if its queue needs them.
 fn request_tickets(holding: &mut holding::Holding, task: spec::TaskId, now: time::Duration) {
     let entry = holding.jobs.get(&task.job);
-    if entry.is_some_and(|entry| holding.advice_timing(&entry.job).is_some()) {
+    if entry.is_some_and(|entry| entry.policy.advice.is_some()) {
         let wanted = holding.ready.range(group::siblings(task)).count();
         holding.request_tickets(task, wanted, now);
     }
@@ -222,7 +223,7 @@
     let Some(entry) = entry else {
         return;
     };
-    let service = holding.service(&entry.job);
+    let service = &entry.policy.service;
     let best = holding
         .views
         .values()
@@ -245,19 +246,20 @@
         let Some(entry) = holding.jobs.get(&round.0) else {
             continue;
         };
-        if picture.round(round).is_none()
-            && let Some(need) = outlook::need(holding, entry, round.1)
-        {
-            picture.add(&entry.job.queue, round, need);
+        if picture.round(round).is_none() {
+            picture.add(&entry.job.queue, round, outlook::need(holding, entry, round.1));
         }
     }
     picture
 }
 
-/// Returns a job if it is active.
-fn active_job(holding: &holding::Holding, job: spec::JobId) -> Option<sync::Arc<spec::Job>> {
+/// Returns a job and what holds for it if it is active.
+fn active_job(
+    holding: &holding::Holding,
+    job: spec::JobId,
+) -> Option<(sync::Arc<spec::Job>, sync::Arc<queue::Policy>)> {
     let entry = holding.jobs.get(&job).filter(|entry| entry.is_active())?;
-    Some(sync::Arc::clone(&entry.job))
+    Some((sync::Arc::clone(&entry.job), sync::Arc::clone(&entry.policy)))
 }
 
 /// Places a returning task. All returning tasks may use the capacity that is reserved for any of
@@ -284,16 +286,16 @@
     pass: &mut pass::Pass,
     ranking: &mut Option<ranking::Ranking>,
     ready: &work::Ready,
-    (job, step): (&spec::Job, &spec::Step),
+    (policy, step): (&queue::Policy, &spec::Step),
     now: time::Duration,
 ) -> bool {
     let image = holding.learned.interference.image(step.image.as_deref());
-    if pass.unplaceable.rule_out(holding.service(job), step, image) {
+    if pass.unplaceable.rule_out(&policy.service, step, image) {
         return false;
     }
     let Some(worker) = choose_worker(holding, ranking, ready.task, step, now) else {
-        let ticket = holding.advice_timing(job).is_some();
-        pass.unplaceable.note(holding.service(job), step, image, ticket);
+        let ticket = policy.advice.is_some();
+        pass.unplaceable.note(&policy.service, step, image, ticket);
         return false;
     };
     assign::assign(holding, ready, step, &worker, now);
--- a/crates/wharflane/src/job/place/starvation.rs
+++ b/crates/wharflane/src/job/place/starvation.rs
@@ -19,6 +19,7 @@
 use crate::job::place::gang;
 use crate::job::place::obstacle;
 use crate::job::place::pass;
+use crate::job::queue;
 use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
@@ -92,7 +93,7 @@
     };
     is_idle(holding, ready.task.job, now)
         && !has_active_task(holding, ready.task.job)
-        && is_mostly_idle(holding, holding.service(&entry.job))
+        && is_mostly_idle(holding, &entry.policy.service)
 }
 
 /// What one placement pass did for its starving tasks, for operators. Those that were not tried,
@@ -140,10 +141,10 @@
         if relief.started >= MAX_STARTS_PER_PASS || !holding.failed_searches.allows_another(now) {
             break;
         }
-        let Some((job, step)) = waiting_step(holding, ready.task) else {
+        let Some((policy, step)) = waiting_step(holding, ready.task) else {
             continue;
         };
-        let service = holding.service(&job).clone();
+        let service = policy.service.clone();
         let is_idle = *idle
             .entry(service.clone())
             .or_insert_with_key(|service| is_mostly_idle(holding, service));
@@ -164,7 +165,7 @@
         holding.failed_searches.count += 1;
         // A gang that does not fit as a whole says nothing about single tasks.
         if !step.gang {
-            let ticket = holding.advice_timing(&job).is_some();
+            let ticket = policy.advice.is_some();
             pass.no_worker_left.note(&service, &step, image, ticket);
         }
     }
@@ -202,9 +203,9 @@
 fn waiting_step(
     holding: &holding::Holding,
     task: spec::TaskId,
-) -> Option<(sync::Arc<spec::Job>, spec::Step)> {
+) -> Option<(sync::Arc<queue::Policy>, spec::Step)> {
     let entry = holding.jobs.get(&task.job).filter(|_| holding.ready.contains_key(&task))?;
-    Some((sync::Arc::clone(&entry.job), entry.job.step(task.step)?.clone()))
+    Some((sync::Arc::clone(&entry.policy), entry.job.step(task.step)?.clone()))
 }
 
 /// Returns whether the CPU reserved on a service's workers is below `BUSY_PERCENT`.
@@ -228,7 +229,7 @@
     /// decides whether starving tasks are started.
     pub(in crate::job) fn in_use_percent(&self, task: spec::TaskId) -> Option<u64> {
         let entry = self.jobs.get(&task.job)?;
-        let (reserved, whole) = reserved_milli(self, self.service(&entry.job));
+        let (reserved, whole) = reserved_milli(self, &entry.policy.service);
         (reserved * 100).checked_div(whole)
     }
 }
@@ -291,12 +292,12 @@
     let image = holding.learned.interference.image(step.image.as_deref());
     let holding = &*holding;
     let entry = holding.jobs.get(&task.job)?;
-    let service = holding.service(&entry.job);
+    let service = &entry.policy.service;
     let failed_worker = choose::failed_on(entry, task);
     let strains = choose::best_effort_strains(holding, step, image);
     let obstacle_at = |view: &worker::View| {
         obstacle::hard(view, service, task, step, now)
-            .or_else(|| holding.ticket_obstacle(&entry.job, task, &view.member.incarnation, now))
+            .or_else(|| holding.ticket_obstacle(entry, task, &view.member.incarnation, now))
     };
     // Both tasks would count a loss of the worker, and it might fail both jobs.
     let is_isolated_from = |view: &worker::View| {
--- a/crates/wharflane/src/job/place/tickets.rs
+++ b/crates/wharflane/src/job/place/tickets.rs
@@ -4,6 +4,9 @@
 use std::collections;
 use std::time;
 
+use serde::{Deserialize, Serialize};
+
+use crate::duration_ms;
 use crate::id;
 use crate::job::place::group;
 use crate::job::spec;
@@ -12,13 +15,16 @@
 const INITIAL_ACCEPTED_SHARE: f64 = 0.5;
 
 /// The timing of the advice service for a queue.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceTiming {
     /// Processing time of a request.
+    #[serde(rename = "request_ms", with = "duration_ms")]
     pub decide: time::Duration,
     /// Additional processing time per named worker.
+    #[serde(rename = "per_worker_ms", with = "duration_ms")]
     pub each: time::Duration,
     /// How long a ticket is valid.
+    #[serde(rename = "ticket_ms", with = "duration_ms")]
     pub valid: time::Duration,
 }
 
--- a/crates/wharflane/src/job/place/waits.rs
+++ b/crates/wharflane/src/job/place/waits.rs
@@ -78,7 +78,7 @@
         let Some(entry) = self.jobs.get(&task.job) else {
             return counts;
         };
-        let service = self.service(&entry.job);
+        let service = &entry.policy.service;
         let strains = choose::best_effort_strains(self, step, image);
         for view in self.views.values() {
             let interference = || {
@@ -89,7 +89,7 @@
                 let reserved = self.reserved_workers.contains(&view.member.incarnation);
                 reserved.then_some(obstacle::Obstacle::Reserved)
             };
-            let ticket = || self.ticket_obstacle(&entry.job, task, &view.member.incarnation, now);
+            let ticket = || self.ticket_obstacle(entry, task, &view.member.incarnation, now);
             let preference = || obstacle::preference(view, task, step, now).or_else(reserved);
             let hard = obstacle::hard(view, service, task, step, now).or_else(ticket);
             if let Some(obstacle) = hard.or_else(preference).or_else(interference) {
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -12,6 +12,7 @@
 
 use super::load::admission;
 use super::progress;
+use super::queue;
 use super::runs::order;
 use super::spec;
 use crate::id;
@@ -136,6 +137,10 @@
     /// unknown.
     #[serde(default)]
     pub accepted_ms: u64,
+    /// The policy of its queue as the accepting host knew it; absent in a row of an older version,
+    /// which doesn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<queue::PolicyVersion>,
 }
 
 /// The lease of a domain, which every write of its holder renews.
--- a/crates/wharflane/src/job/runs/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -151,6 +151,26 @@
         run_times.total += time;
     }
 
+    /// Fails a job if one of its tasks has failed as often as the job's queue allows.
+    pub(in crate::job) fn fail_if_exhausted(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(entry) = self.jobs.get(&task.job).filter(|entry| entry.is_active()) else {
+            return;
+        };
+        let state = entry.progress.tasks.get(&task.into());
+        let Some(state) = state.filter(|state| entry.is_exhausted(state)) else {
+            return;
+        };
+        let (failures, attempts) = (state.failures(), entry.policy.max_attempts);
+        let revision = self.policies.revision();
+        if revision == 0 {
+            // The end of a job is final, and a configuration not read yet may allow more attempts.
+            tracing::info!(%task, failures, attempts, "no attempts left; no configuration read yet");
+            return;
+        }
+        tracing::info!(%task, failures, attempts, revision, "job failed");
+        self.end_job(task.job, progress::Phase::Failed, now);
+    }
+
     /// Completes or fails a job, or opens further steps, after one of its tasks has ended.
     fn advance_job(&mut self, task: spec::TaskId, now: time::Duration) {
         let Some(entry) = self.jobs.get(&task.job).filter(|entry| entry.is_active()) else {
@@ -159,10 +179,8 @@
         let Some(state) = entry.progress.tasks.get(&task.into()) else {
             return;
         };
-        let (_, attempts) = self.priority_and_attempts(&entry.job);
-        if !state.done && state.failures() >= attempts {
-            tracing::info!(%task, failures = state.failures(), attempts, "job failed");
-            return self.end_job(task.job, progress::Phase::Failed, now);
+        if entry.is_exhausted(state) {
+            return self.fail_if_exhausted(task, now);
         }
         if !state.done || !entry.progress.step_done(&entry.job, task.round, task.step) {
             return;
--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -7,6 +7,7 @@
 
 use crate::id;
 use crate::job::progress;
+use crate::job::queue;
 use crate::job::runs::order;
 use crate::job::spec;
 
@@ -19,6 +20,8 @@
 pub(in crate::job) struct Entry {
     /// The job as it was submitted.
     pub job: sync::Arc<spec::Job>,
+    /// What holds for it by the newest known policy of its queue.
+    pub policy: sync::Arc<queue::Policy>,
     /// The version of the job's row at its acceptance; lower for earlier jobs.
     pub accepted_version: u64,
     /// The version of the job's row when it was last read.
@@ -60,6 +63,11 @@
         self.is_active() && !self.begun
     }
 
+    /// Returns whether a task has failed as often as its queue allows.
+    pub fn is_exhausted(&self, task: &progress::Task) -> bool {
+        !task.done && task.failures() >= self.policy.max_attempts
+    }
+
     /// Returns whether its tasks should run.
     pub fn is_active(&self) -> bool {
         !self.cancelled && !self.progress.phase.ended()
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -17,11 +17,11 @@
 use crate::rows;
 
 /// The most progress rows in one transaction. The store accepts 100 entries: the lease uses two,
-/// the counts and the unlisted workers one each, and learned data ten.
-const MAX_ROWS: usize = 86;
+/// the counts, the unlisted workers and the policies one each, and learned data ten.
+const MAX_ROWS: usize = 85;
 /// The most bytes of progress in one transaction. The store accepts 1 MB, which is 750 KB before
-/// base64; learned data takes 210 KB at most, and a single job 480 KB.
-const MAX_BYTES: usize = 500_000;
+/// base64; learned data takes 210 KB at most, the policies 30 KB, and a single job 480 KB.
+const MAX_BYTES: usize = 480_000;
 /// The time between two counts of waiting jobs; readers are promised counts at most 2 s old.
 const COUNT_INTERVAL: time::Duration = time::Duration::from_millis(700);
 /// How long a new holder delays its first count until it knows which starts of its predecessor were
@@ -119,7 +119,8 @@
         }
         let gap = now.saturating_sub(self.committed);
         let has_changes = !self.dirty.is_empty() || !self.expired.is_empty() || self.leaving;
-        let due = gap >= self.commit_gap() && (has_changes || self.lacks_unlisted(now));
+        let due = gap >= self.commit_gap()
+            && (has_changes || self.lacks_unlisted(now) || self.lacks_policies(now));
         if !(due || gap >= self.settings.renew) {
             return None;
         }
@@ -185,6 +186,7 @@
         if now >= self.commit_limits.extras_from {
             self.add_learned(&mut txn, now)?;
             self.add_unlisted(&mut txn)?;
+            self.add_policies(&mut txn)?;
         }
         let extras = txn.writes.len() > before_extras;
         let staged = std::mem::take(&mut self.staged);
@@ -275,6 +277,7 @@
             return Ok(());
         }
         self.counted_at = now;
+        self.review_policies();
         self.log_state();
         if self.jobs_read_up_to_ms.is_none() {
             return Ok(());
@@ -342,6 +345,7 @@
             starving_unplaced = self.relief.unplaced,
             reserved_workers = self.reserved_workers.len(),
             given_up = self.given_up,
+            unconfigured_queues = self.unconfigured_queues(),
             suspects = self.loss_record.len(),
             kept_alone = self.views.values().filter(|view| view.reserved_for.is_some()).count(),
             look_gap_ms = worker::millis(self.link.gap()),
--- a/crates/wharflane/src/job/store/refused.rs
+++ b/crates/wharflane/src/job/store/refused.rs
@@ -78,6 +78,7 @@
         self.staged.extend(pending.starts);
         self.expired.extend(pending.removed);
         self.unlisted.clear();
+        self.restore_policies_due();
     }
 
     /// Sets a job aside whose progress the store refuses.
--- a/crates/wharflane/src/job/workers/moves.rs
+++ b/crates/wharflane/src/job/workers/moves.rs
@@ -271,7 +271,7 @@
         let Some((entry, step)) = entry.and_then(|e| Some((e, e.job.step(task.step)?))) else {
             return false;
         };
-        let service = self.service(&entry.job);
+        let service = &entry.policy.service;
         self.views.values().any(|view| {
             obstacle::plain(view, service, task, step, now).is_none()
                 && !self.reserved_workers.contains(&view.member.incarnation)
--- a/crates/wharflane/src/lib.rs
+++ b/crates/wharflane/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod commit;
 pub mod desired;
 pub mod digest;
+mod duration_ms;
 pub mod endpoints;
 pub mod hall;
 pub mod id;
--- a/crates/wharflane/tests/sim/fixtures.rs
+++ b/crates/wharflane/tests/sim/fixtures.rs
@@ -23,12 +23,14 @@
         name: name.to_owned(),
         host: String::new(),
         prefix: String::new(),
-        service: "service".into(),
-        priority,
-        max_attempts: 3,
-        advice: (name == ADVISED).then(job::AdviceTiming::default),
-        stretch_percent: 200,
-        objective_ms: 1_000,
+        policy: job::Policy {
+            service: "service".into(),
+            priority,
+            max_attempts: 3,
+            advice: (name == ADVISED).then(job::AdviceTiming::default),
+            stretch_percent: 200,
+            objective_ms: 1_000,
+        },
     };
     let queues = ["first", "last", ADVISED].into_iter().zip([0, 2, 0]);
     let queues = queues.map(|(name, priority)| (name.to_owned(), queue(name, priority)));
@@ -36,6 +38,26 @@
     sync::Arc::new(queues)
 }
 
+/// Returns a revision of the configuration in which `queue` is changed.
+pub fn queues_with(
+    revision: u64,
+    queue: &str,
+    change: impl Fn(&mut job::Policy),
+) -> sync::Arc<job::Queues> {
+    let mut queues = queues().as_ref().clone();
+    queues.revision = revision;
+    change(&mut queues.queues.get_mut(queue).expect("a queue").policy);
+    sync::Arc::new(queues)
+}
+
+/// Returns a revision of the configuration that lacks `queue`.
+pub fn queues_without(revision: u64, queue: &str) -> sync::Arc<job::Queues> {
+    let mut queues = queues().as_ref().clone();
+    queues.revision = revision;
+    queues.queues.remove(queue);
+    sync::Arc::new(queues)
+}
+
 /// Returns a worker of 16 cores as the store lists it.
 pub fn member(at: usize) -> job::Member {
     job::Member {
--- a/crates/wharflane/tests/sim/mod.rs
+++ b/crates/wharflane/tests/sim/mod.rs
@@ -9,13 +9,15 @@
 mod submissions;
 
 use std::collections;
+use std::sync;
 use std::time;
 
 use wharflane::{id, job, rows};
 use wharflane_stand_in::jobs::{rows as store, world};
 
 pub use fixtures::{
-    ADVISED, SERVING_JOBS, member, queues, row, serves, started_jobs, started_rows, step,
+    ADVISED, SERVING_JOBS, member, queues, queues_with, queues_without, row, serves, started_jobs,
+    started_rows, step,
 };
 
 /// The tail latency of a serving task on a worker where nothing moves, in milliseconds.
@@ -32,6 +34,8 @@
     pub now: time::Duration,
     /// The version of the store; it grows with every effect of the engine and every submitted job.
     pub version: u64,
+    /// The configuration by which hosts accept jobs.
+    pub accepting_hosts_queues: sync::Arc<job::Queues>,
     /// The newest values in the store, by table and row name.
     pub rows: collections::BTreeMap<(&'static str, String), String>,
     /// Effects that the engine requested and the simulation has not answered; starts stay here
@@ -112,11 +116,20 @@
         (jobs, progress): (Vec<rows::Row>, Vec<rows::Row>),
         learned: Vec<rows::Row>,
     ) -> Self {
-        let engine = job::Engine::new("host".into(), settings, 1);
-        let mut sim = Self {
-            engine,
+        let mut sim = Self::watching(settings);
+        sim.handle(job::Event::Queues(queues()));
+        sim.take_over(workers, (jobs, progress), learned);
+        sim
+    }
+
+    /// Returns a simulation whose engine watches the lease of its domain and has read no
+    /// configuration.
+    pub fn watching(settings: job::Settings) -> Self {
+        Self {
+            engine: job::Engine::new("host".into(), settings, 1),
             now: time::Duration::from_secs(1),
             version: 0,
+            accepting_hosts_queues: queues(),
             rows: collections::BTreeMap::new(),
             pending: Vec::new(),
             ended_runs: Vec::new(),
@@ -141,13 +154,20 @@
             stalled_workers: collections::BTreeMap::new(),
             silent_workers: collections::BTreeSet::new(),
             leaves_txn_open: |_| false,
-        };
-        sim.handle(job::Event::Queues(queues()));
-        sim.handle(job::Event::Listed((0..workers).map(member).collect()));
-        sim.handle(job::Event::LeaseRead { row: None, store_ms: None });
-        sim.handle(job::Event::Closed(job::ClosedHalls::default()));
-        sim.handle(job::Event::Loaded { jobs, progress, learned });
-        sim
+        }
+    }
+
+    /// Lets the engine acquire the free lease and load the domain.
+    pub fn take_over(
+        &mut self,
+        workers: usize,
+        (jobs, progress): (Vec<rows::Row>, Vec<rows::Row>),
+        learned: Vec<rows::Row>,
+    ) {
+        self.handle(job::Event::Listed((0..workers).map(member).collect()));
+        self.handle(job::Event::LeaseRead { row: None, store_ms: None });
+        self.handle(job::Event::Closed(job::ClosedHalls::default()));
+        self.handle(job::Event::Loaded { jobs, progress, learned });
     }
 
     /// Passes an event to the engine and answers its transactions at once.
--- a/crates/wharflane/tests/sim/submissions.rs
+++ b/crates/wharflane/tests/sim/submissions.rs
@@ -31,7 +31,9 @@
             steps,
             repeats: None,
         };
-        let value = serde_json::to_string(&job::Accepted { job, cancelled: false, accepted_ms: 0 });
+        let policy = self.accepting_hosts_queues.policy(queue);
+        let accepted = job::Accepted { job, cancelled: false, accepted_ms: 0, policy };
+        let value = serde_json::to_string(&accepted);
         self.version += 1;
         job::Event::Jobs(vec![rows::Row {
             name: job::JobId(number).to_string(),
