Waiting tasks follow the priority that a configuration gives their queue

A task kept the priority that its queue had when the task was queued: one that was loaded while its route was away stayed behind all others after the route was back, and a configuration that changes a priority didn't reach what waits. Cause: the priority is copied into the record of the waiting task, which is made once (or_insert). The newest policy is now put into the records of all waiting tasks of its queue.

--- a/crates/wharflane/src/job/policies.rs
+++ b/crates/wharflane/src/job/policies.rs
@@ -227,7 +227,7 @@
         }
     }
 
-    /// Puts the newest policy of a queue in force for its active jobs.
+    /// Puts the newest policy of a queue in force for its active jobs and their waiting tasks.
     fn apply_policy(&mut self, queue: &str) {
         let Some(policy) = self.policies.newest(queue).cloned() else {
             return;
@@ -241,6 +241,9 @@
             }
         }
         for (job, rounds) in jobs {
+            let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
+            let waiting = self.ready.range_mut(first..).take_while(|(task, _)| task.job == job);
+            waiting.for_each(|(_, ready)| ready.priority = policy.priority);
             (0..rounds).for_each(|round| self.open_round(job, round));
         }
         self.changed = true;
--- a/crates/wharflane/tests/removed_queues.rs
+++ b/crates/wharflane/tests/removed_queues.rs
@@ -247,4 +247,16 @@
         assert_eq!(sim.phase(JOB), job::Phase::Completed);
         assert_eq!(stored_policies(&sim), [] as [&str; 0]);
     },
+    // A task that waited kept the priority that its queue had when it was queued.
+    a_waiting_task_follows_the_priority_of_its_queue => {
+        let mut sim = sim(&sim::queues());
+        sim.handle(job::Event::Listed(Vec::new()));
+        sim.submit(OTHER, "first", sim::step("plain", 16_000));
+        let event = sim.accepted(JOB, "last", sim::step("plain", 16_000));
+        sim.handle(event);
+        configure(&mut sim, &sim::queues_with(2, "first", |policy| policy.priority = 5));
+        sim.handle(job::Event::Listed(vec![sim::member(0)]));
+        sim.advance(400, false);
+        assert_eq!(sim::started_jobs(&sim), [JOB]);
+    },
 }
