--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -148,6 +148,7 @@
         if cancelled {
             self.cancel(job, now);
         }
+        self.fail_if_any_exhausted(job, now);
     }
 
     /// Opens all steps of a round that may start.
--- a/crates/wharflane/src/job/policies.rs
+++ b/crates/wharflane/src/job/policies.rs
@@ -227,7 +227,8 @@
         }
     }
 
-    /// Puts the newest policy of a queue in force for its active jobs and their waiting tasks.
+    /// Puts the newest policy of a queue in force for its active jobs: for the tasks that wait, and
+    /// for those whose failures it rates anew.
     fn apply_policy(&mut self, queue: &str) {
         let Some(policy) = self.policies.newest(queue).cloned() else {
             return;
@@ -244,6 +245,7 @@
             let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
             let waiting = self.ready.range_mut(first..).take_while(|(task, _)| task.job == job);
             waiting.for_each(|(_, ready)| ready.priority = policy.priority);
+            self.fail_if_any_exhausted(job, self.now);
             (0..rounds).for_each(|round| self.open_round(job, round));
         }
         self.changed = true;
--- a/crates/wharflane/src/job/runs/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -9,6 +9,7 @@
 use crate::job::place::outlook;
 use crate::job::progress;
 use crate::job::runs::order;
+use crate::job::runs::work;
 use crate::job::spec;
 
 /// Longest expected run time that is learned from, in milliseconds; callers may guess anything.
@@ -151,6 +152,23 @@
         run_times.total += time;
     }
 
+    /// Fails a job if one of its tasks has failed as often as the job's queue allows and is not at
+    /// work: that may also become so by a change of the configuration.
+    pub(in crate::job) fn fail_if_any_exhausted(&mut self, job: spec::JobId, now: time::Duration) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
+        let is_at_work = |task: &spec::TaskId| {
+            let placed = self.placed.get(task);
+            placed.is_some_and(|placed| placed.start_state != work::StartState::Staged)
+        };
+        let exhausted = entry.progress.tasks.iter().filter(|(_, state)| entry.is_exhausted(state));
+        let mut exhausted = exhausted.map(|(position, _)| position.of(job));
+        if let Some(task) = exhausted.find(|task| !is_at_work(task)) {
+            self.fail_if_exhausted(task, now);
+        }
+    }
+
     /// Fails a job if one of its tasks has failed as often as the job's queue allows.
     pub(in crate::job) fn fail_if_exhausted(&mut self, task: spec::TaskId, now: time::Duration) {
         let Some(entry) = self.jobs.get(&task.job).filter(|entry| entry.is_active()) else {
--- a/crates/wharflane/tests/removed_queues.rs
+++ b/crates/wharflane/tests/removed_queues.rs
@@ -259,4 +259,34 @@
         sim.advance(400, false);
         assert_eq!(sim::started_jobs(&sim), [JOB]);
     },
+    // A task was started again although it had failed as often as the configuration in force
+    // allows.
+    a_waiting_task_that_has_failed_as_often_as_now_allowed_ends_its_job => {
+        let mut sim = sim(&sim::queues());
+        submit(&mut sim, "first");
+        fail(&mut sim);
+        sim.end_task(TASK, job::EndKind::Failed);
+        sim.handle(job::Event::Listed(Vec::new()));
+        sim.advance(1_000, false);
+        assert_eq!(sim.phase(JOB), job::Phase::Running, "two of three attempts are used up");
+        configure(&mut sim, &sim::queues_with(2, "first", |policy| policy.max_attempts = 2));
+        sim.handle(job::Event::Listed((0..3).map(sim::member).collect()));
+        sim.advance(2_000, false);
+        assert_eq!(sim.newest_order(TASK).run, 2);
+        assert_eq!(sim.phase(JOB), job::Phase::Failed);
+    },
+    // A run at work was stopped since an earlier one counts as the last by a new configuration.
+    a_run_at_work_may_still_complete_its_job => {
+        let mut sim = sim(&sim::queues());
+        submit(&mut sim, "first");
+        fail(&mut sim);
+        fail(&mut sim);
+        assert_eq!(sim.newest_order(TASK).run, 3);
+        configure(&mut sim, &sim::queues_with(2, "first", |policy| policy.max_attempts = 2));
+        sim.advance(400, false);
+        assert_eq!(sim.stops, []);
+        sim.end_task(TASK, job::EndKind::Done);
+        sim.advance(1_000, false);
+        assert_eq!(sim.phase(JOB), job::Phase::Completed);
+    },
 }
