Starts that are turned away for their ticket pause before they are given again

Cause: REFUSED_BACKOFF covers workers without room or in bad health alone. The step now pauses 0.4 to 1.6 s after a start without a ticket, and a worker that turned a ticket away isn't asked about for as long; a start that is accepted and a new policy of the queue end the pause.

--- a/crates/wharflane/src/job/place/advice.rs
+++ b/crates/wharflane/src/job/place/advice.rs
@@ -97,6 +97,7 @@
             let available = obstacle::hard(view, service, task, step, now).is_none();
             available
                 && !step_tickets.denied.contains(&view.member.incarnation)
+                && !step_tickets.was_refused_by(&view.member.incarnation, now)
                 && self.tickets.get(task, &view.member.incarnation, now).is_none()
         };
         let mut views: Vec<&worker::View> = self.views.values().filter(is_candidate).collect();
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -83,7 +83,8 @@
     group: Group,
     now: time::Duration,
 ) {
-    if holding.is_set_aside(group.first.task.job) {
+    let first = group.first.task;
+    if holding.is_set_aside(first.job) || holding.tickets.pauses(first, now) {
         return;
     }
     let Some((job, policy)) = active_job(holding, group.first.task.job) else {
--- a/crates/wharflane/src/job/place/tickets.rs
+++ b/crates/wharflane/src/job/place/tickets.rs
@@ -11,6 +11,10 @@
 use crate::job::place::group;
 use crate::job::spec;
 
+/// Pause after a start was turned away for its ticket; it doubles while further ones are.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Longest such pause: a job may run nothing for 3 s at the most, in case the reason has passed.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(1_600);
 /// Accepted share that is assumed before the first answer.
 const INITIAL_ACCEPTED_SHARE: f64 = 0.5;
 
@@ -61,6 +65,31 @@
     pub until: time::Duration,
 }
 
+/// A pause after starts were turned away for their tickets.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in crate::job) struct Pause {
+    /// Its length; zero if there was none since the last start that was accepted.
+    length: time::Duration,
+    /// When it ends.
+    until: time::Duration,
+}
+
+impl Pause {
+    /// Begins the next, longer pause. Starts that were under way together are turned away together,
+    /// so that no pause begins before the last one has ended.
+    fn begin(&mut self, now: time::Duration) {
+        if self.is_over(now) {
+            self.length = (self.length * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+            self.until = now + self.length;
+        }
+    }
+
+    /// Returns whether it has ended.
+    fn is_over(&self, now: time::Duration) -> bool {
+        now >= self.until
+    }
+}
+
 /// The known answers for one step.
 #[derive(Clone, Debug, Default)]
 pub(in crate::job) struct StepTickets {
@@ -72,6 +101,18 @@
     pub request_open: bool,
     /// When the next request may be sent.
     pub retry_at: time::Duration,
+    /// The workers that turned a ticket away, until they are asked about again.
+    refused: collections::BTreeMap<id::Incarnation, Pause>,
+    /// The pause of the whole step, after a start without a ticket was turned away: any worker
+    /// would do so.
+    pause: Pause,
+}
+
+impl StepTickets {
+    /// Returns whether a worker turned a ticket away just now.
+    pub fn was_refused_by(&self, worker: &id::Incarnation, now: time::Duration) -> bool {
+        self.refused.get(worker).is_some_and(|pause| !pause.is_over(now))
+    }
 }
 
 /// All tickets of a domain.
@@ -107,10 +148,44 @@
         (now < ticket.until).then_some(&ticket.text)
     }
 
-    /// Drops a ticket that a worker refused.
-    pub fn remove_refused(&mut self, task: spec::TaskId, worker: &id::Incarnation) {
-        if let Some(step_tickets) = self.steps.get_mut(&group::group(task)) {
+    /// Records that a worker turned a start away for its ticket, or for the lack of one.
+    pub fn note_refusal(
+        &mut self,
+        task: spec::TaskId,
+        worker: &id::Incarnation,
+        had_ticket: bool,
+        now: time::Duration,
+    ) {
+        let step_tickets = self.steps.entry(group::group(task)).or_default();
+        if had_ticket {
             step_tickets.accepted.remove(worker);
+            step_tickets.refused.entry(worker.clone()).or_default().begin(now);
+        } else {
+            step_tickets.pause.begin(now);
+        }
+    }
+
+    /// Records that a worker accepted a start, so that the next pause is short again.
+    pub fn note_start(&mut self, task: spec::TaskId, worker: &id::Incarnation) {
+        if let Some(step_tickets) = self.steps.get_mut(&group::group(task)) {
+            step_tickets.refused.remove(worker);
+            step_tickets.pause = Pause::default();
+        }
+    }
+
+    /// Returns whether a task's step pauses since its starts without tickets were turned away.
+    pub fn pauses(&self, task: spec::TaskId, now: time::Duration) -> bool {
+        let step_tickets = self.steps.get(&group::group(task));
+        step_tickets.is_some_and(|step_tickets| !step_tickets.pause.is_over(now))
+    }
+
+    /// Ends all pauses of a job, whose queue has another policy now.
+    pub fn end_pauses(&mut self, job: spec::JobId) {
+        let first = (job, 0, 0);
+        let steps = self.steps.range_mut(first..).take_while(|((owner, ..), _)| *owner == job);
+        for (_, step_tickets) in steps {
+            step_tickets.refused.clear();
+            step_tickets.pause = Pause::default();
         }
     }
 
--- a/crates/wharflane/src/job/runs/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -288,6 +288,7 @@
                 // its absence.
                 self.set_start_state(order.task, work::StartState::Confirmed(now));
                 self.note_begun(order.task.job);
+                self.tickets.note_start(order.task, &order.worker);
                 if let Some(placed) = self.placed.get_mut(&order.task) {
                     placed.began = placed.began.or(Some(now));
                 }
@@ -304,7 +305,9 @@
             }
             order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
             order::StartAnswer::Refused(order::StartRefusal::Ticket) => {
-                self.tickets.remove_refused(order.task, &order.worker);
+                let entry = self.jobs.get(&order.task.job);
+                let had_ticket = entry.is_some_and(|entry| entry.policy.advice.is_some());
+                self.tickets.note_refusal(order.task, &order.worker, had_ticket, now);
                 self.handle_refused_start(order.task);
             }
             order::StartAnswer::Refused(_) | order::StartAnswer::Unwell => {
