Worlds of configurations that lose, change and regain queues under their jobs

The new worlds draw at each change which queues are there and how many attempts they give, with changes of the holder, starts of all hosts at once, hosts that read their first configuration late, and writes that are lost. Judged: starts beyond the most attempts ever given, starts without a ticket where one is demanded, jobs failed before the least ever given, waits of 3 s while the queue is away.

The judged bounds of the older worlds are unchanged, and so are their draws.

--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -37,7 +37,12 @@
             let again = message::Message::SubmitJob(id, Box::new(job));
             return self.send(time::Duration::from_secs(1), again);
         }
-        let accepted = accepted(job.clone(), false);
+        if !self.configuration.newest.queues.contains_key(&job.queue) {
+            // The answer is that there is no such queue.
+            let again = message::Message::SubmitJob(id, Box::new(job));
+            return self.send(time::Duration::from_secs(1), again);
+        }
+        let accepted = self.accepted(job.clone(), false);
         self.checker.jobs.insert(id, job);
         self.checker.accepted_ms.insert(id, world::millis(self.now));
         self.write_job(id, &accepted);
@@ -64,7 +69,13 @@
             return;
         };
         self.cancelled.insert(id, self.now);
-        self.write_job(id, &accepted(job, true));
+        self.write_job(id, &self.accepted(job, true));
+    }
+
+    /// Returns what the row of a job says.
+    fn accepted(&self, job: job::Job, cancelled: bool) -> job::Accepted {
+        let policy = self.configuration.newest.policy(&job.queue);
+        job::Accepted { job, cancelled, accepted_ms: 0, policy }
     }
 
     /// Writes the row of a job and sends it to all hosts, as the feed of the table does.
@@ -81,9 +92,3 @@
         }
     }
 }
-
-/// Returns what the row of a job says.
-fn accepted(job: job::Job, cancelled: bool) -> job::Accepted {
-    let policy = world::queues().policy(&job.queue);
-    job::Accepted { job, cancelled, accepted_ms: 0, policy }
-}
--- a/crates/stand-in/src/jobs/checker.rs
+++ b/crates/stand-in/src/jobs/checker.rs
@@ -68,6 +68,12 @@
         /// The task that was started.
         task: job::TaskId,
     },
+    /// A task was started without the ticket that its queue demands.
+    #[error("{task} was started without a ticket")]
+    StartedWithoutTicket {
+        /// The task that was started.
+        task: job::TaskId,
+    },
     /// A crashing task was started too often after `CRASHES` workers had crashed under it.
     #[error(
         "{task} was started {FURTHER_STARTS} more times after {CRASHES} workers had crashed under it"
@@ -98,6 +104,8 @@
     done: collections::BTreeSet<job::TaskId>,
     /// Tasks whose end as done was acknowledged.
     acknowledged_done: collections::BTreeSet<job::TaskId>,
+    /// The runs that failed, whether or not a holder acknowledged it.
+    failed_runs: collections::BTreeSet<(job::TaskId, u32)>,
     /// The number of acknowledged failures of each task.
     failures: collections::BTreeMap<job::TaskId, u32>,
     /// For each crashing task, how many workers crashed under it, and how often it was started
@@ -127,12 +135,20 @@
     }
 
     /// Records an ended run as it happens.
-    pub fn record_end(&mut self, task: job::TaskId, kind: job::EndKind) {
-        if kind == job::EndKind::Done {
-            self.done.insert(task);
+    pub fn record_end(&mut self, ended: &job::Ended) {
+        match ended.kind {
+            job::EndKind::Done => drop(self.done.insert(ended.task)),
+            job::EndKind::Failed => drop(self.failed_runs.insert((ended.task, ended.run))),
+            _ => {}
         }
     }
 
+    /// Returns how many runs of a task have failed, whether or not a holder acknowledged it.
+    #[must_use]
+    pub fn failed_runs(&self, task: job::TaskId) -> usize {
+        self.failed_runs.range((task, 0)..=(task, u32::MAX)).count()
+    }
+
     /// Checks a count of waiting jobs that hosts may report to callers as the count at the time
     /// `as_of_ms`.
     pub fn check_count(
@@ -156,6 +172,11 @@
         self.violations.push(Violation::OrderedInClosedHall { task });
     }
 
+    /// Records a start that a worker turned away for want of a ticket.
+    pub fn record_start_without_ticket(&mut self, task: job::TaskId) {
+        self.violations.push(Violation::StartedWithoutTicket { task });
+    }
+
     /// Records a run of a cancelled job that should have stopped by now, once for each task.
     pub fn record_run_after_cancel(&mut self, task: job::TaskId) {
         let violation = Violation::RunsAfterCancel { task };
--- a/crates/stand-in/src/jobs/crashing_task.rs
+++ b/crates/stand-in/src/jobs/crashing_task.rs
@@ -100,7 +100,8 @@
         let jobs = self.checker.jobs.iter();
         let completable = jobs.filter(|(id, job)| {
             let lasting = job.steps.iter().any(|step| step.lasting);
-            !self.has_crashing_task(**id) && (lasting || id.0 % 8 != 7)
+            let fails = self.plan.configuration.is_some() || id.0 % 8 == 7;
+            !self.has_crashing_task(**id) && (lasting || !fails)
         });
         let failed = completable.filter(|(id, _)| self.phase(**id) == job::Phase::Failed);
         failed.map(|(id, _)| *id).collect()
--- a/crates/stand-in/src/jobs/effects.rs
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -89,7 +89,8 @@
             job::Effect::SetShare(change) => {
                 self.send(delay + SHARE_DELAY, Message::Share(change));
             }
-            job::Effect::RequestAdvice(_) | job::Effect::Drop(..) => {}
+            job::Effect::RequestAdvice(request) => self.advise(host, incarnation, request),
+            job::Effect::Drop(..) => {}
         }
     }
 
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -1,5 +1,6 @@
 //! Messages in flight in the simulation, and what happens when they arrive.
 
+use std::sync;
 use std::time;
 
 use rand::RngExt as _;
@@ -50,6 +51,12 @@
     BeginHandovers,
     /// The holder changes, as the first of this many changes.
     ChangeHolder(u32),
+    /// The operator writes another configuration.
+    ChangeConfiguration,
+    /// The operator writes a configuration with all queues.
+    RestoreQueues,
+    /// An incarnation of a host reads the newest configuration.
+    ReadConfiguration(usize, u64),
     /// An incarnation of a host ends after it was stopped.
     EndHost(usize, u64),
     /// A long-running task fails.
@@ -140,6 +147,14 @@
             Message::Wave => self.crash_wave(),
             Message::BeginHandovers => self.begin_handovers(),
             Message::ChangeHolder(left) => self.change_holder(left),
+            Message::ChangeConfiguration => self.change_configuration(),
+            Message::RestoreQueues => self.restore_queues(),
+            Message::ReadConfiguration(host, incarnation) => {
+                if self.hosts[host].incarnation == incarnation {
+                    let queues = sync::Arc::clone(&self.configuration.newest);
+                    self.step(host, job::Event::Queues(queues));
+                }
+            }
             Message::EndHost(host, incarnation) => self.end_host(host, incarnation),
             Message::FailLasting => self.fail_lasting(),
             Message::Submit => self.submit(),
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 pub mod checker;
 mod closed_halls;
+mod configuration;
 mod crashing_task;
 mod effects;
 mod fault;
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -30,6 +30,8 @@
     pub longest_lease: time::Duration,
     /// Series of changes of the holder; absent for none.
     pub handovers: Option<Handovers>,
+    /// Changes of the configuration under the jobs of its queues; absent for none.
+    pub configuration: Option<ConfigurationChanges>,
     /// The time from the crash of a worker until another incarnation answers at its address, in
     /// milliseconds; absent for the usual one.
     pub away_ms: Option<ops::Range<u64>>,
@@ -70,6 +72,34 @@
     pub cut: time::Duration,
 }
 
+/// Changes of the configuration, each of which draws anew which queues are there.
+#[derive(Clone, Debug)]
+pub struct ConfigurationChanges {
+    /// The queues.
+    pub queues: Vec<PlannedQueue>,
+    /// The time of the first change.
+    pub first: time::Duration,
+    /// The time from one change to the next.
+    pub every: time::Duration,
+    /// The number of changes; one more has all queues again.
+    pub count: u32,
+    /// In how many changes of a thousand all hosts are started anew at once.
+    pub cold_starts_milli: u32,
+    /// How long a host that starts takes to read its first configuration, in milliseconds.
+    pub first_read_ms: ops::Range<u64>,
+}
+
+/// A queue of a plan.
+#[derive(Clone, Debug)]
+pub struct PlannedQueue {
+    /// Its name.
+    pub name: &'static str,
+    /// How many attempts it may give a task; the first revision gives the least.
+    pub attempts: ops::Range<u32>,
+    /// Whether its starts need tickets.
+    pub advised: bool,
+}
+
 /// How a holder ends.
 #[derive(Clone, Copy, Debug)]
 pub enum HolderEnd {
@@ -93,6 +123,7 @@
             weak_hosts: 0,
             longest_lease: worker::MAX_LEASE,
             handovers: None,
+            configuration: None,
             away_ms: None,
         }
     }
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -236,7 +236,7 @@
             let State { workers, checker, .. } = &mut *state;
             for worker in workers.iter_mut() {
                 worker.tick(now);
-                worker.ended().iter().for_each(|ended| checker.record_end(ended.task, ended.kind));
+                worker.ended().iter().for_each(|ended| checker.record_end(ended));
             }
         }
     }
--- a/crates/stand-in/src/jobs/waits.rs
+++ b/crates/stand-in/src/jobs/waits.rs
@@ -260,7 +260,7 @@
                     + look.listed_failures.get(task).copied().unwrap_or(0);
                 !self.checker.is_acknowledged_done(*task)
                     && !look.listed_done.contains(task)
-                    && failures < world::ATTEMPTS
+                    && failures < self.most_attempts(id)
             })?;
             fits_twice(&look.free, step).then_some(task)
         });
--- a/crates/stand-in/src/jobs/waves.rs
+++ b/crates/stand-in/src/jobs/waves.rs
@@ -39,11 +39,21 @@
 
     /// Submits a job of one step at a time from the start, as `submit_at` does.
     pub fn submit_step_at(&mut self, at: time::Duration, step: job::Step) -> job::JobId {
+        self.submit_steps_at(at, world::QUEUE, vec![step])
+    }
+
+    /// Submits a job of several steps to a queue at a time from the start, as `submit_at` does.
+    pub fn submit_steps_at(
+        &mut self,
+        at: time::Duration,
+        queue: &str,
+        steps: Vec<job::Step>,
+    ) -> job::JobId {
         let job = job::Job {
-            queue: world::QUEUE.to_owned(),
+            queue: queue.to_owned(),
             service: "service".into(),
             spec: "spec".to_owned(),
-            steps: vec![step],
+            steps,
             repeats: None,
         };
         self.submit_at(at, job)
--- a/crates/stand-in/src/jobs/workers.rs
+++ b/crates/stand-in/src/jobs/workers.rs
@@ -23,6 +23,13 @@
         if lost {
             self.waits.note_disturbance(now);
         }
+        if self.lacks_ticket(start) {
+            self.checker.record_start_without_ticket(task);
+            let answer = job::StartAnswer::Refused(job::StartRefusal::Ticket);
+            let event = job::Event::Started { order: start.order.clone(), answer };
+            let delay = self.draw_answer_delay();
+            return self.send(delay, message::Message::Back(host, incarnation, Box::new(event)));
+        }
         let answered =
             self.reach(&start.order.worker).map(|worker| worker.start(start, behaviour, now));
         let Some((answer, began)) = answered else {
@@ -47,7 +54,8 @@
             let cancelled = self.cancelled.get(&task.job);
             let ordered_late = cancelled.is_some_and(|at| ordered > *at + world::CANCEL_GRACE);
             self.check_closed_hall(task, &start.order.worker, ordered);
-            self.checker.check_start(task, world::ATTEMPTS, ordered_late, &self.workers);
+            let attempts = self.most_attempts(task.job);
+            self.checker.check_start(task, attempts, ordered_late, &self.workers);
             if self.is_crashing_task(task) {
                 self.schedule_crash(&start.order.worker, task, start.order.run);
             }
@@ -119,7 +127,11 @@
             size.cpu_milli = 0;
         }
         // In one job of eight, every task fails unless it is a long-running one.
-        worker::Behaviour { work, fails: task.job.0 % 8 == 7 && !lasting, size }
+        let fails = match self.plan.configuration {
+            Some(_) => self.fails_next(task),
+            None => task.job.0 % 8 == 7,
+        };
+        worker::Behaviour { work, fails: fails && !lasting, size }
     }
 
     /// Checks that runs of cancelled jobs stop in time.
@@ -159,7 +171,7 @@
             if worker.unacknowledged_ends() == before {
                 continue;
             }
-            worker.ended().iter().for_each(|ended| self.checker.record_end(ended.task, ended.kind));
+            worker.ended().iter().for_each(|ended| self.checker.record_end(ended));
         }
     }
 }
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -9,7 +9,9 @@
 use wharflane::{id, job};
 
 use super::message::Message;
-use super::{checker, closed_halls, fault, injection, message, plan, rows, waits, worker};
+use super::{
+    checker, closed_halls, configuration, fault, injection, message, plan, rows, waits, worker,
+};
 
 pub use super::fault::Faults;
 
@@ -72,6 +74,8 @@
     pub(super) plan: plan::Plan,
     /// The hosts, by index; a removed host keeps its index.
     pub(super) hosts: Vec<Host>,
+    /// The operator's configuration.
+    pub(super) configuration: configuration::Configuration,
     /// The rows of the store.
     pub rows: rows::Rows,
     /// Whether the store is down, so that no call is answered.
@@ -116,6 +120,7 @@
             now: time::Duration::ZERO,
             rng: rand::rngs::StdRng::seed_from_u64(seed),
             faults,
+            configuration: configuration::Configuration::new(plan.configuration.as_ref()),
             plan,
             hosts: Vec::new(),
             rows: rows::Rows::default(),
@@ -157,6 +162,7 @@
         }
         world.schedule_waves();
         world.schedule_handovers();
+        world.schedule_configurations();
         world
     }
 
@@ -187,6 +193,8 @@
             self.checker.violations.iter().map(ToString::to_string).collect();
         found.extend(self.waits.broken.iter().map(ToString::to_string));
         found.extend(self.unfinished());
+        let early = self.failed_too_early();
+        found.extend(early.iter().map(|job| format!("failed before its attempts were up: {job}")));
         found.extend(
             self.wrongly_failed()
                 .iter()
@@ -286,12 +294,20 @@
         let task_lease = if weak { task_lease_max } else { settings().task_lease };
         let settings = job::Settings { addr, poll, task_lease, task_lease_max, ..settings() };
         let mut engine = job::Engine::new(own, settings, nonce);
-        engine.step(self.now, job::Event::Queues(sync::Arc::new(queues())));
-        let host = &mut self.hosts[host];
-        host.engine = Some(engine);
-        host.incarnation += 1;
-        host.frozen = false;
-        host.inbox.clear();
+        let first_read_ms =
+            self.plan.configuration.as_ref().map(|changes| changes.first_read_ms.clone());
+        if first_read_ms.is_none() {
+            let queues = sync::Arc::clone(&self.configuration.newest);
+            engine.step(self.now, job::Event::Queues(queues));
+        }
+        let state = &mut self.hosts[host];
+        state.engine = Some(engine);
+        state.incarnation += 1;
+        state.frozen = false;
+        state.inbox.clear();
+        if let Some(within_ms) = first_read_ms {
+            self.read_configuration_within(host, within_ms);
+        }
     }
 
     /// Returns whether the store leaves the calls of a host without answers.
@@ -334,7 +350,7 @@
             return;
         };
         if counts.age(millis(self.now)).is_some_and(|age| age <= MAX_COUNT_AGE) {
-            let reported = counts.queues.get(QUEUE).copied().unwrap_or(0);
+            let reported = counts.queues.values().sum();
             let cancelled = &self.cancelled;
             self.checker.check_count(reported, as_of_ms, |job| cancelled.contains_key(&job));
         }
@@ -353,8 +369,13 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns the configuration of the world, which has one queue.
+/// Returns the usual configuration of the world, which has one queue.
 pub(super) fn queues() -> job::Queues {
+    job::Queues { revision: 1, queues: [(QUEUE.to_owned(), queue(QUEUE))].into() }
+}
+
+/// Returns a queue with the usual policy.
+pub(super) fn queue(name: &str) -> job::Queue {
     let policy = job::Policy {
         service: "service".into(),
         priority: 0,
@@ -363,9 +384,7 @@
         stretch_percent: 200,
         objective_ms: 1_000,
     };
-    let (name, host, prefix) = (QUEUE.to_owned(), String::new(), String::new());
-    let queue = job::Queue { name, host, prefix, policy };
-    job::Queues { revision: 1, queues: [(QUEUE.to_owned(), queue)].into() }
+    job::Queue { name: name.to_owned(), host: String::new(), prefix: String::new(), policy }
 }
 
 /// Returns the entry of a worker.
