Processes: a job keeps to its queue that is removed while all hosts die

The row that the daemon writes at the acceptance has no other test: the queue wants advice, is removed, and both hosts are killed; a fresh one, which has never read a configuration with it, asks for tickets and starts both steps.

Also logged now: a job of a queue that the configuration lacks, as the first of its queue, and a policy that the row of a job tells.

The host is waited for.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use wharflane::{job, size};
 use wharflane_caller::job as caller;
+use wharflane_operator as operator;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 
@@ -26,6 +27,8 @@
     a_host_that_lost_the_store_refuses_at_once => fleet::run(store_lost()),
     jobs_end_once_on_workers_that_restart_under_their_id => fleet::run(restarted_workers()),
     jobs_of_a_queue_with_an_advisor_run_only_on_allowed_workers => fleet::run(with_advisor()),
+    a_job_goes_on_by_its_queue_when_that_is_removed_and_all_hosts_die =>
+        fleet::run(removed_queue()),
     a_count_without_a_running_writer_is_not_reported => fleet::run(frozen_writer()),
     callers_asking_for_a_count_are_answered_while_the_store_is_silent => fleet::run(many_callers()),
     callers_of_a_busy_store_get_different_retry_after_times => fleet::run(spread_retry_after()),
@@ -82,6 +85,15 @@
         .await;
     }
 
+    /// Waits until a host has put a revision of the configuration in force.
+    async fn wait_for_revision(&self, host: usize, revision: u64) {
+        let operator = operator::Operator::new(self.operators[host], TIMEOUT);
+        fleet::wait_until("the host to read the configuration", async || {
+            operator.status().await.is_ok_and(|status| status.revision >= revision)
+        })
+        .await;
+    }
+
     /// Starts another host, which takes over a lease that was not renewed for `lease_ms`.
     fn add_host(&mut self, lease_ms: u64) {
         let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
@@ -211,6 +223,31 @@
     service.check_violations_and_starts(15);
 }
 
+/// Removes the queue of a job and kills all hosts: the next one has never read a configuration with
+/// it, and yet starts the job only on workers that the advice service allows.
+async fn removed_queue() {
+    let mut service = JobService::start(2).await;
+    service.platform.lock().advice = true;
+    service.platform.configure(2);
+    service.wait_for_revision(0, 2).await;
+    let id = service.submit(0, 1).await;
+    service.platform.configure_without_queue(3);
+    for (process, _) in &mut service.hosts {
+        process.kill();
+    }
+    let advice_calls = service.platform.lock().advice_calls;
+    service.add_host(LEASE_MS);
+    fleet::wait_until("the tasks of both steps to start", async || {
+        service.platform.lock().checker.starts == 5
+    })
+    .await;
+    assert!(service.platform.lock().advice_calls > advice_calls, "no request while it is away");
+    service.platform.configure(4);
+    let last = service.hosts.len() - 1;
+    service.wait_for_phase(last, id, job::Phase::Completed).await;
+    service.check_violations_and_starts(5);
+}
+
 /// A host refuses a submission after the store was silent for 3.5 s, and accepts it once the store
 /// is back.
 async fn store_lost() {
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -159,8 +159,17 @@
                 objective_ms: 1_000,
             },
         };
-        let queues = job::Queues { revision, queues: [(QUEUE.to_owned(), queue)].into() };
-        self.write(config::OPERATOR_TABLE, config::CONFIG_KEY, server_codec::config(&queues));
+        self.write_config(&job::Queues { revision, queues: [(QUEUE.to_owned(), queue)].into() });
+    }
+
+    /// Writes a configuration without any queue as the one in force.
+    pub fn configure_without_queue(&self, revision: u64) {
+        self.write_config(&job::Queues { revision, ..job::Queues::default() });
+    }
+
+    /// Writes a configuration as the one in force.
+    fn write_config(&self, queues: &job::Queues) {
+        self.write(config::OPERATOR_TABLE, config::CONFIG_KEY, server_codec::config(queues));
     }
 
     /// Restarts a worker under its id and at its address, without any state of its previous
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -79,8 +79,13 @@
                 entry.version = entry.version.max(row.version);
             }
             if !self.jobs.contains_key(&job) {
+                let queue = accepted.job.queue.clone();
+                let is_first_of_queue = !self.policies.knows(&queue);
                 self.take_in_policy(&accepted);
                 self.add_job(job, accepted, row.version, progress::Progress::default(), now);
+                if is_first_of_queue {
+                    self.log_if_unconfigured(&queue);
+                }
             } else if cancelled {
                 self.cancel(job, now);
             }
--- a/crates/wharflane/src/job/policies.rs
+++ b/crates/wharflane/src/job/policies.rs
@@ -71,6 +71,11 @@
         self.revision() == 0 && self.newest.get(queue).is_none_or(|newest| newest.revision == 0)
     }
 
+    /// Returns whether a queue has jobs that the holder knows.
+    pub fn knows(&self, queue: &str) -> bool {
+        self.newest.contains_key(queue)
+    }
+
     /// Returns the newest known policy of a queue with jobs.
     pub fn newest(&self, queue: &str) -> Option<&sync::Arc<queue::Policy>> {
         self.newest.get(queue).map(|newest| &newest.policy)
@@ -178,13 +183,12 @@
             let newest = self.policies.newest(&entry.job.queue);
             is_first || newest.is_some_and(|newest| *newest != entry.policy)
         });
-        for (queue, jobs) in self.count_jobs(work::Entry::is_active) {
-            let after = self.policies.configured.queues.get(&queue);
-            if before.queues.get(&queue) != after {
-                self.log_queue(&queue, jobs, before.revision);
+        for queue in self.count_jobs(work::Entry::is_active).keys() {
+            if before.queues.get(queue) != self.policies.configured.queues.get(queue) {
+                self.log_queue(queue, before.revision);
             }
-            if changed.contains_key(&queue) {
-                self.apply_policy(&queue);
+            if changed.contains_key(queue) {
+                self.apply_policy(queue);
             }
         }
         self.count_unconfigured_queues();
@@ -204,10 +208,8 @@
 
     /// Logs the queues of loaded jobs that the configuration in force lacks.
     pub(super) fn log_unconfigured_queues(&mut self) {
-        for (queue, jobs) in self.count_jobs(work::Entry::is_active) {
-            if !self.policies.is_configured(&queue) {
-                self.log_queue(&queue, jobs, 0);
-            }
+        for queue in self.count_jobs(work::Entry::is_active).keys() {
+            self.log_if_unconfigured(queue);
         }
         self.count_unconfigured_queues();
     }
@@ -224,6 +226,7 @@
         let job_rows::Accepted { job, policy, .. } = accepted;
         if self.policies.take_in(job, policy.as_ref()) {
             self.apply_policy(&job.queue);
+            self.log_queue(&job.queue, 0);
         }
     }
 
@@ -298,9 +301,19 @@
         self.policies.row_changed = true;
     }
 
-    /// Logs what holds for the active jobs of a queue, and by which revision.
-    fn log_queue(&self, queue: &str, jobs: usize, before_revision: u64) {
+    /// Logs what holds for the jobs of a queue if the configuration in force lacks it.
+    pub(super) fn log_if_unconfigured(&self, queue: &str) {
+        if !self.policies.is_configured(queue) {
+            self.log_queue(queue, 0);
+        }
+    }
+
+    /// Logs what holds for the active jobs of a queue, and by which revision; `before_revision` is
+    /// the configuration before the one in force, zero if that isn't what changed.
+    fn log_queue(&self, queue: &str, before_revision: u64) {
         let newest = self.policies.newest.get(queue);
+        let active = self.jobs.values().filter(|entry| entry.is_active());
+        let jobs = active.filter(|entry| entry.job.queue == queue).count();
         let policy = newest.map(|newest| newest.policy.as_ref());
         tracing::info!(
             queue,
