A start turned away for the lack of a ticket makes its step ask for one

Cause: what is known of a queue decided alone whether tickets are asked for. A worker that turns a start away for the lack of a ticket shows that one is needed, so the step asks for tickets from then on, until its queue has another policy. The pause for a worker that turns tickets away stays.

The worlds of configurations have long-running jobs and cancels now.

--- a/crates/stand-in/src/jobs/configuration.rs
+++ b/crates/stand-in/src/jobs/configuration.rs
@@ -169,9 +169,12 @@
     }
 
     /// Returns the jobs that have failed although no task of them failed as often as any revision
-    /// demands.
+    /// demands; none without changes of the configuration, where crashes of workers may end a job.
     #[must_use]
     pub fn failed_too_early(&self) -> Vec<job::JobId> {
+        if self.plan.configuration.is_none() {
+            return Vec::new();
+        }
         let failed =
             self.checker.jobs.iter().filter(|(id, _)| self.phase(**id) == job::Phase::Failed);
         let early = failed.filter(|(id, job)| {
--- a/crates/stand-in/tests/configurations.rs
+++ b/crates/stand-in/tests/configurations.rs
@@ -47,12 +47,19 @@
     plan::Plan { end, lease_claims: true, configuration, ..plan::Plan::default() }
 }
 
-/// Builds a world with jobs of two steps in each queue.
+/// Builds a world with jobs of two steps and a long-running one in each queue; one job of each is
+/// cancelled under way.
 fn world(seed: u64, faults: world::Faults, plan: plan::Plan) -> world::World {
     let mut world = world::World::planned(seed, faults, plan, SIZES);
     let size = size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 };
     let first = job::Step { count: 2, size, estimate_ms: 1_500, ..job::Step::default() };
     let second = job::Step { after: vec![0], estimate_ms: 700, ..first.clone() };
+    let lasting = job::Step { lasting: true, ..first.clone() };
+    for queue in ["patient", "strict", "advised"] {
+        world.submit_steps_at(secs(1), queue, vec![lasting.clone()]);
+        let cancelled = world.submit_steps_at(secs(3), queue, vec![lasting.clone()]);
+        world.cancel_at(secs(30), cancelled);
+    }
     for number in 0..10 {
         for queue in ["patient", "strict", "advised"] {
             let steps = vec![first.clone(), second.clone()];
--- a/crates/wharflane/src/job/place/advice.rs
+++ b/crates/wharflane/src/job/place/advice.rs
@@ -36,7 +36,32 @@
 /// Weight of the newest answer in the moving average of the accepted share.
 const SHARE_SMOOTHING: f64 = 0.2;
 
+/// Processing time of a request that is assumed for a queue whose configuration isn't known.
+const ASSUMED_DECISION_TIME: time::Duration = time::Duration::from_secs(1);
+
 impl holding::Holding {
+    /// Returns the advice timing for a task, or `None` if it needs no ticket.
+    ///
+    /// A worker that turns a start away for the lack of a ticket shows that one is needed. What is
+    /// known of the queue may be older than what the worker goes by.
+    pub(in crate::job) fn advice_timing(
+        &self,
+        entry: &work::Entry,
+        task: spec::TaskId,
+    ) -> Option<tickets::AdviceTiming> {
+        let assumed = || tickets::AdviceTiming {
+            decide: ASSUMED_DECISION_TIME,
+            ..tickets::AdviceTiming::default()
+        };
+        entry.policy.advice.or_else(|| self.tickets.are_demanded(task).then(assumed))
+    }
+
+    /// Returns whether a task needs a ticket.
+    pub(in crate::job) fn needs_ticket(&self, task: spec::TaskId) -> bool {
+        let entry = self.jobs.get(&task.job);
+        entry.is_some_and(|entry| self.advice_timing(entry, task).is_some())
+    }
+
     /// Requests tickets for a step unless a request for it is open or the retry delay is running.
     pub(in crate::job) fn request_tickets(
         &mut self,
@@ -54,7 +79,7 @@
             (wanted as f64 / self.tickets.accepted_share.max(MIN_ACCEPTED_SHARE)).ceil() as usize;
         let workers = self.candidates(task, count.clamp(MIN_CANDIDATES, MAX_CANDIDATES), now);
         let entry = self.jobs.get(&task.job);
-        let Some(timing) = entry.and_then(|entry| entry.policy.advice) else {
+        let Some(timing) = entry.and_then(|entry| self.advice_timing(entry, task)) else {
             return;
         };
         if workers.is_empty() {
@@ -154,7 +179,7 @@
         );
     }
 
-    /// Returns `Obstacle::Ticket` if the queue needs tickets and none is valid for this worker.
+    /// Returns `Obstacle::Ticket` if the step needs tickets and none is valid for this worker.
     pub(in crate::job) fn ticket_obstacle(
         &self,
         entry: &work::Entry,
@@ -162,12 +187,12 @@
         worker: &id::Incarnation,
         now: time::Duration,
     ) -> Option<obstacle::Obstacle> {
-        entry.policy.advice?;
+        self.advice_timing(entry, task)?;
         let none = self.tickets.get(task, worker, now).is_none();
         none.then_some(obstacle::Obstacle::Ticket)
     }
 
-    /// Returns the ticket for a start order: empty if the queue needs none, `None` if one is
+    /// Returns the ticket for a start order: empty if the step needs none, `None` if one is
     /// missing.
     pub(in crate::job) fn ticket_for(
         &self,
@@ -175,7 +200,7 @@
         now: time::Duration,
     ) -> Option<String> {
         let entry = self.jobs.get(&order.task.job)?;
-        match entry.policy.advice {
+        match self.advice_timing(entry, order.task) {
             None => Some(String::new()),
             Some(_) => self.tickets.get(order.task, &order.worker, now).map(str::to_owned),
         }
--- a/crates/wharflane/src/job/place/choose.rs
+++ b/crates/wharflane/src/job/place/choose.rs
@@ -101,7 +101,7 @@
             preferred_rack,
             failed_worker: failed_on(entry, task),
             strains: best_effort_strains(holding, step, image),
-            needs_ticket: entry.policy.advice.is_some(),
+            needs_ticket: holding.advice_timing(entry, task).is_some(),
             now,
         })
     }
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -17,7 +17,6 @@
 use crate::job::place::precedence;
 use crate::job::place::ranking;
 use crate::job::place::starvation;
-use crate::job::queue;
 use crate::job::runs::work;
 use crate::job::spec;
 
@@ -83,11 +82,10 @@
     group: Group,
     now: time::Duration,
 ) {
-    let first = group.first.task;
-    if holding.is_set_aside(first.job) || holding.tickets.pauses(first, now) {
+    if holding.is_set_aside(group.first.task.job) {
         return;
     }
-    let Some((job, policy)) = active_job(holding, group.first.task.job) else {
+    let Some((job, service)) = active_job(holding, group.first.task.job) else {
         return remove_waiting(holding, group.first.task);
     };
     let Some(step) = job.step(group.first.task.step) else {
@@ -108,7 +106,7 @@
         } else if group.returning {
             place_returning(holding, &ready, step, now)
         } else {
-            place_one(holding, pass, &mut ranking, &ready, (&policy, step), now)
+            place_one(holding, pass, &mut ranking, &ready, (&service, step), now)
         };
         if !placed {
             holding.best_effort_waits |= step.fills;
@@ -195,8 +193,7 @@
 
 /// Requests tickets for the waiting tasks of a step if its queue needs them.
 fn request_tickets(holding: &mut holding::Holding, task: spec::TaskId, now: time::Duration) {
-    let entry = holding.jobs.get(&task.job);
-    if entry.is_some_and(|entry| entry.policy.advice.is_some()) {
+    if holding.needs_ticket(task) {
         let wanted = holding.ready.range(group::siblings(task)).count();
         holding.request_tickets(task, wanted, now);
     }
@@ -254,13 +251,13 @@
     picture
 }
 
-/// Returns a job and what holds for it if it is active.
+/// Returns a job and the service whose workers run it if it is active.
 fn active_job(
     holding: &holding::Holding,
     job: spec::JobId,
-) -> Option<(sync::Arc<spec::Job>, sync::Arc<queue::Policy>)> {
+) -> Option<(sync::Arc<spec::Job>, id::ServiceId)> {
     let entry = holding.jobs.get(&job).filter(|entry| entry.is_active())?;
-    Some((sync::Arc::clone(&entry.job), sync::Arc::clone(&entry.policy)))
+    Some((sync::Arc::clone(&entry.job), entry.policy.service.clone()))
 }
 
 /// Places a returning task. All returning tasks may use the capacity that is reserved for any of
@@ -287,16 +284,16 @@
     pass: &mut pass::Pass,
     ranking: &mut Option<ranking::Ranking>,
     ready: &work::Ready,
-    (policy, step): (&queue::Policy, &spec::Step),
+    (service, step): (&id::ServiceId, &spec::Step),
     now: time::Duration,
 ) -> bool {
     let image = holding.learned.interference.image(step.image.as_deref());
-    if pass.unplaceable.rule_out(&policy.service, step, image) {
+    if pass.unplaceable.rule_out(service, step, image) {
         return false;
     }
     let Some(worker) = choose_worker(holding, ranking, ready.task, step, now) else {
-        let ticket = policy.advice.is_some();
-        pass.unplaceable.note(&policy.service, step, image, ticket);
+        let ticket = holding.needs_ticket(ready.task);
+        pass.unplaceable.note(service, step, image, ticket);
         return false;
     };
     assign::assign(holding, ready, step, &worker, now);
--- a/crates/wharflane/src/job/place/starvation.rs
+++ b/crates/wharflane/src/job/place/starvation.rs
@@ -7,7 +7,6 @@
 
 use std::cmp;
 use std::collections;
-use std::sync;
 use std::time;
 
 use crate::id;
@@ -19,7 +18,6 @@
 use crate::job::place::gang;
 use crate::job::place::obstacle;
 use crate::job::place::pass;
-use crate::job::queue;
 use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
@@ -141,10 +139,9 @@
         if relief.started >= MAX_STARTS_PER_PASS || !holding.failed_searches.allows_another(now) {
             break;
         }
-        let Some((policy, step)) = waiting_step(holding, ready.task) else {
+        let Some((service, step)) = waiting_step(holding, ready.task) else {
             continue;
         };
-        let service = policy.service.clone();
         let is_idle = *idle
             .entry(service.clone())
             .or_insert_with_key(|service| is_mostly_idle(holding, service));
@@ -165,7 +162,7 @@
         holding.failed_searches.count += 1;
         // A gang that does not fit as a whole says nothing about single tasks.
         if !step.gang {
-            let ticket = policy.advice.is_some();
+            let ticket = holding.needs_ticket(ready.task);
             pass.no_worker_left.note(&service, &step, image, ticket);
         }
     }
@@ -203,9 +200,9 @@
 fn waiting_step(
     holding: &holding::Holding,
     task: spec::TaskId,
-) -> Option<(sync::Arc<queue::Policy>, spec::Step)> {
+) -> Option<(id::ServiceId, spec::Step)> {
     let entry = holding.jobs.get(&task.job).filter(|_| holding.ready.contains_key(&task))?;
-    Some((sync::Arc::clone(&entry.policy), entry.job.step(task.step)?.clone()))
+    Some((entry.policy.service.clone(), entry.job.step(task.step)?.clone()))
 }
 
 /// Returns whether the CPU reserved on a service's workers is below `BUSY_PERCENT`.
--- a/crates/wharflane/src/job/place/tickets.rs
+++ b/crates/wharflane/src/job/place/tickets.rs
@@ -11,7 +11,8 @@
 use crate::job::place::group;
 use crate::job::spec;
 
-/// Pause after a start was turned away for its ticket; it doubles while further ones are.
+/// Pause before a worker is asked about again that turned a ticket away; it doubles while it turns
+/// further ones away.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Longest such pause: a job may run nothing for 3 s at the most, in case the reason has passed.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(1_600);
@@ -65,7 +66,7 @@
     pub until: time::Duration,
 }
 
-/// A pause after starts were turned away for their tickets.
+/// A pause after a worker turned tickets away.
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::job) struct Pause {
     /// Its length; zero if there was none since the last start that was accepted.
@@ -103,9 +104,9 @@
     pub retry_at: time::Duration,
     /// The workers that turned a ticket away, until they are asked about again.
     refused: collections::BTreeMap<id::Incarnation, Pause>,
-    /// The pause of the whole step, after a start without a ticket was turned away: any worker
-    /// would do so.
-    pause: Pause,
+    /// Whether a worker turned a start away that carried no ticket, so that the queue demands one,
+    /// whatever is known of its policy.
+    demanded: bool,
 }
 
 impl StepTickets {
@@ -153,15 +154,12 @@
         &mut self,
         task: spec::TaskId,
         worker: &id::Incarnation,
-        had_ticket: bool,
         now: time::Duration,
     ) {
         let step_tickets = self.steps.entry(group::group(task)).or_default();
-        if had_ticket {
-            step_tickets.accepted.remove(worker);
+        step_tickets.demanded = true;
+        if step_tickets.accepted.remove(worker).is_some() {
             step_tickets.refused.entry(worker.clone()).or_default().begin(now);
-        } else {
-            step_tickets.pause.begin(now);
         }
     }
 
@@ -169,23 +167,21 @@
     pub fn note_start(&mut self, task: spec::TaskId, worker: &id::Incarnation) {
         if let Some(step_tickets) = self.steps.get_mut(&group::group(task)) {
             step_tickets.refused.remove(worker);
-            step_tickets.pause = Pause::default();
         }
     }
 
-    /// Returns whether a task's step pauses since its starts without tickets were turned away.
-    pub fn pauses(&self, task: spec::TaskId, now: time::Duration) -> bool {
-        let step_tickets = self.steps.get(&group::group(task));
-        step_tickets.is_some_and(|step_tickets| !step_tickets.pause.is_over(now))
+    /// Returns whether workers demand a ticket for a task.
+    pub fn are_demanded(&self, task: spec::TaskId) -> bool {
+        self.steps.get(&group::group(task)).is_some_and(|step_tickets| step_tickets.demanded)
     }
 
-    /// Ends all pauses of a job, whose queue has another policy now.
-    pub fn end_pauses(&mut self, job: spec::JobId) {
+    /// Forgets what workers refused of a job, whose queue has another policy now.
+    pub fn forget_refusals(&mut self, job: spec::JobId) {
         let first = (job, 0, 0);
         let steps = self.steps.range_mut(first..).take_while(|((owner, ..), _)| *owner == job);
         for (_, step_tickets) in steps {
             step_tickets.refused.clear();
-            step_tickets.pause = Pause::default();
+            step_tickets.demanded = false;
         }
     }
 
--- a/crates/wharflane/src/job/policies.rs
+++ b/crates/wharflane/src/job/policies.rs
@@ -248,7 +248,7 @@
             let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
             let waiting = self.ready.range_mut(first..).take_while(|(task, _)| task.job == job);
             waiting.for_each(|(_, ready)| ready.priority = policy.priority);
-            self.tickets.end_pauses(job);
+            self.tickets.forget_refusals(job);
             self.fail_if_any_exhausted(job, self.now);
             (0..rounds).for_each(|round| self.open_round(job, round));
         }
--- a/crates/wharflane/src/job/runs/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -305,9 +305,7 @@
             }
             order::StartAnswer::Refused(order::StartRefusal::Fenced) => self.fenced = true,
             order::StartAnswer::Refused(order::StartRefusal::Ticket) => {
-                let entry = self.jobs.get(&order.task.job);
-                let had_ticket = entry.is_some_and(|entry| entry.policy.advice.is_some());
-                self.tickets.note_refusal(order.task, &order.worker, had_ticket, now);
+                self.tickets.note_refusal(order.task, &order.worker, now);
                 self.handle_refused_start(order.task);
             }
             order::StartAnswer::Refused(_) | order::StartAnswer::Unwell => {
