Log a queue's change only if it has active jobs; a gang without its queue

A load takes in the rows of jobs before it adds the jobs, so that a row of a newer revision logged a change of a queue with no job.

--- a/crates/wharflane/src/job/policies.rs
+++ b/crates/wharflane/src/job/policies.rs
@@ -50,7 +50,8 @@
     revision: u64,
     /// The policy.
     policy: sync::Arc<queue::Policy>,
-    /// Whether the row of a job tells something else, so that the holder's row has to tell it.
+    /// Whether the row of a job tells something else or nothing, so that the holder's row has to
+    /// tell it.
     needs_row: bool,
 }
 
@@ -275,7 +276,8 @@
         let value = Some(serde_json::to_string(&row)?);
         txn.writes.push(rows::Write { key, value });
         let names: Vec<&str> = row.keys().map(String::as_str).collect();
-        tracing::info!(?names, before = self.policies.stored.len(), "policies of queues stored");
+        let before = self.policies.stored.len();
+        tracing::info!(queues = ?names, before, "storing the policies of queues");
         self.policies.stored = row;
         Ok(())
     }
@@ -308,12 +310,16 @@
         }
     }
 
-    /// Logs what holds for the active jobs of a queue, and by which revision; `before_revision` is
-    /// the configuration before the one in force, zero if that isn't what changed.
+    /// Logs what holds for the active jobs of a queue, if it has any, and by which revision;
+    /// `before_revision` is the configuration before the one in force, zero if that isn't what
+    /// changed.
     fn log_queue(&self, queue: &str, before_revision: u64) {
         let newest = self.policies.newest.get(queue);
         let active = self.jobs.values().filter(|entry| entry.is_active());
         let jobs = active.filter(|entry| entry.job.queue == queue).count();
+        if jobs == 0 {
+            return;
+        }
         let policy = newest.map(|newest| newest.policy.as_ref());
         tracing::info!(
             queue,
--- a/crates/wharflane/tests/removed_queues.rs
+++ b/crates/wharflane/tests/removed_queues.rs
@@ -120,6 +120,21 @@
     a_job_without_its_queue_gets_no_further_attempts => {
         assert_eq!(attempts_without_queue(2), 2);
     },
+    // The same for a gang, which fails as one.
+    a_gang_without_its_queue_gets_all_attempts => {
+        let mut sim = sim(&sim::queues_with(2, "first", |policy| policy.max_attempts = 4));
+        let step = job::Step { count: 2, gang: true, ..sim::step("plain", 1_000) };
+        sim.submit(JOB, "first", step);
+        sim.advance(400, false);
+        configure(&mut sim, &sim::queues_without(3, "first"));
+        for run in 1..=4 {
+            assert_eq!(sim.phase(JOB), job::Phase::Running);
+            assert_eq!(sim.newest_order(TASK).run, run);
+            sim.end_task(job::TaskId { index: 1, ..TASK }, job::EndKind::Broken);
+            fail(&mut sim);
+        }
+        assert_eq!(sim.phase(JOB), job::Phase::Failed);
+    },
     // Starts went out without the ticket that the queue demands, and workers refused them.
     a_job_without_its_queue_still_carries_tickets => {
         let mut sim = sim(&sim::queues());
