--- a/crates/cli/tests/processes/closed_halls.rs
+++ b/crates/cli/tests/processes/closed_halls.rs
@@ -9,7 +9,7 @@
 use wharflane_stand_in::jobs::server;
 
 use crate::fleet;
-use crate::jobs;
+use crate::job_service;
 
 cases! {
     nothing_starts_in_a_closed_hall_until_it_is_reopened => fleet::run(closed_and_reopened()),
@@ -24,7 +24,7 @@
 const OBSERVATION_TIME: time::Duration = time::Duration::from_millis(1_500);
 
 /// Closes or reopens the hall with the command line, and waits until all hosts show it.
-async fn set_hall_closed(service: &jobs::JobService, closed: bool) {
+async fn set_hall_closed(service: &job_service::JobService, closed: bool) {
     let host = service.operators[0].to_string();
     let mut args = vec!["evacuate", HALL, "--host", &host];
     if !closed {
@@ -44,13 +44,13 @@
 }
 
 /// Returns how many tasks have been started so far.
-fn starts(service: &jobs::JobService) -> u64 {
+fn starts(service: &job_service::JobService) -> u64 {
     service.platform.lock().checker.starts
 }
 
 /// A job submitted to a closed hall waits and starts no task; it runs once the hall is reopened.
 async fn closed_and_reopened() {
-    let service = jobs::JobService::start(2).await;
+    let service = job_service::JobService::start(2).await;
     set_hall_closed(&service, true).await;
     let id = service.submit(1, 1).await;
     tokio::time::sleep(OBSERVATION_TIME).await;
@@ -64,7 +64,7 @@
 
 /// Kills the holder while the hall is closed: the next holder starts no task until it is reopened.
 async fn holder_killed() {
-    let mut service = jobs::JobService::start(2).await;
+    let mut service = job_service::JobService::start(2).await;
     set_hall_closed(&service, true).await;
     service.kill(0);
     let id = service.submit(1, 1).await;
--- /dev/null
+++ b/crates/cli/tests/processes/job_service.rs
@@ -0,0 +1,166 @@
+//! Hosts of the job service as separate processes on one stand-in platform, and its caller.
+
+use std::fs;
+use std::net;
+use std::time;
+
+use wharflane::{job, size};
+use wharflane_caller::job as caller;
+use wharflane_operator as operator;
+use wharflane_stand_in::jobs::server;
+
+use crate::fleet;
+
+/// Limit of one call by a test's client.
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Run time of a task.
+pub(crate) const TASK_TIME: time::Duration = time::Duration::from_millis(300);
+/// Time after which hosts take over a lease that has not been renewed.
+pub(crate) const LEASE_MS: u64 = 1_500;
+
+/// Hosts of the job service on one platform.
+pub(crate) struct JobService {
+    /// Stand-ins of the platform, with three workers.
+    pub(crate) platform: server::Platform,
+    /// Process and callers' port of each host.
+    pub(crate) hosts: Vec<(fleet::Process, net::SocketAddr)>,
+    /// Operators' port of each host.
+    pub(crate) operators: Vec<net::SocketAddr>,
+    /// Folder of settings and job files, removed on drop.
+    pub(crate) folder: tempfile::TempDir,
+}
+
+impl JobService {
+    /// Starts a platform with three workers, and hosts; waits until every host answers.
+    pub(crate) async fn start(hosts: usize) -> Self {
+        let platform =
+            server::Platform::start(3, TASK_TIME).await.expect("can't start the platform");
+        let folder = tempfile::tempdir().expect("can't create a folder");
+        let mut service = Self { platform, hosts: Vec::new(), operators: Vec::new(), folder };
+        (0..hosts).for_each(|_| service.add_host(LEASE_MS));
+        for host in 0..hosts {
+            service.wait_until_ready(host).await;
+        }
+        service
+    }
+
+    /// Waits until a host has a configuration and answers callers.
+    pub(crate) async fn wait_until_ready(&self, host: usize) {
+        let jobs = self.jobs(host);
+        fleet::wait_until("the host to answer", async || {
+            jobs.count_waiting(server::QUEUE).await.is_ok()
+        })
+        .await;
+    }
+
+    /// Waits until a host has put a revision of the configuration in force.
+    pub(crate) async fn wait_for_revision(&self, host: usize, revision: u64) {
+        let operator = operator::Operator::new(self.operators[host], TIMEOUT);
+        fleet::wait_until("the host to read the configuration", async || {
+            operator.status().await.is_ok_and(|status| status.revision >= revision)
+        })
+        .await;
+    }
+
+    /// Starts another host, which takes over a lease that was not renewed for `lease_ms`.
+    pub(crate) fn add_host(&mut self, lease_ms: u64) {
+        let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
+        self.operators.push(operator);
+        let name = format!("host-{}", self.hosts.len());
+        let (store, advisor) = (self.platform.store, self.platform.advisor);
+        let text = format!(
+            "host = \"{name}\"\nhall = \"hall\"\n[listen]\ncaller = \"{caller}\"\n\
+             operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\nadvisor = \"{advisor}\"\n\
+             lease_ms = {lease_ms}\n[log]\nlevel = \"warn\"\n"
+        );
+        let path = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&path, text).expect("can't write the settings");
+        let path = path.display().to_string();
+        self.hosts.push((fleet::spawn("wharflaned", &["--config", &path]), caller));
+    }
+
+    /// Kills a host by its index.
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.hosts[host].0.kill();
+    }
+
+    /// Returns a job client of a host.
+    pub(crate) fn jobs(&self, host: usize) -> caller::Jobs {
+        caller::Jobs::new(self.hosts[host].1, TIMEOUT)
+    }
+
+    /// Submits a job of two steps until it is accepted, and registers it with the checker.
+    pub(crate) async fn submit(&self, host: usize, id: u64) -> job::JobId {
+        let id = job::JobId(id);
+        self.register(id, two_steps());
+        // The outcome of a call with status 504 is unknown; the caller submits the job again.
+        fleet::wait_until("the job to be accepted", async || {
+            match self.jobs(host).submit(server::QUEUE, id, &two_steps()).await {
+                Ok(reply) => reply == caller::JobReply::Accepted,
+                Err(caller::JobError::Refused { status: 504, .. }) => false,
+                Err(err) => panic!("{err}"),
+            }
+        })
+        .await;
+        id
+    }
+
+    /// Removes the queue, kills all hosts and starts another; waits until it has started all tasks of
+    /// job 1, and until the job completes once its queue is back. Returns how many calls for advice
+    /// were made while it was away.
+    pub(crate) async fn remove_queue_and_hosts(&mut self) -> u64 {
+        self.platform.configure_without_queue(3);
+        for (process, _) in &mut self.hosts {
+            process.kill();
+        }
+        let advice_calls = self.platform.lock().advice_calls;
+        self.add_host(LEASE_MS);
+        fleet::wait_until("the tasks of both steps to start", async || {
+            self.platform.lock().checker.starts == 5
+        })
+        .await;
+        let advice_calls = self.platform.lock().advice_calls - advice_calls;
+        self.platform.configure(4);
+        let last = self.hosts.len() - 1;
+        self.wait_for_phase(last, job::JobId(1), job::Phase::Completed).await;
+        self.check_violations_and_starts(5);
+        advice_calls
+    }
+
+    /// Registers a job with the checker, which checks its starts and ends.
+    pub(crate) fn register(&self, id: job::JobId, submission: caller::Submission) {
+        let job = job::Job {
+            queue: server::QUEUE.to_owned(),
+            service: "service".into(),
+            spec: submission.spec,
+            steps: submission.steps,
+            repeats: submission.repeats,
+        };
+        self.platform.lock().checker.jobs.insert(id, job);
+    }
+
+    /// Waits until a host reports a phase of a job.
+    pub(crate) async fn wait_for_phase(&self, host: usize, id: job::JobId, phase: job::Phase) {
+        let jobs = self.jobs(host);
+        fleet::wait_until("the phase of the job", async || {
+            let reply = jobs.state(server::QUEUE, id).await;
+            matches!(reply, Ok(caller::JobReply::State(found)) if found == phase)
+        })
+        .await;
+    }
+
+    /// Checks that the checker found no violation and counted the given number of task starts.
+    pub(crate) fn check_violations_and_starts(&self, starts: u64) {
+        let state = self.platform.lock();
+        assert_eq!(state.checker.violations, Vec::new());
+        assert_eq!(state.checker.starts, starts);
+    }
+}
+
+/// Returns a job of two dependent steps, with three and two tasks.
+pub(crate) fn two_steps() -> caller::Submission {
+    let size = size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 };
+    let first = job::Step { count: 3, size, ..job::Step::default() };
+    let second = job::Step { count: 2, size, after: vec![0], ..job::Step::default() };
+    caller::Submission { spec: "spec".to_owned(), steps: vec![first, second], repeats: None }
+}
--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -6,13 +6,13 @@
 use std::time;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use wharflane::{job, size};
+use wharflane::job;
 use wharflane_caller::job as caller;
-use wharflane_operator as operator;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
 
 use crate::fleet;
+use crate::job_service;
 
 cases! {
     submitted_jobs_complete => fleet::run(completed_jobs()),
@@ -40,168 +40,14 @@
     the_command_line_submits_and_follows_jobs => fleet::run(command_line()),
 }
 
-/// Limit of one call by a test's client.
-const TIMEOUT: time::Duration = time::Duration::from_secs(5);
-/// Run time of a task.
-const TASK_TIME: time::Duration = time::Duration::from_millis(300);
-
-/// Time after which hosts take over a lease that has not been renewed.
-const LEASE_MS: u64 = 1_500;
 /// Lease time of a host that must not take over while a test runs.
 const STANDBY_LEASE_MS: u64 = 60_000;
 /// Maximum age of a count of waiting jobs that hosts report to callers.
 const MAX_COUNT_AGE: time::Duration = time::Duration::from_secs(2);
 
-/// Hosts of the job service on one platform.
-pub(crate) struct JobService {
-    /// Stand-ins of the platform, with three workers.
-    pub(crate) platform: server::Platform,
-    /// Process and callers' port of each host.
-    hosts: Vec<(fleet::Process, net::SocketAddr)>,
-    /// Operators' port of each host.
-    pub(crate) operators: Vec<net::SocketAddr>,
-    /// Folder of settings and job files, removed on drop.
-    folder: tempfile::TempDir,
-}
-
-impl JobService {
-    /// Starts a platform with three workers, and hosts; waits until every host answers.
-    pub(crate) async fn start(hosts: usize) -> Self {
-        let platform =
-            server::Platform::start(3, TASK_TIME).await.expect("can't start the platform");
-        let folder = tempfile::tempdir().expect("can't create a folder");
-        let mut service = Self { platform, hosts: Vec::new(), operators: Vec::new(), folder };
-        (0..hosts).for_each(|_| service.add_host(LEASE_MS));
-        for host in 0..hosts {
-            service.wait_until_ready(host).await;
-        }
-        service
-    }
-
-    /// Waits until a host has a configuration and answers callers.
-    async fn wait_until_ready(&self, host: usize) {
-        let jobs = self.jobs(host);
-        fleet::wait_until("the host to answer", async || {
-            jobs.count_waiting(server::QUEUE).await.is_ok()
-        })
-        .await;
-    }
-
-    /// Waits until a host has put a revision of the configuration in force.
-    async fn wait_for_revision(&self, host: usize, revision: u64) {
-        let operator = operator::Operator::new(self.operators[host], TIMEOUT);
-        fleet::wait_until("the host to read the configuration", async || {
-            operator.status().await.is_ok_and(|status| status.revision >= revision)
-        })
-        .await;
-    }
-
-    /// Starts another host, which takes over a lease that was not renewed for `lease_ms`.
-    fn add_host(&mut self, lease_ms: u64) {
-        let [caller, operator, peer] = [fleet::free_port(), fleet::free_port(), fleet::free_port()];
-        self.operators.push(operator);
-        let name = format!("host-{}", self.hosts.len());
-        let (store, advisor) = (self.platform.store, self.platform.advisor);
-        let text = format!(
-            "host = \"{name}\"\nhall = \"hall\"\n[listen]\ncaller = \"{caller}\"\n\
-             operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\nadvisor = \"{advisor}\"\n\
-             lease_ms = {lease_ms}\n[log]\nlevel = \"warn\"\n"
-        );
-        let path = self.folder.path().join(format!("{name}.toml"));
-        fs::write(&path, text).expect("can't write the settings");
-        let path = path.display().to_string();
-        self.hosts.push((fleet::spawn("wharflaned", &["--config", &path]), caller));
-    }
-
-    /// Kills a host by its index.
-    pub(crate) fn kill(&mut self, host: usize) {
-        self.hosts[host].0.kill();
-    }
-
-    /// Returns a job client of a host.
-    pub(crate) fn jobs(&self, host: usize) -> caller::Jobs {
-        caller::Jobs::new(self.hosts[host].1, TIMEOUT)
-    }
-
-    /// Submits a job of two steps until it is accepted, and registers it with the checker.
-    pub(crate) async fn submit(&self, host: usize, id: u64) -> job::JobId {
-        let id = job::JobId(id);
-        self.register(id, two_steps());
-        // The outcome of a call with status 504 is unknown; the caller submits the job again.
-        fleet::wait_until("the job to be accepted", async || {
-            match self.jobs(host).submit(server::QUEUE, id, &two_steps()).await {
-                Ok(reply) => reply == caller::JobReply::Accepted,
-                Err(caller::JobError::Refused { status: 504, .. }) => false,
-                Err(err) => panic!("{err}"),
-            }
-        })
-        .await;
-        id
-    }
-
-    /// Removes the queue, kills all hosts and starts another; waits until it has started all tasks of
-    /// job 1, and until the job completes once its queue is back. Returns how many calls for advice
-    /// were made while it was away.
-    async fn remove_queue_and_hosts(&mut self) -> u64 {
-        self.platform.configure_without_queue(3);
-        for (process, _) in &mut self.hosts {
-            process.kill();
-        }
-        let advice_calls = self.platform.lock().advice_calls;
-        self.add_host(LEASE_MS);
-        fleet::wait_until("the tasks of both steps to start", async || {
-            self.platform.lock().checker.starts == 5
-        })
-        .await;
-        let advice_calls = self.platform.lock().advice_calls - advice_calls;
-        self.platform.configure(4);
-        let last = self.hosts.len() - 1;
-        self.wait_for_phase(last, job::JobId(1), job::Phase::Completed).await;
-        self.check_violations_and_starts(5);
-        advice_calls
-    }
-
-    /// Registers a job with the checker, which checks its starts and ends.
-    fn register(&self, id: job::JobId, submission: caller::Submission) {
-        let job = job::Job {
-            queue: server::QUEUE.to_owned(),
-            service: "service".into(),
-            spec: submission.spec,
-            steps: submission.steps,
-            repeats: submission.repeats,
-        };
-        self.platform.lock().checker.jobs.insert(id, job);
-    }
-
-    /// Waits until a host reports a phase of a job.
-    pub(crate) async fn wait_for_phase(&self, host: usize, id: job::JobId, phase: job::Phase) {
-        let jobs = self.jobs(host);
-        fleet::wait_until("the phase of the job", async || {
-            let reply = jobs.state(server::QUEUE, id).await;
-            matches!(reply, Ok(caller::JobReply::State(found)) if found == phase)
-        })
-        .await;
-    }
-
-    /// Checks that the checker found no violation and counted the given number of task starts.
-    pub(crate) fn check_violations_and_starts(&self, starts: u64) {
-        let state = self.platform.lock();
-        assert_eq!(state.checker.violations, Vec::new());
-        assert_eq!(state.checker.starts, starts);
-    }
-}
-
-/// Returns a job of two dependent steps, with three and two tasks.
-fn two_steps() -> caller::Submission {
-    let size = size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 };
-    let first = job::Step { count: 3, size, ..job::Step::default() };
-    let second = job::Step { count: 2, size, after: vec![0], ..job::Step::default() };
-    caller::Submission { spec: "spec".to_owned(), steps: vec![first, second], repeats: None }
-}
-
 /// Jobs submitted at either host are reported as completed by both.
 async fn completed_jobs() {
-    let service = JobService::start(2).await;
+    let service = job_service::JobService::start(2).await;
     for id in 1..=6 {
         service.submit(usize::from(id % 2 == 0), id).await;
     }
@@ -219,7 +65,7 @@
 async fn restarted_workers() {
     /// Number of workers of the platform.
     const WORKERS: usize = 3;
-    let service = JobService::start(2).await;
+    let service = job_service::JobService::start(2).await;
     for id in 1..=3 {
         service.submit(0, id).await;
         service.wait_for_phase(0, job::JobId(id), job::Phase::Completed).await;
@@ -234,7 +80,7 @@
 
 /// Runs jobs of a queue whose tasks may run only on workers that the advice service allows.
 async fn with_advisor() {
-    let service = JobService::start(2).await;
+    let service = job_service::JobService::start(2).await;
     service.platform.lock().advice = true;
     service.platform.configure(2);
     for id in 1..=3 {
@@ -250,7 +96,7 @@
 /// Removes the queue of a job and kills all hosts: the next one has never read a configuration with
 /// it, and yet starts the job only on workers that the advice service allows.
 async fn removed_queue() {
-    let mut service = JobService::start(2).await;
+    let mut service = job_service::JobService::start(2).await;
     service.platform.lock().advice = true;
     service.platform.configure(2);
     service.wait_for_revision(0, 2).await;
@@ -261,7 +107,7 @@
 /// The same with a job accepted at once after the queue is to want advice: the host may not have read
 /// that yet, so that the row of the job tells nothing of it.
 async fn queue_removed_before_it_is_read() {
-    let mut service = JobService::start(2).await;
+    let mut service = job_service::JobService::start(2).await;
     service.platform.lock().advice = true;
     service.platform.configure(2);
     service.submit(0, 1).await;
@@ -271,16 +117,18 @@
 /// A host refuses a submission after the store was silent for 3.5 s, and accepts it once the store
 /// is back.
 async fn store_lost() {
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     service.platform.lock().faults.store_silent = true;
     // A feed call that was open before stays open for 1.5 s.
     tokio::time::sleep(time::Duration::from_millis(3_500)).await;
-    let reply = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let reply =
+        service.jobs(0).submit(server::QUEUE, job::JobId(1), &job_service::two_steps()).await;
     let refused = matches!(reply, Err(caller::JobError::Refused { status: 503, .. }));
     assert!(refused, "{reply:?}");
     service.platform.lock().faults.store_silent = false;
     fleet::wait_until("a submission to be accepted again", async || {
-        let reply = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+        let reply =
+            service.jobs(0).submit(server::QUEUE, job::JobId(1), &job_service::two_steps()).await;
         matches!(reply, Ok(caller::JobReply::Accepted))
     })
     .await;
@@ -288,22 +136,23 @@
 
 /// Loses the answers to all writes: the host reads the row and finds that the submission is stored.
 async fn read_back() {
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     service.platform.lock().faults.lose_every = 1;
-    let reply = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let reply =
+        service.jobs(0).submit(server::QUEUE, job::JobId(1), &job_service::two_steps()).await;
     assert_eq!(reply.expect("no answer"), caller::JobReply::Accepted);
 }
 
 /// Kills two of three hosts in turn while jobs run; every job still completes.
 async fn killed_holders() {
-    let mut service = JobService::start(3).await;
+    let mut service = job_service::JobService::start(3).await;
     for id in 1..=4 {
         service.submit(2, id).await;
     }
     for host in 0..2 {
         service.hosts[host].0.kill();
         service.submit(2, 10 + host as u64).await;
-        tokio::time::sleep(TASK_TIME).await;
+        tokio::time::sleep(job_service::TASK_TIME).await;
     }
     for id in [1, 2, 3, 4, 10, 11] {
         service.wait_for_phase(2, job::JobId(id), job::Phase::Completed).await;
@@ -314,12 +163,12 @@
 
 /// Kills every host right after a job was accepted; a new host completes the job.
 async fn all_killed() {
-    let mut service = JobService::start(2).await;
+    let mut service = job_service::JobService::start(2).await;
     let id = service.submit(0, 7).await;
     for (process, _) in &mut service.hosts {
         process.kill();
     }
-    service.add_host(LEASE_MS);
+    service.add_host(job_service::LEASE_MS);
     let last = service.hosts.len() - 1;
     service.wait_until_ready(last).await;
     service.wait_for_phase(last, id, job::Phase::Completed).await;
@@ -329,7 +178,7 @@
 /// Loses the answer of every third transaction and submits every job at two hosts: each job runs
 /// once.
 async fn lost_answers() {
-    let service = JobService::start(2).await;
+    let service = job_service::JobService::start(2).await;
     service.platform.lock().faults.lose_every = 3;
     for id in 1..=4 {
         service.submit(0, id).await;
@@ -343,9 +192,10 @@
 
 /// A submission while the store rejects every call is refused with 503, and the job is not stored.
 async fn busy_store() {
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     service.platform.lock().faults.store_busy = true;
-    let reply = service.jobs(0).submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let reply =
+        service.jobs(0).submit(server::QUEUE, job::JobId(1), &job_service::two_steps()).await;
     let refused = matches!(reply, Err(caller::JobError::Refused { status: 503, .. }));
     assert!(refused, "{reply:?}");
     service.platform.lock().faults.store_busy = false;
@@ -361,10 +211,10 @@
 /// A host assumes a deadline of 3 s for a caller that sends none, so it replies after 1.5 s, before
 /// the client's limit of 2 s and long before the 5 s of the other tests.
 async fn silent_store() {
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     service.platform.lock().faults.store_silent = true;
     let client = caller::Jobs::new(service.hosts[0].1, time::Duration::from_secs(2));
-    let reply = client.submit(server::QUEUE, job::JobId(1), &two_steps()).await;
+    let reply = client.submit(server::QUEUE, job::JobId(1), &job_service::two_steps()).await;
     let unknown = matches!(reply, Err(caller::JobError::Refused { status: 504, .. }));
     assert!(unknown, "{reply:?}");
     service.check_violations_and_starts(0);
@@ -372,14 +222,14 @@
 
 /// Submits invalid jobs and one to an unknown queue: each is refused with its reason.
 async fn invalid_jobs() {
-    let service = JobService::start(1).await;
-    let mut empty = two_steps();
+    let service = job_service::JobService::start(1).await;
+    let mut empty = job_service::two_steps();
     empty.steps.clear();
-    let mut backwards = two_steps();
+    let mut backwards = job_service::two_steps();
     backwards.steps[0].after = vec![1];
-    let mut long = two_steps();
+    let mut long = job_service::two_steps();
     long.spec = "x".repeat(job::MAX_SPEC_BYTES + 1);
-    let mut wide = two_steps();
+    let mut wide = job_service::two_steps();
     wide.steps[0].count = u32::MAX;
     for (id, (submission, reason)) in [
         (empty, "at least one step"),
@@ -399,14 +249,14 @@
         let state = service.jobs(0).state(server::QUEUE, id).await;
         assert!(matches!(state, Err(caller::JobError::Refused { status: 410, .. })), "{state:?}");
     }
-    let reply = service.jobs(0).submit("nowhere", job::JobId(9), &two_steps()).await;
+    let reply = service.jobs(0).submit("nowhere", job::JobId(9), &job_service::two_steps()).await;
     assert!(matches!(reply, Err(caller::JobError::Refused { status: 404, .. })), "{reply:?}");
 }
 
 /// Cancels a job of long-running tasks: all of them stop.
 async fn cancelled() {
-    let service = JobService::start(2).await;
-    let mut long_running = two_steps();
+    let service = job_service::JobService::start(2).await;
+    let mut long_running = job_service::two_steps();
     long_running.steps.truncate(1);
     long_running.steps[0].lasting = true;
     let id = job::JobId(3);
@@ -434,7 +284,7 @@
 /// writer, since the row did not state how recent the underlying state was. A frozen holder
 /// reproduces this deterministically.
 async fn frozen_writer() {
-    let mut service = JobService::start(1).await;
+    let mut service = job_service::JobService::start(1).await;
     service.add_host(STANDBY_LEASE_MS);
     service.wait_until_ready(1).await;
     service.hosts[0].0.signal("-STOP");
@@ -462,7 +312,7 @@
 async fn many_callers() {
     /// More callers than there are reads within a caller's limit.
     const CALLERS: usize = 12;
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     service.platform.lock().faults.store_silent = true;
     // A count read earlier may be reported until it reaches its maximum age.
     tokio::time::sleep(MAX_COUNT_AGE).await;
@@ -479,7 +329,7 @@
 
 /// Submits a job with a deadline and returns the status and the `retry-after` header in seconds.
 async fn submit_with_deadline(host: net::SocketAddr, id: u64, deadline_ms: u64) -> (u16, u64) {
-    let body = serde_json::to_string(&two_steps()).expect("can't encode the job");
+    let body = serde_json::to_string(&job_service::two_steps()).expect("can't encode the job");
     let request = format!(
         "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\n{}: {deadline_ms}\r\n\
          content-length: {}\r\n\r\n{body}",
@@ -507,7 +357,7 @@
     /// A deadline that allows for the longest `retry-after`, and one that is shorter than it.
     const LONG_DEADLINE_MS: u64 = 10_000;
     const SHORT_DEADLINE_MS: u64 = 3_000;
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     let host = service.hosts[0].1;
     service.platform.lock().faults.store_busy = true;
     let mut returned = [0_u64; MAX_RETRY_AFTER_S as usize];
@@ -537,16 +387,16 @@
 /// received the write. The rejection of a later call does not prove that the first write failed, so
 /// the outcome stays unknown.
 async fn outcome_stays_unknown() {
-    let mut service = JobService::start(1).await;
+    let mut service = job_service::JobService::start(1).await;
     service.add_host(STANDBY_LEASE_MS);
     service.wait_until_ready(1).await;
     // The holder writes as well; freeze it, so that only the submission is counted.
     service.hosts[0].0.signal("-STOP");
-    tokio::time::sleep(TASK_TIME).await;
+    tokio::time::sleep(job_service::TASK_TIME).await;
     service.platform.lock().faults.store_silent = true;
     let before = service.platform.lock().unanswered_txns;
     let jobs = service.jobs(1);
-    let submission = two_steps();
+    let submission = job_service::two_steps();
     let submit = jobs.submit(server::QUEUE, job::JobId(1), &submission);
     let reject_calls = async {
         fleet::wait_until("the write to reach the store", async || {
@@ -565,7 +415,7 @@
 
 /// A host that receives SIGHUP while it runs jobs continues to run.
 async fn sighup() {
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     let id = service.submit(0, 8).await;
     for _ in 0..3 {
         service.hosts[0].0.signal("-HUP");
@@ -576,7 +426,7 @@
 
 /// Submits, follows, counts and cancels a job with `wharflane job`.
 async fn command_line() {
-    let service = JobService::start(1).await;
+    let service = job_service::JobService::start(1).await;
     let path = service.folder.path().join("job.toml");
     let text = "spec = \"spec\"\n[[steps]]\ncount = 2\n\
                 size = { cpu_milli = 300, mem_mb = 100, accelerators = 0 }\n";
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod end_to_end;
 mod fleet;
+mod job_service;
 mod jobs;
 mod kills;
 mod silence;
