--- a/crates/wharflane/tests/removed_queues.rs
+++ b/crates/wharflane/tests/removed_queues.rs
@@ -262,6 +262,37 @@
         assert_eq!(sim.phase(JOB), job::Phase::Completed);
         assert_eq!(stored_policies(&sim), [] as [&str; 0]);
     },
+    // The row of policies, or the commit that carries it, was longer than the store accepts.
+    the_row_of_policies_is_bounded => {
+        let mut queues = sim::queues().as_ref().clone();
+        let first = queues.queues["first"].clone();
+        let name = |at: u64| format!("{at:0>70}");
+        for at in 100..300 {
+            queues.queues.insert(name(at), job::Queue { name: name(at), ..first.clone() });
+        }
+        queues.revision = 2;
+        let mut sim = sim(&sync::Arc::new(queues.clone()));
+        for at in 100..300 {
+            sim.submit(at, &name(at), sim::step("plain", 1_000));
+        }
+        for queue in queues.queues.values_mut() {
+            queue.policy.service = "s".repeat(70).as_str().into();
+        }
+        queues.revision = 3;
+        configure(&mut sim, &sync::Arc::new(queues.clone()));
+        sim.advance(1_000, false);
+        assert_eq!(stored_policies(&sim).len(), 100);
+        queues.revision = 4;
+        queues.queues.retain(|queue, _| *queue < name(200));
+        configure(&mut sim, &sync::Arc::new(queues));
+        sim.advance(1_000, false);
+        let away: Vec<String> = (200..300).map(name).collect();
+        assert_eq!(stored_policies(&sim), away, "what no configuration tells goes first");
+        let row = sim.table(job::LEARNED).into_iter().find(|row| row.name == "policies");
+        let bytes = row.and_then(|row| row.value).map_or(0, |value| value.len());
+        assert!((20_000..=30_000).contains(&bytes), "{bytes}");
+        assert_eq!(sim.refusals, 0);
+    },
     // A task that waited kept the priority that its queue had when it was queued.
     a_waiting_task_follows_the_priority_of_its_queue => {
         let mut sim = sim(&sim::queues());
