Tickets that nobody issues are demanded for 2 s, not until the next policy

By reading the change: a worker that goes by an older configuration than the holder turns a start away for the lack of a ticket which the queue no longer wants. If the advice service then issues none, the step stood still until its queue had another policy. The demand now ends after 2 s unless tickets were issued for the step, below the 3 s for which a job may run nothing.

--- a/crates/wharflane/src/job/place/advice.rs
+++ b/crates/wharflane/src/job/place/advice.rs
@@ -53,7 +53,7 @@
             decide: ASSUMED_DECISION_TIME,
             ..tickets::AdviceTiming::default()
         };
-        entry.policy.advice.or_else(|| self.tickets.are_demanded(task).then(assumed))
+        entry.policy.advice.or_else(|| self.tickets.are_demanded(task, self.now).then(assumed))
     }
 
     /// Returns whether a task needs a ticket.
--- a/crates/wharflane/src/job/place/tickets.rs
+++ b/crates/wharflane/src/job/place/tickets.rs
@@ -16,6 +16,10 @@
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Longest such pause: a job may run nothing for 3 s at the most, in case the reason has passed.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(1_600);
+/// Time for which a start that was turned away for the lack of a ticket shows that one is needed, if
+/// none is to be had: the worker may have gone by an older configuration, and a job may run nothing
+/// for 3 s at the most.
+const DEMAND_TIME: time::Duration = time::Duration::from_secs(2);
 /// Accepted share that is assumed before the first answer.
 const INITIAL_ACCEPTED_SHARE: f64 = 0.5;
 
@@ -104,9 +108,9 @@
     pub retry_at: time::Duration,
     /// The workers that turned a ticket away, until they are asked about again.
     refused: collections::BTreeMap<id::Incarnation, Pause>,
-    /// Whether a worker turned a start away that carried no ticket, so that the queue demands one,
-    /// whatever is known of its policy.
-    demanded: bool,
+    /// Until when a start that a worker turned away shows that the queue demands tickets, whatever is
+    /// known of its policy; zero if there was none.
+    demanded_until: time::Duration,
 }
 
 impl StepTickets {
@@ -157,7 +161,7 @@
         now: time::Duration,
     ) {
         let step_tickets = self.steps.entry(group::group(task)).or_default();
-        step_tickets.demanded = true;
+        step_tickets.demanded_until = now + DEMAND_TIME;
         if step_tickets.accepted.remove(worker).is_some() {
             step_tickets.refused.entry(worker.clone()).or_default().begin(now);
         }
@@ -170,9 +174,13 @@
         }
     }
 
-    /// Returns whether workers demand a ticket for a task.
-    pub fn are_demanded(&self, task: spec::TaskId) -> bool {
-        self.steps.get(&group::group(task)).is_some_and(|step_tickets| step_tickets.demanded)
+    /// Returns whether workers demand a ticket for a task. Once some were issued for its step, that
+    /// no longer ends by time.
+    pub fn are_demanded(&self, task: spec::TaskId, now: time::Duration) -> bool {
+        self.steps.get(&group::group(task)).is_some_and(|step_tickets| {
+            let until = step_tickets.demanded_until;
+            now < until || !until.is_zero() && !step_tickets.accepted.is_empty()
+        })
     }
 
     /// Forgets what workers refused of a job, whose queue has another policy now.
@@ -181,7 +189,7 @@
         let steps = self.steps.range_mut(first..).take_while(|((owner, ..), _)| *owner == job);
         for (_, step_tickets) in steps {
             step_tickets.refused.clear();
-            step_tickets.demanded = false;
+            step_tickets.demanded_until = time::Duration::ZERO;
         }
     }
 
