Load of the holder: what it spends its time on, and how long its inputs wait

No line or metric told how far a holder is behind: an end that waits to be handled looks like room that is taken, and 'no worker for a task' reads as a lack of room. Every second a holder logs, by kind of event, how many it handled, the time that took, how long they waited in its queue, and the time of the calls to workers and the store that they answer, counted from the decision; passes apart. The same as counters. One line a second; nothing else changes.

--- a/crates/daemon/src/jobs/decided.rs
+++ b/crates/daemon/src/jobs/decided.rs
@@ -29,6 +29,12 @@
         Self { clock: sync::Arc::clone(clock), at: clock.now() }
     }
 
+    /// Returns the reading of the clock at the decision.
+    #[must_use]
+    pub fn at(&self) -> time::Duration {
+        self.at
+    }
+
     /// Returns whether the decision is recent enough to be sent; logs if it is not.
     #[must_use]
     pub fn allows_sending(&self, what: &'static str) -> bool {
--- a/crates/daemon/src/jobs/halls.rs
+++ b/crates/daemon/src/jobs/halls.rs
@@ -55,7 +55,7 @@
             self.update_gauge(&closed);
         }
         self.closed = closed.clone();
-        holder::send_event(&self.holder, job::Event::Closed(closed));
+        holder::send_event(&self.shared, &self.holder, job::Event::Closed(closed));
     }
 
     /// Updates the gauge and the status that show operators since when each hall is closed.
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -14,6 +14,7 @@
 use super::Shared;
 use super::decided;
 use super::entries;
+use super::holder_load;
 use super::lag;
 use super::probe;
 use super::watch;
@@ -35,7 +36,7 @@
         due: time::Duration,
     },
     /// An event for the engine.
-    Event(Box<job::Event>),
+    Event(Box<Arrival>),
     /// Request for a dump of the holder's state; null while this host is not the holder.
     Dump(ractor::RpcReplyPort<serde_json::Value>),
     /// Request by another host for whether this one still acts under the lease.
@@ -51,6 +52,17 @@
     IsReleased(ractor::RpcReplyPort<bool>),
 }
 
+/// An event that arrived for the engine.
+#[derive(Debug)]
+pub struct Arrival {
+    /// The event.
+    pub event: job::Event,
+    /// Clock reading when it arrived.
+    at: time::Duration,
+    /// Time of the call that it answers; zero for other events.
+    call: time::Duration,
+}
+
 /// The actor of a domain.
 #[derive(Debug)]
 pub struct Holder;
@@ -71,11 +83,30 @@
     lag: lag::Lag,
     /// Detects whether this host is slow while it holds the domain.
     slowness: job::SlownessDetector,
+    /// What the actor spends its time on.
+    load: holder_load::HolderLoad,
 }
 
 /// Sends an event to the actor; an event for an actor that has ended is dropped.
-pub fn send_event(holder: &ractor::ActorRef<Msg>, event: job::Event) {
-    if holder.cast(Msg::Event(Box::new(event))).is_err() {
+pub fn send_event(shared: &Shared, holder: &ractor::ActorRef<Msg>, event: job::Event) {
+    let at = shared.clock.now();
+    send_arrival(holder, Arrival { event, at, call: time::Duration::ZERO });
+}
+
+/// Sends the event that a call returned which was decided on at `decided_at`.
+fn send_answer(
+    shared: &Shared,
+    holder: &ractor::ActorRef<Msg>,
+    event: job::Event,
+    decided_at: time::Duration,
+) {
+    let at = shared.clock.now();
+    send_arrival(holder, Arrival { event, at, call: at.saturating_sub(decided_at) });
+}
+
+/// Sends an event that arrived; one for an actor that has ended is dropped.
+fn send_arrival(holder: &ractor::ActorRef<Msg>, arrival: Arrival) {
+    if holder.cast(Msg::Event(Box::new(arrival))).is_err() {
         tracing::debug!("event dropped: the holder has ended");
     }
 }
@@ -100,6 +131,7 @@
             generation: sync::Arc::default(),
             lag: lag::Lag::default(),
             slowness: job::SlownessDetector::default(),
+            load: holder_load::HolderLoad::default(),
         })
     }
 
@@ -113,15 +145,16 @@
             Msg::Tick { due } => {
                 state.record_lag(due);
                 state.yield_if_slow(&myself, due);
-                state.step(&myself, job::Event::Tick { wall_ms: super::wall_ms() });
+                let event = job::Event::Tick { wall_ms: super::wall_ms() };
+                state.handle(&myself, Arrival { event, at: due, call: time::Duration::ZERO });
                 let holds = state.engine.holding().is_some();
                 let next = if holds { TICK_HOLDING } else { TICK_STANDBY };
                 let due = state.shared.clock.now() + next;
                 myself.send_after(next, move || Msg::Tick { due });
             }
-            Msg::Event(event) => {
+            Msg::Event(arrival) => {
                 state.slowness.event();
-                state.step(&myself, *event);
+                state.handle(&myself, *arrival);
             }
             Msg::Dump(port) => {
                 let dump = state.engine.holding().map(job::Holding::dump);
@@ -177,6 +210,29 @@
         }
     }
 
+    /// Passes an event that arrived to the engine and records what that took.
+    fn handle(&mut self, myself: &ractor::ActorRef<Msg>, arrival: Arrival) {
+        let began = self.shared.clock.now();
+        let kind = holder_load::Kind::of(&arrival.event);
+        let passes = self.engine.holding().map_or(0, job::Holding::passes);
+        self.step(myself, arrival.event);
+        let Some(holding) = self.engine.holding() else {
+            self.load = holder_load::HolderLoad::default();
+            return;
+        };
+        let now = self.shared.clock.now();
+        let handling = holder_load::Handling {
+            waited: began.saturating_sub(arrival.at),
+            took: now.saturating_sub(began),
+            passes: holding.passes().saturating_sub(passes),
+            call: arrival.call,
+        };
+        self.shared.metrics.note_handling(kind, &handling);
+        if let Some(report) = self.load.record(kind, handling, now) {
+            report.log();
+        }
+    }
+
     /// Passes an event to the engine, executes its effects and updates the gauges.
     fn step(&mut self, myself: &ractor::ActorRef<Msg>, event: job::Event) {
         let held = !self.engine.is_watching();
@@ -247,11 +303,11 @@
         match effect {
             job::Effect::ReadLease => drop(tokio::spawn(async move {
                 let event = read_lease(&shared, domain).await;
-                send_event(&myself, event);
+                send_event(&shared, &myself, event);
             })),
             job::Effect::Probe { version, addr, delay } => drop(tokio::spawn(async move {
                 let result = probe::probe(addr, version, delay).await;
-                send_event(&myself, job::Event::Probed { version, result });
+                send_event(&shared, &myself, job::Event::Probed { version, result });
             })),
             job::Effect::Load => {
                 let current = self.generation.load(atomic::Ordering::Relaxed);
@@ -262,23 +318,25 @@
             }
             job::Effect::Txn(number, txn) => drop(tokio::spawn(async move {
                 let answer = shared.timed_call("commit", shared.store.transact(&txn)).await;
-                send_event(&myself, job::Event::Txn { number, outcome: outcome(answer) });
+                let event = job::Event::Txn { number, outcome: outcome(answer) };
+                send_answer(&shared, &myself, event, decided.at());
             })),
             job::Effect::Drop(job, txn) => drop(tokio::spawn(async move {
                 let answer = shared.call("drop", shared.store.transact(&txn)).await;
                 let done = matches!(answer, Ok(rows::Answer::Done { .. }));
-                send_event(&myself, job::Event::Dropped { job, done });
+                send_event(&shared, &myself, job::Event::Dropped { job, done });
             })),
             job::Effect::Start(start) => drop(tokio::spawn(async move {
                 let answer = match decided.allows_sending("start") {
                     true => shared.workers.start(&start).await,
                     false => job::StartAnswer::NotSent,
                 };
-                send_event(&myself, job::Event::Started { order: start.order, answer });
+                let event = job::Event::Started { order: start.order, answer };
+                send_answer(&shared, &myself, event, decided.at());
             })),
             job::Effect::Stop(order) => drop(tokio::spawn(async move {
                 if !decided.allows_sending("stop") || !shared.workers.stop(&order).await {
-                    send_event(&myself, job::Event::StopNotTaken(order));
+                    send_event(&shared, &myself, job::Event::StopNotTaken(order));
                 }
             })),
             job::Effect::SetShare(change) => drop(tokio::spawn(async move {
@@ -294,7 +352,11 @@
                         "request for advice failed"
                     );
                 }
-                send_event(&myself, job::Event::AdviceAnswered { request, answer: answer.ok() });
+                send_event(
+                    &shared,
+                    &myself,
+                    job::Event::AdviceAnswered { request, answer: answer.ok() },
+                );
             })),
             job::Effect::SendHeartbeat(heartbeat) => drop(tokio::spawn(async move {
                 let answer = match decided.allows_sending("look") {
@@ -302,7 +364,11 @@
                     false => job::HeartbeatAnswer::Silent,
                 };
                 let (worker, epoch) = (heartbeat.worker, heartbeat.epoch);
-                send_event(&myself, job::Event::HeartbeatAnswered { worker, epoch, answer });
+                send_event(
+                    &shared,
+                    &myself,
+                    job::Event::HeartbeatAnswered { worker, epoch, answer },
+                );
             })),
         }
     }
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 mod entries;
 pub mod halls;
 pub mod holder;
+pub mod holder_load;
 pub mod lag;
 pub mod probe;
 pub mod run;
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -76,7 +76,7 @@
     let closes_at = shared.clock.now() + notice + grace.saturating_sub(RESPONSE_MARGIN);
     shared.closes_at.get_or_init(|| closes_at);
     shared.stopping.store(true, atomic::Ordering::Relaxed);
-    release_lease(&holder).await;
+    release_lease(&shared, &holder).await;
     tokio::time::sleep(notice).await;
     if end.send(()).is_err() {
         tracing::warn!("the callers' port was already closed");
@@ -89,8 +89,8 @@
 }
 
 /// Releases the lease, so that another host may acquire it at once.
-async fn release_lease(holder: &ractor::ActorRef<holder::Msg>) {
-    holder::send_event(holder, job::Event::Leave);
+async fn release_lease(shared: &Shared, holder: &ractor::ActorRef<holder::Msg>) {
+    holder::send_event(shared, holder, job::Event::Leave);
     let released = async {
         loop {
             let response = holder.call(holder::Msg::IsReleased, Some(OPERATOR_TIMEOUT)).await;
--- a/crates/daemon/src/jobs/watch.rs
+++ b/crates/daemon/src/jobs/watch.rs
@@ -105,7 +105,7 @@
                 shared.metrics.revision.set(i64::try_from(queues.revision).unwrap_or(i64::MAX));
                 let queues = sync::Arc::new(queues);
                 shared.queues.store(sync::Arc::clone(&queues));
-                holder::send_event(holder, job::Event::Queues(queues));
+                holder::send_event(shared, holder, job::Event::Queues(queues));
             }
             Ok(_) => {}
             Err(err) => tracing::error!(%err, "configuration rejected; keeping the last"),
@@ -150,7 +150,7 @@
         let (Ok(workers), Ok(jobs), Ok(progress), Ok(learned), closed) = read else {
             tokio::time::sleep(RETRY_DELAY).await;
             if self.is_current() {
-                holder::send_event(&self.holder, job::Event::LoadFailed);
+                holder::send_event(&self.shared, &self.holder, job::Event::LoadFailed);
             }
             return;
         };
@@ -161,9 +161,11 @@
         let jobs_read_up_to_ms = jobs.now_ms;
         self.send_workers(&workers);
         match closed {
-            Ok(page) => {
-                holder::send_event(&self.holder, job::Event::Closed(halls::read_all(&page)))
-            }
+            Ok(page) => holder::send_event(
+                &self.shared,
+                &self.holder,
+                job::Event::Closed(halls::read_all(&page)),
+            ),
             // The engine bounds the wait for the closed halls.
             Err(err) => {
                 tracing::warn!(domain, %err, "closed halls unknown; nothing starts yet");
@@ -172,7 +174,7 @@
         }
         let loaded =
             job::Event::Loaded { jobs: jobs.rows, progress: progress.rows, learned: learned.rows };
-        holder::send_event(&self.holder, loaded);
+        holder::send_event(&self.shared, &self.holder, loaded);
         self.send_jobs_read_up_to(jobs_read_up_to_ms);
         tokio::spawn(self.clone().follow_workers(versions.0));
         tokio::spawn(self.follow_jobs(domain, versions.1));
@@ -184,7 +186,11 @@
             let wait = WORKERS_FEED_WAIT;
             while let Some(page) = self.next_page(entry::WORKERS_TABLE, &mut after, wait).await {
                 for (worker, member) in page.rows.iter().filter_map(|row| self.entries.read(row)) {
-                    holder::send_event(&self.holder, job::Event::Member(worker, member));
+                    holder::send_event(
+                        &self.shared,
+                        &self.holder,
+                        job::Event::Member(worker, member),
+                    );
                 }
             }
             match self.read_part(entry::WORKERS_TABLE, config::EXTERNAL_PART).await {
@@ -218,7 +224,7 @@
         // Further jobs follow an incomplete page and may be as old as its last one.
         let jobs_read_up_to_ms = page.now_ms.filter(|_| !page.more);
         if !page.rows.is_empty() {
-            holder::send_event(&self.holder, job::Event::Jobs(page.rows));
+            holder::send_event(&self.shared, &self.holder, job::Event::Jobs(page.rows));
         }
         self.send_jobs_read_up_to(jobs_read_up_to_ms);
     }
@@ -228,13 +234,17 @@
     /// handled.
     fn send_jobs_read_up_to(&self, jobs_read_up_to_ms: Option<u64>) {
         if let Some(up_to_ms) = jobs_read_up_to_ms {
-            holder::send_event(&self.holder, job::Event::JobsReadUpTo { up_to_ms });
+            holder::send_event(&self.shared, &self.holder, job::Event::JobsReadUpTo { up_to_ms });
         }
     }
 
     /// Sends the complete list of workers.
     fn send_workers(&self, page: &rows::Page) {
-        holder::send_event(&self.holder, job::Event::Listed(self.entries.list(&page.rows)));
+        holder::send_event(
+            &self.shared,
+            &self.holder,
+            job::Event::Listed(self.entries.list(&page.rows)),
+        );
     }
 
     /// Returns the next changes; `None` if the table must be read again or the lease term has
@@ -277,7 +287,7 @@
             tokio::time::sleep(RETRY_DELAY).await;
             if let Ok(page) = self.read_closed_halls().await {
                 let event = job::Event::Closed(halls::read_all(&page));
-                return holder::send_event(&self.holder, event);
+                return holder::send_event(&self.shared, &self.holder, event);
             }
         }
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,11 @@
 //! The Prometheus metrics of a host.
 
+use std::time;
+
 use prometheus::core::Collector;
 
+use crate::jobs::holder_load;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
     [0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
@@ -52,6 +56,14 @@
     pub hall_closed: prometheus::IntGaugeVec,
     /// Delay of the job service's last tick behind its due time, in milliseconds.
     pub holder_lag_ms: prometheus::IntGauge,
+    /// Events that the holder of the domain handled, by kind.
+    pub holder_events: prometheus::IntCounterVec,
+    /// Time that handling them took, passes included, in microseconds, by kind.
+    pub holder_busy_us: prometheus::IntCounterVec,
+    /// Time that they waited for their handling, in microseconds, by kind.
+    pub holder_wait_us: prometheus::IntCounterVec,
+    /// Placement passes that the holder ran.
+    pub holder_passes: prometheus::IntCounter,
     /// Jobs failed because workers crashed under their tasks, since this host acquired the lease.
     pub jobs_given_up: prometheus::IntGauge,
     /// Workers found to have restarted under the same id, since this host acquired the lease.
@@ -136,6 +148,25 @@
                 "wharflane_holder_lag_ms",
                 "Lag of the job service's holder.",
             )?)?,
+            holder_events: builder.counter(
+                "holder_events_total",
+                "Events that the holder handled.",
+                &["event"],
+            )?,
+            holder_busy_us: builder.counter(
+                "holder_busy_us_total",
+                "Time that handling them took, in microseconds.",
+                &["event"],
+            )?,
+            holder_wait_us: builder.counter(
+                "holder_wait_us_total",
+                "Time that they waited for their handling, in microseconds.",
+                &["event"],
+            )?,
+            holder_passes: builder.register(prometheus::IntCounter::new(
+                "wharflane_holder_passes_total",
+                "Placement passes that the holder ran.",
+            )?)?,
             jobs_given_up: builder.register(prometheus::IntGauge::new(
                 "wharflane_jobs_given_up",
                 "Jobs given up since workers crashed under a task, since the lease was taken.",
@@ -166,6 +197,16 @@
         })
     }
 
+    /// Counts an event that the holder handled.
+    pub fn note_handling(&self, kind: holder_load::Kind, handling: &holder_load::Handling) {
+        let micros = |time: time::Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let label = &[kind.label()];
+        self.holder_events.with_label_values(label).inc();
+        self.holder_busy_us.with_label_values(label).inc_by(micros(handling.took));
+        self.holder_wait_us.with_label_values(label).inc_by(micros(handling.waited));
+        self.holder_passes.inc_by(handling.passes);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -36,8 +36,8 @@
         message: holder::Msg,
         (): &mut (),
     ) -> Result<(), ractor::ActorProcessingErr> {
-        if let holder::Msg::Event(event) = message {
-            (self.0)(*event);
+        if let holder::Msg::Event(arrival) = message {
+            (self.0)(arrival.event);
         }
         Ok(())
     }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -96,6 +96,8 @@
     pub(super) changed: bool,
     /// When the last placement pass ran.
     pub(super) placed_at: time::Duration,
+    /// The number of placement passes since the lease was acquired.
+    pub(super) passes: u64,
     /// The number of searches for a worker since the lease was acquired.
     pub(super) worker_searches: u64,
     /// The number of starving tasks that were started since the lease was acquired.
@@ -249,6 +251,7 @@
             store_clock: None,
             changed: true,
             placed_at: time::Duration::ZERO,
+            passes: 0,
             worker_searches: 0,
             starvation_starts: 0,
             relief: starvation::Relief::default(),
@@ -309,6 +312,12 @@
         }
     }
 
+    /// Returns the number of placement passes since the lease was acquired.
+    #[must_use]
+    pub fn passes(&self) -> u64 {
+        self.passes
+    }
+
     /// Returns the number of searches for a worker since the lease was acquired.
     #[must_use]
     pub fn worker_searches(&self) -> u64 {
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -42,6 +42,7 @@
         }
         self.changed = false;
         self.placed_at = now;
+        self.passes += 1;
         run_pass(self, now);
     }
 }
