A slow holder serves too little of the first priority: a test that fails

The engine with 890 workers in virtual time, on a host that takes processor time for each event and call, in the order in which they come up, as a process's runtime does. At the usual speed each class is served to its floor. Costs are those of a profile of the holder on the large file.

--- a/crates/bench/src/job_engine/mod.rs
+++ b/crates/bench/src/job_engine/mod.rs
@@ -6,6 +6,8 @@
 //! tasks that take 2.7 s on 1.8 cores. There is also one long-running task per worker. Other sizes
 //! scale these rates in proportion.
 
+mod host;
+mod served;
 mod workload;
 
 use std::collections;
@@ -15,6 +17,8 @@
 use wharflane::{id, job, rows};
 use wharflane_stand_in::jobs::world;
 
+pub use served::{Served, SlowSetup, serve};
+
 /// Starts per second of the deployment from which the rates are taken.
 const BASE_STARTS_PER_S: f64 = 1_350.0;
 /// The delay of a start, of a heartbeat that need not wait, and of a transaction.
@@ -75,6 +79,8 @@
     End(usize, job::TaskId, u32),
     /// A job is submitted, and the next one is scheduled after this interval.
     Submit(workload::Kind, time::Duration),
+    /// The host's processor has done its work, which led to these effects.
+    WorkDone(Vec<job::Effect>),
 }
 
 /// The state of a simulated worker.
@@ -111,21 +117,17 @@
     submitted_jobs: u64,
     /// Counters since the start.
     cost: Cost,
+    /// The host of the engine; absent for one that takes no time for anything.
+    host: Option<host::Host>,
+    /// When the jobs were submitted that end by themselves, and when their last end was handled.
+    served: served::Record,
 }
 
 /// Runs a simulation and returns the cost of its engine after the warm-up.
 #[must_use]
 pub fn measure(setup: Setup) -> Cost {
     let mut simulation = Simulation::new(setup.workers);
-    let scale = setup.starts_per_s / BASE_STARTS_PER_S;
-    simulation.schedule(TICK, Arrival::Tick);
-    let serving = (setup.workers as f64 / 24.0).ceil() as u64;
-    (0..serving).for_each(|_| simulation.submit(workload::Kind::Serving));
-    (0..setup.waiting_tasks / 39).for_each(|_| simulation.submit(workload::Kind::Oversized));
-    let interval = |rate: f64| time::Duration::from_secs_f64(1.0 / (rate * scale));
-    simulation.schedule(interval(13.0), Arrival::Submit(workload::Kind::Short, interval(13.0)));
-    simulation
-        .schedule(interval(14.9), Arrival::Submit(workload::Kind::BestEffort, interval(14.9)));
+    simulation.submit_all(setup.workers, setup.starts_per_s, setup.waiting_tasks);
     simulation.run(WARM_UP);
     let (before, worker_searches) = (simulation.cost, simulation.worker_searches());
     simulation.run(WARM_UP + setup.duration);
@@ -174,6 +176,8 @@
             steps: collections::HashMap::new(),
             submitted_jobs: 0,
             cost: Cost::default(),
+            host: None,
+            served: served::Record::default(),
         };
         simulation.step(job::Event::Queues(workload::queues()));
         simulation.step(job::Event::Listed(members));
@@ -185,6 +189,19 @@
         simulation
     }
 
+    /// Begins the ticks and the submission of jobs: a long-running task for each worker, tasks that
+    /// wait from the beginning, and as many others as start `starts_per_s` tasks a second.
+    fn submit_all(&mut self, workers: usize, starts_per_s: f64, waiting_tasks: u32) {
+        let scale = starts_per_s / BASE_STARTS_PER_S;
+        self.schedule(TICK, Arrival::Tick);
+        let serving = (workers as f64 / 24.0).ceil() as u64;
+        (0..serving).for_each(|_| self.submit(workload::Kind::Serving));
+        (0..waiting_tasks / 39).for_each(|_| self.submit(workload::Kind::Oversized));
+        let interval = |rate: f64| time::Duration::from_secs_f64(1.0 / (rate * scale));
+        self.schedule(interval(13.0), Arrival::Submit(workload::Kind::Short, interval(13.0)));
+        self.schedule(interval(14.9), Arrival::Submit(workload::Kind::BestEffort, interval(14.9)));
+    }
+
     /// Returns how often the engine has searched for a worker.
     fn worker_searches(&self) -> u64 {
         self.engine.holding().map_or(0, |holding| holding.worker_searches())
@@ -206,15 +223,80 @@
         self.now = self.now.max(end);
     }
 
-    /// Passes an event to the engine and carries out the effects.
+    /// Passes an event to the engine and carries out the effects, at once or as the host gets to it.
     fn step(&mut self, event: job::Event) {
+        match &mut self.host {
+            Some(host) => {
+                host.push_event(event);
+                self.work();
+            }
+            None => {
+                for effect in self.handle(event) {
+                    self.carry_out(effect);
+                }
+            }
+        }
+    }
+
+    /// Passes an event to the engine; returns the effects.
+    fn handle(&mut self, event: job::Event) -> Vec<job::Effect> {
         let start = ThreadTime::now();
         let effects = self.engine.step(self.now, event);
         self.cost.cpu += start.elapsed();
         self.cost.events += 1;
-        for effect in effects {
-            self.carry_out(effect);
+        effects
+    }
+
+    /// Lets an idle host begin its next work.
+    fn work(&mut self) {
+        let Some(host) = self.host.as_mut().filter(|host| !host.busy) else {
+            return;
+        };
+        let Some(work) = host.pop() else {
+            return;
+        };
+        host.busy = true;
+        let (effects, took) = match work {
+            host::Work::Handle(event) => self.handle_timed(event),
+            host::Work::Send(effect) => {
+                let took = host.send_time();
+                self.carry_out(effect);
+                (Vec::new(), took)
+            }
+        };
+        self.schedule(took, Arrival::WorkDone(effects));
+    }
+
+    /// Passes an event to the engine; returns the effects and the time that the host takes.
+    fn handle_timed(&mut self, event: job::Event) -> (Vec<job::Effect>, time::Duration) {
+        let counts = |engine: &job::Engine| {
+            engine.holding().map_or((0, 0), |holding| (holding.passes(), holding.staged()))
+        };
+        let kind = host::Kind::of(&event);
+        if let job::Event::HeartbeatAnswered {
+            worker,
+            answer: job::HeartbeatAnswer::Lists(lists),
+            ..
+        } = &event
+        {
+            self.served.note_ends(worker, &lists.ended, self.now);
+        }
+        let before = counts(&self.engine);
+        let effects = self.handle(event);
+        let after = counts(&self.engine);
+        let (passes, staged) = (after.0 - before.0, after.1.saturating_sub(before.1));
+        let host = self.host.as_ref();
+        let took = host.map(|host| host.handling_time(kind, passes, staged));
+        (effects, took.unwrap_or_default())
+    }
+
+    /// Ends the work of the host, whose calls now wait to be sent, and begins the next.
+    fn finish_work(&mut self, effects: Vec<job::Effect>) {
+        if let Some(host) = &mut self.host {
+            host.busy = false;
+            effects.into_iter().for_each(|effect| host.push_call(effect));
         }
+        self.work();
     }
 
     /// Carries out one effect, if it needs an answer here.
@@ -269,6 +351,7 @@
             Arrival::Started(start) => self.start_task(start),
             Arrival::HeartbeatAnswer(at, number) => self.answer_heartbeat(at, number),
             Arrival::End(at, task, run) => self.end_task(at, task, run),
+            Arrival::WorkDone(effects) => self.finish_work(effects),
             Arrival::Submit(kind, interval) => {
                 self.submit(kind);
                 self.schedule(interval, Arrival::Submit(kind, interval));
@@ -339,6 +422,7 @@
         // The multiplication spreads job ids like a hash.
         let job_id = job::JobId(self.submitted_jobs.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let steps = workload::steps(kind, self.submitted_jobs);
+        self.served.note_submission(job_id, kind, &steps, self.now);
         self.steps.insert(job_id, steps.clone());
         let queue = if matches!(kind, workload::Kind::Short) { "first" } else { "last" };
         let job = job::Job {
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -312,6 +312,12 @@
         }
     }
 
+    /// Returns the number of starts that wait for their commit.
+    #[must_use]
+    pub fn staged(&self) -> usize {
+        self.staged.len()
+    }
+
     /// Returns the number of placement passes since the lease was acquired.
     #[must_use]
     pub fn passes(&self) -> u64 {
