--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -12,6 +12,7 @@
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::calls;
 use super::decided;
 use super::entries;
 use super::holder_load;
@@ -23,10 +24,6 @@
 /// Maximum number of events that the actor handles before other tasks of the process get their
 /// turn.
 const EVENTS_PER_TURN: usize = 32;
-/// Maximum number of calls to workers that are begun in one turn of the runtime. The rest stays in
-/// the outbox, where a more urgent call can still go before it, and doesn't delay the answers of the
-/// store.
-const CALLS_PER_TURN: usize = 16;
 /// Tick interval of the engine while this host holds the domain.
 const TICK_HOLDING: time::Duration = time::Duration::from_millis(20);
 /// Bytes per second of a megabit per second.
@@ -61,25 +58,6 @@
     IsReleased(ractor::RpcReplyPort<bool>),
 }
 
-/// A call to a worker that waits to be sent, with the time of its decision.
-type DecidedCall = (job::Effect, decided::DecisionTime);
-
-/// The calls to workers that wait to be sent.
-#[derive(Debug, Default)]
-struct Outbox {
-    /// The calls.
-    calls: sync::Mutex<job::Outbox<DecidedCall>>,
-    /// Notifies the task that sends them.
-    added: tokio::sync::Notify,
-}
-
-impl Outbox {
-    /// Locks the calls; a panic elsewhere leaves them usable.
-    fn lock(&self) -> sync::MutexGuard<'_, job::Outbox<DecidedCall>> {
-        self.calls.lock().unwrap_or_else(sync::PoisonError::into_inner)
-    }
-}
-
 /// The actor of a domain.
 #[derive(Debug)]
 pub struct Holder;
@@ -105,7 +83,7 @@
     /// Events that wait to be handled.
     inbox: job::Inbox,
     /// Calls to workers that wait to be sent.
-    outbox: sync::Arc<Outbox>,
+    outbox: sync::Arc<calls::Outbox>,
     /// How long the last placement pass took.
     last_pass: time::Duration,
 }
@@ -117,7 +95,7 @@
 }
 
 /// Sends the event that a call returned which was decided on at `decided_at`.
-fn send_answer(
+pub(super) fn send_answer(
     shared: &Shared,
     holder: &ractor::ActorRef<Msg>,
     event: job::Event,
@@ -148,8 +126,8 @@
         let settings = engine_settings(&args);
         let engine = job::Engine::new(args.settings.host.clone(), settings, args.nonce);
         myself.cast(Msg::Tick { due: args.clock.now() })?;
-        let outbox = sync::Arc::<Outbox>::default();
-        drop(tokio::spawn(send_calls(args.clone(), myself, sync::Arc::clone(&outbox))));
+        let outbox = sync::Arc::<calls::Outbox>::default();
+        drop(tokio::spawn(calls::send_all(args.clone(), myself, sync::Arc::clone(&outbox))));
         Ok(State {
             shared: args,
             engine,
@@ -292,7 +270,7 @@
 
     /// Returns what this host can take on.
     fn pace(&self, now: time::Duration) -> job::Pace {
-        let starts = Some(self.outbox.lock().starts());
+        let starts = Some(self.outbox.starts());
         job::Pace { starts, behind: self.inbox.behind(now), last_pass: self.last_pass }
     }
 
@@ -406,74 +384,9 @@
             job::Effect::Start(_)
             | job::Effect::Stop(_)
             | job::Effect::SetShare(_)
-            | job::Effect::SendHeartbeat(_) => self.queue_call(effect, decided),
+            | job::Effect::SendHeartbeat(_) => self.outbox.push(effect, decided),
         }
     }
-
-    /// Adds a call to a worker to the outbox.
-    fn queue_call(&self, call: job::Effect, decided: decided::DecisionTime) {
-        let now = decided.at();
-        self.outbox.lock().push((call, decided), |(call, _)| call, now);
-        self.outbox.added.notify_one();
-    }
-}
-
-/// Sends the calls of the outbox for as long as the process runs.
-async fn send_calls(shared: Shared, holder: ractor::ActorRef<Msg>, outbox: sync::Arc<Outbox>) {
-    loop {
-        for _ in 0..CALLS_PER_TURN {
-            let Some((call, decided)) = outbox.lock().pop(shared.clock.now()) else {
-                break;
-            };
-            send_call(&shared, &holder, call, decided);
-        }
-        if outbox.lock().is_empty() {
-            outbox.added.notified().await;
-        } else {
-            tokio::task::yield_now().await;
-        }
-    }
-}
-
-/// Sends one call to a worker in a task of its own and feeds the result back as an event.
-fn send_call(
-    shared: &Shared,
-    holder: &ractor::ActorRef<Msg>,
-    call: job::Effect,
-    decided: decided::DecisionTime,
-) {
-    let (shared, myself) = (shared.clone(), holder.clone());
-    let urgent = call.is_urgent();
-    match call {
-        job::Effect::Start(start) => drop(tokio::spawn(async move {
-            let answer = match decided.allows_sending("start") {
-                true => shared.workers.start(&start).await,
-                false => job::StartAnswer::TooLate,
-            };
-            let event = job::Event::Started { order: start.order, answer };
-            send_answer(&shared, &myself, event, (decided.at(), urgent));
-        })),
-        job::Effect::Stop(order) => drop(tokio::spawn(async move {
-            if !decided.allows_sending("stop") || !shared.workers.stop(&order).await {
-                send_event(&shared, &myself, job::Event::StopNotTaken(order));
-            }
-        })),
-        job::Effect::SetShare(change) => drop(tokio::spawn(async move {
-            if decided.allows_sending("pace") {
-                shared.workers.set_share(&change).await;
-            }
-        })),
-        job::Effect::SendHeartbeat(heartbeat) => drop(tokio::spawn(async move {
-            let answer = match decided.allows_sending("look") {
-                true => shared.workers.send_heartbeat(&heartbeat).await,
-                false => job::HeartbeatAnswer::NotSent,
-            };
-            let (worker, epoch) = (heartbeat.worker, heartbeat.epoch);
-            let event = job::Event::HeartbeatAnswered { worker, epoch, answer };
-            send_answer(&shared, &myself, event, (decided.at(), urgent));
-        })),
-        _ => {}
-    }
 }
 
 /// Returns the outcome of a transaction as far as it is known.
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! The job service of a host: answers callers' calls about jobs, and schedules the jobs while this
 //! host holds their domain.
 
+pub mod calls;
 pub mod contact;
 pub mod decided;
 mod entries;
