--- a/crates/wharflane/src/job/place/headroom.rs
+++ b/crates/wharflane/src/job/place/headroom.rs
@@ -21,8 +21,7 @@
 impl holding::Holding {
     /// Recomputes the headroom of all workers where it is missing or stale.
     ///
-    /// The own load of a job is the same for its tasks on all workers, so it is looked up once: with
-    /// 890 workers these look-ups were half of a pass.
+    /// The own load of a job is the same for its tasks on all workers, so it is looked up once.
     pub(in crate::job) fn refresh_headroom(&mut self, now: time::Duration) {
         let is_stale = |view: &worker::View| {
             view.headroom.as_ref().is_none_or(|known| now.saturating_sub(known.at) >= MAX_AGE)
