--- a/crates/bench/src/job_engine/host.rs
+++ b/crates/bench/src/job_engine/host.rs
@@ -1,8 +1,8 @@
 //! A host whose one processor handles the events of a holder and sends its calls, one after the
 //! other.
 //!
-//! The costs are those of the users' deployment with 890 workers, by a profile of its holder; a
-//! slow host takes a multiple of them.
+//! The costs are those of a holder with 890 workers (docs/CAPACITY.md); a slow host takes a multiple
+//! of them.
 
 use std::collections;
 use std::time;
--- a/crates/wharflane/tests/dispatch.rs
+++ b/crates/wharflane/tests/dispatch.rs
@@ -119,7 +119,7 @@
         assert!(heartbeat(true).is_urgent() && !heartbeat(false).is_urgent());
     },
     as_many_starts_may_wait_as_are_sent_soon => {
-        // 1,000 a second, after 4,000 were assumed.
+        // A host that sends one each millisecond sends 75 in 75 ms; more were assumed at first.
         let limit = limit(millis(1), millis(0));
         assert!((75..=135).contains(&limit), "{limit}");
     },
