Logs and a metric tell real losses of workers from false ones

Now: evidence (Replaced, Unlisted, Unknown), renewed_ms, *worker that counted as lost is there again*, wharflane_false_losses, and the failed runs in *job failed*, which tell an end counted twice. No decision is changed.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -66,6 +66,9 @@
     pub holder_passes: prometheus::IntCounter,
     /// Jobs failed because workers crashed under their tasks, since this host acquired the lease.
     pub jobs_given_up: prometheus::IntGauge,
+    /// Losses counted against tasks whose worker turned out to live, since this host acquired the
+    /// lease.
+    pub false_losses: prometheus::IntGauge,
     /// Workers found to have restarted under the same id, since this host acquired the lease.
     pub workers_restarted: prometheus::IntGauge,
     /// Runs kept because their ends may not have been listed yet, since the lease was taken.
@@ -171,6 +174,10 @@
                 "wharflane_jobs_given_up",
                 "Jobs given up since workers crashed under a task, since the lease was taken.",
             )?)?,
+            false_losses: builder.register(prometheus::IntGauge::new(
+                "wharflane_false_losses",
+                "Losses counted against tasks whose worker lives, since the lease was taken.",
+            )?)?,
             workers_restarted: builder.register(prometheus::IntGauge::new(
                 "wharflane_workers_restarted",
                 "Workers found to have started again under their id, since the lease was taken.",
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -11,6 +11,7 @@
 use super::lease::store_clock;
 use super::load::admission;
 use super::loss::correlated;
+use super::loss::evidence;
 use super::loss::loss_record;
 use super::place::group;
 use super::place::starvation;
@@ -151,8 +152,12 @@
     pub(super) loss_record: loss_record::LossRecord,
     /// The recent losses of workers, to tell single ones from those with a common cause.
     pub(super) correlated: correlated::CorrelatedLosses,
+    /// The losses that were counted recently.
+    pub(super) counted_losses: evidence::CountedLosses,
     /// The number of jobs that failed because workers crashed under one of their tasks.
     pub(super) given_up: u64,
+    /// The number of losses counted against tasks whose worker turned out to live.
+    pub(super) false_losses: u64,
     /// The number of times that a worker turned out to have restarted under its id.
     pub(super) restarted: u64,
     /// The number of runs that were kept because their ends may not have been listed yet.
@@ -198,6 +203,9 @@
     /// The number of jobs that failed because workers crashed under one of their tasks, since the
     /// lease was acquired.
     pub given_up: u64,
+    /// The number of losses counted against tasks whose worker turned out to live, since the lease
+    /// was acquired.
+    pub false_losses: u64,
     /// The number of times that a worker turned out to have restarted under its id, since the lease
     /// was acquired.
     pub restarted: u64,
@@ -281,7 +289,9 @@
             mass_silence_at: None,
             loss_record: loss_record::LossRecord::default(),
             correlated: correlated::CorrelatedLosses::default(),
+            counted_losses: evidence::CountedLosses::default(),
             given_up: 0,
+            false_losses: 0,
             restarted: 0,
             unlisted_ends: 0,
             stalls: moves::StallCounts::default(),
@@ -311,6 +321,7 @@
             sought: self.worker_searches,
             relieved: self.starvation_starts,
             given_up: self.given_up,
+            false_losses: self.false_losses,
             restarted: self.restarted,
             unlisted_ends: self.unlisted_ends,
             look_gap_ms: worker::millis(self.link.gap()),
@@ -344,6 +355,13 @@
         self.given_up
     }
 
+    /// Returns the number of losses counted against tasks whose worker turned out to live, since
+    /// the lease was acquired.
+    #[must_use]
+    pub fn false_losses(&self) -> u64 {
+        self.false_losses
+    }
+
     /// Returns the number of times that a worker turned out to have restarted under its id, since
     /// the lease was acquired.
     #[must_use]
--- a/crates/wharflane/src/job/loss/crash.rs
+++ b/crates/wharflane/src/job/loss/crash.rs
@@ -9,6 +9,7 @@
 
 use crate::id;
 use crate::job::holding;
+use crate::job::loss::evidence;
 use crate::job::loss::loss_record;
 use crate::job::progress;
 use crate::job::runs::work;
@@ -54,7 +55,9 @@
         let last_answer = view.and_then(|view| view.last_answer).map(|(_, at)| at);
         let earliest = self.now.saturating_sub(MAX_DETECTION);
         let lost_at = last_answer.map_or(self.now, |at| at.max(earliest));
-        let cause = self.count_loss_after_expiry(worker).max(self.count_worker_loss(tasks));
+        let replaced = evidence::Evidence::Replaced;
+        let expired = self.count_loss_after_expiry(worker, replaced);
+        let cause = expired.max(self.count_worker_loss(tasks, replaced));
         if !planned {
             self.note_lost_worker(worker, Vec::new(), Vec::new());
             self.loss_record.note_end(&worker.worker, cause, lost_at, self.now);
@@ -66,6 +69,7 @@
     pub(in crate::job) fn count_worker_loss(
         &mut self,
         tasks: &[spec::TaskId],
+        evidence: evidence::Evidence,
     ) -> loss_record::Cause {
         let worker = tasks.first().and_then(|task| self.placed.get(task));
         let Some(worker) = worker.map(|placed| placed.worker.clone()) else {
@@ -73,7 +77,7 @@
         };
         let present = tasks.iter().filter_map(|task| self.presence(*task));
         let present: Vec<Presence> = present.collect();
-        self.count_losses(&worker, &present, LossKnown::WhilePlaced)
+        self.count_losses(&worker, &present, (LossKnown::WhilePlaced, evidence))
     }
 
     /// Records the tasks of a listed worker whose leases have expired. The worker may only be
@@ -99,10 +103,11 @@
     pub(in crate::job) fn count_loss_after_expiry(
         &mut self,
         worker: &id::Incarnation,
+        evidence: evidence::Evidence,
     ) -> loss_record::Cause {
         let view = self.views.get_mut(worker).filter(|view| !view.member.leaving);
         let present = view.map(|view| std::mem::take(&mut view.expired_tasks)).unwrap_or_default();
-        let cause = self.count_losses(worker, &present, LossKnown::AfterExpiry);
+        let cause = self.count_losses(worker, &present, (LossKnown::AfterExpiry, evidence));
         for presence in present {
             self.fail_job_after_losses(presence.task, self.now);
         }
@@ -114,7 +119,7 @@
         &mut self,
         worker: &id::Incarnation,
         present: &[Presence],
-        known: LossKnown,
+        (known, evidence): (LossKnown, evidence::Evidence),
     ) -> loss_record::Cause {
         if present.is_empty() {
             return loss_record::Cause::NoSuspect;
@@ -124,8 +129,9 @@
         let suspects = present.iter().filter(|presence| presence.is_suspect()).count();
         let mut losses = Vec::new();
         for presence in present {
-            losses.extend(self.count_loss(worker, *presence, suspects, known));
+            losses.extend(self.count_loss(worker, *presence, suspects, (known, evidence)));
         }
+        self.counted_losses.add(worker, evidence, &losses, self.now);
         self.note_lost_worker(worker, repeated, losses);
         if suspects > 0 { loss_record::Cause::Suspect } else { loss_record::Cause::NoSuspect }
     }
@@ -173,7 +179,7 @@
         worker: &id::Incarnation,
         presence: Presence,
         suspects: usize,
-        known: LossKnown,
+        (known, evidence): (LossKnown, evidence::Evidence),
     ) -> Option<CountedLoss> {
         let Presence { task, run, at_work, began } = presence;
         let view = self.views.get(worker);
@@ -198,7 +204,8 @@
         tracing::warn!(
             %task, run, %worker, suspected, suspects, at_work_ms = at_work.map(worker::millis),
             times_suspected = losses.suspected, times_alone = losses.sole_suspect,
-            times_unexplained = losses.unexplained, silent_ms, listed, ?known,
+            times_unexplained = losses.unexplained, silent_ms, listed, ?known, ?evidence,
+            renewed_ms = worker::millis(self.now.saturating_sub(self.renewed)),
             "worker lost under a task"
         );
         self.loss_record.add(task, &worker.worker);
--- a/crates/wharflane/src/job/loss/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -5,6 +5,7 @@
 
 use crate::id;
 use crate::job::holding;
+use crate::job::loss::evidence;
 use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
@@ -32,8 +33,13 @@
 
     /// Frees tasks whose worker is lost, counts the loss, and fails the jobs of tasks under which
     /// too many workers were lost.
-    fn free_lost(&mut self, tasks: &[spec::TaskId], why: &'static str) {
-        self.count_worker_loss(tasks);
+    fn free_lost(
+        &mut self,
+        tasks: &[spec::TaskId],
+        why: &'static str,
+        evidence: evidence::Evidence,
+    ) {
+        self.count_worker_loss(tasks, evidence);
         self.free_tasks(tasks, why);
     }
 
@@ -74,7 +80,7 @@
                 clock_ms = view.clock_ms(now), "leases of a silent worker have expired"
             );
             self.record_expired_tasks(&worker, &tasks);
-            self.free_lost(&tasks, "lease expired");
+            self.free_lost(&tasks, "lease expired", evidence::Evidence::Unlisted);
         }
         self.remove_unlisted();
         self.free_inherited(now);
@@ -132,7 +138,8 @@
             by_worker.entry(placed.worker.clone()).or_default().push(*task);
         }
         for tasks in by_worker.values() {
-            self.free_lost(tasks, "lease expired; worker unknown");
+            let unknown = evidence::Evidence::Unknown;
+            self.free_lost(tasks, "lease expired; worker unknown", unknown);
         }
     }
 }
--- a/crates/wharflane/src/job/loss/mod.rs
+++ b/crates/wharflane/src/job/loss/mod.rs
@@ -2,6 +2,7 @@
 
 pub(super) mod correlated;
 pub(super) mod crash;
+pub(super) mod evidence;
 pub(super) mod isolation;
 pub(super) mod loss_record;
 pub(super) mod lost;
--- a/crates/wharflane/src/job/runs/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -179,13 +179,14 @@
             return;
         };
         let (failures, attempts) = (state.failures(), entry.policy.max_attempts);
+        let runs = state.failed_runs.clone();
         let revision = self.policies.revision();
         if revision == 0 {
             // The end of a job is final, and a configuration not read yet may allow more attempts.
             tracing::info!(%task, failures, attempts, "no attempts left; no configuration read yet");
             return;
         }
-        tracing::info!(%task, failures, attempts, revision, "job failed");
+        tracing::info!(%task, failures, ?runs, attempts, revision, "job failed");
         self.end_job(task.job, progress::Phase::Failed, now);
     }
 
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -345,6 +345,7 @@
             starving_unplaced = self.relief.unplaced,
             reserved_workers = self.reserved_workers.len(),
             given_up = self.given_up,
+            false_losses = self.false_losses,
             unconfigured_queues = self.unconfigured_queues(),
             suspects = self.loss_record.len(),
             kept_alone = self.views.values().filter(|view| view.reserved_for.is_some()).count(),
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -104,6 +104,9 @@
         if overtaken {
             answer = order::HeartbeatAnswer::Silent;
         }
+        if matches!(answer, order::HeartbeatAnswer::Lists(_)) {
+            self.note_alive(worker);
+        }
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
--- a/crates/wharflane/src/job/workers/members.rs
+++ b/crates/wharflane/src/job/workers/members.rs
@@ -5,6 +5,7 @@
 
 use crate::id;
 use crate::job::holding;
+use crate::job::loss::evidence;
 use crate::job::runs::order;
 use crate::job::spec;
 
@@ -96,13 +97,14 @@
                 );
                 view.listed = false;
             }
-            self.count_loss_after_expiry(&incarnation);
+            self.count_loss_after_expiry(&incarnation, evidence::Evidence::Unlisted);
         }
     }
 
     /// Applies the list entry of one worker to its view, or begins one.
     pub(in crate::job) fn set_member(&mut self, member: order::Member, now: time::Duration) {
         self.changed = true;
+        self.note_listed(&member.incarnation);
         let Some(view) = self.views.get_mut(&member.incarnation) else {
             let next = self.views.range(member.incarnation.clone()..).next();
             if next.is_some_and(|(known, _)| member.incarnation.is_before(known)) {
