Worlds: losses of workers that live fail sound jobs

A plan may have outages of the store in which entries lapse (the feeds are silent meanwhile; workers that live are listed again 0.1 to 2 s after its return), cuts of a share of the workers, and a judge of counted losses. The judge reads the stored progress: once the store was back and all workers reachable and listed for 10 s, no more losses may count against a task than workers crashed that it was assigned to; without a crash that is none.

The highest counts are of stored rows; a row of a failed job drops its tasks.

--- a/crates/stand-in/src/jobs/handovers.rs
+++ b/crates/stand-in/src/jobs/handovers.rs
@@ -34,12 +34,7 @@
         let Some(handovers) = self.plan.handovers.clone() else {
             return;
         };
-        for at in 0..self.workers.len() {
-            let cut = self.rng.random_range(0..1_000) < handovers.cut_milli;
-            if cut && self.workers[at].alive && self.workers[at].reachable {
-                self.cut_off_worker(at, handovers.cut);
-            }
-        }
+        self.cut_off_share(handovers.cut_milli, handovers.cut);
         self.schedule_change(handovers.changes, &handovers);
     }
 
--- a/crates/stand-in/src/jobs/injection.rs
+++ b/crates/stand-in/src/jobs/injection.rs
@@ -120,7 +120,7 @@
                 inbox.into_iter().for_each(|event| self.step(at, event));
             }
             fault::Kind::Close => self.open_hall(at),
-            fault::Kind::Outage => self.down = false,
+            fault::Kind::Outage => self.end_outage(),
             fault::Kind::StoreCut => {
                 self.hosts[at].cut_since = None;
                 self.catch_up_feeds(at);
@@ -152,7 +152,7 @@
     }
 
     /// Sends a host what its feeds would have told it while the store was silent for it.
-    fn catch_up_feeds(&mut self, host: usize) {
+    pub(super) fn catch_up_feeds(&mut self, host: usize) {
         let jobs = job::job_parts(0).flat_map(|part| self.rows.all(job::JOBS, &part)).collect();
         let events = [
             job::Event::Jobs(jobs),
@@ -172,8 +172,12 @@
         self.send(after, message::Message::Report(at));
     }
 
-    /// Sends the entry of a worker, or its removal, to all hosts.
+    /// Sends the entry of a worker, or its removal, to all hosts. In an outage of the plan the feeds
+    /// are silent, and hosts catch up at its end.
     pub(super) fn announce_member(&mut self, at: usize) {
+        if self.down && self.plan.outages.is_some() {
+            return;
+        }
         let worker = &self.workers[at];
         let entry = worker.listed.then(|| world::member(worker));
         let event = job::Event::Member(worker.incarnation.worker.clone(), entry);
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -47,6 +47,12 @@
     Share(job::SetShare),
     /// A wave crashes a share of the workers.
     Wave,
+    /// An outage of the store begins.
+    BeginOutage,
+    /// A worker whose entry has lapsed is listed again.
+    ListAgain(usize),
+    /// A share of the workers can't be reached any more.
+    BeginCut,
     /// A series of changes of the holder begins.
     BeginHandovers,
     /// The holder changes, as the first of this many changes.
@@ -145,6 +151,9 @@
             Message::Feed => self.answer_feed(),
             Message::Share(change) => self.share(&change),
             Message::Wave => self.crash_wave(),
+            Message::BeginOutage => self.begin_outage(),
+            Message::ListAgain(at) => self.list_again(at),
+            Message::BeginCut => self.begin_cut(),
             Message::BeginHandovers => self.begin_handovers(),
             Message::ChangeHolder(left) => self.change_holder(left),
             Message::ChangeConfiguration => self.change_configuration(),
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -35,6 +35,12 @@
     /// The time from the crash of a worker until another incarnation answers at its address, in
     /// milliseconds; absent for the usual one.
     pub away_ms: Option<ops::Range<u64>>,
+    /// Outages of the store in which entries of workers lapse; absent for none.
+    pub outages: Option<Outages>,
+    /// Times at which workers can't be reached; absent for none.
+    pub cuts: Option<Cuts>,
+    /// Whether the losses of workers that are counted against tasks are judged.
+    pub judges_losses: bool,
 }
 
 /// Waves that each crash a share of the workers.
@@ -50,6 +56,39 @@
     pub count: u32,
 }
 
+/// Outages of the store, in which no worker can renew its entry and the feeds are silent.
+#[derive(Clone, Debug)]
+pub struct Outages {
+    /// The time of the first outage.
+    pub first: time::Duration,
+    /// The time from the begin of one outage to that of the next, in milliseconds.
+    pub every_ms: ops::Range<u64>,
+    /// The number of outages.
+    pub count: u32,
+    /// How long an outage lasts, in milliseconds.
+    pub lasts_ms: ops::Range<u64>,
+    /// The share of the entries that lapse in an outage, in thousandths.
+    pub lapse_milli: u64,
+    /// The time from the end of an outage until a worker whose entry has lapsed is listed again, in
+    /// milliseconds.
+    pub relisted_ms: ops::Range<u64>,
+}
+
+/// Times at which the hosts can't reach a share of the workers, which run on.
+#[derive(Clone, Copy, Debug)]
+pub struct Cuts {
+    /// The share of the workers, in thousandths.
+    pub share_milli: u64,
+    /// The time of the first cut.
+    pub first: time::Duration,
+    /// The time from one cut to the next.
+    pub every: time::Duration,
+    /// The number of cuts.
+    pub count: u32,
+    /// How long a cut lasts.
+    pub lasts: time::Duration,
+}
+
 /// Series of changes of the holder, each of which begins when a share of the workers can't be reached
 /// any more and runs on.
 #[derive(Clone, Debug)]
@@ -125,6 +164,9 @@
             handovers: None,
             configuration: None,
             away_ms: None,
+            outages: None,
+            cuts: None,
+            judges_losses: false,
         }
     }
 }
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -65,6 +65,8 @@
     pub reachable: bool,
     /// Whether the store has its entry.
     pub listed: bool,
+    /// Whether its entry has lapsed, so that it is to be listed again if it lives.
+    pub lapsed: bool,
     /// Whether another incarnation under another id answers at its address.
     pub address_reused: bool,
     /// When it was last unreachable.
@@ -130,6 +132,7 @@
             alive: true,
             reachable: true,
             listed: true,
+            lapsed: false,
             address_reused: false,
             last_unreachable: time::Duration::ZERO,
             fails_every_task: false,
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -10,7 +10,8 @@
 
 use super::message::Message;
 use super::{
-    checker, closed_halls, configuration, fault, injection, message, plan, rows, waits, worker,
+    checker, closed_halls, configuration, fault, injection, losses, message, plan, rows, waits,
+    worker,
 };
 
 pub use super::fault::Faults;
@@ -98,6 +99,8 @@
     pub checker: checker::Checker,
     /// Judges waits and missed targets; records disturbances even if it judges nothing.
     pub waits: waits::Judge,
+    /// Judges the losses of workers that are counted against tasks.
+    pub losses: losses::Judge,
 }
 
 impl World {
@@ -134,6 +137,7 @@
             changes: 0,
             checker: checker::Checker::default(),
             waits: waits::Judge::default(),
+            losses: losses::Judge::default(),
         };
         (0..workers).for_each(|_| world.add_worker());
         for _ in 0..hosts {
@@ -162,6 +166,7 @@
         }
         world.schedule_waves();
         world.schedule_handovers();
+        world.schedule_outages();
         world.schedule_configurations();
         world
     }
@@ -182,6 +187,7 @@
             }
             self.check_waiting_counts();
             self.judge_waits();
+            self.judge_losses();
         }
     }
 
@@ -192,6 +198,7 @@
         let mut found: Vec<String> =
             self.checker.violations.iter().map(ToString::to_string).collect();
         found.extend(self.waits.broken.iter().map(ToString::to_string));
+        found.extend(self.losses.finding());
         found.extend(self.unfinished());
         let early = self.failed_too_early();
         found.extend(early.iter().map(|job| format!("failed before its attempts were up: {job}")));
--- a/crates/stand-in/tests/lost_workers.rs
+++ b/crates/stand-in/tests/lost_workers.rs
@@ -1,8 +1,10 @@
-//! Simulates workers that are lost one by one.
+//! Simulates workers that are lost one by one, and workers that only seem lost.
 //!
 //! Guards against sound jobs that fail since one task of theirs happened to run on several workers
-//! that were lost for reasons of their own.
+//! that were lost for reasons of their own; and against losses of workers that live: the store is
+//! down and their entries lapse, while the holder can't reach them or has just taken over.
 
+use std::ops;
 use std::time;
 
 use wharflane::{job, size};
@@ -15,6 +17,9 @@
 const WORKERS: usize = 48;
 /// The time in which every long-running task must run again after the last crash.
 const RETURN: time::Duration = secs(20);
+/// The time from the crash of a worker until another incarnation answers at its address, in
+/// milliseconds.
+const AWAY_MS: ops::Range<u64> = 1_500..3_000;
 /// When batch jobs are submitted for the first time and for the last.
 const BATCH_SUBMITTED: (time::Duration, time::Duration) = (secs(1), secs(50));
 /// The number of batch jobs.
@@ -33,13 +38,62 @@
     count: 64,
 };
 
+/// Outages of the store after which no worker is listed for a moment.
+const OUTAGES: plan::Outages = plan::Outages {
+    first: secs(5),
+    every_ms: 5_000..8_000,
+    count: 8,
+    lasts_ms: 3_500..4_500,
+    lapse_milli: 1_000,
+    relisted_ms: 100..2_000,
+};
+/// The end of a world with outages; all of them have been over for more than 10 s.
+const OUTAGES_END: time::Duration = secs(85);
+
+/// All ways in which a holder ends.
+const ALL_ENDS: &[plan::HolderEnd] =
+    &[plan::HolderEnd::Stopped, plan::HolderEnd::Killed, plan::HolderEnd::Restarted];
+
+/// Returns cuts of a share of the workers while there are outages, 5 s apart.
+fn cuts(share_milli: u64, lasts: time::Duration) -> plan::Cuts {
+    plan::Cuts { share_milli, first: secs(6), every: secs(5), count: 11, lasts }
+}
+
+/// Returns changes of the holder, two every 6 s.
+fn changes(ends: &'static [plan::HolderEnd]) -> plan::Handovers {
+    plan::Handovers {
+        first: secs(6),
+        every: secs(6),
+        count: 8,
+        changes: 2,
+        gap_ms: 200..1_300,
+        ends,
+        cut_milli: 0,
+        cut: time::Duration::ZERO,
+    }
+}
+
+/// Returns a plan with outages of the store and workers that can't be reached meanwhile.
+fn with_outages(cuts: plan::Cuts, handovers: Option<plan::Handovers>) -> plan::Plan {
+    plan::Plan {
+        end: OUTAGES_END,
+        dead_workers_refuse: true,
+        lease_claims: true,
+        outages: Some(OUTAGES),
+        cuts: Some(cuts),
+        handovers,
+        judges_losses: true,
+        ..plan::Plan::default()
+    }
+}
+
 /// Returns a plan with crashes, which ends when every long-running task must run again.
 fn with_crashes(crashes: plan::Waves) -> plan::Plan {
     plan::Plan {
         end: crashes.first + crashes.every * (crashes.count - 1) + RETURN,
         dead_workers_refuse: true,
         waves: Some(crashes),
-        away_ms: Some(1_500..3_000),
+        away_ms: Some(AWAY_MS),
         ..plan::Plan::default()
     }
 }
@@ -82,18 +136,58 @@
 /// Runs a world for each seed and checks each of them.
 fn check(build: impl Fn(u64) -> world::World) {
     let mut found = Vec::new();
+    let (mut most, mut counted) = (0, 0);
     for seed in 0..SEEDS {
         let mut world = build(seed);
+        let judges_losses = world.judges_losses();
         world.run();
         assert!(world.checker.starts > 300, "seed {seed}: too few starts");
+        most = most.max(world.losses.most_false_losses);
+        counted += world.losses.false_losses;
+        let judged = world.losses.judged > 0 || !judges_losses;
+        assert!(judged, "seed {seed}: no losses judged");
         let findings = world.findings().into_iter().chain(failed_jobs(&world));
         found.extend(findings.map(|finding| format!("seed {seed}: {finding}")));
     }
-    assert!(found.is_empty(), "{} found: {found:#?}", found.len());
+    println!("{counted} losses of workers that live were counted, at most {most} of one task");
+    assert!(
+        found.is_empty(),
+        "{} found, {counted} losses counted of workers that live, at most {most} of one task: \
+         {found:#?}",
+        found.len()
+    );
 }
 
 cases! {
     // Guards against a limit of losses that a sound task reaches by chance.
     sound_jobs_go_on_while_workers_crash_one_by_one =>
         check(|seed| world(seed, with_crashes(SINGLE_CRASHES), WORKERS, 12)),
+    sound_jobs_go_on_while_one_of_few_workers_crashes_and_holders_change => check(|seed| {
+        let plan = plan::Plan {
+            lease_claims: true,
+            handovers: Some(changes(ALL_ENDS)),
+            ..with_crashes(plan::Waves { share_milli: 70, ..SINGLE_CRASHES })
+        };
+        world(seed, plan, 20, 8)
+    }),
+    no_loss_counts_while_the_store_is_down_and_a_fifth_of_the_workers_is_cut_off =>
+        check(|seed| world(seed, with_outages(cuts(200, secs(3)), None), WORKERS, 12)),
+    no_loss_counts_while_the_store_is_down_and_half_of_the_workers_is_cut_off =>
+        check(|seed| world(seed, with_outages(cuts(500, secs(4)), None), WORKERS, 12)),
+    no_loss_counts_while_the_store_is_down_and_holders_restart => check(|seed| {
+        let changes = changes(&[plan::HolderEnd::Restarted]);
+        world(seed, with_outages(cuts(500, secs(4)), Some(changes)), WORKERS, 12)
+    }),
+    no_loss_counts_while_the_store_is_down_and_holders_are_killed => check(|seed| {
+        let changes = changes(&[plan::HolderEnd::Killed]);
+        world(seed, with_outages(cuts(300, secs(5)), Some(changes)), WORKERS, 12)
+    }),
+    no_loss_counts_of_workers_that_live_beside_single_crashes => check(|seed| {
+        let plan = plan::Plan {
+            waves: Some(SINGLE_CRASHES),
+            away_ms: Some(AWAY_MS),
+            ..with_outages(cuts(200, secs(3)), Some(changes(ALL_ENDS)))
+        };
+        world(seed, plan, WORKERS, 12)
+    }),
 }
