Worlds: culprits while the store is down, and false losses beside real ones

The bound on the starts of tasks that crash their workers now also holds a scheduler that disregards losses: it is checked while the store is down, half of the workers are cut off and entries lapse, and with changes of the holder. Outages, cuts and single crashes come together without a change of the holder too. Where there are crashes only, the judge of counted losses runs as well.

--- a/crates/stand-in/tests/lost_workers.rs
+++ b/crates/stand-in/tests/lost_workers.rs
@@ -108,10 +108,16 @@
         dead_workers_refuse: true,
         waves: Some(crashes),
         away_ms: Some(AWAY_MS),
+        judges_losses: true,
         ..plan::Plan::default()
     }
 }
 
+/// Adds single crashes to a plan.
+fn with_crashes_too(plan: plan::Plan) -> plan::Plan {
+    plan::Plan { waves: Some(SINGLE_CRASHES), away_ms: Some(AWAY_MS), ..plan }
+}
+
 /// Returns a step of equal tasks.
 fn step(count: u32, cpu_milli: u64, estimate_ms: u64) -> job::Step {
     let size = size::Size { cpu_milli, mem_mb: 300, accelerators: 0 };
@@ -123,10 +129,10 @@
     world_with(world::Faults::default(), seed, plan, scale)
 }
 
-/// Builds a world in which one job in five has a task that crashes its worker, among single crashes.
-fn among_crashing_tasks(seed: u64) -> world::World {
+/// Builds a world in which one job in five has a task that crashes its worker at once.
+fn with_crashing_tasks(seed: u64, plan: plan::Plan) -> world::World {
     let faults = world::Faults { crashing_tasks: 200, ..world::Faults::default() };
-    world_with(faults, seed, with_crashes(SINGLE_CRASHES), FEW_BATCH_JOBS)
+    world_with(faults, seed, plan, FEW_BATCH_JOBS)
 }
 
 /// Builds a world with long-running jobs and batch jobs.
@@ -158,14 +164,17 @@
 }
 
 /// Checks the starts of tasks that crash their workers.
-fn check_bounded_starts() {
+fn check_bounded_starts(plan: &plan::Plan) {
     let mut crashed = 0;
+    let mut found = Vec::new();
     for seed in 0..SEEDS {
-        let mut world = among_crashing_tasks(seed);
+        let mut world = with_crashing_tasks(seed, plan.clone());
         world.run();
-        assert_eq!(world.checker.violations, Vec::new(), "seed {seed}");
+        let violations = world.checker.violations.iter();
+        found.extend(violations.map(|violation| format!("seed {seed}: {violation}")));
         crashed += u64::from(world.checker.crashed_workers());
     }
+    assert!(found.is_empty(), "{} found: {found:#?}", found.len());
     assert!(crashed > SEEDS * 10, "only {crashed} workers crashed under crashing tasks");
 }
 
@@ -219,15 +228,20 @@
         world(seed, with_outages(cuts(300, secs(5)), Some(changes)), USUAL)
     }),
     no_loss_counts_of_workers_that_live_beside_single_crashes => check(|seed| {
-        let plan = plan::Plan {
-            waves: Some(SINGLE_CRASHES),
-            away_ms: Some(AWAY_MS),
-            ..with_outages(cuts(200, secs(3)), Some(changes(ALL_ENDS)))
-        };
-        world(seed, plan, USUAL)
+        let outages = with_outages(cuts(200, secs(3)), Some(changes(ALL_ENDS)));
+        world(seed, with_crashes_too(outages), USUAL)
+    }),
+    no_loss_counts_of_workers_that_live_while_others_crash_and_the_holder_stays => check(|seed| {
+        let outages = with_outages(cuts(200, secs(3)), None);
+        world(seed, with_crashes_too(outages), USUAL)
     }),
     // Guards against long-running tasks that crash their workers and are started without end.
-    starts_of_tasks_that_crash_at_once_are_bounded_beside_single_crashes => check_bounded_starts(),
+    starts_of_tasks_that_crash_at_once_are_bounded_beside_single_crashes =>
+        check_bounded_starts(&with_crashes(SINGLE_CRASHES)),
+    starts_of_tasks_that_crash_at_once_are_bounded_while_the_store_is_down =>
+        check_bounded_starts(&with_outages(cuts(500, secs(4)), None)),
+    starts_of_tasks_that_crash_at_once_are_bounded_while_holders_change =>
+        check_bounded_starts(&with_outages(cuts(200, secs(3)), Some(changes(ALL_ENDS)))),
     sound_jobs_go_on_beside_tasks_that_crash_at_once_and_single_crashes =>
-        check(among_crashing_tasks),
+        check(|seed| with_crashing_tasks(seed, with_crashes(SINGLE_CRASHES))),
 }
