Lost workers end no sound job: missing workers stay undecided, losses are taken back, long-running starts withheld

What callers saw: an accepted job shown as failed though no task had failed as often as its queue allows (LOST). Two causes, one class: a final word on accepted work from evidence that may be wrong.

A worker whose entry had lapsed and that the holder couldn't reach, or never knew since it had just taken over, counted as lost once its leases were over. Five losses ended a long-running job whatever else was lost.

The two are one commit since both change what a count means in the same lines.

The judge of losses counts a worker that crashes before it can be reached again.

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -308,6 +308,8 @@
         metrics.jobs_given_up.set(i64::try_from(given_up).unwrap_or(i64::MAX));
         let false_losses = holding.map_or(0, job::Holding::false_losses);
         metrics.false_losses.set(i64::try_from(false_losses).unwrap_or(i64::MAX));
+        let withheld = holding.map_or(0, job::Holding::withheld);
+        metrics.tasks_withheld.set(i64::try_from(withheld).unwrap_or(i64::MAX));
         let restarted = holding.map_or(0, job::Holding::restarted);
         metrics.workers_restarted.set(i64::try_from(restarted).unwrap_or(i64::MAX));
         let unlisted = holding.map_or(0, job::Holding::unlisted_ends);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -69,6 +69,8 @@
     /// Losses counted against tasks whose worker turned out to live, since this host acquired the
     /// lease.
     pub false_losses: prometheus::IntGauge,
+    /// Tasks whose start is withheld since workers were lost under them.
+    pub tasks_withheld: prometheus::IntGauge,
     /// Workers found to have restarted under the same id, since this host acquired the lease.
     pub workers_restarted: prometheus::IntGauge,
     /// Runs kept because their ends may not have been listed yet, since the lease was taken.
@@ -178,6 +180,10 @@
                 "wharflane_false_losses",
                 "Losses counted against tasks whose worker lives, since the lease was taken.",
             )?)?,
+            tasks_withheld: builder.register(prometheus::IntGauge::new(
+                "wharflane_tasks_withheld",
+                "Tasks whose start is withheld since workers were lost under them.",
+            )?)?,
             workers_restarted: builder.register(prometheus::IntGauge::new(
                 "wharflane_workers_restarted",
                 "Workers found to have started again under their id, since the lease was taken.",
--- a/crates/stand-in/src/jobs/losses.rs
+++ b/crates/stand-in/src/jobs/losses.rs
@@ -15,6 +15,7 @@
 const INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// How long the store must have been back and all workers reachable until losses are judged.
 const CALM_AFTER: time::Duration = time::Duration::from_secs(10);
+
 /// Losses that count against a task although fewer of its workers crashed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("at {at:?}, {losses:?} count against {task}, of whose workers {crashes} crashed")]
@@ -44,6 +45,9 @@
     looked: time::Duration,
     /// When the store was last down, or a worker that lives unreachable or not listed.
     disturbed: time::Duration,
+    /// The workers of each task that can't be reached since the task was assigned to them. One that
+    /// crashes before it can be reached again may have done so under the task.
+    unreachable: collections::BTreeMap<job::TaskId, collections::BTreeSet<id::Incarnation>>,
     /// The workers of each task that were found to have crashed.
     crashed: collections::BTreeMap<job::TaskId, collections::BTreeSet<id::Incarnation>>,
     /// The number of losses of each task at the last look.
@@ -60,6 +64,22 @@
         ))
     }
 
+    /// Follows the workers of tasks that can't be reached, given the workers that live and, of these,
+    /// the ones that can be reached.
+    fn follow_unreachable(
+        &mut self,
+        alive: &collections::BTreeSet<&id::Incarnation>,
+        reachable: &collections::BTreeSet<&id::Incarnation>,
+    ) {
+        for (task, workers) in &mut self.unreachable {
+            workers.retain(|worker| !reachable.contains(worker));
+            let crashed = workers.iter().filter(|worker| !alive.contains(worker));
+            self.crashed.entry(*task).or_default().extend(crashed.cloned());
+        }
+        self.unreachable.retain(|_, workers| !workers.is_empty());
+        self.crashed.retain(|_, workers| !workers.is_empty());
+    }
+
     /// Looks at the stored state of a task, given the worker that it is assigned to if that has
     /// crashed.
     fn look_at(
@@ -111,12 +131,19 @@
         let alive = self.workers.iter().filter(|worker| worker.alive);
         let alive: collections::BTreeSet<&id::Incarnation> =
             alive.map(|worker| &worker.incarnation).collect();
+        let reachable = self.workers.iter().filter(|worker| worker.alive && worker.reachable);
+        let reachable = reachable.map(|worker| &worker.incarnation).collect();
+        self.losses.follow_unreachable(&alive, &reachable);
         for job in self.checker.jobs.keys() {
             let row = self.rows.get(&job::progress_key(0, *job)).and_then(|row| row.value);
             let progress = row.and_then(|text| job::Progress::decode(&text).ok());
             for (position, state) in progress.unwrap_or_default().tasks {
                 let job::TaskPosition { round, step, index } = position;
                 let task = job::TaskId { job: *job, round, step, index };
+                let unreachable = state.worker.as_ref().filter(|w| !reachable.contains(w));
+                if let Some(worker) = unreachable {
+                    self.losses.unreachable.entry(task).or_default().insert(worker.clone());
+                }
                 let crashed = state.worker.filter(|worker| !alive.contains(worker));
                 self.losses.look_at(task, state.losses, crashed, now);
             }
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -13,6 +13,7 @@
 use super::loss::correlated;
 use super::loss::evidence;
 use super::loss::loss_record;
+use super::loss::missing;
 use super::place::group;
 use super::place::starvation;
 use super::place::tickets;
@@ -152,6 +153,8 @@
     pub(super) loss_record: loss_record::LossRecord,
     /// The recent losses of workers, to tell single ones from those with a common cause.
     pub(super) correlated: correlated::CorrelatedLosses,
+    /// The workers whose loss is undecided.
+    pub(super) missing_workers: missing::MissingWorkers,
     /// The losses that were counted recently.
     pub(super) counted_losses: evidence::CountedLosses,
     /// The number of jobs that failed because workers crashed under one of their tasks.
@@ -289,6 +292,7 @@
             mass_silence_at: None,
             loss_record: loss_record::LossRecord::default(),
             correlated: correlated::CorrelatedLosses::default(),
+            missing_workers: missing::MissingWorkers::default(),
             counted_losses: evidence::CountedLosses::default(),
             given_up: 0,
             false_losses: 0,
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -116,9 +116,13 @@
             let placed = work::Placed::new(worker.clone(), task.run, now, inherited, now);
             self.placed.insert(position.of(job), placed);
         }
+        if !progress.phase.ended() {
+            self.inherit_missing(job, &progress, now);
+        }
         let lost =
             progress.tasks.iter().filter(|(_, task)| task.losses != progress::Losses::default());
-        lost.for_each(|(position, _)| self.loss_record.inherit(position.of(job), now));
+        let lost: Vec<spec::TaskId> = lost.map(|(position, _)| position.of(job)).collect();
+        lost.iter().for_each(|task| self.loss_record.inherit(*task, now));
         let ended = progress.phase.ended().then_some(now);
         let begun = progress.tasks.values().any(progress::Task::shows_work);
         let spec = sync::Arc::new(spec);
@@ -143,6 +147,7 @@
         if phase.ended() {
             return;
         }
+        lost.iter().for_each(|task| self.inherit_withheld(*task, now));
         for (round, due_ms) in (0..rounds).zip(due) {
             if due_ms > self.wall_ms && due_ms > 0 {
                 self.future.insert((due_ms, job, round));
--- a/crates/wharflane/src/job/loss/chance.rs
+++ b/crates/wharflane/src/job/loss/chance.rs
@@ -19,7 +19,7 @@
 const MIN_RATE_WINDOW: time::Duration = time::Duration::from_secs(5);
 /// Chance explains the losses of a task if it is expected to bring as many to at least this number
 /// of tasks.
-const MIN_EXPECTED_TASKS: f64 = 0.05;
+const MIN_EXPECTED_TASKS: f64 = 0.02;
 
 impl holding::Holding {
     /// Returns whether workers are lost without a suspect so often that a loss soon after a start
@@ -40,7 +40,7 @@
         ordered.any(|(task, placed)| self.presence_of(task, placed).is_suspect())
     }
 
-    /// Returns whether some task would meet as many single losses as this one by chance, given how
+    /// Returns whether some task would meet as many losses as this one by chance, given how
     /// often other workers are lost and how long the task ran before its workers were.
     pub(in crate::job) fn does_chance_explain(
         &self,
@@ -48,7 +48,7 @@
         losses: progress::Losses,
     ) -> bool {
         let tasks = self.placed.len().max(1);
-        let probability = at_least(losses.single(), self.expected_by_chance(task));
+        let probability = at_least(losses.all(), self.expected_by_chance(task));
         probability * tasks as f64 >= MIN_EXPECTED_TASKS
     }
 
@@ -59,8 +59,8 @@
         self.single_losses_per_s() * worked.as_secs_f64()
     }
 
-    /// Returns how often a worker is lost by itself, each second, on which no task runs that lost a
-    /// worker before: such tasks may crash theirs.
+    /// Returns how often a worker is lost by itself, each second, on which no task runs that
+    /// lost a worker before: such tasks may crash theirs.
     fn single_losses_per_s(&self) -> f64 {
         let since = self.now.saturating_sub(RATE_WINDOW);
         let lost = self.correlated.single_losses(since, self.views.len());
--- a/crates/wharflane/src/job/loss/correlated.rs
+++ b/crates/wharflane/src/job/loss/correlated.rs
@@ -36,9 +36,9 @@
 /// How many idle workers are asked at most when a worker falls silent; so many show how large a
 /// share is lost.
 const MAX_ASKED: usize = 64;
-/// How long lost workers are remembered: longer than leases and the list entry of a silent worker
-/// last, after which its loss counts.
-const REMEMBERED_FOR: time::Duration = time::Duration::from_secs(30);
+/// How long lost workers are remembered: longer than a silent worker is missing until its loss
+/// counts.
+const REMEMBERED_FOR: time::Duration = time::Duration::from_secs(60);
 /// Maximum number of lost workers that are remembered.
 const MAX_REMEMBERED: usize = 4_096;
 
@@ -236,12 +236,37 @@
         decided
     }
 
+    /// Returns the number of workers lost since a time without a common cause, on which no task
+    /// ran that had lost a worker before.
+    pub fn single_losses(&self, since: time::Duration, observed: usize) -> usize {
+        let recent = self.workers.iter().filter(|lost| lost.silent_since >= since);
+        let mut moments: Vec<time::Duration> =
+            recent.clone().map(|lost| lost.silent_since).collect();
+        moments.sort_unstable();
+        let needed = (observed / CORRELATED_DIVISOR).clamp(MIN_CORRELATED, MIN_BURST);
+        let is_single = |lost: &&LostWorker| {
+            let first = lost.silent_since.saturating_sub(SAME_MOMENT);
+            let last = lost.silent_since + SAME_MOMENT;
+            let from = moments.partition_point(|at| *at < first);
+            let to = moments.partition_point(|at| *at <= last);
+            to - from <= needed
+        };
+        let unsuspected = recent.filter(|lost| lost.suspects.is_empty());
+        unsuspected.filter(is_single).count()
+    }
+
     /// Returns the open losses of a task.
     pub fn open_losses(&self, task: spec::TaskId) -> impl Iterator<Item = &crash::CountedLoss> {
         let losses = self.open.iter().flat_map(|open| &open.losses);
         losses.filter(move |loss| loss.task == task)
     }
 
+    /// Takes back that a worker was lost.
+    pub fn take_back(&mut self, worker: &id::Incarnation) {
+        self.workers.retain(|lost| lost.worker != *worker);
+        self.open.retain(|open| open.worker != *worker);
+    }
+
     /// Drops the open losses of a task.
     pub fn forget(&mut self, task: spec::TaskId) {
         for open in &mut self.open {
--- a/crates/wharflane/src/job/loss/evidence.rs
+++ b/crates/wharflane/src/job/loss/evidence.rs
@@ -1,7 +1,7 @@
 //! What shows that a worker was lost, and whether that turns out wrong.
 //!
-//! A worker whose list entry has lapsed and that this holder can't reach looks like a lost one. If
-//! it lives, it is listed again or answers, under the same incarnation.
+//! Whatever was counted, a worker that lives is listed again or answers, under the same
+//! incarnation. Its loss is then taken back.
 
 use std::collections;
 use std::time;
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::job::holding;
 use crate::job::loss::crash;
+use crate::job::spec;
 use crate::job::workers::worker;
 
 /// How long a counted loss is remembered, to notice a worker that is there again.
@@ -21,11 +22,8 @@
 pub(in crate::job) enum Evidence {
     /// Another incarnation answers at its address or follows it under its id.
     Replaced,
-    /// The store doesn't list it, and it didn't answer until its leases were over.
-    Unlisted,
-    /// An earlier holder placed tasks there, the store doesn't list it, and the leases of that
-    /// holder are over.
-    Unknown,
+    /// It was missing for long (see `missing`).
+    Missing,
 }
 
 /// A lost worker with the tasks against which its loss counts.
@@ -60,6 +58,13 @@
         let counted = Counted { at: now, evidence, losses: losses.to_vec() };
         self.0.insert(worker.clone(), counted);
     }
+
+    /// Drops the losses of a task, which no longer count.
+    pub fn forget(&mut self, task: spec::TaskId) {
+        for counted in self.0.values_mut() {
+            counted.losses.retain(|loss| loss.task != task);
+        }
+    }
 }
 
 impl holding::Holding {
@@ -71,8 +76,9 @@
         }
     }
 
-    /// Notes that an incarnation lives, so that a loss of it that was counted was none.
+    /// Notes that an incarnation lives, and takes back its loss if that was counted.
     pub(in crate::job) fn note_alive(&mut self, worker: &id::Incarnation) {
+        self.note_missing_is_back(worker);
         let Some(counted) = self.counted_losses.0.remove(worker) else {
             return;
         };
@@ -82,5 +88,24 @@
             ago_ms = worker::millis(self.now.saturating_sub(counted.at)),
             "worker that counted as lost is there again"
         );
+        self.correlated.take_back(worker);
+        for loss in &counted.losses {
+            self.take_back_loss(loss);
+        }
+    }
+
+    /// Takes back that a loss counts against a task.
+    fn take_back_loss(&mut self, loss: &crash::CountedLoss) {
+        let entry = self.jobs.get_mut(&loss.task.job);
+        let state = entry.and_then(|entry| entry.progress.tasks.get_mut(&loss.task.into()));
+        let Some(state) = state else {
+            return;
+        };
+        state.losses.take_back(loss);
+        if state.losses.all() == 0 {
+            self.loss_record.forget(loss.task);
+        }
+        self.mark_task(loss.task);
+        self.changed = true;
     }
 }
--- a/crates/wharflane/src/job/loss/isolation.rs
+++ b/crates/wharflane/src/job/loss/isolation.rs
@@ -46,6 +46,8 @@
 /// Why a start is deferred until it can be isolated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Deferral {
+    /// Too many workers were lost under the task.
+    Withheld,
     /// Enough workers are reserved for other suspects.
     ManyReserved,
     /// Workers are still lost for other causes.
@@ -100,6 +102,7 @@
             return;
         }
         self.loss_record.clear_deferred(task);
+        self.note_start_of_withheld(task);
         self.release_reservations(|reserved| reserved == task);
         let kept = self.may_reserve_worker(task);
         let losses = self.losses(task).all();
@@ -140,6 +143,12 @@
     ) -> bool {
         let waited = now.saturating_sub(ready.since);
         let deferral = match self.required_isolation(ready.task) {
+            _ if started_together(ready, step).any(|task| self.is_withheld(task, now)) => {
+                Some(Deferral::Withheld)
+            }
+            _ if started_together(ready, step).any(|task| self.may_have_no_start(task)) => {
+                Some(Deferral::LossUndecided)
+            }
             _ if started_together(ready, step).any(|task| self.awaits_decision(task)) => {
                 Some(Deferral::CauseUndecided)
             }
@@ -172,10 +181,10 @@
     /// worker is lost by chance, a sound job fails for good. Where chance losses were told apart
     /// before, the next one will be too, and there is no need to wait for calm.
     fn waits_beyond_bound(&self, ready: &work::Ready, step: &spec::Step, reason: Deferral) -> bool {
-        let is_last = |task| self.has_last_start(task);
+        let is_last = |task| self.has_last_start(task) || self.may_have_no_start(task);
         match reason {
             // The decision takes less time than the bound, counted from the loss.
-            Deferral::CauseUndecided => true,
+            Deferral::CauseUndecided | Deferral::Withheld => true,
             Deferral::NotCalm => started_together(ready, step)
                 .any(|task| is_last(task) && !self.has_mostly_correlated_losses(task)),
             Deferral::ManyReserved | Deferral::LossUndecided | Deferral::NoEmptyWorker => {
--- a/crates/wharflane/src/job/loss/loss_record.rs
+++ b/crates/wharflane/src/job/loss/loss_record.rs
@@ -30,6 +30,8 @@
     tasks: collections::BTreeMap<spec::TaskId, collections::BTreeSet<id::WorkerId>>,
     /// The tasks whose next start is deferred, each with the time at which that was last logged.
     deferred: collections::BTreeMap<spec::TaskId, time::Duration>,
+    /// The tasks whose start is withheld, or was.
+    withheld: collections::BTreeMap<spec::TaskId, Withheld>,
     /// When workers were lost without a suspect, latest last.
     without_suspect: collections::VecDeque<time::Duration>,
     /// When a worker was last lost without a suspect, or may have been.
@@ -40,6 +42,15 @@
     ends: collections::BTreeMap<id::WorkerId, collections::VecDeque<time::Duration>>,
 }
 
+/// A start that is withheld, or was.
+#[derive(Clone, Copy, Debug)]
+struct Withheld {
+    /// The number of losses for which it is withheld.
+    losses: u32,
+    /// When that ends.
+    until: time::Duration,
+}
+
 impl LossRecord {
     /// Adds a task with a loss recorded by an earlier holder. Whether other workers were lost at
     /// that time is unknown, so the last loss without a suspect is assumed to be now.
@@ -83,8 +94,29 @@
         self.deferred.remove(&task);
     }
 
+    /// Withholds the start of a task for its losses; returns false if that was done for as many
+    /// before.
+    pub fn withhold(&mut self, task: spec::TaskId, losses: u32, until: time::Duration) -> bool {
+        if self.withheld.get(&task).is_some_and(|before| before.losses >= losses) {
+            return false;
+        }
+        self.withheld.insert(task, Withheld { losses, until });
+        true
+    }
+
+    /// Returns until when the start of a task is withheld, if it is or was.
+    pub fn withheld_until(&self, task: spec::TaskId) -> Option<time::Duration> {
+        self.withheld.get(&task).map(|withheld| withheld.until)
+    }
+
+    /// Returns the number of tasks whose start is withheld.
+    pub fn withheld(&self, now: time::Duration) -> usize {
+        self.withheld.values().filter(|withheld| now < withheld.until).count()
+    }
+
     /// Removes a task whose losses no longer count.
     pub fn forget(&mut self, task: spec::TaskId) {
+        self.withheld.remove(&task);
         self.tasks.remove(&task);
         self.deferred.remove(&task);
     }
@@ -93,6 +125,7 @@
     pub fn forget_job(&mut self, job: spec::JobId) {
         self.tasks.retain(|task, _| task.job != job);
         self.deferred.retain(|task, _| task.job != job);
+        self.withheld.retain(|task, _| task.job != job);
     }
 
     /// Records the unplanned end of a worker's incarnation, which is known now, with the time since
--- a/crates/wharflane/src/job/loss/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -5,7 +5,6 @@
 
 use crate::id;
 use crate::job::holding;
-use crate::job::loss::evidence;
 use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
@@ -31,19 +30,7 @@
         self.views.remove(worker);
     }
 
-    /// Frees tasks whose worker is lost, counts the loss, and fails the jobs of tasks under which
-    /// too many workers were lost.
-    fn free_lost(
-        &mut self,
-        tasks: &[spec::TaskId],
-        why: &'static str,
-        evidence: evidence::Evidence,
-    ) {
-        self.count_worker_loss(tasks, evidence);
-        self.free_tasks(tasks, why);
-    }
-
-    /// Frees tasks whose worker is lost, after the loss was counted.
+    /// Frees tasks whose worker is lost, or may be.
     fn free_tasks(&mut self, tasks: &[spec::TaskId], why: &'static str) {
         for task in tasks {
             if let Some(placed) = self.placed.get(task) {
@@ -79,17 +66,21 @@
                 %worker, tasks = tasks.len(), granted_ms = view.granted_until_ms,
                 clock_ms = view.clock_ms(now), "leases of a silent worker have expired"
             );
-            self.record_expired_tasks(&worker, &tasks);
-            self.free_lost(&tasks, "lease expired", evidence::Evidence::Unlisted);
+            self.record_missing(&worker, &tasks, now);
+            self.free_tasks(&tasks, "lease expired");
         }
-        self.remove_unlisted();
         self.free_inherited(now);
+        self.count_missing_workers(now);
+        self.remove_unlisted();
     }
 
     /// Removes workers that are not listed any more and of which nothing is expected.
     fn remove_unlisted(&mut self) {
         let idle = |view: &worker::View| {
-            !view.listed && view.tasks.is_empty() && view.unrecorded.is_empty()
+            !view.listed
+                && view.tasks.is_empty()
+                && view.unrecorded.is_empty()
+                && !self.missing_workers.contains(&view.member.incarnation)
         };
         let over = self.views.iter().filter(|(_, view)| idle(view));
         let over: Vec<id::Incarnation> = over.map(|(worker, _)| worker.clone()).collect();
@@ -137,9 +128,9 @@
         for (task, placed) in lost {
             by_worker.entry(placed.worker.clone()).or_default().push(*task);
         }
-        for tasks in by_worker.values() {
-            let unknown = evidence::Evidence::Unknown;
-            self.free_lost(tasks, "lease expired; worker unknown", unknown);
+        for (worker, tasks) in by_worker {
+            self.record_missing(&worker, &tasks, now);
+            self.free_tasks(&tasks, "lease expired; worker unknown");
         }
     }
 }
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -102,6 +102,18 @@
     /// The number of runs since the third loss that neither completed nor ended with their worker.
     #[serde(rename = "o")]
     pub others: u32,
+    /// How long the lost runs had worked in all, in milliseconds, since the losses count.
+    #[serde(default, rename = "t", skip_serializing_if = "is_zero_ms")]
+    pub worked_ms: u64,
+    /// Whether the next start is withheld.
+    #[serde(default, rename = "h", skip_serializing_if = "std::ops::Not::not")]
+    pub withheld: bool,
+}
+
+/// Returns whether a time is zero.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero_ms(time_ms: &u64) -> bool {
+    *time_ms == 0
 }
 
 impl Starts {
@@ -129,6 +141,8 @@
     pub saved_run: u32,
     /// The workers that were lost under the task.
     pub losses: Losses,
+    /// The workers under it that are missing, by a hash of their incarnation: they may be lost.
+    pub missing: collections::BTreeSet<u32>,
     /// Statistics of its starts since the first loss.
     pub starts: Starts,
     /// The worker where it last failed; not stored, so the next holder does not know it.
@@ -149,7 +163,10 @@
 
     /// Returns whether the last start is all that is known of the task.
     fn has_only_started(&self) -> bool {
-        self.failed_runs.is_empty() && self.checkpoint.is_empty() && self.losses.is_none()
+        self.failed_runs.is_empty()
+            && self.checkpoint.is_empty()
+            && self.losses.is_none()
+            && self.missing.is_empty()
     }
 
     /// Stores the checkpoint of a run unless it is empty, too long, or a later run saved one;
@@ -239,6 +256,9 @@
     /// The workers that were lost under the task.
     #[serde(default, skip_serializing_if = "Losses::is_none")]
     lost: Losses,
+    /// The workers under the task that are missing.
+    #[serde(default, rename = "ms", skip_serializing_if = "collections::BTreeSet::is_empty")]
+    missing: collections::BTreeSet<u32>,
     /// Statistics of its starts since the first loss.
     #[serde(default, rename = "st", skip_serializing_if = "Starts::is_none")]
     starts: Starts,
@@ -262,6 +282,7 @@
                 done: task.done,
                 saved: task.checkpoint.clone(),
                 lost: task.losses,
+                missing: task.missing.clone(),
                 starts: task.starts,
             }),
         }
@@ -296,6 +317,7 @@
                 done: task.done,
                 checkpoint: task.saved,
                 losses: task.lost,
+                missing: task.missing,
                 starts: task.starts,
                 ..Task::default()
             };
--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -121,7 +121,6 @@
                 view.heartbeat_delayed = false;
                 view.missed_heartbeats = 0;
                 view.silent_since = None;
-                view.expired_tasks.clear();
                 view.last_end_listed = lists.ended.last().map_or(0, |ended| ended.number);
                 view.last_answer = Some((lists.clock_ms, now));
                 let first = !view.fenced;
@@ -153,7 +152,11 @@
                 view.missed_heartbeats += 1;
                 view.silent_since = view.silent_since.or(Some(now));
                 let (delay, doublings) = HEARTBEAT_RETRY;
-                view.heartbeat_due = now + delay * 2u32.pow(view.missed_heartbeats.min(doublings));
+                let delay = delay * 2u32.pow(view.missed_heartbeats.min(doublings));
+                // A missing worker is asked to learn whether it lives; nothing there needs a lease.
+                let is_missing = !view.listed && view.tasks.is_empty();
+                let gap = if is_missing { self.settings.idle_heartbeat_gap } else { delay };
+                view.heartbeat_due = now + gap.max(delay);
                 if first {
                     tracing::warn!(%worker, "worker does not answer");
                     self.ask_idle_workers(worker, now);
--- a/crates/wharflane/src/job/workers/members.rs
+++ b/crates/wharflane/src/job/workers/members.rs
@@ -5,7 +5,6 @@
 
 use crate::id;
 use crate::job::holding;
-use crate::job::loss::evidence;
 use crate::job::runs::order;
 use crate::job::spec;
 
@@ -79,8 +78,8 @@
         }
     }
 
-    /// Marks a worker that the store no longer lists, and counts its loss if its leases have
-    /// expired.
+    /// Marks a worker that the store no longer lists; its loss counts with the next tick if its
+    /// leases have expired.
     pub(in crate::job) fn unlist(&mut self, worker: &id::WorkerId) {
         self.changed = true;
         let listed = self
@@ -97,7 +96,7 @@
                 );
                 view.listed = false;
             }
-            self.count_loss_after_expiry(&incarnation, evidence::Evidence::Unlisted);
+            self.note_unlisted(&incarnation, self.now);
         }
     }
 
@@ -116,14 +115,20 @@
                 worker = %member.incarnation, addr = %member.addr, labels = ?member.labels,
                 "worker listed for the first time"
             );
+            self.correlated.take_back(&member.incarnation);
+            self.note_relisted(&member.incarnation, now);
             return self.begin_incarnation(member, true, now);
         };
         if view.member.leaving != member.leaving || !view.listed {
             tracing::info!(worker = %member.incarnation, leaving = member.leaving, "worker listed");
         }
         view.closed = self.closed.contains(&member.hall);
+        let was_listed = std::mem::replace(&mut view.listed, true);
+        let incarnation = member.incarnation.clone();
         view.member = member;
-        view.listed = true;
+        if !was_listed {
+            self.note_relisted(&incarnation, now);
+        }
     }
 
     /// Returns whether a task is evicted from a leaving worker.
--- a/crates/wharflane/src/job/workers/moves.rs
+++ b/crates/wharflane/src/job/workers/moves.rs
@@ -194,7 +194,7 @@
     }
 
     /// Returns whether a task is long-running.
-    fn is_lasting(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn is_lasting(&self, task: spec::TaskId) -> bool {
         let entry = self.jobs.get(&task.job);
         entry.and_then(|entry| entry.job.step(task.step)).is_some_and(|step| step.lasting)
     }
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -6,7 +6,6 @@
 
 use crate::job::learn::interference;
 use crate::job::lease::inherited;
-use crate::job::loss::crash;
 use crate::job::runs::order;
 use crate::job::spec;
 use crate::job::workers::stalled;
@@ -166,8 +165,6 @@
     pub stall: stalled::StallDetector,
     /// The number of consecutive failed runs.
     pub failures: u32,
-    /// The tasks that were there when its leases expired, until it answers or is known to be gone.
-    pub expired_tasks: Vec<crash::Presence>,
     /// The suspect that the worker is reserved for, because it may have crashed its last worker.
     pub reserved_for: Option<spec::TaskId>,
     /// The serving tasks there.
@@ -210,7 +207,6 @@
             quarantined_until: time::Duration::ZERO,
             stall: stalled::StallDetector::default(),
             failures: 0,
-            expired_tasks: Vec::new(),
             reserved_for: None,
             serving: collections::BTreeMap::new(),
             filling: collections::BTreeMap::new(),
--- a/crates/wharflane/tests/isolation.rs
+++ b/crates/wharflane/tests/isolation.rs
@@ -174,11 +174,18 @@
     // A task that crashes its worker only after a while had unlimited starts, since each loss was
     // attributed to a freshly started task beside it.
     a_culprit_at_work_beside_fresh_starts_is_given_up_after_five => {
-        let mut sim = started(12, long_running());
+        let mut sim = started(12, batch());
         lose_workers_beside_fresh_tasks(&mut sim);
         assert_eq!(sim.phase(JOB), job::Phase::Failed);
         assert!(sim.starts(JOB).len() <= MAX_STARTS, "{} starts", sim.starts(JOB).len());
     },
+    a_long_running_culprit_at_work_beside_fresh_starts_is_withheld_after_five => {
+        let mut sim = started(12, long_running());
+        lose_workers_beside_fresh_tasks(&mut sim);
+        assert_eq!(sim.phase(JOB), job::Phase::Running);
+        assert_eq!(sim.engine.holding().expect("a holder").withheld(), 1);
+        assert!(sim.starts(JOB).len() <= MAX_STARTS, "{} starts", sim.starts(JOB).len());
+    },
     // A sound task was given up after it had lost its fourth and fifth worker while idle workers
     // were lost, too.
     a_fourth_start_waits_while_idle_workers_are_lost => {
