A task that never failed has attempts left

Cause: is_exhausted compared zero failed runs with max_attempts, so a queue that gives 0 failed every job with a started task at the next release or change of its policy, long-running ones too, which have no attempts.

--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -63,9 +63,9 @@
         self.is_active() && !self.begun
     }
 
-    /// Returns whether a task has failed as often as its queue allows.
+    /// Returns whether a task has failed, and as often as its queue allows.
     pub fn is_exhausted(&self, task: &progress::Task) -> bool {
-        !task.done && task.failures() >= self.policy.max_attempts
+        !task.done && task.failures() >= self.policy.max_attempts.max(1)
     }
 
     /// Returns whether its tasks should run.
