No job fails by an assumed number of attempts

Cause: a queue of which neither a configuration nor a row tells counts with three attempts. Before the first configuration no job fails by that; after it, without the queue, jobs did, although the queue may come back with more. Only rows of versions that stored no policy get there. No further run starts either way; the job goes on once its queue is told.

--- a/crates/wharflane/src/job/policies.rs
+++ b/crates/wharflane/src/job/policies.rs
@@ -69,7 +69,13 @@
     /// Returns whether all that counts for a queue is an assumption, and no configuration was read
     /// yet that may tell more.
     pub fn is_unknown(&self, queue: &str) -> bool {
-        self.revision() == 0 && self.newest.get(queue).is_none_or(|newest| newest.revision == 0)
+        self.revision() == 0 && self.is_assumed(queue)
+    }
+
+    /// Returns whether all that counts for a queue is an assumption: no configuration and no row
+    /// that the holder has read tells of it.
+    pub fn is_assumed(&self, queue: &str) -> bool {
+        self.newest.get(queue).is_none_or(|newest| newest.revision == 0)
     }
 
     /// Returns whether a queue has jobs that the holder knows.
--- a/crates/wharflane/src/job/runs/ends.rs
+++ b/crates/wharflane/src/job/runs/ends.rs
@@ -181,9 +181,12 @@
         let (failures, attempts) = (state.failures(), entry.policy.max_attempts);
         let runs = state.failed_runs.clone();
         let revision = self.policies.revision();
-        if revision == 0 {
+        let assumed = self.policies.is_assumed(&entry.job.queue);
+        if revision == 0 || assumed {
             // The end of a job is final, and a configuration not read yet may allow more attempts.
-            tracing::info!(%task, failures, attempts, "no attempts left; no configuration read yet");
+            tracing::info!(
+                %task, failures, attempts, assumed, "no attempts left; no configuration read yet"
+            );
             return;
         }
         tracing::info!(%task, failures, ?runs, attempts, revision, "job failed");
