A permanent rejection after a lost write proves nothing

Cause: a submission whose first write had no answer told its caller at once that the store refuses the job for good once a second write was refused, as if the first could not take effect any more. A temporary rejection in its place already counted as no proof. Whether the store ever refuses the same row once and takes it once isn't shown.

--- a/crates/wharflane/src/job/submission.rs
+++ b/crates/wharflane/src/job/submission.rs
@@ -187,9 +187,10 @@
     pub fn write_ended(&mut self, end: WriteEnd, now: time::Duration) {
         match end {
             WriteEnd::Stored => self.end = Some(End::Stored),
-            WriteEnd::Refused => self.end = Some(End::Refused),
+            WriteEnd::Refused if !self.in_doubt => self.end = Some(End::Refused),
             WriteEnd::NoAnswer => self.in_doubt = true,
-            WriteEnd::TurnedAway | WriteEnd::NotSent => {}
+            // A rejection says nothing of an earlier write that may take effect.
+            WriteEnd::Refused | WriteEnd::TurnedAway | WriteEnd::NotSent => {}
         }
         self.write = Write::Failed { end, at: now };
     }
--- a/crates/wharflane/tests/submission.rs
+++ b/crates/wharflane/tests/submission.rs
@@ -278,6 +278,14 @@
         let seen = Store::with(fails(submission::WriteEnd::Refused, QUICK)).submit(millis(2_950));
         assert_eq!((seen.end, seen.writes), (submission::End::Refused, 1));
     },
+    a_permanent_rejection_after_a_lost_write_proves_nothing => {
+        let lost =
+            Write { stored_after: Some(millis(2_900)), ..fails(submission::WriteEnd::NoAnswer, QUICK) };
+        let refuses = fails(submission::WriteEnd::Refused, QUICK);
+        let store = Store { writes: vec![lost, refuses], ..Store::with(lost) };
+        let seen = store.submit(millis(2_700));
+        assert_eq!((seen.end, seen.at), (submission::End::Unknown, millis(2_700)));
+    },
     a_stopping_host_sends_nothing_that_it_can_not_wait_for => {
         let store = Store {
             answer_time: millis(300),
