A job is removed only once its end is stored

Cause: the time for which an ended job is kept ran from the decision, also while the store took no commit or refused the job's progress for good. Then the job's own row was removed, which needs no lease, though nobody could have asked for its end. It now runs from the first commit that holds the end.

--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -275,7 +275,6 @@
             return;
         };
         entry.progress.phase = phase;
-        entry.ended = Some(now);
         let first = spec::TaskId { job, round: 0, step: 0, index: 0 };
         let waiting = self.ready.range(first..).take_while(|(task, _)| task.job == job);
         let waiting: Vec<spec::TaskId> = waiting.map(|(task, _)| *task).collect();
@@ -293,6 +292,19 @@
         }
     }
 
+    /// Notes which of these jobs, whose progress was just committed, have ended for good. An end
+    /// that is decided but not stored is no reason to remove a job, as nobody can ask for it yet.
+    pub(super) fn note_stored_ends(&mut self, jobs: &[spec::JobId], now: time::Duration) {
+        for job in jobs {
+            let entry = self.jobs.get_mut(job);
+            let stored =
+                entry.filter(|entry| entry.progress.phase.ended() && entry.dirty.is_empty());
+            if let Some(entry) = stored {
+                entry.ended.get_or_insert(now);
+            }
+        }
+    }
+
     /// Removes the rows of jobs that ended long ago. The job's own row goes first, because a job
     /// row without progress would run again.
     pub(super) fn expire(&mut self, now: time::Duration) {
--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -42,7 +42,7 @@
     /// When a worker last answered that it runs one of its tasks, or, before that, when this holder
     /// learned of it.
     pub last_ran: time::Duration,
-    /// When this holder first saw that it has ended.
+    /// When this holder first saw its end in the store.
     pub ended: Option<time::Duration>,
     /// The measured run times of its tasks, by step.
     pub run_times: collections::BTreeMap<u32, RunTimes>,
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -395,6 +395,7 @@
         self.lease = pending.lease;
         self.commits += 1;
         self.mark_recorded(&pending.ends);
+        self.note_stored_ends(&pending.jobs, now);
         for (job, _) in &pending.removed {
             self.jobs.remove(job);
         }
