A cancel of a job that can't be read isn't answered with 410

Cause: DELETE read the job's row, couldn't decode it and answered that there is no such job, without a trace of the cancel; a host that can read the row runs the job on. GET of the same job already asks the caller to return.

--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -212,7 +212,7 @@
             match self.get(&key).await {
                 Ok(None) => return job::Answer::NoJob,
                 Ok(Some(row)) => {
-                    if let Some(answer) = self.write_cancel(&key, &row).await {
+                    if let Some(answer) = self.write_cancel(&key, &row, deadline).await {
                         return answer;
                     }
                 }
@@ -225,13 +225,18 @@
     }
 
     /// Marks a job as cancelled in its row; returns `None` if the write must be retried.
-    async fn write_cancel(&self, key: &rows::Key, row: &rows::Row) -> Option<job::Answer> {
+    async fn write_cancel(
+        &self,
+        key: &rows::Key,
+        row: &rows::Row,
+        deadline: time::Duration,
+    ) -> Option<job::Answer> {
         let text = row.value.as_deref()?;
         let mut accepted: job::Accepted = match serde_json::from_str(text) {
             Ok(accepted) => accepted,
             Err(err) => {
                 tracing::error!(job = %row.name, %err, "an accepted job can't be read");
-                return Some(job::Answer::NoJob);
+                return Some(self.not_taken(retry_after::Cause::NotKnown, &row.name, deadline));
             }
         };
         if accepted.cancelled {
