--- a/crates/wharflane/tests/attempts.rs
+++ b/crates/wharflane/tests/attempts.rs
@@ -82,6 +82,17 @@
     sim.advance(NEXT_START_MS, false);
 }
 
+/// Checks that the second and each further run of the only task starts, and that the job fails by
+/// the last of them.
+fn assert_fails_by_run(sim: &mut sim::Sim, last: u32) {
+    for run in 2..=last {
+        assert_eq!(sim.phase(JOB), job::Phase::Running);
+        assert_eq!(sim.newest_order(task(0)).run, run);
+        end(sim, task(0), job::EndKind::Failed);
+    }
+    assert_eq!(sim.phase(JOB), job::Phase::Failed);
+}
+
 /// Returns the failed runs of a task that the job's rows record.
 fn failed_runs(sim: &sim::Sim, task: job::TaskId) -> Vec<u32> {
     let rows = sim.table(job::PROGRESS);
@@ -313,12 +324,7 @@
         configure(&mut sim, &allowing(3, 2));
         sim.advance(1_000, false);
         configure(&mut sim, &allowing(4, 4));
-        for run in 2..=4 {
-            assert_eq!(sim.phase(JOB), job::Phase::Running);
-            assert_eq!(sim.newest_order(task(0)).run, run);
-            end(&mut sim, task(0), job::EndKind::Failed);
-        }
-        assert_eq!(sim.phase(JOB), job::Phase::Failed);
+        assert_fails_by_run(&mut sim, 4);
     },
     // A run at work when the number fell used up the job's last attempt although the number had
     // risen before the run ended.
@@ -339,12 +345,7 @@
         configure(&mut sim, &sim::queues_without(3, QUEUE));
         end(&mut sim, task(0), job::EndKind::Failed);
         configure(&mut sim, &allowing(4, 4));
-        for run in 2..=4 {
-            assert_eq!(sim.phase(JOB), job::Phase::Running);
-            assert_eq!(sim.newest_order(task(0)).run, run);
-            end(&mut sim, task(0), job::EndKind::Failed);
-        }
-        assert_eq!(sim.phase(JOB), job::Phase::Failed);
+        assert_fails_by_run(&mut sim, 4);
     },
     // A new holder that had read only an earlier revision went by its number.
     a_holder_with_an_older_revision_goes_by_what_the_store_keeps => {
