Failing test: a job under the id of a removed one is not run

Cause: the row of an ended job goes first and its progress with the next commit; a job accepted under the same id in between is taken for the old one, which then leaves the holder's memory with the progress. Its row stays in the store, so that the next holder runs it.

--- a/crates/wharflane/tests/final_verdicts.rs
+++ b/crates/wharflane/tests/final_verdicts.rs
@@ -75,6 +75,20 @@
         pass_keep_time(&mut sim);
         assert!(!is_dropped(&sim));
     },
+    // A job that was handed in under the id of a removed one was dropped with the old progress.
+    a_job_with_the_id_of_a_removed_one_is_run => {
+        let (mut sim, _) = started();
+        sim.end_task(TASK, job::EndKind::Done);
+        sim.advance(400, false);
+        sim.leaves_txn_open = |_| true;
+        pass_keep_time(&mut sim);
+        assert!(is_dropped(&sim));
+        sim.submit(JOB, "first", sim::step("plain", 1_000));
+        sim.store_answers();
+        sim.ended_runs.clear();
+        sim.advance(2_000, false);
+        assert_eq!(sim.starts(JOB).len(), 2);
+    },
     // A run was stopped since the holder couldn't read the progress of its job.
     a_run_of_an_unreadable_job_is_not_stopped => {
         let (before, rows) = started();
