--- a/crates/wharflane/src/job/runs/work.rs
+++ b/crates/wharflane/src/job/runs/work.rs
@@ -42,7 +42,7 @@
     /// When a worker last answered that it runs one of its tasks, or, before that, when this holder
     /// learned of it.
     pub last_ran: time::Duration,
-    /// When this holder first saw that it has ended.
+    /// When this holder first saw its end in the store.
     pub ended: Option<time::Duration>,
     /// The measured run times of its tasks, by step.
     pub run_times: collections::BTreeMap<u32, RunTimes>,
@@ -63,9 +63,9 @@
         self.is_active() && !self.begun
     }
 
-    /// Returns whether a task has failed as often as its queue allows.
+    /// Returns whether a task has failed, and as often as its queue allows.
     pub fn is_exhausted(&self, task: &progress::Task) -> bool {
-        !task.done && task.failures() >= self.policy.max_attempts
+        !task.done && task.failures() >= self.policy.max_attempts.max(1)
     }
 
     /// Returns whether its tasks should run.
