Stand-in: workers that crash, come back under a new id, or are cut off

The process tests could only restart a worker under its id. The stand-in platform now crashes a worker (no call to it is answered), starts another incarnation at its address under a new id, cuts a worker off while it runs on, and removes and writes entries one by one. A feed that waits when the store falls silent is no longer answered; before, changes still reached the hosts during the silence.

--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -183,8 +183,40 @@
         self.list_worker(at);
     }
 
+    /// Crashes a worker: its runs are gone, and it answers nothing until it is replaced. Its entry
+    /// stays until a test removes it. Returns the id of the incarnation that is over.
+    #[must_use]
+    pub fn crash_worker(&self, at: usize) -> id::WorkerId {
+        let mut state = self.lock();
+        let incarnation = state.workers[at].incarnation.clone();
+        state.workers[at] = worker::Worker::new(incarnation.clone(), CAPACITY, 1_000);
+        state.workers[at].alive = false;
+        incarnation.worker
+    }
+
+    /// Starts another incarnation of a worker, under a new id at its address.
+    pub fn replace_worker(&self, at: usize) {
+        let born_ms = self.now_ms();
+        let worker = format!("w{at}-{born_ms}").as_str().into();
+        let incarnation = id::Incarnation { worker, born_ms: Some(born_ms) };
+        self.lock().workers[at] = worker::Worker::new(incarnation, CAPACITY, 1_000);
+        self.list_worker(at);
+    }
+
+    /// Cuts a worker off from all hosts, or connects it again; it runs on meanwhile.
+    pub fn set_reachable(&self, at: usize, reachable: bool) {
+        self.lock().workers[at].reachable = reachable;
+    }
+
+    /// Removes the entry of a worker by its id, as the platform does once that is silent.
+    pub fn unlist_worker(&self, worker: &id::WorkerId) {
+        let (table, part) = (entry::WORKERS_TABLE, config::EXTERNAL_PART.to_owned());
+        let key = table::Key { table, part, name: worker.as_str().to_owned() };
+        self.write_row(key, None);
+    }
+
     /// Writes the entry of a worker.
-    fn list_worker(&self, at: usize) {
+    pub fn list_worker(&self, at: usize) {
         let member = {
             let state = self.lock();
             job::Member {
@@ -312,6 +344,9 @@
     async fn feed(&self, table: &'static str, after: u64, wait: time::Duration) -> reply::Reply {
         let end = self.clock.now() + wait;
         loop {
+            if self.lock().faults.store_silent {
+                std::future::pending::<()>().await;
+            }
             // Read the time before the rows: a row that is written after it may be missing from the
             // answer.
             let now_ms = Some(self.now_ms());
@@ -360,6 +395,9 @@
         let headers = request.headers().clone();
         let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let addr = self.lock().addrs[at];
+        if !self.lock().workers[at].answers() {
+            std::future::pending::<()>().await;
+        }
         let call =
             read.ok().and_then(|body| server_codec::worker_call(&path, &headers, addr, &body));
         match call {
@@ -408,6 +446,9 @@
     async fn handle_heartbeat(&self, at: usize, heartbeat: &job::Heartbeat) -> reply::Reply {
         let end = self.clock.now() + heartbeat.wait;
         loop {
+            if !self.lock().workers[at].answers() {
+                std::future::pending::<()>().await;
+            }
             let now = self.clock.now();
             {
                 let mut state = self.lock();
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Returns whether calls that arrive are answered.
+    #[must_use]
+    pub fn answers(&self) -> bool {
+        self.alive && self.reachable
+    }
+
     /// Returns whether an order or heartbeat reaches this worker: messages carry its id, which all
     /// of its incarnations share.
     #[must_use]
