why: jobs failed by lost workers, and lost workers that live

The summary counted a job that ended by *job failed: workers crashed under its task* as not ended, and the lines of a job left out *worker that counted as lost is there again*, which names a worker and no job. Both are read now, and the totals say how many losses counted and how many of these workers live. *job failed*, *worker lost under a task* and *task freed* were shown before; a test keeps that.

--- a/crates/cli/src/why/mod.rs
+++ b/crates/cli/src/why/mod.rs
@@ -4,8 +4,10 @@
 mod read;
 mod summary;
 
+use std::collections;
 use std::fs;
 use std::path;
+use std::time;
 
 use anyhow::Context as _;
 
@@ -47,11 +49,12 @@
     }
 }
 
-/// Prints the log lines of a job, each with the milliseconds since the first, and returns the exit
+/// Prints the log lines of a job and of workers that counted as lost under it, each with the milliseconds since the first, and returns the exit
 /// code.
 fn print_job(records: &[read::Record], job: &str) -> u8 {
+    let lost = lost_workers(records, job);
     let job_records: Vec<&read::Record> =
-        records.iter().filter(|record| record.is_of(job)).collect();
+        records.iter().filter(|record| record.is_of(job) || is_return(record, &lost)).collect();
     let Some(first) = job_records.first() else {
         eprintln!("wharflane: no log line of job {job}");
         return UNKNOWN;
@@ -62,3 +65,24 @@
     }
     0
 }
+
+/// Returns the workers that were lost under tasks of a job, each with the time of the first loss.
+fn lost_workers<'a>(
+    records: &'a [read::Record],
+    job: &str,
+) -> collections::BTreeMap<&'a str, time::Duration> {
+    let losses = records.iter().filter(|record| record.is_loss() && record.is_of(job));
+    let mut lost = collections::BTreeMap::new();
+    for loss in losses {
+        if let Some(worker) = loss.text("worker") {
+            lost.entry(worker).or_insert(loss.at);
+        }
+    }
+    lost
+}
+
+/// Returns whether a line tells that one of these lost workers lives; it names no task.
+fn is_return(record: &read::Record, lost: &collections::BTreeMap<&str, time::Duration>) -> bool {
+    let lost_at = record.text("worker").and_then(|worker| lost.get(worker));
+    record.is_return() && lost_at.is_some_and(|at| record.at >= *at)
+}
--- a/crates/cli/src/why/read.rs
+++ b/crates/cli/src/why/read.rs
@@ -63,6 +63,16 @@
         self.job() == Some(job)
     }
 
+    /// Returns whether the line tells that the loss of a worker counts against a task.
+    pub fn is_loss(&self) -> bool {
+        self.message == "worker lost under a task"
+    }
+
+    /// Returns whether the line tells that a worker whose loss counted lives.
+    pub fn is_return(&self) -> bool {
+        self.message == "worker that counted as lost is there again"
+    }
+
     /// Formats the message and the fields for people.
     pub fn to_line(&self) -> String {
         let fields = self.fields.iter().map(|(key, value)| format!("{key}={value}"));
--- a/crates/cli/src/why/summary.rs
+++ b/crates/cli/src/why/summary.rs
@@ -9,6 +9,9 @@
 
 use super::read;
 
+/// The message of a line that tells that a job failed because of lost workers.
+const FAILED_BY_LOSSES: &str = "job failed: workers crashed under its task";
+
 /// Cause of the time that a job took beyond its work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Cause {
@@ -118,12 +121,17 @@
         record.text("method") == Some("POST") && answer.starts_with("NotTaken")
     });
     println!("submissions turned away: {}", refused.count());
+    let losses = records.iter().filter(|record| record.is_loss()).count();
+    let returns = records.iter().filter(|record| record.is_return());
+    let false_losses = returns.filter_map(|record| record.number("tasks")).sum::<u64>();
+    println!("workers lost under tasks: {losses}, of which live: {false_losses}");
 }
 
 /// Formats the table row of a queue.
 fn row(queue: &str, jobs: &[Job], takeovers: &[Interval], outages: &[Interval]) -> String {
     let ended = |how: &str| {
-        jobs.iter().filter(|job| job.ended.as_ref().is_some_and(|(_, end)| end == how)).count()
+        let ends = jobs.iter().filter_map(|job| job.ended.as_ref());
+        ends.filter(|(_, end)| end == how).count()
     };
     let mut delays = collections::BTreeMap::<Cause, time::Duration>::new();
     let (mut durations, mut work, mut first) = (Vec::new(), Vec::new(), Vec::new());
@@ -143,7 +151,7 @@
         queue.to_owned(),
         jobs.len().to_string(),
         ended("job completed").to_string(),
-        ended("job failed").to_string(),
+        (ended("job failed") + ended(FAILED_BY_LOSSES)).to_string(),
         ended("cancelled").to_string(),
         seconds(median(&mut durations)),
         seconds(median(&mut work)),
@@ -198,7 +206,7 @@
             "end taken in" => self.record_end(record, task),
             "no worker for a task" => self.blocked_by = main_obstacle(record),
             "start deferred until it can be isolated" => self.blocked_by = Some(Cause::Isolation),
-            "job completed" | "job failed" | "cancelled" => {
+            "job completed" | "job failed" | FAILED_BY_LOSSES | "cancelled" => {
                 self.ended = self.ended.take().or(Some((record.at, record.message.clone())));
             }
             _ => {}
--- a/crates/cli/tests/why.rs
+++ b/crates/cli/tests/why.rs
@@ -1,11 +1,12 @@
-//! Tests `wharflane why` on the logs of two hosts, of which the second takes over the domain.
+//! Tests `wharflane why` on the logs of three hosts, of which the second takes over the domain.
 
 use std::fs;
 use std::process;
 
 use wharflane_stand_in::cases;
 
-/// Logs of two hosts: one job waits for a new holder, one waits because of interference.
+/// Logs of three hosts: one job waits for a new holder, one waits because of interference, and one
+/// fails because of lost workers.
 const LOGS: &[&str] = &[
     "\
 -0.1 host-a {\"timestamp\":\"2026-01-01T00:00:00.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/first/00000000000000aa\",\"answer\":\"Accepted\"}}
@@ -34,6 +35,21 @@
 {\"timestamp\":\"2026-01-01T00:00:19.000000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"00000000000000ff.0.0.0\",\"run\":1}}
 {\"timestamp\":\"2026-01-01T00:00:20.000000Z\",\"fields\":{\"message\":\"end taken in\",\"task\":\"00000000000000ff.0.0.0\",\"run\":1,\"how\":\"done\"}}
 {\"timestamp\":\"2026-01-01T00:00:20.000000Z\",\"fields\":{\"message\":\"job completed\",\"job\":\"00000000000000ff\"}}
+",
+    "\
+{\"timestamp\":\"2026-01-01T00:00:20.500000Z\",\"fields\":{\"message\":\"worker lost under a task\",\"task\":\"0000000000000033.0.0.0\",\"run\":1,\"worker\":\"w1@0\",\"times_unexplained\":1,\"evidence\":\"Unlisted\"}}
+{\"timestamp\":\"2026-01-01T00:00:20.501000Z\",\"fields\":{\"message\":\"worker lost under a task\",\"task\":\"0000000000000033.0.0.1\",\"run\":1,\"worker\":\"w2@0\",\"times_unexplained\":1,\"evidence\":\"Unlisted\"}}
+{\"timestamp\":\"2026-01-01T00:00:20.502000Z\",\"fields\":{\"message\":\"worker lost under a task\",\"task\":\"0000000000000033.0.0.2\",\"run\":1,\"worker\":\"w3@0\",\"times_unexplained\":1,\"evidence\":\"Unlisted\"}}
+{\"timestamp\":\"2026-01-01T00:00:21.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/lost/0000000000000011\",\"answer\":\"Accepted\"}}
+{\"timestamp\":\"2026-01-01T00:00:21.100000Z\",\"fields\":{\"message\":\"worker that counted as lost is there again\",\"worker\":\"w1@0\",\"evidence\":\"Unlisted\",\"tasks\":1,\"ago_ms\":900}}
+{\"timestamp\":\"2026-01-01T00:00:22.000000Z\",\"fields\":{\"message\":\"start ordered\",\"task\":\"0000000000000011.0.0.0\",\"run\":5,\"worker\":\"w1@0\"}}
+{\"timestamp\":\"2026-01-01T00:00:23.000000Z\",\"fields\":{\"message\":\"worker lost under a task\",\"task\":\"0000000000000011.0.0.0\",\"run\":5,\"worker\":\"w1@0\",\"times_unexplained\":5,\"evidence\":\"Unlisted\"}}
+{\"timestamp\":\"2026-01-01T00:00:23.000000Z\",\"fields\":{\"message\":\"task freed\",\"task\":\"0000000000000011.0.0.0\",\"run\":5,\"worker\":\"w1@0\",\"why\":\"lease expired\"}}
+{\"timestamp\":\"2026-01-01T00:00:23.000000Z\",\"fields\":{\"message\":\"job failed: workers crashed under its task\",\"job\":\"0000000000000011\",\"task\":\"0000000000000011.0.0.0\",\"times_unexplained\":5}}
+{\"timestamp\":\"2026-01-01T00:00:24.000000Z\",\"fields\":{\"message\":\"worker that counted as lost is there again\",\"worker\":\"w1@0\",\"evidence\":\"Unlisted\",\"tasks\":1,\"ago_ms\":1000}}
+{\"timestamp\":\"2026-01-01T00:00:24.000000Z\",\"fields\":{\"message\":\"worker that counted as lost is there again\",\"worker\":\"w2@0\",\"evidence\":\"Unlisted\",\"tasks\":1,\"ago_ms\":1000}}
+{\"timestamp\":\"2026-01-01T00:00:25.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/tried/0000000000000022\",\"answer\":\"Accepted\"}}
+{\"timestamp\":\"2026-01-01T00:00:26.000000Z\",\"fields\":{\"message\":\"job failed\",\"task\":\"0000000000000022.0.0.0\",\"failures\":3,\"runs\":\"{1, 2, 3}\",\"attempts\":3}}
 ",
 ];
 
@@ -91,4 +107,34 @@
         let (_, table) = why(&[]);
         assert!(table.contains("submissions turned away: 1"), "{table}");
     },
+    // An engineer could not tell a job failed by lost workers from one that goes on.
+    a_job_failed_by_lost_workers_counts_as_failed => {
+        assert_eq!(cells("/lost")[4], "1", "by lost workers");
+        assert_eq!(cells("/tried")[4], "1", "by its attempts");
+    },
+    // Nor whether a worker that counted as lost was lost: the line of its return names no job.
+    the_lines_of_a_job_tell_of_lost_workers_and_of_those_that_live => {
+        let (_, printed) = why(&["0000000000000011"]);
+        let expected = [
+            "call answered",
+            "start ordered",
+            "worker lost under a task",
+            "task freed",
+            "job failed: workers crashed under its task",
+            "worker that counted as lost is there again",
+        ];
+        let messages = printed.lines().filter_map(|line| line.split("  ").find(|part| {
+            part.starts_with(char::is_alphabetic)
+        }));
+        assert_eq!(messages.collect::<Vec<_>>(), expected, "{printed}");
+        assert!(printed.lines().last().is_some_and(|line| line.contains("w1@0")), "{printed}");
+    },
+    the_lines_of_a_job_tell_of_its_failed_attempts => {
+        let (_, printed) = why(&["0000000000000022"]);
+        assert!(printed.contains("job failed  attempts=3 failures=3"), "{printed}");
+    },
+    losses_are_counted_with_those_of_workers_that_live => {
+        let (_, table) = why(&[]);
+        assert!(table.contains("workers lost under tasks: 4, of which live: 3"), "{table}");
+    },
 }
