--- a/crates/cli/tests/processes/lost_workers.rs
+++ b/crates/cli/tests/processes/lost_workers.rs
@@ -250,7 +250,7 @@
     let mut shown = Shown::default();
     fleet::wait_until("the job to fail", async || shown.ask_all(&service).await).await;
     let report = why(&service).await;
-    assert!(report.contains("job failed"), "{report}");
+    assert!(report.contains("job failed  attempts=3 failures=3"), "{report}");
 }
 
 /// Runs `wharflane why` on the logs of all hosts, and returns what it prints of the job.
