--- a/crates/cli/tests/processes/lost_workers.rs
+++ b/crates/cli/tests/processes/lost_workers.rs
@@ -37,6 +37,8 @@
 
 /// Number of crashes under one task.
 const CRASHES: usize = 5;
+/// How often hosts are asked after the last crash, each time after `AWAY`.
+const LAST_LOOKS: usize = 4;
 /// How long the task runs before its worker crashes.
 const RUNS: time::Duration = time::Duration::from_secs(2);
 /// How long a crashed worker is away.
@@ -124,6 +126,7 @@
 /// another id. The entry of its former id lapses later.
 async fn crash_worker(service: &job_service::JobService) {
     tokio::time::sleep(RUNS).await;
+    fleet::wait_until("the task to run", async || running(service).contains_key(&TASK)).await;
     let (at, _) = running(service)[&TASK];
     let over = service.platform.crash_worker(at);
     tokio::time::sleep(AWAY).await;
@@ -140,6 +143,9 @@
     let mut shown = Shown::default();
     for crashed in 1..=CRASHES {
         crash_worker(service).await;
+        if crashed == CRASHES {
+            break;
+        }
         fleet::wait_until("the task to start again", async || {
             let run = running(service).get(&TASK).map_or(0, |(_, run)| *run as usize);
             shown.ask_all(service).await || run > crashed
@@ -149,6 +155,11 @@
             break;
         }
     }
+    // The task may get no start for minutes; its loss is decided within seconds.
+    for _ in 0..LAST_LOOKS {
+        tokio::time::sleep(AWAY).await;
+        shown.ask_all(service).await;
+    }
     shown
 }
 
