A missing worker that is listed is looked at again only after a while

By reading: a worker that stays listed and out of reach was searched for among all views at each tick once it had been missing for 20 s. lost_workers, crashing_tasks, isolation and attempts pass (70 cases).

--- a/crates/wharflane/src/job/loss/missing.rs
+++ b/crates/wharflane/src/job/loss/missing.rs
@@ -168,7 +168,12 @@
         let due = missing.filter(|(_, missing)| now.saturating_sub(missing.since) >= MISSING_FOR);
         let due: Vec<u32> = due.map(|(key, _)| *key).collect();
         for key in due {
-            if self.views.iter().any(|(worker, view)| view.listed && hash(worker) == key) {
+            let mut listed = self.views.iter().filter(|(_, view)| view.listed);
+            let is_listed = listed.any(|(worker, _)| hash(worker) == key);
+            let missing = self.missing_workers.0.get_mut(&key);
+            if is_listed && let Some(missing) = missing {
+                // It may live out of reach for long; each look takes a while in a large fleet.
+                missing.since = now;
                 continue;
             }
             let missing = self.missing_workers.0.get(&key);
