--- a/crates/wharflane/src/job/loss/verdict.rs
+++ b/crates/wharflane/src/job/loss/verdict.rs
@@ -48,7 +48,9 @@
         if losses.are_proof(is_lasting) && !self.may_losses_be_chance() {
             return Verdict::Failed;
         }
-        if !losses.are_too_many(self.starts(task).others) {
+        // A long-running task may end at any time, and is started again however it ends.
+        let others = if is_lasting { 0 } else { self.starts(task).others };
+        if !losses.are_too_many(others) {
             return Verdict::Open;
         }
         match is_lasting {
