A cancel that finds no job leaves a record, so that no write under way runs it

Cause: the answer "no such job" was taken from a row's absence, while the write that creates it was under way. Its only condition was that same absence, and the cancel left no trace. Ruled out: a write by the host after it has given up (the store carries out one write, sent before), and a holder that loses a cancel (none was ever written). A late write of the store shows the same without a cut and without a host that gives up.

Change: such a cancel writes a record beside the job's row before it is answered; a submission expects no record, and stores the job as cancelled in place of one. Both writes are conditional on both rows of one part, so the store orders them; nothing rests on time but the removal of records, keep_s after they were written, by the store's clock that they name. A holder that knows of a record runs nothing of its job, which also stops late writes of hosts of the version before. A cancel that can't be recorded is told 503 or 504; a host records 100 at once and 5 a second.

tests/storing.rs submits through the same type as a host; its cases and bounds are as they were. World::unfinished passes over a cancelled job that was never stored.

--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -328,7 +328,11 @@
 }
 
 /// Submits a job with a deadline and returns the status and the `retry-after` header in seconds.
-async fn submit_with_deadline(host: net::SocketAddr, id: u64, deadline_ms: u64) -> (u16, u64) {
+pub(crate) async fn submit_with_deadline(
+    host: net::SocketAddr,
+    id: u64,
+    deadline_ms: u64,
+) -> (u16, u64) {
     let body = serde_json::to_string(&job_service::two_steps()).expect("can't encode the job");
     let request = format!(
         "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\n{}: {deadline_ms}\r\n\
--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -304,6 +304,8 @@
         let metrics = &self.shared.metrics;
         let holding = self.engine.holding();
         metrics.hall_held.with_label_values(&["jobs"]).set(i64::from(holding.is_some()));
+        let early_cancels = holding.map_or(0, job::Holding::early_cancels);
+        metrics.early_cancels_kept.set(i64::try_from(early_cancels).unwrap_or(i64::MAX));
         let given_up = holding.map_or(0, job::Holding::given_up);
         metrics.jobs_given_up.set(i64::try_from(given_up).unwrap_or(i64::MAX));
         let false_losses = holding.map_or(0, job::Holding::false_losses);
@@ -371,6 +373,18 @@
                 let done = matches!(answer, Ok(rows::Answer::Done { .. }));
                 send_event(&shared, &myself, job::Event::Dropped { job, done });
             })),
+            job::Effect::RemoveEarlyCancel { job, version, txn } => {
+                drop(tokio::spawn(async move {
+                    // After a conflict, the row is gone.
+                    if shared.call("drop", shared.store.transact(&txn)).await.is_ok() {
+                        send_event(
+                            &shared,
+                            &myself,
+                            job::Event::EarlyCancelRemoved { job, version },
+                        );
+                    }
+                }))
+            }
             job::Effect::RequestAdvice(request) => drop(tokio::spawn(async move {
                 let answer = shared.advisor.ask(&request).await;
                 if let Err(err) = &answer {
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 //! host holds their domain.
 
 pub mod calls;
+mod cancelling;
 pub mod contact;
 pub mod decided;
 mod entries;
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -7,15 +7,14 @@
 use std::sync;
 use std::time;
 
-use wharflane::job::{retry_after, submission};
+use wharflane::job::{early_cancel, retry_after, submission};
 use wharflane::{job, rows};
 use wharflane_adapter::store;
 
 use super::Shared;
+use super::cancelling;
 use super::storing;
 
-/// Delay before a call to the store is retried.
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Largest age of a count that a caller may be given, from the time up to which it includes all
 /// accepted jobs. The users' protocol sets this bound.
 const MAX_COUNTS_AGE: time::Duration = time::Duration::from_secs(2);
@@ -32,6 +31,8 @@
     shared: Shared,
     /// Last read of the counts of waiting jobs; the lock is held while they are read.
     counts: sync::Arc<tokio::sync::Mutex<Option<CountsRead>>>,
+    /// How many cancels of jobs that are not stored this host may still record.
+    early_cancels: sync::Arc<sync::Mutex<early_cancel::Limit>>,
 }
 
 /// Result of reading the counts of waiting jobs.
@@ -85,7 +86,9 @@
     /// Creates the service with an empty cache.
     #[must_use]
     pub fn new(shared: Shared) -> Self {
-        Self { shared, counts: sync::Arc::default() }
+        let limit = early_cancel::Limit::new(shared.clock.now());
+        let early_cancels = sync::Arc::new(sync::Mutex::new(limit));
+        Self { shared, counts: sync::Arc::default(), early_cancels }
     }
 
     /// Answers a call that was parsed by a configuration, before its deadline, a reading of the
@@ -124,22 +127,17 @@
         if let Some(answer) = self.refuse_for_load(id, &job, queues).await {
             return answer;
         }
-        let key = job::job_key(self.domain(id), id);
         let (accepted_ms, policy) = (super::wall_ms(), queues.policy(&job.queue));
         let accepted = job::Accepted { job, cancelled: false, accepted_ms, policy };
-        let Ok(value) = serde_json::to_string(&accepted) else {
+        let Ok(row) = early_cancel::Submitted::new(self.domain(id), id, accepted) else {
             return job::Answer::BadBody;
         };
         let most = self.row_bytes();
-        if value.len() > most {
-            let refusal = job::Refusal::TooLong { bytes: value.len(), most };
+        if row.bytes() > most {
+            let refusal = job::Refusal::TooLong { bytes: row.bytes(), most };
             return job::Answer::Refused(refusal);
         }
-        let txn = rows::Txn {
-            expects: vec![rows::Expect { key: key.clone(), version: 0 }],
-            writes: vec![rows::Write { key: key.clone(), value: Some(value) }],
-        };
-        match storing::store_job_row(&self.shared, &key, &txn, deadline).await {
+        match storing::store_job_row(&self.shared, row, deadline).await {
             submission::End::Stored => job::Answer::Accepted,
             submission::End::Refused => job::Answer::Refused(job::Refusal::NotKept),
             submission::End::NotTaken(cause) => self.not_taken(cause, &id, deadline),
@@ -205,54 +203,14 @@
         Ok(accepted.map_or(job::Answer::NoJob, |row| job::Answer::State(accepted_phase(&row))))
     }
 
-    /// Cancels a job; it counts as cancelled once its row is marked.
+    /// Cancels a job; it counts as cancelled once its row is marked, or once the cancel of a job that
+    /// is not stored is recorded.
     async fn cancel(&self, id: job::JobId, deadline: time::Duration) -> job::Answer {
-        let key = job::job_key(self.domain(id), id);
-        loop {
-            match self.get(&key).await {
-                Ok(None) => return job::Answer::NoJob,
-                Ok(Some(row)) => {
-                    if let Some(answer) = self.write_cancel(&key, &row, deadline).await {
-                        return answer;
-                    }
-                }
-                Err(_) => {}
-            }
-            if !self.wait_to_retry(deadline).await {
-                return self.unknown_outcome(id, deadline);
-            }
-        }
-    }
-
-    /// Marks a job as cancelled in its row; returns `None` if the write must be retried.
-    async fn write_cancel(
-        &self,
-        key: &rows::Key,
-        row: &rows::Row,
-        deadline: time::Duration,
-    ) -> Option<job::Answer> {
-        let text = row.value.as_deref()?;
-        let mut accepted: job::Accepted = match serde_json::from_str(text) {
-            Ok(accepted) => accepted,
-            Err(err) => {
-                tracing::error!(job = %row.name, %err, "an accepted job can't be read");
-                return Some(self.not_taken(retry_after::Cause::NotKnown, &row.name, deadline));
-            }
-        };
-        if accepted.cancelled {
-            return Some(job::Answer::Cancelled);
-        }
-        accepted.cancelled = true;
-        let txn = rows::Txn {
-            expects: vec![rows::Expect { key: key.clone(), version: row.version }],
-            writes: vec![rows::Write {
-                key: key.clone(),
-                value: serde_json::to_string(&accepted).ok(),
-            }],
-        };
-        match self.transact(&txn).await {
-            Ok(rows::Answer::Done { .. }) => Some(job::Answer::Cancelled),
-            Ok(rows::Answer::Conflict { .. }) | Err(_) => None,
+        match cancelling::cancel(&self.shared, &self.early_cancels, id, deadline).await {
+            cancelling::End::Cancelled => job::Answer::Cancelled,
+            cancelling::End::NoJob => job::Answer::NoJob,
+            cancelling::End::NotTaken(cause) => self.not_taken(cause, &id, deadline),
+            cancelling::End::Unknown => self.unknown_outcome(id, deadline),
         }
     }
 
@@ -373,17 +331,6 @@
         usize::try_from(bytes).unwrap_or(usize::MAX) / 4 * 3
     }
 
-    /// Waits before a retry; returns whether there is time left for it.
-    async fn wait_to_retry(&self, deadline: time::Duration) -> bool {
-        tokio::time::sleep(RETRY_DELAY).await;
-        self.shared.clock.now() + RETRY_DELAY < deadline
-    }
-
-    /// Runs a transaction and counts the call.
-    async fn transact(&self, txn: &rows::Txn) -> Result<rows::Answer, store::StoreError> {
-        self.shared.timed_call("submit", self.shared.store.transact(txn)).await
-    }
-
     /// Reads a row and counts the call.
     async fn get(&self, key: &rows::Key) -> Result<Option<rows::Row>, store::StoreError> {
         self.shared.timed_call("get", self.shared.store.get(key)).await
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -26,6 +26,8 @@
     pub gave_up: prometheus::IntCounterVec,
     /// Jobs refused since they would be missed for the load of their queue, by queue.
     pub refused_for_load: prometheus::IntCounterVec,
+    /// Cancels of jobs that were not stored, by what became of them.
+    pub early_cancels: prometheus::IntCounterVec,
     /// Failed attempts by service and kind of failure.
     pub failures: prometheus::IntCounterVec,
     /// Retries by service.
@@ -66,6 +68,8 @@
     pub holder_passes: prometheus::IntCounter,
     /// Jobs failed because workers crashed under their tasks, since this host acquired the lease.
     pub jobs_given_up: prometheus::IntGauge,
+    /// Records of cancels of jobs that were not stored, as the holder knows them.
+    pub early_cancels_kept: prometheus::IntGauge,
     /// Losses counted against tasks whose worker turned out to live, since this host acquired the
     /// lease.
     pub false_losses: prometheus::IntGauge,
@@ -109,6 +113,11 @@
         Ok(Self {
             requests: builder.counter("requests_total", "Requests.", &["service", "outcome"])?,
             gave_up: builder.counter("gave_up_total", "Given up.", &["service", "reason"])?,
+            early_cancels: builder.counter(
+                "early_cancels_total",
+                "Cancels of jobs that were not stored.",
+                &["outcome"],
+            )?,
             refused_for_load: builder.counter(
                 "refused_for_load_total",
                 "Jobs refused for load.",
@@ -172,6 +181,10 @@
                 "wharflane_holder_passes_total",
                 "Placement passes that the holder ran.",
             )?)?,
+            early_cancels_kept: builder.register(prometheus::IntGauge::new(
+                "wharflane_early_cancels_kept",
+                "Records of cancels of jobs that were not stored, while this host is the holder.",
+            )?)?,
             jobs_given_up: builder.register(prometheus::IntGauge::new(
                 "wharflane_jobs_given_up",
                 "Jobs given up since workers crashed under a task, since the lease was taken.",
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use ractor::Actor;
-use wharflane::{clock, job};
+use wharflane::{clock, job, size};
 use wharflane_adapter::{advice, store, workers};
 use wharflane_daemon::jobs::holder;
 use wharflane_daemon::{jobs, metrics, settings};
@@ -43,6 +43,19 @@
     }
 }
 
+/// Returns a job of one task.
+pub fn job() -> job::Job {
+    let size = size::Size { cpu_milli: 100, mem_mb: 100, accelerators: 0 };
+    let step = job::Step { count: 1, size, ..job::Step::default() };
+    job::Job {
+        queue: "queue".to_owned(),
+        service: "service".into(),
+        spec: "spec".to_owned(),
+        steps: vec![step],
+        repeats: None,
+    }
+}
+
 /// Builds the state that the parts of the job service share.
 pub fn shared(store: net::SocketAddr) -> jobs::Shared {
     let text = format!(
--- a/crates/daemon/tests/storing.rs
+++ b/crates/daemon/tests/storing.rs
@@ -6,8 +6,8 @@
 use std::net;
 use std::time;
 
-use wharflane::job::{retry_after, submission};
-use wharflane::{job, rows};
+use wharflane::job;
+use wharflane::job::{early_cancel, retry_after, submission};
 use wharflane_daemon::jobs::storing;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::server;
@@ -22,13 +22,11 @@
 /// Submits a job to a store on loopback; returns what the caller is told.
 async fn submit(store: net::SocketAddr) -> submission::End {
     let shared = common::shared(store);
-    let key = job::job_key(0, ID);
-    let txn = rows::Txn {
-        expects: vec![rows::Expect { key: key.clone(), version: 0 }],
-        writes: vec![rows::Write { key: key.clone(), value: Some("job".to_owned()) }],
-    };
+    let accepted =
+        job::Accepted { job: common::job(), cancelled: false, accepted_ms: 0, policy: None };
+    let row = early_cancel::Submitted::new(0, ID, accepted).expect("a row");
     let answer_by = shared.clock.now() + CALLER_TIME;
-    storing::store_job_row(&shared, &key, &txn, answer_by).await
+    storing::store_job_row(&shared, row, answer_by).await
 }
 
 /// Submits a job to a store with faults; returns what the caller is told, and how many
--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns what the row of a job says.
-    fn accepted(&self, job: job::Job, cancelled: bool) -> job::Accepted {
+    pub(super) fn accepted(&self, job: job::Job, cancelled: bool) -> job::Accepted {
         let policy = self.configuration.newest.policy(&job.queue);
         job::Accepted { job, cancelled, accepted_ms: 0, policy }
     }
@@ -82,9 +82,24 @@
     pub(super) fn write_job(&mut self, id: job::JobId, accepted: &job::Accepted) {
         let key = job::job_key(0, id);
         let value = serde_json::to_string(accepted).unwrap_or_default();
-        let write = table::Write { key: key.clone(), value: Some(value) };
-        self.rows.transact(&table::Txn { expects: Vec::new(), writes: vec![write] });
-        let event = job::Event::Jobs(self.rows.get(&key).into_iter().collect());
+        let write = table::Write { key, value: Some(value) };
+        let txn = table::Txn { expects: Vec::new(), writes: vec![write] };
+        self.rows.transact(&txn);
+        self.feed_writes(&txn);
+    }
+
+    /// Sends the rows that a transaction has written or removed to all hosts, as the feed of the table
+    /// does.
+    pub(super) fn feed_writes(&mut self, txn: &table::Txn) {
+        let version = self.rows.version();
+        let rows = txn.writes.iter().map(|write| table::Row {
+            name: write.key.name.clone(),
+            part: write.key.part.clone(),
+            version,
+            value: write.value.clone(),
+            gone: write.value.is_none(),
+        });
+        let event = job::Event::Jobs(rows.collect());
         for host in self.hosts_with_feeds() {
             let incarnation = self.hosts[host].incarnation;
             let delay = self.draw_delay();
--- a/crates/stand-in/src/jobs/effects.rs
+++ b/crates/stand-in/src/jobs/effects.rs
@@ -90,7 +90,7 @@
                 self.send(delay + SHARE_DELAY, Message::Share(change));
             }
             job::Effect::RequestAdvice(request) => self.advise(host, incarnation, request),
-            job::Effect::Drop(..) => {}
+            job::Effect::Drop(..) | job::Effect::RemoveEarlyCancel { .. } => {}
         }
     }
 
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use rand::RngExt as _;
+use wharflane::job::early_cancel;
 use wharflane::{job, rows as table};
 
 use super::{fault, world};
@@ -73,6 +74,14 @@
     SubmitJob(job::JobId, Box<job::Job>),
     /// A caller cancels a job.
     Cancel(job::JobId),
+    /// A caller submits a random job whose write takes effect late.
+    SubmitInDoubt,
+    /// The late write of a submission takes effect.
+    WriteLate(early_cancel::Submitted),
+    /// A caller submits a job again.
+    SubmitAgain(job::JobId),
+    /// A caller cancels a job that may not be stored.
+    CancelAnywhere(job::JobId),
 }
 
 impl world::World {
@@ -169,6 +178,10 @@
             Message::Submit => self.submit(),
             Message::SubmitJob(id, job) => self.accept(id, *job),
             Message::Cancel(job) => self.cancel(job),
+            Message::SubmitInDoubt => self.submit_in_doubt(),
+            Message::WriteLate(submitted) => self.write_late(submitted),
+            Message::SubmitAgain(job) => self.submit_again(job),
+            Message::CancelAnywhere(job) => self.cancel_anywhere(job),
         }
     }
 
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod closed_halls;
 mod configuration;
 mod crashing_task;
+mod doubtful;
 mod effects;
 mod fault;
 mod handovers;
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -41,6 +41,25 @@
     pub cuts: Option<Cuts>,
     /// Whether the losses of workers that are counted against tasks are judged.
     pub judges_losses: bool,
+    /// Submissions whose write takes effect late; absent for none.
+    pub doubtful: Option<DoubtfulSubmissions>,
+}
+
+/// Submissions whose write takes effect late; their callers repeat and cancel them meanwhile.
+#[derive(Clone, Debug)]
+pub struct DoubtfulSubmissions {
+    /// The time of the first.
+    pub first: time::Duration,
+    /// The time from one to the next.
+    pub every: time::Duration,
+    /// Their number.
+    pub count: u32,
+    /// The time until the write takes effect, in milliseconds.
+    pub late_ms: ops::Range<u64>,
+    /// The time until the caller cancels the job, in milliseconds.
+    pub cancelled_ms: ops::Range<u64>,
+    /// The time until the caller submits the job again, in milliseconds.
+    pub repeated_ms: ops::Range<u64>,
 }
 
 /// Waves that each crash a share of the workers.
@@ -167,6 +186,7 @@
             outages: None,
             cuts: None,
             judges_losses: false,
+            doubtful: None,
         }
     }
 }
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -53,6 +53,9 @@
     pub lose_every: u64,
     /// How long a transaction waits for its turn before it is committed, in milliseconds.
     pub turn_ms: u64,
+    /// How much later a transaction on the table of jobs is carried out, in milliseconds; it then
+    /// gets no answer. Zero for none.
+    pub late_jobs_ms: u64,
 }
 
 /// The state shared by all fakes.
@@ -78,6 +81,8 @@
     pub unanswered_txns: u64,
     /// The number of transactions so far.
     pub transactions: u64,
+    /// The number of transactions that were carried out late.
+    pub late_transactions: u64,
 }
 
 /// A handle to the fakes; clones share the same state.
@@ -112,6 +117,7 @@
             advice_calls: 0,
             unanswered_txns: 0,
             transactions: 0,
+            late_transactions: 0,
         };
         let platform = Self {
             state: sync::Arc::new(sync::Mutex::new(state)),
@@ -323,6 +329,11 @@
         if !rows::is_within_limits(txn) {
             return reply::problem(StatusCode::BAD_REQUEST, "size", "too many or too long rows");
         }
+        let late_ms = self.lock().faults.late_jobs_ms;
+        if late_ms > 0 && txn.writes.iter().any(|write| write.key.table == job::JOBS) {
+            tokio::spawn(self.clone().transact_late(txn.clone(), late_ms));
+            std::future::pending::<()>().await;
+        }
         let turn_ms = self.lock().faults.turn_ms;
         if turn_ms > 0 {
             tokio::time::sleep(time::Duration::from_millis(turn_ms)).await;
@@ -340,6 +351,14 @@
         server_codec::txn_answer(&answer, self.now_ms())
     }
 
+    /// Performs a transaction after a while, also if its sender is gone by then.
+    async fn transact_late(self, txn: table::Txn, late_ms: u64) {
+        tokio::time::sleep(time::Duration::from_millis(late_ms)).await;
+        let mut state = self.lock();
+        state.rows.transact(&txn);
+        state.late_transactions += 1;
+    }
+
     /// Waits for changes of a table, at most for `wait`.
     async fn feed(&self, table: &'static str, after: u64, wait: time::Duration) -> reply::Reply {
         let end = self.clock.now() + wait;
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -95,6 +95,10 @@
     pub(super) cancelled: collections::BTreeMap<job::JobId, time::Duration>,
     /// The number of times that a series of the plan has ended the holder.
     pub changes: u32,
+    /// The number of jobs that were stored by a late write.
+    pub late_writes: u32,
+    /// The number of cancels that came before their job was stored.
+    pub early_cancels: u32,
     /// Checks the guarantees of the service.
     pub checker: checker::Checker,
     /// Judges waits and missed targets; records disturbances even if it judges nothing.
@@ -135,6 +139,8 @@
             closed: closed_halls::ClosedSince::new(),
             cancelled: collections::BTreeMap::new(),
             changes: 0,
+            late_writes: 0,
+            early_cancels: 0,
             checker: checker::Checker::default(),
             waits: waits::Judge::default(),
             losses: losses::Judge::default(),
@@ -168,6 +174,7 @@
         world.schedule_handovers();
         world.schedule_outages();
         world.schedule_configurations();
+        world.schedule_doubtful_submissions();
         world
     }
 
@@ -216,6 +223,11 @@
     pub fn unfinished(&self) -> Vec<String> {
         let mut unfinished = Vec::new();
         for (id, job) in &self.checker.jobs {
+            let is_stored = self.rows.get(&job::job_key(0, *id)).is_some();
+            if !is_stored && self.cancelled.contains_key(id) && self.running(*id).next().is_none() {
+                // Its cancel came first and its submission was not repeated.
+                continue;
+            }
             let phase = self.phase(*id);
             let running = self.running(*id).count();
             let has_ended = phase.ended() && running == 0;
--- a/crates/wharflane/src/job/engine.rs
+++ b/crates/wharflane/src/job/engine.rs
@@ -215,6 +215,11 @@
                     holding.handle_row_deleted(job, done);
                 }
             }
+            event::Event::EarlyCancelRemoved { job, version } => {
+                if let Role::Holding(holding) = &mut self.role {
+                    holding.forget_early_cancel(job, version);
+                }
+            }
             event::Event::Queues(queues) => {
                 self.queues = sync::Arc::clone(&queues);
                 if let Role::Holding(holding) = &mut self.role {
--- a/crates/wharflane/src/job/event.rs
+++ b/crates/wharflane/src/job/event.rs
@@ -107,7 +107,7 @@
     },
     /// All rows of the domain were read.
     Loaded {
-        /// The rows of accepted jobs.
+        /// The rows of accepted jobs and of early cancels.
         jobs: Vec<rows::Row>,
         /// The rows of their progress.
         progress: Vec<rows::Row>,
@@ -130,7 +130,14 @@
         /// Whether the row is deleted.
         done: bool,
     },
-    /// Rows of accepted jobs were written or read again.
+    /// The record of an early cancel is removed.
+    EarlyCancelRemoved {
+        /// The job that it is of.
+        job: spec::JobId,
+        /// Its version.
+        version: u64,
+    },
+    /// Rows of accepted jobs or of their early cancels were written, removed or read again.
     Jobs(Vec<rows::Row>),
     /// All jobs accepted up to this time of the store's clock have been delivered.
     JobsReadUpTo {
@@ -208,6 +215,15 @@
     Txn(u64, rows::Txn),
     /// Delete the row of a job that ended longer ago than `Settings::keep`.
     Drop(spec::JobId, rows::Txn),
+    /// Remove the record of a cancel that came before its job was stored.
+    RemoveEarlyCancel {
+        /// The job that it is of.
+        job: spec::JobId,
+        /// Its version.
+        version: u64,
+        /// The transaction that removes it.
+        txn: rows::Txn,
+    },
     /// Order a worker to start a task.
     Start(order::Start),
     /// Order a worker to stop a task.
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::dispatch::pace;
+use super::early_cancel::records as early_cancels;
 use super::event;
 use super::learn::learned;
 use super::lease::inherited;
@@ -56,6 +57,8 @@
     /// The jobs whose progress can't be decoded. None of their tasks is started, since it may
     /// already be done.
     pub(super) unreadable: collections::BTreeSet<spec::JobId>,
+    /// The cancels that came before their jobs were stored.
+    pub(super) early_cancels: early_cancels::Records,
     /// All jobs of the domain that are stored and readable, by id.
     pub(super) jobs: collections::BTreeMap<spec::JobId, work::Entry>,
     /// The known workers, by incarnation.
@@ -246,6 +249,7 @@
             policies: policies::Policies::default(),
             services: collections::BTreeSet::new(),
             unreadable: collections::BTreeSet::new(),
+            early_cancels: early_cancels::Records::default(),
             jobs: collections::BTreeMap::new(),
             views: collections::BTreeMap::new(),
             closed: collections::BTreeSet::new(),
@@ -352,6 +356,12 @@
         self.worker_searches
     }
 
+    /// Returns the number of known cancels that came before their jobs were stored.
+    #[must_use]
+    pub fn early_cancels(&self) -> usize {
+        self.early_cancels.len()
+    }
+
     /// Returns the number of jobs that failed because workers crashed under one of their tasks,
     /// since the lease was acquired.
     #[must_use]
@@ -421,6 +431,7 @@
         let busy = self.views.values().filter(|view| !view.tasks.is_empty()).count();
         self.link.replenish(busy, self.settings.task_lease, now);
         self.expire(now);
+        self.expire_early_cancels(now);
         self.retry_set_aside_jobs(now);
         if self.may_order(now) && !self.leaving {
             self.resend_starts(now);
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -43,7 +43,7 @@
         }
         known.retain(|job, _| !self.unreadable.contains(job));
         let mut read = Vec::new();
-        for row in jobs {
+        for row in self.take_in_early_cancels(jobs.iter(), now) {
             let Some((job, accepted)) = read_job(row) else {
                 // The progress rows stay in the store until the job's row can be read again.
                 if let Some(job) = job_of(row) {
@@ -70,7 +70,8 @@
     /// Applies rows of accepted or cancelled jobs.
     pub(super) fn apply_job_rows(&mut self, rows: &[rows::Row], now: time::Duration) {
         let parts: Vec<String> = job_rows::job_parts(self.settings.domain).collect();
-        for row in rows.iter().filter(|row| parts.contains(&row.part)) {
+        let rows = rows.iter().filter(|row| parts.contains(&row.part));
+        for row in self.take_in_early_cancels(rows, now) {
             let read = read_job(row).filter(|(job, _)| !self.unreadable.contains(job));
             let Some((job, accepted)) = read else {
                 continue;
@@ -156,7 +157,11 @@
             }
         }
         tracing::debug!(%job, order, "job added");
-        if cancelled {
+        let is_cancelled_early = self.early_cancels.contains(job);
+        if is_cancelled_early && !cancelled {
+            tracing::warn!(%job, order, "job stored after its cancel, by an earlier version");
+        }
+        if cancelled || is_cancelled_early {
             self.cancel(job, now);
         }
         self.fail_if_any_exhausted(job, now);
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -7,6 +7,7 @@
 
 mod call;
 mod dispatch;
+pub mod early_cancel;
 mod engine;
 mod event;
 mod holding;
--- a/crates/wharflane/src/job/submission.rs
+++ b/crates/wharflane/src/job/submission.rs
@@ -75,6 +75,9 @@
 pub enum WriteEnd {
     /// The row is stored, by this write or an earlier one.
     Stored,
+    /// The job was cancelled before it was stored: neither this write nor an earlier one takes
+    /// effect, and the next one stores the job as cancelled.
+    Cancelled,
     /// The store rejected the write for good.
     Refused,
     /// The store rejected the write for now, without effect.
@@ -189,6 +192,11 @@
             WriteEnd::Stored => self.end = Some(End::Stored),
             WriteEnd::Refused if !self.in_doubt => self.end = Some(End::Refused),
             WriteEnd::NoAnswer => self.in_doubt = true,
+            WriteEnd::Cancelled => {
+                self.in_doubt = false;
+                self.write = Write::None;
+                return;
+            }
             // A rejection says nothing of an earlier write that may take effect.
             WriteEnd::Refused | WriteEnd::TurnedAway | WriteEnd::NotSent => {}
         }
