A host that reaches no store refuses a cancel at once

Another host could have carried it out.

Cause: only submissions looked at how long the store has been silent. A cancel tried until its deadline and was told 504, also where nothing had been sent.

Change: a cancel that begins while the store has been silent for LOST_AFTER is told 503 with a time to come back, as a submission is; true, since nothing is sent.

The test a_cancel_at_a_host_that_lost_the_store_is_refused_at_once fails without the change: the store is asked again by the second cancel.

--- a/crates/daemon/src/jobs/cancelling.rs
+++ b/crates/daemon/src/jobs/cancelling.rs
@@ -6,7 +6,7 @@
 use std::sync;
 use std::time;
 
-use wharflane::job::{early_cancel, retry_after};
+use wharflane::job::{early_cancel, retry_after, submission};
 use wharflane::{job, rows};
 use wharflane_adapter::store;
 
@@ -62,6 +62,9 @@
     let domain = job::domain_of(id, shared.domains());
     let mut cancel = Cancel { shared, limit, domain, id, may_record: false };
     let mut in_doubt = false;
+    if shared.store_silence() >= submission::LOST_AFTER {
+        return End::NotTaken(shared.store_failure_cause());
+    }
     loop {
         match cancel.attempt().await {
             Attempt::Ended(End::NotTaken(_)) if in_doubt => return End::Unknown,
--- a/crates/daemon/tests/early_cancels.rs
+++ b/crates/daemon/tests/early_cancels.rs
@@ -72,6 +72,12 @@
         self.platform.lock().faults.late_jobs_ms = late_ms;
     }
 
+    /// Returns how many reads of a host the store has left without an answer.
+    fn reads_without_answer(&self, host: usize) -> u64 {
+        let metrics = &self.hosts[host].0.metrics;
+        metrics.platform_calls.with_label_values(&["get", "silent"]).get()
+    }
+
     /// Waits until late writes have taken effect or failed.
     async fn wait_for_late_writes(&self, count: u64) {
         while self.platform.lock().late_transactions < count {
@@ -133,6 +139,16 @@
         let answer = setup.cancel(0).await;
         assert!(matches!(answer, job::Answer::NotTaken { .. }), "{answer:?}");
     }),
+    // The caller waited for 3 s and was told 504, though the host knew that it reached no store.
+    a_cancel_at_a_host_that_lost_the_store_is_refused_at_once => run(async |setup: Setup| {
+        setup.platform.lock().faults.store_silent = true;
+        let answer = setup.cancel(0).await;
+        assert!(matches!(answer, job::Answer::NotTaken { .. }), "{answer:?}");
+        let calls = setup.reads_without_answer(0);
+        let answer = setup.cancel(0).await;
+        assert!(matches!(answer, job::Answer::NotTaken { .. }), "{answer:?}");
+        assert_eq!(setup.reads_without_answer(0), calls, "the store was asked again");
+    }),
     a_cancel_whose_record_had_no_answer_is_in_doubt => run(async |setup: Setup| {
         setup.set_late(2 * LATE_MS);
         let call = job::Call::Cancel { id: ID };
