--- a/crates/cli/tests/processes/cancels.rs
+++ b/crates/cli/tests/processes/cancels.rs
@@ -10,7 +10,6 @@
 
 use crate::fleet;
 use crate::job_service;
-use crate::jobs;
 
 cases! {
     a_job_cancelled_while_its_write_is_late_never_runs => fleet::run(cancelled_in_doubt(false)),
@@ -33,7 +32,8 @@
     let mut service = job_service::JobService::start(2).await;
     service.register(ID, job_service::two_steps());
     service.platform.lock().faults.late_jobs_ms = LATE_MS;
-    let (status, _) = jobs::submit_with_deadline(service.hosts[0].1, ID.0, DEADLINE_MS).await;
+    let (status, _) =
+        job_service::submit_with_deadline(service.hosts[0].1, ID.0, DEADLINE_MS).await;
     assert_eq!(status, 504);
     service.platform.lock().faults.late_jobs_ms = 0;
     if kills_host {
--- a/crates/cli/tests/processes/job_service.rs
+++ b/crates/cli/tests/processes/job_service.rs
@@ -5,6 +5,7 @@
 use std::path;
 use std::time;
 
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use wharflane::{job, size};
 use wharflane_caller::job as caller;
 use wharflane_operator as operator;
@@ -234,3 +235,28 @@
     let second = job::Step { count: 2, size, after: vec![0], ..job::Step::default() };
     caller::Submission { spec: "spec".to_owned(), steps: vec![first, second], repeats: None }
 }
+
+/// Submits a job with a deadline and returns the status and the `retry-after` header in seconds.
+pub(crate) async fn submit_with_deadline(
+    host: net::SocketAddr,
+    id: u64,
+    deadline_ms: u64,
+) -> (u16, u64) {
+    let body = serde_json::to_string(&two_steps()).expect("can't encode the job");
+    let request = format!(
+        "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\n{}: {deadline_ms}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        server::QUEUE,
+        job::JobId(id),
+        server::DEADLINE_HEADER,
+        body.len()
+    );
+    let mut stream = tokio::net::TcpStream::connect(host).await.expect("can't connect");
+    stream.write_all(request.as_bytes()).await.expect("can't send the request");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("can't read the response");
+    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let after =
+        text.lines().find_map(|line| line.strip_prefix("retry-after: ")?.trim().parse().ok());
+    (status.expect("no status"), after.expect("no retry-after"))
+}
--- a/crates/cli/tests/processes/jobs.rs
+++ b/crates/cli/tests/processes/jobs.rs
@@ -2,10 +2,8 @@
 //! protocol.
 
 use std::fs;
-use std::net;
 use std::time;
 
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use wharflane::job;
 use wharflane_caller::job as caller;
 use wharflane_stand_in::cases;
@@ -327,31 +325,6 @@
     }
 }
 
-/// Submits a job with a deadline and returns the status and the `retry-after` header in seconds.
-pub(crate) async fn submit_with_deadline(
-    host: net::SocketAddr,
-    id: u64,
-    deadline_ms: u64,
-) -> (u16, u64) {
-    let body = serde_json::to_string(&job_service::two_steps()).expect("can't encode the job");
-    let request = format!(
-        "POST /jobs/{}/{} HTTP/1.1\r\nhost: host\r\nconnection: close\r\n{}: {deadline_ms}\r\n\
-         content-length: {}\r\n\r\n{body}",
-        server::QUEUE,
-        job::JobId(id),
-        server::DEADLINE_HEADER,
-        body.len()
-    );
-    let mut stream = tokio::net::TcpStream::connect(host).await.expect("can't connect");
-    stream.write_all(request.as_bytes()).await.expect("can't send the request");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.expect("can't read the response");
-    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
-    let after =
-        text.lines().find_map(|line| line.strip_prefix("retry-after: ")?.trim().parse().ok());
-    (status.expect("no status"), after.expect("no retry-after"))
-}
-
 /// Submits jobs while the store rejects every call, until each possible `retry-after` was returned.
 ///
 /// Callers with a short deadline must not get the longest one, which ends after that deadline.
@@ -368,11 +341,11 @@
     let mut id = 0;
     fleet::wait_until("every retry-after to be returned", async || {
         id += 1;
-        let (status, after) = submit_with_deadline(host, id, LONG_DEADLINE_MS).await;
+        let (status, after) = job_service::submit_with_deadline(host, id, LONG_DEADLINE_MS).await;
         assert_eq!(status, 503);
         assert!((1..=MAX_RETRY_AFTER_S).contains(&after), "retry-after of {after} s");
         returned[usize::try_from(after - 1).expect("the index fits")] += 1;
-        let (status, after) = submit_with_deadline(host, id, SHORT_DEADLINE_MS).await;
+        let (status, after) = job_service::submit_with_deadline(host, id, SHORT_DEADLINE_MS).await;
         assert_eq!(status, 503);
         assert!(
             (1..MAX_RETRY_AFTER_S).contains(&after),
--- a/crates/wharflane/src/job/early_cancel/mod.rs
+++ b/crates/wharflane/src/job/early_cancel/mod.rs
@@ -26,6 +26,7 @@
 
 /// The end of the name of the row, after the job's id.
 const NAME_SUFFIX: &str = ".cancel";
+
 /// The row of a cancel that came before its job was stored.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct EarlyCancel {
