--- a/crates/stand-in/src/jobs/doubtful.rs
+++ b/crates/stand-in/src/jobs/doubtful.rs
@@ -4,6 +4,7 @@
 //! The write of such a submission takes effect late. Meanwhile its caller repeats it and cancels it
 //! at hosts that reach the store at once.
 
+use std::ops;
 use std::time;
 
 use rand::RngExt as _;
@@ -42,7 +43,7 @@
             repeats: None,
         };
         self.checker.jobs.insert(id, job);
-        let within = |range: &std::ops::Range<u64>, rng: &mut rand::rngs::StdRng| {
+        let within = |range: &ops::Range<u64>, rng: &mut rand::rngs::StdRng| {
             time::Duration::from_millis(rng.random_range(range.clone()))
         };
         let late = within(&plan.late_ms, &mut self.rng);
