--- a/crates/daemon/src/jobs/cancelling.rs
+++ b/crates/daemon/src/jobs/cancelling.rs
@@ -20,7 +20,7 @@
 pub enum End {
     /// The job is cancelled.
     Cancelled,
-    /// There is no such job, and none that was submitted before will be.
+    /// There is no such job, and no submission that was sent before will store one.
     NoJob,
     /// The call had no effect and will have none.
     NotTaken(retry_after::Cause),
--- a/crates/wharflane/src/job/early_cancel/records.rs
+++ b/crates/wharflane/src/job/early_cancel/records.rs
@@ -1,5 +1,5 @@
 //! The records of early cancels that a holder knows of: keeps their jobs from running, and removes
-//! them once no write from before them can be under way.
+//! them once they are older than `Settings::keep`.
 
 use std::collections;
 use std::time;
@@ -95,8 +95,7 @@
         self.early_cancels.remove(job, version);
     }
 
-    /// Removes the rows of early cancels that are old enough for no write to be under way from
-    /// before them.
+    /// Removes the rows of early cancels that are older than `Settings::keep`.
     pub(in crate::job) fn expire_early_cancels(&mut self, now: time::Duration) {
         while let Some((job, version)) = self.early_cancels.first_due(now) {
             // If the store doesn't answer, the removal is retried after another `keep` period.
--- a/crates/wharflane/src/job/early_cancel/submitted.rs
+++ b/crates/wharflane/src/job/early_cancel/submitted.rs
@@ -69,7 +69,8 @@
         self.value.len()
     }
 
-    /// Returns the transaction that stores the row unless it or a cancel is stored that is not known.
+    /// Returns the transaction that stores the row. It has a conflict if the job is stored already, or
+    /// if its early cancel is not the known one.
     #[must_use]
     pub fn txn(&self) -> rows::Txn {
         let (key, cancel) = (self.key(), super::key(self.domain, self.id));
