A cancel takes its permit to be recorded in one place

A match guard took from the limit of early cancels as a side effect, and a field and a method had one name.

--- a/crates/daemon/src/jobs/cancelling.rs
+++ b/crates/daemon/src/jobs/cancelling.rs
@@ -48,8 +48,8 @@
     domain: u32,
     /// The job.
     id: job::JobId,
-    /// Whether the limit allows this cancel to be recorded.
-    may_record: bool,
+    /// Whether the limit has permitted this cancel to be recorded.
+    has_permit: bool,
 }
 
 /// Cancels a job and returns what the caller is told, by `deadline` at the latest.
@@ -59,12 +59,12 @@
     id: job::JobId,
     deadline: time::Duration,
 ) -> End {
-    let domain = job::domain_of(id, shared.domains());
-    let mut cancel = Cancel { shared, limit, domain, id, may_record: false };
-    let mut in_doubt = false;
     if shared.store_silence() >= submission::LOST_AFTER {
         return End::NotTaken(shared.store_failure_cause());
     }
+    let domain = job::domain_of(id, shared.domains());
+    let mut cancel = Cancel { shared, limit, domain, id, has_permit: false };
+    let mut in_doubt = false;
     loop {
         match cancel.attempt().await {
             Attempt::Ended(End::NotTaken(_)) if in_doubt => return End::Unknown,
@@ -92,12 +92,7 @@
         match early_cancel::find(&page.rows, self.id) {
             early_cancel::Found::Job(row) => self.mark(&key, row).await,
             early_cancel::Found::EarlyCancel(version) => self.end_as_recorded(version),
-            early_cancel::Found::Nothing if self.may_record() => self.record(page.now_ms).await,
-            early_cancel::Found::Nothing => {
-                tracing::warn!(job = %self.id, "cancel not recorded: too many of unknown jobs");
-                self.count("refused");
-                Attempt::Ended(End::NotTaken(retry_after::Cause::NotKnown))
-            }
+            early_cancel::Found::Nothing => self.record(page.now_ms).await,
         }
     }
 
@@ -138,8 +133,13 @@
         }
     }
 
-    /// Records the cancel of a job that is not stored.
-    async fn record(&self, store_ms: Option<u64>) -> Attempt {
+    /// Records the cancel of a job that is not stored, unless this host has recorded too many.
+    async fn record(&mut self, store_ms: Option<u64>) -> Attempt {
+        if !self.take_permit() {
+            tracing::warn!(job = %self.id, "cancel not recorded: too many of unknown jobs");
+            self.count("refused");
+            return Attempt::Ended(End::NotTaken(retry_after::Cause::NotKnown));
+        }
         let txn = match early_cancel::record(self.domain, self.id, store_ms) {
             Ok(txn) => txn,
             Err(err) => {
@@ -159,14 +159,14 @@
         }
     }
 
-    /// Returns whether this cancel may be recorded; it counts once, also if it is repeated.
-    fn may_record(&mut self) -> bool {
-        if !self.may_record {
+    /// Takes a permit to record this cancel, one for all of its attempts; returns whether it has one.
+    fn take_permit(&mut self) -> bool {
+        if !self.has_permit {
             let now = self.shared.clock.now();
             let mut limit = self.limit.lock().unwrap_or_else(sync::PoisonError::into_inner);
-            self.may_record = limit.try_take(now);
+            self.has_permit = limit.try_take(now);
         }
-        self.may_record
+        self.has_permit
     }
 
     /// Counts what became of a cancel of a job that is not stored.
