Failing test: a job that no placement pass comes to runs nothing without a bound

Ruled out: no worker for these tasks (starving_unplaced 0), a withheld or deferred start (no line).

Shown in virtual time by a_job_runs_within_the_bound_though_no_pass_comes_to_it: four starts a pass, a wide job of the first priority, and a job behind it starts nothing for 3 s.

--- a/crates/wharflane/tests/dispatch.rs
+++ b/crates/wharflane/tests/dispatch.rs
@@ -178,6 +178,21 @@
         sim.advance(1_000, false);
         assert_eq!(started(&sim), [8, 0]);
     },
+    // Guards against this failure: jobs accepted 87 s before ran nothing while most of the workers'
+    // room was free, since each pass ended with the groups before theirs, which took all that the
+    // host could send, and came to no starving task.
+    a_job_runs_within_the_bound_though_no_pass_comes_to_it => {
+        let mut sim = sim::Sim::new(20, Vec::new());
+        sim.advance(1_000, false);
+        let starts = Some(job::Starts { unsent: job::Unsent::default(), limit: 4 });
+        sim.engine.set_pace(job::Pace { starts, ..job::Pace::default() });
+        sim.submit(10, "first", job::Step { count: 4_000, ..sim::step("plain", 10) });
+        sim.submit(20, "last", sim::step("filling", 10));
+        sim.advance(3_000, false);
+        let [wide, single] = started(&sim);
+        assert!(wide < 4_000, "the host could start all tasks");
+        assert_eq!(single, 1);
+    },
     passes_leave_most_of_the_time_for_everything_else => {
         let mut sim = sim(job::Pace { last_pass: millis(100), ..job::Pace::default() }, 400);
         let passes = |sim: &sim::Sim| sim.engine.holding().expect("a holder").passes();
--- a/crates/wharflane/tests/link.rs
+++ b/crates/wharflane/tests/link.rs
@@ -57,6 +57,17 @@
         sim.advance(14_000, false);
         assert_eq!(sim.starts(JOB).len(), TASKS as usize);
     },
+    // Starving tasks are started beyond other limits, but not beyond this one.
+    starving_tasks_keep_to_what_a_slow_link_carries => {
+        let mut sim = sim(Some(SLOW_LINK / 10));
+        for job in JOB + 1..JOB + 200 {
+            sim.submit(job, "last", sim::step("filling", 10));
+        }
+        sim.advance(4_000, false);
+        // 14 starts a second, of which 8 may go at once.
+        let started: usize = (JOB..JOB + 200).map(|job| sim.starts(job).len()).sum();
+        assert!((40..=70).contains(&started), "{started} in 4 s");
+    },
     a_fast_link_starts_everything_at_once => {
         for link in [None, Some(500 * SLOW_LINK)] {
             let mut sim = sim(link);
