--- a/crates/cli/tests/why.rs
+++ b/crates/cli/tests/why.rs
@@ -48,6 +48,9 @@
 {\"timestamp\":\"2026-01-01T00:00:23.000000Z\",\"fields\":{\"message\":\"job failed: workers crashed under its task\",\"job\":\"0000000000000011\",\"task\":\"0000000000000011.0.0.0\",\"times_unexplained\":5}}
 {\"timestamp\":\"2026-01-01T00:00:24.000000Z\",\"fields\":{\"message\":\"worker that counted as lost is there again\",\"worker\":\"w1@0\",\"evidence\":\"Unlisted\",\"tasks\":1,\"ago_ms\":1000}}
 {\"timestamp\":\"2026-01-01T00:00:24.000000Z\",\"fields\":{\"message\":\"worker that counted as lost is there again\",\"worker\":\"w2@0\",\"evidence\":\"Unlisted\",\"tasks\":1,\"ago_ms\":1000}}
+{\"timestamp\":\"2026-01-01T00:00:24.100000Z\",\"fields\":{\"message\":\"cancel of an unknown job recorded\",\"job\":\"0000000000000044\",\"version\":7,\"store_ms\":9}}
+{\"timestamp\":\"2026-01-01T00:00:24.200000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"DELETE\",\"path\":\"/late/0000000000000044\",\"answer\":\"NoJob\"}}
+{\"timestamp\":\"2026-01-01T00:00:24.300000Z\",\"fields\":{\"message\":\"job stored as cancelled\",\"job\":\"0000000000000044\",\"version\":8,\"cancel_version\":7}}
 {\"timestamp\":\"2026-01-01T00:00:25.000000Z\",\"fields\":{\"message\":\"call answered\",\"method\":\"POST\",\"path\":\"/tried/0000000000000022\",\"answer\":\"Accepted\"}}
 {\"timestamp\":\"2026-01-01T00:00:26.000000Z\",\"fields\":{\"message\":\"job failed\",\"task\":\"0000000000000022.0.0.0\",\"failures\":3,\"runs\":\"{1, 2, 3}\",\"attempts\":3}}
 ",
@@ -85,6 +88,16 @@
         assert_eq!(lines.len(), 6, "{printed}");
         assert!(lines[5].contains("5200 ms") && lines[5].contains("job completed"), "{printed}");
     },
+    // A job that was cancelled before it was stored looked like one that is missing.
+    a_cancel_that_came_before_its_job_is_shown => {
+        let (code, printed) = why(&["0000000000000044"]);
+        assert_eq!(code, Some(0));
+        let messages = ["cancel of an unknown job recorded", "NoJob", "job stored as cancelled"];
+        let lines: Vec<&str> = printed.lines().collect();
+        assert_eq!(lines.len(), messages.len(), "{printed}");
+        let shown = lines.iter().zip(messages).all(|(line, message)| line.contains(message));
+        assert!(shown, "{printed}");
+    },
     an_unknown_job_has_its_own_exit_code => {
         assert_eq!(why(&["00000000000000dd"]).0, Some(4));
     },
