Programs tell which build they are

So the first question of the trace, which program ran, had no answer from logs. `--version`, the first log line of a process (*wharflaned starting*), `wharflane_build_info` and the status tell the version, that hash and the target.

On the code before, the first line of a host's log is another one, there is no such metric, and `--version` prints 0.1.0 alone.

What it costs while serving: one log line at start and one metric. A limit: a build of which only some files look newer to cargo is hashed as a whole, though cargo compiles only a part of it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -86,7 +86,7 @@
         .value_parser(clap::value_parser!(clap_complete::Shell))
         .help("Shell to generate the completion for");
     clap::Command::new("wharflane")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(wharflane_build::DESCRIPTION)
         .about("Operates wharflane, a scheduler for services and batch work on the same workers")
         .after_help(
             "Exit codes: 0 done, 1 failed, 2 refused, 3 another submission came first, \
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -7,6 +7,9 @@
     let platform = if status.platform_up { "up" } else { "down" };
     let stopping = if status.stopping { ", stopping" } else { "" };
     println!("host {}, revision {}, platform {platform}{stopping}", status.host, status.revision);
+    if !status.build.is_empty() {
+        println!("build {}", status.build);
+    }
     for (hall, since_s) in &status.closed_since_s {
         println!("hall {hall} closed since {since_s} s after 1970");
     }
--- a/crates/cli/tests/processes/job_service.rs
+++ b/crates/cli/tests/processes/job_service.rs
@@ -14,7 +14,7 @@
 use crate::fleet;
 
 /// Limit of one call by a test's client.
-const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+pub(crate) const TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Run time of a task.
 pub(crate) const TASK_TIME: time::Duration = time::Duration::from_millis(300);
 /// Time after which hosts take over a lease that has not been renewed.
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests with separate processes on loopback: operator, hosts, platform, workers,
 //! endpoints and callers.
 
+mod builds;
 mod cancels;
 mod closed_halls;
 mod config;
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -373,6 +373,7 @@
         let view = self.lock();
         let mut status = operator::Status {
             host: self.shared.host().to_string(),
+            build: wharflane_build::DESCRIPTION.to_owned(),
             revision: view.config.as_ref().map_or(0, |loaded| loaded.current.revision),
             platform_up: self.platform_up,
             stopping: self.stopping,
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -197,6 +197,7 @@
     let closed = closed.iter().map(|(hall, since_s)| (hall.to_string(), *since_s));
     operator::Status {
         host: shared.settings.host.to_string(),
+        build: wharflane_build::DESCRIPTION.to_owned(),
         revision: shared.queues.load().revision,
         platform_up: shared.metrics.platform_up.get() == 1,
         stopping: shared.stopping.load(atomic::Ordering::Relaxed),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,6 +21,7 @@
         Err(code) => return code,
     };
     let _writer = init_logging(&settings);
+    log_build();
     match run_host(settings, path) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(err) => {
@@ -39,7 +40,7 @@
         .value_parser(clap::value_parser!(path::PathBuf))
         .help("The settings of this host");
     clap::Command::new("wharflaned")
-        .version(env!("CARGO_PKG_VERSION"))
+        .version(wharflane_build::DESCRIPTION)
         .about("An entry host of wharflane")
         .arg(config)
 }
@@ -82,6 +83,16 @@
     guard
 }
 
+/// Logs which build runs, before anything can fail.
+fn log_build() {
+    tracing::info!(
+        version = wharflane_build::VERSION,
+        sources = wharflane_build::SOURCES,
+        target_triple = wharflane_build::TARGET_TRIPLE,
+        "wharflaned starting"
+    );
+}
+
 /// Runs the host on a single-threaded runtime, which becomes the control thread.
 fn run_host(settings: settings::Settings, path: &path::Path) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -110,6 +110,7 @@
         );
         let latency = latency.buckets(LATENCY_BUCKETS.to_vec());
         let latency = prometheus::HistogramVec::new(latency, &["service"])?;
+        builder.build_info()?;
         Ok(Self {
             requests: builder.counter("requests_total", "Requests.", &["service", "outcome"])?,
             gave_up: builder.counter("gave_up_total", "Given up.", &["service", "reason"])?,
@@ -270,6 +271,15 @@
         self.register(prometheus::IntGaugeVec::new(opts, labels)?)
     }
 
+    /// Registers a gauge that is always 1, with labels that identify the build.
+    fn build_info(&self) -> Result<(), MetricError> {
+        let labels = ["version", "sources", "target_triple"];
+        let build =
+            [wharflane_build::VERSION, wharflane_build::SOURCES, wharflane_build::TARGET_TRIPLE];
+        self.gauge("build_info", "The build that runs.", &labels)?.with_label_values(&build).set(1);
+        Ok(())
+    }
+
     /// Registers a metric.
     fn register<M: Collector + Clone + 'static>(&self, metric: M) -> Result<M, MetricError> {
         self.registry.register(Box::new(metric.clone()))?;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -70,6 +70,9 @@
 pub struct Status {
     /// Name of the host.
     pub host: String,
+    /// Version, sources and target of the host's program; empty if the host is too old to tell.
+    #[serde(default)]
+    pub build: String,
     /// Configuration revision in force at the host.
     pub revision: u64,
     /// Whether the latest call to the platform was answered.
