The first log line of a host is the one that names its build

The line names the build before anything can fail, so it stays first. The test now reads two lines, both JSON, and asks for both messages and the host's name: as strict, and stricter by one line.

--- a/crates/cli/tests/processes/end_to_end.rs
+++ b/crates/cli/tests/processes/end_to_end.rs
@@ -74,11 +74,13 @@
     }
 }
 
-/// The first line of a host with `format = "json"` is a JSON record with message and fields.
+/// The first lines of a host with `format = "json"` are JSON records with message and fields.
 async fn json_logs() {
     let fleet = fleet::Fleet::start(0, 0, &["gent"]).await;
-    let lines = fleet.first_log_lines("entry-log", "format = \"json\"\nlevel = \"info\"", 1);
-    let line: serde_json::Value = serde_json::from_str(&lines[0]).expect("the line is not JSON");
-    assert_eq!(line["fields"]["message"], "host up");
-    assert_eq!(line["fields"]["host"], "entry-log");
+    let lines = fleet.first_log_lines("entry-log", "format = \"json\"\nlevel = \"info\"", 2);
+    let lines = lines.iter().map(|line| serde_json::from_str(line).expect("the line is not JSON"));
+    let lines: Vec<serde_json::Value> = lines.collect();
+    assert_eq!(lines[0]["fields"]["message"], "wharflaned starting");
+    assert_eq!(lines[1]["fields"]["message"], "host up");
+    assert_eq!(lines[1]["fields"]["host"], "entry-log");
 }
