A part of the starts is kept for starving tasks that passes don't come to

Change: a pass that ends early notes which of the rest starve in a service that is mostly idle. The next one leaves up to a quarter of its starts to them (the fourth start where it can send fewer), in turn, and weighs 16 workers for each, sorted once a pass, so that passes stay short. A pass that could use none keeps one.

--- a/crates/wharflane/src/job/place/mod.rs
+++ b/crates/wharflane/src/job/place/mod.rs
@@ -15,4 +15,5 @@
 pub(super) mod ranking;
 pub(super) mod starvation;
 pub(super) mod tickets;
+pub(super) mod untried;
 pub(super) mod waits;
--- a/crates/wharflane/src/job/place/pass.rs
+++ b/crates/wharflane/src/job/place/pass.rs
@@ -36,8 +36,12 @@
     pub headroom_refreshed: bool,
     /// The number of lines logged about waiting tasks.
     pub lines_logged: usize,
-    /// The starving tasks, at most the first of each group.
+    /// The starts that are kept for starving tasks that the pass does not come to.
+    pub kept_starts: usize,
+    /// The starving tasks that found no worker, at most the first of each group.
     pub starving: collections::BTreeMap<spec::TaskId, work::Ready>,
+    /// The starving tasks that the pass did not come to, at most the first of each group.
+    pub untried: collections::BTreeMap<spec::TaskId, work::Ready>,
 }
 
 /// Kinds of tasks that found no worker, with their sizes.
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -1,10 +1,12 @@
 //! The placement pass: searches workers for waiting tasks in order of precedence.
 
+use std::iter;
 use std::ops;
 use std::sync;
 use std::time;
 
 use crate::id;
+use crate::job::dispatch::pace;
 use crate::job::holding;
 use crate::job::load::picture;
 use crate::job::place::assign;
@@ -17,6 +19,7 @@
 use crate::job::place::precedence;
 use crate::job::place::ranking;
 use crate::job::place::starvation;
+use crate::job::place::untried;
 use crate::job::runs::work;
 use crate::job::spec;
 
@@ -65,19 +68,25 @@
     holding.reserved_workers.clear();
     holding.best_effort_waits = false;
     holding.held_back = false;
-    let mut pass = pass::Pass::default();
+    let whole = startable(holding, pace::URGENT_PRIORITY);
+    let mut pass =
+        pass::Pass { kept_starts: untried::kept_starts(holding, whole), ..pass::Pass::default() };
     let (groups, picture) = ordered_groups(holding, now);
     holding.tell_backlogs(&picture, now);
-    for group in groups {
-        if startable(holding, group.first.priority) == 0 {
+    let mut groups = groups.into_iter();
+    while let Some(group) = groups.next() {
+        if startable_now(holding, &pass, group.first.priority) == 0 {
             // The remaining tasks can start once the host and its link have capacity again.
             holding.changed = true;
             holding.held_back =
-                holding.pace.starts(group.first.priority, holding.staged.len()) == 0;
+                holding.pace.starts(group.first.priority, holding.staged.len()) <= pass.kept_starts;
+            let rest = iter::once(group).chain(groups);
+            untried::note(holding, &mut pass, rest.map(|group| group.first), now);
             break;
         }
         place_group(holding, &mut pass, group, now);
     }
+    untried::relieve(holding, &mut pass, now);
     starvation::relieve(holding, &mut pass, now);
     holding.forget_logged_waits();
 }
@@ -88,6 +97,11 @@
     holding.link.starts(staged).min(holding.pace.starts(priority, staged))
 }
 
+/// Returns how many of these starts are left for tasks in their turn.
+fn startable_now(holding: &holding::Holding, pass: &pass::Pass, priority: u32) -> usize {
+    startable(holding, priority).saturating_sub(pass.kept_starts)
+}
+
 /// Searches workers for the tasks of one group until one finds none.
 fn place_group(
     holding: &mut holding::Holding,
@@ -127,7 +141,7 @@
             starvation::note_if_starving(holding, pass, &ready, now);
             request_tickets(holding, ready.task, now);
         }
-        let host_full = startable(holding, ready.priority) == 0;
+        let host_full = startable_now(holding, pass, ready.priority) == 0;
         if !group.returning && !placed || step.gang || host_full {
             return;
         }
--- a/crates/wharflane/src/job/place/starvation.rs
+++ b/crates/wharflane/src/job/place/starvation.rs
@@ -106,6 +106,8 @@
     pub started: usize,
     /// Those for which no worker was found.
     pub unplaced: usize,
+    /// The starving tasks that the pass did not come to, which are in none of these counts.
+    pub untried: usize,
 }
 
 /// The searches for starving tasks that recently found no worker.
@@ -133,9 +135,10 @@
     pass: &mut pass::Pass,
     now: time::Duration,
 ) {
-    let mut relief = Relief { starving: pass.starving.len(), ..Relief::default() };
+    let mut relief =
+        Relief { starving: pass.starving.len(), untried: pass.untried.len(), ..Relief::default() };
     let mut idle = collections::BTreeMap::<id::ServiceId, bool>::new();
-    for ready in in_turn(holding, pass) {
+    for ready in in_turn(&pass.starving, holding.last_starving) {
         if relief.started >= MAX_STARTS_PER_PASS || !holding.failed_searches.allows_another(now) {
             break;
         }
@@ -174,10 +177,12 @@
 
 /// Returns the starving tasks in the order in which they are tried: those after the last one that
 /// was tried, then the others.
-fn in_turn(holding: &holding::Holding, pass: &pass::Pass) -> Vec<work::Ready> {
-    let last = holding.last_starving;
-    let later = pass.starving.iter().filter(|(task, _)| Some(**task) > last);
-    let earlier = pass.starving.iter().filter(|(task, _)| Some(**task) <= last);
+pub(super) fn in_turn(
+    starving: &collections::BTreeMap<spec::TaskId, work::Ready>,
+    last: Option<spec::TaskId>,
+) -> Vec<work::Ready> {
+    let later = starving.iter().filter(|(task, _)| Some(**task) > last);
+    let earlier = starving.iter().filter(|(task, _)| Some(**task) <= last);
     later.chain(earlier).map(|(_, ready)| *ready).collect()
 }
 
@@ -197,7 +202,7 @@
 }
 
 /// Returns job and step of a task that still waits.
-fn waiting_step(
+pub(super) fn waiting_step(
     holding: &holding::Holding,
     task: spec::TaskId,
 ) -> Option<(id::ServiceId, spec::Step)> {
@@ -206,7 +211,7 @@
 }
 
 /// Returns whether the CPU reserved on a service's workers is below `BUSY_PERCENT`.
-fn is_mostly_idle(holding: &holding::Holding, service: &id::ServiceId) -> bool {
+pub(super) fn is_mostly_idle(holding: &holding::Holding, service: &id::ServiceId) -> bool {
     let (reserved, whole) = reserved_milli(holding, service);
     reserved * 100 < whole * BUSY_PERCENT
 }
@@ -232,7 +237,7 @@
 }
 
 /// Starts a starving task or its whole gang; returns whether workers were found.
-fn start(
+pub(super) fn start(
     holding: &mut holding::Holding,
     ready: &work::Ready,
     step: &spec::Step,
@@ -249,11 +254,22 @@
     let Some(worker) = choose_worker(holding, ready.task, step, None, now) else {
         return false;
     };
-    assign::assign(holding, ready, step, &worker, now);
-    throttle(holding, ready, step, now);
+    start_on(holding, ready, step, &worker, now);
     true
 }
 
+/// Starts a starving task on a worker.
+pub(super) fn start_on(
+    holding: &mut holding::Holding,
+    ready: &work::Ready,
+    step: &spec::Step,
+    worker: &id::Incarnation,
+    now: time::Duration,
+) {
+    assign::assign(holding, ready, step, worker, now);
+    throttle(holding, ready, step, now);
+}
+
 /// The cost of a worker for a starving task, compared field by field in this order.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Cost {
@@ -287,7 +303,17 @@
 ) -> Option<id::Incarnation> {
     holding.worker_searches += 1;
     let image = holding.learned.interference.image(step.image.as_deref());
-    let holding = &*holding;
+    choose_among(holding, holding.views.values(), (task, step, image), within, now)
+}
+
+/// Returns the worker of the lowest cost for a starving task among some, or `None`.
+pub(super) fn choose_among<'a>(
+    holding: &'a holding::Holding,
+    among: impl Iterator<Item = &'a worker::View>,
+    (task, step, image): (spec::TaskId, &spec::Step, interference::Image),
+    within: Option<&str>,
+    now: time::Duration,
+) -> Option<id::Incarnation> {
     let entry = holding.jobs.get(&task.job)?;
     let service = &entry.policy.service;
     let failed_worker = choose::failed_on(entry, task);
@@ -317,7 +343,7 @@
         Some(Cost { failed_here, ..cost(holding, view, (task, step), &strains, now) })
     };
     let is_cheaper = |a: &Cost, b: &Cost| a.partial_cmp(b) == Some(cmp::Ordering::Less);
-    choose::cheapest(holding, evaluate, is_cheaper)
+    choose::cheapest(among, evaluate, is_cheaper)
 }
 
 /// Returns the cost of a worker for a starving task.
