Headroom is fresh for best-effort tasks that passes don't come to

By reading: a pass refreshes the headroom of workers only once it comes to a best-effort group. A pass that ends before left it as an earlier pass knew it, and untried::relieve weighed workers by that, so that a best-effort task could start beside a serving task that has missed its target since. The refresh now stands in one place, Pass::refresh_headroom_for, and both searches use it.

--- a/crates/wharflane/src/job/place/pass.rs
+++ b/crates/wharflane/src/job/place/pass.rs
@@ -6,8 +6,10 @@
 //! log.
 
 use std::collections;
+use std::time;
 
 use crate::id;
+use crate::job::holding;
 use crate::job::learn::interference;
 use crate::job::runs::work;
 use crate::job::spec;
@@ -44,6 +46,20 @@
     pub untried: collections::BTreeMap<spec::TaskId, work::Ready>,
 }
 
+impl Pass {
+    /// Refreshes the headroom of all workers before the first search for a best-effort task.
+    pub fn refresh_headroom_for(
+        &mut self,
+        holding: &mut holding::Holding,
+        step: &spec::Step,
+        now: time::Duration,
+    ) {
+        if step.fills && !std::mem::replace(&mut self.headroom_refreshed, true) {
+            holding.refresh_headroom(now);
+        }
+    }
+}
+
 /// Kinds of tasks that found no worker, with their sizes.
 #[derive(Debug, Default)]
 pub(in crate::job) struct Findings(Vec<(Kind, size::Size)>);
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -68,9 +68,11 @@
     holding.reserved_workers.clear();
     holding.best_effort_waits = false;
     holding.held_back = false;
-    let whole = startable(holding, pace::URGENT_PRIORITY);
-    let mut pass =
-        pass::Pass { kept_starts: untried::kept_starts(holding, whole), ..pass::Pass::default() };
+    let sendable = startable(holding, pace::URGENT_PRIORITY);
+    let mut pass = pass::Pass {
+        kept_starts: untried::kept_starts(holding, sendable),
+        ..pass::Pass::default()
+    };
     let (groups, picture) = ordered_groups(holding, now);
     holding.tell_backlogs(&picture, now);
     let mut groups = groups.into_iter();
@@ -81,7 +83,7 @@
             holding.held_back =
                 holding.pace.starts(group.first.priority, holding.staged.len()) <= pass.kept_starts;
             let rest = iter::once(group).chain(groups);
-            untried::note(holding, &mut pass, rest.map(|group| group.first), now);
+            untried::note_starving(holding, &mut pass, rest.map(|group| group.first), now);
             break;
         }
         place_group(holding, &mut pass, group, now);
@@ -118,9 +120,7 @@
     let Some(step) = job.step(group.first.task.step) else {
         return remove_waiting(holding, group.first.task);
     };
-    if step.fills && !std::mem::replace(&mut pass.headroom_refreshed, true) {
-        holding.refresh_headroom(now);
-    }
+    pass.refresh_headroom_for(holding, step, now);
     let mut ranking = None;
     let mut next = Some(group.first);
     while let Some(ready) = next {
--- a/crates/wharflane/src/job/place/untried.rs
+++ b/crates/wharflane/src/job/place/untried.rs
@@ -45,7 +45,7 @@
 
 /// Records which of the groups that a pass did not come to are starving though most of their service
 /// is idle; `first` are the first tasks of these groups.
-pub(in crate::job) fn note(
+pub(in crate::job) fn note_starving(
     holding: &holding::Holding,
     pass: &mut pass::Pass,
     first: impl Iterator<Item = work::Ready>,
@@ -89,6 +89,7 @@
             continue;
         }
         holding.untried.last = Some(ready.task);
+        pass.refresh_headroom_for(holding, &step, now);
         let found = if weighs_all {
             full_searches += 1;
             starvation::start(holding, &ready, &step, now)
