--- a/crates/wharflane/src/job/dispatch/pace.rs
+++ b/crates/wharflane/src/job/dispatch/pace.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 /// The priority of urgent tasks, which is the first one.
-pub(in crate::job) const URGENT_PRIORITY: u32 = 0;
+const URGENT_PRIORITY: u32 = 0;
 /// How long a start may wait to be sent. Beyond that it is better decided on later, by what is
 /// known then, and a start of a higher priority can still go before it.
 const MAX_SEND_WAIT: time::Duration = time::Duration::from_millis(75);
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -18,7 +18,6 @@
 use super::place::group;
 use super::place::starvation;
 use super::place::tickets;
-use super::place::untried;
 use super::policies;
 use super::progress;
 use super::queue;
@@ -120,8 +119,6 @@
     /// The starving task for which a worker was last searched; the next search begins after it, so
     /// that starving tasks are served in round-robin order.
     pub(super) last_starving: Option<spec::TaskId>,
-    /// What the last pass knows of starving tasks that it did not come to.
-    pub(super) untried: untried::Untried,
     /// The queues with more work than room, by the last pass.
     pub(super) backlogs: Vec<admission::Backlog>,
     /// When these were last updated.
@@ -282,7 +279,6 @@
             relief: starvation::Relief::default(),
             failed_searches: starvation::FailedSearches::default(),
             last_starving: None,
-            untried: untried::Untried::default(),
             backlogs: Vec::new(),
             backlogs_told_at: time::Duration::ZERO,
             best_effort_waits: false,
--- a/crates/wharflane/src/job/place/choose.rs
+++ b/crates/wharflane/src/job/place/choose.rs
@@ -53,7 +53,7 @@
                       b: &(isolation::IsolationCost, Cost)| {
         a.0.cmp(&b.0).then_with(|| a.1.compare(&b.1)).is_lt()
     };
-    cheapest(holding.views.values(), evaluate, is_cheaper)
+    cheapest(holding, evaluate, is_cheaper)
 }
 
 /// The criteria of a search for a worker.
@@ -139,15 +139,14 @@
     state.filter(|state| !state.failed_runs.is_empty())?.failed_on.as_ref()
 }
 
-/// Returns the worker of the lowest cost among some, the first among equals; `None` excludes a
-/// worker.
-pub(in crate::job) fn cheapest<'a, C>(
-    among: impl Iterator<Item = &'a worker::View>,
+/// Returns the worker of the lowest cost, the first among equals; `None` excludes a worker.
+pub(in crate::job) fn cheapest<C>(
+    holding: &holding::Holding,
     evaluate: impl Fn(&worker::View) -> Option<C>,
     is_cheaper: impl Fn(&C, &C) -> bool,
 ) -> Option<id::Incarnation> {
     let mut best: Option<(C, &worker::View)> = None;
-    for view in among {
+    for view in holding.views.values() {
         let Some(cost) = evaluate(view) else {
             continue;
         };
--- a/crates/wharflane/src/job/place/mod.rs
+++ b/crates/wharflane/src/job/place/mod.rs
@@ -15,5 +15,4 @@
 pub(super) mod ranking;
 pub(super) mod starvation;
 pub(super) mod tickets;
-pub(super) mod untried;
 pub(super) mod waits;
--- a/crates/wharflane/src/job/place/pass.rs
+++ b/crates/wharflane/src/job/place/pass.rs
@@ -6,10 +6,8 @@
 //! log.
 
 use std::collections;
-use std::time;
 
 use crate::id;
-use crate::job::holding;
 use crate::job::learn::interference;
 use crate::job::runs::work;
 use crate::job::spec;
@@ -38,26 +36,8 @@
     pub headroom_refreshed: bool,
     /// The number of lines logged about waiting tasks.
     pub lines_logged: usize,
-    /// The starts that are kept for starving tasks that the pass does not come to.
-    pub kept_starts: usize,
-    /// The starving tasks that found no worker, at most the first of each group.
+    /// The starving tasks, at most the first of each group.
     pub starving: collections::BTreeMap<spec::TaskId, work::Ready>,
-    /// The starving tasks that the pass did not come to, at most the first of each group.
-    pub untried: collections::BTreeMap<spec::TaskId, work::Ready>,
-}
-
-impl Pass {
-    /// Refreshes the headroom of all workers before the first search for a best-effort task.
-    pub fn refresh_headroom_for(
-        &mut self,
-        holding: &mut holding::Holding,
-        step: &spec::Step,
-        now: time::Duration,
-    ) {
-        if step.fills && !std::mem::replace(&mut self.headroom_refreshed, true) {
-            holding.refresh_headroom(now);
-        }
-    }
 }
 
 /// Kinds of tasks that found no worker, with their sizes.
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -1,12 +1,10 @@
 //! The placement pass: searches workers for waiting tasks in order of precedence.
 
-use std::iter;
 use std::ops;
 use std::sync;
 use std::time;
 
 use crate::id;
-use crate::job::dispatch::pace;
 use crate::job::holding;
 use crate::job::load::picture;
 use crate::job::place::assign;
@@ -19,7 +17,6 @@
 use crate::job::place::precedence;
 use crate::job::place::ranking;
 use crate::job::place::starvation;
-use crate::job::place::untried;
 use crate::job::runs::work;
 use crate::job::spec;
 
@@ -68,27 +65,19 @@
     holding.reserved_workers.clear();
     holding.best_effort_waits = false;
     holding.held_back = false;
-    let sendable = startable(holding, pace::URGENT_PRIORITY);
-    let mut pass = pass::Pass {
-        kept_starts: untried::kept_starts(holding, sendable),
-        ..pass::Pass::default()
-    };
+    let mut pass = pass::Pass::default();
     let (groups, picture) = ordered_groups(holding, now);
     holding.tell_backlogs(&picture, now);
-    let mut groups = groups.into_iter();
-    while let Some(group) = groups.next() {
-        if startable_now(holding, &pass, group.first.priority) == 0 {
+    for group in groups {
+        if startable(holding, group.first.priority) == 0 {
             // The remaining tasks can start once the host and its link have capacity again.
             holding.changed = true;
             holding.held_back =
-                holding.pace.starts(group.first.priority, holding.staged.len()) <= pass.kept_starts;
-            let rest = iter::once(group).chain(groups);
-            untried::note_starving(holding, &mut pass, rest.map(|group| group.first), now);
+                holding.pace.starts(group.first.priority, holding.staged.len()) == 0;
             break;
         }
         place_group(holding, &mut pass, group, now);
     }
-    untried::relieve(holding, &mut pass, now);
     starvation::relieve(holding, &mut pass, now);
     holding.forget_logged_waits();
 }
@@ -99,11 +88,6 @@
     holding.link.starts(staged).min(holding.pace.starts(priority, staged))
 }
 
-/// Returns how many of these starts are left for tasks in their turn.
-fn startable_now(holding: &holding::Holding, pass: &pass::Pass, priority: u32) -> usize {
-    startable(holding, priority).saturating_sub(pass.kept_starts)
-}
-
 /// Searches workers for the tasks of one group until one finds none.
 fn place_group(
     holding: &mut holding::Holding,
@@ -120,7 +104,9 @@
     let Some(step) = job.step(group.first.task.step) else {
         return remove_waiting(holding, group.first.task);
     };
-    pass.refresh_headroom_for(holding, step, now);
+    if step.fills && !std::mem::replace(&mut pass.headroom_refreshed, true) {
+        holding.refresh_headroom(now);
+    }
     let mut ranking = None;
     let mut next = Some(group.first);
     while let Some(ready) = next {
@@ -141,7 +127,7 @@
             starvation::note_if_starving(holding, pass, &ready, now);
             request_tickets(holding, ready.task, now);
         }
-        let host_full = startable_now(holding, pass, ready.priority) == 0;
+        let host_full = startable(holding, ready.priority) == 0;
         if !group.returning && !placed || step.gang || host_full {
             return;
         }
--- a/crates/wharflane/src/job/place/starvation.rs
+++ b/crates/wharflane/src/job/place/starvation.rs
@@ -106,8 +106,6 @@
     pub started: usize,
     /// Those for which no worker was found.
     pub unplaced: usize,
-    /// The starving tasks that the pass did not come to, which are in none of these counts.
-    pub untried: usize,
 }
 
 /// The searches for starving tasks that recently found no worker.
@@ -135,10 +133,9 @@
     pass: &mut pass::Pass,
     now: time::Duration,
 ) {
-    let mut relief =
-        Relief { starving: pass.starving.len(), untried: pass.untried.len(), ..Relief::default() };
+    let mut relief = Relief { starving: pass.starving.len(), ..Relief::default() };
     let mut idle = collections::BTreeMap::<id::ServiceId, bool>::new();
-    for ready in in_turn(&pass.starving, holding.last_starving) {
+    for ready in in_turn(holding, pass) {
         if relief.started >= MAX_STARTS_PER_PASS || !holding.failed_searches.allows_another(now) {
             break;
         }
@@ -177,12 +174,10 @@
 
 /// Returns the starving tasks in the order in which they are tried: those after the last one that
 /// was tried, then the others.
-pub(super) fn in_turn(
-    starving: &collections::BTreeMap<spec::TaskId, work::Ready>,
-    last: Option<spec::TaskId>,
-) -> Vec<work::Ready> {
-    let later = starving.iter().filter(|(task, _)| Some(**task) > last);
-    let earlier = starving.iter().filter(|(task, _)| Some(**task) <= last);
+fn in_turn(holding: &holding::Holding, pass: &pass::Pass) -> Vec<work::Ready> {
+    let last = holding.last_starving;
+    let later = pass.starving.iter().filter(|(task, _)| Some(**task) > last);
+    let earlier = pass.starving.iter().filter(|(task, _)| Some(**task) <= last);
     later.chain(earlier).map(|(_, ready)| *ready).collect()
 }
 
@@ -202,7 +197,7 @@
 }
 
 /// Returns job and step of a task that still waits.
-pub(super) fn waiting_step(
+fn waiting_step(
     holding: &holding::Holding,
     task: spec::TaskId,
 ) -> Option<(id::ServiceId, spec::Step)> {
@@ -211,7 +206,7 @@
 }
 
 /// Returns whether the CPU reserved on a service's workers is below `BUSY_PERCENT`.
-pub(super) fn is_mostly_idle(holding: &holding::Holding, service: &id::ServiceId) -> bool {
+fn is_mostly_idle(holding: &holding::Holding, service: &id::ServiceId) -> bool {
     let (reserved, whole) = reserved_milli(holding, service);
     reserved * 100 < whole * BUSY_PERCENT
 }
@@ -237,7 +232,7 @@
 }
 
 /// Starts a starving task or its whole gang; returns whether workers were found.
-pub(super) fn start(
+fn start(
     holding: &mut holding::Holding,
     ready: &work::Ready,
     step: &spec::Step,
@@ -254,20 +249,9 @@
     let Some(worker) = choose_worker(holding, ready.task, step, None, now) else {
         return false;
     };
-    start_on(holding, ready, step, &worker, now);
-    true
-}
-
-/// Starts a starving task on a worker.
-pub(super) fn start_on(
-    holding: &mut holding::Holding,
-    ready: &work::Ready,
-    step: &spec::Step,
-    worker: &id::Incarnation,
-    now: time::Duration,
-) {
-    assign::assign(holding, ready, step, worker, now);
+    assign::assign(holding, ready, step, &worker, now);
     throttle(holding, ready, step, now);
+    true
 }
 
 /// The cost of a worker for a starving task, compared field by field in this order.
@@ -303,17 +287,7 @@
 ) -> Option<id::Incarnation> {
     holding.worker_searches += 1;
     let image = holding.learned.interference.image(step.image.as_deref());
-    choose_among(holding, holding.views.values(), (task, step, image), within, now)
-}
-
-/// Returns the worker of the lowest cost for a starving task among some, or `None`.
-pub(super) fn choose_among<'a>(
-    holding: &'a holding::Holding,
-    among: impl Iterator<Item = &'a worker::View>,
-    (task, step, image): (spec::TaskId, &spec::Step, interference::Image),
-    within: Option<&str>,
-    now: time::Duration,
-) -> Option<id::Incarnation> {
+    let holding = &*holding;
     let entry = holding.jobs.get(&task.job)?;
     let service = &entry.policy.service;
     let failed_worker = choose::failed_on(entry, task);
@@ -343,7 +317,7 @@
         Some(Cost { failed_here, ..cost(holding, view, (task, step), &strains, now) })
     };
     let is_cheaper = |a: &Cost, b: &Cost| a.partial_cmp(b) == Some(cmp::Ordering::Less);
-    choose::cheapest(among, evaluate, is_cheaper)
+    choose::cheapest(holding, evaluate, is_cheaper)
 }
 
 /// Returns the cost of a worker for a starving task.
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -343,7 +343,6 @@
             starving = self.relief.starving,
             starving_busy = self.relief.busy,
             starving_unplaced = self.relief.unplaced,
-            starving_untried = self.relief.untried,
             reserved_workers = self.reserved_workers.len(),
             given_up = self.given_up,
             false_losses = self.false_losses,
