--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -70,7 +70,7 @@
 
 /// A child process that is killed on drop.
 #[derive(Debug)]
-pub struct Process(process::Child);
+pub struct Process(pub process::Child);
 
 impl Drop for Process {
     fn drop(&mut self) {
@@ -119,6 +119,15 @@
     }
 }
 
+/// Limits that the operating system sets on a process.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// Maximum memory for its data, in kilobytes; an allocation beyond it fails.
+    pub data_kb: u64,
+    /// Maximum number of open descriptors.
+    pub descriptors: u64,
+}
+
 /// All processes of one test.
 #[derive(Debug)]
 pub struct Fleet {
@@ -134,6 +143,8 @@
     pub hosts: collections::BTreeMap<String, Host>,
     /// The list of machines, which hosts get from the platform once it is published.
     pub members: members::Members,
+    /// Limits of hosts that are added from now on; `None` for those of this process.
+    pub host_limits: Option<ProcessLimits>,
     /// HTTP client for the stand-ins and for metrics.
     client: client::Client,
 }
@@ -151,6 +162,7 @@
             workers: collections::BTreeMap::new(),
             hosts: collections::BTreeMap::new(),
             members: members::Members::default(),
+            host_limits: None,
             client: client::Client::new(CALL_TIMEOUT),
         };
         for number in 0..workers {
@@ -216,7 +228,7 @@
         let path = self.folder.path().join(format!("{name}.toml"));
         fs::write(&path, text).expect("can't write the settings");
         let path = path.to_string_lossy().into_owned();
-        let process = spawn("wharflaned", &["--config", &path]);
+        let process = spawn_limited("wharflaned", &["--config", &path], self.host_limits);
         self.hosts.insert(name.to_owned(), Host { process, caller, operator, peer });
         let host = members::Host { peer_addr: peer, presence: members::Presence::Live };
         self.members.hosts.insert(name.into(), host);
@@ -350,6 +362,21 @@
     Process(start(&mut command))
 }
 
+/// Starts a program of this workspace in the background, with limits of its own if any are given.
+pub fn spawn_limited(name: &str, args: &[&str], limits: Option<ProcessLimits>) -> Process {
+    let Some(limits) = limits else {
+        return spawn(name, args);
+    };
+    let mut command = process::Command::new("sh");
+    command
+        .args(["-c", "ulimit -d \"$1\" && ulimit -n \"$2\" && shift 2 && exec \"$@\"", "sh"])
+        .args([limits.data_kb.to_string(), limits.descriptors.to_string()])
+        .arg(program_path(name))
+        .args(args)
+        .stdin(process::Stdio::null());
+    Process(start(&mut command))
+}
+
 /// Starts a program of this workspace in the background, with its output appended to a file.
 pub fn spawn_logged(name: &str, args: &[&str], log: &path::Path) -> Process {
     let log = fs::OpenOptions::new().create(true).append(true).open(log);
--- a/crates/cli/tests/processes/job_service.rs
+++ b/crates/cli/tests/processes/job_service.rs
@@ -41,11 +41,13 @@
     pub(crate) log: Log,
     /// Whether hosts have few processors: a weak host leaves a lease to its holder for longer.
     pub(crate) weak: bool,
+    /// Limits of the hosts' processes; `None` for those of the test.
+    pub(crate) process_limits: Option<fleet::ProcessLimits>,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Self { workers: 3, log: Log::Warnings, weak: false }
+        Self { workers: 3, log: Log::Warnings, weak: false, process_limits: None }
     }
 }
 
@@ -129,7 +131,7 @@
         let path = path.display().to_string();
         let args = ["--config", path.as_str()];
         match self.setup.log {
-            Log::Warnings => fleet::spawn("wharflaned", &args),
+            Log::Warnings => fleet::spawn_limited("wharflaned", &args, self.setup.process_limits),
             Log::Files => fleet::spawn_logged("wharflaned", &args, &self.log_path(host)),
         }
     }
--- a/crates/cli/tests/processes/lost_workers.rs
+++ b/crates/cli/tests/processes/lost_workers.rs
@@ -91,7 +91,12 @@
 
 /// Starts the hosts and workers; a weak host leaves a lease to its holder for longer.
 async fn start(weak: bool) -> job_service::JobService {
-    let setup = job_service::Setup { workers: WORKERS, log: job_service::Log::Files, weak };
+    let setup = job_service::Setup {
+        workers: WORKERS,
+        log: job_service::Log::Files,
+        weak,
+        ..Default::default()
+    };
     job_service::JobService::start_with(HOSTS, setup).await
 }
 
