Bodies of callers are read into one buffer, within a budget of memory

What callers saw: a crowd of large or finely chunked bodies, left open short of their end, ran the process out of memory, and with it went every other caller of the host.

Cause: nothing bounded the sum of what callers have sent, and each chunk of a body was kept as it came, with the read buffer that it came in, so that the price of a body was its number of chunks. Taking the chunks together took time by the square of their number besides.

A body is now copied into one buffer that grows as bytes arrive, never beyond its length or the limit, and its memory is charged to budgets: one for the first 16 KB of each request with its head, one for the rest of larger bodies. When a budget is spent, the oldest incomplete body is refused for a newer one: an honest client ends its body soon after it began, so it is not the oldest, and a crowd that comes back displaces itself. A body that is the oldest itself is refused instead of others. Complete bodies keep their memory until they are answered. Refused is 503 with Retry-After (`no-room`), which is true: the request was not read whole, nothing ran. The rest of it is read and dropped for 2 s and 1 MB at most, so that the answer isn't lost by a reset.

Ruled out: a plain limit on concurrent bodies (a crowd of slow ones holds all places over and over); queueing for memory (without a bound in time); charging chunks where they are kept (the price stays that of the chunks).

--- a/crates/bench/src/forwarder.rs
+++ b/crates/bench/src/forwarder.rs
@@ -183,7 +183,7 @@
 /// Serves requests on threads with the given name.
 fn serve_on<H, F>(name: &str, handle: H) -> net::SocketAddr
 where
-    H: Fn(hyper::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(server::Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = wharflane_http::reply::Reply> + Send + 'static,
 {
     let runtime = threads::runtime(name, THREADS_PER_SIDE);
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -25,6 +25,9 @@
     /// The body was incomplete or did not arrive in time.
     #[error("the body did not come whole and in time")]
     BodyBroken,
+    /// This host has no memory for the body.
+    #[error("no memory for the body now")]
+    NoRoom,
     /// The path names no configured service.
     #[error("no such service")]
     NoService,
@@ -59,6 +62,7 @@
             Self::BadRequest => "bad-request",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
+            Self::NoRoom => "no-room",
             Self::NoService => "no-service",
             Self::Duplicate => "duplicate",
             Self::NoEndpoint => "no-endpoint",
@@ -78,7 +82,7 @@
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
             Self::NoService => StatusCode::NOT_FOUND,
             Self::Duplicate => StatusCode::CONFLICT,
-            Self::NoEndpoint | Self::Overloaded | Self::Expired | Self::Stopping => {
+            Self::NoRoom | Self::NoEndpoint | Self::Overloaded | Self::Expired | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed => StatusCode::BAD_GATEWAY,
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -3,10 +3,9 @@
 use std::time;
 
 use bytes::Bytes;
-use hyper::body;
 use hyper::header;
 use wharflane::id;
-use wharflane_http::server;
+use wharflane_http::{request_body, server};
 
 /// Header with the id of a request, the same at all hosts and endpoints.
 pub const REQUEST_ID: &str = "wharflane-request-id";
@@ -75,7 +74,7 @@
     },
     /// The body was too large, too slow or incomplete.
     #[error(transparent)]
-    Body(#[from] server::ReadError),
+    Body(#[from] request_body::ReadError),
 }
 
 /// Limits on a request's body.
@@ -92,7 +91,7 @@
 /// # Errors
 /// Returns `BadRequest` if the request is malformed, too large or not received in time.
 pub async fn read(
-    request: hyper::Request<body::Incoming>,
+    request: server::Request,
     bounds: BodyBounds,
 ) -> Result<ParsedRequest, BadRequest> {
     let (head, body) = request.into_parts();
@@ -107,7 +106,7 @@
     let watch = flag(&head.headers, WATCH)?.unwrap_or(false);
     let mut headers = head.headers;
     strip_connection(&mut headers);
-    let body = server::read_body(body, bounds.limit_bytes, bounds.timeout).await?;
+    let body = request_body::read(body, bounds.limit_bytes, bounds.timeout).await?;
     Ok(ParsedRequest {
         service,
         request_id,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -11,16 +11,16 @@
 
 use hyper::Method;
 use hyper::StatusCode;
-use hyper::body;
 use ractor::Actor;
 use tokio::runtime;
 use wharflane::clock;
-use wharflane_http::{reply, server};
+use wharflane_http::{reply, request_body, server};
 use wharflane_operator as operator;
 use wharflane_peer as peer;
 use wharflane_platform as platform;
 use wharflane_worker as worker;
 
+use crate::caller_limits;
 use crate::control;
 use crate::control::{config, msg, root};
 use crate::jobs;
@@ -93,8 +93,11 @@
         server::never(),
         move |request| api.clone().serve(request),
     ));
-    let threads = start_traffic(&settings, &shared, callers)?;
+    let largest_body_bytes = settings.count("traffic", "body_limit_bytes");
+    let limits = caller_limits::CallerLimits::new(&settings, largest_body_bytes);
+    let threads = start_traffic(&settings, &shared, limits, callers)?;
     tracing::info!(host = %settings.host, callers = %settings.caller_addr, "host up");
+    limits.log();
     tokio::select! {
         () = stop => {}
         () = drain.notified() => {}
@@ -118,6 +121,7 @@
 fn start_traffic(
     settings: &settings::Settings,
     shared: &control::Shared,
+    limits: caller_limits::CallerLimits,
     callers: tokio::net::TcpListener,
 ) -> Result<TrafficThreads, HostError> {
     let runtime = runtime::Builder::new_multi_thread()
@@ -126,13 +130,7 @@
         .enable_all()
         .build()
         .map_err(HostError::Thread)?;
-    let bounds = server::Bounds {
-        connections: settings.count("traffic", "caller_connections"),
-        head_bytes: settings.count("traffic", "head_limit_bytes"),
-        head_timeout: settings.time("traffic", "head_timeout_ms"),
-        stall: settings.time("traffic", "stall_timeout_ms"),
-        ..server::Bounds::default()
-    };
+    let admission = limits.admission(&shared.metrics);
     let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
     let (ended, done) = tokio::sync::oneshot::channel();
     let traffic = sync::Arc::clone(&shared.traffic);
@@ -147,7 +145,7 @@
             drop(stopped.await);
         };
         let handle = move |request| sync::Arc::clone(&traffic).serve(request);
-        server::serve(callers, bounds, stopped, handle).await;
+        server::serve_admitted(callers, limits.bounds, admission, stopped, handle).await;
         let _ = ended.send(());
     });
     Ok(TrafficThreads { runtime, stop, done })
@@ -254,7 +252,7 @@
 
 impl OperatorApi {
     /// Routes one request by method and path.
-    async fn serve(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+    async fn serve(self, request: server::Request) -> reply::Reply {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::POST, "/apply") => self.apply(request.into_body()).await,
@@ -283,10 +281,10 @@
     }
 
     /// Applies a configuration submitted by an operator.
-    async fn apply(&self, body: body::Incoming) -> reply::Reply {
+    async fn apply(&self, body: request_body::RequestBody) -> reply::Reply {
         // JSON may escape one byte of the text as six.
         let limit = wharflane::desired::MAX_TEXT_BYTES * 6;
-        let body = match server::read_body(body, limit, OPERATOR_TIMEOUT).await {
+        let body = match request_body::read(body, limit, OPERATOR_TIMEOUT).await {
             Ok(body) => body,
             Err(err) => {
                 let status = StatusCode::PAYLOAD_TOO_LARGE;
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -7,17 +7,17 @@
 use std::sync::atomic;
 use std::time;
 
-use hyper::body;
 use hyper::{Method, StatusCode, header};
 use ractor::Actor;
 use wharflane::{clock, job};
 use wharflane_adapter::{advice, callers, store, workers};
 use wharflane_caller::job as caller_job;
-use wharflane_http::{reply, server};
+use wharflane_http::{reply, request_body, server};
 use wharflane_operator as operator;
 
 use super::Shared;
 use super::{halls, holder, service, watch};
+use crate::caller_limits;
 use crate::host;
 use crate::metrics;
 use crate::settings;
@@ -54,9 +54,11 @@
     let (end, ended) = tokio::sync::oneshot::channel::<()>();
     let calls =
         CallHandler { shared: shared.clone(), service: service::Service::new(shared.clone()) };
-    let serving = tokio::spawn(server::serve(
+    let limits = caller_limits::CallerLimits::new(&shared.settings, MAX_BODY_BYTES);
+    let serving = tokio::spawn(server::serve_admitted(
         callers,
-        server::Bounds::default(),
+        limits.bounds,
+        limits.admission(&shared.metrics),
         async move { drop(ended.await) },
         move |request| calls.clone().serve(request),
     ));
@@ -69,6 +71,7 @@
     ));
     let host = shared.settings.host.clone();
     tracing::info!(%host, callers = %shared.settings.caller_addr, nonce = shared.nonce, "host up");
+    limits.log();
     stop.await;
     tracing::info!(%host, "host stopping");
     let notice = shared.settings.time("traffic", "stop_notice_ms");
@@ -141,7 +144,7 @@
 
 impl CallHandler {
     /// Parses and answers one call, and logs and counts the answer.
-    async fn serve(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+    async fn serve(self, request: server::Request) -> reply::Reply {
         let received_at = self.shared.clock.now();
         let (head, body) = request.into_parts();
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -156,7 +159,10 @@
         let answer = if queues.revision == 0 {
             self.service.without_configuration(path, deadline)
         } else {
-            match server::read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+            match request_body::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+                Err(request_body::ReadError::NoRoom(_)) => {
+                    self.service.without_room(path, deadline)
+                }
                 Err(err) => {
                     tracing::info!(path, %err, "the body of a call can't be read");
                     job::Answer::BadBody
@@ -233,7 +239,7 @@
 async fn answer_operator(
     shared: Shared,
     holder: ractor::ActorRef<holder::Msg>,
-    request: hyper::Request<body::Incoming>,
+    request: server::Request,
 ) -> reply::Reply {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/ready") if shared.is_ready() => {
--- a/crates/daemon/src/jobs/service.rs
+++ b/crates/daemon/src/jobs/service.rs
@@ -113,6 +113,12 @@
         self.not_taken(retry_after::Cause::NoConfiguration, &path, deadline)
     }
 
+    /// Rejects a call whose body this host has no memory for.
+    #[must_use]
+    pub fn without_room(&self, path: &str, deadline: time::Duration) -> job::Answer {
+        self.not_taken(retry_after::Cause::NoRoom, &path, deadline)
+    }
+
     /// Accepts a job; it counts as accepted once its row is written.
     async fn submit(
         &self,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Actors on one thread make the control decisions; a thread pool of its own serves requests.
 
+pub mod caller_limits;
 pub mod control;
 pub mod host;
 pub mod jobs;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -24,6 +24,8 @@
     pub requests: prometheus::IntCounterVec,
     /// Requests given up, by service and reason.
     pub gave_up: prometheus::IntCounterVec,
+    /// How often callers met a limit on what they may hold, by limit.
+    pub caller_limits: prometheus::IntCounterVec,
     /// Jobs refused since they would be missed for the load of their queue, by queue.
     pub refused_for_load: prometheus::IntCounterVec,
     /// Cancels of jobs that were not stored, by what became of them.
@@ -114,6 +116,11 @@
         Ok(Self {
             requests: builder.counter("requests_total", "Requests.", &["service", "outcome"])?,
             gave_up: builder.counter("gave_up_total", "Given up.", &["service", "reason"])?,
+            caller_limits: builder.counter(
+                "caller_limits_total",
+                "How often callers met a limit on what they may hold.",
+                &["limit"],
+            )?,
             early_cancels: builder.counter(
                 "early_cancels_total",
                 "Cancels of jobs that were not stored.",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,6 +10,8 @@
 
 use wharflane::{hall, id, interference, lease, placement, toml_read};
 
+/// Largest value of a limit that is stated in whole units, in thousandths of its unit.
+const MAX_LIMIT_MILLI: u64 = 1_000_000_000;
 /// Largest size of a settings file, in bytes.
 const MAX_TEXT_BYTES: usize = 64 << 10;
 
@@ -136,6 +138,13 @@
     number("traffic", "head_timeout_ms", 10_000, 1..=600_000, "How long a head may take."),
     number("traffic", "stall_timeout_ms", 30_000, 1..=600_000, "Longest standstill of an answer."),
     number("traffic", "caller_connections", 4_096, 1..=1_000_000, "Connections of callers."),
+    number(
+        "traffic",
+        "caller_memory_percent",
+        25,
+        1..=90,
+        "Part of the host's memory for callers' connections and requests.",
+    ),
     number("traffic", "queue_limit", 256, 0..=1_000_000, "Waiting requests of a service."),
     number("traffic", "tries", 3, 1..=16, "Most tries of a request."),
     number("traffic", "retry_share_milli", 100, 0..=1_000, "Retries per 1,000 first tries."),
@@ -180,6 +189,8 @@
     pub cpu_milli: Option<u64>,
     /// Bandwidth of the network link in whole megabits per second.
     pub link_mbps: Option<u64>,
+    /// Memory in whole megabytes.
+    pub memory_mb: Option<u64>,
 }
 
 /// Output format of the log.
@@ -419,9 +430,11 @@
 /// Reads the resources of the host.
 fn read_limits(root: &mut toml_read::Table<'_, '_>) -> Limits {
     let mut table = root.table("limits");
+    let mut whole = |key| table.decimal_milli(key, 0..=MAX_LIMIT_MILLI).map(|milli| milli / 1_000);
     let limits = Limits {
+        link_mbps: whole("link_mbps"),
+        memory_mb: whole("memory_mb"),
         cpu_milli: table.decimal_milli("cpu_cores", 0..=1_000_000),
-        link_mbps: table.decimal_milli("link_mbps", 0..=1_000_000_000).map(|milli| milli / 1_000),
     };
     table.end();
     limits
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -7,13 +7,12 @@
 use std::time;
 
 use http_body_util::BodyExt as _;
-use hyper::body;
 use hyper::header;
 use wharflane::{id, outcome};
 use wharflane_caller::{reply, request};
 use wharflane_endpoint as endpoint;
 use wharflane_http::reply as http_reply;
-use wharflane_http::server;
+use wharflane_http::{request_body, server};
 
 use super::Traffic;
 use super::balancer;
@@ -93,10 +92,7 @@
 
 impl Traffic {
     /// Serves a request of a caller.
-    pub async fn serve(
-        self: sync::Arc<Self>,
-        request: hyper::Request<body::Incoming>,
-    ) -> http_reply::Reply {
+    pub async fn serve(self: sync::Arc<Self>, request: server::Request) -> http_reply::Reply {
         let received_at = self.clock.now();
         let in_flight = forward::InFlightGuard::new(&self.metrics.in_flight);
         let parsed = match request::read(request, self.limits.body).await {
@@ -486,9 +482,12 @@
 /// Returns the reason to report for a malformed request.
 fn bad_request_reason(err: &request::BadRequest) -> reply::RequestError {
     match err {
-        request::BadRequest::Body(server::ReadError::TooLarge { .. }) => {
+        request::BadRequest::Body(request_body::ReadError::TooLarge { .. }) => {
             reply::RequestError::BodyTooLarge
         }
+        request::BadRequest::Body(request_body::ReadError::NoRoom(_)) => {
+            reply::RequestError::NoRoom
+        }
         request::BadRequest::Body(_) => reply::RequestError::BodyBroken,
         request::BadRequest::NoService | request::BadRequest::Header { .. } => {
             reply::RequestError::BadRequest
--- a/crates/daemon/tests/silence/callers.rs
+++ b/crates/daemon/tests/silence/callers.rs
@@ -5,10 +5,9 @@
 use std::time;
 
 use http_body_util::BodyExt as _;
-use hyper::body;
 use hyper_util::rt;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use wharflane_http::{reply, server};
+use wharflane_http::{reply, request_body, server};
 use wharflane_stand_in::proxy;
 
 /// Value of each time limit of the server under test.
@@ -143,11 +142,11 @@
 }
 
 /// Answers a request by its path.
-async fn answer(request: hyper::Request<body::Incoming>) -> reply::Reply {
+async fn answer(request: server::Request) -> reply::Reply {
     let text = match request.uri().path() {
         "/long" => "x".repeat(LONG_ANSWER_BYTES),
         "/read" => {
-            let read = server::read_body(request.into_body(), LONG_ANSWER_BYTES, LIMIT).await;
+            let read = request_body::read(request.into_body(), LONG_ANSWER_BYTES, LIMIT).await;
             format!("{read:?}")
         }
         _ => "short".to_owned(),
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,11 +2,12 @@
 
 use std::convert;
 use std::future;
+use std::pin;
 use std::sync;
+use std::task;
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use hyper::body;
 use hyper::service;
 use hyper_util::rt;
@@ -14,7 +15,7 @@
 use hyper_util::server::graceful;
 use tokio::net;
 
-use crate::{guard, reply};
+use crate::{admission, guard, reply, request_body};
 
 /// Maximum time without progress of a response: half of the default of nginx, so that a slow reader
 /// has time to drain enough of the socket buffers for the next byte to be accepted.
@@ -25,11 +26,10 @@
 /// Timeout for the answer to a ping: covers many round trips over a slow link and a pause of the
 /// client's process.
 const PING_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Maximum number of open connections.
+    /// Maximum number of open connections, unless `serve_admitted` is given another.
     pub connections: usize,
     /// Maximum size of a request head, in bytes.
     pub head_bytes: usize,
@@ -65,43 +65,106 @@
     stop: impl Future<Output = ()>,
     handle: H,
 ) where
-    H: Fn(hyper::Request<body::Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = reply::Reply> + Send + 'static,
+{
+    let admission = admission::Admission::of_connections(bounds.connections);
+    serve_admitted(listener, bounds, admission, stop, handle).await;
+}
+
+/// Serves connections within the budgets of a port until `stop` completes, then waits for the
+/// requests in flight.
+pub async fn serve_admitted<H, F>(
+    listener: net::TcpListener,
+    bounds: Bounds,
+    admission: admission::Admission,
+    stop: impl Future<Output = ()>,
+    handle: H,
+) where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = reply::Reply> + Send + 'static,
 {
     let graceful = graceful::GracefulShutdown::new();
-    let permits = sync::Arc::new(tokio::sync::Semaphore::new(bounds.connections));
     let mut stop = std::pin::pin!(stop);
     loop {
-        let Ok(permit) = sync::Arc::clone(&permits).acquire_owned().await else {
-            break;
-        };
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => continue,
-            },
+        let (stream, connection) = tokio::select! {
+            accepted = accept(&listener, &admission) => accepted,
             () = &mut stop => break,
         };
-        serve_connection(stream, bounds, &graceful, handle.clone(), permit);
+        serve_connection(stream, bounds, &graceful, handle.clone(), connection);
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
-/// Serves one connection in a separate task, which holds the permit until the connection ends.
+/// A request with its unread body.
+pub type Request = hyper::Request<request_body::RequestBody>;
+
+/// Accepts the next connection that has a place among those of the port.
+async fn accept(
+    listener: &net::TcpListener,
+    admission: &admission::Admission,
+) -> (net::TcpStream, request_body::Connection) {
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(_) => continue,
+        };
+        let mut place = admission.connections.hold();
+        match place.grow(1).await {
+            Ok(()) => {
+                let connection = request_body::Connection::new(peer, admission.clone(), place);
+                return (stream, connection);
+            }
+            Err(_refusal) => admission.note(admission::Limit::NewConnection, peer),
+        }
+    }
+}
+
+/// Serves one connection in a separate task, which holds the connection's place until it ends.
 fn serve_connection<H, F>(
     stream: net::TcpStream,
     bounds: Bounds,
     graceful: &graceful::GracefulShutdown,
     handle: H,
-    permit: tokio::sync::OwnedSemaphorePermit,
+    connection: request_body::Connection,
 ) where
-    H: Fn(hyper::Request<body::Incoming>) -> F + Send + 'static,
+    H: Fn(Request) -> F + Send + 'static,
     F: Future<Output = reply::Reply> + Send + 'static,
 {
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let connection = sync::Arc::new(connection);
+    let requests = sync::Arc::clone(&connection);
+    let service = service::service_fn(move |request| {
+        let exchange = sync::Arc::new(request_body::Exchange::new(sync::Arc::clone(&requests)));
+        let response = handle(with_body(request, &exchange));
+        async move {
+            let response = response.await;
+            Ok::<_, convert::Infallible>(
+                response.map(|body| ResponseBody { body, _exchange: exchange }),
+            )
+        }
+    });
+    let stream = guard::GuardedStream::new(stream, bounds.head_timeout, bounds.stall);
+    let conn = builder(bounds).serve_connection(rt::TokioIo::new(stream), service).into_owned();
+    let watched = graceful.watch(conn);
+    tokio::spawn(async move {
+        let revoked = connection.revocation();
+        tokio::select! {
+            // Errors of a connection are not reported here; the handler counts the outcome of each
+            // request.
+            ended = watched => drop(ended),
+            () = revoked.notified() => {
+                connection.admission.note(admission::Limit::OldConnection, connection.peer);
+            }
+        }
+    });
+}
+
+/// Builds the protocol implementation of a connection.
+fn builder(bounds: Bounds) -> auto::Builder<rt::TokioExecutor> {
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
@@ -115,55 +178,46 @@
         .keep_alive_interval(bounds.ping_every)
         .keep_alive_timeout(bounds.ping_timeout)
         .max_header_list_size(max_head);
-    let service = service::service_fn(move |request| {
-        let response = handle(request);
-        async move { Ok::<_, convert::Infallible>(response.await) }
-    });
-    let stream = guard::GuardedStream::new(stream, bounds.head_timeout, bounds.stall);
-    let conn = builder.serve_connection(rt::TokioIo::new(stream), service).into_owned();
-    let watched = graceful.watch(conn);
-    tokio::spawn(async move {
-        // Errors of a connection are not reported here; the handler counts the outcome of each
-        // request.
-        drop(watched.await);
-        drop(permit);
-    });
+    builder
 }
 
-/// Why a request body was rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ReadError {
-    /// The body exceeds the size limit.
-    #[error("body is larger than {limit_bytes} bytes")]
-    TooLarge {
-        /// Maximum size of the body, in bytes.
-        limit_bytes: usize,
-    },
-    /// The connection failed before the body was complete.
-    #[error("body broke off")]
-    Broken,
-    /// The body did not arrive in time.
-    #[error("body did not come in time")]
-    TimedOut,
+/// Ties the body of a request to its exchange.
+fn with_body(
+    request: hyper::Request<body::Incoming>,
+    exchange: &sync::Arc<request_body::Exchange>,
+) -> Request {
+    let (head, incoming) = request.into_parts();
+    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    let head_bytes = head.uri.path().len() + headers.sum::<usize>();
+    let body = request_body::RequestBody::new(incoming, head_bytes, sync::Arc::clone(exchange));
+    hyper::Request::from_parts(head, body)
 }
 
-/// Reads a complete body within a size limit and a timeout.
-///
-/// # Errors
-/// Returns `ReadError` if the body is too large, too slow or incomplete.
-pub async fn read_body(
-    body: body::Incoming,
-    limit_bytes: usize,
-    timeout: time::Duration,
-) -> Result<Bytes, ReadError> {
-    let limited = http_body_util::Limited::new(body, limit_bytes);
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Err(_) => Err(ReadError::TimedOut),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            Err(ReadError::TooLarge { limit_bytes })
-        }
-        Ok(Err(_)) => Err(ReadError::Broken),
+/// The body of a response, which ends the exchange when it is dropped.
+struct ResponseBody {
+    /// The handler's body.
+    body: reply::Body,
+    /// The request that is answered.
+    _exchange: sync::Arc<request_body::Exchange>,
+}
+
+impl body::Body for ResponseBody {
+    type Data = Bytes;
+    type Error = reply::BodyError;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, reply::BodyError>>> {
+        pin::Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
     }
 }
 
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -72,7 +72,7 @@
 async fn serve(unanswered: sync::Arc<atomic::AtomicUsize>) -> net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address");
-    let handle = move |request: hyper::Request<hyper::body::Incoming>| {
+    let handle = move |request: server::Request| {
         let unanswered = sync::Arc::clone(&unanswered);
         async move {
             let decrement = |left: usize| left.checked_sub(1);
--- a/crates/stand-in/src/endpoint.rs
+++ b/crates/stand-in/src/endpoint.rs
@@ -14,7 +14,7 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::net as tokio_net;
 use wharflane::id;
-use wharflane_http::{reply, server};
+use wharflane_http::reply;
 
 use crate::history;
 
@@ -263,12 +263,14 @@
     let bytes_wanted = uri.query().and_then(|query| query.strip_prefix("bytes="));
     let bytes_wanted = bytes_wanted.and_then(|bytes| bytes.parse().ok());
     let timeout = time::Duration::from_secs(10);
-    let Ok(body) = server::read_body(request.into_body(), 16 << 20, timeout).await else {
+    let body = http_body_util::Limited::new(request.into_body(), 16 << 20).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(timeout, body).await else {
         return reply::problem(hyper::StatusCode::BAD_REQUEST, "body", "body not taken");
     };
     match bytes_wanted {
         Some(bytes) => reply::text(hyper::StatusCode::OK, "x".repeat(bytes)),
         None => {
+            let body = body.to_bytes();
             let body = String::from_utf8_lossy(&body);
             reply::text(hyper::StatusCode::OK, format!("{} {body}", uri.path()))
         }
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -7,10 +7,9 @@
 use std::time;
 
 use hyper::StatusCode;
-use hyper::body;
 use wharflane::{clock, clock::Clock as _, id, job, rows as table, size};
 use wharflane_adapter::{config, entry, server_codec};
-use wharflane_http::{reply, server};
+use wharflane_http::{reply, request_body, server};
 
 use super::{checker, rows, worker};
 
@@ -289,10 +288,10 @@
     }
 
     /// Answers a call to the store.
-    async fn serve_store(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+    async fn serve_store(self, request: server::Request) -> reply::Reply {
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
-        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let read = request_body::read(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let call = read.ok().and_then(|body| server_codec::store_call(&path, &query, &body));
         let Some(call) = call else {
             return reply::problem(StatusCode::BAD_REQUEST, "call", "no such call");
@@ -381,8 +380,8 @@
     }
 
     /// Answers an advice request.
-    async fn serve_advice(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
-        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    async fn serve_advice(self, request: server::Request) -> reply::Reply {
+        let read = request_body::read(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let Some((step, workers)) = read.ok().and_then(|body| server_codec::advice_request(&body))
         else {
             return reply::problem(StatusCode::BAD_REQUEST, "question", "no such question");
@@ -405,14 +404,10 @@
     }
 
     /// Answers a call to a worker.
-    async fn serve_worker(
-        self,
-        at: usize,
-        request: hyper::Request<body::Incoming>,
-    ) -> reply::Reply {
+    async fn serve_worker(self, at: usize, request: server::Request) -> reply::Reply {
         let path = request.uri().path().to_owned();
         let headers = request.headers().clone();
-        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let read = request_body::read(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let addr = self.lock().addrs[at];
         if !self.lock().workers[at].answers() {
             std::future::pending::<()>().await;
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -7,10 +7,9 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::StatusCode;
-use hyper::body;
 use tokio::net as tokio_net;
 use wharflane::{members, platform};
-use wharflane_http::{reply, server};
+use wharflane_http::{reply, request_body, server};
 use wharflane_platform as protocol;
 
 use crate::store;
@@ -43,11 +42,11 @@
     }
 
     /// Answers one request.
-    async fn answer(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+    async fn answer(self, request: server::Request) -> reply::Reply {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
-        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let read = request_body::read(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let Ok(body) = read else {
             return reply::problem(StatusCode::BAD_REQUEST, "body", "body not taken");
         };
--- a/crates/stand-in/src/worker.rs
+++ b/crates/stand-in/src/worker.rs
@@ -9,10 +9,9 @@
 
 use hyper::Method;
 use hyper::StatusCode;
-use hyper::body;
 use tokio::net as tokio_net;
 use wharflane::{id, size, work};
-use wharflane_http::{reply, server};
+use wharflane_http::{reply, request_body, server};
 
 use crate::endpoint;
 use crate::history;
@@ -141,10 +140,10 @@
     }
 
     /// Answers one request.
-    async fn answer(self, request: hyper::Request<body::Incoming>) -> reply::Reply {
+    async fn answer(self, request: server::Request) -> reply::Reply {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
-        let read = server::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let read = request_body::read(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let Ok(body) = read else {
             return reply::problem(StatusCode::BAD_REQUEST, "body", "body not taken");
         };
--- a/crates/wharflane/src/job/retry_after.rs
+++ b/crates/wharflane/src/job/retry_after.rs
@@ -12,6 +12,8 @@
 //!   2 s at first, then as above.
 //! - Store too slow for the time that the caller has left (503): nothing was sent. The delay is 1 s,
 //!   since the caller has hardly more.
+//! - No memory for the body (503): the call was not read as a whole, so nothing was sent. The delay is
+//!   1 s, since other hosts may have memory, and bodies end or are given up within seconds.
 //! - This host closes its connections before the store would answer (503): nothing was sent. The
 //!   delay is 1 s, since other hosts serve on.
 //! - No answer to a write (504): it may take effect, now or later. The delay is 1 s, since the same
@@ -60,6 +62,8 @@
     StoreSlow,
     /// This host is stopping and closes its connections before the store would answer.
     Stopping,
+    /// This host has no memory for the call's body.
+    NoRoom,
     /// A write got no answer and may have taken effect.
     InDoubt,
     /// The requested state is unknown at the moment, though the store answers.
@@ -76,6 +80,7 @@
             Self::StoreBusy => "store-busy",
             Self::StoreSlow => "store-slow",
             Self::Stopping => "stopping",
+            Self::NoRoom => "no-room",
             Self::InDoubt => "in-doubt",
             Self::NotKnown => "not-known",
         }
@@ -88,6 +93,7 @@
             Self::NoConfiguration
             | Self::StoreSlow
             | Self::Stopping
+            | Self::NoRoom
             | Self::InDoubt
             | Self::NotKnown => MIN_DELAY.as_secs(),
             Self::StoreSilent => grown.min(MAX_DELAY.as_secs()),
