--- a/crates/daemon/src/caller_limits.rs
+++ b/crates/daemon/src/caller_limits.rs
@@ -9,6 +9,9 @@
 use crate::metrics;
 use crate::settings;
 
+/// Memory of an open connection at most, in bytes: its state, the largest head in the read buffer,
+/// and bytes that have arrived and are not read.
+const CONNECTION_BYTES: u64 = 64 << 10;
 /// Part of the callers' memory that is for connections, as a divisor.
 const CONNECTIONS_DIVISOR: u64 = 2;
 /// Part of the callers' memory that is for heads and small bodies, as a divisor; the rest is for
@@ -16,6 +19,9 @@
 const SMALL_DIVISOR: u64 = 8;
 /// Memory of a host whose memory is not known, in bytes: that of the smallest machines in use.
 const UNKNOWN_MEMORY_BYTES: u64 = 160 << 20;
+/// Fewest connections and requests of callers, however small the host is.
+const MIN_CONNECTIONS: u64 = 16;
+
 /// Limits of a host's callers.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerLimits {
@@ -78,10 +84,11 @@
     let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     let callers_bytes = resources.memory_bytes / 100 * memory_percent;
     let connections_bytes = callers_bytes / CONNECTIONS_DIVISOR;
+    let connections = (connections_bytes / CONNECTION_BYTES).max(MIN_CONNECTIONS);
     let small_bytes = callers_bytes / SMALL_DIVISOR;
     let large_bytes = callers_bytes - connections_bytes - small_bytes;
     admission::Sizes {
-        connections: bounds.connections,
+        connections: size(connections).min(bounds.connections),
         small_bytes: size(small_bytes).max(bounds.head_bytes + admission::SMALL_BYTES),
         large_bytes: size(large_bytes).max(largest_body_bytes),
     }
--- a/crates/daemon/tests/caller_limits.rs
+++ b/crates/daemon/tests/caller_limits.rs
@@ -21,12 +21,14 @@
     callers_take_no_more_than_their_part => {
         for memory_mb in MACHINES {
             let sizes = sizes(memory_mb, JOB_BYTES);
-            let total = (sizes.small_bytes + sizes.large_bytes) as u64;
+            let connections = sizes.connections * (64 << 10);
+            let total = (connections + sizes.small_bytes + sizes.large_bytes) as u64;
             assert!(total <= (memory_mb << 20) / 4, "{memory_mb} MB: {sizes:?}");
         }
     },
     many_ordinary_callers_fit_on_the_smallest_machine => {
         let sizes = sizes(160, JOB_BYTES);
+        assert!(sizes.connections >= 300, "{sizes:?}");
         assert!(sizes.small_bytes / admission::SMALL_BYTES >= 300, "{sizes:?}");
         assert!(sizes.large_bytes / JOB_BYTES >= 50, "{sizes:?}");
     },
@@ -36,6 +38,7 @@
                 let sizes = sizes(memory_mb, bytes);
                 assert!(sizes.large_bytes >= bytes, "{sizes:?}");
                 assert!(sizes.small_bytes >= 32 << 10, "{sizes:?}");
+                assert!(sizes.connections >= 16, "{sizes:?}");
             }
         }
     },
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -26,6 +26,10 @@
 /// Timeout for the answer to a ping: covers many round trips over a slow link and a pause of the
 /// client's process.
 const PING_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Bytes of a connection that the system may receive before they are read. Unread bytes are memory of
+/// the process on machines that count them; with the longest round trips between a caller and its
+/// host this lets several megabytes a second through.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -84,6 +88,10 @@
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = reply::Reply> + Send + 'static,
 {
+    let received = socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    if let Err(err) = received {
+        tracing::warn!(%err, "the size of receive buffers can't be set");
+    }
     let graceful = graceful::GracefulShutdown::new();
     let mut stop = std::pin::pin!(stop);
     loop {
@@ -139,7 +147,8 @@
     let requests = sync::Arc::clone(&connection);
     let service = service::service_fn(move |request| {
         let exchange = sync::Arc::new(request_body::Exchange::new(sync::Arc::clone(&requests)));
-        let response = handle(with_body(request, &exchange));
+        // In a box of its own the memory of the answer's computation is free between requests.
+        let response = Box::pin(handle(with_body(request, &exchange)));
         async move {
             let response = response.await;
             Ok::<_, convert::Infallible>(
