HTTP/2 connections of callers have few streams and small windows

What callers saw: 60 connections with 100 streams each, whose bodies don't end, took more than the memory of the process (88 MB of 80, or its end).

Cause: streams and windows stood at the library's defaults: 200 streams and 1 MB that may arrive unread on each connection, and up to 400 KB of an answer on each stream. Places are counted by connection, so one place brought a megabyte and the state of as many requests as it liked.

A connection has 32 streams, 64 KB for all that arrives unread (the least that the protocol allows) and 64 KB of an answer that waits on a stream; and the state of a request whose body is incomplete, 4 KB, is charged with its head, so that streams pay by number.

Ruled out: a smaller window for the connection (the protocol starts at 65,535); counting a stream as a place (an honest client with 20 streams would close other callers' connections).

--- a/crates/http/src/request_body.rs
+++ b/crates/http/src/request_body.rs
@@ -14,6 +14,8 @@
 
 use crate::{admission, budget};
 
+/// Memory of a request's state until its body is complete, in bytes.
+const REQUEST_BYTES: usize = 4 << 10;
 /// Smallest buffer of a body without a length, in bytes.
 const MIN_BUFFER_BYTES: usize = 4 << 10;
 /// Longest time for which the rest of a refused body is read, so that its client gets the answer:
@@ -254,7 +256,7 @@
     buffer: &mut Buffer,
     limit_bytes: usize,
 ) -> Result<(), Unread> {
-    buffer.charge_head(body.head_bytes).await?;
+    buffer.charge_head(body.head_bytes + REQUEST_BYTES).await?;
     let (small, large) = buffer.revocations();
     loop {
         let frame = tokio::select! {
@@ -302,7 +304,7 @@
         Self { bytes: Vec::new(), bound_bytes, small, large }
     }
 
-    /// Charges the memory of the request's head.
+    /// Charges the memory of the request's head and state.
     async fn charge_head(&mut self, head_bytes: usize) -> Result<(), Unread> {
         let charged = self.small.grow(head_bytes).await;
         charged.map_err(|refusal| Unread::Refused(refusal, admission::Limit::SmallBodies))
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -30,6 +30,14 @@
 /// the process on machines that count them; with the longest round trips between a caller and its
 /// host this lets several megabytes a second through.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Maximum number of open streams of an HTTP/2 connection.
+const HTTP_2_STREAMS: u32 = 32;
+/// Bytes of an HTTP/2 connection, and of each of its streams, that may arrive before they are read:
+/// the least that the protocol allows for a connection.
+const HTTP_2_WINDOW_BYTES: u32 = 65_535;
+/// Bytes of an answer on an HTTP/2 stream that may wait to be sent.
+const HTTP_2_SEND_BYTES: usize = 64 << 10;
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -186,7 +194,11 @@
         .timer(rt::TokioTimer::new())
         .keep_alive_interval(bounds.ping_every)
         .keep_alive_timeout(bounds.ping_timeout)
-        .max_header_list_size(max_head);
+        .max_header_list_size(max_head)
+        .max_concurrent_streams(HTTP_2_STREAMS)
+        .initial_stream_window_size(HTTP_2_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP_2_WINDOW_BYTES)
+        .max_send_buf_size(HTTP_2_SEND_BYTES);
     builder
 }
 
