Half of the descriptors are kept for what a host opens itself

What callers saw: a crowd of silent connections took all descriptors of a host.

Cause: callers' connections and the host's own share one pool of descriptors, and nothing was set apart. At its end the loop that accepts connections was told the same error over and over without a pause or a log line.

A connection that can't be accepted is logged, and the next try comes 50 ms later.

Ruled out: setting apart a number (a holder has up to 4,400 connections to workers on a machine with 8,192 descriptors, docs/CAPACITY.md; a weak host has a few dozen).

--- a/crates/cli/tests/crowds/cases.rs
+++ b/crates/cli/tests/crowds/cases.rs
@@ -39,6 +39,8 @@
 const FEW_DESCRIPTORS: u64 = 300;
 /// How long a crowd that returns is there before the ordinary call.
 const RETURNING_TIME: time::Duration = time::Duration::from_secs(3);
+/// Memory of a machine on which descriptors are scarcer, in kilobytes.
+const LARGE_MACHINE_KB: u64 = 1 << 20;
 /// Id of the job that is handed in beside a crowd; the next one is handed in after it.
 const ORDINARY_ID: u64 = 1;
 
@@ -113,6 +115,10 @@
     crowd_of_idle_connections_to_services => alone(idle(Port::Services)),
     crowd_of_silent_connections_to_jobs => alone(silent(Port::Jobs)),
     crowd_of_silent_connections_to_services => alone(silent(Port::Services)),
+    crowd_on_a_large_machine_with_few_descriptors_to_jobs =>
+        alone(silent_on_large_machine(Port::Jobs)),
+    crowd_on_a_large_machine_with_few_descriptors_to_services =>
+        alone(silent_on_large_machine(Port::Services)),
     crowd_of_http_2_streams_to_jobs => alone(streams(Port::Jobs)),
     crowd_of_http_2_streams_to_services => alone(streams(Port::Services)),
     a_single_large_job_is_answered => alone(single(Port::Jobs, 262_144)),
@@ -224,6 +230,17 @@
     check_crowd(target, SILENT, Vec::new(), AfterClose::Leaves, bound).await;
 }
 
+/// The same, where memory limits nothing.
+async fn silent_on_large_machine(port: Port) {
+    let limits = fleet::ProcessLimits { data_kb: LARGE_MACHINE_KB, descriptors: FEW_DESCRIPTORS };
+    let target = match port {
+        Port::Jobs => target::Target::jobs(limits).await,
+        Port::Services => target::Target::services(limits).await,
+    };
+    let bound = FEW_DESCRIPTORS / 4 * 3;
+    check_crowd(target, SILENT, Vec::new(), AfterClose::Leaves, bound).await;
+}
+
 /// A crowd opens many streams on each connection, with bodies that don't end.
 async fn streams(port: Port) {
     let mut target = start(port, MANY_DESCRIPTORS).await;
--- a/crates/daemon/src/caller_limits.rs
+++ b/crates/daemon/src/caller_limits.rs
@@ -1,5 +1,5 @@
-//! What the callers of a host may hold at once, so that a crowd of them can't take the memory that
-//! the host's own work needs.
+//! What the callers of a host may hold at once, so that a crowd of them can't take the memory and the
+//! descriptors that the host's own work needs.
 
 use std::fs;
 
@@ -17,6 +17,9 @@
 /// Part of the callers' memory that is for heads and small bodies, as a divisor; the rest is for
 /// large bodies.
 const SMALL_DIVISOR: u64 = 8;
+/// Part of the descriptors that callers may take, as a divisor. The others are for the store, workers,
+/// peers and operators.
+const DESCRIPTORS_DIVISOR: u64 = 2;
 /// Memory of a host whose memory is not known, in bytes: that of the smallest machines in use.
 const UNKNOWN_MEMORY_BYTES: u64 = 160 << 20;
 /// Fewest connections and requests of callers, however small the host is.
@@ -38,6 +41,8 @@
 pub struct Resources {
     /// Memory, in bytes.
     pub memory_bytes: u64,
+    /// Descriptors that the process may open.
+    pub descriptors: u64,
 }
 
 impl CallerLimits {
@@ -84,7 +89,9 @@
     let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
     let callers_bytes = resources.memory_bytes / 100 * memory_percent;
     let connections_bytes = callers_bytes / CONNECTIONS_DIVISOR;
-    let connections = (connections_bytes / CONNECTION_BYTES).max(MIN_CONNECTIONS);
+    let connections = (connections_bytes / CONNECTION_BYTES)
+        .min(resources.descriptors / DESCRIPTORS_DIVISOR)
+        .max(MIN_CONNECTIONS);
     let small_bytes = callers_bytes / SMALL_DIVISOR;
     let large_bytes = callers_bytes - connections_bytes - small_bytes;
     admission::Sizes {
@@ -104,10 +111,14 @@
             soft_limit(resource::Resource::RLIMIT_AS),
             machine_memory_bytes(),
         ];
+        let descriptors = [limits.max_fds, soft_limit(resource::Resource::RLIMIT_NOFILE)];
         let least = |values: &[Option<u64>]| {
             values.iter().copied().flatten().filter(|value| *value > 0).min()
         };
-        Self { memory_bytes: least(&memory_bytes).unwrap_or(UNKNOWN_MEMORY_BYTES) }
+        Self {
+            memory_bytes: least(&memory_bytes).unwrap_or(UNKNOWN_MEMORY_BYTES),
+            descriptors: least(&descriptors).unwrap_or(u64::MAX),
+        }
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -191,6 +191,8 @@
     pub link_mbps: Option<u64>,
     /// Memory in whole megabytes.
     pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open.
+    pub max_fds: Option<u64>,
 }
 
 /// Output format of the log.
@@ -434,6 +436,7 @@
     let limits = Limits {
         link_mbps: whole("link_mbps"),
         memory_mb: whole("memory_mb"),
+        max_fds: whole("max_fds"),
         cpu_milli: table.decimal_milli("cpu_cores", 0..=1_000_000),
     };
     table.end();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -26,6 +26,9 @@
 /// Timeout for the answer to a ping: covers many round trips over a slow link and a pause of the
 /// client's process.
 const PING_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Pause after a connection could not be accepted, for example for lack of descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
 /// Bytes of a connection that the system may receive before they are read. Unread bytes are memory of
 /// the process on machines that count them; with the longest round trips between a caller and its
 /// host this lets several megabytes a second through.
@@ -124,7 +127,11 @@
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
-            Err(_) => continue,
+            Err(err) => {
+                tracing::warn!(%err, "a connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let mut place = admission.connections.hold();
         match place.grow(1).await {
