What the head of a call decides is answered before its body

What callers saw: a submission to a queue that doesn't exist, or a request to an unknown service, cost as much memory as a good one, and was answered only once its body had come: 404 after all of it, 400 after 3 s or 408 after 10 s where the body stopped short of its end.

Cause: the whole body was read before the path was looked at.

Path and method are looked at first. Only a POST to a known queue, and a request to a known service, has its body read; of others it is read and dropped within the bounds of a refused body, beside the answer.

--- a/crates/caller/src/job.rs
+++ b/crates/caller/src/job.rs
@@ -62,6 +62,13 @@
     call(method, queue, id, || read_job(body, queue))
 }
 
+/// Returns whether a path names a known queue, so that the body of its call matters.
+#[must_use]
+pub fn names_queue(path: &str, queues: &job::Queues) -> bool {
+    let name = path.strip_prefix(PREFIX).map(|rest| rest.split_once('/').unwrap_or((rest, "")).0);
+    name.is_some_and(|name| queues.queues.contains_key(name))
+}
+
 /// Builds the call for a method on a job of a queue, or on the queue itself if `id` is empty.
 ///
 /// # Errors
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -86,6 +86,14 @@
     pub timeout: time::Duration,
 }
 
+/// Returns the service that a request names.
+///
+/// # Errors
+/// Returns `BadRequest::NoService` if the path names none.
+pub fn service(uri: &hyper::Uri) -> Result<id::ServiceId, BadRequest> {
+    split_path(uri).map(|(service, _)| service)
+}
+
 /// Parses a request and reads its body.
 ///
 /// # Errors
--- a/crates/cli/tests/crowds/cases.rs
+++ b/crates/cli/tests/crowds/cases.rs
@@ -121,6 +121,10 @@
         alone(silent_on_large_machine(Port::Services)),
     crowd_of_http_2_streams_to_jobs => alone(streams(Port::Jobs)),
     crowd_of_http_2_streams_to_services => alone(streams(Port::Services)),
+    a_call_about_an_unknown_queue_is_answered_before_its_body_ends =>
+        alone(decided_by_head(Port::Jobs, "/jobs/unknown/00000000000000ff")),
+    a_request_to_an_unknown_service_is_answered_before_its_body_ends =>
+        alone(decided_by_head(Port::Services, "/unknown/crowd")),
     a_single_large_job_is_answered => alone(single(Port::Jobs, 262_144)),
     a_single_large_request_is_answered => alone(single(Port::Services, 1_048_576)),
 }
@@ -297,3 +301,13 @@
     assert_eq!(target::post(target.addr(), &path, &body).await, Some(200));
     target.check_lives();
 }
+
+/// A request whose head alone decides is answered though its body never ends.
+async fn decided_by_head(port: Port, path: &str) {
+    let mut target = start(port, MANY_DESCRIPTORS).await;
+    let body = Body { clients: 1, bytes: 100_000 };
+    let bytes = request(path, body, Framing::Sized, End::Short);
+    let status = target::first_status(target.addr(), &bytes).await;
+    assert_eq!(status, Some(404));
+    target.check_lives();
+}
--- a/crates/cli/tests/crowds/target.rs
+++ b/crates/cli/tests/crowds/target.rs
@@ -129,6 +129,15 @@
     String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
 }
 
+/// Sends bytes over a new connection, which stays open, and returns the status of the answer.
+pub async fn first_status(host: net::SocketAddr, bytes: &[u8]) -> Option<u16> {
+    let mut stream = tokio::net::TcpStream::connect(host).await.ok()?;
+    stream.write_all(bytes).await.ok()?;
+    let mut status = [0; "HTTP/1.1 200".len()];
+    stream.read_exact(&mut status).await.ok()?;
+    String::from_utf8_lossy(&status).split(' ').nth(1)?.parse().ok()
+}
+
 /// Looks at a host's process from outside, until it is dropped.
 pub struct Watcher {
     /// Id of the process.
--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -156,27 +156,35 @@
         let queues = self.shared.queues.load_full();
         // Paths of configured queues take precedence over the built-in ones.
         let built_in = path.starts_with(caller_job::PREFIX) && queues.route(host, path).is_none();
-        let answer = if queues.revision == 0 {
-            self.service.without_configuration(path, deadline)
+        let known_queue = if built_in {
+            caller_job::names_queue(path, &queues)
         } else {
-            match request_body::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
-                Err(request_body::ReadError::NoRoom(_)) => {
-                    self.service.without_room(path, deadline)
-                }
-                Err(err) => {
-                    tracing::info!(path, %err, "the body of a call can't be read");
-                    job::Answer::BadBody
-                }
-                Ok(body) => {
-                    let call = if built_in {
-                        caller_job::read(&head.method, path, &body, &queues)
-                    } else {
-                        callers::read(&head.method, host, path, &body, &queues)
-                    };
-                    match call {
-                        Ok(call) => self.service.answer(call, &queues, deadline).await,
-                        Err(answer) => answer,
-                    }
+            queues.route(host, path).is_some()
+        };
+        let read = if queues.revision > 0 && known_queue && head.method == Method::POST {
+            request_body::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await
+        } else {
+            // The head alone decides.
+            body.discard();
+            Ok(bytes::Bytes::new())
+        };
+        let answer = match read {
+            _ if queues.revision == 0 => self.service.without_configuration(path, deadline),
+            Err(request_body::ReadError::NoRoom(_)) => self.service.without_room(path, deadline),
+            Err(err) => {
+                tracing::info!(path, %err, "the body of a call can't be read");
+                job::Answer::BadBody
+            }
+            Ok(body) => {
+                let call = if built_in {
+                    caller_job::read(&head.method, path, &body, &queues)
+                } else {
+                    callers::read(&head.method, host, path, &body, &queues)
+                };
+                match call {
+                    // In a box of its own it takes no memory of requests whose body is incomplete.
+                    Ok(call) => Box::pin(self.service.answer(call, &queues, deadline)).await,
+                    Err(answer) => answer,
                 }
             }
         };
--- a/crates/daemon/src/traffic/serve.rs
+++ b/crates/daemon/src/traffic/serve.rs
@@ -95,6 +95,10 @@
     pub async fn serve(self: sync::Arc<Self>, request: server::Request) -> http_reply::Reply {
         let received_at = self.clock.now();
         let in_flight = forward::InFlightGuard::new(&self.metrics.in_flight);
+        if let Some(rejection) = self.reject_by_head(&request) {
+            request.into_body().discard();
+            return self.reject("", "", rejection);
+        }
         let parsed = match request::read(request, self.limits.body).await {
             Ok(parsed) => parsed,
             Err(err) => return self.reject("", "", not_run(bad_request_reason(&err))),
@@ -106,7 +110,8 @@
             Ok(call) => call,
             Err(rejection) => return self.reject(service, &request_id, rejection),
         };
-        match self.run_attempts(&call, in_flight).await {
+        // In a box of its own it takes no memory of requests whose body is incomplete.
+        match Box::pin(self.run_attempts(&call, in_flight)).await {
             Ok(answer) => answer,
             Err(rejection) => {
                 if rejection.outcome == outcome::Outcome::NotRun {
@@ -117,6 +122,16 @@
         }
     }
 
+    /// Returns the rejection of a request that its head alone decides, so that its body isn't kept.
+    fn reject_by_head(&self, request: &server::Request) -> Option<Rejection> {
+        let service = match request::service(request.uri()) {
+            Ok(service) => service,
+            Err(err) => return Some(not_run(bad_request_reason(&err))),
+        };
+        let known = self.balancers.load().contains_key(&service);
+        (!known).then_some(not_run(reply::RequestError::NoService))
+    }
+
     /// Finds the balancer of a request and rejects a repeated id.
     fn prepare_call<'a>(
         &self,
