A submission's list of steps is read up to one more than a job may have

A legal body of 262,144 bytes may list some 87,000 empty steps. Each was built twice, as the platform writes it and as a job has it, before the job was refused for its 64 steps: tens of megabytes for a body of a quarter of one, on hosts with 160 MB. Not measured on a host.

The list keeps 65 steps and skips the others without building them, so that the refusal is the same (400, too many steps).

--- a/crates/caller/src/job.rs
+++ b/crates/caller/src/job.rs
@@ -26,6 +26,7 @@
     #[serde(default)]
     pub spec: String,
     /// Steps of the job.
+    #[serde(deserialize_with = "job::read_steps")]
     pub steps: Vec<job::Step>,
     /// Schedule of repeated runs; absent if the steps run once, immediately.
     #[serde(default)]
--- a/crates/wharflane/src/job/mod.rs
+++ b/crates/wharflane/src/job/mod.rs
@@ -55,7 +55,7 @@
 };
 pub use spec::{
     BadJobId, BadTaskId, Job, JobId, MAX_SPEC_BYTES, MAX_STEPS, MAX_TASKS, Refusal, Repeats, Step,
-    TaskId,
+    TaskId, read_steps,
 };
 pub use workers::closed::ClosedHalls;
 pub use workers::moves::StallCounts;
--- a/crates/wharflane/src/job/spec.rs
+++ b/crates/wharflane/src/job/spec.rs
@@ -1,9 +1,10 @@
 //! The specification of a job: steps with tasks and their dependencies, and its validation.
 
 use std::fmt;
+use std::marker;
 use std::str;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de};
 
 use crate::id;
 use crate::size;
@@ -269,3 +270,39 @@
         self.steps.get(step as usize)
     }
 }
+
+/// Reads the steps of a submission, as a `deserialize_with` of serde. It keeps one step more than a
+/// job may have and skips the others, so that a long list of tiny steps takes little memory.
+///
+/// # Errors
+/// Returns the error of a step that can't be read.
+pub fn read_steps<'de, D, S>(deserializer: D) -> Result<Vec<S>, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    S: serde::Deserialize<'de>,
+{
+    deserializer.deserialize_seq(StepsVisitor(marker::PhantomData))
+}
+
+/// Reads a list of steps.
+struct StepsVisitor<S>(marker::PhantomData<S>);
+
+impl<'de, S: serde::Deserialize<'de>> de::Visitor<'de> for StepsVisitor<S> {
+    type Value = Vec<S>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list of steps")
+    }
+
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<S>, A::Error> {
+        let mut steps = Vec::new();
+        while steps.len() <= MAX_STEPS {
+            match seq.next_element()? {
+                Some(step) => steps.push(step),
+                None => return Ok(steps),
+            }
+        }
+        while seq.next_element::<de::IgnoredAny>()?.is_some() {}
+        Ok(steps)
+    }
+}
