Texts of clients in log lines are cut to 200 bytes

What callers saw: nothing yet; found by reading, beside the crowds. Lines about a call carry its path, which a client may make 32 KB long, and a line about a body that can't be read carries the reader's message, which may quote a text of the body as long as the body (256 KB). Up to 8,192 lines may wait to be written, so a crowd could fill the memory through the log.

Tests: an excerpt ends between characters and has at most 200 bytes.

--- a/crates/daemon/src/jobs/run.rs
+++ b/crates/daemon/src/jobs/run.rs
@@ -12,7 +12,7 @@
 use wharflane::{clock, job};
 use wharflane_adapter::{advice, callers, store, workers};
 use wharflane_caller::job as caller_job;
-use wharflane_http::{reply, request_body, server};
+use wharflane_http::{excerpt, reply, request_body, server};
 use wharflane_operator as operator;
 
 use super::Shared;
@@ -161,6 +161,7 @@
         } else {
             queues.route(host, path).is_some()
         };
+        let logged_path = excerpt::of(path);
         let read = if queues.revision > 0 && known_queue && head.method == Method::POST {
             request_body::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await
         } else {
@@ -169,10 +170,12 @@
             Ok(bytes::Bytes::new())
         };
         let answer = match read {
-            _ if queues.revision == 0 => self.service.without_configuration(path, deadline),
-            Err(request_body::ReadError::NoRoom(_)) => self.service.without_room(path, deadline),
+            _ if queues.revision == 0 => self.service.without_configuration(logged_path, deadline),
+            Err(request_body::ReadError::NoRoom(_)) => {
+                self.service.without_room(logged_path, deadline)
+            }
             Err(err) => {
-                tracing::info!(path, %err, "the body of a call can't be read");
+                tracing::info!(path = logged_path, %err, "the body of a call can't be read");
                 job::Answer::BadBody
             }
             Ok(body) => {
@@ -195,7 +198,7 @@
         let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
         tracing::info!(
             method = head.method.as_str(),
-            path,
+            path = logged_path,
             revision = queues.revision,
             took_ms,
             ?answer,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod client;
 pub mod connection;
+pub mod excerpt;
 pub mod guard;
 mod pool;
 pub mod reply;
--- a/crates/http/tests/admission.rs
+++ b/crates/http/tests/admission.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use wharflane_http::{admission, reply, request_body, server};
+use wharflane_http::{admission, excerpt, reply, request_body, server};
 use wharflane_stand_in::cases;
 use wharflane_stand_in::runtime;
 
@@ -21,6 +21,12 @@
     an_open_connection_gives_way_to_a_newer_one => runtime::on_many_threads(connections()),
     an_answer_is_not_given_up_for_a_newer_connection => runtime::on_many_threads(kept_answer()),
     an_answer_that_needs_no_body_reaches_its_client => runtime::on_many_threads(early_answer()),
+    an_excerpt_ends_between_characters => {
+        assert_eq!(excerpt::of("short"), "short");
+        let text = "é".repeat(200);
+        assert!(text.starts_with(excerpt::of(&text)));
+        assert!(excerpt::of(&text).len() <= 200);
+    },
 }
 
 /// Largest body of a request, in bytes.
