--- a/crates/cli/tests/crowds/cases.rs
+++ b/crates/cli/tests/crowds/cases.rs
@@ -10,9 +10,9 @@
 use crate::fleet;
 use crate::target;
 
-/// Bytes of a large job: a little less than a submission may have.
+/// A large job: a little less than a submission may have.
 const LARGE_JOB: Body = Body { clients: 400, bytes: 250_000 };
-/// Bytes of a large request to a service: a little less than a request may have.
+/// A large request to a service: a little less than a request may have.
 const LARGE_REQUEST: Body = Body { clients: 100, bytes: 1_000_000 };
 /// A job in very small chunks.
 const FINE_JOB: Body = Body { clients: 400, bytes: 200_000 };
@@ -26,7 +26,7 @@
 const HEAD_BYTES: usize = 31_000;
 /// Connections that are kept open after an answered call.
 const IDLE: usize = 2_000;
-/// Connections that send nothing, and the descriptors that the host may open beside.
+/// Connections that send nothing: more than the host has descriptors.
 const SILENT: usize = 450;
 /// HTTP/2 connections, and streams on each.
 const HTTP_2: usize = 60;
@@ -190,6 +190,7 @@
         AfterClose::Returns => tokio::time::sleep(RETURNING_TIME).await,
     }
     target.check_lives();
+    target.check_ready().await;
     target.make_ordinary_call(ORDINARY_ID).await;
     crowd.leave().await;
     target.make_ordinary_call(ORDINARY_ID + 1).await;
--- a/crates/cli/tests/crowds/target.rs
+++ b/crates/cli/tests/crowds/target.rs
@@ -64,6 +64,21 @@
         }
     }
 
+    /// Waits until the host tells the load balancer, at the operators' port, that it is ready.
+    pub async fn check_ready(&mut self) {
+        let operators = match self {
+            Self::Jobs(service) => service.operators[0],
+            Self::Services(fleet) => fleet.host("entry-0").operator,
+        };
+        fleet::wait_until("the host to be ready", async || {
+            self.check_lives();
+            let question = b"GET /ready HTTP/1.1\r\nhost: host\r\n\r\n";
+            let status = first_status(operators, question);
+            tokio::time::timeout(CALL_TIMEOUT, status).await.ok().flatten() == Some(200)
+        })
+        .await;
+    }
+
     /// Returns the path of a request that the host takes.
     pub fn path(&self) -> String {
         match self {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -73,6 +73,9 @@
     }
 }
 
+/// A request with its unread body.
+pub type Request = hyper::Request<request_body::RequestBody>;
+
 /// Serves connections until `stop` completes, then waits for the requests in flight.
 pub async fn serve<H, F>(
     listener: net::TcpListener,
@@ -84,11 +87,11 @@
     F: Future<Output = reply::Reply> + Send + 'static,
 {
     let admission = admission::Admission::of_connections(bounds.connections);
-    serve_admitted(listener, bounds, admission, stop, handle).await;
+    serve_within(listener, bounds, admission, stop, handle).await;
 }
 
-/// Serves connections within the budgets of a port until `stop` completes, then waits for the
-/// requests in flight.
+/// Serves connections of clients that may misbehave: within the budgets of their port, and with small
+/// receive buffers.
 pub async fn serve_admitted<H, F>(
     listener: net::TcpListener,
     bounds: Bounds,
@@ -103,6 +106,20 @@
     if let Err(err) = received {
         tracing::warn!(%err, "the size of receive buffers can't be set");
     }
+    serve_within(listener, bounds, admission, stop, handle).await;
+}
+
+/// Serves connections that have a place among those of the port.
+async fn serve_within<H, F>(
+    listener: net::TcpListener,
+    bounds: Bounds,
+    admission: admission::Admission,
+    stop: impl Future<Output = ()>,
+    handle: H,
+) where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = reply::Reply> + Send + 'static,
+{
     let graceful = graceful::GracefulShutdown::new();
     let mut stop = std::pin::pin!(stop);
     loop {
@@ -116,9 +133,6 @@
     graceful.shutdown().await;
 }
 
-/// A request with its unread body.
-pub type Request = hyper::Request<request_body::RequestBody>;
-
 /// Accepts the next connection that has a place among those of the port.
 async fn accept(
     listener: &net::TcpListener,
