Connections and the requests on them are a module of their own

request_body.rs held two matters: reading a body within the budgets, and which connection may be closed for a newer one.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod connection;
 pub mod excerpt;
+mod exchange;
 pub mod guard;
 mod pool;
 pub mod reply;
--- a/crates/http/src/request_body.rs
+++ b/crates/http/src/request_body.rs
@@ -1,9 +1,7 @@
 //! The body of a request to a server, which is read into one buffer within the server's budgets.
 
-use std::net;
 use std::pin;
 use std::sync;
-use std::sync::atomic;
 use std::task;
 use std::time;
 
@@ -12,7 +10,7 @@
 use hyper::body;
 use hyper::body::Body as _;
 
-use crate::{admission, budget};
+use crate::{admission, budget, exchange};
 
 /// Memory of a request's state until its body is complete, in bytes.
 const REQUEST_BYTES: usize = 4 << 10;
@@ -24,92 +22,6 @@
 /// Maximum size of that rest, in bytes.
 const MAX_DISCARD_BYTES: usize = 1 << 20;
 
-/// An open connection and its place among those of the port.
-#[derive(Debug)]
-pub(crate) struct Connection {
-    /// Address of the client.
-    pub(crate) peer: net::SocketAddr,
-    /// Budgets of the port.
-    pub(crate) admission: admission::Admission,
-    /// State that the requests on the connection share.
-    handling: sync::Mutex<Handling>,
-}
-
-/// How a connection is used.
-#[derive(Debug)]
-struct Handling {
-    /// The connection's place; revoked to close the connection.
-    place: budget::Hold,
-    /// Number of complete requests that are not answered yet.
-    complete: usize,
-}
-
-impl Connection {
-    /// Creates a connection that has no request yet.
-    pub(crate) fn new(
-        peer: net::SocketAddr,
-        admission: admission::Admission,
-        place: budget::Hold,
-    ) -> Self {
-        Self { peer, admission, handling: sync::Mutex::new(Handling { place, complete: 0 }) }
-    }
-
-    /// Returns what is notified when the connection is to be closed for a newer one.
-    pub(crate) fn revocation(&self) -> sync::Arc<tokio::sync::Notify> {
-        let handling = self.handling.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        handling.place.revocation()
-    }
-
-    /// Records that a request is complete: its answer is not given up for a newer connection.
-    fn begin(&self) {
-        let mut handling = self.handling.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        handling.complete += 1;
-        if handling.place.keep().is_err() {
-            tracing::debug!(peer = %self.peer, "a request came whole as its connection was closed");
-        }
-    }
-
-    /// Records that a complete request is answered.
-    fn end(&self) {
-        let mut handling = self.handling.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        handling.complete -= 1;
-        if handling.complete == 0 {
-            handling.place.offer();
-        }
-    }
-}
-
-/// A request on its connection; dropped once it is answered.
-#[derive(Debug)]
-pub(crate) struct Exchange {
-    /// The connection.
-    connection: sync::Arc<Connection>,
-    /// Whether the whole request has arrived.
-    complete: atomic::AtomicBool,
-}
-
-impl Exchange {
-    /// Creates an exchange whose request is not complete.
-    pub(crate) fn new(connection: sync::Arc<Connection>) -> Self {
-        Self { connection, complete: atomic::AtomicBool::new(false) }
-    }
-
-    /// Records that the whole request has arrived.
-    fn complete(&self) {
-        if !self.complete.swap(true, atomic::Ordering::Relaxed) {
-            self.connection.begin();
-        }
-    }
-}
-
-impl Drop for Exchange {
-    fn drop(&mut self) {
-        if self.complete.load(atomic::Ordering::Relaxed) {
-            self.connection.end();
-        }
-    }
-}
-
 /// The unread body of a request.
 #[derive(Debug)]
 pub struct RequestBody {
@@ -118,7 +30,7 @@
     /// Size of the request's head, in bytes.
     head_bytes: usize,
     /// The request on its connection.
-    exchange: sync::Arc<Exchange>,
+    exchange: sync::Arc<exchange::Exchange>,
 }
 
 impl RequestBody {
@@ -126,7 +38,7 @@
     pub(crate) fn new(
         incoming: body::Incoming,
         head_bytes: usize,
-        exchange: sync::Arc<Exchange>,
+        exchange: sync::Arc<exchange::Exchange>,
     ) -> Self {
         if incoming.is_end_stream() {
             exchange.complete();
@@ -225,7 +137,7 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let connection = sync::Arc::clone(&body.exchange.connection);
+    let connection = sync::Arc::clone(body.exchange.connection());
     let length = body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
     if length.is_some_and(|bytes| bytes > limit_bytes) {
         return Err(ReadError::TooLarge { limit_bytes });
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::server::graceful;
 use tokio::net;
 
-use crate::{admission, guard, reply, request_body};
+use crate::{admission, exchange, guard, reply, request_body};
 
 /// Maximum time without progress of a response: half of the default of nginx, so that a slow reader
 /// has time to drain enough of the socket buffers for the next byte to be accepted.
@@ -137,7 +137,7 @@
 async fn accept(
     listener: &net::TcpListener,
     admission: &admission::Admission,
-) -> (net::TcpStream, request_body::Connection) {
+) -> (net::TcpStream, exchange::Connection) {
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -150,7 +150,7 @@
         let mut place = admission.connections.hold();
         match place.grow(1).await {
             Ok(()) => {
-                let connection = request_body::Connection::new(peer, admission.clone(), place);
+                let connection = exchange::Connection::new(peer, admission.clone(), place);
                 return (stream, connection);
             }
             Err(_refusal) => admission.note(admission::Limit::NewConnection, peer),
@@ -164,7 +164,7 @@
     bounds: Bounds,
     graceful: &graceful::GracefulShutdown,
     handle: H,
-    connection: request_body::Connection,
+    connection: exchange::Connection,
 ) where
     H: Fn(Request) -> F + Send + 'static,
     F: Future<Output = reply::Reply> + Send + 'static,
@@ -175,7 +175,7 @@
     let connection = sync::Arc::new(connection);
     let requests = sync::Arc::clone(&connection);
     let service = service::service_fn(move |request| {
-        let exchange = sync::Arc::new(request_body::Exchange::new(sync::Arc::clone(&requests)));
+        let exchange = sync::Arc::new(exchange::Exchange::new(sync::Arc::clone(&requests)));
         // In a box of its own the memory of the answer's computation is free between requests.
         let response = Box::pin(handle(with_body(request, &exchange)));
         async move {
@@ -226,7 +226,7 @@
 /// Ties the body of a request to its exchange.
 fn with_body(
     request: hyper::Request<body::Incoming>,
-    exchange: &sync::Arc<request_body::Exchange>,
+    exchange: &sync::Arc<exchange::Exchange>,
 ) -> Request {
     let (head, incoming) = request.into_parts();
     let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
@@ -240,7 +240,7 @@
     /// The handler's body.
     body: reply::Body,
     /// The request that is answered.
-    _exchange: sync::Arc<request_body::Exchange>,
+    _exchange: sync::Arc<exchange::Exchange>,
 }
 
 impl body::Body for ResponseBody {
