--- a/crates/http/tests/admission.rs
+++ b/crates/http/tests/admission.rs
@@ -33,6 +33,8 @@
 const LIMIT_BYTES: usize = 200_000;
 /// Memory that one body of that size needs beside its first part, in bytes.
 const LARGE_BYTES: usize = LIMIT_BYTES - admission::SMALL_BYTES;
+/// Part of a body that is sent after the answer, in bytes.
+const REST_BYTES: usize = 1_000;
 /// Longest time that a body may take.
 const TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Sizes that no client of these tests meets.
@@ -152,16 +154,24 @@
     assert_eq!(server.limits_met.load(atomic::Ordering::SeqCst), 0);
 }
 
-/// A body for which there is no room, beside a complete one, is refused; its client reads the answer
-/// though it sends the whole body first.
+/// A body for which there is no room, beside a complete one, is refused; its client sends on after the
+/// answer without a reset, which could take the answer from it.
 async fn refused() {
     let server = start(admission::Sizes { large_bytes: LARGE_BYTES, ..AMPLE }).await;
     let complete = server.send(&request("/held", LIMIT_BYTES, 0)).await;
     while server.held.load(atomic::Ordering::SeqCst) == 0 {
         tokio::time::sleep(time::Duration::from_millis(5)).await;
     }
-    let refused = server.call(&request("/", LIMIT_BYTES, 0)).await;
-    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    let mut refused = server.send(&request("/", LIMIT_BYTES, REST_BYTES)).await;
+    let mut status = [0; 12];
+    refused.read_exact(&mut status).await.expect("an answer");
+    assert_eq!(&status, b"HTTP/1.1 503");
+    for part in [0; REST_BYTES].chunks(REST_BYTES / 10) {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+        refused.write_all(part).await.expect("sent");
+    }
+    let rest = answer(refused).await;
+    assert!(rest.contains("no memory for the body"), "{rest}");
     server.release.notify_one();
     let answered = answer(complete).await;
     assert!(answered.ends_with(&LIMIT_BYTES.to_string()), "{answered}");
@@ -186,13 +196,17 @@
 
 /// A small body is read while complete large ones take all of their part.
 async fn small_beside_large() {
-    let server = start(admission::Sizes { large_bytes: LARGE_BYTES, ..AMPLE }).await;
-    let _complete = server.send(&request("/held", LIMIT_BYTES, 0)).await;
+    let sizes = admission::Sizes { small_bytes: 64 << 10, large_bytes: LARGE_BYTES, ..AMPLE };
+    let server = start(sizes).await;
+    let complete = server.send(&request("/held", LIMIT_BYTES, 0)).await;
     while server.held.load(atomic::Ordering::SeqCst) == 0 {
         tokio::time::sleep(time::Duration::from_millis(5)).await;
     }
-    let answer = server.call(&request("/", 1_000, 0)).await;
-    assert!(answer.ends_with("1000"), "{answer}");
+    let answered = server.call(&request("/", 1_000, 0)).await;
+    assert!(answered.ends_with("1000"), "{answered}");
+    server.release.notify_one();
+    let answered = answer(complete).await;
+    assert!(answered.ends_with(&LIMIT_BYTES.to_string()), "{answered}");
 }
 
 /// Connections that send nothing, or an incomplete request, are closed for newer ones.
