Crowds whose bodies come piece by piece

The crowds with a length wrote all at once; the issue names bodies that come piece by piece as well. 4 KB pieces with a pause after each, whole and short of their end, for jobs and services; clients and bounds as with the others.

--- a/crates/cli/tests/crowds/cases.rs
+++ b/crates/cli/tests/crowds/cases.rs
@@ -6,7 +6,7 @@
 use wharflane_stand_in::cases;
 
 use crate::crowd;
-use crate::crowd::AfterClose;
+use crate::crowd::{AfterClose, Writing};
 use crate::fleet;
 use crate::target;
 
@@ -85,6 +85,12 @@
         alone(bodies(Port::Jobs, LARGE_JOB, Framing::Sized, End::Whole)),
     crowd_of_large_jobs_short =>
         alone(bodies(Port::Jobs, LARGE_JOB, Framing::Sized, End::Short)),
+    crowd_of_jobs_piece_by_piece_whole => alone(pieces(Port::Jobs, LARGE_JOB, End::Whole)),
+    crowd_of_jobs_piece_by_piece_short => alone(pieces(Port::Jobs, LARGE_JOB, End::Short)),
+    crowd_of_requests_piece_by_piece_whole =>
+        alone(pieces(Port::Services, LARGE_REQUEST, End::Whole)),
+    crowd_of_requests_piece_by_piece_short =>
+        alone(pieces(Port::Services, LARGE_REQUEST, End::Short)),
     crowd_of_jobs_in_large_chunks_whole =>
         alone(bodies(Port::Jobs, LARGE_JOB, Framing::Chunked(LARGE_CHUNK_BYTES), End::Whole)),
     crowd_of_jobs_in_large_chunks_short =>
@@ -177,11 +183,12 @@
     mut target: target::Target,
     clients: usize,
     bytes: Vec<u8>,
+    writing: Writing,
     after_close: AfterClose,
     descriptors: u64,
 ) {
     let watcher = target::Watcher::start(&target);
-    let crowd = crowd::Crowd::start(target.addr(), clients, bytes, after_close);
+    let crowd = crowd::Crowd::start(target.addr(), clients, bytes, writing, after_close);
     match after_close {
         AfterClose::Leaves => {
             let port = target.addr().port();
@@ -202,14 +209,31 @@
 async fn bodies(port: Port, body: Body, framing: Framing, end: End) {
     let target = start(port, MANY_DESCRIPTORS).await;
     let bytes = request(&target.path(), body, framing, end);
-    check_crowd(target, body.clients, bytes, AfterClose::Leaves, MANY_DESCRIPTORS).await;
+    check_crowd(target, body.clients, bytes, Writing::AtOnce, AfterClose::Leaves, MANY_DESCRIPTORS)
+        .await;
+}
+
+/// A crowd sends large bodies with their length, in small pieces.
+async fn pieces(port: Port, body: Body, end: End) {
+    let target = start(port, MANY_DESCRIPTORS).await;
+    let bytes = request(&target.path(), body, Framing::Sized, end);
+    let (writing, after_close) = (Writing::PieceByPiece, AfterClose::Leaves);
+    check_crowd(target, body.clients, bytes, writing, after_close, MANY_DESCRIPTORS).await;
 }
 
 /// A crowd whose bodies stop short, and whose clients return as soon as they are closed.
 async fn returning(port: Port, body: Body) {
     let target = start(port, MANY_DESCRIPTORS).await;
     let bytes = request(&target.path(), body, Framing::Sized, End::Short);
-    check_crowd(target, body.clients, bytes, AfterClose::Returns, MANY_DESCRIPTORS).await;
+    check_crowd(
+        target,
+        body.clients,
+        bytes,
+        Writing::AtOnce,
+        AfterClose::Returns,
+        MANY_DESCRIPTORS,
+    )
+    .await;
 }
 
 /// A crowd sends heads that don't end.
@@ -217,14 +241,22 @@
     let target = start(port, MANY_DESCRIPTORS).await;
     let mut bytes = format!("POST {} HTTP/1.1\r\nx: ", target.path()).into_bytes();
     bytes.resize(HEAD_BYTES, b'x');
-    check_crowd(target, HEADS, bytes, AfterClose::Leaves, MANY_DESCRIPTORS).await;
+    check_crowd(target, HEADS, bytes, Writing::AtOnce, AfterClose::Leaves, MANY_DESCRIPTORS).await;
 }
 
 /// A crowd keeps its connections open after one answered call each.
 async fn idle(port: Port) {
     let target = start(port, MANY_DESCRIPTORS).await;
     let call = format!("GET {} HTTP/1.1\r\nhost: host\r\n\r\n", target.path());
-    check_crowd(target, IDLE, call.into_bytes(), AfterClose::Leaves, MANY_DESCRIPTORS).await;
+    check_crowd(
+        target,
+        IDLE,
+        call.into_bytes(),
+        Writing::AtOnce,
+        AfterClose::Leaves,
+        MANY_DESCRIPTORS,
+    )
+    .await;
 }
 
 /// A crowd opens more connections than the host may have descriptors; a quarter of those has to be
@@ -232,7 +264,7 @@
 async fn silent(port: Port) {
     let target = start(port, FEW_DESCRIPTORS).await;
     let bound = FEW_DESCRIPTORS / 4 * 3;
-    check_crowd(target, SILENT, Vec::new(), AfterClose::Leaves, bound).await;
+    check_crowd(target, SILENT, Vec::new(), Writing::AtOnce, AfterClose::Leaves, bound).await;
 }
 
 /// The same, where memory limits nothing.
@@ -243,7 +275,7 @@
         Port::Services => target::Target::services(limits).await,
     };
     let bound = FEW_DESCRIPTORS / 4 * 3;
-    check_crowd(target, SILENT, Vec::new(), AfterClose::Leaves, bound).await;
+    check_crowd(target, SILENT, Vec::new(), Writing::AtOnce, AfterClose::Leaves, bound).await;
 }
 
 /// A crowd opens many streams on each connection, with bodies that don't end.
--- a/crates/cli/tests/crowds/crowd.rs
+++ b/crates/cli/tests/crowds/crowd.rs
@@ -14,9 +14,21 @@
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Number of bytes that a client writes at once.
 const WRITE_BYTES: usize = 64 << 10;
+/// Size of a piece, in bytes, and the pause after it.
+const PIECE_BYTES: usize = 4 << 10;
+const PIECE_PAUSE: time::Duration = time::Duration::from_millis(5);
 /// Pause before a client that was closed connects again.
 const RETURN_PAUSE: time::Duration = time::Duration::from_millis(5);
 
+/// How a client writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Writing {
+    /// As fast as its connection takes it.
+    AtOnce,
+    /// Small pieces with a pause after each.
+    PieceByPiece,
+}
+
 /// What a client does once its connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterClose {
@@ -40,6 +52,7 @@
         host: net::SocketAddr,
         count: usize,
         bytes: Vec<u8>,
+        writing: Writing,
         after_close: AfterClose,
     ) -> Self {
         let bytes: sync::Arc<[u8]> = bytes.into();
@@ -49,7 +62,7 @@
             let (bytes, progress) = (sync::Arc::clone(&bytes), sync::Arc::clone(&progress));
             clients.spawn(async move {
                 loop {
-                    hold_connection(host, &bytes, &progress).await;
+                    hold_connection(host, &bytes, writing, &progress).await;
                     progress.fetch_add(1, atomic::Ordering::Relaxed);
                     if after_close == AfterClose::Leaves {
                         return;
@@ -88,16 +101,26 @@
 }
 
 /// Sends the bytes over a new connection and holds it until its peer closes it.
-async fn hold_connection(host: net::SocketAddr, bytes: &[u8], progress: &atomic::AtomicU64) {
+async fn hold_connection(
+    host: net::SocketAddr,
+    bytes: &[u8],
+    writing: Writing,
+    progress: &atomic::AtomicU64,
+) {
     let Ok(mut stream) = tokio::net::TcpStream::connect(host).await else {
         return;
     };
     let (mut reader, mut writer) = stream.split();
     let write = async {
-        for part in bytes.chunks(WRITE_BYTES) {
+        let (part_bytes, pause) = match writing {
+            Writing::AtOnce => (WRITE_BYTES, time::Duration::ZERO),
+            Writing::PieceByPiece => (PIECE_BYTES, PIECE_PAUSE),
+        };
+        for part in bytes.chunks(part_bytes) {
             if writer.write_all(part).await.is_err() {
                 break;
             }
+            tokio::time::sleep(pause).await;
             progress.fetch_add(part.len() as u64, atomic::Ordering::Relaxed);
         }
         // The connection stays open after the last byte.
