The answer to a start tells which incarnation took it, by its clock

The answer keeps the clock now. One that is behind the last reading of the addressed incarnation is logged with both readings, counted (wharflane_starts_taken_by_next_incarnation, dump taken_by_others) and followed by a heartbeat at once, whose answer names the incarnation. Nothing else is decided by it yet. A reading may be up to 2 s older than its arrival: a heartbeat waits up to 1 s for an end, and a call may take 0.6 s.

The simulation of tests keeps the version of each row, and answers starts with its clock.

--- a/crates/bench/src/job_engine/mod.rs
+++ b/crates/bench/src/job_engine/mod.rs
@@ -381,7 +381,10 @@
         if !step.lasting {
             self.schedule(run_time, Arrival::End(at, order.task, order.run));
         }
-        self.step(job::Event::Started { order, answer: job::StartAnswer::Taken });
+        self.step(job::Event::Started {
+            order,
+            answer: job::StartAnswer::Taken { clock_ms: None },
+        });
     }
 
     /// Ends a run and answers the worker's waiting heartbeat.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -79,6 +79,9 @@
     pub tasks_withheld: prometheus::IntGauge,
     /// Workers found to have restarted under the same id, since this host acquired the lease.
     pub workers_restarted: prometheus::IntGauge,
+    /// Starts that another incarnation took than the addressed one, since this host acquired the
+    /// lease.
+    pub taken_by_others: prometheus::IntGauge,
     /// Runs kept because their ends may not have been listed yet, since the lease was taken.
     pub unlisted_ends: prometheus::IntGauge,
     /// Number of queues with active jobs that the configuration in force lacks.
@@ -209,6 +212,10 @@
                 "wharflane_workers_restarted",
                 "Workers found to have started again under their id, since the lease was taken.",
             )?)?,
+            taken_by_others: builder.register(prometheus::IntGauge::new(
+                "wharflane_starts_taken_by_next_incarnation",
+                "Starts that another incarnation took than the addressed one, since the lease was taken.",
+            )?)?,
             unlisted_ends: builder.register(prometheus::IntGauge::new(
                 "wharflane_unlisted_ends",
                 "Runs kept since their ends may not be listed yet, since the lease was taken.",
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -265,7 +265,7 @@
         }
         self.extend(start.lease_until_ms, now);
         if self.runs.get(&task).is_some_and(|run| run.run == number) {
-            return (job::StartAnswer::Taken, false);
+            return (self.taken(now), false);
         }
         let newest =
             self.runs.get(&task).map(|run| run.run).max(self.ended_runs.get(&task).copied());
@@ -293,7 +293,12 @@
             work_left: (now, work.unwrap_or_default()),
         };
         self.runs.insert(task, run);
-        (job::StartAnswer::Taken, true)
+        (self.taken(now), true)
+    }
+
+    /// Returns the answer to a start whose run is in progress here.
+    fn taken(&self, now: time::Duration) -> job::StartAnswer {
+        job::StartAnswer::Taken { clock_ms: Some(self.clock_ms(now)) }
     }
 
     /// Handles an order to stop, and returns whether the run is in progress here.
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -166,6 +166,9 @@
     pub(super) false_losses: u64,
     /// The number of times that a worker turned out to have restarted under its id.
     pub(super) restarted: u64,
+    /// The number of starts that another incarnation took than the addressed one, by the clock in
+    /// its answer.
+    pub(super) taken_by_others: u64,
     /// The number of runs that were kept because their ends may not have been listed yet.
     pub(super) unlisted_ends: u64,
     /// What was done about workers that stood still since the lease was acquired.
@@ -215,6 +218,9 @@
     /// The number of times that a worker turned out to have restarted under its id, since the lease
     /// was acquired.
     pub restarted: u64,
+    /// The number of starts that another incarnation took than the addressed one, since the lease
+    /// was acquired.
+    pub taken_by_others: u64,
     /// The number of runs that were kept because their ends may not have been listed yet, since the
     /// lease was acquired.
     pub unlisted_ends: u64,
@@ -301,6 +307,7 @@
             given_up: 0,
             false_losses: 0,
             restarted: 0,
+            taken_by_others: 0,
             unlisted_ends: 0,
             stalls: moves::StallCounts::default(),
             fenced: false,
@@ -331,6 +338,7 @@
             given_up: self.given_up,
             false_losses: self.false_losses,
             restarted: self.restarted,
+            taken_by_others: self.taken_by_others,
             unlisted_ends: self.unlisted_ends,
             look_gap_ms: worker::millis(self.link.gap()),
             times_ms: self.learned.times.dump(),
@@ -383,6 +391,13 @@
         self.restarted
     }
 
+    /// Returns the number of starts that another incarnation took than the addressed one, since the
+    /// lease was acquired.
+    #[must_use]
+    pub fn taken_by_others(&self) -> u64 {
+        self.taken_by_others
+    }
+
     /// Returns the number of runs that were kept because their ends may not have been listed yet,
     /// since the lease was acquired.
     #[must_use]
--- a/crates/wharflane/src/job/runs/order.rs
+++ b/crates/wharflane/src/job/runs/order.rs
@@ -73,7 +73,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartAnswer {
     /// The run exists on the worker.
-    Taken,
+    Taken {
+        /// The clock of the incarnation that answered, in milliseconds; absent if the answer
+        /// lacks it.
+        clock_ms: Option<u64>,
+    },
     /// The worker refused the start.
     Refused(StartRefusal),
     /// Another incarnation answers at the address, so the addressed one is gone.
--- a/crates/wharflane/src/job/runs/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -277,15 +277,19 @@
         if !current {
             return;
         }
-        if answer != order::StartAnswer::Taken {
+        if !matches!(answer, order::StartAnswer::Taken { .. }) {
             tracing::info!(
                 task = %order.task, run = order.run, worker = %order.worker, ?answer,
                 "start refused or unanswered"
             );
         }
+        if let order::StartAnswer::Taken { clock_ms: Some(clock_ms) } = answer {
+            self.check_taker(order, clock_ms, now);
+        }
         let should_run = self.should_run(order.task);
         match answer {
-            order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
+            order::StartAnswer::Taken { .. }
+            | order::StartAnswer::Refused(order::StartRefusal::Old) => {
                 // An old run has already ended there; the next heartbeat answer reports its end or
                 // its absence.
                 self.set_start_state(order.task, work::StartState::Confirmed(now));
--- a/crates/wharflane/src/job/workers/incarnations.rs
+++ b/crates/wharflane/src/job/workers/incarnations.rs
@@ -21,6 +21,9 @@
 
 /// How long after it was sent an order without an answer may still be carried out.
 const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
+/// How much older than its arrival an answer may be: a heartbeat waits up to 1 s for a run to end,
+/// and a call may take 0.6 s.
+const MAX_ANSWER_DELAY: time::Duration = time::Duration::from_millis(2_000);
 
 impl holding::Holding {
     /// Begins the view of an incarnation and ends those of the worker's earlier ones.
@@ -85,6 +88,32 @@
         self.begin_incarnation(member, false, now);
     }
 
+    /// Logs and counts a start that another incarnation took than the addressed one, as the clock in
+    /// the answer shows, and asks at once which one answers.
+    pub(in crate::job) fn check_taker(
+        &mut self,
+        order: &order::Order,
+        clock_ms: u64,
+        now: time::Duration,
+    ) {
+        let Some(view) = self.views.get_mut(&order.worker) else {
+            return;
+        };
+        let Some((last_ms, _)) = view.last_answer else {
+            return;
+        };
+        // Answers on different connections may pass each other.
+        if clock_ms + worker::millis(MAX_ANSWER_DELAY) >= last_ms {
+            return;
+        }
+        view.heartbeat_due = view.heartbeat_due.min(now);
+        self.taken_by_others += 1;
+        tracing::warn!(
+            task = %order.task, run = order.run, worker = %order.worker, clock_ms, last_ms,
+            "start taken by another incarnation than the addressed one"
+        );
+    }
+
     /// Ends an incarnation that another one follows; returns the tasks whose orders may have
     /// reached the next one.
     fn end_incarnation(
--- a/crates/wharflane/tests/late_ends.rs
+++ b/crates/wharflane/tests/late_ends.rs
@@ -134,7 +134,7 @@
         let start = sim.pending.remove(start.expect("an order"));
         sim.advance(2_000, false);
         sim.pending.push(start);
-        let taken = job::StartAnswer::Taken;
+        let taken = job::StartAnswer::Taken { clock_ms: None };
         sim.handle(job::Event::Started { order: second, answer: taken });
         sim.advance(200, false);
         assert_eq!(stopped(&sim).first(), Some(&2));
@@ -144,7 +144,7 @@
     a_late_completion_gives_up_an_unanswered_order => {
         let (mut sim, first) = staged_again(sim::step("plain", 1_000));
         let others = sim.starts(JOB).len();
-        sim.start_answers.extend(vec![job::StartAnswer::Taken; others]);
+        sim.start_answers.extend(vec![job::StartAnswer::Taken { clock_ms: None }; others]);
         sim.start_answers.push_back(job::StartAnswer::Silent);
         sim.store_answers();
         sim.advance(20, false);
--- a/crates/wharflane/tests/relief.rs
+++ b/crates/wharflane/tests/relief.rs
@@ -41,7 +41,7 @@
         for answer in [job::StartAnswer::NotSent, job::StartAnswer::Refused(job::StartRefusal::Room)] {
             let mut sim = serving::workers(4, 2.5);
             // The simulation answers the four starts in `pending` once more.
-            sim.start_answers.extend([job::StartAnswer::Taken; 4]);
+            sim.start_answers.extend([job::StartAnswer::Taken { clock_ms: None }; 4]);
             sim.start_answers.push_back(answer);
             sim.submit(WAITING, "last", sim::step("filling", FILLING_MILLI));
             sim.advance(BOUND_MS, false);
@@ -62,7 +62,7 @@
             sim.advance(500, false);
             sim.end_task(task(WAITING, 0), job::EndKind::Failed);
             // The simulation answers the nine starts in `pending` once more.
-            sim.start_answers.extend([job::StartAnswer::Taken; 9]);
+            sim.start_answers.extend([job::StartAnswer::Taken { clock_ms: None }; 9]);
             sim.start_answers.push_back(answer);
             sim.advance(AWAY_MS, false);
             assert_eq!(sim.not_taken.len(), 1);
--- a/crates/wharflane/tests/sim/mod.rs
+++ b/crates/wharflane/tests/sim/mod.rs
@@ -38,6 +38,8 @@
     pub accepting_hosts_queues: sync::Arc<job::Queues>,
     /// The newest values in the store, by table and row name.
     pub rows: collections::BTreeMap<(&'static str, String), String>,
+    /// The versions of these values.
+    pub row_versions: collections::BTreeMap<(&'static str, String), u64>,
     /// Effects that the engine requested and the simulation has not answered; starts stay here
     /// after their worker accepted them.
     pub pending: Vec<job::Effect>,
@@ -131,6 +133,7 @@
             version: 0,
             accepting_hosts_queues: queues(),
             rows: collections::BTreeMap::new(),
+            row_versions: collections::BTreeMap::new(),
             pending: Vec::new(),
             ended_runs: Vec::new(),
             max_listed_ends: usize::MAX,
@@ -207,6 +210,7 @@
     fn apply(&mut self, txn: rows::Txn) {
         for write in txn.writes {
             let at = (write.key.table, write.key.name);
+            self.row_versions.insert(at.clone(), self.version);
             match write.value {
                 Some(value) => drop(self.rows.insert(at, value)),
                 None if self.rows.remove(&at).is_some() => self.removed.push(at.0),
@@ -226,8 +230,8 @@
             let job::Effect::Txn(number, txn) = effect else {
                 continue;
             };
-            self.apply(txn);
             self.version += 1;
+            self.apply(txn);
             let answer = rows::Answer::Done { version: self.version };
             let outcome = rows::Outcome::Answered(answer);
             self.handle(job::Event::Txn { number, outcome });
@@ -254,8 +258,9 @@
                 match effect {
                     job::Effect::Start(start) => {
                         let answer = self.start_answers.pop_front();
-                        let answer = answer.unwrap_or(job::StartAnswer::Taken);
-                        let taken = answer == job::StartAnswer::Taken;
+                        let clock_ms = Some(self.now_ms());
+                        let answer = answer.unwrap_or(job::StartAnswer::Taken { clock_ms });
+                        let taken = matches!(answer, job::StartAnswer::Taken { .. });
                         if taken { &mut started } else { &mut refused }.push(start.clone());
                         self.handle(job::Event::Started { order: start.order, answer });
                     }
@@ -434,10 +439,10 @@
     /// Returns the rows of a table as the store holds them.
     pub fn table(&self, table: &'static str) -> Vec<rows::Row> {
         let rows = self.rows.iter().filter(|((of, _), _)| *of == table);
-        let row = |((_, name), value): (&(&str, String), &String)| rows::Row {
-            name: name.clone(),
+        let row = |(at, value): (&(&'static str, String), &String)| rows::Row {
+            name: at.1.clone(),
             part: job::part(0),
-            version: self.version,
+            version: self.row_versions.get(at).copied().unwrap_or(self.version),
             value: Some(value.clone()),
             gone: false,
         };
--- a/crates/wharflane/tests/starvation.rs
+++ b/crates/wharflane/tests/starvation.rs
@@ -374,7 +374,7 @@
             sim.handle(job::Event::Tick { wall_ms });
         }
         let order = sim.newest_order(task(WAITING, 0));
-        sim.handle(job::Event::Started { order, answer: job::StartAnswer::Taken });
+        sim.handle(job::Event::Started { order, answer: job::StartAnswer::Taken { clock_ms: None } });
         let is_throttled = |effect: &job::Effect| matches!(effect, job::Effect::SetShare(change) if change.percent < 100);
         assert!(sim.pending.iter().any(is_throttled));
     },
@@ -383,7 +383,7 @@
         submit_best_effort(&mut sim, 1);
         // The simulation answers the starts of the serving tasks once more, before that of the waiting
         // one.
-        sim.start_answers.extend([job::StartAnswer::Taken; 4]);
+        sim.start_answers.extend([job::StartAnswer::Taken { clock_ms: None }; 4]);
         sim.start_answers.push_back(job::StartAnswer::Silent);
         sim.advance(BOUND_MS, false);
         assert!(sim.not_taken.iter().any(|start| start.order.task.job.0 == WAITING));
--- a/crates/wharflane/tests/waiting.rs
+++ b/crates/wharflane/tests/waiting.rs
@@ -54,7 +54,7 @@
 
 /// Checks that a job no longer waits once a start of it was accepted.
 fn start_accepted() {
-    let sim = all_starts_answered(job::StartAnswer::Taken);
+    let sim = all_starts_answered(job::StartAnswer::Taken { clock_ms: None });
     assert_eq!(waiting(&sim), 0);
 }
 
