A run that an unknown next incarnation of a worker may have is waited for

Its worker had restarted under its id and was cut off before anybody knew. An order names its worker by the id alone, so the next incarnation had taken the start meant for the former. Its clock begins again, so the end of the lease lies far beyond and the worker cuts it to the longest that it grants, 6 or 10 s from when the call came; the holder counted the 4 s that it had granted by the clock of the incarnation that was over.

The holder keeps which starts are not shown: the addressed incarnation has neither listed the run nor answered the start with a clock that no later one can show (that clock began after the last answer). A run that is shown ends with its incarnation, and the lease by that one's clock is enough, as before. Any other on a silent worker is kept for the longest lease from the last call that may extend it, 12 s late. An order without an answer keeps its start unshown until it can arrive no more. The lease row tells the version of the store up to which starts are shown, so that the next holder, which has heard none of the answers, waits as long for those after it and not for the others. Workers without a start time never come back under their id: nothing changes.

Ruled out: waiting the longest lease for all that is silent (simple, and every lost worker costs 10 s); a shorter lease in the start (the next incarnation's clock is below any).

--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -316,6 +316,8 @@
         metrics.workers_restarted.set(i64::try_from(restarted).unwrap_or(i64::MAX));
         let others = holding.map_or(0, job::Holding::taken_by_others);
         metrics.taken_by_others.set(i64::try_from(others).unwrap_or(i64::MAX));
+        let kept = holding.map_or(0, job::Holding::kept_for_next);
+        metrics.kept_for_next.set(i64::try_from(kept).unwrap_or(i64::MAX));
         let unlisted = holding.map_or(0, job::Holding::unlisted_ends);
         metrics.unlisted_ends.set(i64::try_from(unlisted).unwrap_or(i64::MAX));
         let unconfigured = holding.map_or(0, job::Holding::unconfigured_queues);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -82,6 +82,9 @@
     /// Starts that another incarnation took than the addressed one, since this host acquired the
     /// lease.
     pub taken_by_others: prometheus::IntGauge,
+    /// Runs kept because the next incarnation of their worker may have them, since this host
+    /// acquired the lease.
+    pub kept_for_next: prometheus::IntGauge,
     /// Runs kept because their ends may not have been listed yet, since the lease was taken.
     pub unlisted_ends: prometheus::IntGauge,
     /// Number of queues with active jobs that the configuration in force lacks.
@@ -216,6 +219,10 @@
                 "wharflane_starts_taken_by_next_incarnation",
                 "Starts that another incarnation took than the addressed one, since the lease was taken.",
             )?)?,
+            kept_for_next: builder.register(prometheus::IntGauge::new(
+                "wharflane_runs_kept_for_next_incarnation",
+                "Runs kept since the next incarnation of their worker may have them, since the lease was taken.",
+            )?)?,
             unlisted_ends: builder.register(prometheus::IntGauge::new(
                 "wharflane_unlisted_ends",
                 "Runs kept since their ends may not be listed yet, since the lease was taken.",
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -27,6 +27,7 @@
 use super::store::pending;
 use super::workers::link;
 use super::workers::moves;
+use super::workers::unshown;
 use super::workers::worker;
 use crate::id;
 
@@ -142,6 +143,8 @@
     /// lease, since workers remember the highest token. All incarnations of a worker share it,
     /// because an order for one may reach the next.
     pub(super) fence_offsets: collections::BTreeMap<id::WorkerId, u64>,
+    /// The starts that the addressed incarnations have not shown to have taken.
+    pub(super) unshown: unshown::UnshownStarts,
     /// Workers with starts to be abandoned, which the next heartbeat resolves.
     pub(super) unsettled: collections::BTreeSet<id::Incarnation>,
     /// When to repeat the stop orders that were not accepted.
@@ -169,6 +172,8 @@
     /// The number of starts that another incarnation took than the addressed one, by the clock in
     /// its answer.
     pub(super) taken_by_others: u64,
+    /// The number of runs that were kept because the next incarnation of their worker may have them.
+    pub(super) kept_for_next: u64,
     /// The number of runs that were kept because their ends may not have been listed yet.
     pub(super) unlisted_ends: u64,
     /// What was done about workers that stood still since the lease was acquired.
@@ -221,6 +226,9 @@
     /// The number of starts that another incarnation took than the addressed one, since the lease
     /// was acquired.
     pub taken_by_others: u64,
+    /// The number of runs that were kept because the next incarnation of their worker may have them,
+    /// since the lease was acquired.
+    pub kept_for_next: u64,
     /// The number of runs that were kept because their ends may not have been listed yet, since the
     /// lease was acquired.
     pub unlisted_ends: u64,
@@ -295,6 +303,7 @@
             learned_written_at: acquired,
             strains: collections::BTreeMap::new(),
             fence_offsets: collections::BTreeMap::new(),
+            unshown: unshown::UnshownStarts::default(),
             unsettled: collections::BTreeSet::new(),
             stop_retries: collections::BTreeMap::new(),
             unlisted: Vec::new(),
@@ -308,6 +317,7 @@
             false_losses: 0,
             restarted: 0,
             taken_by_others: 0,
+            kept_for_next: 0,
             unlisted_ends: 0,
             stalls: moves::StallCounts::default(),
             fenced: false,
@@ -339,6 +349,7 @@
             false_losses: self.false_losses,
             restarted: self.restarted,
             taken_by_others: self.taken_by_others,
+            kept_for_next: self.kept_for_next,
             unlisted_ends: self.unlisted_ends,
             look_gap_ms: worker::millis(self.link.gap()),
             times_ms: self.learned.times.dump(),
@@ -398,6 +409,13 @@
         self.taken_by_others
     }
 
+    /// Returns the number of runs that were kept because the next incarnation of their worker may
+    /// have them, since the lease was acquired.
+    #[must_use]
+    pub fn kept_for_next(&self) -> u64 {
+        self.kept_for_next
+    }
+
     /// Returns the number of runs that were kept because their ends may not have been listed yet,
     /// since the lease was acquired.
     #[must_use]
@@ -487,6 +505,7 @@
         let Some(placed) = self.placed.remove(&task) else {
             return;
         };
+        self.unshown.remove(task);
         self.changed = true;
         self.note_other_end(task, &placed);
         let Some(entry) = self.jobs.get_mut(&task.job) else {
--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -25,6 +25,7 @@
     /// Loads all jobs of the domain and their progress.
     pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
         let mut known = collections::BTreeMap::<spec::JobId, (progress::Progress, u32)>::new();
+        let mut unshown = Vec::new();
         for row in progress {
             let (Some((job, at)), Some(text)) = (job_rows::progress_row(&row.name), &row.value)
             else {
@@ -34,7 +35,10 @@
             let (progress, rows) = known.entry(job).or_default();
             *rows = (*rows).max(at + 1);
             match progress::Progress::decode(text) {
-                Ok(read) => progress.add_row(at, read),
+                Ok(read) => {
+                    unshown.extend(self.unshown_starts(job, &read, row.version));
+                    progress.add_row(at, read);
+                }
                 Err(err) => {
                     tracing::error!(%job, %err, "progress can't be decoded; the job is not run");
                     self.unreadable.insert(job);
@@ -63,10 +67,29 @@
             let (progress, _) = known.remove(&job).unwrap_or_default();
             self.add_job(job, accepted, version, progress, now);
         }
+        for (task, version, late_until) in unshown {
+            if self.placed.contains_key(&task) {
+                self.unshown.inherit(task, version, late_until);
+            }
+        }
         // An earlier holder removed the rows of these jobs, but not yet their progress.
         self.expired.extend(known.into_iter().map(|(job, (_, rows))| (job, rows)));
     }
 
+    /// Returns the starts in a row of progress that may not be shown, with the version of the row
+    /// and the time until which an order for each may be carried out.
+    fn unshown_starts<'a>(
+        &'a self,
+        job: spec::JobId,
+        read: &'a progress::Progress,
+        version: u64,
+    ) -> impl Iterator<Item = (spec::TaskId, u64, time::Duration)> + 'a {
+        read.tasks.iter().filter_map(move |(position, task)| {
+            let late_until = self.inherited.late_start_until(task.worker.as_ref()?, version)?;
+            Some((position.of(job), version, late_until))
+        })
+    }
+
     /// Applies rows of accepted or cancelled jobs.
     pub(super) fn apply_job_rows(&mut self, rows: &[rows::Row], now: time::Duration) {
         let parts: Vec<String> = job_rows::job_parts(self.settings.domain).collect();
--- a/crates/wharflane/src/job/lease/acquire.rs
+++ b/crates/wharflane/src/job/lease/acquire.rs
@@ -125,6 +125,7 @@
             nonce: self.nonce,
             seq: 0,
             hold_ms: worker::millis(self.settings.task_lease),
+            shown_upto: lease.shown_upto,
             addr: self.settings.addr,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
             ..job_rows::Lease::default()
@@ -137,6 +138,7 @@
             unchanged_ms = worker::millis(now.saturating_sub(since)),
             before_hold_ms = lease.hold_ms,
             before_left_ms = lease.earlier_left_ms,
+            before_shown_upto = lease.shown_upto,
             inherited_ms = inherited.left_ms(now),
             hold_ms = next.hold_ms,
             epoch = next.epoch,
--- a/crates/wharflane/src/job/lease/inherited.rs
+++ b/crates/wharflane/src/job/lease/inherited.rs
@@ -12,6 +12,7 @@
 use crate::id;
 use crate::job::engine;
 use crate::job::rows as job_rows;
+use crate::job::workers::unshown;
 use crate::job::workers::worker;
 
 /// The most restarted workers in a lease row; with names of 200 bytes, the store's limit, they take
@@ -45,6 +46,10 @@
     /// When the leases on a worker that restarted under its id have expired. It may carry out an
     /// order for the incarnation before until it answers, and keeps that run's lease from then on.
     restarted: collections::BTreeMap<id::Incarnation, time::Duration>,
+    /// The version up to which all recorded starts are shown; absent if that is unknown.
+    shown_upto: Option<u64>,
+    /// Until when an order of an earlier holder may be carried out.
+    orders_until: time::Duration,
 }
 
 impl Inherited {
@@ -76,7 +81,24 @@
             let left = time::Duration::from_millis(restarted.left_ms);
             (restarted.incarnation.clone(), seen.since + left)
         });
-        Self { leases, restarted: restarted.collect() }
+        Self {
+            leases,
+            restarted: restarted.collect(),
+            shown_upto: seen.lease.shown_upto,
+            orders_until: now + extra + unshown::MAX_CALL_DELAY,
+        }
+    }
+
+    /// Returns until when an order for a start may be carried out that an earlier holder recorded
+    /// in a row of the given version, or nothing if its worker is known to have taken it.
+    pub fn late_start_until(
+        &self,
+        worker: &id::Incarnation,
+        version: u64,
+    ) -> Option<time::Duration> {
+        let shown = self.shown_upto.is_some_and(|upto| version <= upto);
+        // The time for which orders may be late on a restarted worker is known by itself.
+        (!shown && !self.restarted.contains_key(worker)).then_some(self.orders_until)
     }
 
     /// Returns the leases that a worker may have.
--- a/crates/wharflane/src/job/loss/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -61,10 +61,15 @@
             let Some(view) = self.views.get(&worker) else {
                 continue;
             };
-            let tasks: Vec<spec::TaskId> = view.tasks.iter().copied().collect();
+            let (granted_ms, clock_ms) = (view.granted_until_ms, view.clock_ms(now));
+            let tasks = view.tasks.iter().copied().collect();
+            let tasks = self.keep_unshown(tasks, since);
+            if tasks.is_empty() {
+                continue;
+            }
             tracing::warn!(
-                %worker, tasks = tasks.len(), granted_ms = view.granted_until_ms,
-                clock_ms = view.clock_ms(now), "leases of a silent worker have expired"
+                %worker, tasks = tasks.len(), granted_ms, clock_ms,
+                "leases of a silent worker have expired"
             );
             self.record_missing(&worker, &tasks, now);
             self.free_tasks(&tasks, "lease expired");
@@ -129,6 +134,10 @@
             by_worker.entry(placed.worker.clone()).or_default().push(*task);
         }
         for (worker, tasks) in by_worker {
+            let tasks = self.keep_unshown(tasks, now);
+            if tasks.is_empty() {
+                continue;
+            }
             self.record_missing(&worker, &tasks, now);
             self.free_tasks(&tasks, "lease expired; worker unknown");
         }
--- a/crates/wharflane/src/job/rows.rs
+++ b/crates/wharflane/src/job/rows.rs
@@ -164,6 +164,11 @@
     /// The workers that restarted under their id, where leases may last longer than elsewhere.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub restarted: Vec<Restarted>,
+    /// The version of the store up to which the workers have shown all recorded starts to be with
+    /// the incarnations that they were meant for; absent in a row of an older version, which
+    /// doesn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shown_upto: Option<u64>,
     /// The address on which the holder's process listens, so that other hosts can probe it.
     #[serde(default)]
     pub addr: Option<net::SocketAddr>,
--- a/crates/wharflane/src/job/runs/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -41,6 +41,7 @@
             if !staged {
                 continue;
             }
+            self.unshown.add(task, self.version);
             if should_run && !self.has_room(task) {
                 self.free(task, "worker capacity shrank before the start was ordered");
             } else if should_run && self.may_order(now) && !self.leaving {
@@ -284,7 +285,7 @@
             );
         }
         if let order::StartAnswer::Taken { clock_ms: Some(clock_ms) } = answer {
-            self.check_taker(order, clock_ms, now);
+            self.note_taken(order, clock_ms, now);
         }
         let should_run = self.should_run(order.task);
         match answer {
@@ -377,6 +378,7 @@
         if let Some(placed) = self.placed.get_mut(&task) {
             placed.start_state = work::StartState::Unanswered(now + START_RETRY_DELAY);
             placed.start_orders.unanswered += 1;
+            self.unshown.note_unanswered(task, now);
         }
     }
 
--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -173,6 +173,7 @@
             seq: self.lease.seq + 1,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
             backlogs: self.backlogs.clone(),
+            shown_upto: Some(self.unshown.shown_upto(self.version)),
             ..self.lease.clone()
         };
         self.inherited.hand_on(&mut lease, now);
--- a/crates/wharflane/src/job/workers/incarnations.rs
+++ b/crates/wharflane/src/job/workers/incarnations.rs
@@ -17,14 +17,9 @@
 use crate::job::runs::order;
 use crate::job::runs::work;
 use crate::job::spec;
+use crate::job::workers::unshown;
 use crate::job::workers::worker;
 
-/// How long after it was sent an order without an answer may still be carried out.
-const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
-/// How much older than its arrival an answer may be: a heartbeat waits up to 1 s for a run to end,
-/// and a call may take 0.6 s.
-const MAX_ANSWER_DELAY: time::Duration = time::Duration::from_millis(2_000);
-
 impl holding::Holding {
     /// Begins the view of an incarnation and ends those of the worker's earlier ones.
     pub(in crate::job) fn begin_incarnation(
@@ -88,32 +83,6 @@
         self.begin_incarnation(member, false, now);
     }
 
-    /// Logs and counts a start that another incarnation took than the addressed one, as the clock in
-    /// the answer shows, and asks at once which one answers.
-    pub(in crate::job) fn check_taker(
-        &mut self,
-        order: &order::Order,
-        clock_ms: u64,
-        now: time::Duration,
-    ) {
-        let Some(view) = self.views.get_mut(&order.worker) else {
-            return;
-        };
-        let Some((last_ms, _)) = view.last_answer else {
-            return;
-        };
-        // Answers on different connections may pass each other.
-        if clock_ms + worker::millis(MAX_ANSWER_DELAY) >= last_ms {
-            return;
-        }
-        view.heartbeat_due = view.heartbeat_due.min(now);
-        self.taken_by_others += 1;
-        tracing::warn!(
-            task = %order.task, run = order.run, worker = %order.worker, clock_ms, last_ms,
-            "start taken by another incarnation than the addressed one"
-        );
-    }
-
     /// Ends an incarnation that another one follows; returns the tasks whose orders may have
     /// reached the next one.
     fn end_incarnation(
@@ -150,7 +119,7 @@
 
     /// Returns whether an order to start a task may be carried out by the incarnation after the one
     /// addressed.
-    fn may_reach_next_incarnation(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn may_reach_next_incarnation(&self, task: spec::TaskId) -> bool {
         self.placed.get(&task).is_some_and(|placed| {
             placed.start_state == work::StartState::Orphaned
                 || crash::may_have_received_order(placed)
@@ -165,12 +134,17 @@
         orphans: &[spec::TaskId],
         now: time::Duration,
     ) -> inherited::Leases {
-        let open = orphans.iter().filter_map(|task| self.placed.get(task));
-        let mut open = open.filter(|placed| {
-            placed.start_orders.unanswered > 0
-                || !matches!(placed.start_state, work::StartState::Confirmed(_))
-        });
-        let late = if open.next().is_some() { MAX_ORDER_DELAY } else { time::Duration::ZERO };
+        let is_late = |task: &spec::TaskId| {
+            self.unshown.contains(*task)
+                || self.placed.get(task).is_some_and(|placed| {
+                    placed.start_orders.unanswered > 0
+                        || !matches!(placed.start_state, work::StartState::Confirmed(_))
+                })
+        };
+        let late = match orphans.iter().any(is_late) {
+            true => unshown::MAX_CALL_DELAY,
+            false => time::Duration::ZERO,
+        };
         // The worker cuts the lease that an order for the past incarnation requested to this.
         let longest = self.settings.task_lease_max;
         let until = now + late + worker::longest_by_holder_clock(longest);
@@ -191,6 +165,9 @@
         let Some(placed) = self.placed.get_mut(&task) else {
             return;
         };
+        if placed.start_state == work::StartState::Ordered {
+            self.unshown.note_unanswered(task, now);
+        }
         *placed = work::Placed::orphaned(incarnation.clone(), placed, now);
         self.strains.remove(&task);
         let entry = self.jobs.get_mut(&task.job);
--- a/crates/wharflane/src/job/workers/lists.rs
+++ b/crates/wharflane/src/job/workers/lists.rs
@@ -74,7 +74,7 @@
                 continue;
             };
             if running.get(&task) == Some(&run) {
-                if self.confirm_run(task, now) {
+                if self.confirm_run(task, sent, now) {
                     adopted.insert(task);
                 }
             } else if let Some(why) = self.why_over(task, (fence, lists), sent) {
@@ -84,9 +84,14 @@
         adopted
     }
 
-    /// Confirms a placed task that its worker runs; returns whether this holder did not order it
-    /// from this incarnation.
-    fn confirm_run(&mut self, task: spec::TaskId, now: time::Duration) -> bool {
+    /// Confirms a placed task that its worker runs, by the answer to a heartbeat sent at `sent`;
+    /// returns whether this holder did not order it from this incarnation.
+    fn confirm_run(
+        &mut self,
+        task: spec::TaskId,
+        sent: time::Duration,
+        now: time::Duration,
+    ) -> bool {
         let Some(placed) = self.placed.get_mut(&task) else {
             return false;
         };
@@ -103,6 +108,10 @@
             | work::StartState::Staged
             | work::StartState::Ordered => {}
         }
+        // An order in flight may still get no answer.
+        if state != work::StartState::Ordered {
+            self.unshown.note_shown(task, sent);
+        }
         matches!(state, work::StartState::Inherited | work::StartState::Orphaned)
     }
 
--- a/crates/wharflane/src/job/workers/mod.rs
+++ b/crates/wharflane/src/job/workers/mod.rs
@@ -11,4 +11,5 @@
 pub(super) mod slowness;
 pub(super) mod stalled;
 pub(super) mod unlisted;
+pub(super) mod unshown;
 pub(super) mod worker;
--- /dev/null
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -0,0 +1,197 @@
+//! Starts that the addressed incarnation of a worker has not shown to have taken.
+//!
+//! An order names its worker by the id alone, so one for an incarnation that is over may be carried
+//! out by the next one. The clock of that one has begun again: the lease in the order ends far
+//! beyond its reading, and it cuts it to the longest that it grants, from when the order arrives. A
+//! holder that learns of the next incarnation counts with that (see `incarnations`). Before, it
+//! must count with it for every run that the addressed incarnation has not shown, by listing it or
+//! by its clock in the answer to the start. A run that it has shown ends with it.
+//!
+//! The lease row tells the next holder which starts are shown, by the version of their rows.
+
+use std::collections;
+use std::time;
+
+use crate::job::holding;
+use crate::job::runs::order;
+use crate::job::spec;
+use crate::job::workers::worker;
+
+/// How long after it was sent a call without an answer may still be carried out.
+pub(in crate::job) const MAX_CALL_DELAY: time::Duration = time::Duration::from_secs(12);
+/// How much older than its arrival an answer may be: a heartbeat waits up to 1 s for a run to end,
+/// and a call may take 0.6 s.
+const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(2_000);
+
+/// A start that is not shown.
+#[derive(Clone, Copy, Debug)]
+struct Unshown {
+    /// The version of the store at which it was recorded, or a later one of its row.
+    recorded: u64,
+    /// Until when an order for it that had no answer may still be carried out; zero if each was
+    /// answered.
+    late_until: time::Duration,
+    /// Whether it was logged that its task is kept beyond the leases of the addressed incarnation.
+    kept: bool,
+}
+
+/// The recorded starts that are not shown, by task.
+#[derive(Debug, Default)]
+pub(in crate::job) struct UnshownStarts(collections::BTreeMap<spec::TaskId, Unshown>);
+
+impl UnshownStarts {
+    /// Adds a start that was recorded at a version of the store.
+    pub fn add(&mut self, task: spec::TaskId, recorded: u64) {
+        let late_until = time::Duration::ZERO;
+        self.0.insert(task, Unshown { recorded, late_until, kept: false });
+    }
+
+    /// Adds a start of an earlier holder, whose orders may be carried out until `late_until`.
+    pub fn inherit(&mut self, task: spec::TaskId, recorded: u64, late_until: time::Duration) {
+        self.0.insert(task, Unshown { recorded, late_until, kept: false });
+    }
+
+    /// Notes that an order to start a task has had no answer until now.
+    pub fn note_unanswered(&mut self, task: spec::TaskId, now: time::Duration) {
+        if let Some(unshown) = self.0.get_mut(&task) {
+            unshown.late_until = now + MAX_CALL_DELAY;
+        }
+    }
+
+    /// Notes that the addressed incarnation has taken the last order to start a task, or listed its
+    /// run in answer to a heartbeat sent at `sent`. An earlier order may still reach another one.
+    pub fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) {
+        if self.0.get(&task).is_some_and(|unshown| unshown.late_until <= sent) {
+            self.0.remove(&task);
+        }
+    }
+
+    /// Removes a task that is no longer placed.
+    pub fn remove(&mut self, task: spec::TaskId) {
+        self.0.remove(&task);
+    }
+
+    /// Returns whether a task's start is not shown.
+    pub fn contains(&self, task: spec::TaskId) -> bool {
+        self.0.contains_key(&task)
+    }
+
+    /// Returns the version up to which all recorded starts are shown, `current` being that of the
+    /// last commit.
+    pub fn shown_upto(&self, current: u64) -> u64 {
+        let first = self.0.values().map(|unshown| unshown.recorded).min();
+        first.map_or(current, |first| current.min(first.saturating_sub(1)))
+    }
+}
+
+/// Which incarnation took a start, by the clock in its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Taker {
+    /// The addressed one.
+    Addressed,
+    /// A later one.
+    Next,
+    /// It can't be told.
+    Unknown,
+}
+
+/// Returns which incarnation took a start that was ordered from the one of a view.
+///
+/// The clock of a later incarnation began with it, so it can't show more than the time since the
+/// addressed one last answered. That one shows at least as much in addition as it was known before.
+fn taker(view: &worker::View, clock_ms: u64, now: time::Duration) -> Taker {
+    let (Some((last_ms, answered)), Some(earliest_ms)) = (view.last_answer, view.clock_ms(now))
+    else {
+        return Taker::Unknown;
+    };
+    // Answers on different connections may pass each other.
+    let latest_ms = clock_ms.saturating_add(worker::millis(MAX_ANSWER_AGE));
+    if latest_ms < last_ms {
+        return Taker::Next;
+    }
+    let age = answered.saturating_sub(view.known_since);
+    let slow = worker::slowness(now.saturating_sub(answered));
+    if latest_ms >= earliest_ms && age > MAX_ANSWER_AGE * 3 + slow {
+        Taker::Addressed
+    } else {
+        Taker::Unknown
+    }
+}
+
+impl holding::Holding {
+    /// Notes which incarnation took a start. If it is not the addressed one, a heartbeat asks at
+    /// once which one answers.
+    pub(in crate::job) fn note_taken(
+        &mut self,
+        order: &order::Order,
+        clock_ms: u64,
+        now: time::Duration,
+    ) {
+        let Some(view) = self.views.get_mut(&order.worker) else {
+            return;
+        };
+        match taker(view, clock_ms, now) {
+            Taker::Addressed => {
+                self.unshown.note_shown(order.task, now.saturating_sub(MAX_ANSWER_AGE))
+            }
+            Taker::Unknown => {}
+            Taker::Next => {
+                view.heartbeat_due = view.heartbeat_due.min(now);
+                let last_ms = view.last_answer.map(|(last_ms, _)| last_ms);
+                self.taken_by_others += 1;
+                tracing::warn!(
+                    task = %order.task, run = order.run, worker = %order.worker, clock_ms, last_ms,
+                    "start taken by another incarnation than the addressed one"
+                );
+            }
+        }
+    }
+
+    /// Returns until when a task may run on an incarnation of its worker that nobody has heard of,
+    /// or nothing if it can't.
+    pub(in crate::job) fn next_lease_until(&self, task: spec::TaskId) -> Option<time::Duration> {
+        let unshown = self.unshown.0.get(&task)?;
+        let placed = self.placed.get(&task)?;
+        // A worker without a start time never comes back under its id.
+        if placed.worker.born_ms.is_none() || !self.may_reach_next_incarnation(task) {
+            return None;
+        }
+        let granted = self.views.get(&placed.worker).and_then(|view| view.granted_at);
+        let last_call = granted.map_or(time::Duration::ZERO, |at| at + MAX_CALL_DELAY);
+        let longest = worker::longest_by_holder_clock(self.settings.task_lease_max);
+        Some(unshown.late_until.max(last_call) + longest)
+    }
+
+    /// Removes the tasks that may still run on an unknown incarnation of their worker from those
+    /// that are to be freed, and logs each of them once.
+    pub(in crate::job) fn keep_unshown(
+        &mut self,
+        tasks: Vec<spec::TaskId>,
+        now: time::Duration,
+    ) -> Vec<spec::TaskId> {
+        let (kept, freed): (Vec<_>, Vec<_>) = tasks
+            .into_iter()
+            .partition(|task| self.next_lease_until(*task).is_some_and(|until| now < until));
+        for task in kept {
+            self.log_kept(task, now);
+        }
+        freed
+    }
+
+    /// Logs and counts that a task is kept, unless that was done.
+    fn log_kept(&mut self, task: spec::TaskId, now: time::Duration) {
+        let until = self.next_lease_until(task).unwrap_or(now);
+        let Some(unshown) = self.unshown.0.get_mut(&task).filter(|unshown| !unshown.kept) else {
+            return;
+        };
+        unshown.kept = true;
+        self.kept_for_next += 1;
+        if let Some(placed) = self.placed.get(&task) {
+            tracing::info!(
+                %task, run = placed.run, worker = %placed.worker, state = ?placed.start_state,
+                left_ms = worker::millis(until.saturating_sub(now)),
+                "run kept since the next incarnation of its worker may have it"
+            );
+        }
+    }
+}
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -122,6 +122,8 @@
     pub fenced: bool,
     /// The worker's clock in its last answer, and when that answer arrived.
     pub last_answer: Option<(u64, time::Duration)>,
+    /// When this holder last granted a lease.
+    pub granted_at: Option<time::Duration>,
     /// Until when tasks may run there by this holder's grants, by the worker's clock, in
     /// milliseconds.
     pub granted_until_ms: u64,
@@ -187,6 +189,7 @@
             closed: false,
             fenced: false,
             last_answer: None,
+            granted_at: None,
             granted_until_ms: 0,
             inherited,
             unrecorded: collections::BTreeSet::new(),
@@ -219,8 +222,7 @@
     pub fn clock_ms(&self, now: time::Duration) -> Option<u64> {
         let (clock_ms, at) = self.last_answer?;
         let passed = now.saturating_sub(at);
-        let slow = passed * SLOW_CLOCK_MILLI / 1_000;
-        Some(clock_ms + millis(passed.saturating_sub(slow)))
+        Some(clock_ms + millis(passed.saturating_sub(slowness(passed))))
     }
 
     /// Returns the time since the worker last answered, or nothing if it never did.
@@ -233,6 +235,7 @@
     pub fn grant(&mut self, now: time::Duration, duration: time::Duration) -> Option<u64> {
         let lease_until_ms = self.clock_ms(now)? + millis(duration);
         self.granted_until_ms = self.granted_until_ms.max(lease_until_ms);
+        self.granted_at = Some(now);
         Some(lease_until_ms)
     }
 
@@ -407,6 +410,11 @@
     if step.lasting { step.reserved() } else { size::Size::default() }
 }
 
+/// Returns how much less than real time a worker's clock may show as passed.
+pub(in crate::job) fn slowness(passed: time::Duration) -> time::Duration {
+    passed * SLOW_CLOCK_MILLI / 1_000
+}
+
 /// Returns the longest time that a lease may last by the holder's clock: the worker's clock may be
 /// 2 % slow, and as much again allows for rounding and round trips.
 pub(in crate::job) fn longest_by_holder_clock(lease: time::Duration) -> time::Duration {
--- a/crates/wharflane/tests/lease.rs
+++ b/crates/wharflane/tests/lease.rs
@@ -92,6 +92,7 @@
             addr: None,
             written_ms: None,
             backlogs: Vec::new(),
+            shown_upto: None,
         },
     ))
 }
--- a/crates/wharflane/tests/lease_polls.rs
+++ b/crates/wharflane/tests/lease_polls.rs
@@ -125,6 +125,7 @@
         addr: Some(([127, 0, 0, 1], 9).into()),
         written_ms: Some(written_ms),
         backlogs: Vec::new(),
+        shown_upto: None,
     }
 }
 
--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -49,10 +49,12 @@
         Self { ordered: sim.now, sim, jobs: Vec::new() }
     }
 
-    /// Submits the job, whose start gets an answer; its worker answers nothing from then on.
+    /// Submits the job, whose start gets an answer; its worker answers no heartbeat from then on.
     fn start(&mut self, answer: job::StartAnswer) -> id::Incarnation {
         self.sim.start_answers.push_back(answer);
         self.submit();
+        let idle = self.sim.heartbeats_sent.iter().rev().take(2);
+        self.sim.silent_workers.extend(idle.map(|(_, worker)| worker.clone()));
         let order = loop {
             self.sim.advance(20, false);
             if let Some(order) = self.first_order() {
@@ -60,7 +62,8 @@
             }
         };
         self.ordered = self.sim.now;
-        self.sim.silent_workers.insert(order.worker.clone());
+        self.sim.silent_workers.retain(|worker| *worker == order.worker);
+        assert_eq!(self.sim.silent_workers.len(), 1, "its worker is silent");
         order.worker
     }
 
