A worker of a hall that reboots begins its clock again, and is cut off

What callers would see if it broke: a batch task of a hall at work on two workers at once, after a worker rebooted and was cut off before it answered.

The hall engine reckons leases by the clock in a worker's last report, as the job service does, and counts them from the report. It doesn't have that fault: each message with a lease or a command names the boot that it is meant for, and a worker of another boot refuses it whole (OtherBoot), takes no lease from it and reports nothing. The first contact that follows carries neither.

No test showed it. The stand-in's worker kept its clock over a reboot, and no scenario cut a worker off just after one.

--- a/crates/stand-in/src/machine.rs
+++ b/crates/stand-in/src/machine.rs
@@ -77,6 +77,8 @@
     lease_until_ms: u64,
     /// The time of its clock at the last tick, in milliseconds.
     now_ms: u64,
+    /// When its clock began, in milliseconds of simulated time.
+    booted_ms: u64,
     /// The tasks that run or have ended, by id.
     runs: collections::BTreeMap<id::TaskId, Run>,
     /// The faults that are switched on.
@@ -104,6 +106,7 @@
             seq: 0,
             lease_until_ms: 0,
             now_ms: 0,
+            booted_ms: 0,
             runs: collections::BTreeMap::new(),
             faults: Faults::default(),
             overused_ms: 0,
@@ -111,7 +114,8 @@
         }
     }
 
-    /// Stops every running task and drops all state except that of completed tasks.
+    /// Stops every running task and drops all state except that of completed tasks; the clock
+    /// begins again.
     pub fn reboot(&mut self) {
         let running: Vec<id::TaskId> = self.running().map(|(task, _)| task.clone()).collect();
         for task in running {
@@ -119,6 +123,8 @@
         }
         self.runs.retain(|_, run| run.state == work::TaskState::Completed);
         self.boot += 1;
+        self.booted_ms += self.now_ms;
+        self.now_ms = 0;
         self.epoch = 0;
         self.seq = 0;
         self.lease_until_ms = 0;
@@ -127,6 +133,7 @@
     /// Advances the clock: tasks progress, and stop when the lease expires.
     pub fn tick(&mut self, now: time::Duration) {
         let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let now_ms = now_ms.saturating_sub(self.booted_ms);
         let passed_ms = now_ms.saturating_sub(self.now_ms);
         self.now_ms = self.now_ms.max(now_ms);
         if self.now_ms > self.lease_until_ms {
