Tests of orders that the next incarnation of a worker carries out

A worker restarts under its id, and the next incarnation takes orders that were meant for the previous one.

The cluster of the tests on cancels is shared now: its messages reach the worker with their id, whichever incarnation, and its workers may restart.

--- a/crates/wharflane/tests/cancel.rs
+++ b/crates/wharflane/tests/cancel.rs
@@ -8,21 +8,15 @@
 //! the time of a stop after that start. This holds also if the host that ordered the start is gone
 //! for good and the store no longer lists the worker.
 
+mod cluster;
 mod sim;
 
-mod cancel {
-    //! What the cases run in.
-    pub mod cluster;
-}
-
 use std::time;
 
 use wharflane::job;
 use wharflane_stand_in::cases;
 use wharflane_stand_in::jobs::{worker, world};
 
-use cancel::cluster;
-
 /// The time until a late start is found, as the platform allows it.
 const CONTACT: time::Duration = world::LATE_START_GRACE;
 
--- a/crates/wharflane/tests/cancel/cluster.rs
+++ b/crates/wharflane/tests/cluster/mod.rs
@@ -1,5 +1,6 @@
 //! Workers that grant leases by their own clocks, calls that are lost or delayed, and the engine that
 //! holds their domain, one after the other.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections;
 use std::time;
@@ -36,6 +37,12 @@
     late_starts: Vec<(time::Duration, job::Start)>,
     /// Starts that are delayed in transit, with the time at which they arrive.
     slow_starts: Vec<(time::Duration, job::Start)>,
+    /// How long the tasks work that workers start from now on; absent for long-running ones.
+    pub work: Option<time::Duration>,
+    /// How long heartbeats take to arrive that are sent from now on.
+    pub heartbeat_delay: time::Duration,
+    /// Heartbeats in transit, with the time at which they arrive.
+    slow_heartbeats: Vec<(time::Duration, job::Heartbeat)>,
     /// How many of the next stops are lost.
     pub lost_stops: usize,
     /// Heartbeats to the first worker that are due in this interval get no answer.
@@ -89,6 +96,9 @@
             step: sim::step("serving", 1_000),
             start_faults: collections::VecDeque::new(),
             late_starts: Vec::new(),
+            work: None,
+            heartbeat_delay: time::Duration::ZERO,
+            slow_heartbeats: Vec::new(),
             lost_stops: 0,
             lost_heartbeats: Default::default(),
             requests_lost: false,
@@ -114,6 +124,7 @@
         let now = self.sim.now;
         self.workers.iter_mut().for_each(|worker| worker.tick(now));
         self.execute_due_starts();
+        self.receive_heartbeats();
         self.max_concurrent_runs = self.max_concurrent_runs.max(self.workers_running(1).len());
         self.answer_heartbeats();
         let (due, later) = std::mem::take(&mut self.replies).into_iter().partition(|b| b.0 <= now);
@@ -138,7 +149,8 @@
             }
             job::Effect::Stop(order) => self.deliver_stop(order),
             job::Effect::SendHeartbeat(heartbeat) => {
-                self.heartbeats.push((now + heartbeat.wait, heartbeat))
+                self.slow_heartbeats.push((now + self.heartbeat_delay, heartbeat));
+                self.receive_heartbeats();
             }
             _ => {}
         }
@@ -176,7 +188,7 @@
     /// Lets a worker handle a start. The second value tells whether a run began.
     fn handle_start(&mut self, start: &job::Start) -> (job::StartAnswer, bool) {
         let (now, size) = (self.sim.now, self.step.size);
-        let behaviour = worker::Behaviour { work: None, fails: false, size };
+        let behaviour = worker::Behaviour { work: self.work, fails: false, size };
         self.worker(&start.order.worker).start(start, behaviour, now)
     }
 
@@ -202,6 +214,17 @@
         }
     }
 
+    /// Delivers the heartbeats that are due to their workers.
+    fn receive_heartbeats(&mut self) {
+        let now = self.sim.now;
+        let (due, later) =
+            std::mem::take(&mut self.slow_heartbeats).into_iter().partition(|(at, _)| *at <= now);
+        self.slow_heartbeats = later;
+        let due: Vec<(time::Duration, job::Heartbeat)> = due;
+        let due = due.into_iter().map(|(at, heartbeat)| (at + heartbeat.wait, heartbeat));
+        self.heartbeats.extend(due);
+    }
+
     /// Answers the heartbeats that are due or have an ended run to report.
     fn answer_heartbeats(&mut self) {
         let now = self.sim.now;
@@ -234,9 +257,39 @@
         }
     }
 
-    /// Returns a worker by its incarnation.
+    /// Returns the worker that a message reaches, which names its addressee by the id alone.
     fn worker(&mut self, id: &id::Incarnation) -> &mut worker::Worker {
-        self.workers.iter_mut().find(|worker| worker.incarnation == *id).expect("a worker")
+        self.workers.iter_mut().find(|worker| worker.has_same_id(id)).expect("a worker")
+    }
+
+    /// Restarts a worker under its id: the next incarnation knows nothing of the previous one, and
+    /// its clock begins far below. The store doesn't list it yet, and calls that the previous one
+    /// had not answered break.
+    pub fn restart(&mut self, at: usize) {
+        let (now, past) = (self.sim.now, self.workers[at].incarnation.clone());
+        let born_ms = u64::try_from(now.as_millis()).ok();
+        let next = id::Incarnation { born_ms, ..past.clone() };
+        let capacity = self.workers[at].capacity;
+        self.workers[at] = worker::Worker::new(next, capacity, 980);
+        self.workers[at].clock_from_ms = 0;
+        let (broken, others) = std::mem::take(&mut self.heartbeats)
+            .into_iter()
+            .partition(|(_, heartbeat)| heartbeat.worker.worker == past.worker);
+        self.heartbeats = others;
+        let broken: Vec<(time::Duration, job::Heartbeat)> = broken;
+        for (_, heartbeat) in broken {
+            let (worker, epoch) = (heartbeat.worker, heartbeat.epoch);
+            let answer = job::HeartbeatAnswer::Silent;
+            self.replies.push((now, job::Event::HeartbeatAnswered { worker, epoch, answer }));
+        }
+    }
+
+    /// Lists the current incarnation of a worker in the store.
+    pub fn list(&mut self, at: usize) {
+        let incarnation = self.workers[at].incarnation.clone();
+        let worker = incarnation.worker.clone();
+        let member = job::Member { incarnation, ..sim::member(at) };
+        self.sim.handle(job::Event::Member(worker, Some(member)));
     }
 
     /// Returns the workers that run the only task of a job.
