A red test: an end dropped by an acknowledgement for the previous incarnation

What callers see: a task runs again though it was done. It takes a worker that restarts while a heartbeat is on its way, and that starts and ends a task before the heartbeat arrives (300 ms for it and 100 ms for the task in the test), or a heartbeat without an answer that is carried out seconds later.

The cause: ends are numbered from one by each incarnation, and a heartbeat names its addressee by the id alone. acknowledged_end is zero once a heartbeat had no answer; one that is in flight at the restart is not covered. The next incarnation drops its own end of that number, the holder finds the run in neither list, and starts the task again.

The same with no earlier end to acknowledge is recorded, by the case beside it.

--- a/crates/wharflane/tests/previous_incarnations.rs
+++ b/crates/wharflane/tests/previous_incarnations.rs
@@ -34,6 +34,35 @@
     cluster
 }
 
+/// Returns how many starts of a job's task were ordered.
+fn start_count(cluster: &cluster::Cluster, job: u64) -> usize {
+    let starts = cluster.ordered.iter().map(|ordered| ordered.start.order.task);
+    starts.filter(|started| *started == task(job, 0)).count()
+}
+
+/// Checks that the end of a task is recorded which the next incarnation runs while a heartbeat to
+/// the previous one is on its way. If that one has reported an end, the heartbeat acknowledges the
+/// number of it.
+fn records_an_end(after_another: bool) {
+    let mut cluster = cluster_of(1);
+    cluster.step = sim::step("plain", 1_000);
+    cluster.work = Some(time::Duration::from_millis(100));
+    if after_another {
+        cluster.sim.submit(BEFORE, "first", cluster.step.clone());
+        while cluster.sim.phase(BEFORE) != job::Phase::Completed {
+            cluster.advance(10);
+        }
+    }
+    cluster.heartbeat_delay = time::Duration::from_millis(300);
+    cluster.restart(0);
+    cluster.sim.submit(JOB, "first", cluster.step.clone());
+    cluster.advance(UNLISTED_MS);
+    cluster.list(0);
+    cluster.advance(3_000);
+    assert_eq!(cluster.sim.phase(JOB), job::Phase::Completed);
+    assert_eq!(start_count(&cluster, JOB), 1, "its end is not recorded");
+}
+
 /// Checks that no order for the previous incarnation is carried out once the next one has answered
 /// a heartbeat.
 fn refuses_a_late_start_after_an_answer() {
@@ -159,6 +188,12 @@
 }
 
 cases! {
+    an_end_on_the_next_incarnation_is_recorded => records_an_end(false),
+    // A task ran again although its end as done had been acknowledged: the heartbeat was meant for
+    // the previous incarnation, whose ends have the same numbers.
+    an_end_on_the_next_incarnation_outlasts_an_acknowledgement_to_the_previous_one => {
+        records_an_end(true);
+    },
     no_late_start_runs_once_the_next_incarnation_has_answered => {
         refuses_a_late_start_after_an_answer();
     },
