A red test: a start that the previous incarnation ruled out runs on the next

What callers see: two runs of a task at work at once, until a heartbeat shows the holder the one that it doesn't know and it is stopped.

The cause: a start without an answer is given up once its worker has answered a heartbeat with a higher fence and the run isn't there (fence-raised). That proves it of the incarnation that answered. The next one has seen no fence, and an order that is carried out seconds late runs there, with the longest lease that the worker grants, if it arrives before the next heartbeat; an idle worker is asked every 4 s only.

--- a/crates/wharflane/tests/previous_incarnations.rs
+++ b/crates/wharflane/tests/previous_incarnations.rs
@@ -63,6 +63,32 @@
     assert_eq!(start_count(&cluster, JOB), 1, "its end is not recorded");
 }
 
+/// Returns the most workers that run a task at once. Its first start is carried out late, by the
+/// next incarnation of its worker; a heartbeat of the previous one has ruled it out before.
+fn concurrent_runs_after_a_ruled_out_start() -> usize {
+    const LATE_MS: u64 = 3_900;
+    const RESTART_MS: u64 = 3_800;
+    let mut cluster = cluster_of(1);
+    cluster.start_faults = [
+        cluster::StartFault::Late(LATE_MS),
+        cluster::StartFault::Answered(job::StartAnswer::Unwell),
+    ]
+    .into();
+    cluster.sim.submit(JOB, "first", cluster.step.clone());
+    cluster.advance(500);
+    let other = sim::member(1);
+    cluster.workers.push(worker::Worker::new(other.incarnation, other.capacity, 980));
+    cluster.list(1);
+    cluster.advance(RESTART_MS - 500);
+    assert_eq!(cluster.workers_running(JOB), [sim::member(1).incarnation]);
+    cluster.restart(0);
+    cluster.advance(UNLISTED_MS);
+    cluster.list(0);
+    cluster.advance(5_000);
+    assert_eq!(cluster.workers_running(JOB).len(), 1, "the task runs");
+    cluster.max_concurrent_runs
+}
+
 /// Checks that no order for the previous incarnation is carried out once the next one has answered
 /// a heartbeat.
 fn refuses_a_late_start_after_an_answer() {
@@ -194,6 +220,11 @@
     an_end_on_the_next_incarnation_outlasts_an_acknowledgement_to_the_previous_one => {
         records_an_end(true);
     },
+    // Two runs of a task were at work at once: the previous incarnation had answered a heartbeat
+    // with a higher fence, and the next one had seen none when the late start arrived.
+    a_start_ruled_out_by_the_previous_incarnation_never_runs_on_the_next_one => {
+        assert_eq!(concurrent_runs_after_a_ruled_out_start(), 1);
+    },
     no_late_start_runs_once_the_next_incarnation_has_answered => {
         refuses_a_late_start_after_an_answer();
     },
