Stand-in: a lease counts from the arrival of its heartbeat

A heartbeat to a worker waits up to a second for a run to end, and the stand-in of processes carried it out again at each look, every 5 ms. Where the lease that it requests is cut to the longest that the worker grants, the end of the lease moved along with the wait, up to a second beyond what a worker may grant. The lease is requested once now, on arrival.

--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -423,7 +423,7 @@
                 server_codec::order_done(state.workers[at].clock_ms(now))
             }
             Some(server_codec::WorkerCall::Heartbeat(heartbeat)) => {
-                self.handle_heartbeat(at, &heartbeat).await
+                self.handle_heartbeat(at, heartbeat).await
             }
             Some(server_codec::WorkerCall::SetShare(_)) => {
                 server_codec::order_done(self.lock().workers[at].clock_ms(self.clock.now()))
@@ -456,8 +456,9 @@
         server_codec::start_answer(answer, state.workers[at].clock_ms(now))
     }
 
-    /// Answers a heartbeat once a run has ended or its wait is over.
-    async fn handle_heartbeat(&self, at: usize, heartbeat: &job::Heartbeat) -> reply::Reply {
+    /// Answers a heartbeat once a run has ended or its wait is over. The lease that it requests
+    /// counts from its arrival.
+    async fn handle_heartbeat(&self, at: usize, mut heartbeat: job::Heartbeat) -> reply::Reply {
         let end = self.clock.now() + heartbeat.wait;
         loop {
             if !self.lock().workers[at].answers() {
@@ -475,7 +476,8 @@
                         worker.stale_upto,
                     );
                 }
-                let answer = worker.handle_heartbeat(heartbeat, now);
+                let answer = worker.handle_heartbeat(&heartbeat, now);
+                heartbeat.lease_until_ms = None;
                 let none_ended =
                     matches!(&answer, job::HeartbeatAnswer::Lists(l) if l.ended.is_empty());
                 if !none_ended || now >= end {
