Tests of processes: workers that restart, take orders and are cut off (fail)

Just before a start arrives, its worker restarts under its id, its clock at zero; the new incarnation carries out the start and a heartbeat with a lease, its answers are lost, and it is then cut off. The steps follow counts of starts and heartbeats at the workers.

The stand-in gets starts that arrive after an unknown restart, workers whose answers are lost, and a clock that begins again with each incarnation.

--- a/crates/cli/tests/processes/job_service.rs
+++ b/crates/cli/tests/processes/job_service.rs
@@ -9,7 +9,7 @@
 use wharflane::{job, size};
 use wharflane_caller::job as caller;
 use wharflane_operator as operator;
-use wharflane_stand_in::jobs::server;
+use wharflane_stand_in::jobs::{server, worker};
 
 use crate::fleet;
 
@@ -41,13 +41,21 @@
     pub(crate) log: Log,
     /// Whether hosts have few processors: a weak host leaves a lease to its holder for longer.
     pub(crate) weak: bool,
+    /// The longest lease that workers grant, as hosts and workers know it.
+    pub(crate) longest_lease: time::Duration,
     /// Limits of the hosts' processes; `None` for those of the test.
     pub(crate) process_limits: Option<fleet::ProcessLimits>,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Self { workers: 3, log: Log::Warnings, weak: false, process_limits: None }
+        Self {
+            workers: 3,
+            log: Log::Warnings,
+            weak: false,
+            longest_lease: worker::MAX_LEASE,
+            process_limits: None,
+        }
     }
 }
 
@@ -75,6 +83,9 @@
     pub(crate) async fn start_with(hosts: usize, setup: Setup) -> Self {
         let platform = server::Platform::start(setup.workers, TASK_TIME).await;
         let platform = platform.expect("can't start the platform");
+        for worker in &mut platform.lock().workers {
+            worker.longest_lease = setup.longest_lease;
+        }
         let folder = tempfile::tempdir().expect("can't create a folder");
         let mut service =
             Self { platform, hosts: Vec::new(), operators: Vec::new(), folder, setup };
@@ -109,6 +120,7 @@
         self.operators.push(operator);
         let name = format!("host-{}", self.hosts.len());
         let (store, advisor) = (self.platform.store, self.platform.advisor);
+        let longest_lease_ms = self.setup.longest_lease.as_millis();
         let limits = if self.setup.weak { WEAK } else { "" };
         let log = match self.setup.log {
             Log::Warnings => "level = \"warn\"",
@@ -117,7 +129,7 @@
         let text = format!(
             "host = \"{name}\"\nhall = \"hall\"\n[listen]\ncaller = \"{caller}\"\n\
              operator = \"{operator}\"\npeer = \"{peer}\"\n[jobs]\nstore = \"{store}\"\nadvisor = \"{advisor}\"\n\
-             lease_ms = {lease_ms}\n{limits}[log]\n{log}\n"
+             lease_ms = {lease_ms}\nhold_max_ms = {longest_lease_ms}\n{limits}[log]\n{log}\n"
         );
         let path = self.folder.path().join(format!("{name}.toml"));
         fs::write(&path, text).expect("can't write the settings");
@@ -165,17 +177,27 @@
     /// Submits a job of two steps until it is accepted, and registers it with the checker.
     pub(crate) async fn submit(&self, host: usize, id: u64) -> job::JobId {
         let id = job::JobId(id);
-        self.register(id, two_steps());
+        self.submit_job(host, id, &two_steps()).await;
+        id
+    }
+
+    /// Submits a job until it is accepted, and registers it with the checker.
+    pub(crate) async fn submit_job(
+        &self,
+        host: usize,
+        id: job::JobId,
+        submission: &caller::Submission,
+    ) {
+        self.register(id, submission.clone());
         // The outcome of a call with status 504 is unknown; the caller submits the job again.
         fleet::wait_until("the job to be accepted", async || {
-            match self.jobs(host).submit(server::QUEUE, id, &two_steps()).await {
+            match self.jobs(host).submit(server::QUEUE, id, submission).await {
                 Ok(reply) => reply == caller::JobReply::Accepted,
                 Err(caller::JobError::Refused { status: 504, .. }) => false,
                 Err(err) => panic!("{err}"),
             }
         })
         .await;
-        id
     }
 
     /// Removes the queue, kills all hosts and starts another; waits until it has started all tasks of
@@ -222,6 +244,12 @@
         .await;
     }
 
+    /// Returns the lease of the domain, as stored.
+    pub(crate) fn lease(&self) -> job::Lease {
+        let row = self.platform.lock().rows.get(&job::lease_key(0)).and_then(|row| row.value);
+        serde_json::from_str(&row.expect("no lease row")).expect("an unreadable lease row")
+    }
+
     /// Checks that the checker found no violation and counted the given number of task starts.
     pub(crate) fn check_violations_and_starts(&self, starts: u64) {
         let state = self.platform.lock();
@@ -230,6 +258,13 @@
     }
 }
 
+/// Returns the index of the host that holds a lease.
+pub(crate) fn host_of(lease: &job::Lease) -> usize {
+    let holder = lease.holder.as_ref().expect("nobody holds the domain");
+    let number = holder.as_str().strip_prefix("host-").and_then(|number| number.parse().ok());
+    number.expect("an unknown host")
+}
+
 /// Returns a job of two dependent steps, with three and two tasks.
 pub(crate) fn two_steps() -> caller::Submission {
     let size = size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 };
--- a/crates/cli/tests/processes/lost_workers.rs
+++ b/crates/cli/tests/processes/lost_workers.rs
@@ -191,9 +191,9 @@
         let cut: Vec<usize> = running(&service).into_values().map(|(at, _)| at).collect();
         lapse_in_outage(&service, &cut, outage % 2 == 0).await;
         tokio::time::sleep(ENTRY_RETURNS - KILL_BEFORE).await;
-        let before = lease(&service);
+        let before = service.lease();
         if kill == KillHolder::BeforeReturn {
-            service.restart(host_of(&before));
+            service.restart(job_service::host_of(&before));
         }
         tokio::time::sleep(KILL_BEFORE).await;
         for at in cut {
@@ -202,12 +202,13 @@
         }
         tokio::time::sleep(CALM).await;
         if kill == KillHolder::AfterReturn {
-            known_as_false += service.metric(host_of(&before), "wharflane_false_losses").await;
-            service.restart(host_of(&before));
+            known_as_false +=
+                service.metric(job_service::host_of(&before), "wharflane_false_losses").await;
+            service.restart(job_service::host_of(&before));
         }
         fleet::wait_until("the next holder", async || {
             shown.ask_all(&service).await;
-            lease(&service).epoch > before.epoch
+            service.lease().epoch > before.epoch
         })
         .await;
     }
@@ -237,19 +238,6 @@
     service.platform.lock().faults = server::Faults::default();
 }
 
-/// Returns the lease of the domain, as stored.
-fn lease(service: &job_service::JobService) -> job::Lease {
-    let row = service.platform.lock().rows.get(&job::lease_key(0)).and_then(|row| row.value);
-    serde_json::from_str(&row.expect("no lease row")).expect("an unreadable lease row")
-}
-
-/// Returns the index of the host that holds a lease.
-fn host_of(lease: &job::Lease) -> usize {
-    let holder = lease.holder.as_ref().expect("nobody holds the domain");
-    let number = holder.as_str().strip_prefix("host-").and_then(|number| number.parse().ok());
-    number.expect("an unknown host")
-}
-
 /// Returns the losses of workers that count against each task, as stored.
 fn stored_losses(service: &job_service::JobService) -> Vec<job::Losses> {
     let row = service.platform.lock().rows.get(&job::progress_key(0, JOB));
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -11,5 +11,6 @@
 mod jobs;
 mod kills;
 mod lost_workers;
+mod restarted_and_cut;
 mod silence;
 mod stops;
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -55,6 +55,9 @@
     /// How much later a transaction on the table of jobs is carried out, in milliseconds; it then
     /// gets no answer. Zero for none.
     pub late_jobs_ms: u64,
+    /// How many of the next starts find that their worker has just restarted under its id. The next
+    /// incarnation carries them out, its answers are lost, and the store gets no entry of it.
+    pub starts_after_restart: u32,
 }
 
 /// The state shared by all fakes.
@@ -180,14 +183,16 @@
     /// Restarts a worker under its id and at its address, without any state of its previous
     /// incarnation.
     pub fn restart_worker(&self, at: usize) {
-        let mut state = self.lock();
-        let worker = state.workers[at].incarnation.worker.clone();
-        let incarnation = id::Incarnation { worker, born_ms: Some(self.now_ms()) };
-        state.workers[at] = worker::Worker::new(incarnation, CAPACITY, 1_000);
-        drop(state);
+        self.begin_next_incarnation(&mut self.lock(), at);
         self.list_worker(at);
     }
 
+    /// Puts the next incarnation of a worker in its place, without an entry in the store.
+    fn begin_next_incarnation(&self, state: &mut State, at: usize) {
+        let worker = &mut state.workers[at];
+        *worker = worker.next_incarnation(self.now_ms(), self.clock.now());
+    }
+
     /// Crashes a worker: its runs are gone, and it answers nothing until it is replaced. Its entry
     /// stays until a test removes it. Returns the id of the incarnation that is over.
     #[must_use]
@@ -414,7 +419,7 @@
         }
         let call =
             read.ok().and_then(|body| server_codec::worker_call(&path, &headers, addr, &body));
-        match call {
+        let answer = match call {
             Some(server_codec::WorkerCall::Start(start)) => self.handle_start(at, &start),
             Some(server_codec::WorkerCall::Stop(order)) => {
                 let now = self.clock.now();
@@ -429,13 +434,22 @@
                 server_codec::order_done(self.lock().workers[at].clock_ms(self.clock.now()))
             }
             None => reply::problem(StatusCode::BAD_REQUEST, "call", "no such call"),
+        };
+        if self.lock().workers[at].answers_lost {
+            std::future::pending::<()>().await;
         }
+        answer
     }
 
     /// Handles an order to start.
     fn handle_start(&self, at: usize, start: &job::Start) -> reply::Reply {
-        let now = self.clock.now();
         let mut state = self.lock();
+        if state.faults.starts_after_restart > 0 && !state.workers[at].answers_lost {
+            state.faults.starts_after_restart -= 1;
+            self.begin_next_incarnation(&mut state, at);
+            state.workers[at].answers_lost = true;
+        }
+        let now = self.clock.now();
         let task = start.order.task;
         let group = format!("{}.{}.{}", task.job, task.round, task.step);
         let allowed = !state.advice
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -63,6 +63,8 @@
     pub alive: bool,
     /// Whether hosts can reach it.
     pub reachable: bool,
+    /// Whether its answers are lost, although it carries out the calls that reach it.
+    pub answers_lost: bool,
     /// Whether the store has its entry.
     pub listed: bool,
     /// Whether its entry has lapsed, so that it is to be listed again if it lives.
@@ -75,8 +77,10 @@
     pub fails_every_task: bool,
     /// The speed of its clock, in thousandths of virtual time.
     pub clock_milli: u32,
-    /// The reading of its clock at time zero, in milliseconds.
+    /// The reading of its clock when that began, in milliseconds.
     pub clock_from_ms: u64,
+    /// When its clock began.
+    pub clock_began: time::Duration,
     /// The longest lease that it grants.
     pub longest_lease: time::Duration,
     /// The capacity that it offers to tasks.
@@ -98,6 +102,8 @@
     epoch: u64,
     /// When its lease expires, by its own clock.
     lease_until_ms: u64,
+    /// The number of heartbeats that requested a lease.
+    pub renewals: u64,
     /// The runs in progress, by task.
     runs: collections::BTreeMap<job::TaskId, Run>,
     /// The highest number of an ended run of each task.
@@ -131,6 +137,7 @@
             incarnation,
             alive: true,
             reachable: true,
+            answers_lost: false,
             listed: true,
             lapsed: false,
             address_reused: false,
@@ -138,6 +145,7 @@
             fails_every_task: false,
             clock_milli,
             clock_from_ms: 100_000,
+            clock_began: time::Duration::ZERO,
             longest_lease: MAX_LEASE,
             capacity,
             checks_capacity: true,
@@ -148,6 +156,7 @@
             overcommitted: Vec::new(),
             epoch: 0,
             lease_until_ms: 0,
+            renewals: 0,
             runs: collections::BTreeMap::new(),
             ended_runs: collections::BTreeMap::new(),
             ended: Vec::new(),
@@ -156,6 +165,21 @@
         }
     }
 
+    /// Returns the next incarnation of this worker: it has the same id and settings and no
+    /// other state of this one, and its clock begins at zero.
+    #[must_use]
+    pub fn next_incarnation(&self, born_ms: u64, now: time::Duration) -> Self {
+        let worker = self.incarnation.worker.clone();
+        let incarnation = id::Incarnation { worker, born_ms: Some(born_ms) };
+        Self {
+            clock_from_ms: 0,
+            clock_began: now,
+            longest_lease: self.longest_lease,
+            reports_progress: self.reports_progress,
+            ..Self::new(incarnation, self.capacity, self.clock_milli)
+        }
+    }
+
     /// Returns whether calls that arrive are answered.
     #[must_use]
     pub fn answers(&self) -> bool {
@@ -172,7 +196,7 @@
     /// Returns the time of its clock, in milliseconds.
     #[must_use]
     pub fn clock_ms(&self, now: time::Duration) -> u64 {
-        let passed = now * self.clock_milli / 1_000;
+        let passed = now.saturating_sub(self.clock_began) * self.clock_milli / 1_000;
         self.clock_from_ms + u64::try_from(passed.as_millis()).unwrap_or(0)
     }
 
@@ -321,6 +345,7 @@
         self.epoch = heartbeat.epoch;
         if let Some(lease_until_ms) = heartbeat.lease_until_ms {
             self.extend(lease_until_ms, now);
+            self.renewals += 1;
         }
         self.ended.retain(|ended| ended.number > heartbeat.acknowledged_end);
         let running = self.runs.iter().map(|(task, run)| job::Running {
