--- a/crates/wharflane/src/job/workers/incarnations.rs
+++ b/crates/wharflane/src/job/workers/incarnations.rs
@@ -17,11 +17,9 @@
 use crate::job::runs::order;
 use crate::job::runs::work;
 use crate::job::spec;
+use crate::job::workers::unshown;
 use crate::job::workers::worker;
 
-/// How long after it was sent an order without an answer may still be carried out.
-const MAX_ORDER_DELAY: time::Duration = time::Duration::from_secs(12);
-
 impl holding::Holding {
     /// Begins the view of an incarnation and ends those of the worker's earlier ones.
     pub(in crate::job) fn begin_incarnation(
@@ -121,7 +119,7 @@
 
     /// Returns whether an order to start a task may be carried out by the incarnation after the one
     /// addressed.
-    fn may_reach_next_incarnation(&self, task: spec::TaskId) -> bool {
+    pub(in crate::job) fn may_reach_next_incarnation(&self, task: spec::TaskId) -> bool {
         self.placed.get(&task).is_some_and(|placed| {
             placed.start_state == work::StartState::Orphaned
                 || crash::may_have_received_order(placed)
@@ -136,12 +134,17 @@
         orphans: &[spec::TaskId],
         now: time::Duration,
     ) -> inherited::Leases {
-        let open = orphans.iter().filter_map(|task| self.placed.get(task));
-        let mut open = open.filter(|placed| {
-            placed.start_orders.unanswered > 0
-                || !matches!(placed.start_state, work::StartState::Confirmed(_))
-        });
-        let late = if open.next().is_some() { MAX_ORDER_DELAY } else { time::Duration::ZERO };
+        let is_late = |task: &spec::TaskId| {
+            self.unshown.contains(*task)
+                || self.placed.get(task).is_some_and(|placed| {
+                    placed.start_orders.unanswered > 0
+                        || !matches!(placed.start_state, work::StartState::Confirmed(_))
+                })
+        };
+        let late = match orphans.iter().any(is_late) {
+            true => unshown::MAX_CALL_DELAY,
+            false => time::Duration::ZERO,
+        };
         // The worker cuts the lease that an order for the past incarnation requested to this.
         let longest = self.settings.task_lease_max;
         let until = now + late + worker::longest_by_holder_clock(longest);
@@ -162,6 +165,9 @@
         let Some(placed) = self.placed.get_mut(&task) else {
             return;
         };
+        if placed.start_state == work::StartState::Ordered {
+            self.unshown.note_unanswered(task, now);
+        }
         *placed = work::Placed::orphaned(incarnation.clone(), placed, now);
         self.strains.remove(&task);
         let entry = self.jobs.get_mut(&task.job);
