A waiting heartbeat of the worlds extends the lease once

In a simulated world a heartbeat that waits for the end of a run was carried out again at every step, with its lease. A worker that cuts a lease to the longest one it grants, counted from when the order came, would have counted from each of these steps instead: up to a second longer than a worker that takes the order once.

Seen by reading.

--- a/crates/stand-in/src/jobs/workers.rs
+++ b/crates/stand-in/src/jobs/workers.rs
@@ -96,9 +96,10 @@
                     && now < deadline
                     && matches!(answer, job::HeartbeatAnswer::Lists(_))
                 {
+                    let waiting = job::Heartbeat { lease_until_ms: None, ..heartbeat };
                     return self.send(
                         world::STEP,
-                        message::Message::Heartbeat(host, incarnation, heartbeat, deadline, lost),
+                        message::Message::Heartbeat(host, incarnation, waiting, deadline, lost),
                     );
                 }
                 answer
