--- a/crates/stand-in/src/jobs/callers.rs
+++ b/crates/stand-in/src/jobs/callers.rs
@@ -7,6 +7,9 @@
 
 use super::{message, world};
 
+/// How long the batch tasks of random jobs usually work, in milliseconds.
+const USUAL_WORK_MS: std::ops::Range<u64> = 50..2_500;
+
 impl world::World {
     /// Submits a random job; retries every second while the store is down.
     pub(super) fn submit(&mut self) {
@@ -50,10 +53,11 @@
 
     /// Draws a step that depends on all steps before it.
     pub(super) fn draw_step(&mut self, at: u32, lasting: bool) -> job::Step {
+        let work_ms = self.plan.work_ms.clone().unwrap_or(USUAL_WORK_MS);
         job::Step {
             count: self.rng.random_range(1..4),
             size: size::Size { cpu_milli: 300, mem_mb: 100, accelerators: 0 },
-            estimate_ms: self.rng.random_range(50..2_500),
+            estimate_ms: self.rng.random_range(work_ms),
             after: (0..at).collect(),
             lasting,
             ..job::Step::default()
--- a/crates/stand-in/src/jobs/fault.rs
+++ b/crates/stand-in/src/jobs/fault.rs
@@ -49,6 +49,10 @@
     pub late_crashes: u32,
     /// Count of workers that restart under their id, after 20 to 1,500 ms.
     pub restarts: u32,
+    /// Count of workers that restart likewise and are cut off for 9 s, 0 to 1.2 s after their return.
+    pub restarts_then_cut: u32,
+    /// Probability that the holder is killed between such a return and 1 s after the cut.
+    pub kills_beside_cuts: u32,
     /// Probability that the next incarnation of a worker lost for another reason keeps the id.
     pub same_id: u32,
     /// Probability of an answer to a heartbeat or start that takes 100 to 600 ms longer.
@@ -84,4 +88,6 @@
     FailTasks,
     /// A worker restarts under its id.
     Restart,
+    /// A worker restarts under its id and is cut off soon after its return.
+    RestartThenCut,
 }
--- a/crates/stand-in/src/jobs/injection.rs
+++ b/crates/stand-in/src/jobs/injection.rs
@@ -17,10 +17,7 @@
     /// Begins a fault and schedules its end.
     pub(super) fn inject(&mut self, fault: fault::Kind) {
         self.waits.note_disturbance(self.now);
-        let holder = self
-            .hosts
-            .iter()
-            .position(|host| host.engine.as_ref().is_some_and(|engine| engine.holding().is_some()));
+        let holder = self.holder();
         let worker = self.rng.random_range(0..self.workers.len());
         let (at, secs) = match fault {
             fault::Kind::Kill
@@ -41,6 +38,7 @@
             fault::Kind::Cut => (worker, 7),
             fault::Kind::FailTasks => (worker, 5),
             fault::Kind::Restart => return self.restart(worker),
+            fault::Kind::RestartThenCut => return self.restart_then_cut(),
         };
         let at = if matches!(fault, fault::Kind::Close) { self.close_hall() } else { at };
         match fault {
@@ -77,12 +75,18 @@
                 return self.cut_off_worker(at, time::Duration::from_secs(secs));
             }
             fault::Kind::FailTasks => self.workers[at].fails_every_task = true,
-            fault::Kind::Restart => {}
+            fault::Kind::Restart | fault::Kind::RestartThenCut => {}
         }
         self.waits.open_faults += 1;
         self.send(time::Duration::from_secs(secs), message::Message::EndFault(fault, at));
     }
 
+    /// Returns the host that holds the domain.
+    pub(super) fn holder(&self) -> Option<usize> {
+        let holds = |engine: &job::Engine| engine.holding().is_some();
+        self.hosts.iter().position(|host| host.engine.as_ref().is_some_and(holds))
+    }
+
     /// Kills the process of a host, which starts again after a time.
     pub(super) fn kill_host(&mut self, at: usize, down: time::Duration) {
         self.waits.note_disturbance(self.now);
@@ -145,9 +149,12 @@
                 self.add_worker();
                 self.announce_member(self.workers.len() - 1);
             }
-            fault::Kind::Cut => self.workers[at].reachable = true,
+            fault::Kind::Cut => {
+                self.workers[at].reachable = true;
+                self.workers[at].answers_lost_from = None;
+            }
             fault::Kind::FailTasks => self.workers[at].fails_every_task = false,
-            fault::Kind::Restart => {}
+            fault::Kind::Restart | fault::Kind::RestartThenCut => {}
         }
     }
 
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -40,6 +40,14 @@
     Replace(usize),
     /// The next incarnation of a worker starts under the same id.
     Restart(usize),
+    /// The next incarnation of a worker starts under the same id, and is cut off soon after.
+    ReturnThenCut(usize),
+    /// A worker is cut off after its return.
+    CutOff(usize),
+    /// The store lists an incarnation of a worker in place of the one before it.
+    ListIncarnation(usize),
+    /// The holder is killed.
+    KillHolder,
     /// A worker reports its capacity.
     Report(usize),
     /// The feed of accepted jobs answers the hosts that follow it.
@@ -143,8 +151,9 @@
                 if lost {
                     self.waits.note_disturbance(now);
                 }
+                let answered = !self.loses_answers(&order.worker);
                 let accepted = self.reach(&order.worker).map(|worker| worker.stop(&order, now));
-                if accepted != Some(true) && !lost {
+                if (accepted != Some(true) || !answered) && !lost {
                     self.fail_stop(host, incarnation, order);
                 }
             }
@@ -156,6 +165,10 @@
             Message::Crash(at, task, run) => self.crash_if_running(at, task, run),
             Message::Replace(at) => self.replace(at),
             Message::Restart(at) => self.add_next_incarnation(at),
+            Message::ReturnThenCut(at) => self.return_then_cut(at),
+            Message::CutOff(at) => self.cut_off_after_return(at),
+            Message::ListIncarnation(at) => self.list_incarnation(at),
+            Message::KillHolder => self.kill_holder(),
             Message::Report(at) => self.announce_member(at),
             Message::Feed => self.answer_feed(),
             Message::Share(change) => self.share(&change),
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -17,6 +17,7 @@
 mod outages;
 pub mod plan;
 mod restart;
+mod restarted_and_cut;
 pub mod rows;
 pub mod server;
 pub mod waits;
--- a/crates/stand-in/src/jobs/outages.rs
+++ b/crates/stand-in/src/jobs/outages.rs
@@ -84,7 +84,7 @@
     }
 
     /// Draws a time in milliseconds.
-    fn draw_ms(&mut self, range_ms: std::ops::Range<u64>) -> time::Duration {
+    pub(super) fn draw_ms(&mut self, range_ms: std::ops::Range<u64>) -> time::Duration {
         time::Duration::from_millis(self.rng.random_range(range_ms))
     }
 }
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -39,6 +39,11 @@
     pub outages: Option<Outages>,
     /// Times at which workers can't be reached; absent for none.
     pub cuts: Option<Cuts>,
+    /// Whether the clock of each incarnation of a worker begins at zero at its birth. Otherwise those
+    /// of all workers begin together.
+    pub clocks_begin_at_birth: bool,
+    /// How long the batch tasks of random jobs work, in milliseconds; absent for the usual times.
+    pub work_ms: Option<ops::Range<u64>>,
     /// Whether the losses of workers that are counted against tasks are judged.
     pub judges_losses: bool,
     /// Submissions whose write takes effect late; absent for none.
@@ -185,6 +190,8 @@
             away_ms: None,
             outages: None,
             cuts: None,
+            clocks_begin_at_birth: false,
+            work_ms: None,
             judges_losses: false,
             doubtful: None,
         }
--- a/crates/stand-in/src/jobs/restart.rs
+++ b/crates/stand-in/src/jobs/restart.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use rand::RngExt as _;
+use wharflane::id;
 
 use super::{message, world};
 
@@ -32,10 +33,15 @@
 
     /// Schedules the next incarnation of a worker.
     pub(super) fn schedule_restart(&mut self, at: usize) {
-        let away = time::Duration::from_millis(self.rng.random_range(AWAY_MS));
+        let away = self.draw_time_away();
         self.send(away, message::Message::Restart(at));
     }
 
+    /// Draws how long a restarting worker is down.
+    pub(super) fn draw_time_away(&mut self) -> time::Duration {
+        time::Duration::from_millis(self.rng.random_range(AWAY_MS))
+    }
+
     /// Adds the next incarnation of a worker under the same id and at the same address, unless one
     /// is running.
     pub(super) fn add_next_incarnation(&mut self, at: usize) {
@@ -46,12 +52,22 @@
         if self.workers.iter().any(|found| found.alive && found.has_same_id(&incarnation)) {
             return;
         }
+        self.unlist_all(&incarnation);
         self.add_incarnation(incarnation.worker);
         let next = self.workers.len() - 1;
         self.workers[next].hall = hall;
         self.announce_member(next);
     }
 
+    /// Removes the entries of all incarnations of a worker from the store, before another one is
+    /// listed.
+    pub(super) fn unlist_all(&mut self, incarnation: &id::Incarnation) {
+        let incarnations = self.workers.iter_mut();
+        for worker in incarnations.filter(|worker| worker.has_same_id(incarnation)) {
+            worker.listed = false;
+        }
+    }
+
     /// Draws the delay of an answer.
     pub(super) fn draw_answer_delay(&mut self) -> time::Duration {
         let delay = self.draw_delay();
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -71,11 +71,15 @@
     pub address_reused: bool,
     /// When it was last unreachable.
     pub last_unreachable: time::Duration,
+    /// From when the answers to calls that it carries out are lost; absent if they arrive.
+    pub answers_lost_from: Option<time::Duration>,
     /// Whether every task that it starts fails at once.
     pub fails_every_task: bool,
     /// The speed of its clock, in thousandths of virtual time.
     pub clock_milli: u32,
-    /// The reading of its clock at time zero, in milliseconds.
+    /// When its clock had the first reading.
+    pub clock_began: time::Duration,
+    /// The first reading of its clock, in milliseconds.
     pub clock_from_ms: u64,
     /// The longest lease that it grants.
     pub longest_lease: time::Duration,
@@ -135,8 +139,10 @@
             lapsed: false,
             address_reused: false,
             last_unreachable: time::Duration::ZERO,
+            answers_lost_from: None,
             fails_every_task: false,
             clock_milli,
+            clock_began: time::Duration::ZERO,
             clock_from_ms: 100_000,
             longest_lease: MAX_LEASE,
             capacity,
@@ -172,7 +178,7 @@
     /// Returns the time of its clock, in milliseconds.
     #[must_use]
     pub fn clock_ms(&self, now: time::Duration) -> u64 {
-        let passed = now * self.clock_milli / 1_000;
+        let passed = now.saturating_sub(self.clock_began) * self.clock_milli / 1_000;
         self.clock_from_ms + u64::try_from(passed.as_millis()).unwrap_or(0)
     }
 
--- a/crates/stand-in/src/jobs/workers.rs
+++ b/crates/stand-in/src/jobs/workers.rs
@@ -61,7 +61,10 @@
             }
         }
         if !lost {
-            let delay = self.draw_answer_delay();
+            let (answer, delay) = match self.loses_answers(&start.order.worker) {
+                true => (job::StartAnswer::Silent, time::Duration::from_millis(600)),
+                false => (answer, self.draw_answer_delay()),
+            };
             let event = job::Event::Started { order: start.order.clone(), answer };
             self.send(delay, message::Message::Back(host, incarnation, Box::new(event)));
         }
@@ -105,6 +108,7 @@
                 answer
             }
         };
+        let lost = lost || self.loses_answers(&worker);
         let silent = answer == job::HeartbeatAnswer::Silent || lost;
         let fails_at_once = !lost && silent && self.refuses_connections(&worker);
         let after = if silent && !fails_at_once {
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -166,6 +166,7 @@
             (faults.cuts, fault::Kind::Cut),
             (faults.failing_workers, fault::Kind::FailTasks),
             (faults.restarts, fault::Kind::Restart),
+            (faults.restarts_then_cut, fault::Kind::RestartThenCut),
         ];
         for (count, fault) in kinds {
             (0..count).for_each(|_| world.send_at_random(Message::Fault(fault)));
@@ -314,8 +315,14 @@
         worker.hall = closed_halls::hall_of(self.workers.len());
         worker.interference = self.plan.interference;
         worker.longest_lease = self.plan.longest_lease;
+        if self.plan.clocks_begin_at_birth {
+            worker.clock_began = self.now;
+            worker.clock_from_ms = 0;
+        }
         // Batch tasks that run for seconds without progress would be stopped as stalled.
-        worker.reports_progress = self.plan.judged_from.is_some() || self.plan.handovers.is_some();
+        worker.reports_progress = self.plan.judged_from.is_some()
+            || self.plan.handovers.is_some()
+            || self.plan.work_ms.is_some();
         self.workers.push(worker);
     }
 
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -185,6 +185,8 @@
         crashing_tasks: 0,
         late_crashes: 0,
         restarts: 0,
+        restarts_then_cut: 0,
+        kills_beside_cuts: 0,
         same_id: 0,
         slow_answers: 0,
     }),
