--- a/crates/wharflane/src/job/runs/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -41,6 +41,7 @@
             if !staged {
                 continue;
             }
+            self.unshown.add(task, self.version);
             if should_run && !self.has_room(task) {
                 self.free(task, "worker capacity shrank before the start was ordered");
             } else if should_run && self.may_order(now) && !self.leaving {
@@ -277,15 +278,19 @@
         if !current {
             return;
         }
-        if answer != order::StartAnswer::Taken {
+        if !matches!(answer, order::StartAnswer::Taken { .. }) {
             tracing::info!(
                 task = %order.task, run = order.run, worker = %order.worker, ?answer,
                 "start refused or unanswered"
             );
         }
+        if let order::StartAnswer::Taken { clock_ms: Some(clock_ms) } = answer {
+            self.note_taken(order, clock_ms, now);
+        }
         let should_run = self.should_run(order.task);
         match answer {
-            order::StartAnswer::Taken | order::StartAnswer::Refused(order::StartRefusal::Old) => {
+            order::StartAnswer::Taken { .. }
+            | order::StartAnswer::Refused(order::StartRefusal::Old) => {
                 // An old run has already ended there; the next heartbeat answer reports its end or
                 // its absence.
                 self.set_start_state(order.task, work::StartState::Confirmed(now));
@@ -373,6 +378,7 @@
         if let Some(placed) = self.placed.get_mut(&task) {
             placed.start_state = work::StartState::Unanswered(now + START_RETRY_DELAY);
             placed.start_orders.unanswered += 1;
+            self.unshown.note_unanswered(task, now);
         }
     }
 
