--- a/crates/stand-in/tests/restarted_and_cut.rs
+++ b/crates/stand-in/tests/restarted_and_cut.rs
@@ -59,10 +59,14 @@
 
 /// Returns the faults of a world with every kind of fault.
 fn with_all_faults() -> world::Faults {
+    world::Faults { late_starts: 50, ..with_all_but_late_starts() }
+}
+
+/// Returns the faults of a world with every kind of fault, except that no start is carried out late.
+fn with_all_but_late_starts() -> world::Faults {
     with_cuts(world::Faults {
         restarts: 6,
         same_id: 500,
-        late_starts: 50,
         lost_answers: 50,
         slow_answers: 100,
         lost_stops: 50,
@@ -94,6 +98,10 @@
         check(6, with_late_starts()),
     restarted_workers_are_cut_off_while_starts_are_late_under_leases_of_10_s =>
         check(10, with_late_starts()),
+    restarted_workers_are_cut_off_among_all_faults_but_late_starts_under_leases_of_6_s =>
+        check(6, with_all_but_late_starts()),
+    restarted_workers_are_cut_off_among_all_faults_but_late_starts_under_leases_of_10_s =>
+        check(10, with_all_but_late_starts()),
     restarted_workers_are_cut_off_among_all_other_faults_under_leases_of_6_s =>
         check(6, with_all_faults()),
     restarted_workers_are_cut_off_among_all_other_faults_under_leases_of_10_s =>
