--- a/crates/cli/tests/processes/restarted_and_cut.rs
+++ b/crates/cli/tests/processes/restarted_and_cut.rs
@@ -99,7 +99,8 @@
 /// Returns the indices of the workers that have restarted and whose answers are lost.
 fn restarted(service: &job_service::JobService) -> impl Iterator<Item = usize> + use<> {
     let state = service.platform.lock();
-    let lost: Vec<bool> = state.workers.iter().map(|worker| worker.answers_lost).collect();
+    let lost = state.workers.iter().map(|worker| worker.answers_lost_from.is_some());
+    let lost: Vec<bool> = lost.collect();
     (0..WORKERS).filter(move |at| lost[*at])
 }
 
@@ -117,7 +118,7 @@
 fn return_worker(service: &job_service::JobService, at: usize) {
     let mut state = service.platform.lock();
     state.workers[at].reachable = true;
-    state.workers[at].answers_lost = false;
+    state.workers[at].answers_lost_from = None;
     drop(state);
     service.platform.list_worker(at);
 }
--- a/crates/stand-in/src/jobs/server.rs
+++ b/crates/stand-in/src/jobs/server.rs
@@ -435,7 +435,7 @@
             }
             None => reply::problem(StatusCode::BAD_REQUEST, "call", "no such call"),
         };
-        if self.lock().workers[at].answers_lost {
+        if self.lock().workers[at].answers_lost_from.is_some() {
             std::future::pending::<()>().await;
         }
         answer
@@ -444,10 +444,10 @@
     /// Handles an order to start.
     fn handle_start(&self, at: usize, start: &job::Start) -> reply::Reply {
         let mut state = self.lock();
-        if state.faults.starts_after_restart > 0 && !state.workers[at].answers_lost {
+        if state.faults.starts_after_restart > 0 && state.workers[at].answers_lost_from.is_none() {
             state.faults.starts_after_restart -= 1;
             self.begin_next_incarnation(&mut state, at);
-            state.workers[at].answers_lost = true;
+            state.workers[at].answers_lost_from = Some(self.clock.now());
         }
         let now = self.clock.now();
         let task = start.order.task;
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -63,8 +63,6 @@
     pub alive: bool,
     /// Whether hosts can reach it.
     pub reachable: bool,
-    /// Whether its answers are lost, although it carries out the calls that reach it.
-    pub answers_lost: bool,
     /// Whether the store has its entry.
     pub listed: bool,
     /// Whether its entry has lapsed, so that it is to be listed again if it lives.
@@ -73,14 +71,16 @@
     pub address_reused: bool,
     /// When it was last unreachable.
     pub last_unreachable: time::Duration,
+    /// From when the answers to calls that it carries out are lost; absent if they arrive.
+    pub answers_lost_from: Option<time::Duration>,
     /// Whether every task that it starts fails at once.
     pub fails_every_task: bool,
     /// The speed of its clock, in thousandths of virtual time.
     pub clock_milli: u32,
-    /// The reading of its clock when that began, in milliseconds.
-    pub clock_from_ms: u64,
-    /// When its clock began.
+    /// When its clock had the first reading.
     pub clock_began: time::Duration,
+    /// The first reading of its clock, in milliseconds.
+    pub clock_from_ms: u64,
     /// The longest lease that it grants.
     pub longest_lease: time::Duration,
     /// The capacity that it offers to tasks.
@@ -137,15 +137,15 @@
             incarnation,
             alive: true,
             reachable: true,
-            answers_lost: false,
             listed: true,
             lapsed: false,
             address_reused: false,
             last_unreachable: time::Duration::ZERO,
+            answers_lost_from: None,
             fails_every_task: false,
             clock_milli,
-            clock_from_ms: 100_000,
             clock_began: time::Duration::ZERO,
+            clock_from_ms: 100_000,
             longest_lease: MAX_LEASE,
             capacity,
             checks_capacity: true,
