--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -88,9 +88,28 @@
 
     /// Kills the holder; another host takes the lease and loads the state.
     fn change_holder(&mut self) {
+        self.change_holder_among((0..2).map(old_member).collect());
+    }
+
+    /// Kills the holder; another host, to which the store lists these workers, takes the lease and
+    /// loads the state.
+    fn change_holder_among(&mut self, members: Vec<job::Member>) {
+        self.take_lease(members);
+        self.load();
+    }
+
+    /// Loads the state into the host that has taken the lease.
+    fn load(&mut self) {
+        self.sim.handle(job::Event::Closed(job::ClosedHalls::default()));
+        let (jobs, progress) = (self.jobs.clone(), self.sim.table(job::PROGRESS));
+        let learned = self.sim.table(job::LEARNED);
+        self.sim.handle(job::Event::Loaded { jobs, progress, learned });
+    }
+
+    /// Kills the holder; another host, to which the store lists these workers, takes the lease.
+    fn take_lease(&mut self, members: Vec<job::Member>) {
         self.sim.pending.retain(|effect| matches!(effect, job::Effect::Start(_)));
         let nonce = u64::try_from(self.sim.now.as_nanos()).expect("fits into u64");
-        let members: Vec<job::Member> = (0..2).map(old_member).collect();
         self.sim.engine = job::Engine::new("next-host".into(), settings(), nonce);
         self.sim.handle(job::Event::Queues(sim::queues()));
         self.sim.handle(job::Event::Listed(members));
@@ -98,10 +117,50 @@
         self.sim.now += settings().lease;
         self.read_lease();
         assert!(!self.sim.engine.is_watching(), "the lease is taken");
-        self.sim.handle(job::Event::Closed(job::ClosedHalls::default()));
-        let (jobs, progress) = (self.jobs.clone(), self.sim.table(job::PROGRESS));
-        let learned = self.sim.table(job::LEARNED);
-        self.sim.handle(job::Event::Loaded { jobs, progress, learned });
+    }
+
+    /// Submits another job of one step, which the next holder reads as well.
+    fn submit_other(&mut self, number: u64, step: job::Step) {
+        let accepted = self.sim.accepted(number, "first", step);
+        if let job::Event::Jobs(jobs) = &accepted {
+            self.jobs.extend(jobs.clone());
+        }
+        self.sim.handle(accepted);
+    }
+
+    /// Advances the time without any answer until the task is ordered, and returns that order.
+    fn tick_until_ordered(&mut self) -> job::Order {
+        loop {
+            self.sim.now += time::Duration::from_millis(20);
+            let wall_ms = u64::try_from(self.sim.now.as_millis()).expect("fits into u64");
+            self.sim.handle(job::Event::Tick { wall_ms });
+            if let Some(order) = self.first_order() {
+                return order;
+            }
+        }
+    }
+
+    /// Returns the newest version of the rows of a table.
+    fn version_of(&self, table: &'static str) -> u64 {
+        let versions = self.sim.row_versions.iter().filter(|((of, _), _)| *of == table);
+        versions.map(|(_, version)| *version).max().expect("a row")
+    }
+
+    /// Returns the version up to which all starts are shown, as the lease row tells it.
+    fn shown_upto(&self) -> u64 {
+        let at = (job::LEASES, job::lease_key(0).name);
+        let lease: job::Lease = serde_json::from_str(&self.sim.rows[&at]).expect("a lease");
+        lease.shown_upto.expect("a version")
+    }
+
+    /// Returns how long after `ordered` a task is ordered from another worker.
+    fn moved_after(&mut self, task: job::TaskId, first: &id::Incarnation) -> time::Duration {
+        let until = self.sim.now + time::Duration::from_secs(60);
+        while self.sim.last_order(task).is_none_or(|order| order.worker.worker == first.worker) {
+            assert!(self.sim.now < until, "the task was never started again");
+            self.sim.advance(20, false);
+        }
+        self.sim.now - self.ordered
     }
 
     /// Passes the lease row to the host.
@@ -160,6 +219,27 @@
     job::TaskId { job: job::JobId(JOB), round: 0, step: 0, index: 0 }
 }
 
+/// Returns the number of a worker.
+fn number_of(worker: &id::Incarnation) -> usize {
+    let at = (0..2).find(|at| sim::member(*at).incarnation.worker == worker.worker);
+    at.expect("a worker")
+}
+
+/// Returns the answer of an incarnation that runs what was ordered.
+fn running(
+    incarnation: &id::Incarnation,
+    order: &job::Order,
+    now: time::Duration,
+) -> job::HeartbeatAnswer {
+    let run = job::Running { task: order.task, run: order.run, percent: 1, load: 0 };
+    job::HeartbeatAnswer::Lists(job::Lists {
+        born_ms: incarnation.born_ms,
+        clock_ms: u64::try_from(now.as_millis()).expect("fits into u64"),
+        running: vec![run],
+        ..job::Lists::default()
+    })
+}
+
 /// Returns the answer of the incarnation whose clock began with the simulation.
 fn taken_by_the_addressed(domain: &Domain) -> job::StartAnswer {
     let clock_ms = u64::try_from(domain.sim.now.as_millis()).expect("fits into u64");
@@ -252,4 +332,219 @@
         let least = settings().task_lease + settings().lease;
         assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
     },
+    // The lease row names the worker as restarted, which says nothing of starts after that restart.
+    a_start_after_a_known_restart_waits_for_the_longest_lease_under_the_next_holder => {
+        let mut domain = Domain::new();
+        domain.submit();
+        domain.sim.advance(2_000, false);
+        let order = domain.sim.newest_order(task());
+        let at = number_of(&order.worker);
+        let next = domain.sim.restart(at);
+        // The next incarnation had taken the order, so its leases count from this answer on.
+        domain.sim.answer_heartbeat(&next, running(&next, &order, domain.sim.now));
+        let second = job::TaskId { job: job::JobId(2), ..task() };
+        let leaving = job::Member { leaving: true, ..old_member(1 - at) };
+        let other = leaving.incarnation.worker.clone();
+        domain.sim.handle(job::Event::Member(other, Some(leaving)));
+        domain.sim.advance(1_000, false);
+        // The simulation answers the starts before once more.
+        let before = sim::started_jobs(&domain.sim).len();
+        let taken = job::StartAnswer::Taken { clock_ms: None };
+        domain.sim.start_answers.extend(vec![taken; before]);
+        domain.sim.start_answers.push_back(job::StartAnswer::Silent);
+        domain.submit_other(2, sim::step("plain", 1_000));
+        domain.sim.advance(100, false);
+        assert_eq!(domain.sim.not_taken[0].order.worker, next, "the restarted worker is asked");
+        assert_eq!(domain.sim.not_taken[0].order.task, second, "the second job is started");
+        domain.ordered = domain.sim.now;
+        domain.sim.silent_workers.clear();
+        domain.sim.silent_workers.insert(next.clone());
+        let mut members = vec![old_member(1 - at)];
+        members.push(job::Member { incarnation: next.clone(), ..sim::member(at) });
+        domain.change_holder_among(members);
+        let after = domain.moved_after(second, &next);
+        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+    },
+    // Tasks share rows: the end of one makes the row of all others newer than what the last commit
+    // tells.
+    a_run_listed_before_its_row_is_written_again_waits_for_the_lease_that_was_requested => {
+        let mut domain = Domain::new();
+        let step = job::Step { count: 2, ..sim::step("plain", 9_000) };
+        domain.submit_other(2, step);
+        domain.sim.advance(3_000, false);
+        let (first, second) = (job::TaskId { job: job::JobId(2), ..task() }, 1);
+        let second = job::TaskId { index: second, ..first };
+        let worker = domain.sim.worker_of(first);
+        assert_ne!(worker, domain.sim.worker_of(second), "each worker has room for one");
+        assert!(domain.shown_upto() >= domain.version_of(job::PROGRESS), "both are shown");
+        domain.sim.end_task(second, job::EndKind::Done);
+        let before = domain.version_of(job::PROGRESS);
+        while domain.version_of(job::PROGRESS) == before {
+            domain.sim.advance(20, false);
+        }
+        domain.ordered = domain.sim.now;
+        domain.sim.silent_workers.insert(worker.clone());
+        domain.change_holder();
+        let after = domain.moved_after(first, &worker);
+        let least = settings().task_lease + settings().lease;
+        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+    },
+    // Each holder in turn lists the run; none holds the domain for as long as a call may be late.
+    a_run_listed_under_several_holders_does_not_hold_back_what_is_shown => {
+        let mut domain = Domain::new();
+        domain.submit();
+        domain.sim.advance(100, false);
+        let recorded = domain.version_of(job::PROGRESS);
+        let changed = domain.sim.now;
+        for _ in 0..5 {
+            domain.change_holder();
+            domain.sim.advance(4_000, false);
+        }
+        assert!(domain.sim.now - changed > LATE_CALL * 2, "no order can be late any more");
+        let upto = domain.shown_upto();
+        assert!(upto >= recorded, "shown up to {upto}, recorded at {recorded}");
+    },
+    // The clock that it shows could be that of an incarnation born since the last answer.
+    a_start_taken_by_a_worker_known_for_a_moment_waits_for_the_longest_lease => {
+        let settings = settings();
+        let sim = sim::Sim::with_settings(settings, 0, (Vec::new(), Vec::new()), Vec::new());
+        let mut domain = Domain { ordered: sim.now, sim, jobs: Vec::new() };
+        for at in 0..2 {
+            domain.sim.restart(at);
+        }
+        domain.sim.advance(3_000, false);
+        let taken = taken_by_the_addressed(&domain);
+        let worker = domain.start(taken);
+        domain.check_waits(&worker);
+    },
+    // The clock is behind what the addressed incarnation must show, though its last answer isn't.
+    a_start_taken_with_a_clock_behind_waits_for_the_longest_lease => {
+        let mut domain = Domain::new();
+        let clock_ms = u64::try_from(domain.sim.now.as_millis()).expect("fits into u64") - 4_000;
+        let worker = domain.start(job::StartAnswer::Taken { clock_ms: Some(clock_ms) });
+        domain.check_waits(&worker);
+    },
+    // Commits that follow the start tell the next holder that it is not shown.
+    a_start_of_a_holder_killed_after_further_commits_waits_for_the_longest_lease => {
+        let mut domain = Domain::new();
+        let worker = domain.start(job::StartAnswer::Silent);
+        domain.sim.advance(1_500, false);
+        let recorded = domain.version_of(job::PROGRESS);
+        assert!(domain.version_of(job::LEASES) > recorded, "the lease was renewed");
+        domain.change_holder();
+        let after = domain.started_again_after(&worker);
+        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+    },
+    a_start_of_a_killed_holder_waits_if_its_worker_is_not_listed_any_more => {
+        let mut domain = Domain::new();
+        let worker = domain.start(job::StartAnswer::Silent);
+        domain.change_holder_among(vec![old_member(1 - number_of(&worker))]);
+        let after = domain.started_again_after(&worker);
+        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+    },
+    // The second order may be late, although the first had been carried out.
+    a_run_listed_before_its_start_is_answered_waits_for_the_longest_lease => {
+        let mut domain = Domain::new();
+        domain.submit();
+        let order = domain.tick_until_ordered();
+        let listed = running(&order.worker, &order, domain.sim.now);
+        domain.sim.answer_heartbeat(&order.worker, listed);
+        domain.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
+        let answer = job::StartAnswer::Silent;
+        domain.sim.handle(job::Event::Started { order: order.clone(), answer });
+        domain.sim.start_answers.push_back(job::StartAnswer::Silent);
+        while domain.sim.not_taken.is_empty() {
+            domain.sim.advance(20, false);
+        }
+        assert_eq!(domain.sim.not_taken[0].order, order, "ordered again");
+        domain.ordered = domain.sim.now;
+        domain.sim.silent_workers.insert(order.worker.clone());
+        domain.check_waits(&order.worker);
+    },
+    // A host that ends before it has loaded the state passes on what its predecessor told.
+    a_start_waits_for_the_longest_lease_after_a_holder_that_never_loaded_the_state => {
+        let mut domain = Domain::new();
+        let worker = domain.start(job::StartAnswer::Silent);
+        domain.take_lease((0..2).map(old_member).collect());
+        domain.change_holder();
+        let after = domain.started_again_after(&worker);
+        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+    },
+    a_listed_run_waits_for_its_own_lease_after_a_holder_that_never_loaded_the_state => {
+        let mut domain = Domain::new();
+        domain.submit();
+        domain.sim.advance(2_000, false);
+        let worker = domain.sim.worker_of(task());
+        domain.sim.silent_workers.insert(worker.clone());
+        domain.take_lease((0..2).map(old_member).collect());
+        domain.change_holder();
+        domain.ordered = domain.sim.now;
+        let after = domain.started_again_after(&worker);
+        let least = settings().task_lease + settings().lease;
+        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+    },
+    // A worker without a start time never comes back under its id.
+    a_start_without_an_answer_waits_for_its_own_lease_where_no_worker_comes_back => {
+        let none = (Vec::new(), Vec::new());
+        let mut sim = sim::Sim::with_settings(settings(), 2, none, Vec::new());
+        sim.advance(AGE_MS, false);
+        let mut domain = Domain { ordered: sim.now, sim, jobs: Vec::new() };
+        let worker = domain.start(job::StartAnswer::Silent);
+        domain.check_waits_for_its_own_lease(&worker);
+    },
+    // The holder presumed dead may go on ordering until its own lease ends.
+    a_start_of_a_holder_presumed_dead_counts_from_the_end_of_its_lease => {
+        let mut domain = Domain::new();
+        let worker = domain.start(job::StartAnswer::Silent);
+        domain.sim.pending.retain(|effect| matches!(effect, job::Effect::Start(_)));
+        domain.sim.engine = job::Engine::new("next-host".into(), settings(), 2);
+        domain.sim.handle(job::Event::Queues(sim::queues()));
+        domain.sim.handle(job::Event::Listed((0..2).map(old_member).collect()));
+        domain.read_lease();
+        domain.sim.now += settings().probe;
+        let version = domain.version_of(job::LEASES);
+        let result = job::ProbeResult::Refused;
+        domain.sim.handle(job::Event::Probed { version, result });
+        assert!(!domain.sim.engine.is_watching(), "the lease is taken");
+        domain.ordered = domain.sim.now + settings().lease;
+        domain.load();
+        domain.check_waits(&worker);
+    },
+    // Its leases may be extended by a heartbeat that is late.
+    a_start_that_a_restarted_worker_took_waits_for_late_calls_once_the_restart_is_known => {
+        let mut domain = Domain::new();
+        let taken = job::StartAnswer::Taken { clock_ms: Some(YOUNG_CLOCK_MS) };
+        let worker = domain.start(taken);
+        domain.sim.advance(1_000, false);
+        let next = domain.sim.restart(number_of(&worker));
+        domain.sim.silent_workers.insert(next.clone());
+        domain.ordered = domain.sim.now;
+        let after = domain.moved_after(task(), &next);
+        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+    },
+    // One order was sent and carried out, so that none can be late.
+    a_run_listed_after_its_only_order_had_no_answer_waits_for_its_own_lease => {
+        let mut domain = Domain::new();
+        domain.submit();
+        let order = domain.tick_until_ordered();
+        domain.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
+        let answer = job::StartAnswer::Silent;
+        domain.sim.handle(job::Event::Started { order: order.clone(), answer });
+        let listed = running(&order.worker, &order, domain.sim.now);
+        domain.sim.answer_heartbeat(&order.worker, listed);
+        domain.ordered = domain.sim.now;
+        domain.sim.silent_workers.insert(order.worker.clone());
+        domain.check_waits_for_its_own_lease(&order.worker);
+    },
+    // Otherwise a short run would hold back what is shown for ever.
+    a_run_that_ends_before_it_is_listed_does_not_hold_back_what_is_shown => {
+        let mut domain = Domain::new();
+        domain.sim.start_answers.push_back(job::StartAnswer::Taken { clock_ms: None });
+        domain.submit();
+        let order = domain.tick_until_ordered();
+        domain.sim.end_run(&order, job::EndKind::Done, String::new());
+        domain.sim.advance(3_000, false);
+        let (upto, recorded) = (domain.shown_upto(), domain.version_of(job::PROGRESS));
+        assert!(upto >= recorded, "shown up to {upto}, recorded at {recorded}");
+    },
 }
