What is shown is told by task, and one order is shown by its listing

A row names the tasks whose starts are not shown, and the version alone decides nothing; - a run that was listed after its only order had no answer waited 22.5 s instead of 4 s: that order has been carried out and can't be late. A row of an older version names no such tasks: they are counted as not shown and their rows are written again.

--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -70,6 +70,7 @@
         for (task, version, late_until) in unshown {
             if self.placed.contains_key(&task) {
                 self.unshown.inherit(task, version, late_until);
+                self.mark_unshown(task);
             }
         }
         // An earlier holder removed the rows of these jobs, but not yet their progress.
@@ -85,7 +86,8 @@
         version: u64,
     ) -> impl Iterator<Item = (spec::TaskId, u64, time::Duration)> + 'a {
         read.tasks.iter().filter_map(move |(position, task)| {
-            let late_until = self.inherited.late_start_until(task.worker.as_ref()?, version)?;
+            task.worker.as_ref()?;
+            let late_until = self.inherited.late_start_until(task.unshown, version)?;
             Some((position.of(job), version, late_until))
         })
     }
--- a/crates/wharflane/src/job/lease/inherited.rs
+++ b/crates/wharflane/src/job/lease/inherited.rs
@@ -91,14 +91,10 @@
 
     /// Returns until when an order for a start may be carried out that an earlier holder recorded
     /// in a row of the given version, or nothing if its worker is known to have taken it.
-    pub fn late_start_until(
-        &self,
-        worker: &id::Incarnation,
-        version: u64,
-    ) -> Option<time::Duration> {
-        let shown = self.shown_upto.is_some_and(|upto| version <= upto);
-        // The time for which orders may be late on a restarted worker is known by itself.
-        (!shown && !self.restarted.contains_key(worker)).then_some(self.orders_until)
+    /// `unshown` is what the row tells of the start.
+    pub fn late_start_until(&self, unshown: bool, version: u64) -> Option<time::Duration> {
+        let open = self.shown_upto.is_none_or(|upto| unshown && version > upto);
+        open.then_some(self.orders_until)
     }
 
     /// Returns the leases that a worker may have.
--- a/crates/wharflane/src/job/place/assign.rs
+++ b/crates/wharflane/src/job/place/assign.rs
@@ -44,6 +44,7 @@
     let state = entry.progress.tasks.entry(task.into()).or_default();
     state.run = run;
     state.worker = Some(worker.clone());
+    state.unshown = true;
     let began = entry.progress.phase != progress::Phase::Running;
     entry.progress.phase = progress::Phase::Running;
     let image = holding.learned.interference.image(step.image.as_deref());
--- a/crates/wharflane/src/job/progress.rs
+++ b/crates/wharflane/src/job/progress.rs
@@ -133,6 +133,8 @@
     pub failed_runs: collections::BTreeSet<u32>,
     /// The worker incarnation on which it may run.
     pub worker: Option<id::Incarnation>,
+    /// Whether that incarnation has not shown that it took the last start.
+    pub unshown: bool,
     /// Whether the task completed.
     pub done: bool,
     /// The last checkpoint; empty if there is none.
@@ -232,6 +234,9 @@
     /// All other tasks; their empty fields are omitted.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     tasks: Vec<StoredTask>,
+    /// The tasks whose workers have not shown to have taken the last start: round, step and index.
+    #[serde(default, rename = "un", skip_serializing_if = "Vec::is_empty")]
+    unshown: Vec<(u32, u32, u32)>,
 }
 
 /// The stored form of one task, with short field names because rows are written often.
@@ -268,6 +273,9 @@
     /// Adds a task in the shortest form that contains all relevant state.
     fn add(&mut self, position: TaskPosition, task: &Task) {
         let TaskPosition { round, step, index } = position;
+        if task.unshown && task.worker.is_some() {
+            self.unshown.push((round, step, index));
+        }
         match (&task.worker, task.done) {
             // A done task never starts again, so its runs and its checkpoint no longer matter.
             (None, true) => self.add_done(position),
@@ -375,7 +383,14 @@
     pub fn decode(text: &str) -> Result<Self, serde_json::Error> {
         let stored: StoredRow = serde_json::from_str(text)?;
         let phase = stored.phase;
-        Ok(Self { phase, tasks: stored.into_tasks().collect() })
+        let unshown = stored.unshown.clone();
+        let mut tasks: collections::BTreeMap<_, _> = stored.into_tasks().collect();
+        for (round, step, index) in unshown {
+            if let Some(task) = tasks.get_mut(&TaskPosition { round, step, index }) {
+                task.unshown = true;
+            }
+        }
+        Ok(Self { phase, tasks })
     }
 
     /// Returns whether all tasks of a step are done in a round.
--- a/crates/wharflane/src/job/runs/orders.rs
+++ b/crates/wharflane/src/job/runs/orders.rs
@@ -101,6 +101,7 @@
         let Some(ticket) = self.ticket_for(&order, now) else {
             return self.handle_refused_start(task);
         };
+        self.unshown.note_ordered(task);
         tracing::info!(
             %task, run = order.run, worker = %order.worker, epoch = order.epoch, lease_until_ms,
             "start ordered"
--- a/crates/wharflane/src/job/workers/lists.rs
+++ b/crates/wharflane/src/job/workers/lists.rs
@@ -110,7 +110,7 @@
         }
         // An order in flight may still get no answer.
         if state != work::StartState::Ordered {
-            self.unshown.note_shown(task, sent);
+            self.note_shown(task, sent);
         }
         matches!(state, work::StartState::Inherited | work::StartState::Orphaned)
     }
--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -13,6 +13,7 @@
 use std::time;
 
 use crate::job::holding;
+use crate::job::progress;
 use crate::job::runs::order;
 use crate::job::spec;
 use crate::job::workers::worker;
@@ -28,6 +29,8 @@
 struct Unshown {
     /// The version of the store at which it was recorded, or a later one of its row.
     recorded: u64,
+    /// The number of its orders that were sent or may have been.
+    orders: u32,
     /// Until when an order for it that had no answer may still be carried out; zero if each was
     /// answered.
     late_until: time::Duration,
@@ -43,12 +46,19 @@
     /// Adds a start that was recorded at a version of the store.
     pub fn add(&mut self, task: spec::TaskId, recorded: u64) {
         let late_until = time::Duration::ZERO;
-        self.0.insert(task, Unshown { recorded, late_until, kept: false });
+        self.0.insert(task, Unshown { recorded, orders: 0, late_until, kept: false });
+    }
+
+    /// Notes that an order to start a task is sent.
+    pub fn note_ordered(&mut self, task: spec::TaskId) {
+        if let Some(unshown) = self.0.get_mut(&task) {
+            unshown.orders += 1;
+        }
     }
 
     /// Adds a start of an earlier holder, whose orders may be carried out until `late_until`.
     pub fn inherit(&mut self, task: spec::TaskId, recorded: u64, late_until: time::Duration) {
-        self.0.insert(task, Unshown { recorded, late_until, kept: false });
+        self.0.insert(task, Unshown { recorded, orders: u32::MAX, late_until, kept: false });
     }
 
     /// Notes that an order to start a task has had no answer until now.
@@ -59,11 +69,11 @@
     }
 
     /// Notes that the addressed incarnation has taken the last order to start a task, or listed its
-    /// run in answer to a heartbeat sent at `sent`. An earlier order may still reach another one.
-    pub fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) {
-        if self.0.get(&task).is_some_and(|unshown| unshown.late_until <= sent) {
-            self.0.remove(&task);
-        }
+    /// run in answer to a heartbeat sent at `sent`; returns whether the start is shown by that. An
+    /// order other than the one that was carried out may still reach the next incarnation.
+    fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) -> bool {
+        let shown = |unshown: &Unshown| unshown.orders == 1 || unshown.late_until <= sent;
+        self.0.get(&task).is_some_and(shown) && self.0.remove(&task).is_some()
     }
 
     /// Removes a task that is no longer placed.
@@ -131,9 +141,7 @@
             return;
         };
         match taker(view, clock_ms, now) {
-            Taker::Addressed => {
-                self.unshown.note_shown(order.task, now.saturating_sub(MAX_ANSWER_AGE))
-            }
+            Taker::Addressed => self.note_shown(order.task, now.saturating_sub(MAX_ANSWER_AGE)),
             Taker::Unknown => {}
             Taker::Next => {
                 view.heartbeat_due = view.heartbeat_due.min(now);
@@ -147,6 +155,30 @@
         }
     }
 
+    /// Notes that the addressed incarnation has taken a start, or listed its run in answer to a
+    /// heartbeat sent at `sent`.
+    pub(in crate::job) fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) {
+        if self.unshown.note_shown(task, sent)
+            && let Some(state) = self.state_mut(task)
+        {
+            state.unshown = false;
+        }
+    }
+
+    /// Notes that the start of an earlier holder is not shown. A row of an older version doesn't
+    /// tell that, so it is written again.
+    pub(in crate::job) fn mark_unshown(&mut self, task: spec::TaskId) {
+        if let Some(state) = self.state_mut(task).filter(|state| !state.unshown) {
+            state.unshown = true;
+            self.mark_task(task);
+        }
+    }
+
+    /// Returns the progress of a task.
+    fn state_mut(&mut self, task: spec::TaskId) -> Option<&mut progress::Task> {
+        self.jobs.get_mut(&task.job)?.progress.tasks.get_mut(&task.into())
+    }
+
     /// Returns until when a task may run on an incarnation of its worker that nobody has heard of,
     /// or nothing if it can't.
     pub(in crate::job) fn next_lease_until(&self, task: spec::TaskId) -> Option<time::Duration> {
