A start that was shown under an earlier holder stays shown in later writes

Found when the change was read: the row of a task tells since its start that it is not shown, and nothing writes it again once it is. What the lease row told as shown is cleared when the state is loaded. The new case failed before.

--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -14,6 +14,7 @@
 use super::rows as job_rows;
 use super::runs::work;
 use super::spec;
+use super::workers::unshown;
 use crate::rows;
 
 impl holding::Holding {
@@ -25,7 +26,7 @@
     /// Loads all jobs of the domain and their progress.
     pub(super) fn load(&mut self, jobs: &[rows::Row], progress: &[rows::Row], now: time::Duration) {
         let mut known = collections::BTreeMap::<spec::JobId, (progress::Progress, u32)>::new();
-        let mut unshown = Vec::new();
+        let mut starts = Vec::new();
         for row in progress {
             let (Some((job, at)), Some(text)) = (job_rows::progress_row(&row.name), &row.value)
             else {
@@ -35,8 +36,8 @@
             let (progress, rows) = known.entry(job).or_default();
             *rows = (*rows).max(at + 1);
             match progress::Progress::decode(text) {
-                Ok(read) => {
-                    unshown.extend(self.unshown_starts(job, &read, row.version));
+                Ok(mut read) => {
+                    starts.extend(self.inherited_starts(job, &mut read, row.version));
                     progress.add_row(at, read);
                 }
                 Err(err) => {
@@ -67,29 +68,34 @@
             let (progress, _) = known.remove(&job).unwrap_or_default();
             self.add_job(job, accepted, version, progress, now);
         }
-        for (task, version, late_until) in unshown {
-            if self.placed.contains_key(&task) {
-                self.unshown.inherit(task, version, late_until);
-                self.mark_unshown(task);
+        for start in starts {
+            if self.placed.contains_key(&start.task) {
+                self.unshown.inherit(start);
+                self.mark_unshown(start.task);
             }
         }
         // An earlier holder removed the rows of these jobs, but not yet their progress.
         self.expired.extend(known.into_iter().map(|(job, (_, rows))| (job, rows)));
     }
 
-    /// Returns the starts in a row of progress that may not be shown, with the version of the row
-    /// and the time until which an order for each may be carried out.
-    fn unshown_starts<'a>(
-        &'a self,
+    /// Returns the starts in a row of progress that are not shown by what an earlier holder told.
+    /// The others count as shown from now on, whatever the row says.
+    fn inherited_starts(
+        &self,
         job: spec::JobId,
-        read: &'a progress::Progress,
-        version: u64,
-    ) -> impl Iterator<Item = (spec::TaskId, u64, time::Duration)> + 'a {
-        read.tasks.iter().filter_map(move |(position, task)| {
-            task.worker.as_ref()?;
-            let late_until = self.inherited.late_start_until(task.unshown, version)?;
-            Some((position.of(job), version, late_until))
-        })
+        read: &mut progress::Progress,
+        recorded: u64,
+    ) -> Vec<unshown::InheritedStart> {
+        let mut starts = Vec::new();
+        for (position, task) in &mut read.tasks {
+            let late_until = self.inherited.late_start_until(task.unshown, recorded);
+            task.unshown &= late_until.is_some();
+            if let (Some(_), Some(late_until)) = (&task.worker, late_until) {
+                let task = position.of(job);
+                starts.push(unshown::InheritedStart { task, recorded, late_until });
+            }
+        }
+        starts
     }
 
     /// Applies rows of accepted or cancelled jobs.
--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -7,7 +7,9 @@
 //! must count with it for every run that the addressed incarnation has not shown, by listing it or
 //! by its clock in the answer to the start. A run that it has shown ends with it.
 //!
-//! The lease row tells the next holder which starts are shown, by the version of their rows.
+//! The next holder has heard none of the answers. Rows of progress name the tasks whose starts are
+//! not shown, and the lease row tells up to which version of the store all starts are, so that a
+//! start needs no further write once it is shown.
 
 use std::collections;
 use std::time;
@@ -29,7 +31,8 @@
 struct Unshown {
     /// The version of the store at which it was recorded, or a later one of its row.
     recorded: u64,
-    /// The number of its orders that were sent or may have been.
+    /// The number of its orders that were sent or may have been; `u32::MAX` if an earlier holder
+    /// sent them.
     orders: u32,
     /// Until when an order for it that had no answer may still be carried out; zero if each was
     /// answered.
@@ -42,25 +45,37 @@
 #[derive(Debug, Default)]
 pub(in crate::job) struct UnshownStarts(collections::BTreeMap<spec::TaskId, Unshown>);
 
+/// A start of an earlier holder that is not shown.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::job) struct InheritedStart {
+    /// The task.
+    pub task: spec::TaskId,
+    /// The version of its row of progress.
+    pub recorded: u64,
+    /// Until when an order for it may be carried out.
+    pub late_until: time::Duration,
+}
+
 impl UnshownStarts {
-    /// Adds a start that was recorded at a version of the store.
+    /// Adds a start that was recorded at a version of the store and is not ordered yet.
     pub fn add(&mut self, task: spec::TaskId, recorded: u64) {
         let late_until = time::Duration::ZERO;
         self.0.insert(task, Unshown { recorded, orders: 0, late_until, kept: false });
     }
 
+    /// Adds a start of an earlier holder.
+    pub fn inherit(&mut self, start: InheritedStart) {
+        let InheritedStart { task, recorded, late_until } = start;
+        self.0.insert(task, Unshown { recorded, orders: u32::MAX, late_until, kept: false });
+    }
+
     /// Notes that an order to start a task is sent.
     pub fn note_ordered(&mut self, task: spec::TaskId) {
         if let Some(unshown) = self.0.get_mut(&task) {
-            unshown.orders += 1;
+            unshown.orders = unshown.orders.saturating_add(1);
         }
     }
 
-    /// Adds a start of an earlier holder, whose orders may be carried out until `late_until`.
-    pub fn inherit(&mut self, task: spec::TaskId, recorded: u64, late_until: time::Duration) {
-        self.0.insert(task, Unshown { recorded, orders: u32::MAX, late_until, kept: false });
-    }
-
     /// Notes that an order to start a task has had no answer until now.
     pub fn note_unanswered(&mut self, task: spec::TaskId, now: time::Duration) {
         if let Some(unshown) = self.0.get_mut(&task) {
@@ -107,8 +122,10 @@
 
 /// Returns which incarnation took a start that was ordered from the one of a view.
 ///
-/// The clock of a later incarnation began with it, so it can't show more than the time since the
-/// addressed one last answered. That one shows at least as much in addition as it was known before.
+/// All clocks of a worker begin with the same reading. A later incarnation began after the last
+/// answer of the addressed one, so its clock has advanced no more than the time since then; that of
+/// the addressed one has advanced by the time for which it was known before, in addition. Both are
+/// told apart once that time exceeds what answers and slow clocks may be off.
 fn taker(view: &worker::View, clock_ms: u64, now: time::Duration) -> Taker {
     let (Some((last_ms, answered)), Some(earliest_ms)) = (view.last_answer, view.clock_ms(now))
     else {
--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -246,6 +246,36 @@
     job::StartAnswer::Taken { clock_ms: Some(clock_ms) }
 }
 
+/// Checks that a task which its worker has listed waits only for the lease that was requested, if
+/// the row that it shares with another one is written again just before the holder is killed. That
+/// holder was preceded by others.
+fn check_row_written_again(holders_before: usize) {
+    let mut domain = Domain::new();
+    let step = job::Step { count: 2, ..sim::step("plain", 9_000) };
+    domain.submit_other(2, step);
+    domain.sim.advance(3_000, false);
+    for _ in 0..holders_before {
+        domain.change_holder();
+        domain.sim.advance(3_000, false);
+    }
+    let (first, second) = (job::TaskId { job: job::JobId(2), ..task() }, 1);
+    let second = job::TaskId { index: second, ..first };
+    let worker = domain.sim.worker_of(first);
+    assert_ne!(worker, domain.sim.worker_of(second), "each worker has room for one");
+    assert!(domain.shown_upto() >= domain.version_of(job::PROGRESS), "both are shown");
+    domain.sim.end_task(second, job::EndKind::Done);
+    let before = domain.version_of(job::PROGRESS);
+    while domain.version_of(job::PROGRESS) == before {
+        domain.sim.advance(20, false);
+    }
+    domain.ordered = domain.sim.now;
+    domain.sim.silent_workers.insert(worker.clone());
+    domain.change_holder();
+    let after = domain.moved_after(first, &worker);
+    let least = settings().task_lease + settings().lease;
+    assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+}
+
 cases! {
     a_start_without_an_answer_waits_for_the_longest_lease_of_a_next_incarnation => {
         let mut domain = Domain::new();
@@ -368,26 +398,11 @@
     // Tasks share rows: the end of one makes the row of all others newer than what the last commit
     // tells.
     a_run_listed_before_its_row_is_written_again_waits_for_the_lease_that_was_requested => {
-        let mut domain = Domain::new();
-        let step = job::Step { count: 2, ..sim::step("plain", 9_000) };
-        domain.submit_other(2, step);
-        domain.sim.advance(3_000, false);
-        let (first, second) = (job::TaskId { job: job::JobId(2), ..task() }, 1);
-        let second = job::TaskId { index: second, ..first };
-        let worker = domain.sim.worker_of(first);
-        assert_ne!(worker, domain.sim.worker_of(second), "each worker has room for one");
-        assert!(domain.shown_upto() >= domain.version_of(job::PROGRESS), "both are shown");
-        domain.sim.end_task(second, job::EndKind::Done);
-        let before = domain.version_of(job::PROGRESS);
-        while domain.version_of(job::PROGRESS) == before {
-            domain.sim.advance(20, false);
-        }
-        domain.ordered = domain.sim.now;
-        domain.sim.silent_workers.insert(worker.clone());
-        domain.change_holder();
-        let after = domain.moved_after(first, &worker);
-        let least = settings().task_lease + settings().lease;
-        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+        check_row_written_again(0);
+    },
+    // The row still names the task as not shown: nothing was written since its start.
+    a_run_listed_under_the_holder_before_that_counts_as_shown_once_its_row_is_written_again => {
+        check_row_written_again(1);
     },
     // Each holder in turn lists the run; none holds the domain for as long as a call may be late.
     a_run_listed_under_several_holders_does_not_hold_back_what_is_shown => {
