A worker that is out of the list for 3 s has no next incarnation to wait for

What callers saw with: long-running tasks and jobs whose start was in flight to a worker that crashed for good ran nothing for 18 s.

An incarnation that lives writes its entry, and the store drops one that is silent. So a start that is not shown is waited for until its worker has been out of the list for 3 s, and for the longest lease otherwise. A worker whose next incarnation is cut off from the store as well as from the hosts, for longer than its entry lasts, is not covered any more, as before.

--- a/crates/wharflane/src/job/workers/members.rs
+++ b/crates/wharflane/src/job/workers/members.rs
@@ -95,6 +95,7 @@
                     "worker no longer listed"
                 );
                 view.listed = false;
+                view.unlisted_since = Some(self.now);
             }
             self.note_unlisted(&incarnation, self.now);
         }
@@ -123,6 +124,7 @@
             tracing::info!(worker = %member.incarnation, leaving = member.leaving, "worker listed");
         }
         view.closed = self.closed.contains(&member.hall);
+        view.unlisted_since = None;
         let was_listed = std::mem::replace(&mut view.listed, true);
         let incarnation = member.incarnation.clone();
         view.member = member;
--- a/crates/wharflane/src/job/workers/unlisted.rs
+++ b/crates/wharflane/src/job/workers/unlisted.rs
@@ -67,6 +67,9 @@
                 "unlisted worker restored from the previous holder"
             );
             self.begin_incarnation(unlisted.member(), false, now);
+            if let Some(view) = self.views.get_mut(&unlisted.incarnation) {
+                view.unlisted_since = Some(now);
+            }
         }
     }
 }
--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -14,6 +14,7 @@
 use std::collections;
 use std::time;
 
+use crate::id;
 use crate::job::holding;
 use crate::job::progress;
 use crate::job::runs::order;
@@ -26,6 +27,10 @@
 /// and a call may take 0.6 s.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(2_000);
 
+/// How long a worker must be out of the store's list until no incarnation of it is expected any
+/// more: after an outage of the store, entries of workers that live are back within 2 s.
+const GONE_AFTER: time::Duration = time::Duration::from_secs(3);
+
 /// A start that is not shown.
 #[derive(Clone, Copy, Debug)]
 struct Unshown {
@@ -208,7 +213,18 @@
         let granted = self.views.get(&placed.worker).and_then(|view| view.granted_at);
         let last_call = granted.map_or(time::Duration::ZERO, |at| at + MAX_CALL_DELAY);
         let longest = worker::longest_by_holder_clock(self.settings.task_lease_max);
-        Some(unshown.late_until.max(last_call) + longest)
+        let until = unshown.late_until.max(last_call) + longest;
+        let gone = self.unlisted_since(&placed.worker).map(|since| since + GONE_AFTER);
+        Some(gone.map_or(until, |gone| until.min(gone)))
+    }
+
+    /// Returns since when the store has not listed a worker, as far as this holder knows, or
+    /// nothing if it does. An incarnation that lives writes its entry.
+    fn unlisted_since(&self, worker: &id::Incarnation) -> Option<time::Duration> {
+        match self.views.get(worker) {
+            Some(view) => view.unlisted_since,
+            None => Some(self.acquired),
+        }
     }
 
     /// Removes the tasks that may still run on an unknown incarnation of their worker from those
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -115,6 +115,8 @@
     pub known_since: time::Duration,
     /// Whether the store lists it.
     pub listed: bool,
+    /// Since when the store doesn't list it; absent while it does.
+    pub unlisted_since: Option<time::Duration>,
     /// Whether its hall is closed.
     pub closed: bool,
     /// Whether it has answered a heartbeat of this epoch, so that it rejects orders of earlier
@@ -186,6 +188,7 @@
             member,
             known_since: now,
             listed: true,
+            unlisted_since: None,
             closed: false,
             fenced: false,
             last_answer: None,
