--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -5,7 +5,9 @@
 //! beyond its reading, and it cuts it to the longest that it grants, from when the order arrives. A
 //! holder that learns of the next incarnation counts with that (see `incarnations`). Before, it
 //! must count with it for every run that the addressed incarnation has not shown, by listing it or
-//! by its clock in the answer to the start. A run that it has shown ends with it.
+//! by its clock in the answer to the start. A run that it has shown ends with it. A worker that is
+//! out of the store's list for some time has no next incarnation, since one that lives writes its
+//! entry.
 //!
 //! The next holder has heard none of the answers. Rows of progress name the tasks whose starts are
 //! not shown, and the lease row tells up to which version of the store all starts are, so that a
@@ -201,8 +203,8 @@
         self.jobs.get_mut(&task.job)?.progress.tasks.get_mut(&task.into())
     }
 
-    /// Returns until when a task may run on an incarnation of its worker that nobody has heard of,
-    /// or nothing if it can't.
+    /// Returns until when a task is assumed to run on an incarnation of its worker that nobody has
+    /// heard of, or nothing if it can't.
     pub(in crate::job) fn next_lease_until(&self, task: spec::TaskId) -> Option<time::Duration> {
         let unshown = self.unshown.0.get(&task)?;
         let placed = self.placed.get(&task)?;
--- a/crates/wharflane/tests/unlisted_ends.rs
+++ b/crates/wharflane/tests/unlisted_ends.rs
@@ -113,7 +113,7 @@
         let mut sim = sim::Sim::new(1, Vec::new());
         sim.max_listed_ends = MAX_LISTED;
         sim.submit(JOB, "first", small_tasks(4));
-        let taken = [job::StartAnswer::Taken { clock_ms: None }, job::StartAnswer::Taken { clock_ms: None }, job::StartAnswer::Taken { clock_ms: None }];
+        let taken = [job::StartAnswer::Taken { clock_ms: None }; 3];
         sim.start_answers.extend(taken);
         // The worker carries out the order for the last task, though its answers are lost.
         sim.start_answers.extend(vec![job::StartAnswer::Silent; 3]);
