--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -5,254 +5,22 @@
 //! had begun again: it cut the lease in them to the longest that it grants, while the holder
 //! counted the shorter one that it had requested.
 
+mod silent_worker;
 mod sim;
 
 use std::time;
 
-use wharflane::{id, job, rows};
+use wharflane::job;
 use wharflane_stand_in::cases;
-use wharflane_stand_in::jobs::world;
 
-/// The job whose only task was ordered from the worker that falls silent.
-const JOB: u64 = 1;
-/// The longest task lease that a worker grants.
-const LONGEST_LEASE: time::Duration = time::Duration::from_secs(10);
-/// How long after it was sent a call without an answer may still be carried out.
-const LATE_CALL: time::Duration = time::Duration::from_secs(12);
-/// How long a task may stay with its worker after its leases have expired: 400 ms for a slow clock,
-/// 1,100 ms for a call in flight and the rest for the start.
-const MAX_EXCESS: time::Duration = time::Duration::from_millis(2_000);
 /// How long a worker must be out of the list until none of its incarnations is expected any more.
 const UNLISTED: time::Duration = time::Duration::from_secs(3);
-/// How long the workers have run when the task is ordered, in milliseconds.
-const AGE_MS: u64 = 20_000;
-/// A reading of the clock of an incarnation that has just begun, in milliseconds.
-const YOUNG_CLOCK_MS: u64 = 300;
-
-/// A domain with two workers that have restarted before and have run for a while.
-struct Domain {
-    /// The domain.
-    sim: sim::Sim,
-    /// The rows of the accepted job.
-    jobs: Vec<rows::Row>,
-    /// When the task was last known to be ordered, or its worker to be granted a lease.
-    ordered: time::Duration,
-}
-
-impl Domain {
-    /// Returns a domain whose workers have run for `AGE_MS`.
-    fn new() -> Self {
-        let settings = settings();
-        let mut sim = sim::Sim::with_settings(settings, 0, (Vec::new(), Vec::new()), Vec::new());
-        for at in 0..2 {
-            sim.restart(at);
-        }
-        sim.advance(AGE_MS, false);
-        Self { ordered: sim.now, sim, jobs: Vec::new() }
-    }
-
-    /// Submits the job, whose start gets an answer; its worker answers no heartbeat from then on.
-    fn start(&mut self, answer: job::StartAnswer) -> id::Incarnation {
-        self.sim.start_answers.push_back(answer);
-        self.submit();
-        let idle = self.sim.heartbeats_sent.iter().rev().take(2);
-        self.sim.silent_workers.extend(idle.map(|(_, worker)| worker.clone()));
-        let order = loop {
-            self.sim.advance(20, false);
-            if let Some(order) = self.first_order() {
-                break order;
-            }
-        };
-        self.ordered = self.sim.now;
-        self.sim.silent_workers.retain(|worker| *worker == order.worker);
-        assert_eq!(self.sim.silent_workers.len(), 1, "its worker is silent");
-        order.worker
-    }
-
-    /// Submits the job.
-    fn submit(&mut self) {
-        let accepted = self.sim.accepted(JOB, "first", sim::step("plain", 1_000));
-        if let job::Event::Jobs(jobs) = &accepted {
-            self.jobs = jobs.clone();
-        }
-        self.sim.handle(accepted);
-    }
-
-    /// Returns the first order to start the task, whatever its answer was.
-    fn first_order(&self) -> Option<job::Order> {
-        let taken = self.sim.pending.iter().filter_map(|effect| match effect {
-            job::Effect::Start(start) => Some(&start.order),
-            _ => None,
-        });
-        let not_taken = self.sim.not_taken.iter().map(|start| &start.order);
-        taken.chain(not_taken).find(|order| order.task == task()).cloned()
-    }
-
-    /// Kills the holder; another host takes the lease and loads the state.
-    fn change_holder(&mut self) {
-        self.change_holder_among((0..2).map(old_member).collect());
-    }
-
-    /// Kills the holder; another host, to which the store lists these workers, takes the lease and
-    /// loads the state.
-    fn change_holder_among(&mut self, members: Vec<job::Member>) {
-        self.take_lease(members);
-        self.load();
-    }
-
-    /// Loads the state into the host that has taken the lease.
-    fn load(&mut self) {
-        self.sim.handle(job::Event::Closed(job::ClosedHalls::default()));
-        let (jobs, progress) = (self.jobs.clone(), self.sim.table(job::PROGRESS));
-        let learned = self.sim.table(job::LEARNED);
-        self.sim.handle(job::Event::Loaded { jobs, progress, learned });
-    }
-
-    /// Kills the holder; another host, to which the store lists these workers, takes the lease.
-    fn take_lease(&mut self, members: Vec<job::Member>) {
-        self.sim.pending.retain(|effect| matches!(effect, job::Effect::Start(_)));
-        let nonce = u64::try_from(self.sim.now.as_nanos()).expect("fits into u64");
-        self.sim.engine = job::Engine::new("next-host".into(), settings(), nonce);
-        self.sim.handle(job::Event::Queues(sim::queues()));
-        self.sim.handle(job::Event::Listed(members));
-        self.read_lease();
-        self.sim.now += settings().lease;
-        self.read_lease();
-        assert!(!self.sim.engine.is_watching(), "the lease is taken");
-    }
-
-    /// Submits another job of one step, which the next holder reads as well.
-    fn submit_other(&mut self, number: u64, step: job::Step) {
-        let accepted = self.sim.accepted(number, "first", step);
-        if let job::Event::Jobs(jobs) = &accepted {
-            self.jobs.extend(jobs.clone());
-        }
-        self.sim.handle(accepted);
-    }
-
-    /// Advances the time without any answer until the task is ordered, and returns that order.
-    fn tick_until_ordered(&mut self) -> job::Order {
-        loop {
-            self.sim.now += time::Duration::from_millis(20);
-            let wall_ms = u64::try_from(self.sim.now.as_millis()).expect("fits into u64");
-            self.sim.handle(job::Event::Tick { wall_ms });
-            if let Some(order) = self.first_order() {
-                return order;
-            }
-        }
-    }
-
-    /// Returns the newest version of the rows of a table.
-    fn version_of(&self, table: &'static str) -> u64 {
-        let versions = self.sim.row_versions.iter().filter(|((of, _), _)| *of == table);
-        versions.map(|(_, version)| *version).max().expect("a row")
-    }
-
-    /// Returns the version up to which all starts are shown, as the lease row tells it.
-    fn shown_upto(&self) -> u64 {
-        let at = (job::LEASES, job::lease_key(0).name);
-        let lease: job::Lease = serde_json::from_str(&self.sim.rows[&at]).expect("a lease");
-        lease.shown_upto.expect("a version")
-    }
-
-    /// Returns how long after `ordered` a task is ordered from another worker.
-    fn moved_after(&mut self, task: job::TaskId, first: &id::Incarnation) -> time::Duration {
-        let until = self.sim.now + time::Duration::from_secs(60);
-        while self.sim.last_order(task).is_none_or(|order| order.worker.worker == first.worker) {
-            assert!(self.sim.now < until, "the task was never started again");
-            self.sim.advance(20, false);
-        }
-        self.sim.now - self.ordered
-    }
-
-    /// Passes the lease row to the host.
-    fn read_lease(&mut self) {
-        let at = (job::LEASES, job::lease_key(0).name);
-        let lease = serde_json::from_str(&self.sim.rows[&at]).expect("a lease");
-        let row = Some((self.sim.row_versions[&at], lease));
-        self.sim.handle(job::Event::LeaseRead { row, store_ms: None });
-    }
-
-    /// Returns how long after `ordered` the task is started on the other worker.
-    fn started_again_after(&mut self, first: &id::Incarnation) -> time::Duration {
-        let until = self.sim.now + time::Duration::from_secs(60);
-        loop {
-            assert!(self.sim.now < until, "the task was never started again");
-            self.sim.advance(20, false);
-            let second = self.sim.last_order(task()).filter(|order| order.worker != *first);
-            if second.is_some() {
-                return self.sim.now - self.ordered;
-            }
-        }
-    }
-
-    /// Checks that the task waits for the longest lease that a late call may have extended on the
-    /// next incarnation of its worker, and not much longer.
-    fn check_waits(&mut self, first: &id::Incarnation) {
-        let after = self.started_again_after(first);
-        let least = LATE_CALL + LONGEST_LEASE;
-        assert!(after >= least, "started again after {after:?}");
-        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
-    }
-
-    /// Checks that the task waits only for the lease that was requested for it.
-    fn check_waits_for_its_own_lease(&mut self, first: &id::Incarnation) {
-        let after = self.started_again_after(first);
-        let own = settings().task_lease;
-        assert!(after >= own, "started again after {after:?}");
-        assert!(after <= own + MAX_EXCESS, "started again only after {after:?}");
-    }
-}
-
-/// Returns the settings of the hosts.
-fn settings() -> job::Settings {
-    job::Settings { task_lease_max: LONGEST_LEASE, ..world::settings() }
-}
-
-/// Returns the list entry of the incarnation with which a worker began.
-fn old_member(at: usize) -> job::Member {
-    let mut member = sim::member(at);
-    member.incarnation.born_ms = Some(1_000);
-    member
-}
-
-/// Returns the only task of the job.
-fn task() -> job::TaskId {
-    job::TaskId { job: job::JobId(JOB), round: 0, step: 0, index: 0 }
-}
-
-/// Returns the number of a worker.
-fn number_of(worker: &id::Incarnation) -> usize {
-    let at = (0..2).find(|at| sim::member(*at).incarnation.worker == worker.worker);
-    at.expect("a worker")
-}
-
-/// Returns the answer of an incarnation that runs what was ordered.
-fn running(
-    incarnation: &id::Incarnation,
-    order: &job::Order,
-    now: time::Duration,
-) -> job::HeartbeatAnswer {
-    let run = job::Running { task: order.task, run: order.run, percent: 1, load: 0 };
-    job::HeartbeatAnswer::Lists(job::Lists {
-        born_ms: incarnation.born_ms,
-        clock_ms: u64::try_from(now.as_millis()).expect("fits into u64"),
-        running: vec![run],
-        ..job::Lists::default()
-    })
-}
-
-/// Returns the answer of the incarnation whose clock began with the simulation.
-fn taken_by_the_addressed(domain: &Domain) -> job::StartAnswer {
-    let clock_ms = u64::try_from(domain.sim.now.as_millis()).expect("fits into u64");
-    job::StartAnswer::Taken { clock_ms: Some(clock_ms) }
-}
 
 /// Checks that a task which its worker has listed waits only for the lease that was requested, if
 /// the row that it shares with another one is written again just before the holder is killed. That
 /// holder was preceded by others.
 fn check_row_written_again(holders_before: usize) {
-    let mut domain = Domain::new();
+    let mut domain = silent_worker::Domain::new();
     let step = job::Step { count: 2, ..sim::step("plain", 9_000) };
     domain.submit_other(2, step);
     domain.sim.advance(3_000, false);
@@ -260,7 +28,7 @@
         domain.change_holder();
         domain.sim.advance(3_000, false);
     }
-    let (first, second) = (job::TaskId { job: job::JobId(2), ..task() }, 1);
+    let (first, second) = (job::TaskId { job: job::JobId(2), ..silent_worker::task() }, 1);
     let second = job::TaskId { index: second, ..first };
     let worker = domain.sim.worker_of(first);
     assert_ne!(worker, domain.sim.worker_of(second), "each worker has room for one");
@@ -274,52 +42,52 @@
     domain.sim.silent_workers.insert(worker.clone());
     domain.change_holder();
     let after = domain.moved_after(first, &worker);
-    let least = settings().task_lease + settings().lease;
-    assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+    let least = domain.settings.task_lease + domain.settings.lease;
+    assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
 }
 
 cases! {
     a_start_without_an_answer_waits_for_the_longest_lease_of_a_next_incarnation => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
         domain.check_waits(&worker);
     },
     a_start_that_the_next_incarnation_took_waits_for_its_longest_lease => {
-        let mut domain = Domain::new();
-        let taken = job::StartAnswer::Taken { clock_ms: Some(YOUNG_CLOCK_MS) };
+        let mut domain = silent_worker::Domain::new();
+        let taken = job::StartAnswer::Taken { clock_ms: Some(silent_worker::YOUNG_CLOCK_MS) };
         let worker = domain.start(taken);
         domain.check_waits(&worker);
     },
     a_start_taken_by_an_unknown_incarnation_waits_for_its_longest_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Taken { clock_ms: None });
         domain.check_waits(&worker);
     },
     // The first order may still reach the next incarnation, though the second one was answered.
     a_start_with_an_earlier_order_in_doubt_waits_for_the_longest_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.sim.start_answers.push_back(job::StartAnswer::Silent);
         domain.submit();
         domain.sim.advance(2_000, false);
         let order = domain.first_order().expect("an order");
-        assert!(domain.sim.last_order(task()).is_some(), "the second order is taken");
+        assert!(domain.sim.last_order(silent_worker::task()).is_some(), "the second order is taken");
         domain.ordered = domain.sim.now;
         domain.sim.silent_workers.insert(order.worker.clone());
         let after = domain.started_again_after(&order.worker);
-        assert!(after >= LONGEST_LEASE, "started again after {after:?}");
+        assert!(after >= silent_worker::LONGEST_LEASE, "started again after {after:?}");
     },
     // The next holder doesn't know what its predecessor heard of the start.
     a_start_of_a_killed_holder_waits_for_the_longest_lease_of_a_next_incarnation => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
         domain.change_holder();
         let after = domain.started_again_after(&worker);
-        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+        assert!(after >= silent_worker::LATE_CALL + silent_worker::LONGEST_LEASE, "started again after {after:?}");
     },
     // The clock in the answer tells of a restart before a heartbeat does.
     a_start_taken_by_the_next_incarnation_is_counted_and_followed_by_a_heartbeat => {
-        let mut domain = Domain::new();
-        let young = job::StartAnswer::Taken { clock_ms: Some(YOUNG_CLOCK_MS) };
+        let mut domain = silent_worker::Domain::new();
+        let young = job::StartAnswer::Taken { clock_ms: Some(silent_worker::YOUNG_CLOCK_MS) };
         domain.sim.start_answers.push_back(young);
         domain.submit();
         while domain.first_order().is_none() {
@@ -328,7 +96,7 @@
         let ordered = domain.sim.now;
         domain.sim.heartbeats_sent.clear();
         domain.sim.advance(40, false);
-        let worker = domain.sim.worker_of(task());
+        let worker = domain.sim.worker_of(silent_worker::task());
         let asked = domain.sim.heartbeats_sent.iter().find(|(_, to)| *to == worker);
         let asked = asked.expect("a heartbeat").0;
         assert!(asked <= ordered + time::Duration::from_millis(20), "{asked:?} after {ordered:?}");
@@ -336,46 +104,46 @@
     },
     // Guards against tasks of every lost worker that wait for the longest lease.
     a_run_that_the_addressed_incarnation_has_listed_waits_for_its_own_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         domain.sim.advance(2_000, false);
-        let worker = domain.sim.worker_of(task());
+        let worker = domain.sim.worker_of(silent_worker::task());
         domain.ordered = domain.sim.now;
         domain.sim.silent_workers.insert(worker.clone());
         domain.check_waits_for_its_own_lease(&worker);
     },
     a_start_that_the_addressed_incarnation_took_by_its_clock_waits_for_its_own_lease => {
-        let mut domain = Domain::new();
-        let taken = taken_by_the_addressed(&domain);
+        let mut domain = silent_worker::Domain::new();
+        let taken = silent_worker::taken_by_the_addressed(&domain);
         let worker = domain.start(taken);
         domain.check_waits_for_its_own_lease(&worker);
     },
     // Guards against a change of the holder that makes every task of a lost worker wait for the
     // longest lease.
     a_run_listed_under_the_holder_before_waits_for_the_lease_that_it_requested => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         domain.sim.advance(2_000, false);
-        let worker = domain.sim.worker_of(task());
+        let worker = domain.sim.worker_of(silent_worker::task());
         domain.sim.silent_workers.insert(worker.clone());
         domain.change_holder();
         domain.ordered = domain.sim.now;
         let after = domain.started_again_after(&worker);
-        let least = settings().task_lease + settings().lease;
-        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+        let least = domain.settings.task_lease + domain.settings.lease;
+        assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
     },
     // The lease row names the worker as restarted, which says nothing of starts after that restart.
     a_start_after_a_known_restart_waits_for_the_longest_lease_under_the_next_holder => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         domain.sim.advance(2_000, false);
-        let order = domain.sim.newest_order(task());
-        let at = number_of(&order.worker);
+        let order = domain.sim.newest_order(silent_worker::task());
+        let at = silent_worker::number_of(&order.worker);
         let next = domain.sim.restart(at);
         // The next incarnation had taken the order, so its leases count from this answer on.
-        domain.sim.answer_heartbeat(&next, running(&next, &order, domain.sim.now));
-        let second = job::TaskId { job: job::JobId(2), ..task() };
-        let leaving = job::Member { leaving: true, ..old_member(1 - at) };
+        domain.sim.answer_heartbeat(&next, silent_worker::running(&next, &order, domain.sim.now));
+        let second = job::TaskId { job: job::JobId(2), ..silent_worker::task() };
+        let leaving = job::Member { leaving: true, ..silent_worker::old_member(1 - at) };
         let other = leaving.incarnation.worker.clone();
         domain.sim.handle(job::Event::Member(other, Some(leaving)));
         domain.sim.advance(1_000, false);
@@ -391,11 +159,11 @@
         domain.ordered = domain.sim.now;
         domain.sim.silent_workers.clear();
         domain.sim.silent_workers.insert(next.clone());
-        let mut members = vec![old_member(1 - at)];
+        let mut members = vec![silent_worker::old_member(1 - at)];
         members.push(job::Member { incarnation: next.clone(), ..sim::member(at) });
         domain.change_holder_among(members);
         let after = domain.moved_after(second, &next);
-        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+        assert!(after >= silent_worker::LATE_CALL + silent_worker::LONGEST_LEASE, "started again after {after:?}");
     },
     // Tasks share rows: the end of one makes the row of all others newer than what the last commit
     // tells.
@@ -408,7 +176,7 @@
     },
     // Each holder in turn lists the run; none holds the domain for as long as a call may be late.
     a_run_listed_under_several_holders_does_not_hold_back_what_is_shown => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         domain.sim.advance(100, false);
         let recorded = domain.version_of(job::PROGRESS);
@@ -417,83 +185,77 @@
             domain.change_holder();
             domain.sim.advance(4_000, false);
         }
-        assert!(domain.sim.now - changed > LATE_CALL * 2, "no order can be late any more");
+        assert!(domain.sim.now - changed > silent_worker::LATE_CALL * 2, "no order can be late any more");
         let upto = domain.shown_upto();
         assert!(upto >= recorded, "shown up to {upto}, recorded at {recorded}");
     },
     // The clock that it shows could be that of an incarnation born since the last answer.
     a_start_taken_by_a_worker_known_for_a_moment_waits_for_the_longest_lease => {
-        let settings = settings();
-        let sim = sim::Sim::with_settings(settings, 0, (Vec::new(), Vec::new()), Vec::new());
-        let mut domain = Domain { ordered: sim.now, sim, jobs: Vec::new() };
-        for at in 0..2 {
-            domain.sim.restart(at);
-        }
-        domain.sim.advance(3_000, false);
-        let taken = taken_by_the_addressed(&domain);
+        let mut domain = silent_worker::Domain::with_workers_of_age(3_000, silent_worker::LONGEST_LEASE);
+        let taken = silent_worker::taken_by_the_addressed(&domain);
         let worker = domain.start(taken);
         domain.check_waits(&worker);
     },
     // The clock is behind what the addressed incarnation must show, though its last answer isn't.
     a_start_taken_with_a_clock_behind_waits_for_the_longest_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let clock_ms = u64::try_from(domain.sim.now.as_millis()).expect("fits into u64") - 4_000;
         let worker = domain.start(job::StartAnswer::Taken { clock_ms: Some(clock_ms) });
         domain.check_waits(&worker);
     },
     // Commits that follow the start tell the next holder that it is not shown.
     a_start_of_a_holder_killed_after_further_commits_waits_for_the_longest_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
         domain.sim.advance(1_500, false);
         let recorded = domain.version_of(job::PROGRESS);
         assert!(domain.version_of(job::LEASES) > recorded, "the lease was renewed");
         domain.change_holder();
         let after = domain.started_again_after(&worker);
-        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+        assert!(after >= silent_worker::LATE_CALL + silent_worker::LONGEST_LEASE, "started again after {after:?}");
     },
     // No incarnation that lives is out of the list for long, so that nothing is waited for then but
     // the leases from before the holder.
     a_start_of_a_killed_holder_waits_for_inherited_leases_if_its_worker_is_not_listed => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
-        domain.change_holder_among(vec![old_member(1 - number_of(&worker))]);
+        domain.change_holder_among(vec![silent_worker::old_member(1 - silent_worker::number_of(&worker))]);
         let after = domain.started_again_after(&worker);
-        let least = settings().lease + settings().task_lease;
+        let least = domain.settings.lease + domain.settings.task_lease;
         assert!(after >= least, "started again after {after:?}");
-        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+        assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
     },
     a_start_without_an_answer_waits_until_its_worker_is_out_of_the_list_for_some_time => {
         for unlisted_after_ms in [1_000, 6_000, 12_000] {
-            let mut domain = Domain::new();
+            let mut domain = silent_worker::Domain::new();
             let worker = domain.start(job::StartAnswer::Silent);
             domain.sim.advance(unlisted_after_ms, false);
             domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
             let unlisted = domain.sim.now;
             let after = domain.started_again_after(&worker);
-            let least = (unlisted - domain.ordered + UNLISTED).max(settings().task_lease);
+            let least = (unlisted - domain.ordered + UNLISTED).max(domain.settings.task_lease);
             assert!(after >= least, "started again after {after:?}");
-            assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+            assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
         }
     },
     // Entries of workers that live come back after an outage of the store.
     a_start_waits_for_the_longest_lease_though_its_worker_was_out_of_the_list_for_a_moment => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
         domain.sim.advance(2_000, false);
         domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
         domain.sim.advance(2_000, false);
-        let at = number_of(&worker);
+        let at = silent_worker::number_of(&worker);
         let member = job::Member { incarnation: worker.clone(), ..sim::member(at) };
         domain.sim.handle(job::Event::Member(worker.worker.clone(), Some(member)));
         domain.check_waits(&worker);
     },
     // The second order may be late, although the first had been carried out.
     a_run_listed_before_its_start_is_answered_waits_for_the_longest_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         let order = domain.tick_until_ordered();
-        let listed = running(&order.worker, &order, domain.sim.now);
+        let listed = silent_worker::running(&order.worker, &order, domain.sim.now);
         domain.sim.answer_heartbeat(&order.worker, listed);
         domain.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
         let answer = job::StartAnswer::Silent;
@@ -509,74 +271,75 @@
     },
     // A host that ends before it has loaded the state passes on what its predecessor told.
     a_start_waits_for_the_longest_lease_after_a_holder_that_never_loaded_the_state => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
-        domain.take_lease((0..2).map(old_member).collect());
+        domain.take_lease((0..2).map(silent_worker::old_member).collect());
         domain.change_holder();
         let after = domain.started_again_after(&worker);
-        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+        assert!(after >= silent_worker::LATE_CALL + silent_worker::LONGEST_LEASE, "started again after {after:?}");
     },
     a_listed_run_waits_for_its_own_lease_after_a_holder_that_never_loaded_the_state => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         domain.sim.advance(2_000, false);
-        let worker = domain.sim.worker_of(task());
+        let worker = domain.sim.worker_of(silent_worker::task());
         domain.sim.silent_workers.insert(worker.clone());
-        domain.take_lease((0..2).map(old_member).collect());
+        domain.take_lease((0..2).map(silent_worker::old_member).collect());
         domain.change_holder();
         domain.ordered = domain.sim.now;
         let after = domain.started_again_after(&worker);
-        let least = settings().task_lease + settings().lease;
-        assert!(after <= least + MAX_EXCESS, "started again only after {after:?}");
+        let least = domain.settings.task_lease + domain.settings.lease;
+        assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
     },
     // A worker without a start time never comes back under its id.
     a_start_without_an_answer_waits_for_its_own_lease_where_no_worker_comes_back => {
         let none = (Vec::new(), Vec::new());
-        let mut sim = sim::Sim::with_settings(settings(), 2, none, Vec::new());
-        sim.advance(AGE_MS, false);
-        let mut domain = Domain { ordered: sim.now, sim, jobs: Vec::new() };
+        let settings = silent_worker::Domain::new().settings;
+        let mut sim = sim::Sim::with_settings(settings.clone(), 2, none, Vec::new());
+        sim.advance(silent_worker::AGE_MS, false);
+        let mut domain = silent_worker::Domain { ordered: sim.now, sim, settings, jobs: Vec::new() };
         let worker = domain.start(job::StartAnswer::Silent);
         domain.check_waits_for_its_own_lease(&worker);
     },
     // The holder presumed dead may go on ordering until its own lease ends.
     a_start_of_a_holder_presumed_dead_counts_from_the_end_of_its_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
         domain.sim.pending.retain(|effect| matches!(effect, job::Effect::Start(_)));
-        domain.sim.engine = job::Engine::new("next-host".into(), settings(), 2);
+        domain.sim.engine = job::Engine::new("next-host".into(), domain.settings.clone(), 2);
         domain.sim.handle(job::Event::Queues(sim::queues()));
-        domain.sim.handle(job::Event::Listed((0..2).map(old_member).collect()));
+        domain.sim.handle(job::Event::Listed((0..2).map(silent_worker::old_member).collect()));
         domain.read_lease();
-        domain.sim.now += settings().probe;
+        domain.sim.now += domain.settings.probe;
         let version = domain.version_of(job::LEASES);
         let result = job::ProbeResult::Refused;
         domain.sim.handle(job::Event::Probed { version, result });
         assert!(!domain.sim.engine.is_watching(), "the lease is taken");
-        domain.ordered = domain.sim.now + settings().lease;
+        domain.ordered = domain.sim.now + domain.settings.lease;
         domain.load();
         domain.check_waits(&worker);
     },
     // Its leases may be extended by a heartbeat that is late.
     a_start_that_a_restarted_worker_took_waits_for_late_calls_once_the_restart_is_known => {
-        let mut domain = Domain::new();
-        let taken = job::StartAnswer::Taken { clock_ms: Some(YOUNG_CLOCK_MS) };
+        let mut domain = silent_worker::Domain::new();
+        let taken = job::StartAnswer::Taken { clock_ms: Some(silent_worker::YOUNG_CLOCK_MS) };
         let worker = domain.start(taken);
         domain.sim.advance(1_000, false);
-        let next = domain.sim.restart(number_of(&worker));
+        let next = domain.sim.restart(silent_worker::number_of(&worker));
         domain.sim.silent_workers.insert(next.clone());
         domain.ordered = domain.sim.now;
-        let after = domain.moved_after(task(), &next);
-        assert!(after >= LATE_CALL + LONGEST_LEASE, "started again after {after:?}");
+        let after = domain.moved_after(silent_worker::task(), &next);
+        assert!(after >= silent_worker::LATE_CALL + silent_worker::LONGEST_LEASE, "started again after {after:?}");
     },
     // One order was sent and carried out, so that none can be late.
     a_run_listed_after_its_only_order_had_no_answer_waits_for_its_own_lease => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.submit();
         let order = domain.tick_until_ordered();
         domain.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
         let answer = job::StartAnswer::Silent;
         domain.sim.handle(job::Event::Started { order: order.clone(), answer });
-        let listed = running(&order.worker, &order, domain.sim.now);
+        let listed = silent_worker::running(&order.worker, &order, domain.sim.now);
         domain.sim.answer_heartbeat(&order.worker, listed);
         domain.ordered = domain.sim.now;
         domain.sim.silent_workers.insert(order.worker.clone());
@@ -584,7 +347,7 @@
     },
     // Otherwise a short run would hold back what is shown for ever.
     a_run_that_ends_before_it_is_listed_does_not_hold_back_what_is_shown => {
-        let mut domain = Domain::new();
+        let mut domain = silent_worker::Domain::new();
         domain.sim.start_answers.push_back(job::StartAnswer::Taken { clock_ms: None });
         domain.submit();
         let order = domain.tick_until_ordered();
