--- a/crates/daemon/src/jobs/holder.rs
+++ b/crates/daemon/src/jobs/holder.rs
@@ -318,6 +318,8 @@
         metrics.taken_by_others.set(i64::try_from(others).unwrap_or(i64::MAX));
         let kept = holding.map_or(0, job::Holding::kept_for_next);
         metrics.kept_for_next.set(i64::try_from(kept).unwrap_or(i64::MAX));
+        let unshown = holding.map_or(0, job::Holding::unshown_given_up);
+        metrics.unshown_given_up.set(i64::try_from(unshown).unwrap_or(i64::MAX));
         let unlisted = holding.map_or(0, job::Holding::unlisted_ends);
         metrics.unlisted_ends.set(i64::try_from(unlisted).unwrap_or(i64::MAX));
         let unconfigured = holding.map_or(0, job::Holding::unconfigured_queues);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,8 @@
     /// Runs kept because the next incarnation of their worker may have them, since this host
     /// acquired the lease.
     pub kept_for_next: prometheus::IntGauge,
+    /// Runs given up although their start was not shown, since this host acquired the lease.
+    pub unshown_given_up: prometheus::IntGauge,
     /// Runs kept because their ends may not have been listed yet, since the lease was taken.
     pub unlisted_ends: prometheus::IntGauge,
     /// Number of queues with active jobs that the configuration in force lacks.
@@ -223,6 +225,10 @@
                 "wharflane_runs_kept_for_next_incarnation",
                 "Runs kept since the next incarnation of their worker may have them, since the lease was taken.",
             )?)?,
+            unshown_given_up: builder.register(prometheus::IntGauge::new(
+                "wharflane_unshown_runs_given_up",
+                "Runs given up although their start was not shown, since the lease was taken.",
+            )?)?,
             unlisted_ends: builder.register(prometheus::IntGauge::new(
                 "wharflane_unlisted_ends",
                 "Runs kept since their ends may not be listed yet, since the lease was taken.",
--- a/crates/wharflane/src/job/holding.rs
+++ b/crates/wharflane/src/job/holding.rs
@@ -174,6 +174,8 @@
     pub(super) taken_by_others: u64,
     /// The number of runs that were kept because the next incarnation of their worker may have them.
     pub(super) kept_for_next: u64,
+    /// The number of runs that were given up although their start was not shown.
+    pub(super) unshown_given_up: u64,
     /// The number of runs that were kept because their ends may not have been listed yet.
     pub(super) unlisted_ends: u64,
     /// What was done about workers that stood still since the lease was acquired.
@@ -229,6 +231,9 @@
     /// The number of runs that were kept because the next incarnation of their worker may have them,
     /// since the lease was acquired.
     pub kept_for_next: u64,
+    /// The number of runs that were given up although their start was not shown, since the lease was
+    /// acquired.
+    pub unshown_given_up: u64,
     /// The number of runs that were kept because their ends may not have been listed yet, since the
     /// lease was acquired.
     pub unlisted_ends: u64,
@@ -318,6 +323,7 @@
             restarted: 0,
             taken_by_others: 0,
             kept_for_next: 0,
+            unshown_given_up: 0,
             unlisted_ends: 0,
             stalls: moves::StallCounts::default(),
             fenced: false,
@@ -350,6 +356,7 @@
             restarted: self.restarted,
             taken_by_others: self.taken_by_others,
             kept_for_next: self.kept_for_next,
+            unshown_given_up: self.unshown_given_up,
             unlisted_ends: self.unlisted_ends,
             look_gap_ms: worker::millis(self.link.gap()),
             times_ms: self.learned.times.dump(),
@@ -416,6 +423,13 @@
         self.kept_for_next
     }
 
+    /// Returns the number of runs that were given up although their start was not shown, since the
+    /// lease was acquired.
+    #[must_use]
+    pub fn unshown_given_up(&self) -> u64 {
+        self.unshown_given_up
+    }
+
     /// Returns the number of runs that were kept because their ends may not have been listed yet,
     /// since the lease was acquired.
     #[must_use]
--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -242,6 +242,9 @@
         for task in kept {
             self.log_kept(task, now);
         }
+        for task in &freed {
+            self.log_given_up(*task, now);
+        }
         freed
     }
 
@@ -261,4 +264,21 @@
             );
         }
     }
+
+    /// Logs and counts that a task is given up whose start is not shown, with what bounded its wait.
+    fn log_given_up(&mut self, task: spec::TaskId, now: time::Duration) {
+        let Some(placed) = self.placed.get(&task).filter(|_| self.unshown.contains(task)) else {
+            return;
+        };
+        self.unshown_given_up += 1;
+        let granted = self.views.get(&placed.worker).and_then(|view| view.granted_at);
+        let ms_since = |at: time::Duration| worker::millis(now.saturating_sub(at));
+        tracing::info!(
+            %task, run = placed.run, worker = %placed.worker, state = ?placed.start_state,
+            since_call_ms = ms_since(granted.unwrap_or(self.acquired)),
+            unlisted_ms = self.unlisted_since(&placed.worker).map(ms_since),
+            longest_lease_ms = worker::millis(self.settings.task_lease_max),
+            "run given up whose start was not shown"
+        );
+    }
 }
