A worker that is out of the store's list may live

Its worker had restarted under its id, had taken a start meant for the former incarnation, and was cut off from the hosts and from the store. The wait for a start that is not shown ended 3 s after the entry of its worker went, or 3 s after a new holder began whose list lacks the worker: "an incarnation that lives writes its entry". One that is cut off from the store writes none.

What bounds a run is the lease that its worker grants. The last call that may have arrived in time, 0.8 s after its decision, and the longest lease are now waited for in any case. The missing entry ends only the 12 s for a call that is carried out late, as before.

--- a/crates/wharflane/src/job/intake.rs
+++ b/crates/wharflane/src/job/intake.rs
@@ -88,11 +88,11 @@
     ) -> Vec<unshown::InheritedStart> {
         let mut starts = Vec::new();
         for (position, task) in &mut read.tasks {
-            let late_until = self.inherited.late_start_until(task.unshown, recorded);
-            task.unshown &= late_until.is_some();
-            if let (Some(_), Some(late_until)) = (&task.worker, late_until) {
+            let arrived_until = self.inherited.start_arrived_until(task.unshown, recorded);
+            task.unshown &= arrived_until.is_some();
+            if let (Some(_), Some(arrived_until)) = (&task.worker, arrived_until) {
                 let task = position.of(job);
-                starts.push(unshown::InheritedStart { task, recorded, late_until });
+                starts.push(unshown::InheritedStart { task, recorded, arrived_until });
             }
         }
         starts
--- a/crates/wharflane/src/job/lease/inherited.rs
+++ b/crates/wharflane/src/job/lease/inherited.rs
@@ -48,8 +48,8 @@
     restarted: collections::BTreeMap<id::Incarnation, time::Duration>,
     /// The version up to which all recorded starts are shown; absent if that is unknown.
     shown_upto: Option<u64>,
-    /// Until when an order of an earlier holder may be carried out.
-    orders_until: time::Duration,
+    /// Until when an order of an earlier holder may arrive in time.
+    orders_arrived_until: time::Duration,
 }
 
 impl Inherited {
@@ -85,16 +85,16 @@
             leases,
             restarted: restarted.collect(),
             shown_upto: seen.lease.shown_upto,
-            orders_until: now + extra + unshown::MAX_CALL_DELAY,
+            orders_arrived_until: now + extra + unshown::MAX_CALL_TIME,
         }
     }
 
-    /// Returns until when an order for a start may be carried out that an earlier holder recorded
-    /// in a row of the given version, or nothing if its worker is known to have taken it.
-    /// `unshown` is what the row tells of the start.
-    pub fn late_start_until(&self, unshown: bool, version: u64) -> Option<time::Duration> {
+    /// Returns until when an order for a start may arrive in time that an earlier holder recorded in
+    /// a row of the given version, or nothing if its worker is known to have taken it. `unshown` is
+    /// what the row tells of the start.
+    pub fn start_arrived_until(&self, unshown: bool, version: u64) -> Option<time::Duration> {
         let open = self.shown_upto.is_none_or(|upto| unshown && version > upto);
-        open.then_some(self.orders_until)
+        open.then_some(self.orders_arrived_until)
     }
 
     /// Returns the leases that a worker may have.
--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -5,9 +5,11 @@
 //! beyond its reading, and it cuts it to the longest that it grants, from when the order arrives. A
 //! holder that learns of the next incarnation counts with that (see `incarnations`). Before, it
 //! must count with it for every run that the addressed incarnation has not shown, by listing it or
-//! by its clock in the answer to the start. A run that it has shown ends with it. A worker that is
-//! out of the store's list for some time has no next incarnation, since one that lives writes its
-//! entry.
+//! by its clock in the answer to the start. A run that it has shown ends with it.
+//!
+//! What bounds such a run is its lease alone. A worker that is out of the store's list may live: it
+//! is cut off from the store as well. So a missing entry ends only the wait for calls that are
+//! carried out seconds late, never the wait for one that may have arrived in time.
 //!
 //! The next holder has heard none of the answers. Rows of progress name the tasks whose starts are
 //! not shown, and the lease row tells up to which version of the store all starts are, so that a
@@ -29,8 +31,11 @@
 /// and a call may take 0.6 s.
 const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(2_000);
 
-/// How long a worker must be out of the store's list until no incarnation of it is expected any
-/// more: after an outage of the store, entries of workers that live are back within 2 s.
+/// How long after the decision to make it a call arrives at its worker unless it is carried out late:
+/// it is sent within 0.2 s and given up 0.6 s later.
+pub(in crate::job) const MAX_CALL_TIME: time::Duration = time::Duration::from_millis(800);
+/// How long a worker must be out of the store's list until no call is expected to be carried out
+/// late there: after an outage of the store, entries of workers that live are back within 2 s.
 const GONE_AFTER: time::Duration = time::Duration::from_secs(3);
 
 /// A start that is not shown.
@@ -41,13 +46,24 @@
     /// The number of its orders that were sent or may have been; `u32::MAX` if an earlier holder
     /// sent them.
     orders: u32,
-    /// Until when an order for it that had no answer may still be carried out; zero if each was
+    /// Until when an order for it that had no answer may have arrived in time; zero if each was
     /// answered.
-    late_until: time::Duration,
+    arrived_until: time::Duration,
     /// Whether it was logged that its task is kept beyond the leases of the addressed incarnation.
     kept: bool,
 }
 
+impl Unshown {
+    /// Returns until when an order for it that had no answer may still be carried out; zero if each
+    /// was answered.
+    fn late_until(&self) -> time::Duration {
+        match self.arrived_until {
+            time::Duration::ZERO => time::Duration::ZERO,
+            until => until + MAX_CALL_DELAY,
+        }
+    }
+}
+
 /// The recorded starts that are not shown, by task.
 #[derive(Debug, Default)]
 pub(in crate::job) struct UnshownStarts(collections::BTreeMap<spec::TaskId, Unshown>);
@@ -59,21 +75,21 @@
     pub task: spec::TaskId,
     /// The version of its row of progress.
     pub recorded: u64,
-    /// Until when an order for it may be carried out.
-    pub late_until: time::Duration,
+    /// Until when an order for it may arrive in time.
+    pub arrived_until: time::Duration,
 }
 
 impl UnshownStarts {
     /// Adds a start that was recorded at a version of the store and is not ordered yet.
     pub fn add(&mut self, task: spec::TaskId, recorded: u64) {
-        let late_until = time::Duration::ZERO;
-        self.0.insert(task, Unshown { recorded, orders: 0, late_until, kept: false });
+        let arrived_until = time::Duration::ZERO;
+        self.0.insert(task, Unshown { recorded, orders: 0, arrived_until, kept: false });
     }
 
     /// Adds a start of an earlier holder.
     pub fn inherit(&mut self, start: InheritedStart) {
-        let InheritedStart { task, recorded, late_until } = start;
-        self.0.insert(task, Unshown { recorded, orders: u32::MAX, late_until, kept: false });
+        let InheritedStart { task, recorded, arrived_until } = start;
+        self.0.insert(task, Unshown { recorded, orders: u32::MAX, arrived_until, kept: false });
     }
 
     /// Notes that an order to start a task is sent.
@@ -86,7 +102,7 @@
     /// Notes that an order to start a task has had no answer until now.
     pub fn note_unanswered(&mut self, task: spec::TaskId, now: time::Duration) {
         if let Some(unshown) = self.0.get_mut(&task) {
-            unshown.late_until = now + MAX_CALL_DELAY;
+            unshown.arrived_until = now;
         }
     }
 
@@ -94,7 +110,7 @@
     /// run in answer to a heartbeat sent at `sent`; returns whether the start is shown by that. An
     /// order other than the one that was carried out may still reach the next incarnation.
     fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) -> bool {
-        let shown = |unshown: &Unshown| unshown.orders == 1 || unshown.late_until <= sent;
+        let shown = |unshown: &Unshown| unshown.orders == 1 || unshown.late_until() <= sent;
         self.0.get(&task).is_some_and(shown) && self.0.remove(&task).is_some()
     }
 
@@ -213,15 +229,17 @@
             return None;
         }
         let granted = self.views.get(&placed.worker).and_then(|view| view.granted_at);
-        let last_call = granted.map_or(time::Duration::ZERO, |at| at + MAX_CALL_DELAY);
+        let granted_until = |delay| granted.map_or(time::Duration::ZERO, |at| at + delay);
         let longest = worker::longest_by_holder_clock(self.settings.task_lease_max);
-        let until = unshown.late_until.max(last_call) + longest;
+        let arrived_until = unshown.arrived_until.max(granted_until(MAX_CALL_TIME)) + longest;
+        let late_until = unshown.late_until().max(granted_until(MAX_CALL_DELAY)) + longest;
         let gone = self.unlisted_since(&placed.worker).map(|since| since + GONE_AFTER);
-        Some(gone.map_or(until, |gone| until.min(gone)))
+        // An incarnation that is cut off from the store has no entry, and lives.
+        Some(gone.map_or(late_until, |gone| late_until.min(gone).max(arrived_until)))
     }
 
     /// Returns since when the store has not listed a worker, as far as this holder knows, or
-    /// nothing if it does. An incarnation that lives writes its entry.
+    /// nothing if it does.
     fn unlisted_since(&self, worker: &id::Incarnation) -> Option<time::Duration> {
         match self.views.get(worker) {
             Some(view) => view.unlisted_since,
