A run that its worker has listed after its orders were over waits for late calls alone

Once the addressed incarnation lists the run after its last order was answered or given up, no call that is in time can have reached a next one; only a late one can, for which the missing entry ends the wait. A list that was asked for before the last order was answered proves nothing: the next incarnation may have taken that order (a case of its own).

--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -22,6 +22,7 @@
 use crate::job::holding;
 use crate::job::progress;
 use crate::job::runs::order;
+use crate::job::runs::work;
 use crate::job::spec;
 use crate::job::workers::worker;
 
@@ -49,11 +50,20 @@
     /// Until when an order for it that had no answer may have arrived in time; zero if each was
     /// answered.
     arrived_until: time::Duration,
+    /// Whether the addressed incarnation has it since all orders that are not late have arrived, so
+    /// that only a late one may still reach the next incarnation.
+    only_late: bool,
     /// Whether it was logged that its task is kept beyond the leases of the addressed incarnation.
     kept: bool,
 }
 
 impl Unshown {
+    /// Returns the record of a start whose orders, if any, were sent by earlier holders and may
+    /// arrive in time until `arrived_until`.
+    fn new(recorded: u64, orders: u32, arrived_until: time::Duration) -> Self {
+        Self { recorded, orders, arrived_until, only_late: false, kept: false }
+    }
+
     /// Returns until when an order for it that had no answer may still be carried out; zero if each
     /// was answered.
     fn late_until(&self) -> time::Duration {
@@ -82,20 +92,20 @@
 impl UnshownStarts {
     /// Adds a start that was recorded at a version of the store and is not ordered yet.
     pub fn add(&mut self, task: spec::TaskId, recorded: u64) {
-        let arrived_until = time::Duration::ZERO;
-        self.0.insert(task, Unshown { recorded, orders: 0, arrived_until, kept: false });
+        self.0.insert(task, Unshown::new(recorded, 0, time::Duration::ZERO));
     }
 
     /// Adds a start of an earlier holder.
     pub fn inherit(&mut self, start: InheritedStart) {
         let InheritedStart { task, recorded, arrived_until } = start;
-        self.0.insert(task, Unshown { recorded, orders: u32::MAX, arrived_until, kept: false });
+        self.0.insert(task, Unshown::new(recorded, u32::MAX, arrived_until));
     }
 
     /// Notes that an order to start a task is sent.
     pub fn note_ordered(&mut self, task: spec::TaskId) {
         if let Some(unshown) = self.0.get_mut(&task) {
             unshown.orders = unshown.orders.saturating_add(1);
+            unshown.only_late = false;
         }
     }
 
@@ -109,9 +119,20 @@
     /// Notes that the addressed incarnation has taken the last order to start a task, or listed its
     /// run in answer to a heartbeat sent at `sent`; returns whether the start is shown by that. An
     /// order other than the one that was carried out may still reach the next incarnation.
-    fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) -> bool {
-        let shown = |unshown: &Unshown| unshown.orders == 1 || unshown.late_until() <= sent;
-        self.0.get(&task).is_some_and(shown) && self.0.remove(&task).is_some()
+    /// `confirmed` is when the last order was answered.
+    fn note_shown(
+        &mut self,
+        task: spec::TaskId,
+        sent: time::Duration,
+        confirmed: Option<time::Duration>,
+    ) -> bool {
+        let Some(unshown) = self.0.get_mut(&task) else {
+            return false;
+        };
+        let shown = unshown.orders == 1 || unshown.late_until() <= sent;
+        let arrived_until = confirmed.unwrap_or_default().max(unshown.arrived_until);
+        unshown.only_late |= arrived_until <= sent;
+        shown && self.0.remove(&task).is_some()
     }
 
     /// Removes a task that is no longer placed.
@@ -198,7 +219,8 @@
     /// Notes that the addressed incarnation has taken a start, or listed its run in answer to a
     /// heartbeat sent at `sent`.
     pub(in crate::job) fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) {
-        if self.unshown.note_shown(task, sent)
+        let confirmed = self.placed.get(&task).and_then(work::Placed::confirmed_at);
+        if self.unshown.note_shown(task, sent, confirmed)
             && let Some(state) = self.state_mut(task)
         {
             state.unshown = false;
@@ -231,7 +253,10 @@
         let granted = self.views.get(&placed.worker).and_then(|view| view.granted_at);
         let granted_until = |delay| granted.map_or(time::Duration::ZERO, |at| at + delay);
         let longest = worker::longest_by_holder_clock(self.settings.task_lease_max);
-        let arrived_until = unshown.arrived_until.max(granted_until(MAX_CALL_TIME)) + longest;
+        let arrived_until = match unshown.only_late {
+            true => time::Duration::ZERO,
+            false => unshown.arrived_until.max(granted_until(MAX_CALL_TIME)) + longest,
+        };
         let late_until = unshown.late_until().max(granted_until(MAX_CALL_DELAY)) + longest;
         let gone = self.unlisted_since(&placed.worker).map(|since| since + GONE_AFTER);
         // An incarnation that is cut off from the store has no entry, and lives.
--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -239,6 +239,37 @@
             assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
         }
     },
+    // Guards against tasks of lost workers that wait for the longest lease: the worker has the run
+    // since both orders for it were over, so that only a late call could reach a next incarnation.
+    a_run_listed_after_two_orders_waits_until_its_worker_is_out_of_the_list => {
+        let mut domain = silent_worker::Domain::new();
+        domain.sim.start_answers.push_back(job::StartAnswer::Silent);
+        domain.submit();
+        domain.sim.advance(5_000, false);
+        let worker = domain.sim.worker_of(silent_worker::task());
+        domain.ordered = domain.sim.now;
+        domain.sim.silent_workers.insert(worker.clone());
+        domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
+        domain.check_waits_for_its_own_lease(&worker);
+    },
+    // The list is of the incarnation that took the first order; the next one has taken the second.
+    a_run_listed_before_its_second_order_was_taken_waits_for_the_longest_lease => {
+        let mut domain = silent_worker::Domain::new();
+        domain.submit();
+        let order = domain.tick_until_ordered();
+        domain.answer_start(job::StartAnswer::Silent);
+        assert_eq!(domain.tick_until_ordered(), order, "ordered again");
+        let young = job::StartAnswer::Taken { clock_ms: Some(silent_worker::YOUNG_CLOCK_MS) };
+        domain.answer_start(young);
+        domain.ordered = domain.sim.now;
+        let listed = silent_worker::running(&order.worker, &order, domain.sim.now);
+        domain.sim.answer_heartbeat(&order.worker, listed);
+        assert_eq!(domain.sim.now, domain.ordered, "the heartbeat was sent before");
+        domain.sim.silent_workers.insert(order.worker.clone());
+        domain.sim.handle(job::Event::Member(order.worker.worker.clone(), None));
+        let after = domain.started_again_after(&order.worker);
+        assert!(after >= silent_worker::LONGEST_LEASE, "started again after {after:?}");
+    },
     // Entries of workers that live come back after an outage of the store.
     a_start_waits_for_the_longest_lease_though_its_worker_was_out_of_the_list_for_a_moment => {
         let mut domain = silent_worker::Domain::new();
@@ -258,9 +289,7 @@
         let order = domain.tick_until_ordered();
         let listed = silent_worker::running(&order.worker, &order, domain.sim.now);
         domain.sim.answer_heartbeat(&order.worker, listed);
-        domain.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
-        let answer = job::StartAnswer::Silent;
-        domain.sim.handle(job::Event::Started { order: order.clone(), answer });
+        domain.answer_start(job::StartAnswer::Silent);
         domain.sim.start_answers.push_back(job::StartAnswer::Silent);
         while domain.sim.not_taken.is_empty() {
             domain.sim.advance(20, false);
@@ -337,9 +366,7 @@
         let mut domain = silent_worker::Domain::new();
         domain.submit();
         let order = domain.tick_until_ordered();
-        domain.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
-        let answer = job::StartAnswer::Silent;
-        domain.sim.handle(job::Event::Started { order: order.clone(), answer });
+        domain.answer_start(job::StartAnswer::Silent);
         let listed = silent_worker::running(&order.worker, &order, domain.sim.now);
         domain.sim.answer_heartbeat(&order.worker, listed);
         domain.ordered = domain.sim.now;
--- a/crates/wharflane/tests/silent_worker/mod.rs
+++ b/crates/wharflane/tests/silent_worker/mod.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Answers the order to start the task that is under way.
+    pub fn answer_start(&mut self, answer: job::StartAnswer) {
+        let order = self.first_order().expect("an order");
+        self.sim.pending.retain(|effect| !matches!(effect, job::Effect::Start(_)));
+        self.sim.handle(job::Event::Started { order, answer });
+    }
+
     /// Returns the newest version of the rows of a table.
     pub fn version_of(&self, table: &'static str) -> u64 {
         let versions = self.sim.row_versions.iter().filter(|((of, _), _)| *of == table);
