Worlds of workers that restart and are cut off from the store as well (fail)

No world showed it: a cut took the hosts' way to the worker only, and the entry stayed or came. Two kinds of faults are new. A worker restarts under its id and is cut off from the hosts and the store for 9 s, 0 to 1.2 s after its return; or it is cut off first and restarts behind the cut. An entry lapses 2.2 to 3.3 s after its last write, which is up to 1.1 s older than the crash or the cut. The next incarnation's first entry comes after the cut; in a quarter of the cases of the first kind it comes before, and lapses. A plan may have starts without an answer carried out behind the cut, if they were sent before it.

--- a/crates/stand-in/src/jobs/fault.rs
+++ b/crates/stand-in/src/jobs/fault.rs
@@ -51,7 +51,14 @@
     pub restarts: u32,
     /// Count of workers that restart likewise and are cut off for 9 s, 0 to 1.2 s after their return.
     pub restarts_then_cut: u32,
-    /// Probability that the holder is killed between such a return and 1 s after the cut.
+    /// Count of workers that restart likewise and are cut off from the hosts and the store for 9 s, 0
+    /// to 1.2 s after their return.
+    pub restarts_then_cut_from_all: u32,
+    /// Count of workers that are cut off from the hosts and the store for 9 s and restart under their
+    /// id meanwhile.
+    pub restarts_behind_cuts: u32,
+    /// Probability that the holder is killed between such a return, or the begin of the last kind,
+    /// and 1 s after the cut.
     pub kills_beside_cuts: u32,
     /// Probability that the next incarnation of a worker lost for another reason keeps the id.
     pub same_id: u32,
@@ -90,4 +97,8 @@
     Restart,
     /// A worker restarts under its id and is cut off soon after its return.
     RestartThenCut,
+    /// A worker restarts under its id and is cut off from the hosts and the store after its return.
+    RestartThenCutFromAll,
+    /// A worker is cut off from the hosts and the store and restarts under its id meanwhile.
+    RestartBehindCut,
 }
--- a/crates/stand-in/src/jobs/injection.rs
+++ b/crates/stand-in/src/jobs/injection.rs
@@ -39,6 +39,8 @@
             fault::Kind::FailTasks => (worker, 5),
             fault::Kind::Restart => return self.restart(worker),
             fault::Kind::RestartThenCut => return self.restart_then_cut(),
+            fault::Kind::RestartThenCutFromAll => return self.restart_then_cut_from_all(),
+            fault::Kind::RestartBehindCut => return self.cut_from_all_then_restart(),
         };
         let at = if matches!(fault, fault::Kind::Close) { self.close_hall() } else { at };
         match fault {
@@ -75,7 +77,10 @@
                 return self.cut_off_worker(at, time::Duration::from_secs(secs));
             }
             fault::Kind::FailTasks => self.workers[at].fails_every_task = true,
-            fault::Kind::Restart | fault::Kind::RestartThenCut => {}
+            fault::Kind::Restart
+            | fault::Kind::RestartThenCut
+            | fault::Kind::RestartThenCutFromAll
+            | fault::Kind::RestartBehindCut => {}
         }
         self.waits.open_faults += 1;
         self.send(time::Duration::from_secs(secs), message::Message::EndFault(fault, at));
@@ -100,6 +105,7 @@
     pub(super) fn cut_off_worker(&mut self, at: usize, cut: time::Duration) {
         self.waits.note_disturbance(self.now);
         self.workers[at].reachable = false;
+        self.workers[at].cut_since = Some(self.now);
         self.waits.open_faults += 1;
         self.send(cut, message::Message::EndFault(fault::Kind::Cut, at));
     }
@@ -151,10 +157,14 @@
             }
             fault::Kind::Cut => {
                 self.workers[at].reachable = true;
+                self.workers[at].cut_since = None;
                 self.workers[at].answers_lost_from = None;
             }
             fault::Kind::FailTasks => self.workers[at].fails_every_task = false,
-            fault::Kind::Restart | fault::Kind::RestartThenCut => {}
+            fault::Kind::Restart
+            | fault::Kind::RestartThenCut
+            | fault::Kind::RestartThenCutFromAll
+            | fault::Kind::RestartBehindCut => {}
         }
     }
 
--- a/crates/stand-in/src/jobs/message.rs
+++ b/crates/stand-in/src/jobs/message.rs
@@ -44,6 +44,18 @@
     ReturnThenCut(usize),
     /// A worker is cut off after its return.
     CutOff(usize),
+    /// The next incarnation of a worker starts under the same id, and is cut off from all soon after.
+    ReturnThenCutFromAll(usize),
+    /// A worker is cut off from all after its return.
+    CutOffFromAll(usize),
+    /// A worker is cut off from all and restarts behind the cut.
+    CutThenRestart(usize),
+    /// A worker crashes behind a cut that lasts until this time.
+    CrashBehindCut(usize, time::Duration),
+    /// The next incarnation of a worker starts behind a cut that lasts until this time.
+    ReturnBehindCut(usize, time::Duration),
+    /// The entry of a worker that writes no more lapses.
+    LapseEntry(usize),
     /// The store lists an incarnation of a worker in place of the one before it.
     ListIncarnation(usize),
     /// The holder is killed.
@@ -167,6 +179,12 @@
             Message::Restart(at) => self.add_next_incarnation(at),
             Message::ReturnThenCut(at) => self.return_then_cut(at),
             Message::CutOff(at) => self.cut_off_after_return(at),
+            Message::ReturnThenCutFromAll(at) => self.return_then_cut_from_all(at),
+            Message::CutOffFromAll(at) => self.cut_off_from_all(at),
+            Message::CutThenRestart(at) => self.cut_then_restart(at),
+            Message::CrashBehindCut(at, cut_until) => self.crash_behind_cut(at, cut_until),
+            Message::ReturnBehindCut(at, cut_until) => self.return_behind_cut(at, cut_until),
+            Message::LapseEntry(at) => self.lapse_entry(at),
             Message::ListIncarnation(at) => self.list_incarnation(at),
             Message::KillHolder => self.kill_holder(),
             Message::Report(at) => self.announce_member(at),
--- a/crates/stand-in/src/jobs/mod.rs
+++ b/crates/stand-in/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod closed_halls;
 mod configuration;
 mod crashing_task;
+mod cut_from_all;
 mod doubtful;
 mod effects;
 mod fault;
--- a/crates/stand-in/src/jobs/plan.rs
+++ b/crates/stand-in/src/jobs/plan.rs
@@ -42,6 +42,9 @@
     /// Whether the clock of each incarnation of a worker begins at zero at its birth. Otherwise those
     /// of all workers begin together.
     pub clocks_begin_at_birth: bool,
+    /// Whether a start that gets no answer is also carried out by a worker that was cut off after the
+    /// start was sent.
+    pub late_starts_pass_cuts: bool,
     /// How long the batch tasks of random jobs work, in milliseconds; absent for the usual times.
     pub work_ms: Option<ops::Range<u64>>,
     /// Whether the losses of workers that are counted against tasks are judged.
@@ -191,6 +194,7 @@
             outages: None,
             cuts: None,
             clocks_begin_at_birth: false,
+            late_starts_pass_cuts: false,
             work_ms: None,
             judges_losses: false,
             doubtful: None,
--- a/crates/stand-in/src/jobs/restarted_and_cut.rs
+++ b/crates/stand-in/src/jobs/restarted_and_cut.rs
@@ -15,7 +15,7 @@
 /// How long before the cut answers are lost already, in milliseconds.
 const ANSWERS_LOST_MS: std::ops::Range<u64> = 0..400;
 /// How long the worker can't be reached.
-const CUT: time::Duration = time::Duration::from_secs(9);
+pub(super) const CUT: time::Duration = time::Duration::from_secs(9);
 /// The time from the return of the worker until the store lists it, in milliseconds, unless that
 /// comes after the cut.
 const LISTED_AFTER_MS: std::ops::Range<u64> = 0..1_500;
@@ -31,34 +31,57 @@
 impl world::World {
     /// Restarts a worker that hosts can reach; it is cut off after its return.
     pub(super) fn restart_then_cut(&mut self) {
-        let within_reach: Vec<usize> =
-            (0..self.workers.len()).filter(|at| self.workers[*at].answers()).collect();
-        if within_reach.is_empty() {
+        let Some(at) = self.draw_worker_within_reach() else {
             return;
-        }
-        let at = within_reach[self.rng.random_range(0..within_reach.len())];
+        };
         self.workers[at].alive = false;
         let away = self.draw_time_away();
         self.send(away, message::Message::ReturnThenCut(at));
     }
 
-    /// Adds the next incarnation of a worker, and schedules its cut and its late list entry.
-    pub(super) fn return_then_cut(&mut self, at: usize) {
+    /// Draws a worker that hosts can reach, if there is one.
+    pub(super) fn draw_worker_within_reach(&mut self) -> Option<usize> {
+        let within_reach: Vec<usize> =
+            (0..self.workers.len()).filter(|at| self.workers[*at].answers()).collect();
+        if within_reach.is_empty() {
+            return None;
+        }
+        Some(within_reach[self.rng.random_range(0..within_reach.len())])
+    }
+
+    /// Adds the next incarnation of a worker without an entry, unless one is running, and returns its
+    /// index.
+    pub(super) fn add_unlisted_incarnation(&mut self, at: usize) -> Option<usize> {
         self.waits.note_disturbance(self.now);
         let (incarnation, hall) =
             (self.workers[at].incarnation.clone(), self.workers[at].hall.clone());
         if self.workers.iter().any(|found| found.alive && found.has_same_id(&incarnation)) {
-            return;
+            return None;
         }
         self.add_incarnation(incarnation.worker);
         let next = self.workers.len() - 1;
-        let until_cut = self.draw_ms(CUT_AFTER_MS);
-        let lost_before = self.draw_ms(ANSWERS_LOST_MS);
-        let until_listed = self.draw_time_until_listed(until_cut);
         let worker = &mut self.workers[next];
         worker.hall = hall;
         worker.listed = false;
-        worker.answers_lost_from = Some(self.now + until_cut.saturating_sub(lost_before));
+        Some(next)
+    }
+
+    /// Draws the time until the cut of a worker, and from when its answers are lost.
+    pub(super) fn draw_time_until_cut(&mut self, at: usize) -> time::Duration {
+        let until_cut = self.draw_ms(CUT_AFTER_MS);
+        let lost_before = self.draw_ms(ANSWERS_LOST_MS);
+        let lost_from = self.now + until_cut.saturating_sub(lost_before);
+        self.workers[at].answers_lost_from = Some(lost_from);
+        until_cut
+    }
+
+    /// Adds the next incarnation of a worker, and schedules its cut and its late list entry.
+    pub(super) fn return_then_cut(&mut self, at: usize) {
+        let Some(next) = self.add_unlisted_incarnation(at) else {
+            return;
+        };
+        let until_cut = self.draw_time_until_cut(next);
+        let until_listed = self.draw_time_until_listed(until_cut);
         self.send(until_cut, message::Message::CutOff(next));
         self.send(until_listed, message::Message::ListIncarnation(next));
         self.kill_holder_beside_cut(until_cut);
@@ -90,9 +113,20 @@
         reached.any(|worker| worker.answers_lost_from.is_some_and(|from| self.now >= from))
     }
 
+    /// Schedules the entry of a worker after a cut that ends in this time.
+    pub(super) fn schedule_list_after_cut(&mut self, at: usize, left: time::Duration) {
+        let after_cut = self.draw_ms(LISTED_AFTER_CUT_MS);
+        self.send(left + after_cut, message::Message::ListIncarnation(at));
+    }
+
+    /// Draws whether something comes about that does so in this many cases of a thousand.
+    pub(super) fn draws(&mut self, milli: u32) -> bool {
+        self.rng.random_range(0..1_000) < milli
+    }
+
     /// Draws the time from the return of a worker until the store lists it.
     fn draw_time_until_listed(&mut self, until_cut: time::Duration) -> time::Duration {
-        if self.rng.random_range(0..1_000) < LISTED_AFTER_CUT_MILLI {
+        if self.draws(LISTED_AFTER_CUT_MILLI) {
             return until_cut + CUT + self.draw_ms(LISTED_AFTER_CUT_MS);
         }
         self.draw_ms(LISTED_AFTER_MS)
@@ -100,7 +134,7 @@
 
     /// Schedules the kill of the holder between the return of a worker and a moment after its cut,
     /// if one is drawn.
-    fn kill_holder_beside_cut(&mut self, until_cut: time::Duration) {
+    pub(super) fn kill_holder_beside_cut(&mut self, until_cut: time::Duration) {
         if self.faults.kills_beside_cuts == 0 || !self.chance(self.faults.kills_beside_cuts) {
             return;
         }
--- a/crates/stand-in/src/jobs/worker.rs
+++ b/crates/stand-in/src/jobs/worker.rs
@@ -63,6 +63,8 @@
     pub alive: bool,
     /// Whether hosts can reach it.
     pub reachable: bool,
+    /// Since when hosts can't reach it, its earlier incarnations included; absent if they can.
+    pub cut_since: Option<time::Duration>,
     /// Whether the store has its entry.
     pub listed: bool,
     /// Whether its entry has lapsed, so that it is to be listed again if it lives.
@@ -137,6 +139,7 @@
             incarnation,
             alive: true,
             reachable: true,
+            cut_since: None,
             listed: true,
             lapsed: false,
             address_reused: false,
--- a/crates/stand-in/src/jobs/workers.rs
+++ b/crates/stand-in/src/jobs/workers.rs
@@ -30,8 +30,9 @@
             let delay = self.draw_answer_delay();
             return self.send(delay, message::Message::Back(host, incarnation, Box::new(event)));
         }
-        let answered =
-            self.reach(&start.order.worker).map(|worker| worker.start(start, behaviour, now));
+        let sent_before_cut = lost.then_some(ordered);
+        let reached = self.reach_sent(&start.order.worker, sent_before_cut);
+        let answered = reached.map(|worker| worker.start(start, behaviour, now));
         let Some((answer, began)) = answered else {
             if !lost {
                 let gone = self.is_address_reused(&start.order.worker);
@@ -48,7 +49,7 @@
             return;
         };
         if began {
-            if let Some(worker) = self.reach(&start.order.worker) {
+            if let Some(worker) = self.reach_sent(&start.order.worker, sent_before_cut) {
                 worker.set_role(task, role);
             }
             let cancelled = self.cancelled.get(&task.job);
--- a/crates/stand-in/src/jobs/world.rs
+++ b/crates/stand-in/src/jobs/world.rs
@@ -99,6 +99,8 @@
     pub late_writes: u32,
     /// The number of cancels that came before their job was stored.
     pub early_cancels: u32,
+    /// The number of entries that lapsed while an incarnation of their worker lived.
+    pub living_unlisted: u32,
     /// Checks the guarantees of the service.
     pub checker: checker::Checker,
     /// Judges waits and missed targets; records disturbances even if it judges nothing.
@@ -141,6 +143,7 @@
             changes: 0,
             late_writes: 0,
             early_cancels: 0,
+            living_unlisted: 0,
             checker: checker::Checker::default(),
             waits: waits::Judge::default(),
             losses: losses::Judge::default(),
@@ -167,6 +170,8 @@
             (faults.failing_workers, fault::Kind::FailTasks),
             (faults.restarts, fault::Kind::Restart),
             (faults.restarts_then_cut, fault::Kind::RestartThenCut),
+            (faults.restarts_then_cut_from_all, fault::Kind::RestartThenCutFromAll),
+            (faults.restarts_behind_cuts, fault::Kind::RestartBehindCut),
         ];
         for (count, fault) in kinds {
             (0..count).for_each(|_| world.send_at_random(Message::Fault(fault)));
@@ -403,8 +408,22 @@
     /// Returns the worker that an order reaches: the reachable incarnation with this id, even if
     /// the order is for another one.
     pub(super) fn reach(&mut self, incarnation: &id::Incarnation) -> Option<&mut worker::Worker> {
-        let mut alive = self.workers.iter_mut().filter(|worker| worker.alive && worker.reachable);
-        alive.find(|worker| worker.has_same_id(incarnation))
+        self.reach_sent(incarnation, None)
+    }
+
+    /// Returns the worker that an order reaches, also behind a cut if it was sent before the cut, at
+    /// `sent`, and the plan says so.
+    pub(super) fn reach_sent(
+        &mut self,
+        incarnation: &id::Incarnation,
+        sent: Option<time::Duration>,
+    ) -> Option<&mut worker::Worker> {
+        let sent = sent.filter(|_| self.plan.late_starts_pass_cuts);
+        let mut reached = self.workers.iter_mut().filter(|worker| {
+            let passes = sent.is_some_and(|sent| worker.cut_since.is_some_and(|cut| sent < cut));
+            worker.alive && (worker.reachable || passes)
+        });
+        reached.find(|worker| worker.has_same_id(incarnation))
     }
 }
 
--- a/crates/stand-in/tests/jobs.rs
+++ b/crates/stand-in/tests/jobs.rs
@@ -186,6 +186,8 @@
         late_crashes: 0,
         restarts: 0,
         restarts_then_cut: 0,
+        restarts_then_cut_from_all: 0,
+        restarts_behind_cuts: 0,
         kills_beside_cuts: 0,
         same_id: 0,
         slow_answers: 0,
