A late call is waited for without an entry where one is likely or the taker is known

The missing entry ends the 12 s for calls that are carried out late, for all starts alike, since waiting for all keeps the tasks of crashed workers away too long (waits.rs).

What tells them apart: a worker that answers heartbeats while an order has no answer may carry that order out late; an order that was lost together with the heartbeats was most likely lost in the crash or the cut. And a start that another incarnation than the addressed one has taken, by the clock in its answer, is there: that incarnation lives, whatever the list tells, and a late call may extend its lease.

Two new cases of next_incarnation.rs fail without their piece.

--- a/crates/wharflane/src/job/workers/heartbeats.rs
+++ b/crates/wharflane/src/job/workers/heartbeats.rs
@@ -139,6 +139,7 @@
                     now + self.link.gap()
                 };
                 self.changed |= first;
+                self.note_answers(worker);
                 self.apply_lists(worker, (epoch, &lists), sent.unwrap_or(now), now);
             }
             order::HeartbeatAnswer::NotSent => {
@@ -151,6 +152,7 @@
                 let first = view.missed_heartbeats == 0;
                 view.missed_heartbeats += 1;
                 view.silent_since = view.silent_since.or(Some(now));
+                view.last_silent = Some(now);
                 let (delay, doublings) = HEARTBEAT_RETRY;
                 let delay = delay * 2u32.pow(view.missed_heartbeats.min(doublings));
                 // A missing worker is asked to learn whether it lives; nothing there needs a lease.
--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -53,6 +53,11 @@
     /// Whether the addressed incarnation has it since all orders that are not late have arrived, so
     /// that only a late one may still reach the next incarnation.
     only_late: bool,
+    /// Whether the worker answered other calls while an order for it had no answer, so that the order
+    /// may be one that is carried out late.
+    is_late: bool,
+    /// Whether another incarnation than the addressed one took an order for it.
+    taken_by_next: bool,
     /// Whether it was logged that its task is kept beyond the leases of the addressed incarnation.
     kept: bool,
 }
@@ -61,7 +66,15 @@
     /// Returns the record of a start whose orders, if any, were sent by earlier holders and may
     /// arrive in time until `arrived_until`.
     fn new(recorded: u64, orders: u32, arrived_until: time::Duration) -> Self {
-        Self { recorded, orders, arrived_until, only_late: false, kept: false }
+        Self {
+            recorded,
+            orders,
+            arrived_until,
+            only_late: false,
+            is_late: false,
+            taken_by_next: false,
+            kept: false,
+        }
     }
 
     /// Returns until when an order for it that had no answer may still be carried out; zero if each
@@ -116,6 +129,24 @@
         }
     }
 
+    /// Notes that the worker of a task answers, and when it last left a heartbeat unanswered. An order
+    /// of this holder that has had no answer since then may be carried out late.
+    fn note_answers(&mut self, task: spec::TaskId, last_silent: Option<time::Duration>) {
+        let Some(unshown) = self.0.get_mut(&task).filter(|unshown| unshown.orders < u32::MAX)
+        else {
+            return;
+        };
+        let answers_since = last_silent.map_or(time::Duration::ZERO, |at| at + MAX_CALL_TIME);
+        unshown.is_late |= unshown.arrived_until > answers_since;
+    }
+
+    /// Notes that another incarnation than the addressed one has taken an order to start a task.
+    fn note_taken_by_next(&mut self, task: spec::TaskId) {
+        if let Some(unshown) = self.0.get_mut(&task) {
+            unshown.taken_by_next = true;
+        }
+    }
+
     /// Notes that the addressed incarnation has taken the last order to start a task, or listed its
     /// run in answer to a heartbeat sent at `sent`; returns whether the start is shown by that. An
     /// order other than the one that was carried out may still reach the next incarnation.
@@ -208,6 +239,7 @@
                 view.heartbeat_due = view.heartbeat_due.min(now);
                 let last_ms = view.last_answer.map(|(last_ms, _)| last_ms);
                 self.taken_by_others += 1;
+                self.unshown.note_taken_by_next(order.task);
                 tracing::warn!(
                     task = %order.task, run = order.run, worker = %order.worker, clock_ms, last_ms,
                     "start taken by another incarnation than the addressed one"
@@ -216,6 +248,14 @@
         }
     }
 
+    /// Notes that a worker answers heartbeats, for its starts whose orders had no answer.
+    pub(in crate::job) fn note_answers(&mut self, worker: &id::Incarnation) {
+        if let Some(view) = self.views.get(worker) {
+            let tasks = view.tasks.iter();
+            tasks.for_each(|task| self.unshown.note_answers(*task, view.last_silent));
+        }
+    }
+
     /// Notes that the addressed incarnation has taken a start, or listed its run in answer to a
     /// heartbeat sent at `sent`.
     pub(in crate::job) fn note_shown(&mut self, task: spec::TaskId, sent: time::Duration) {
@@ -258,9 +298,16 @@
             false => unshown.arrived_until.max(granted_until(MAX_CALL_TIME)) + longest,
         };
         let late_until = unshown.late_until().max(granted_until(MAX_CALL_DELAY)) + longest;
-        let gone = self.unlisted_since(&placed.worker).map(|since| since + GONE_AFTER);
+        let Some(unlisted_since) = self.unlisted_since(&placed.worker) else {
+            return Some(late_until);
+        };
         // An incarnation that is cut off from the store has no entry, and lives.
-        Some(gone.map_or(late_until, |gone| late_until.min(gone).max(arrived_until)))
+        let least = match (unshown.taken_by_next, unshown.is_late) {
+            (true, _) => late_until,
+            (false, true) => arrived_until.max(unshown.late_until() + longest),
+            (false, false) => arrived_until,
+        };
+        Some(late_until.min(unlisted_since + GONE_AFTER).max(least))
     }
 
     /// Returns since when the store has not listed a worker, as far as this holder knows, or
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -147,6 +147,8 @@
     pub missed_heartbeats: u32,
     /// When the first of these was found to have no answer.
     pub silent_since: Option<time::Duration>,
+    /// When a heartbeat was last found to have no answer.
+    pub last_silent: Option<time::Duration>,
     /// The capacity reserved for tasks.
     pub used: size::Size,
     /// The capacity of runs that this holder didn't place, by the last answer; they are being
@@ -203,6 +205,7 @@
             heartbeat_delayed: false,
             missed_heartbeats: 0,
             silent_since: None,
+            last_silent: None,
             used: size::Size::default(),
             unknown_capacity: size::Size::default(),
             filling_milli: 0,
--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -239,18 +239,44 @@
             assert!(after <= least + silent_worker::MAX_EXCESS, "started again only after {after:?}");
         }
     },
-    // Guards against tasks of lost workers that wait for the longest lease: the worker has the run
-    // since both orders for it were over, so that only a late call could reach a next incarnation.
+    // Guards against tasks of lost workers that wait for the longest lease: the worker was out of
+    // reach when the first order was sent, and has the run since both orders for it were over.
     a_run_listed_after_two_orders_waits_until_its_worker_is_out_of_the_list => {
+        let mut domain = silent_worker::Domain::new();
+        let worker = domain.start(job::StartAnswer::Silent);
+        domain.sim.advance(2_000, false);
+        domain.sim.silent_workers.clear();
+        domain.sim.advance(3_000, false);
+        assert_eq!(domain.sim.worker_of(silent_worker::task()), worker, "it was ordered again");
+        domain.ordered = domain.sim.now;
+        domain.sim.silent_workers.insert(worker.clone());
+        domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
+        domain.check_waits_for_its_own_lease(&worker);
+    },
+    // The worker answers heartbeats while the order has no answer, so that it may carry it out late,
+    // also on its next incarnation that is cut off from the store and has no entry.
+    a_start_that_an_answering_worker_left_unanswered_waits_for_late_calls_without_an_entry => {
         let mut domain = silent_worker::Domain::new();
         domain.sim.start_answers.push_back(job::StartAnswer::Silent);
         domain.submit();
-        domain.sim.advance(5_000, false);
-        let worker = domain.sim.worker_of(silent_worker::task());
+        while domain.sim.not_taken.is_empty() {
+            domain.sim.advance(20, false);
+        }
         domain.ordered = domain.sim.now;
+        domain.sim.advance(3_000, false);
+        let worker = domain.sim.worker_of(silent_worker::task());
         domain.sim.silent_workers.insert(worker.clone());
         domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
-        domain.check_waits_for_its_own_lease(&worker);
+        domain.check_waits(&worker);
+    },
+    // The next incarnation lives, whatever the list tells, and a late call may extend its lease.
+    a_start_that_the_next_incarnation_took_waits_for_late_calls_without_an_entry => {
+        let mut domain = silent_worker::Domain::new();
+        let young = job::StartAnswer::Taken { clock_ms: Some(silent_worker::YOUNG_CLOCK_MS) };
+        let worker = domain.start(young);
+        domain.sim.advance(1_000, false);
+        domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
+        domain.check_waits(&worker);
     },
     // The list is of the incarnation that took the first order; the next one has taken the second.
     a_run_listed_before_its_second_order_was_taken_waits_for_the_longest_lease => {
