Rows of an older version tell nothing until all are written again

What callers may see: after an update from a version whose rows don't tell which starts are not shown, a task runs on two workers at once, also where its worker stays in the list. Not seen on a deployment; found by reading and shown by a test.

Cause: the first holder of the new version takes all starts in such rows for not shown and writes the rows again, at most 85 in one transaction. The lease row in the first of them already told up to which version all starts are shown, by which a row without the mark counts as shown. If that holder was killed then, the next one took the starts in the other rows for shown and waited only for the lease that was requested. A version is told now only once all rows are written.

After: both cases hold. Ruled out: the count of restarted workers in the lease row (64): the 65th waits for the longest lease, also under the next holder; the case for it held before, and fails without what makes all leases longer for those beyond the row. Without the new condition the first case fails; `shown-starts-handed-on` is still noticed by two cases of next_incarnation.rs.

--- a/crates/wharflane/src/job/store/commit.rs
+++ b/crates/wharflane/src/job/store/commit.rs
@@ -168,12 +168,16 @@
         let domain = self.settings.domain;
         let batch = self.take_dirty()?;
         let release = self.leaving && (self.release_now || self.dirty.is_empty());
+        // Rows of an older version don't tell which starts are not shown. After a lease row that
+        // doesn't either, a version is told only once all of them are written again.
+        let rows_tell = self.lease.shown_upto.is_some() || self.dirty.is_empty();
+        let shown_upto = rows_tell.then(|| self.unshown.shown_upto(self.version));
         let mut lease = job_rows::Lease {
             holder: if release { None } else { self.lease.holder.clone() },
             seq: self.lease.seq + 1,
             written_ms: self.store_clock.map(|clock| clock.ms(now)),
             backlogs: self.backlogs.clone(),
-            shown_upto: Some(self.unshown.shown_upto(self.version)),
+            shown_upto,
             ..self.lease.clone()
         };
         self.inherited.hand_on(&mut lease, now);
