--- a/crates/cli/tests/processes/restarted_and_cut.rs
+++ b/crates/cli/tests/processes/restarted_and_cut.rs
@@ -3,7 +3,9 @@
 //! An order names a worker by its id alone, so the next incarnation carries out an order that was
 //! meant for the previous one. Guards against a second run elsewhere while the first goes on: its
 //! holder had requested a shorter lease by the clock of the previous incarnation. The clock of the
-//! next one begins anew, so that the worker grants its longest lease.
+//! next one begins anew, so that the worker grants its longest lease. Guards as well against one
+//! that came since the worker was cut off from the store too: its entry had lapsed, and the holder
+//! took that for its end.
 
 use std::time;
 
@@ -15,9 +17,18 @@
 use crate::job_service;
 
 cases! {
-    no_task_runs_twice_while_restarted_workers_are_cut_off => fleet::run(cut_off(Holder::Stays)),
+    no_task_runs_twice_while_restarted_workers_are_cut_off =>
+        fleet::run(cut_off(Holder::Stays, LONGER_LEASE, Entries::Stay)),
     no_task_runs_twice_while_the_holder_dies_and_restarted_workers_are_cut_off =>
-        fleet::run(cut_off(Holder::Dies)),
+        fleet::run(cut_off(Holder::Dies, LONGER_LEASE, Entries::Stay)),
+    no_task_runs_twice_while_entries_of_restarted_workers_lapse_under_leases_of_6_s =>
+        fleet::run(cut_off(Holder::Stays, SHORTER_LEASE, Entries::Lapse)),
+    no_task_runs_twice_while_entries_of_restarted_workers_lapse_under_leases_of_10_s =>
+        fleet::run(cut_off(Holder::Stays, LONGER_LEASE, Entries::Lapse)),
+    no_task_runs_twice_while_the_holder_dies_and_entries_lapse_under_leases_of_6_s =>
+        fleet::run(cut_off(Holder::Dies, SHORTER_LEASE, Entries::Lapse)),
+    no_task_runs_twice_while_the_holder_dies_and_entries_lapse_under_leases_of_10_s =>
+        fleet::run(cut_off(Holder::Dies, LONGER_LEASE, Entries::Lapse)),
 }
 
 /// Number of hosts.
@@ -29,7 +40,13 @@
 /// Run time of a task, which is longer than any lease.
 const TASK_TIME: time::Duration = time::Duration::from_secs(12);
 /// The longest lease that workers grant, which is well beyond the one that a holder requests.
-const LONGEST_LEASE: time::Duration = time::Duration::from_secs(10);
+const LONGER_LEASE: time::Duration = time::Duration::from_secs(10);
+/// The longest lease that workers grant, which is little beyond the one that a holder requests.
+const SHORTER_LEASE: time::Duration = time::Duration::from_secs(6);
+/// The times from the cut until the entry of each worker lapses, which is 2.2 to 3.3 s after it was
+/// last written: the former incarnation wrote one of them 1.1 s before the restart.
+const ENTRIES_LAPSE_AFTER: [time::Duration; TASKS as usize] =
+    [time::Duration::from_millis(1_100), time::Duration::from_millis(2_200)];
 /// The job.
 const JOB: job::JobId = job::JobId(1);
 
@@ -42,10 +59,20 @@
     Dies,
 }
 
+/// What becomes of the entries of the workers that are cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Entries {
+    /// Those of the former incarnations stay through the cut.
+    Stay,
+    /// The workers are cut off from the store as well, and the entries of the former incarnations
+    /// lapse.
+    Lapse,
+}
+
 /// Workers restart just before their starts arrive, take these and a heartbeat with a lease, and are
 /// cut off. Their new entries come once their runs are over or a task has started again.
-async fn cut_off(holder: Holder) {
-    let mut service = start().await;
+async fn cut_off(holder: Holder, longest_lease: time::Duration, entries: Entries) {
+    let mut service = start(longest_lease).await;
     service.platform.lock().faults.starts_after_restart = TASKS;
     service.submit_job(0, JOB, &submission()).await;
     fleet::wait_until("the restarted workers to take their orders", async || {
@@ -58,6 +85,9 @@
     }
     let cut: Vec<usize> = restarted(&service).collect();
     cut.iter().for_each(|at| service.platform.set_reachable(*at, false));
+    if entries == Entries::Lapse {
+        lapse_entries(&service, &cut).await;
+    }
     fleet::wait_until("the runs to end or a task to start again", async || {
         let over = cut.iter().all(|at| runs(&service, *at) == 0);
         over || service.platform.lock().checker.starts > u64::from(TASKS)
@@ -72,12 +102,9 @@
 
 /// Starts the hosts and workers, and waits until no worker can have a lease from before them: the
 /// first holder assumes the longest on each.
-async fn start() -> job_service::JobService {
-    let setup = job_service::Setup {
-        workers: WORKERS,
-        longest_lease: LONGEST_LEASE,
-        ..job_service::Setup::default()
-    };
+async fn start(longest_lease: time::Duration) -> job_service::JobService {
+    let setup =
+        job_service::Setup { workers: WORKERS, longest_lease, ..job_service::Setup::default() };
     let service = job_service::JobService::start_with(HOSTS, setup).await;
     service.platform.lock().work = TASK_TIME;
     // A task without progress would be stopped as stalled before its end.
@@ -114,6 +141,16 @@
     service.platform.lock().workers[at].running().count()
 }
 
+/// Removes the entries of workers that have just been cut off, each when it lapses.
+async fn lapse_entries(service: &job_service::JobService, cut: &[usize]) {
+    let since = tokio::time::Instant::now();
+    for (at, after) in cut.iter().zip(ENTRIES_LAPSE_AFTER) {
+        tokio::time::sleep_until(since + after).await;
+        let worker = service.platform.lock().workers[*at].incarnation.worker.clone();
+        service.platform.unlist_worker(&worker);
+    }
+}
+
 /// Lists the new incarnation of a worker, and lets hosts reach it and hear its answers again.
 fn return_worker(service: &job_service::JobService, at: usize) {
     let mut state = service.platform.lock();
