A test waits until the server reads the open body before it sends newer ones

Cause: the test, not the code. A body counts as older than another if the server began to read it before. The test took the body that it had sent first for the older one, but two connections are served on different threads: the body sent second may be read first, is then the older one, and rightly gives way. The test noted that the open body may not have arrived, and assumed that this only leaves room for both in turn.

Ruled out: the budget revokes a newer holder for an older one.

Change: the server of the test counts a body once its reading has begun, which is when its age begins, and the test sends newer bodies after that. Each newer one must still be read, and the open one must still be refused. No loop is retried and no answer is accepted that was not before.

--- a/crates/http/tests/admission.rs
+++ b/crates/http/tests/admission.rs
@@ -1,9 +1,12 @@
 //! What a server lets its clients hold: memory of bodies, connections, and answers to those that are
 //! refused.
 
+use std::future;
 use std::net;
+use std::pin;
 use std::sync;
 use std::sync::atomic;
+use std::task;
 use std::time;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -53,6 +56,8 @@
     release: sync::Arc<tokio::sync::Notify>,
     /// Number of requests to `/held` that wait.
     held: sync::Arc<atomic::AtomicUsize>,
+    /// Number of requests whose bodies the server has begun to read.
+    begun: sync::Arc<atomic::AtomicUsize>,
 }
 
 /// Starts a server.
@@ -62,20 +67,24 @@
     let limits_met = sync::Arc::<atomic::AtomicUsize>::default();
     let (release, held) =
         (sync::Arc::<tokio::sync::Notify>::default(), sync::Arc::<atomic::AtomicUsize>::default());
+    let begun = sync::Arc::<atomic::AtomicUsize>::default();
     let met = sync::Arc::clone(&limits_met);
     let admission = admission::Admission::new(sizes, move |_| {
         met.fetch_add(1, atomic::Ordering::SeqCst);
     });
     let (released, waiting) = (sync::Arc::clone(&release), sync::Arc::clone(&held));
+    let reading = sync::Arc::clone(&begun);
     let handle = move |request: server::Request| {
         let (released, waiting) = (sync::Arc::clone(&released), sync::Arc::clone(&waiting));
+        let reading = sync::Arc::clone(&reading);
         async move {
             let path = request.uri().path().to_owned();
             if path == "/head" {
                 request.into_body().discard();
                 return reply::text(hyper::StatusCode::NOT_FOUND, String::new());
             }
-            let body = request_body::read(request.into_body(), LIMIT_BYTES, TIMEOUT).await;
+            let read = request_body::read(request.into_body(), LIMIT_BYTES, TIMEOUT);
+            let body = counted_once_begun(read, &reading).await;
             if path == "/held" {
                 waiting.fetch_add(1, atomic::Ordering::SeqCst);
                 released.notified().await;
@@ -90,7 +99,18 @@
     };
     let bounds = server::Bounds::default();
     tokio::spawn(server::serve_admitted(listener, bounds, admission, server::never(), handle));
-    Server { addr, limits_met, release, held }
+    Server { addr, limits_met, release, held, begun }
+}
+
+/// Counts a future once it has begun, and returns its output.
+async fn counted_once_begun<T>(begins: impl Future<Output = T>, count: &atomic::AtomicUsize) -> T {
+    let mut begins = pin::pin!(begins);
+    let begun = future::poll_fn(|cx| task::Poll::Ready(begins.as_mut().poll(cx))).await;
+    count.fetch_add(1, atomic::Ordering::SeqCst);
+    match begun {
+        task::Poll::Ready(output) => output,
+        task::Poll::Pending => begins.await,
+    }
 }
 
 impl Server {
@@ -179,12 +199,16 @@
     assert!(answered.ends_with(&LIMIT_BYTES.to_string()), "{answered}");
 }
 
-/// A body that stays open is refused for a newer one, and each newer one is read.
+/// A body that stays open is refused for a newer one, and each newer one is read. The age of a body
+/// counts from when the server begins to read it, which may be later than that of one sent after it.
 async fn gives_way() {
     let server = start(admission::Sizes { large_bytes: LARGE_BYTES, ..AMPLE }).await;
     let mut open = server.send(&request("/", LIMIT_BYTES, 1)).await;
+    while server.begun.load(atomic::Ordering::SeqCst) == 0 {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
     let mut tries = 0;
-    // The open body may not have arrived yet; then there is room for both in turn.
+    // The open body may not have arrived whole yet; then there is room for both in turn.
     while server.limits_met.load(atomic::Ordering::SeqCst) == 0 {
         let newer = server.call(&request("/", LIMIT_BYTES, 0)).await;
         assert!(newer.ends_with(&LIMIT_BYTES.to_string()), "{newer}");
