A task is not started while a worker lists another run of it

What callers see: two runs of one task at once. Found among 36,000 random scripts (a trial: three workers that restart and are cut off from hosts and store, up to three changes of the holder, no late calls; 1 script): a holder gives its lease up while its order of run 1 is on its way. The worker answers the next holder without that run, so run 2 is ordered there; the worker restarts, its next incarnation, which has seen no fence, takes run 1 within 0.3 s, and lists it. The holder ordered the stop of run 1 and, in the same pass, run 3 elsewhere: both ran for 0.1 s until the stop took effect.

Cause: a run that the holder didn't place was known by the room that it takes, not as a run of its task. The task now waits until the worker lists the run no longer, or until its lease is over if the worker falls silent; a worker that leaves the list is kept for as long, and an idle one is asked again within 0.3 s instead of 4 s.

Each of the three parts, taken out, fails a case.

Not mended by this: the first freeing. A task that is elsewhere already when the run is listed runs twice until the stop.

--- a/crates/wharflane/src/job/loss/isolation.rs
+++ b/crates/wharflane/src/job/loss/isolation.rs
@@ -291,7 +291,7 @@
 }
 
 /// Returns the tasks that start together: the members of a gang, or the task by itself.
-fn started_together(
+pub(in crate::job) fn started_together(
     ready: &work::Ready,
     step: &spec::Step,
 ) -> impl Iterator<Item = spec::TaskId> + use<> {
--- a/crates/wharflane/src/job/loss/lost.rs
+++ b/crates/wharflane/src/job/loss/lost.rs
@@ -76,13 +76,14 @@
         }
         self.free_inherited(now);
         self.count_missing_workers(now);
-        self.remove_unlisted();
+        self.remove_unlisted(now);
     }
 
     /// Removes workers that are not listed any more and of which nothing is expected.
-    fn remove_unlisted(&mut self) {
+    fn remove_unlisted(&mut self, now: time::Duration) {
         let idle = |view: &worker::View| {
             !view.listed
+                && !view.may_have_unknown_runs(now)
                 && view.tasks.is_empty()
                 && view.unrecorded.is_empty()
                 && !self.missing_workers.contains(&view.member.incarnation)
--- a/crates/wharflane/src/job/place/pass.rs
+++ b/crates/wharflane/src/job/place/pass.rs
@@ -36,6 +36,8 @@
     pub headroom_refreshed: bool,
     /// The number of lines logged about waiting tasks.
     pub lines_logged: usize,
+    /// The tasks of runs that may be at work though the holder didn't place them.
+    pub unknown_runs: collections::BTreeSet<spec::TaskId>,
     /// The starving tasks, at most the first of each group.
     pub starving: collections::BTreeMap<spec::TaskId, work::Ready>,
 }
--- a/crates/wharflane/src/job/place/placement.rs
+++ b/crates/wharflane/src/job/place/placement.rs
@@ -7,6 +7,7 @@
 use crate::id;
 use crate::job::holding;
 use crate::job::load::picture;
+use crate::job::loss::isolation;
 use crate::job::place::assign;
 use crate::job::place::choose;
 use crate::job::place::gang;
@@ -65,7 +66,7 @@
     holding.reserved_workers.clear();
     holding.best_effort_waits = false;
     holding.held_back = false;
-    let mut pass = pass::Pass::default();
+    let mut pass = pass::Pass { unknown_runs: holding.unknown_runs(now), ..pass::Pass::default() };
     let (groups, picture) = ordered_groups(holding, now);
     holding.tell_backlogs(&picture, now);
     for group in groups {
@@ -110,7 +111,10 @@
     let mut ranking = None;
     let mut next = Some(group.first);
     while let Some(ready) = next {
-        if holding.defers_start(&ready, step, now) {
+        let is_at_work = !pass.unknown_runs.is_empty()
+            && isolation::started_together(&ready, step)
+                .any(|task| pass.unknown_runs.contains(&task));
+        if is_at_work || holding.defers_start(&ready, step, now) {
             next = next_in_group(holding, &group, ready.task, now);
             continue;
         }
--- a/crates/wharflane/src/job/workers/lists.rs
+++ b/crates/wharflane/src/job/workers/lists.rs
@@ -49,7 +49,7 @@
         for task in &adopted {
             self.isolate_start(*task, worker);
         }
-        self.count_unknown_runs(worker, lists);
+        self.count_unknown_runs(worker, lists, now);
         self.adopt_shares(worker, lists, &adopted, now);
         self.detect_stall(worker, lists, now);
         self.update_shares(worker, lists, now);
@@ -170,9 +170,16 @@
     }
 
     /// Counts the capacity of runs that this holder didn't place; it is free only once their ends
-    /// are reported. A run of unknown size counts as the worker's whole capacity.
-    fn count_unknown_runs(&mut self, worker: &id::Incarnation, lists: &order::Lists) {
+    /// are reported, and so are their tasks. A run of unknown size counts as the worker's whole
+    /// capacity.
+    fn count_unknown_runs(
+        &mut self,
+        worker: &id::Incarnation,
+        lists: &order::Lists,
+        now: time::Duration,
+    ) {
         let mut unknown = size::Size::default();
+        let mut tasks = collections::BTreeSet::new();
         for row in &lists.running {
             let known = self.placed.get(&row.task);
             if known.is_some_and(|p| p.run == row.run && p.worker == *worker) {
@@ -183,13 +190,29 @@
             let capacity = self.views.get(worker).map(|view| view.member.capacity);
             let room = step.map(spec::Step::reserved).or(capacity).unwrap_or_default();
             unknown = unknown.plus(&room);
+            tasks.insert(row.task);
         }
+        let is_awaited = tasks.iter().any(|task| self.ready.contains_key(task));
         if let Some(view) = self.views.get_mut(worker) {
-            self.changed |= view.unknown_capacity != unknown;
+            self.changed |= view.unknown_capacity != unknown || view.unknown_runs != tasks;
             view.unknown_capacity = unknown;
+            view.unknown_runs = tasks;
+            if is_awaited {
+                // An idle worker would be asked much later.
+                view.heartbeat_due = view.heartbeat_due.min(now + self.settings.stop / 3);
+            }
         }
     }
 
+    /// Returns the tasks of runs that this holder didn't place and that may still be at work.
+    pub(in crate::job) fn unknown_runs(
+        &self,
+        now: time::Duration,
+    ) -> collections::BTreeSet<spec::TaskId> {
+        let views = self.views.values().filter(|view| view.may_have_unknown_runs(now));
+        views.flat_map(|view| view.unknown_runs.iter().copied()).collect()
+    }
+
     /// Stops a run that this holder didn't place.
     fn stop_unknown_run(&mut self, worker: &id::Incarnation, row: &order::Running) {
         let Some(view) = self.views.get(worker) else {
--- a/crates/wharflane/src/job/workers/worker.rs
+++ b/crates/wharflane/src/job/workers/worker.rs
@@ -152,6 +152,8 @@
     /// The capacity of runs that this holder didn't place, by the last answer; they are being
     /// stopped.
     pub unknown_capacity: size::Size,
+    /// The tasks of these runs.
+    pub unknown_runs: collections::BTreeSet<spec::TaskId>,
     /// The CPU requested by best-effort tasks, in thousandths of a core.
     pub filling_milli: u64,
     /// The part of the reserved capacity that long-running tasks take.
@@ -205,6 +207,7 @@
             silent_since: None,
             used: size::Size::default(),
             unknown_capacity: size::Size::default(),
+            unknown_runs: collections::BTreeSet::new(),
             filling_milli: 0,
             lasting: size::Size::default(),
             urgent: collections::BTreeSet::new(),
@@ -253,6 +256,11 @@
         }
     }
 
+    /// Returns whether runs that this holder didn't place may still be at work there.
+    pub fn may_have_unknown_runs(&self, now: time::Duration) -> bool {
+        !self.unknown_runs.is_empty() && !self.leases_expired(now)
+    }
+
     /// Returns whether it is quarantined because runs failed or stalled there.
     pub fn is_quarantined(&self, now: time::Duration) -> bool {
         now < self.quarantined_until || self.stall.is_stalled()
