--- a/crates/wharflane/tests/handed_on_starts.rs
+++ b/crates/wharflane/tests/handed_on_starts.rs
@@ -83,7 +83,7 @@
 fn check_many_restarted_workers() {
     let settings = silent_worker::Domain::new().settings;
     let none = (Vec::new(), Vec::new());
-    let mut sim = sim::Sim::with_settings(settings.clone(), 0, none, Vec::new());
+    let mut sim = sim::Sim::with_settings(settings, 0, none, Vec::new());
     (0..RESTARTED).for_each(|at| drop(sim.restart(at)));
     sim.advance(silent_worker::AGE_MS, false);
     let mut domain = silent_worker::Domain { ordered: sim.now, sim, settings, jobs: Vec::new() };
--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -296,7 +296,7 @@
     a_start_without_an_answer_waits_for_its_own_lease_where_no_worker_comes_back => {
         let none = (Vec::new(), Vec::new());
         let settings = silent_worker::Domain::new().settings;
-        let mut sim = sim::Sim::with_settings(settings.clone(), 2, none, Vec::new());
+        let mut sim = sim::Sim::with_settings(settings, 2, none, Vec::new());
         sim.advance(silent_worker::AGE_MS, false);
         let mut domain = silent_worker::Domain { ordered: sim.now, sim, settings, jobs: Vec::new() };
         let worker = domain.start(job::StartAnswer::Silent);
@@ -307,7 +307,7 @@
         let mut domain = silent_worker::Domain::new();
         let worker = domain.start(job::StartAnswer::Silent);
         domain.sim.pending.retain(|effect| matches!(effect, job::Effect::Start(_)));
-        domain.sim.engine = job::Engine::new("next-host".into(), domain.settings.clone(), 2);
+        domain.sim.engine = job::Engine::new("next-host".into(), domain.settings, 2);
         domain.sim.handle(job::Event::Queues(sim::queues()));
         domain.sim.handle(job::Event::Listed((0..2).map(silent_worker::old_member).collect()));
         domain.read_lease();
--- a/crates/wharflane/tests/restarted_worker/mod.rs
+++ b/crates/wharflane/tests/restarted_worker/mod.rs
@@ -358,7 +358,7 @@
         let nonce = u64::try_from(self.domain.sim.now.as_nanos()).expect("fits into u64");
         let name = format!("host-{nonce}");
         let addr = Some(([127, 0, 0, 1], 9).into());
-        let settings = job::Settings { addr, ..self.domain.settings.clone() };
+        let settings = job::Settings { addr, ..self.domain.settings };
         self.domain.sim.engine = job::Engine::new(name.as_str().into(), settings, nonce);
         self.domain.sim.handle(job::Event::Queues(sim::queues()));
         let members = self.members.iter().flatten().cloned().collect();
--- a/crates/wharflane/tests/silent_worker/mod.rs
+++ b/crates/wharflane/tests/silent_worker/mod.rs
@@ -49,7 +49,7 @@
     pub fn with_workers_of_age(age_ms: u64, longest: time::Duration) -> Self {
         let settings = job::Settings { task_lease_max: longest, ..world::settings() };
         let none = (Vec::new(), Vec::new());
-        let mut sim = sim::Sim::with_settings(settings.clone(), 0, none, Vec::new());
+        let mut sim = sim::Sim::with_settings(settings, 0, none, Vec::new());
         for at in 0..2 {
             sim.restart(at);
         }
@@ -118,7 +118,7 @@
     pub fn take_lease(&mut self, members: Vec<job::Member>) {
         self.sim.pending.retain(|effect| matches!(effect, job::Effect::Start(_)));
         let nonce = u64::try_from(self.sim.now.as_nanos()).expect("fits into u64");
-        self.sim.engine = job::Engine::new("next-host".into(), self.settings.clone(), nonce);
+        self.sim.engine = job::Engine::new("next-host".into(), self.settings, nonce);
         self.sim.handle(job::Event::Queues(sim::queues()));
         self.sim.handle(job::Event::Listed(members));
         self.read_lease();
