--- a/crates/wharflane/src/job/workers/unshown.rs
+++ b/crates/wharflane/src/job/workers/unshown.rs
@@ -8,8 +8,10 @@
 //! by its clock in the answer to the start. A run that it has shown ends with it.
 //!
 //! What bounds such a run is its lease alone. A worker that is out of the store's list may live: it
-//! is cut off from the store as well. So a missing entry ends only the wait for calls that are
-//! carried out seconds late, never the wait for one that may have arrived in time.
+//! is cut off from the store as well. So a missing entry never ends the wait for a call that may
+//! have arrived in time. It ends the wait for calls that are carried out seconds late, which would
+//! keep each task of a worker that is lost for good, unless there is a sign of them: the worker
+//! answered heartbeats while an order had no answer, or another incarnation took the start.
 //!
 //! The next holder has heard none of the answers. Rows of progress name the tasks whose starts are
 //! not shown, and the lease row tells up to which version of the store all starts are, so that a
@@ -55,7 +57,7 @@
     only_late: bool,
     /// Whether the worker answered other calls while an order for it had no answer, so that the order
     /// may be one that is carried out late.
-    is_late: bool,
+    may_be_late: bool,
     /// Whether another incarnation than the addressed one took an order for it.
     taken_by_next: bool,
     /// Whether it was logged that its task is kept beyond the leases of the addressed incarnation.
@@ -71,7 +73,7 @@
             orders,
             arrived_until,
             only_late: false,
-            is_late: false,
+            may_be_late: false,
             taken_by_next: false,
             kept: false,
         }
@@ -137,7 +139,7 @@
             return;
         };
         let answers_since = last_silent.map_or(time::Duration::ZERO, |at| at + MAX_CALL_TIME);
-        unshown.is_late |= unshown.arrived_until > answers_since;
+        unshown.may_be_late |= unshown.arrived_until > answers_since;
     }
 
     /// Notes that another incarnation than the addressed one has taken an order to start a task.
@@ -301,8 +303,7 @@
         let Some(unlisted_since) = self.unlisted_since(&placed.worker) else {
             return Some(late_until);
         };
-        // An incarnation that is cut off from the store has no entry, and lives.
-        let least = match (unshown.taken_by_next, unshown.is_late) {
+        let least = match (unshown.taken_by_next, unshown.may_be_late) {
             (true, _) => late_until,
             (false, true) => arrived_until.max(unshown.late_until() + longest),
             (false, false) => arrived_until,
