Test: a list from before the second order's answer, where no late call is expected

The wait for late calls where the worker answered heartbeats hid the piece that the case guards: without it (proofs last-order-over-before-list) the case passed. The worker is now out of reach for a moment after the first order, so that nothing speaks for a late one; without the piece the task starts elsewhere after 4.16 s, and the case fails. Its bound is as it was.

--- a/crates/wharflane/tests/next_incarnation.rs
+++ b/crates/wharflane/tests/next_incarnation.rs
@@ -278,15 +278,19 @@
         domain.sim.handle(job::Event::Member(worker.worker.clone(), None));
         domain.check_waits(&worker);
     },
-    // The list is of the incarnation that took the first order; the next one has taken the second.
+    // The list is of the incarnation that took the first order; the next one may have taken the
+    // second, since its answer doesn't tell who took it.
     a_run_listed_before_its_second_order_was_taken_waits_for_the_longest_lease => {
         let mut domain = silent_worker::Domain::new();
         domain.submit();
         let order = domain.tick_until_ordered();
         domain.answer_start(job::StartAnswer::Silent);
+        // The worker is out of reach for a moment, so that the first order counts as lost.
+        domain.sim.answer_heartbeat(&order.worker, job::HeartbeatAnswer::Silent);
+        let idle = silent_worker::idle(&order.worker, domain.sim.now);
+        domain.sim.answer_heartbeat(&order.worker, idle);
         assert_eq!(domain.tick_until_ordered(), order, "ordered again");
-        let young = job::StartAnswer::Taken { clock_ms: Some(silent_worker::YOUNG_CLOCK_MS) };
-        domain.answer_start(young);
+        domain.answer_start(job::StartAnswer::Taken { clock_ms: None });
         domain.ordered = domain.sim.now;
         let listed = silent_worker::running(&order.worker, &order, domain.sim.now);
         domain.sim.answer_heartbeat(&order.worker, listed);
--- a/crates/wharflane/tests/silent_worker/mod.rs
+++ b/crates/wharflane/tests/silent_worker/mod.rs
@@ -241,11 +241,28 @@
     order: &job::Order,
     now: time::Duration,
 ) -> job::HeartbeatAnswer {
-    let run = job::Running { task: order.task, run: order.run, percent: 1, load: 0 };
+    lists(
+        incarnation,
+        vec![job::Running { task: order.task, run: order.run, percent: 1, load: 0 }],
+        now,
+    )
+}
+
+/// Returns the answer of an incarnation that runs nothing.
+pub fn idle(incarnation: &id::Incarnation, now: time::Duration) -> job::HeartbeatAnswer {
+    lists(incarnation, Vec::new(), now)
+}
+
+/// Returns the lists of an incarnation whose clock began with the simulation.
+fn lists(
+    incarnation: &id::Incarnation,
+    running: Vec<job::Running>,
+    now: time::Duration,
+) -> job::HeartbeatAnswer {
     job::HeartbeatAnswer::Lists(job::Lists {
         born_ms: incarnation.born_ms,
         clock_ms: u64::try_from(now.as_millis()).expect("fits into u64"),
-        running: vec![run],
+        running,
         ..job::Lists::default()
     })
 }
