Tests: an order in flight at a release runs twice; a listed run waits for late calls (fail)

A holder releases its lease while its order is on its way for 300 ms; the addressed incarnation answers the next holder without the run, which frees the task at once (not running on its worker); the worker restarts, and its next incarnation, which has seen no fence, takes the order in time.

A task that its worker listed for 4 s and 8 s is started elsewhere only 18.4 s and 14.4 s after the crash of its worker, since its first order had no answer while the worker answered heartbeats.

--- a/crates/wharflane/tests/restarted_worker/mod.rs
+++ b/crates/wharflane/tests/restarted_worker/mod.rs
@@ -35,6 +35,8 @@
     NextComes(u64),
     /// The next incarnation's entry comes and goes.
     NextComesAndGoes(u64, u64),
+    /// The former incarnation's entry says from then on that the worker leaves.
+    Leaves(u64),
 }
 
 /// How a holder ends.
@@ -316,9 +318,12 @@
 
     /// Changes the list entry of the restarted worker as the script has it.
     fn change_entry(&mut self) {
-        let (Some(at), Some(_)) = (self.restarts, self.taken) else {
+        let Some(at) = self.restarts else {
             return;
         };
+        if self.taken.is_none() && !matches!(self.script.entry, Entry::Leaves(_)) {
+            return;
+        }
         let since_ms = self.since_order_ms();
         let former = || Some(silent_worker::old_member(at));
         let next = || {
@@ -336,6 +341,9 @@
             {
                 next()
             }
+            Entry::Leaves(from_ms) if since_ms >= from_ms => {
+                former().map(|former| job::Member { leaving: true, ..former })
+            }
             _ => former(),
         };
         if entry != self.members[at] {
