Review stand-ins: closed connections are let go

A server kept a handle of each connection that it had ever had, so that a long case could run out of descriptors.

--- a/review/stand-in-3/src/http.rs
+++ b/review/stand-in-3/src/http.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 with lengths only: a server with a thread for each connection, and a client.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -30,8 +31,8 @@
     pub addr: SocketAddr,
     /// Whether its process has ended.
     closed: AtomicBool,
-    /// Its connections.
-    streams: Mutex<Vec<TcpStream>>,
+    /// Its open connections, by number.
+    streams: Mutex<BTreeMap<u64, TcpStream>>,
 }
 
 impl Server {
@@ -40,11 +41,15 @@
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
         let _ = TcpStream::connect(self.addr);
-        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
-        for stream in streams.drain(..) {
+        for stream in self.streams().values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
+
+    /// Locks the connections.
+    fn streams(&self) -> MutexGuard<'_, BTreeMap<u64, TcpStream>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Serves a listener until the server is closed.
@@ -58,18 +63,18 @@
     let accepting = Arc::clone(&server);
     let handle = Arc::new(handle);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        for (number, stream) in (0..).zip(listener.incoming().flatten()) {
             if accepting.closed.load(Ordering::SeqCst) {
                 return;
             }
             if let Ok(stream) = stream.try_clone() {
-                let mut streams = accepting.streams.lock().unwrap_or_else(PoisonError::into_inner);
-                streams.push(stream);
+                accepting.streams().insert(number, stream);
             }
-            let handle = Arc::clone(&handle);
+            let (handle, server) = (Arc::clone(&handle), Arc::clone(&accepting));
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
                 let _ = connection(stream, &*handle);
+                server.streams().remove(&number);
             });
         }
     });
