Review case 11: a late order runs a task on a second worker

An order to start has no answer, the worker answers a heartbeat with a higher fence and without the run, and the task goes to another worker. The first one crashes, is back under its id, has seen no fence, and the order is carried out 4.5 s late: the task runs on two workers.

--- a/review/stand-in-3/src/host.rs
+++ b/review/stand-in-3/src/host.rs
@@ -104,10 +104,10 @@
         matches!(client.call("GET", "platform", "/ready", ""), Some((200, _)))
     }
 
-    /// Waits until it calls itself ready.
-    pub fn wait_until_ready(&self, patience: Duration) -> bool {
+    /// Waits until it calls itself ready; not once its process has ended.
+    pub fn wait_until_ready(&mut self, patience: Duration) -> bool {
         let end = Instant::now() + patience;
-        while Instant::now() < end {
+        while Instant::now() < end && !self.has_ended() {
             if self.is_ready() {
                 return true;
             }
--- a/review/stand-in-3/src/http.rs
+++ b/review/stand-in-3/src/http.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// A request as a stand-in reads it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Request {
     /// The path without its query.
     pub path: String,
--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -9,6 +9,7 @@
 mod host;
 mod http;
 mod json;
+mod late;
 mod record;
 mod store;
 mod worker;
@@ -31,6 +32,7 @@
     let place = world::Place { folder: PathBuf::from(folder), root: PathBuf::from(root) };
     let played = match case.as_str() {
         "labels" => crowd::labels(&place, trouble),
+        "late" => late::play(&place, trouble),
         "memory" => crowd::memory(&place, trouble),
         "lasting" => crashes::lasting(&place, trouble),
         "batch" => crashes::batch(&place, trouble),
--- a/review/stand-in-3/src/worker.rs
+++ b/review/stand-in-3/src/worker.rs
@@ -5,9 +5,10 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http;
 use crate::json::{Json, quoted};
@@ -140,10 +141,14 @@
 pub struct Worker {
     /// Its id.
     pub id: String,
+    /// The Unix millisecond at which it started.
+    born_ms: u128,
     /// Its server; absent until it is started.
     server: OnceLock<Arc<http::Server>>,
     /// Whether it has crashed.
     crashed: AtomicBool,
+    /// Where orders to start go that it leaves unanswered; absent while it answers them.
+    late: Mutex<Option<mpsc::Sender<http::Request>>>,
     /// Its state.
     state: Mutex<State>,
     /// Is notified of each end.
@@ -157,16 +162,20 @@
 }
 
 impl Worker {
-    /// Starts a worker, at a free port unless an address is given, and lists it in the store.
+    /// Starts a worker, at a free port unless an address is given, and lists it in the store after
+    /// a while.
     pub fn start(
         id: &str,
         addr: Option<SocketAddr>,
-        (store, sent, record): (&Store, &Arc<Sent>, &Arc<Record>),
+        listed_after: Duration,
+        (store, sent, record): (&Arc<Store>, &Arc<Sent>, &Arc<Record>),
     ) -> io::Result<Arc<Self>> {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener = TcpListener::bind(addr.unwrap_or(free))?;
         let worker = Arc::new(Self {
             id: id.to_owned(),
+            born_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis(),
+            late: Mutex::default(),
             server: OnceLock::new(),
             crashed: AtomicBool::new(false),
             state: Mutex::default(),
@@ -186,10 +195,33 @@
                 thread::sleep(Duration::from_millis(5));
             }
         });
-        store.write("servers", id, &entry(addr));
+        let entry = entry(addr, worker.born_ms);
+        let (store, id) = (Arc::clone(store), id.to_owned());
+        thread::spawn(move || {
+            thread::sleep(listed_after);
+            store.write("servers", &id, &entry);
+        });
         Ok(worker)
     }
 
+    /// Leaves orders to start unanswered from now on and hands them to the receiver.
+    pub fn leave_unanswered(&self) -> mpsc::Receiver<http::Request> {
+        let (sender, receiver) = mpsc::channel();
+        *self.late.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
+        receiver
+    }
+
+    /// Answers orders to start again.
+    pub fn answer_again(&self) {
+        *self.late.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
+    /// Carries out an order that was left unanswered, also by an earlier life.
+    pub fn carry_out(&self, order: &http::Request) {
+        let answer = self.take(order);
+        self.record.note(&format!("late order on {}: {answer:?}", self.id));
+    }
+
     /// Crashes it: all that runs there is lost, and its port is dead. Its entry goes after three
     /// heartbeats of silence.
     pub fn crash(&self, store: &Arc<Store>) {
@@ -258,6 +290,18 @@
         if self.crashed.load(Ordering::SeqCst) {
             return None;
         }
+        let late = self.late.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(late) = late.filter(|_| request.path == "/run-start") {
+            let text = String::from_utf8_lossy(&request.body);
+            self.record.note(&format!("order without an answer on {}: {text}", self.id));
+            let _ = late.send(request.clone());
+            return None;
+        }
+        self.take(request)
+    }
+
+    /// Takes a call.
+    fn take(&self, request: &http::Request) -> http::Answer {
         if request.instance != self.id {
             return Some((421, "{}".to_owned()));
         }
@@ -281,12 +325,13 @@
 
     /// Returns the answer to an order that is carried out.
     fn done(&self) -> (u16, String) {
-        (200, format!("{{\"clock_ms\":{}}}", self.clock_ms()))
+        (200, format!("{{\"clock_ms\":{},\"born\":{}}}", self.clock_ms(), self.born_ms))
     }
 
     /// Returns the answer to an order that is refused.
     fn refuse(&self, reason: &str) -> (u16, String) {
-        (409, format!("{{\"clock_ms\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
+        let (clock_ms, born_ms) = (self.clock_ms(), self.born_ms);
+        (409, format!("{{\"clock_ms\":{clock_ms},\"born\":{born_ms},\"reason\":\"{reason}\"}}"))
     }
 
     /// Prolongs the lease.
@@ -356,7 +401,8 @@
             let waited = self.ended.wait_timeout(state, left);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
-        let mut body = format!("{{\"clock_ms\":{},\"running\":[", self.clock_ms());
+        let (clock_ms, born_ms) = (self.clock_ms(), self.born_ms);
+        let mut body = format!("{{\"clock_ms\":{clock_ms},\"born\":{born_ms},\"running\":[");
         for (at, (task, run)) in state.runs.iter().enumerate() {
             let comma = if at > 0 { "," } else { "" };
             let percent = run.percent();
@@ -374,12 +420,12 @@
 }
 
 /// Returns the entry of a worker in the store.
-fn entry(addr: SocketAddr) -> String {
+fn entry(addr: SocketAddr, born_ms: u128) -> String {
     let Size { cpu, mem_mb } = CAPACITY;
     let service = quoted(SERVICE);
     format!(
         "{{\"service\":{service},\"address\":\"{addr}\",\"zone\":\"hall\",\"version\":\"v1\",\
-         \"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"labels\":[\"a\",\"r1-1\"],\
+         \"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":{born_ms},\"labels\":[\"a\",\"r1-1\"],\
          \"capacity\":{{\"cpu\":{cpu},\"mem_mb\":{mem_mb},\"gpu\":0}}}}"
     )
 }
--- a/review/stand-in-3/src/world.rs
+++ b/review/stand-in-3/src/world.rs
@@ -3,8 +3,8 @@
 use std::env;
 use std::fs;
 use std::io;
-use std::net::TcpListener;
-use std::path::PathBuf;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,19 +67,16 @@
         let store_addr = http::serve(listener, move |request| served.answer(request))?.addr;
         store.write("op", "config", &CONFIG.replace('\n', ""));
         let sent = Arc::new(Sent::default());
-        let workers = (0..workers)
-            .map(|at| Worker::start(&format!("worker-{at}"), None, (&store, &sent, &record)));
+        let workers = (0..workers).map(|at| {
+            Worker::start(&format!("worker-{at}"), None, Duration::ZERO, (&store, &sent, &record))
+        });
         let workers = workers.collect::<io::Result<Vec<_>>>()?;
         let temporary = env::temp_dir().join(format!("review-three-{}", process::id()));
         fs::create_dir_all(&temporary)?;
-        let hosts = (0..hosts)
-            .map(|at| Host::start(&place.root, &temporary, &format!("entry-{at}"), store_addr));
+        let hosts = (0..hosts).map(|at| start_host(place, &temporary, at, store_addr));
         let hosts = hosts.collect::<io::Result<Vec<_>>>()?;
         let root = place.root.clone();
         let world = Self { record, store, sent, workers, hosts, root, lives: 0, temporary };
-        if !world.hosts.iter().all(|host| host.wait_until_ready(Duration::from_secs(10))) {
-            return Err(io::Error::other("a host is not ready after 10 s"));
-        }
         world.record.note("all hosts are ready");
         Ok(world)
     }
@@ -93,12 +90,35 @@
     pub fn restart_worker(&mut self, at: usize) -> io::Result<()> {
         self.lives += 1;
         let id = format!("worker-{at}-{}", self.lives);
+        self.start_worker(at, &id, Duration::ZERO)
+    }
+
+    /// Starts the next life of a worker that has crashed, under the id that it had; its first
+    /// heartbeat reaches the store after a while.
+    pub fn return_worker(&mut self, at: usize, listed_after: Duration) -> io::Result<()> {
+        let id = self.workers[at].id.clone();
+        self.start_worker(at, &id, listed_after)
+    }
+
+    /// Starts a life of a worker at the address that it had.
+    fn start_worker(&mut self, at: usize, id: &str, listed_after: Duration) -> io::Result<()> {
         self.record.note(&format!("start of {id}"));
         let addr = self.workers[at].addr();
-        self.workers[at] = Worker::start(&id, addr, (&self.store, &self.sent, &self.record))?;
+        let shared = (&self.store, &self.sent, &self.record);
+        self.workers[at] = Worker::start(id, addr, listed_after, shared)?;
         Ok(())
     }
 
+    /// Returns a worker.
+    pub fn worker(&self, at: usize) -> &Arc<Worker> {
+        &self.workers[at]
+    }
+
+    /// Returns the number of workers on which a task runs.
+    pub fn count_runs(&self, task: &str) -> usize {
+        self.workers.iter().filter(|worker| worker.runs(task)).count()
+    }
+
     /// Returns the worker on which a task runs.
     pub fn worker_of(&self, task: &str) -> Option<usize> {
         self.workers.iter().position(|worker| worker.runs(task))
@@ -136,6 +156,17 @@
     }
 }
 
+/// Starts a host and waits until it is ready; again, if another process took one of its ports.
+fn start_host(place: &Place, folder: &Path, at: usize, store: SocketAddr) -> io::Result<Host> {
+    for _ in 0..3 {
+        let mut host = Host::start(&place.root, folder, &format!("entry-{at}"), store)?;
+        if host.wait_until_ready(Duration::from_secs(5)) {
+            return Ok(host);
+        }
+    }
+    Err(io::Error::other("a host is not ready"))
+}
+
 /// A client of one host.
 #[derive(Debug)]
 pub struct JobClient {
