--- a/review/stand-in-3/src/crowd.rs
+++ b/review/stand-in-3/src/crowd.rs
@@ -116,7 +116,7 @@
         let _ = thread.join();
     }
     let calm = crowd_ended.map(|ended| ended + CALM_AFTER);
-    Ok(judge(&world, &ordinary, calm, &keeper))
+    judge(&world, &ordinary, calm, &keeper)
 }
 
 /// Starts the crowd's connections.
@@ -170,10 +170,14 @@
 
 /// Judges the day: LOST, if an ordinary job ran nothing for 3 s in calm while the workers were idle;
 /// and the fault of processes that end by themselves, three times on two machines.
-fn judge(world: &World, ordinary: &[Ordinary], calm: Option<Instant>, keeper: &Keeper) -> bool {
+fn judge(
+    world: &World,
+    ordinary: &[Ordinary],
+    calm: Option<Instant>,
+    keeper: &Keeper,
+) -> io::Result<bool> {
     let Some(calm) = calm else {
-        world.record.tell("the crowd did not end in time");
-        return keeper.holds(world);
+        return not_judged(keeper.holds(world), "the crowd did not end in time");
     };
     let end = Instant::now();
     let judged: Vec<&Ordinary> = ordinary
@@ -193,7 +197,15 @@
         judged.len(),
     ));
     let keeps = keeper.holds(world);
-    lost == 0 && keeps && !judged.is_empty()
+    if judged.is_empty() {
+        return not_judged(keeps, "no ordinary job was accepted in calm");
+    }
+    Ok(lost == 0 && keeps)
+}
+
+/// Returns the verdict where LOST can't be judged: only the rule of ended processes may be broken.
+fn not_judged(keeps: bool, why: &'static str) -> io::Result<bool> {
+    if keeps { Err(io::Error::other(why)) } else { Ok(false) }
 }
 
 /// Ends processes that take more memory than their machine has, as the platform does, and starts
